--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# `make dev` and `make test` set up everything themselves.
+PY ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.ready
+
+.PHONY: dev test check bench slopes capacity chaos binary generate examples clean
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	$(PY) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.txt -r requirements-dev.txt
+	$(BIN)/pip install -q -e .
+	touch $(STAMP)
+
+dev: $(STAMP)
+	$(BIN)/ramppost dev
+
+test: $(STAMP) check
+	$(BIN)/python -m pytest
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+generate: $(STAMP)
+	PATH=$(CURDIR)/$(BIN):$$PATH sh ramppost/schema/generate.sh
+
+examples: $(STAMP)
+	$(BIN)/python -m ramppost.standin.write_examples examples
+
+binary: $(STAMP)
+	mkdir -p dist
+	$(BIN)/pex . -r requirements.txt -m ramppost -o dist/ramppost.pex
+
+clean:
+	rm -rf $(VENV) dist build *.egg-info
--- /dev/null
+++ b/ramppost/__init__.py
@@ -0,0 +1,8 @@
+"""ramppost: a model-aware router for teams that serve several models and versions.
+
+Start reading at `ramppost.cli.main`; one request then goes through
+`ramppost.entry.callers`, `ramppost.entry.serve`, `ramppost.entry.dispatch` and
+`ramppost.agent.door` to an upstream and back.
+"""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/ramppost/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line: `python -m ramppost`."""
+
+from ramppost.cli.main import main
+
+main()
--- /dev/null
+++ b/ramppost/agent/door.py
@@ -0,0 +1,214 @@
+"""The agent's door: the only way to its upstream.
+
+`/a/run` admits an attempt or says truly that it was not run; `/a/attach` reads an
+attempt on from any piece, or bars it if it was never admitted; `/a/cancel`,
+`/a/settled` and `/a/status` do what they say.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Literal, TypeVar
+
+from ramppost import ids
+from ramppost.agent.attempts import Attempt
+from ramppost.agent.runner import cancel, refusal_now, take_in
+from ramppost.agent.state import Agent
+from ramppost.confsync import CONFIG_PATH, fetch
+from ramppost.schema.messages import (
+    AgentStatus,
+    AttachMsg,
+    CancelMsg,
+    Frame,
+    Head,
+    RunMsg,
+    SettledMsg,
+    StatusMsg,
+)
+from ramppost.wire.codec import BadMessage, decode, encode, encode_line
+from ramppost.wire.server import Handler, Reply, Request
+
+NDJSON = "application/x-ndjson"
+HeadOutcome = Literal["admitted", "not_run", "unknown"]
+
+T = TypeVar("T")
+
+
+def door(agent: Agent) -> Handler:
+    """The handler of an agent's listener."""
+
+    async def handle(req: Request, reply: Reply) -> None:
+        if req.path == "/a/run":
+            await _with(req, reply, RunMsg, lambda msg: _run(agent, msg, reply))
+        elif req.path == "/a/attach":
+            await _with(req, reply, AttachMsg, lambda msg: _attach(agent, msg, reply))
+        elif req.path == "/a/cancel":
+            await _with(req, reply, CancelMsg, lambda msg: _cancel(agent, msg, reply))
+        elif req.path == "/a/settled":
+            await _with(req, reply, SettledMsg, lambda msg: _settled(agent, msg, reply))
+        elif req.path == "/a/status":
+            await _with(req, reply, StatusMsg, lambda msg: _status(agent, msg, reply))
+        elif req.path == CONFIG_PATH:
+            await send_config(agent.conf.raw, agent.conf.rev, req, reply)
+        elif req.path in ("/healthz", "/readyz"):
+            ready = agent.conf.doc is not None and agent.up and not agent.leaving
+            await reply.send(200 if ready or req.path == "/healthz" else 503, b"{}")
+        else:
+            await reply.send(404, b'{"error":"no such path"}')
+
+    return handle
+
+
+async def _with(
+    req: Request, reply: Reply, kind: type[T], then: Callable[[T], Awaitable[None]]
+) -> None:
+    msg = decode(req.body, kind)
+    if isinstance(msg, BadMessage):
+        await reply.send(400, encode({"error": msg.reason}))
+    else:
+        await then(msg)
+
+
+async def send_config(raw: bytes, rev: int, req: Request, reply: Reply) -> None:
+    """Answer a peer that asks for a revision newer than its own."""
+    asked = req.query.get("rev", "0")
+    if asked.isdigit() and int(asked) < rev:
+        await reply.send(200, raw)
+    else:
+        await reply.send(304, b"")
+
+
+async def _catch_up(agent: Agent, sender: str, rev: int) -> None:
+    if rev > agent.conf.rev:
+        await fetch(agent.conf, agent.pool, ids.address(sender))
+
+
+async def _run(agent: Agent, msg: RunMsg, reply: Reply) -> None:
+    await _catch_up(agent, msg["entry"], msg["rev"])
+    item = agent.attempts.get(msg["attempt"])
+    if item is None:
+        if not agent.admits(msg["agent"]):
+            await _say(agent, msg["attempt"], "not_run", "wrong_incarnation", reply)
+            return
+        if msg["rev"] > agent.conf.rev:
+            await _say(agent, msg["attempt"], "not_run", "behind", reply)
+            return
+        item = agent.attempts.begin(msg)
+        reason = "leaving" if agent.leaving else refusal_now(agent, msg)
+        if reason:
+            await item.refuse(reason)
+        else:
+            await take_in(agent, item, msg)
+    await _follow(agent, item, 0, reply)
+
+
+async def _attach(agent: Agent, msg: AttachMsg, reply: Reply) -> None:
+    await _catch_up(agent, msg["entry"], msg["rev"])
+    item = agent.attempts.get(msg["attempt"])
+    if item is not None:
+        await _follow(agent, item, msg["from_frame"], reply)
+    elif ids.parse_ticket(msg["agent"]).incarnation != agent.name:
+        await _say(agent, msg["attempt"], "unknown", "replaced", reply)
+    elif not agent.admits(msg["agent"]):
+        await _say(agent, msg["attempt"], "unknown", "forgotten", reply)
+    elif msg["tombstone"]:
+        item = await agent.attempts.bar(msg["attempt"], "tombstoned")
+        await _follow(agent, item, 0, reply)
+    else:
+        await _say(agent, msg["attempt"], "unknown", "not_seen", reply)
+
+
+async def _follow(agent: Agent, item: Attempt, start: int, reply: Reply) -> None:
+    """Send the head once it is known, then pieces from `start` on, then the end."""
+    item.readers += 1
+    try:
+        await item.wait_for(-1)
+        if item.state == "not_run":
+            wait_s = item.retry_after_s
+            await _say(agent, item.attempt, "not_run", item.reason, reply, wait_s)
+            return
+        if item.dropped:
+            await _say(agent, item.attempt, "unknown", "answer_dropped", reply)
+            return
+        await reply.start(200, NDJSON)
+        await reply.write(encode_line(_head(agent, item.attempt, "admitted", "")))
+        await _send_frames(item, start, reply)
+        await reply.end()
+    finally:
+        item.readers -= 1
+        item.unread_since = time.monotonic()
+
+
+async def _send_frames(item: Attempt, start: int, reply: Reply) -> None:
+    sent = start
+    while True:
+        await item.wait_for(sent)
+        lines = b""
+        for number in range(sent, len(item.frames)):
+            lines += encode_line(Frame(attempt=item.attempt, n=number, text=item.frames[number]))
+        sent = max(sent, len(item.frames))
+        if item.end is not None:
+            last = Frame(attempt=item.attempt, n=len(item.frames), text="", end=item.end)
+            await reply.write(lines + encode_line(last))
+            return
+        if lines:
+            await reply.write(lines)
+
+
+def _head(
+    agent: Agent, attempt: str, outcome: HeadOutcome, reason: str, retry_after_s: float = 0.0
+) -> Head:
+    return Head(
+        agent=agent.ticket,
+        attempt=attempt,
+        rev=agent.conf.rev,
+        outcome=outcome,
+        reason=reason,
+        retry_after_s=retry_after_s,
+        load=agent.load(),
+        counts=agent.count_list(),
+    )
+
+
+async def _say(
+    agent: Agent,
+    attempt: str,
+    outcome: HeadOutcome,
+    reason: str,
+    reply: Reply,
+    retry_after_s: float = 0.0,
+) -> None:
+    head = _head(agent, attempt, outcome, reason, retry_after_s)
+    await reply.send(200, encode_line(head), NDJSON)
+
+
+async def _cancel(agent: Agent, msg: CancelMsg, reply: Reply) -> None:
+    item = agent.attempts.get(msg["attempt"])
+    if item is not None:
+        await cancel(agent, item)
+    await reply.send(200, b"{}")
+
+
+async def _settled(agent: Agent, msg: SettledMsg, reply: Reply) -> None:
+    for attempt in msg["attempts"]:
+        agent.witness.pop(attempt, None)
+    await reply.send(200, b"{}")
+
+
+async def _status(agent: Agent, msg: StatusMsg, reply: Reply) -> None:
+    await _catch_up(agent, msg["entry"], msg["rev"])
+    state: Literal["live", "leaving", "down"] = "live" if agent.up else "down"
+    status = AgentStatus(
+        agent=agent.ticket,
+        name=agent.cfg["name"],
+        hall=agent.cfg["hall"],
+        rev=agent.conf.rev,
+        state="leaving" if agent.leaving else state,
+        kind=agent.cfg["upstream"]["kind"],
+        service=agent.cfg["upstream"].get("service", ""),
+        versions=agent.versions,
+        load=agent.load(),
+        counts=agent.count_list(),
+    )
+    await reply.send(200, encode(status))
--- /dev/null
+++ b/ramppost/agent/engine.py
@@ -0,0 +1,166 @@
+"""Adapter of a model engine that speaks the OpenAI form.
+
+`run_engine` tells whether the run began, hands on each piece of text, and ends
+with usage.  Statuses 400, 404 and 429 are the engine's word that it did not run;
+any other failure after the request was sent counts as begun.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, NamedTuple, TypedDict, cast
+
+import curio
+import msgspec
+
+from ramppost.schema.messages import RunMsg
+from ramppost.wire.client import CallFailed, Pool, call, open_stream
+from ramppost.wire.codec import BadMessage, decode, encode
+
+NOT_RUN_STATUSES: Final = (400, 404, 429)
+DATA: Final = b"data: "
+DONE: Final = b"[DONE]"
+CALL_TIMEOUT_S: Final = 2.0
+TOKEN_TIMEOUT_S: Final = 30.0
+
+
+class Delta(TypedDict, total=False):
+    """A piece of a message."""
+
+    content: str | None
+
+
+class Choice(TypedDict, total=False):
+    """A choice of a chunk."""
+
+    delta: Delta
+    finish_reason: str | None
+
+
+class Usage(TypedDict):
+    """Tokens used."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
+class Chunk(TypedDict, total=False):
+    """A chunk of a streamed completion."""
+
+    choices: list[Choice]
+    usage: Usage | None
+    confidence: float
+
+
+class Ran(NamedTuple):
+    """The run came to its end."""
+
+    finish: str
+    tokens_in: int
+    tokens_out: int
+    confidence: float
+
+
+class NotBegun(NamedTuple):
+    """The engine did not run it."""
+
+    reason: str
+
+
+class Broke(NamedTuple):
+    """The run began, or may have, and failed."""
+
+    reason: str
+
+
+Begun = Callable[[], Awaitable[None]]
+OnText = Callable[[str], Awaitable[None]]
+
+
+def engine_body(msg: RunMsg) -> bytes:
+    """The caller's body with the version to run, always streamed."""
+    body = cast("dict[str, Any]", msgspec.json.decode(msg["body"]))
+    body["model"] = f"{msg['model']}@{msg['version']}"
+    body["stream"] = True
+    return encode(body)
+
+
+def headers_of(msg: RunMsg) -> tuple[tuple[str, str], ...]:
+    """What the upstream is told about a request."""
+    return (
+        ("content-type", "application/json"),
+        ("x-request-id", msg["request_id"]),
+        ("x-attempt", msg["attempt"]),
+        ("x-workspace", msg["workspace"]),
+        ("x-session", msg["session"]),
+        ("x-priority", str(msg["priority"])),
+        ("idempotency-key", msg["key"]),
+    )
+
+
+async def run_engine(
+    pool: Pool, addr: str, msg: RunMsg, begun: Begun, on_text: OnText
+) -> Ran | NotBegun | Broke:
+    """Run an attempt at the engine."""
+    path = "/v1/chat/completions"
+    stream = await open_stream(
+        pool, addr, "POST", path, engine_body(msg), TOKEN_TIMEOUT_S, headers_of(msg)
+    )
+    if isinstance(stream, CallFailed):
+        return Broke(stream.reason) if stream.sent else NotBegun(stream.reason)
+    try:
+        if stream.status in NOT_RUN_STATUSES:
+            return NotBegun(f"engine answered {stream.status}")
+        if stream.status != 200:
+            return Broke(f"engine answered {stream.status}")
+        await begun()
+        ran = Ran("", 0, 0, 0.0)
+        count = 0
+        while True:
+            line = await curio.timeout_after(TOKEN_TIMEOUT_S, stream.read_line())
+            if line == DATA + DONE:
+                return ran if ran.finish else Broke("engine ended without a finish reason")
+            if not line.startswith(DATA):
+                return Broke("engine's stream was cut")
+            chunk = decode(line[len(DATA) :], Chunk)
+            if isinstance(chunk, BadMessage):
+                return Broke(f"engine sent a malformed chunk: {chunk.reason}")
+            text, finish = _text(chunk)
+            if text:
+                count += 1
+                await on_text(text)
+            if finish:
+                ran = _ran(finish, chunk, count)
+    except OSError as exc:
+        return Broke(f"engine's stream was cut: {exc}")
+    except curio.TaskTimeout:
+        return Broke(f"no token in {TOKEN_TIMEOUT_S:g} s")
+    finally:
+        await stream.close()
+
+
+def _text(chunk: Chunk) -> tuple[str, str]:
+    choices = chunk.get("choices") or [Choice()]
+    delta = choices[0].get("delta") or Delta()
+    return delta.get("content") or "", choices[0].get("finish_reason") or ""
+
+
+def _ran(finish: str, chunk: Chunk, count: int) -> Ran:
+    usage = chunk.get("usage") or Usage(prompt_tokens=0, completion_tokens=count)
+    return Ran(
+        finish, usage["prompt_tokens"], usage["completion_tokens"], chunk.get("confidence", 0.0)
+    )
+
+
+async def cancel_run(pool: Pool, addr: str, attempt: str) -> None:
+    """Ask the engine to stop a run."""
+    await call(pool, addr, "POST", "/v1/cancel", encode({"attempt": attempt}), CALL_TIMEOUT_S)
+
+
+async def versions_of(pool: Pool, addr: str) -> list[str] | None:
+    """The versions an engine serves, `model@version`; None where it does not answer."""
+    got = await call(pool, addr, "GET", "/v1/models", timeout_s=CALL_TIMEOUT_S)
+    if isinstance(got, CallFailed) or got.status != 200:
+        return None
+    found = decode(got.body, list[str])
+    return None if isinstance(found, BadMessage) else found
--- /dev/null
+++ b/ramppost/agent/state.py
@@ -0,0 +1,79 @@
+"""State of an agent."""
+
+from __future__ import annotations
+
+import time
+
+from ramppost import ids
+from ramppost.agent.attempts import Attempts
+from ramppost.confsync import ConfState
+from ramppost.ledger import Filer
+from ramppost.platform.objects import Client
+from ramppost.policy.admission import Admission
+from ramppost.policy.permissions import ModelVersion, model_named
+from ramppost.schema.messages import BillLine, Load, VersionCount
+from ramppost.schema.settings import AgentSettings
+from ramppost.wire.client import Pool
+
+
+class Agent:
+    """Everything an agent holds; all of it may be lost at any time."""
+
+    def __init__(self, cfg: AgentSettings) -> None:
+        self.cfg = cfg
+        where = cfg["listen"]
+        self.name = ids.incarnation(cfg.get("advertise", f"{where['host']}:{where['port']}"))
+        self.pool = Pool()
+        self.client = Client(cfg["platform"], self.pool)
+        self.conf = ConfState()
+        self.keep_s = cfg.get("keep_s", 600.0)
+        self.attempts = Attempts(self.keep_s, cfg.get("keep_mb", 64) * 1_000_000)
+        self.admission = Admission(cfg["upstream"]["slots"], cfg.get("queue", 64))
+        self.filer = Filer(self.client, self.name, 1.0, self._filed)
+        self.witness: dict[str, tuple[float, BillLine]] = {}
+        self.counts: dict[ModelVersion, list[int]] = {}
+        self.versions: list[str] = []
+        self.up = False
+        self.leaving = False
+        self.started = time.monotonic()
+
+    @property
+    def epoch(self) -> int:
+        """The present epoch of tickets: half of `keep_s` each."""
+        return int((time.monotonic() - self.started) / (self.keep_s / 2))
+
+    @property
+    def ticket(self) -> str:
+        """What an entry must name in a run message."""
+        return ids.ticket(self.name, self.epoch)
+
+    def admits(self, text: str) -> bool:
+        """Whether a ticket is ours and of this epoch or the one before."""
+        got = ids.parse_ticket(text)
+        return got.incarnation == self.name and self.epoch - 1 <= got.epoch <= self.epoch
+
+    def load(self) -> Load:
+        """The load now."""
+        adm = self.admission
+        drain = adm.drain_per_s(time.monotonic())
+        return Load(running=adm.running, waiting=adm.waiting, slots=adm.slots, drain_per_s=drain)
+
+    def count(self, mv: ModelVersion, good: bool) -> None:
+        """Count how a version did."""
+        self.counts.setdefault(mv, [0, 0])[0 if good else 1] += 1
+
+    def count_list(self) -> list[VersionCount]:
+        """Counts by version since the start."""
+        return [
+            VersionCount(model=mv.model, version=mv.version, ok=ok, bad=bad)
+            for mv, (ok, bad) in self.counts.items()
+        ]
+
+    def price(self, model: str) -> float:
+        """Price of a thousand tokens."""
+        found = model_named(self.conf.doc, model) if self.conf.doc else None
+        return found["price"] if found else 0.0
+
+    async def _filed(self, lines: list[BillLine]) -> None:
+        for line in lines:
+            self.witness.pop(line["attempt"], None)
--- /dev/null
+++ b/ramppost/confsync.py
@@ -0,0 +1,104 @@
+"""Keeps a process at the newest configuration revision.
+
+Three ways at once: a waiting watch on the platform, a question to a random peer
+every two seconds, and a fetch from whoever shows a higher revision on a message.
+A revision is adopted only if it is higher than the one in force, so nothing ever
+reverts, whichever way is late, stale or down.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import Final
+
+import curio
+from loguru import logger
+
+from ramppost.platform.objects import Client, Unavailable, watch
+from ramppost.schema.config import ConfigDoc
+from ramppost.wire.client import CallFailed, Pool, call
+from ramppost.wire.codec import BadMessage, decode, encode
+
+CONFIG_PREFIX: Final = "config/"
+CONFIG_KEY: Final = "config/current"
+CONFIG_PATH: Final = "/x/config"
+WATCH_S: Final = 25.0
+BACKOFF_MIN_S: Final = 0.5
+BACKOFF_MAX_S: Final = 3.0
+PEER_PERIOD_S: Final = 2.0
+PEER_TIMEOUT_S: Final = 1.0
+
+Adopted = Callable[[ConfigDoc], None]
+
+
+class ConfState:
+    """The configuration in force in this process."""
+
+    def __init__(self) -> None:
+        self.doc: ConfigDoc | None = None
+        self.raw = b""
+        self.adopted_at = 0.0
+        self.on_adopt: list[Adopted] = []
+        self.stored_at: dict[int, int] = {}
+
+    @property
+    def rev(self) -> int:
+        """Revision in force, 0 before the first."""
+        return self.doc["revision"] if self.doc else 0
+
+    def adopt(self, doc: ConfigDoc, source: str) -> bool:
+        """Put a document in force if it is newer."""
+        if doc["revision"] <= self.rev:
+            return False
+        self.doc = doc
+        self.raw = encode(doc)
+        self.adopted_at = time.time()
+        logger.info("configuration revision {} in force, from {}", doc["revision"], source)
+        for listener in self.on_adopt:
+            listener(doc)
+        return True
+
+
+async def follow_platform(state: ConfState, client: Client) -> None:
+    """Watch the platform until cancelled."""
+    since = 0
+    wait_s = BACKOFF_MIN_S
+    while True:
+        found = await watch(client, CONFIG_PREFIX, since, WATCH_S)
+        if isinstance(found, Unavailable):
+            await curio.sleep(wait_s * random.uniform(0.5, 1.5))
+            wait_s = min(BACKOFF_MAX_S, wait_s * 2)
+            continue
+        wait_s = BACKOFF_MIN_S
+        for item in found["items"]:
+            since = max(since, item["version"])
+            doc = decode(encode(item["value"]), ConfigDoc)
+            if isinstance(doc, BadMessage):
+                logger.error("configuration in the platform is malformed: {}", doc.reason)
+            elif item["key"] == CONFIG_KEY:
+                state.adopt(doc, "platform")
+
+
+async def ask_peers(state: ConfState, pool: Pool, peers: Callable[[], list[str]]) -> None:
+    """Ask a random peer for a newer revision now and then, and all of them at birth."""
+    while state.doc is None:
+        for addr in peers():
+            await fetch(state, pool, addr)
+        await curio.sleep(BACKOFF_MIN_S if state.doc is None else 0)
+    while True:
+        await curio.sleep(PEER_PERIOD_S * random.uniform(0.75, 1.25))
+        known = peers()
+        if known:
+            await fetch(state, pool, random.choice(known))
+
+
+async def fetch(state: ConfState, pool: Pool, addr: str) -> bool:
+    """Fetch what an address has if it is newer; true if it was put in force."""
+    path = f"{CONFIG_PATH}?rev={state.rev}"
+    got = await call(pool, addr, "GET", path, timeout_s=PEER_TIMEOUT_S)
+    if isinstance(got, CallFailed) or got.status != 200:
+        return False
+    doc = decode(got.body, ConfigDoc)
+    return not isinstance(doc, BadMessage) and state.adopt(doc, addr)
--- /dev/null
+++ b/ramppost/entry/main.py
@@ -0,0 +1,134 @@
+"""`ramppost entry`: starts the listeners, the housekeeping and the planned stop."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Final
+
+import curio
+from aioprometheus.renderer import render
+from loguru import logger
+
+from ramppost.agent.door import send_config
+from ramppost.confsync import CONFIG_PATH, ask_peers, follow_platform
+from ramppost.entry.callers import caller_error, callers
+from ramppost.entry.report import own_report
+from ramppost.entry.rollouts import drive, rate
+from ramppost.entry.state import Entry
+from ramppost.policy.claims import SHARDS
+from ramppost.schema.messages import EntryStatus, StatusMsg
+from ramppost.schema.settings import EntrySettings, InputLimits
+from ramppost.wire.codec import decode, encode
+from ramppost.wire.server import Handler, Limits, Reply, Request, TlsFiles, serve
+from ramppost.wire.signals import Signals
+
+STOP_POLL_S: Final = 0.05
+EXPIRE_PERIOD_S: Final = 60.0
+
+
+def internal(entry: Entry) -> Handler:
+    """The handler of the internal listener: peers, health, metrics."""
+
+    async def handle(req: Request, reply: Reply) -> None:
+        if req.path == CONFIG_PATH:
+            await send_config(entry.conf.raw, entry.conf.rev, req, reply)
+        elif req.path == "/x/status":
+            await _status(entry, req, reply)
+        elif req.path == "/x/report":
+            await reply.send(200, encode(own_report(entry)))
+        elif req.path == "/metrics":
+            entry.stats.m_claims.set({}, entry.claims.groups)
+            entry.stats.m_unfiled.set({}, len(entry.filer.queue))
+            text, head = render(entry.stats.registry, [])
+            await reply.send(200, text, head["Content-Type"])
+        elif req.path in ("/healthz", "/readyz"):
+            ready = entry.conf.doc is not None and not entry.leaving
+            await reply.send(200 if ready or req.path == "/healthz" else 503, b"{}")
+        else:
+            await reply.send(404, b'{"error":"no such path"}')
+
+    return handle
+
+
+async def _status(entry: Entry, req: Request, reply: Reply) -> None:
+    decode(req.body, StatusMsg)
+    status = EntryStatus(
+        entry=entry.name,
+        name=entry.cfg["name"],
+        hall=entry.cfg["hall"],
+        rev=entry.conf.rev,
+        state="leaving" if entry.leaving else "live",
+    )
+    await reply.send(200, encode(status))
+
+
+def _limits(cfg: InputLimits) -> Limits:
+    return Limits(cfg["header_bytes"], cfg["body_bytes"], cfg["read_timeout_s"], cfg["connections"])
+
+
+async def run(cfg: EntrySettings, signals: Signals | None = None) -> None:
+    """Run until a signal asks for a planned stop, or until cancelled."""
+    entry = Entry(cfg)
+    outer, inner = cfg["listen"], cfg["internal"]
+    tls_cfg = cfg.get("tls")
+    tls = TlsFiles(tls_cfg["cert"], tls_cfg["key"]) if tls_cfg else None
+    if tls is not None:
+        tls.context()
+    logger.info("entry {} of {} on {}:{}", entry.name, cfg["name"], outer["host"], outer["port"])
+    limits = _limits(cfg["limits"])
+    tasks = [
+        await curio.spawn(follow_platform, entry.conf, entry.client, daemon=True),
+        await curio.spawn(ask_peers, entry.conf, entry.pool, lambda: _peers(entry), daemon=True),
+        await curio.spawn(entry.ups.follow_boxes, cfg["platform"], daemon=True),
+        await curio.spawn(entry.ups.poll, entry.rev_box, daemon=True),
+        await curio.spawn(entry.filer.run, daemon=True),
+        await curio.spawn(drive, entry, daemon=True),
+        await curio.spawn(rate, entry, daemon=True),
+        await curio.spawn(_expire_claims, entry, daemon=True),
+        await curio.spawn(serve, inner["host"], inner["port"], internal(entry), daemon=True),
+        await curio.spawn(
+            serve,
+            outer["host"],
+            outer["port"],
+            callers(entry),
+            limits,
+            caller_error,
+            tls,
+            daemon=True,
+        ),
+    ]
+    try:
+        if signals is None:
+            await curio.sleep(float("inf"))
+            return
+        await signals.wait()
+        await _stop(entry)
+    finally:
+        for task in tasks:
+            await task.cancel(blocking=False)
+
+
+def _peers(entry: Entry) -> list[str]:
+    """Where to ask for a newer configuration: entries of the settings, else agents."""
+    return entry.cfg["peers"] or [up.addr for up in entry.ups.table.values() if up.alive]
+
+
+async def _stop(entry: Entry) -> None:
+    """Planned stop: no new work, running answers to their end, bills filed."""
+    logger.info("leaving: {} requests under way", entry.busy)
+    entry.leaving = True
+    deadline = time.monotonic() + entry.cfg.get("drain_s", 600.0)
+    while time.monotonic() < deadline:
+        if not entry.busy and entry.filer.empty and entry.claims.idle:
+            logger.info("left")
+            return
+        await curio.sleep(STOP_POLL_S)
+    logger.warning("left with {} requests and {} bills", entry.busy, len(entry.filer.queue))
+
+
+async def _expire_claims(entry: Entry) -> None:
+    """Delete old claims, a random shard now and then, until cancelled."""
+    while True:
+        await curio.sleep(EXPIRE_PERIOD_S * random.uniform(0.5, 1.5))
+        await entry.claims.expire(random.randrange(SHARDS), time.time())
--- /dev/null
+++ b/ramppost/entry/operators.py
@@ -0,0 +1,128 @@
+"""The intent API: state a wish, get a plan, confirm it; and what operators look at."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ramppost import ids
+from ramppost.entry.ask import bearer
+from ramppost.entry.changes import Applied, InDoubt, Stale, change, history
+from ramppost.entry.report import all_reports, status_report
+from ramppost.entry.sink import send_refusal
+from ramppost.entry.state import Entry
+from ramppost.errors import Refusal, refusal
+from ramppost.platform.objects import Absent, Found, Unavailable, get, put
+from ramppost.policy.intent import BadIntent, apply_intent, difference, effect_of, warnings_for
+from ramppost.policy.permissions import operator_of
+from ramppost.schema.config import ConfigDoc, Operator
+from ramppost.schema.messages import Intent, Plan
+from ramppost.settings import check_config_doc
+from ramppost.wire.codec import BadMessage, decode, encode
+from ramppost.wire.server import Reply, Request
+
+PLANS_PREFIX: Final = "plans/"
+RETRY_S: Final = 2.0
+ROLES: Final = {
+    "/v1/intents": "plan",
+    "/v1/status": "read",
+    "/v1/history": "read",
+    "/v1/report": "read",
+}
+
+
+async def operators(entry: Entry, doc: ConfigDoc, req: Request, reply: Reply) -> None:
+    """Serve an operator's request."""
+    confirming = req.path.startswith("/v1/plans/") and req.path.endswith("/confirm")
+    role = "confirm" if confirming else ROLES.get(req.path)
+    if role is None:
+        await send_refusal(reply, refusal("not_found", f"no such path: {req.path}"))
+        return
+    who = operator_of(doc, bearer(req))
+    if who is None:
+        await send_refusal(reply, refusal("unauthorized", "operator token missing or unknown"))
+        return
+    if role not in who["roles"]:
+        await send_refusal(reply, refusal("forbidden", f"operator {who['name']} may not {role}"))
+        return
+    out = await _answer(entry, doc, who, req, confirming)
+    if isinstance(out, Refusal):
+        await send_refusal(reply, out)
+    else:
+        await reply.send(200, out)
+
+
+async def _answer(
+    entry: Entry, doc: ConfigDoc, who: Operator, req: Request, confirming: bool
+) -> bytes | Refusal:
+    if confirming:
+        plan_id = req.path.removeprefix("/v1/plans/").removesuffix("/confirm")
+        return await _confirm(entry, who, plan_id)
+    if req.path == "/v1/intents":
+        return await _plan(entry, doc, who, req)
+    if req.path == "/v1/status":
+        return encode(await status_report(entry))
+    if req.path == "/v1/report":
+        return encode(await all_reports(entry))
+    found = await history(entry)
+    return _platform_down(found) if isinstance(found, Unavailable) else encode(found)
+
+
+def _platform_down(out: Unavailable) -> Refusal:
+    return refusal("platform_down", f"the platform gave no answer: {out.reason}", RETRY_S)
+
+
+async def _plan(entry: Entry, doc: ConfigDoc, who: Operator, req: Request) -> bytes | Refusal:
+    intent = decode(req.body, Intent)
+    if isinstance(intent, BadMessage):
+        return refusal("bad_intent", f"intent: {intent.reason}")
+    fresh = apply_intent(doc, intent)
+    if isinstance(fresh, BadIntent):
+        return refusal("bad_intent", fresh.reason)
+    faults = check_config_doc(fresh)
+    if faults:
+        return refusal("bad_intent", "; ".join(faults))
+    plan = Plan(
+        plan_id=ids.new_id("plan"),
+        revision=doc["revision"],
+        made_by=who["name"],
+        wish=req.body.decode(),
+        difference=difference(doc, fresh),
+        checks=["document matches the schema", f"made for revision {doc['revision']}"],
+        warnings=warnings_for(doc, intent),
+        effect=effect_of(doc, intent, _share(entry, intent.get("model", ""))),
+        result=encode(fresh).decode(),
+    )
+    out = await put(entry.client, PLANS_PREFIX + plan["plan_id"], plan, None)
+    return _platform_down(out) if isinstance(out, Unavailable) else encode(plan | {"result": ""})
+
+
+def _share(entry: Entry, model: str) -> float:
+    """Share of this entry's remembered requests that went to a model."""
+    served = entry.stats.served.values()
+    return sum(1 for s in served if s.mv.model == model) / len(served) if served else 0.0
+
+
+async def _confirm(entry: Entry, who: Operator, plan_id: str) -> bytes | Refusal:
+    found = await get(entry.client, PLANS_PREFIX + plan_id, Plan)
+    if isinstance(found, Absent):
+        return refusal("not_found", f"no such plan: {plan_id}")
+    if isinstance(found, Unavailable):
+        return _platform_down(found)
+    assert isinstance(found, Found)
+    plan = found.value
+    doc = decode(plan["result"].encode(), ConfigDoc)
+    assert not isinstance(doc, BadMessage), doc
+    out = await change(entry, plan["revision"], doc, plan_id, who["name"])
+    if isinstance(out, Applied):
+        return encode({"plan_id": plan_id, "revision": out.revision})
+    if isinstance(out, Stale):
+        return _stale(plan, out.current)
+    assert isinstance(out, InDoubt)
+    code = "confirm_unknown" if out.written else "platform_down"
+    return refusal(code, f"the platform gave no answer: {out.reason}", RETRY_S)
+
+
+def _stale(plan: Plan, current: ConfigDoc) -> Refusal:
+    by = current["changed_by"]
+    text = f"made for revision {plan['revision']}, now {current['revision']} by {by}: plan again"
+    return refusal("stale_plan", text)
--- /dev/null
+++ b/ramppost/entry/route.py
@@ -0,0 +1,113 @@
+"""Which models to try for a request, and which version of each."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ramppost.entry.ask import AUTO, Ask
+from ramppost.entry.state import Entry
+from ramppost.errors import Refusal, refusal
+from ramppost.policy.permissions import (
+    ModelVersion,
+    allowed,
+    model_named,
+    policy_named,
+    version_state,
+)
+from ramppost.policy.routing import ORDERS, Picked, pick_version, policy_for
+from ramppost.schema.config import ConfigDoc, Policy
+
+NO_POLICY = ""
+RETRY_S = 1.0
+
+
+class Route(NamedTuple):
+    """Versions to try in order, and the policy that chose them, if one did."""
+
+    picks: list[Picked]
+    policy: Policy | None
+
+    @property
+    def policy_name(self) -> str:
+        """The policy's name, for counting."""
+        return self.policy["name"] if self.policy else NO_POLICY
+
+
+def route(entry: Entry, ask: Ask, doc: ConfigDoc) -> Route | Refusal:
+    """The versions to try for a request by the configuration in force."""
+    if ask.service:
+        return Route([Picked(ModelVersion("", ""), False)], None)
+    if ask.session is not None:
+        return _held(ask, doc)
+    if ask.wanted.model == AUTO:
+        return _auto(entry, ask, doc)
+    if ask.wanted.version:
+        return _named(ask, doc)
+    return _model(entry, ask, doc, ask.wanted.model)
+
+
+def _held(ask: Ask, doc: ConfigDoc) -> Route | Refusal:
+    """A session keeps its version."""
+    assert ask.session is not None
+    mv = ModelVersion(ask.session["model"], ask.session["version"])
+    if version_state(doc, mv) in ("withdrawn", "unknown"):
+        return refusal("session_ended", f"the session's version {mv.text} was withdrawn")
+    if not allowed(ask.ws, mv):
+        return _forbidden(ask, mv)
+    if ask.wanted.model not in (AUTO, mv.model) or ask.wanted.version not in ("", mv.version):
+        return refusal(
+            "bad_session", f"the session is on {mv.text}, not {ask.wanted.text.strip('@')}"
+        )
+    return Route([Picked(mv, version_state(doc, mv) == "trial")], None)
+
+
+def _named(ask: Ask, doc: ConfigDoc) -> Route | Refusal:
+    mv = ask.wanted
+    state = version_state(doc, mv)
+    if state == "unknown":
+        return refusal("not_found", f"no such model version: {mv.text}")
+    if not allowed(ask.ws, mv):
+        return _forbidden(ask, mv)
+    if state == "withdrawn":
+        return refusal("withdrawn", f"{mv.text} was withdrawn")
+    return Route([Picked(mv, state == "trial")], None)
+
+
+def _model(entry: Entry, ask: Ask, doc: ConfigDoc, model: str) -> Route | Refusal:
+    found = model_named(doc, model)
+    if found is None:
+        return refusal("not_found", f"no such model: {model}")
+    versions = [ModelVersion(model, v["version"]) for v in found["versions"]]
+    if not any(allowed(ask.ws, mv) for mv in versions):
+        return _forbidden(ask, ModelVersion(model, ""))
+    pick = _pick(entry, ask, doc, model)
+    if pick is None:
+        return refusal("no_upstream", f"no live upstream for {model}", RETRY_S)
+    return Route([pick], None)
+
+
+def _auto(entry: Entry, ask: Ask, doc: ConfigDoc) -> Route | Refusal:
+    policy = policy_named(doc, policy_for(ask.ws, ask.who))
+    if policy is None:
+        return refusal("not_found", f"workspace {ask.ws['name']} has no policy for `auto`")
+    usable = [m for m in doc["models"] if _pick(entry, ask, doc, m["model"])]
+    order = ORDERS[policy["kind"]](policy)
+    names = order(ask.cls["name"], usable, entry.learned, entry.rng)
+    picks = [_pick(entry, ask, doc, name) for name in names]
+    found = [pick for pick in picks if pick is not None]
+    if not found:
+        return refusal("no_upstream", f"no live upstream for policy {policy['name']}", RETRY_S)
+    return Route(found, policy)
+
+
+def _pick(entry: Entry, ask: Ask, doc: ConfigDoc, model: str) -> Picked | None:
+    def may(mv: ModelVersion) -> bool:
+        free = allowed(ask.ws, mv) and mv not in entry.paused
+        return free and bool(entry.ups.candidates(mv, ""))
+
+    return pick_version(doc, model, ask.who, may)
+
+
+def _forbidden(ask: Ask, mv: ModelVersion) -> Refusal:
+    name = mv.text.rstrip("@")
+    return refusal("forbidden", f"workspace {ask.ws['name']} may not use {name}")
--- /dev/null
+++ b/ramppost/entry/serve.py
@@ -0,0 +1,242 @@
+"""Serves a checked request: route, obtain, and pass the answer on.
+
+An answer is passed on as it comes, but for the early stages of a cascade, which
+are read whole and judged first.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Final, NamedTuple
+
+from loguru import logger
+
+from ramppost.entry.ask import Ask
+from ramppost.entry.dispatch import Running, abandon, finish, read_on
+from ramppost.entry.obtain import Reroute, obtain
+from ramppost.entry.route import Route, route
+from ramppost.entry.sink import Sink
+from ramppost.entry.state import Entry
+from ramppost.entry.stats import Served
+from ramppost.errors import Refusal, refusal
+from ramppost.platform.ratings import Rated
+from ramppost.policy.routing import Picked, cascade_stops
+from ramppost.policy.session import Session, StreamPlace, mint
+from ramppost.schema.messages import BillLine, End
+from ramppost.wire.server import Gone
+
+MAX_REROUTES: Final = 2
+MAX_RATED_CHARS: Final = 4000
+
+
+class Whole(NamedTuple):
+    """An answer read whole."""
+
+    run: Running
+    pieces: list[str]
+    end: End
+
+
+async def serve_ask(entry: Entry, ask: Ask, sink: Sink) -> Refusal | None:
+    """Serve a request into a sink; a refusal is returned if nothing was sent yet."""
+    started = time.monotonic()
+    deadline = started + ask.deadline_ms / 1000
+    doc = entry.conf.doc
+    assert doc is not None
+    out: Refusal | None = None
+    for _ in range(MAX_REROUTES + 1):
+        doc = entry.conf.doc or doc
+        chosen = route(entry, ask, doc)
+        if isinstance(chosen, Refusal):
+            return _count_refused(entry, ask, "", chosen)
+        got = await _stages(entry, ask, chosen, sink, deadline, started)
+        if isinstance(got, Reroute):
+            out = refusal("overloaded", f"version {got.reason} while it was chosen", 0.5)
+            continue
+        if got is not None:
+            _count_refused(entry, ask, chosen.policy_name, got)
+        return got
+    return out
+
+
+def _count_refused(entry: Entry, ask: Ask, policy: str, ref: Refusal) -> Refusal:
+    entry.stats.policy(policy).refused += 1
+    outcome = "refused" if ref.ran == "no" else "failed"
+    if ref.status >= 500 or ref.status == 429:
+        entry.stats.ended(ask.ws["name"], ask.cls, outcome, None)
+    return ref
+
+
+async def _stages(
+    entry: Entry, ask: Ask, chosen: Route, sink: Sink, deadline: float, started: float
+) -> Refusal | Reroute | None:
+    """Try the picks in order: all but the last are judged before the next is tried."""
+    spare: Whole | None = None
+    for stage, pick in enumerate(chosen.picks):
+        last = stage == len(chosen.picks) - 1
+        run = await obtain(entry, ask, pick.mv, stage, deadline)
+        if isinstance(run, Reroute):
+            return run
+        if isinstance(run, Refusal):
+            if spare is None:
+                return run
+            await _pass_whole(entry, ask, spare, sink, started)
+            return None
+        _count_begun(entry, ask, chosen, pick, run)
+        if last:
+            return await pass_on(entry, ask, run, sink, started)
+        whole = await _read_whole(entry, ask, run)
+        if isinstance(whole, Refusal):
+            if not ask.repeatable:
+                return whole
+            continue
+        spare = whole
+        assert chosen.policy is not None
+        if cascade_stops(chosen.policy, whole.end["confidence"]):
+            await _pass_whole(entry, ask, whole, sink, started)
+            return None
+    return refusal("upstream_failed", "no stage of the cascade answered")
+
+
+def _count_begun(entry: Entry, ask: Ask, chosen: Route, pick: Picked, run: Running) -> None:
+    count = entry.stats.policy(chosen.policy_name)
+    count.requests += 1
+    count.trial += pick.trial
+    served = Served(chosen.policy_name, ask.cls["name"], run.mv)
+    entry.stats.remember(run.request_id, served)
+
+
+async def _read_whole(entry: Entry, ask: Ask, run: Running) -> Whole | Refusal:
+    pieces: list[str] = []
+    while True:
+        frame = await read_on(entry, run)
+        if not isinstance(frame, dict):
+            await finish(run)
+            return refusal("outcome_unknown", f"answer lost on its way: {frame.reason}")
+        if "end" not in frame:
+            pieces.append(frame["text"])
+            continue
+        await finish(run)
+        await _settle(entry, ask, run, frame["end"], "".join(pieces))
+        if frame["end"]["state"] != "done":
+            return refusal("upstream_failed", frame["end"]["reason"])
+        return Whole(run, pieces, frame["end"])
+
+
+async def _pass_whole(entry: Entry, ask: Ask, whole: Whole, sink: Sink, started: float) -> None:
+    """Send an answer that was read before."""
+    first_s = time.monotonic() - started
+    await _begin(entry, ask, whole.run, sink)
+    for number, text in enumerate(whole.pieces):
+        await sink.piece(number, text)
+    await sink.end(whole.end)
+    entry.stats.ended(ask.ws["name"], ask.cls, "served", first_s)
+
+
+async def pass_on(
+    entry: Entry, ask: Ask, run: Running, sink: Sink, started: float
+) -> Refusal | None:
+    """Send an answer while it comes.  A caller who leaves ends a repeatable run."""
+    pieces: list[str] = []
+    first_s: float | None = None
+    try:
+        while True:
+            frame = await read_on(entry, run)
+            if not isinstance(frame, dict):
+                ref = refusal("outcome_unknown", f"answer lost on its way: {frame.reason}")
+                return await _broke(entry, ask, sink, ref, first_s)
+            if first_s is None:
+                first_s = time.monotonic() - started
+            if "end" not in frame:
+                if not pieces:
+                    await _begin(entry, ask, run, sink)
+                pieces.append(frame["text"])
+                await sink.piece(frame["n"], frame["text"])
+                continue
+            end = frame["end"]
+            await _settle(entry, ask, run, end, "".join(pieces))
+            if end["state"] == "failed":
+                ref = refusal("upstream_failed", end["reason"])
+                return await _broke(entry, ask, sink, ref, first_s)
+            if not pieces:
+                await _begin(entry, ask, run, sink)
+            await sink.end(end)
+            entry.stats.ended(ask.ws["name"], ask.cls, "served", first_s)
+            return None
+    except Gone:
+        if ask.repeatable and not ask.stream:
+            await abandon(entry, run)
+        entry.stats.ended(ask.ws["name"], ask.cls, "left", first_s)
+        raise
+    finally:
+        await finish(run)
+
+
+async def _broke(
+    entry: Entry, ask: Ask, sink: Sink, ref: Refusal, first_s: float | None
+) -> Refusal | None:
+    """The answer can't be ended: a refusal if nothing was sent, else an error within it."""
+    if not sink.started:
+        return ref
+    entry.stats.ended(ask.ws["name"], ask.cls, "failed", first_s)
+    await sink.fail(ref)
+    return None
+
+
+async def _begin(entry: Entry, ask: Ask, run: Running, sink: Sink) -> None:
+    assert entry.conf.doc is not None
+    keys = entry.conf.doc["session_keys"]
+    held = ask.session
+    session = Session(
+        kind="session",
+        session=held["session"] if held else f"ses-{run.request_id}",
+        workspace=ask.ws["name"],
+        model=run.mv.model,
+        version=run.mv.version,
+    )
+    place = StreamPlace(
+        kind="stream",
+        workspace=ask.ws["name"],
+        request_id=run.request_id,
+        attempt=run.attempt,
+        agent=run.agent,
+        model=run.mv.model,
+        version=run.mv.version,
+    )
+    await sink.begin(run.request_id, run.mv, mint(keys, session), mint(keys, place))
+
+
+async def _settle(entry: Entry, ask: Ask, run: Running, end: End, text: str) -> None:
+    """Bill, charge and hand in for rating an attempt that has ended."""
+    logger.bind(request=run.request_id, workspace=ask.ws["name"]).info(
+        "{} {} {} tokens {}", run.mv.text, end["state"], end["tokens_out"], end["reason"]
+    )
+    if run.claim is not None:
+        await entry.claims.note(run.claim | {"state": "done"})
+    if end["state"] == "failed":
+        return
+    line = BillLine(
+        request_id=run.request_id,
+        attempt=run.attempt,
+        workspace=ask.ws["name"],
+        model=run.mv.model,
+        version=run.mv.version,
+        tokens=end["tokens_out"],
+        cost=end["cost"],
+    )
+    entry.bill(line, run.addr)
+    entry.bucket(ask.ws).charge(end["tokens_out"], time.monotonic())
+    entry.stats.m_cost.add({"workspace": ask.ws["name"]}, end["cost"])
+    entry.stats.m_tokens.add({"model": run.mv.model, "version": run.mv.version}, end["tokens_out"])
+    served = entry.stats.served.get(run.request_id)
+    if served is not None:
+        entry.stats.policy(served.policy).cost += end["cost"]
+    if text and not ask.service:
+        rated = Rated(
+            request_id=run.request_id,
+            model=run.mv.model,
+            version=run.mv.version,
+            class_name=ask.cls["name"],
+            text=text[-MAX_RATED_CHARS:],
+        )
+        entry.to_rate.append(rated)
--- /dev/null
+++ b/ramppost/entry/state.py
@@ -0,0 +1,90 @@
+"""State of an entry."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from ramppost import ids
+from ramppost.confsync import ConfState
+from ramppost.entry.claimlog import ClaimLog
+from ramppost.entry.stats import Stats
+from ramppost.entry.upstreams import Upstreams
+from ramppost.ledger import Filer
+from ramppost.platform.objects import Client
+from ramppost.platform.ratings import Rated
+from ramppost.policy.limits import RetryBudget, TokenBucket
+from ramppost.policy.permissions import ModelVersion
+from ramppost.policy.routing import Learned, Mean
+from ramppost.schema.config import ConfigDoc, Workspace
+from ramppost.schema.messages import BillLine, SettledMsg
+from ramppost.schema.settings import EntrySettings
+from ramppost.wire.client import Pool, call
+from ramppost.wire.codec import encode
+
+SETTLED_TIMEOUT_S = 2.0
+
+
+class Entry:
+    """Everything an entry holds; all of it may be lost at any time."""
+
+    def __init__(self, cfg: EntrySettings) -> None:
+        self.cfg = cfg
+        where = cfg["internal"]
+        self.name = ids.incarnation(cfg.get("advertise", f"{where['host']}:{where['port']}"))
+        self.pool = Pool()
+        self.client = Client(cfg["platform"], self.pool)
+        self.conf = ConfState()
+        self.rng = random.Random()
+        size = cfg.get("subset", 8)
+        self.ups = Upstreams(cfg["name"], cfg["hall"], self.name, self.pool, size, self.rng)
+        self.ups.seed(cfg["agents"])
+        self.claims = ClaimLog(self.client, cfg.get("claim_window_ms", 10) / 1000)
+        self.filer = Filer(self.client, self.name, cfg.get("bill_window_s", 1.0), self._filed)
+        self.bill_agents: dict[str, str] = {}
+        self.stats = Stats()
+        self.learned = Learned()
+        self.ratings: dict[ModelVersion, Mean] = {}
+        self.to_rate: list[Rated] = []
+        self.paused: set[ModelVersion] = set()
+        self.retries = RetryBudget()
+        self.buckets: dict[str, TokenBucket] = {}
+        self.running: dict[str, int] = {}
+        self.leaving = False
+        self.rev_box = [0]
+        self.conf.on_adopt.append(self._adopted)
+
+    @property
+    def busy(self) -> int:
+        """Callers' requests under way."""
+        return sum(self.running.values())
+
+    def bucket(self, ws: Workspace) -> TokenBucket:
+        """This entry's part of a workspace's tokens."""
+        part = 1 / self.ups.entries()
+        rate, burst = ws["tokens_per_s"] * part, ws["burst_tokens"] * part
+        held = self.buckets.get(ws["name"])
+        if held is None or (held.rate, held.burst) != (rate, burst):
+            fresh = TokenBucket(rate, burst, time.monotonic())
+            if held is not None:
+                fresh.level = min(fresh.level, held.level)
+            self.buckets[ws["name"]] = held = fresh
+        return held
+
+    def bill(self, line: BillLine, agent: str) -> None:
+        """Queue a bill line; its agent is told when it is in the ledger."""
+        self.bill_agents[line["attempt"]] = agent
+        self.filer.add(line)
+
+    def _adopted(self, doc: ConfigDoc) -> None:
+        self.rev_box[0] = doc["revision"]
+        self.stats.m_revision.set({}, doc["revision"])
+
+    async def _filed(self, lines: list[BillLine]) -> None:
+        by_agent: dict[str, list[str]] = {}
+        for line in lines:
+            agent = self.bill_agents.pop(line["attempt"], "")
+            by_agent.setdefault(agent, []).append(line["attempt"])
+        for agent, attempts in by_agent.items():
+            msg = SettledMsg(entry=self.name, attempts=attempts, rev=self.conf.rev)
+            await call(self.pool, agent, "POST", "/a/settled", encode(msg), SETTLED_TIMEOUT_S)
--- /dev/null
+++ b/ramppost/entry/stats.py
@@ -0,0 +1,151 @@
+"""What an entry counts: policies, classes, latencies, metrics.
+
+All of it is lost with the box; what must last is in the ledger.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from typing import Final, NamedTuple
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from hdrh.histogram import HdrHistogram
+
+from ramppost.policy.burn import FAST_S, SLOW_S, Window, budget_left, burn
+from ramppost.policy.permissions import ModelVersion
+from ramppost.policy.routing import Mean
+from ramppost.schema.config import WorkClass
+from ramppost.schema.messages import ClassReport, PolicyReport
+
+REMEMBERED: Final = 20000
+MAX_MS: Final = 3_600_000
+Z95: Final = 1.96
+DEFAULT_OBJECTIVE_MS: Final = 1000
+DEFAULT_OBJECTIVE_SHARE: Final = 0.99
+
+
+class Served(NamedTuple):
+    """What is remembered of a request until its rating comes."""
+
+    policy: str
+    class_name: str
+    mv: ModelVersion
+
+
+class PolicyCount:
+    """Counts of a policy."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.refused = 0
+        self.cost = 0.0
+        self.trial = 0
+        self.ratings = Mean()
+
+
+class ClassCount:
+    """Counts of a class of a workspace."""
+
+    def __init__(self) -> None:
+        self.window = Window()
+        self.first_ms = HdrHistogram(1, MAX_MS, 2)
+
+
+class Stats:
+    """Everything counted."""
+
+    def __init__(self) -> None:
+        self.policies: dict[str, PolicyCount] = {}
+        self.classes: dict[tuple[str, str], ClassCount] = {}
+        self.objectives: dict[str, WorkClass] = {}
+        self.served: OrderedDict[str, Served] = OrderedDict()
+        self.registry = Registry()
+        self.m_requests = Counter(
+            "ramppost_requests_total", "Requests by workspace, class and outcome."
+        )
+        self.m_tokens = Counter("ramppost_tokens_total", "Generated tokens by model and version.")
+        self.m_cost = Counter(
+            "ramppost_cost_total", "Cost by workspace, in the operators' currency."
+        )
+        self.m_retries = Counter("ramppost_retries_total", "Retries of requests.")
+        self.m_first = Histogram(
+            "ramppost_first_token_seconds", "Time to the first token by class."
+        )
+        self.m_revision = Gauge("ramppost_config_revision", "Configuration revision in force.")
+        self.m_claims = Gauge("ramppost_claim_groups", "Groups of claims written since the start.")
+        self.m_unfiled = Gauge("ramppost_bills_unfiled", "Bill lines not in the ledger yet.")
+        for metric in (
+            self.m_requests,
+            self.m_tokens,
+            self.m_cost,
+            self.m_retries,
+            self.m_first,
+            self.m_revision,
+            self.m_claims,
+            self.m_unfiled,
+        ):
+            self.registry.register(metric)
+
+    def policy(self, name: str) -> PolicyCount:
+        """Counts of a policy by name."""
+        return self.policies.setdefault(name, PolicyCount())
+
+    def remember(self, request_id: str, served: Served) -> None:
+        """Remember a request until its rating comes, the latest ones only."""
+        self.served[request_id] = served
+        if len(self.served) > REMEMBERED:
+            self.served.popitem(last=False)
+
+    def ended(self, workspace: str, cls: WorkClass, outcome: str, first_s: float | None) -> None:
+        """Count a request's end; `first_s` is the time to its first token."""
+        self.m_requests.inc({"workspace": workspace, "class": cls["name"], "outcome": outcome})
+        count = self.classes.setdefault((workspace, cls["name"]), ClassCount())
+        self.objectives[cls["name"]] = cls
+        limit_ms = cls.get("objective_ms", DEFAULT_OBJECTIVE_MS)
+        good = outcome == "served" and first_s is not None and first_s * 1000 <= limit_ms
+        count.window.add(good, time.time())
+        if first_s is not None:
+            count.first_ms.record_value(max(1, min(MAX_MS, int(first_s * 1000))))
+            self.m_first.observe({"class": cls["name"]}, first_s)
+
+    def policy_reports(self) -> list[PolicyReport]:
+        """A line for each policy, with a 95% interval of its mean rating."""
+        lines = []
+        for name, count in self.policies.items():
+            mean, n = count.ratings.mean, count.ratings.n
+            half = Z95 * count.ratings.sd / n**0.5 if n else 0.0
+            line = PolicyReport(
+                policy=name,
+                requests=count.requests,
+                refused=count.refused,
+                cost=count.cost,
+                rated=n,
+                quality=mean,
+                quality_low=mean - half,
+                quality_high=mean + half,
+                trial_requests=count.trial,
+            )
+            lines.append(line)
+        return lines
+
+    def class_reports(self) -> list[ClassReport]:
+        """A line for each class of each workspace."""
+        now = time.time()
+        lines = []
+        for (workspace, name), count in self.classes.items():
+            share = self.objectives[name].get("objective_share", DEFAULT_OBJECTIVE_SHARE)
+            window = count.window
+            line = ClassReport(
+                workspace=workspace,
+                class_name=name,
+                good=window.good,
+                bad=window.bad,
+                fast_burn=burn(window.bad_share(FAST_S, now), share),
+                slow_burn=burn(window.bad_share(SLOW_S, now), share),
+                budget_left=budget_left(window.good, window.bad, share),
+                p50_ms=float(count.first_ms.get_value_at_percentile(50)),
+                p99_ms=float(count.first_ms.get_value_at_percentile(99)),
+            )
+            lines.append(line)
+        return lines
--- /dev/null
+++ b/ramppost/entry/upstreams.py
@@ -0,0 +1,182 @@
+"""What an entry knows of the agents it speaks with.
+
+The box list, which lags, tells who is there; replies and, when there are none,
+polls tell how each is.  An agent that says it is leaving, or that the box list
+says is leaving, gets nothing new, whichever is first.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Final
+
+import curio
+from loguru import logger
+
+from ramppost import ids
+from ramppost.platform.boxes import box_list
+from ramppost.platform.objects import Unavailable
+from ramppost.policy.choice import Health, Seen, order, subset
+from ramppost.policy.permissions import ModelVersion
+from ramppost.policy.rollout import Counts
+from ramppost.schema.messages import AgentStatus, Head, Load, StatusMsg, VersionCount
+from ramppost.schema.settings import Box
+from ramppost.wire.client import CallFailed, Pool, call
+from ramppost.wire.codec import BadMessage, decode, encode
+
+BOXES_PERIOD_S: Final = 2.0
+POLL_S: Final = 0.5
+IDLE_S: Final = 1.0
+POLL_TIMEOUT_S: Final = 1.0
+
+
+class Upstream:
+    """An agent as this entry sees it."""
+
+    def __init__(self, addr: str, hall: str) -> None:
+        self.addr = addr
+        self.hall = hall
+        self.ticket = ""
+        self.name = ""
+        self.service = ""
+        self.versions: set[str] = set()
+        self.alive = False
+        self.listed_leaving = False
+        self.own = 0
+        self.reported = 0
+        self.slots = 1
+        self.heard_at = 0.0
+        self.rev = 0
+        self.health = Health()
+        self.counts: dict[ModelVersion, Counts] = {}
+        self.polling = False
+
+    def usable(self, now: float) -> bool:
+        """Whether it may get new work."""
+        return (
+            bool(self.ticket)
+            and self.alive
+            and not self.listed_leaving
+            and not self.health.ejected(now)
+        )
+
+    def heard(self, ticket: str, load: Load, counts: list[VersionCount], rev: int) -> None:
+        """Take in what a reply tells."""
+        self.ticket = ticket
+        self.reported = load["running"] + load["waiting"]
+        self.slots = load["slots"]
+        self.heard_at = time.monotonic()
+        self.rev = rev
+        self.health.answered()
+        for item in counts:
+            mv = ModelVersion(item["model"], item["version"])
+            self.counts[mv] = Counts(item["ok"], item["bad"])
+
+    def seen(self) -> Seen:
+        """For the choice among agents."""
+        return Seen(self.addr, self.hall, self.own, self.reported, self.heard_at, self.slots)
+
+
+class Upstreams:
+    """All agents of this entry's subset, by address."""
+
+    def __init__(
+        self, node: str, hall: str, me: str, pool: Pool, size: int, rng: random.Random
+    ) -> None:
+        self.node = node
+        self.hall = hall
+        self.me = me
+        self.pool = pool
+        self.size = size
+        self.rng = rng
+        self.table: dict[str, Upstream] = {}
+        self.boxes: list[Box] = []
+
+    def seed(self, addrs: list[str]) -> None:
+        """Agents from the settings, for the time before the box list is read."""
+        for addr in addrs:
+            self.table.setdefault(addr, Upstream(addr, ""))
+
+    def take_boxes(self, boxes: list[Box]) -> None:
+        """Take in the box list."""
+        self.boxes = boxes
+        chosen = {box["addr"]: box for box in subset(self.node, boxes, self.size)}
+        for addr, box in chosen.items():
+            up = self.table.setdefault(addr, Upstream(addr, box["hall"]))
+            up.hall = box["hall"]
+            up.listed_leaving = box["state"] == "leaving"
+        for addr in list(self.table):
+            if addr not in chosen and not self.table[addr].own:
+                del self.table[addr]
+
+    def entries(self) -> int:
+        """How many entries the box list holds live, 1 at least."""
+        return max(1, sum(1 for b in self.boxes if b["role"] == "entry" and b["state"] == "live"))
+
+    def candidates(self, mv: ModelVersion, service: str) -> list[Upstream]:
+        """Agents that may get a request for a version or a service now."""
+        now = time.monotonic()
+        if service:
+            return [u for u in self.table.values() if u.service == service and u.usable(now)]
+        return [u for u in self.table.values() if mv.text in u.versions and u.usable(now)]
+
+    def choose(self, mv: ModelVersion, service: str, prefix: str) -> list[Upstream]:
+        """Agents to try, best first."""
+        found = self.candidates(mv, service)
+        now = time.monotonic()
+        addrs = order([u.seen() for u in found], now, self.hall, prefix, self.rng)
+        return [self.table[addr] for addr in addrs]
+
+    def totals(self, mv: ModelVersion) -> Counts:
+        """What all agents of the subset have seen of a version."""
+        found = [u.counts.get(mv, Counts()) for u in self.table.values()]
+        return Counts(sum(c.ok for c in found), sum(c.bad for c in found))
+
+    def take_head(self, up: Upstream, head: Head) -> None:
+        """Take in the head of a reply, which also tells that an agent is leaving."""
+        up.heard(head["agent"], head["load"], head["counts"], head["rev"])
+        if head["reason"] == "leaving":
+            up.alive = False
+
+    async def follow_boxes(self, platform: str) -> None:
+        """Read the box list now and then, until cancelled."""
+        while True:
+            found = await box_list(self.pool, platform)
+            if not isinstance(found, Unavailable):
+                self.take_boxes(found)
+            await curio.sleep(BOXES_PERIOD_S * random.uniform(0.75, 1.25))
+
+    async def poll(self, rev: list[int]) -> None:
+        """Ask agents that have been silent how they are, until cancelled.
+
+        `rev` holds this entry's configuration revision, which rides on the question.
+        """
+        while True:
+            now = time.monotonic()
+            for up in list(self.table.values()):
+                silent = now - up.heard_at > IDLE_S or not up.alive
+                if silent and not up.polling:
+                    up.polling = True
+                    await curio.spawn(self._ask, up, rev[0], daemon=True)
+            await curio.sleep(POLL_S)
+
+    async def _ask(self, up: Upstream, rev: int) -> None:
+        body = encode(StatusMsg(entry=self.me, rev=rev))
+        got = await call(self.pool, up.addr, "POST", "/a/status", body, POLL_TIMEOUT_S)
+        up.polling = False
+        status = BadMessage("") if isinstance(got, CallFailed) else decode(got.body, AgentStatus)
+        if isinstance(status, BadMessage):
+            up.health.failed(time.monotonic())
+            if up.alive and isinstance(got, CallFailed) and not got.sent:
+                logger.info("agent {} does not answer", up.addr)
+                up.alive = False
+            return
+        if ids.address(status["agent"]) != up.addr:
+            return
+        up.heard(status["agent"], status["load"], status["counts"], status["rev"])
+        up.alive = status["state"] == "live"
+        up.name = status["name"]
+        up.hall = status["hall"]
+        up.service = status["service"]
+        up.versions = set(status["versions"])
--- /dev/null
+++ b/ramppost/errors.py
@@ -0,0 +1,173 @@
+"""Every refusal that a caller or operator can see, in one place.
+
+A `Refusal` carries a stable code, the HTTP status, a sentence, whether the
+request ran, and when to come back.  `CATALOGUE` lists the codes for the docs.
+
+`ran` is `"no"` only where no upstream was or will be asked to run the request.
+"""
+
+from __future__ import annotations
+
+from typing import Final, Literal, NamedTuple
+
+from ramppost.wire.codec import encode
+
+Ran = Literal["no", "yes", "unknown"]
+
+
+class Refusal(NamedTuple):
+    """A final answer that is not what the caller asked for; time in seconds."""
+
+    code: str
+    status: int
+    message: str
+    ran: Ran = "no"
+    retry_after_s: float = 0.0
+
+
+class CodeDoc(NamedTuple):
+    """What the docs say of a code: status, whether it ran, meaning and mend."""
+
+    status: int
+    ran: Ran
+    meaning: str
+    mend: str
+
+
+CATALOGUE: Final[dict[str, CodeDoc]] = {
+    "bad_request": CodeDoc(
+        400, "no", "The request could not be read.", "Mend what the message names."
+    ),
+    "unauthorized": CodeDoc(
+        401,
+        "no",
+        "The bearer token is missing or unknown.",
+        "Send a token of a workspace or operator.",
+    ),
+    "forbidden": CodeDoc(
+        403,
+        "no",
+        "The workspace or operator may not do this.",
+        "Ask an operator to change permissions.",
+    ),
+    "not_found": CodeDoc(
+        404,
+        "no",
+        "No such path, model, service or plan.",
+        "Look at `GET /v1/models` or `ramppost status`.",
+    ),
+    "withdrawn": CodeDoc(
+        409, "no", "The version named was withdrawn.", "Name another version or the model alone."
+    ),
+    "bad_session": CodeDoc(
+        400,
+        "no",
+        "The session token is forged, foreign or made with a dropped key.",
+        "Start a session without a token.",
+    ),
+    "session_ended": CodeDoc(
+        409, "no", "The session's version was withdrawn.", "Start a new session without the token."
+    ),
+    "too_large": CodeDoc(
+        413, "no", "Head or body is larger than allowed.", "Send less, or raise `limits`."
+    ),
+    "too_slow": CodeDoc(
+        408,
+        "no",
+        "The request was not sent whole in time.",
+        "Send faster, or raise `limits.read_timeout_s`.",
+    ),
+    "limited": CodeDoc(
+        429,
+        "no",
+        "The workspace is over its tokens or concurrency.",
+        "Come back after `Retry-After`.",
+    ),
+    "overloaded": CodeDoc(
+        503, "no", "No upstream has room for this class now.", "Come back after `Retry-After`."
+    ),
+    "no_upstream": CodeDoc(
+        503,
+        "no",
+        "No live upstream serves the version.",
+        "Come back after `Retry-After`; look at `ramppost status`.",
+    ),
+    "not_ready": CodeDoc(
+        503,
+        "no",
+        "The entry has no configuration yet.",
+        "Come back after `Retry-After`; another entry may serve.",
+    ),
+    "leaving": CodeDoc(
+        503, "no", "The entry is stopping.", "Repeat at once; the balancer picks another entry."
+    ),
+    "claim_unavailable": CodeDoc(
+        503,
+        "no",
+        "The platform can't record the caller's key, so a request that may run only once is not begun.",
+        "Repeat with the same key after `Retry-After`.",
+    ),
+    "deadline": CodeDoc(
+        504,
+        "no",
+        "The deadline passed before the request was begun.",
+        "Come back after `Retry-After` or allow more time.",
+    ),
+    "upstream_failed": CodeDoc(
+        502, "yes", "The upstream began the request and failed.", "Repeat if it may run twice."
+    ),
+    "outcome_unknown": CodeDoc(
+        502,
+        "unknown",
+        "The upstream can't be asked whether it ran.",
+        "Check before repeating with a new key; the same key never runs again.",
+    ),
+    "answer_lost": CodeDoc(
+        502,
+        "yes",
+        "It ran, but the rest of the answer is no longer kept.",
+        "Repeat with a new key if it may run twice.",
+    ),
+    "stale_plan": CodeDoc(
+        409, "no", "The configuration changed since the plan was made.", "Make a new plan."
+    ),
+    "platform_down": CodeDoc(
+        503, "no", "The platform's object API gave no answer.", "Come back after `Retry-After`."
+    ),
+    "bad_intent": CodeDoc(
+        422, "no", "The wish can't be carried out.", "Mend what the message names."
+    ),
+    "confirm_unknown": CodeDoc(
+        503,
+        "unknown",
+        "The platform gave no answer to the write, so the plan may be in force.",
+        "Confirm the same plan again: doing so twice is harmless.",
+    ),
+}
+
+
+def refusal(code: str, message: str, retry_after_s: float = 0.0, ran: Ran | None = None) -> Refusal:
+    """A refusal with the status and `ran` of the catalogue."""
+    doc = CATALOGUE[code]
+    return Refusal(code, doc.status, message, doc.ran if ran is None else ran, retry_after_s)
+
+
+def error_body(ref: Refusal) -> bytes:
+    """The refusal in the OpenAI error shape."""
+    kind = "invalid_request_error" if ref.status < 500 else "server_error"
+    error = {
+        "message": ref.message,
+        "type": kind,
+        "code": ref.code,
+        "param": None,
+        "ran": ref.ran,
+        "retry_after_s": ref.retry_after_s,
+    }
+    return encode({"error": error})
+
+
+def retry_headers(ref: Refusal) -> tuple[tuple[str, str], ...]:
+    """`Retry-After` in whole seconds, rounded up, where the refusal says when to come back."""
+    if ref.retry_after_s <= 0:
+        return ()
+    return (("retry-after", str(max(1, -int(-ref.retry_after_s // 1)))),)
--- /dev/null
+++ b/ramppost/policy/intent.py
@@ -0,0 +1,268 @@
+"""From an operator's wish to a new configuration document.
+
+Pure.  `apply_intent` answers the document that would be in force, or why the
+wish can't be carried out; `difference` tells in lines what would change.
+"""
+
+from __future__ import annotations
+
+import copy
+import secrets
+from collections.abc import Callable
+from itertools import pairwise
+from typing import Any, Final, NamedTuple
+
+from ramppost.policy.permissions import (
+    ModelVersion,
+    model_named,
+    policy_named,
+    running_rollout,
+    version_state,
+    workspace_named,
+)
+from ramppost.schema.config import ConfigDoc, Model, Policy, PolicyShare, Rollout, SessionKey
+from ramppost.schema.messages import Intent
+
+DEFAULT_STEPS: Final = [0.01, 0.1, 0.5, 1.0]
+DEFAULT_STEP_S: Final = 600.0
+DEFAULT_ERRORS: Final = 0.2
+DEFAULT_DROP: Final = 0.1
+DEFAULT_MIN_REQUESTS: Final = 20
+KEPT_ROLLOUTS: Final = 20
+KEPT_KEYS: Final = 2
+
+
+class BadIntent(NamedTuple):
+    """Why a wish can't be carried out."""
+
+    reason: str
+
+
+def apply_intent(doc: ConfigDoc, intent: Intent) -> ConfigDoc | BadIntent:
+    """The document after a wish, with the revision left as it is."""
+    fresh = copy.deepcopy(doc)
+    bad = APPLY[intent["kind"]](fresh, intent)
+    return BadIntent(bad) if bad else fresh
+
+
+def _rollout(doc: ConfigDoc, intent: Intent) -> str:
+    mv = ModelVersion(intent.get("model", ""), intent.get("version", ""))
+    model = model_named(doc, mv.model)
+    if model is None:
+        return f"no such model: {mv.model!r}"
+    if running_rollout(doc, mv.model):
+        return f"a roll-out of {mv.model} is under way; withdraw its trial first"
+    stable = [v["version"] for v in model["versions"] if v["state"] == "stable"]
+    if not stable or mv.version in stable:
+        return f"{mv.text} is stable already, or {mv.model} has no stable version"
+    steps = intent.get("steps", DEFAULT_STEPS)
+    if not steps or steps[-1] != 1 or any(a >= b for a, b in pairwise(steps)):
+        return "steps must rise and end with 1"
+    _set_state(model, mv.version, "trial")
+    rollout = Rollout(
+        model=mv.model,
+        stable=stable[-1],
+        trial=mv.version,
+        steps=steps,
+        step=0,
+        step_s=intent.get("step_s", DEFAULT_STEP_S),
+        state="running",
+        max_error_share=intent.get("max_error_share", DEFAULT_ERRORS),
+        max_rating_drop=intent.get("max_rating_drop", DEFAULT_DROP),
+        min_requests=intent.get("min_requests", DEFAULT_MIN_REQUESTS),
+    )
+    doc["rollouts"] = [*doc["rollouts"][-KEPT_ROLLOUTS:], rollout]
+    return ""
+
+
+def _withdraw(doc: ConfigDoc, intent: Intent) -> str:
+    mv = ModelVersion(intent.get("model", ""), intent.get("version", ""))
+    model = model_named(doc, mv.model)
+    if model is None or version_state(doc, mv) == "unknown":
+        return f"no such model version: {mv.text}"
+    _set_state(model, mv.version, "withdrawn")
+    rollout = running_rollout(doc, mv.model)
+    if rollout is not None and rollout["trial"] == mv.version:
+        rollout["state"] = "withdrawn"
+        rollout["note"] = "withdrawn by an operator"
+    return ""
+
+
+def _permissions(doc: ConfigDoc, intent: Intent) -> str:
+    ws = workspace_named(doc, intent.get("workspace", ""))
+    if ws is None:
+        return f"no such workspace: {intent.get('workspace', '')!r}"
+    allow = intent.get("allow")
+    if allow is None:
+        return "allow is missing"
+    unknown = [name for name in allow if model_named(doc, name.partition("@")[0]) is None]
+    if unknown:
+        return f"no such model: {', '.join(unknown)}"
+    ws["allow"] = allow
+    return ""
+
+
+def _limits(doc: ConfigDoc, intent: Intent) -> str:
+    ws = workspace_named(doc, intent.get("workspace", ""))
+    if ws is None:
+        return f"no such workspace: {intent.get('workspace', '')!r}"
+    ws["tokens_per_s"] = intent.get("tokens_per_s", ws["tokens_per_s"])
+    ws["burst_tokens"] = intent.get("burst_tokens", ws["burst_tokens"])
+    ws["concurrency"] = intent.get("concurrency", ws["concurrency"])
+    if min(ws["tokens_per_s"], ws["burst_tokens"], ws["concurrency"]) < 0:
+        return "limits must not be below zero"
+    return ""
+
+
+def _cascade(doc: ConfigDoc, intent: Intent) -> str:
+    name, models = intent.get("policy", ""), intent.get("models", [])
+    unknown = [m for m in models if model_named(doc, m) is None]
+    if not name or not models or unknown:
+        return f"policy and models are needed; unknown models: {', '.join(unknown) or 'none'}"
+    policy = Policy(
+        name=name, kind="cascade", models=models, threshold=intent.get("threshold", 0.7)
+    )
+    doc["policies"] = [p for p in doc["policies"] if p["name"] != name] + [policy]
+    return ""
+
+
+def _compare(doc: ConfigDoc, intent: Intent) -> str:
+    ws = workspace_named(doc, intent.get("workspace", ""))
+    split = intent.get("split", [])
+    if ws is None or not split:
+        return "workspace and split are needed"
+    unknown = [p["policy"] for p in split if policy_named(doc, p["policy"]) is None]
+    if unknown:
+        return f"no such policy: {', '.join(unknown)}"
+    ws["policies"] = [PolicyShare(policy=p["policy"], share=p["share"]) for p in split]
+    return ""
+
+
+def _end_compare(doc: ConfigDoc, intent: Intent) -> str:
+    name = intent.get("policy", "")
+    if policy_named(doc, name) is None:
+        return f"no such policy: {name!r}"
+    ws = workspace_named(doc, intent.get("workspace", ""))
+    if ws is None:
+        return f"no such workspace: {intent.get('workspace', '')!r}"
+    ws["policies"] = [PolicyShare(policy=name, share=1.0)]
+    return ""
+
+
+def _rotate_session_key(doc: ConfigDoc, intent: Intent) -> str:
+    fresh = SessionKey(id=secrets.token_hex(3), secret=secrets.token_hex(32))
+    doc["session_keys"] = [fresh, *doc["session_keys"]][:KEPT_KEYS]
+    return ""
+
+
+APPLY: Final[dict[str, Callable[[ConfigDoc, Intent], str]]] = {
+    "rollout": _rollout,
+    "withdraw": _withdraw,
+    "permissions": _permissions,
+    "limits": _limits,
+    "cascade": _cascade,
+    "compare": _compare,
+    "end_compare": _end_compare,
+    "rotate_session_key": _rotate_session_key,
+}
+
+
+def _set_state(model: Model, version: str, state: str) -> None:
+    for item in model["versions"]:
+        if item["version"] == version:
+            item["state"] = state  # type: ignore[typeddict-item]
+            return
+    model["versions"].append({"version": version, "state": state})  # type: ignore[typeddict-item]
+
+
+def advance(doc: ConfigDoc, model: str) -> ConfigDoc:
+    """The document with a model's roll-out one step on."""
+    fresh = copy.deepcopy(doc)
+    rollout = running_rollout(fresh, model)
+    assert rollout is not None
+    rollout["step"] += 1
+    return fresh
+
+
+def finish(doc: ConfigDoc, model: str) -> ConfigDoc:
+    """The document with a model's trial version stable; the former one keeps its sessions."""
+    fresh = copy.deepcopy(doc)
+    rollout, found = running_rollout(fresh, model), model_named(fresh, model)
+    assert rollout is not None and found is not None
+    rollout["state"] = "done"
+    _set_state(found, rollout["trial"], "stable")
+    _set_state(found, rollout["stable"], "paused")
+    return fresh
+
+
+def withdraw_trial(doc: ConfigDoc, model: str, reason: str) -> ConfigDoc:
+    """The document with a model's trial version withdrawn by its guards."""
+    fresh = copy.deepcopy(doc)
+    rollout, found = running_rollout(fresh, model), model_named(fresh, model)
+    assert rollout is not None and found is not None
+    rollout["state"] = "withdrawn"
+    rollout["note"] = reason
+    _set_state(found, rollout["trial"], "withdrawn")
+    return fresh
+
+
+SECRET_FIELDS: Final = ("secret", "token_hash", "token_hashes")
+
+
+def difference(old: Any, new: Any, path: str = "$") -> list[str]:
+    """What differs, a line each, with secrets left out."""
+    if old == new:
+        return []
+    if path.rpartition(".")[2] in SECRET_FIELDS:
+        return [f"{path}: changed"]
+    if isinstance(old, dict) and isinstance(new, dict):
+        lines = []
+        for key in sorted({*old, *new}):
+            lines += difference(old.get(key), new.get(key), f"{path}.{key}")
+        return lines
+    if isinstance(old, list) and isinstance(new, list) and len(old) == len(new):
+        lines = []
+        for index, (a, b) in enumerate(zip(old, new, strict=True)):
+            lines += difference(a, b, f"{path}[{index}]")
+        return lines
+    if isinstance(old, list) and isinstance(new, list):
+        gone = [f"{path}: - {_short(a)}" for a in old if a not in new]
+        return gone + [f"{path}: + {_short(b)}" for b in new if b not in old]
+    return [f"{path}: {_short(old)} -> {_short(new)}"]
+
+
+def _short(value: Any) -> str:
+    if isinstance(value, dict):
+        value = {k: v for k, v in value.items() if k not in SECRET_FIELDS}
+    return str(value)
+
+
+def warnings_for(doc: ConfigDoc, intent: Intent) -> list[str]:
+    """What an operator should know before confirming."""
+    lines = []
+    kind = intent["kind"]
+    if kind == "withdraw":
+        model = model_named(doc, intent.get("model", ""))
+        stable = [v for v in (model["versions"] if model else []) if v["state"] == "stable"]
+        if [v["version"] for v in stable] == [intent.get("version")]:
+            lines.append("this is the model's only stable version: its requests will be refused")
+        lines.append("sessions on this version end")
+    if kind == "permissions" and not intent.get("allow"):
+        lines.append("the workspace will be able to use no model")
+    if kind == "rotate_session_key":
+        lines.append(f"sessions made with a key older than the last {KEPT_KEYS} end")
+    return lines
+
+
+def effect_of(doc: ConfigDoc, intent: Intent, share_seen: float) -> str:
+    """A sentence on the expected effect; `share_seen` is the model's share of requests here."""
+    kind = intent["kind"]
+    if kind == "rollout":
+        steps = intent.get("steps", DEFAULT_STEPS)
+        at_most = steps[0] * share_seen
+        share = f"{steps[0]:.1%} of the model's new sessions, {at_most:.2%} of all requests"
+        return f"step 1 sends {share}, to the trial"
+    if kind == "withdraw":
+        return f"{share_seen:.1%} of requests move to the model's other versions or are refused"
+    prices = sorted(m["price"] for m in doc["models"])
+    return f"models cost {prices[0]:g} to {prices[-1]:g} a thousand tokens" if prices else "none"
--- /dev/null
+++ b/ramppost/wire/client.py
@@ -0,0 +1,233 @@
+"""An HTTP/1.1 client: h11 over curio, with connections kept for reuse.
+
+`call` reads a whole answer; `open_stream` gives an answer to be read line by
+line.  A failure is a value, `CallFailed`, that says whether the request may
+have reached the other side.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+from typing import Any, Final, NamedTuple
+
+import curio
+import h11
+
+READ_SIZE: Final = 65536
+MAX_IDLE: Final = 32
+MAX_LINE: Final = 8 * 1024 * 1024
+CONNECT_TIMEOUT_S: Final = 2.0
+
+
+class CallFailed(NamedTuple):
+    """A call without an answer; `sent` is false only if nothing can have arrived."""
+
+    reason: str
+    sent: bool
+
+
+class Answer(NamedTuple):
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class _Link:
+    """A connection and its protocol state."""
+
+    def __init__(self, sock: Any) -> None:
+        self.sock = sock
+        self.h11 = h11.Connection(h11.CLIENT)
+
+
+class Pool:
+    """Idle connections by address, and the bytes that went over all of them."""
+
+    def __init__(self) -> None:
+        self.idle: dict[str, list[_Link]] = {}
+        self.bytes_out = 0
+        self.bytes_in = 0
+
+    def take(self, addr: str) -> _Link | None:
+        """An idle connection that the other side has not closed."""
+        links = self.idle.get(addr, [])
+        while links:
+            link = links.pop()
+            readable, _, _ = select.select([link.sock.fileno()], [], [], 0)
+            if not readable:
+                return link
+            link.sock._socket.close()
+        return None
+
+    def give(self, addr: str, link: _Link) -> bool:
+        """Keep a connection for reuse; false if it can't be."""
+        if link.h11.our_state is not h11.DONE or link.h11.their_state is not h11.DONE:
+            return False
+        links = self.idle.setdefault(addr, [])
+        if len(links) >= MAX_IDLE:
+            return False
+        link.h11.start_next_cycle()
+        links.append(link)
+        return True
+
+
+class Stream:
+    """An answer being read.  Close it when done, read to the end or not."""
+
+    def __init__(self, pool: Pool, addr: str, link: _Link) -> None:
+        self._pool = pool
+        self._addr = addr
+        self._link = link
+        self._buf = bytearray()
+        self._ended = False
+        self.status = 0
+        self.headers: dict[str, str] = {}
+
+    async def read_head(self) -> None:
+        """Read up to the end of the head; raises OSError on a cut."""
+        event = await self._event()
+        if not isinstance(event, h11.Response):
+            raise ConnectionResetError("connection closed before the answer")
+        self.status = event.status_code
+        self.headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
+
+    async def read_piece(self) -> bytes:
+        """The next bytes of the body, empty at its end; raises OSError on a cut."""
+        if self._ended:
+            return b""
+        event = await self._event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self._ended = True
+            return b""
+        raise ConnectionResetError("connection closed within the answer")
+
+    async def read_line(self) -> bytes:
+        """The next line without its end, empty at the end; raises OSError on a cut."""
+        while True:
+            end = self._buf.find(b"\n")
+            if end >= 0:
+                line = bytes(self._buf[:end])
+                del self._buf[: end + 1]
+                if line.strip():
+                    return line
+                continue
+            piece = await self.read_piece()
+            if not piece:
+                return b""
+            self._buf += piece
+            if len(self._buf) > MAX_LINE:
+                raise ConnectionResetError("line too long")
+
+    async def drain(self) -> None:
+        """Read what is left, so that the connection can be kept; a cut is no matter."""
+        try:
+            while await self.read_piece():
+                pass
+        except OSError:
+            self._ended = True
+
+    async def close(self) -> None:
+        """Keep the connection for reuse where it was read to its end, else close it."""
+        if not self._pool.give(self._addr, self._link):
+            await self._link.sock.close()
+
+    async def _event(self) -> Any:
+        while True:
+            try:
+                event = self._link.h11.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise ConnectionResetError(str(exc)) from exc
+            if event is h11.NEED_DATA:
+                data = await self._link.sock.recv(READ_SIZE)
+                self._pool.bytes_in += len(data)
+                self._link.h11.receive_data(data)
+            elif not isinstance(event, h11.InformationalResponse):
+                return event
+
+
+async def open_stream(
+    pool: Pool,
+    addr: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    timeout_s: float = 5.0,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> Stream | CallFailed:
+    """Send a request and read the head of its answer within `timeout_s`."""
+    link = pool.take(addr)
+    if link is None:
+        opened = await _connect(addr, min(timeout_s, CONNECT_TIMEOUT_S))
+        if isinstance(opened, CallFailed):
+            return opened
+        link = opened
+    head = h11.Request(
+        method=method,
+        target=path,
+        headers=[("host", addr), ("content-length", str(len(body))), *headers],
+    )
+    data = (link.h11.send(head) or b"") + (link.h11.send(h11.Data(data=body)) or b"")
+    data += link.h11.send(h11.EndOfMessage()) or b""
+    stream = Stream(pool, addr, link)
+    try:
+        async with curio.timeout_after(timeout_s):
+            await link.sock.sendall(data)
+            pool.bytes_out += len(data)
+            await stream.read_head()
+    except curio.TaskTimeout:
+        await link.sock.close()
+        return CallFailed(f"no answer from {addr} in {timeout_s:g} s", True)
+    except OSError as exc:
+        await link.sock.close()
+        return CallFailed(f"{addr}: {exc}", True)
+    except curio.CancelledError:
+        await link.sock.close()
+        raise
+    return stream
+
+
+async def call(
+    pool: Pool,
+    addr: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    timeout_s: float = 5.0,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> Answer | CallFailed:
+    """Send a request and read its whole answer within `timeout_s`."""
+    stream: Stream | CallFailed | None = None
+    try:
+        async with curio.timeout_after(timeout_s):
+            stream = await open_stream(pool, addr, method, path, body, timeout_s, headers)
+            if isinstance(stream, CallFailed):
+                return stream
+            data = bytearray()
+            while piece := await stream.read_piece():
+                data += piece
+            return Answer(stream.status, stream.headers, bytes(data))
+    except curio.TaskTimeout:
+        return CallFailed(f"no whole answer from {addr} in {timeout_s:g} s", True)
+    except OSError as exc:
+        return CallFailed(f"{addr}: {exc}", True)
+    finally:
+        if isinstance(stream, Stream):
+            await stream.close()
+
+
+async def _connect(addr: str, timeout_s: float) -> _Link | CallFailed:
+    host, _, port = addr.rpartition(":")
+    try:
+        async with curio.timeout_after(timeout_s):
+            sock = await curio.open_connection(host, int(port))
+    except curio.TaskTimeout:
+        return CallFailed(f"no connection to {addr} in {timeout_s:g} s", False)
+    except OSError as exc:
+        return CallFailed(f"no connection to {addr}: {exc}", False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return _Link(sock)
