--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -37,6 +37,8 @@
             await _status(entry, req, reply)
         elif req.path == "/x/report":
             await reply.send(200, encode(own_report(entry)))
+        elif req.path == "/x/upstreams":
+            await reply.send(200, encode(entry.ups.listing()))
         elif req.path == "/metrics":
             entry.stats.m_claims.set({}, entry.claims.groups)
             entry.stats.m_unfiled.set({}, len(entry.filer.queue))
--- a/ramppost/entry/serve.py
+++ b/ramppost/entry/serve.py
@@ -27,6 +27,8 @@
 
 MAX_REROUTES: Final = 2
 MAX_RATED_CHARS: Final = 4000
+STAGES_A_ROUND: Final = 10
+RETRIED_CODES: Final = ("upstream_failed", "outcome_unknown")
 
 
 class Whole(NamedTuple):
@@ -44,19 +46,32 @@
     doc = entry.conf.doc
     assert doc is not None
     out: Refusal | None = None
-    for _ in range(MAX_REROUTES + 1):
+    for number in range(MAX_REROUTES + 1):
         doc = entry.conf.doc or doc
         chosen = route(entry, ask, doc)
         if isinstance(chosen, Refusal):
             return _count_refused(entry, ask, "", chosen)
-        got = await _stages(entry, ask, chosen, sink, deadline, started)
+        got = await _stages(entry, ask, chosen, sink, deadline, started, number * STAGES_A_ROUND)
         if isinstance(got, Reroute):
             out = refusal("overloaded", f"version {got.reason} while it was chosen", 0.5)
             continue
+        if got is not None and _again(entry, ask, sink, got):
+            out = got
+            continue
         if got is not None:
             _count_refused(entry, ask, chosen.policy_name, got)
         return got
-    return out
+    return None if out is None else _count_refused(entry, ask, "", out)
+
+
+def _again(entry: Entry, ask: Ask, sink: Sink, got: Refusal) -> bool:
+    """Whether to try again what failed before its caller saw any of it."""
+    if not ask.repeatable or sink.started or got.code not in RETRIED_CODES:
+        return False
+    if not entry.retries.take():
+        return False
+    entry.stats.m_retries.inc({})
+    return True
 
 
 def _count_refused(entry: Entry, ask: Ask, policy: str, ref: Refusal) -> Refusal:
@@ -68,13 +83,19 @@
 
 
 async def _stages(
-    entry: Entry, ask: Ask, chosen: Route, sink: Sink, deadline: float, started: float
+    entry: Entry,
+    ask: Ask,
+    chosen: Route,
+    sink: Sink,
+    deadline: float,
+    started: float,
+    first_stage: int,
 ) -> Refusal | Reroute | None:
     """Try the picks in order: all but the last are judged before the next is tried."""
     spare: Whole | None = None
     for stage, pick in enumerate(chosen.picks):
         last = stage == len(chosen.picks) - 1
-        run = await obtain(entry, ask, pick.mv, stage, deadline)
+        run = await obtain(entry, ask, pick.mv, first_stage + stage, deadline)
         if isinstance(run, Reroute):
             return run
         if isinstance(run, Refusal):
--- a/ramppost/entry/upstreams.py
+++ b/ramppost/entry/upstreams.py
@@ -20,7 +20,14 @@
 from ramppost.policy.choice import Health, Seen, order, subset
 from ramppost.policy.permissions import ModelVersion
 from ramppost.policy.rollout import Counts
-from ramppost.schema.messages import AgentStatus, Head, Load, StatusMsg, VersionCount
+from ramppost.schema.messages import (
+    AgentStatus,
+    Head,
+    Load,
+    StatusMsg,
+    UpstreamLine,
+    VersionCount,
+)
 from ramppost.schema.settings import Box
 from ramppost.wire.client import CallFailed, Pool, call
 from ramppost.wire.codec import BadMessage, decode, encode
@@ -128,6 +135,22 @@
         addrs = order([u.seen() for u in found], now, self.hall, prefix, self.rng)
         return [self.table[addr] for addr in addrs]
 
+    def listing(self) -> list[UpstreamLine]:
+        """All agents of the subset, for people and checks."""
+        now = time.monotonic()
+        return [
+            UpstreamLine(
+                addr=up.addr,
+                name=up.name,
+                hall=up.hall,
+                usable=up.usable(now),
+                own=up.own,
+                reported=up.reported,
+                rev=up.rev,
+            )
+            for up in self.table.values()
+        ]
+
     def totals(self, mv: ModelVersion) -> Counts:
         """What all agents of the subset have seen of a version."""
         found = [u.counts.get(mv, Counts()) for u in self.table.values()]
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -406,6 +406,20 @@
     classes: list[ClassReport]
 
 
+class UpstreamLine(TypedDict, closed=True):
+    """
+    An agent as an entry sees it, `GET /x/upstreams`.
+    """
+
+    addr: str
+    name: str
+    hall: str
+    usable: bool
+    own: int
+    reported: int
+    rev: int
+
+
 class Frame(TypedDict, closed=True):
     """
     Agent to entry: a piece of the answer. The last one has `end` and its number is the count of pieces.
--- a/ramppost/standin/engine.py
+++ b/ramppost/standin/engine.py
@@ -10,6 +10,7 @@
 import heapq
 import itertools
 import random
+import time
 from typing import Any, Final, Literal, NotRequired, TypedDict
 
 import curio
@@ -30,6 +31,7 @@
 class Run(TypedDict):
     """A line of `/_log`."""
 
+    at: float
     request_id: str
     attempt: str
     idempotency_key: str
@@ -175,6 +177,7 @@
 def _run_line(req: Request, spec: StandinModel) -> Run:
     head = req.headers
     return Run(
+        at=time.time(),
         request_id=head.get("x-request-id", ""),
         attempt=head.get("x-attempt", ""),
         idempotency_key=head.get("idempotency-key", ""),
--- a/ramppost/standin/service.py
+++ b/ramppost/standin/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import curio
 from loguru import logger
 
@@ -24,6 +26,7 @@
             await reply.send(200, b"{}")
             return
         line = Run(
+            at=time.time(),
             request_id=req.headers.get("x-request-id", ""),
             attempt=req.headers.get("x-attempt", ""),
             idempotency_key=req.headers.get("idempotency-key", ""),
--- /dev/null
+++ b/tests/harness/ablated.py
@@ -0,0 +1,162 @@
+"""Runs ramppost with one mechanism switched off, to show that its proof can fail.
+
+    python -m tests.harness.ablated MECHANISM entry --settings FILE
+
+Only the tests' `RAMPPOST_ABLATE` names a mechanism; the product has no such switch.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import curio
+
+from ramppost.agent import door
+from ramppost.cli.main import main
+from ramppost.confsync import ConfState
+from ramppost.entry import claimlog, dispatch, obtain, route, upstreams
+from ramppost.ledger import Filer
+from ramppost.wire import signals
+from ramppost.wire.codec import decode
+
+
+def no_claims() -> None:
+    """Every claim is granted."""
+
+    async def claim(self: Any, item: Any) -> Any:
+        return claimlog.Granted()
+
+    claimlog.ClaimLog.claim = claim  # type: ignore[method-assign]
+
+
+def no_tombstones() -> None:
+    """A cut counts as "not run" without asking the agent."""
+
+    async def resolve(*args: Any) -> Any:
+        return dispatch.NotRun("assumed", 0.0)
+
+    dispatch.resolve = resolve  # type: ignore[assignment]
+    obtain.resolve = resolve  # type: ignore[assignment]
+
+
+def no_bill_identity() -> None:
+    """Every filing makes a line of its own."""
+    add = Filer.add
+    count = iter(range(10**9))
+
+    def counted(self: Filer, line: Any) -> None:
+        add(self, line | {"attempt": f"{line['attempt']}/{self.name}/{next(count)}"})
+
+    Filer.add = counted  # type: ignore[method-assign]
+
+
+def no_witness() -> None:
+    """The agent files no bill."""
+    from ramppost.agent import runner
+
+    runner._witness = lambda *args: None
+
+
+def no_frame_checks() -> None:
+    """Pieces are passed on whatever their attempt and number."""
+
+    async def next_frame(run: Any) -> Any:
+        try:
+            line = await run.stream.read_line()
+        except OSError as exc:
+            return dispatch.Cut(str(exc))
+        frame = decode(line, dispatch.Frame)
+        return frame if isinstance(frame, dict) else dispatch.Cut("malformed")
+
+    async def read_head(entry: Any, stream: Any, addr: Any, attempt: str, n: int, mv: Any) -> Any:
+        head = decode(await stream.read_line(), dispatch.Head)
+        if not isinstance(head, dict):
+            return dispatch.Unknown("malformed")
+        return dispatch.Running(stream, addr, head | {"attempt": attempt}, mv, n)
+
+    dispatch.next_frame = next_frame
+    dispatch._read_head = read_head
+
+
+def no_gossip() -> None:
+    """Revisions come from the platform only."""
+
+    async def nothing(*args: Any) -> Any:
+        return False
+
+    door._catch_up = nothing  # type: ignore[assignment]
+    dispatch.fetch = nothing  # type: ignore[assignment]
+    from ramppost.agent import main as agent_main
+    from ramppost.entry import main as entry_main
+
+    async def sleep(*args: Any) -> None:
+        await curio.sleep(1e6)
+
+    agent_main.ask_peers = sleep  # type: ignore[assignment]
+    entry_main.ask_peers = sleep  # type: ignore[assignment]
+
+
+def reverting() -> None:
+    """A process takes any revision it is shown."""
+
+    def adopt(self: ConfState, doc: Any, source: str) -> bool:
+        from ramppost.wire.codec import encode
+
+        self.doc, self.raw = doc, encode(doc)
+        for listener in self.on_adopt:
+            listener(doc)
+        return True
+
+    ConfState.adopt = adopt  # type: ignore[method-assign]
+
+
+def no_sessions() -> None:
+    """A session token does not hold its version."""
+    route._held = lambda ask, doc: route.Route(  # type: ignore[assignment]
+        [route.Picked(ask.wanted if ask.wanted.version else _newest(doc), False)], None
+    )
+
+
+def _newest(doc: Any) -> Any:
+    from ramppost.policy.permissions import ModelVersion
+
+    versions = [v["version"] for v in doc["models"][1]["versions"] if v["state"] != "withdrawn"]
+    return ModelVersion("large", versions[-1])
+
+
+def no_leaving() -> None:
+    """Nobody heeds that an agent is leaving."""
+    upstreams.Upstream.usable = lambda self, now: bool(self.ticket)  # type: ignore[method-assign]
+
+
+def no_planned_stop() -> None:
+    """SIGTERM ends the process at once."""
+    import os
+
+    async def wait(self: Any) -> int:
+        data = await curio.io.Socket(self._read).recv(1)
+        os._exit(0)
+        return int(data[0])
+
+    signals.Signals.wait = wait  # type: ignore[method-assign]
+
+
+ABLATIONS: dict[str, Callable[[], None]] = {
+    "claims": no_claims,
+    "tombstones": no_tombstones,
+    "bill_identity": no_bill_identity,
+    "witness": no_witness,
+    "frame_checks": no_frame_checks,
+    "gossip": no_gossip,
+    "reverting": reverting,
+    "sessions": no_sessions,
+    "leaving": no_leaving,
+    "planned_stop": no_planned_stop,
+}
+
+if __name__ == "__main__":
+    ABLATIONS[sys.argv[1]]()
+    sys.argv = ["ramppost", *sys.argv[2:]]
+    main()
--- /dev/null
+++ b/tests/harness/cluster.py
@@ -0,0 +1,246 @@
+"""A fleet of real processes behind fault-injecting proxies."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from ramppost.standin.fleet import AGENT_PORTS, ENTRY_PORTS, UPSTREAM_PORTS, FleetPlan, build
+from tests.harness.proxy import Proxy
+
+READY_S = 20.0
+POLL_S = 0.05
+PORT_BLOCK = 400
+
+
+def free_base() -> int:
+    """A base port whose block is free."""
+    start = 22000 + (os.getpid() * 37 % 60) * PORT_BLOCK
+    for base in range(start, start + 20 * PORT_BLOCK, PORT_BLOCK):
+        probes = (base, base + ENTRY_PORTS, base + AGENT_PORTS, base + UPSTREAM_PORTS)
+        if all(_free(port) for port in probes):
+            return base
+    raise RuntimeError("no free block of ports")
+
+
+def _free(port: int) -> bool:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
+
+
+class Cluster:
+    """Processes by name: platform, engine-1, service-1, agent-1, entry-1 and so on."""
+
+    def __init__(self, folder: Path, plan: FleetPlan, ablate: str = "", **changes: Any) -> None:
+        self.folder = folder
+        self.plan = plan._replace(base_port=free_base())
+        self.ablate = ablate
+        self.procs: dict[str, subprocess.Popen[bytes]] = {}
+        self.frozen: set[str] = set()
+        self.agent_proxy: dict[str, Proxy] = {}
+        self.platform_proxy: dict[str, Proxy] = {}
+        self.upstream_proxy: dict[str, Proxy] = {}
+        self.fleet = build(self.plan)
+        self.http = httpx.Client(timeout=30, limits=httpx.Limits(max_keepalive_connections=0))
+        self._wire(changes)
+
+    def _wire(self, changes: dict[str, Any]) -> None:
+        """Put a proxy before each agent, and one between each process and the platform."""
+        fleet = self.fleet
+        platform = self._addr(fleet.platform["listen"])
+        self.platform = f"http://{platform}"
+        outer: dict[str, str] = {}
+        for name, agent in fleet.agents.items():
+            listen = self._addr(agent["listen"])
+            proxy = self.agent_proxy[name] = Proxy(listen)
+            outer[listen] = agent["advertise"] = proxy.addr
+            proxy = self.upstream_proxy[name] = Proxy(agent["upstream"]["addr"])
+            agent["upstream"]["addr"] = proxy.addr
+            agent.update(keep_s=60, orphan_s=2, witness_s=2, **changes.get("agent", {}))
+        for name, entry in fleet.entries.items():
+            entry["agents"] = [outer[a] for a in entry["agents"]]
+            entry.update(bill_window_s=0.3, **changes.get("entry", {}))
+        for box in fleet.platform["boxes"]:
+            box["addr"] = outer.get(box["addr"], box["addr"])
+        fleet.platform.update(**changes.get("platform", {}))
+        for name, cfg in {**fleet.agents, **fleet.entries}.items():
+            proxy = self.platform_proxy[name] = Proxy(platform)
+            cfg["platform"] = proxy.addr
+        (self.folder / "config.json").write_text(json.dumps(fleet.doc))
+        self.settings: dict[str, Any] = {
+            "platform": fleet.platform,
+            **fleet.engines,
+            **fleet.services,
+            **fleet.agents,
+            **fleet.entries,
+        }
+        for name, cfg in self.settings.items():
+            (self.folder / f"{name}.json").write_text(json.dumps(cfg))
+
+    @staticmethod
+    def _addr(listen: Any) -> str:
+        return f"{listen['host']}:{listen['port']}"
+
+    def start(self) -> Cluster:
+        """Start all processes and wait until requests are served through each entry."""
+        for name in self.settings:
+            self.spawn(name)
+        self.wait_ready()
+        return self
+
+    def spawn(self, name: str) -> None:
+        """Start one process."""
+        program = self.settings[name]["program"].split("-")
+        module = ["-m", "tests.harness.ablated", self.ablate] if self.ablate else ["-m", "ramppost"]
+        command = [
+            sys.executable,
+            *module,
+            *program,
+            "--settings",
+            str(self.folder / f"{name}.json"),
+        ]
+        log = open(self.folder / f"{name}.log", "ab")
+        root = Path(__file__).parents[2]
+        self.procs[name] = subprocess.Popen(command, stdout=log, stderr=log, cwd=root)
+        log.close()
+
+    def wait_ready(self, entries: list[str] | None = None) -> None:
+        """Wait until each entry serves each engine's model and service."""
+        deadline = time.monotonic() + READY_S
+        for name in entries or self.entry_names:
+            while not self._serves(name):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"{name} does not serve; see {self.folder}")
+                time.sleep(POLL_S)
+
+    def _serves(self, name: str) -> bool:
+        try:
+            doc = self.http.post(self.internal(name) + "/x/report", content=b"{}", timeout=2)
+            got = self.chat(name, tokens=1, timeout=5)
+            seen = self.http.get(self.internal(name) + "/x/upstreams", timeout=2).json()
+        except (httpx.HTTPError, ValueError):
+            return False
+        wanted = len([p for p in self.fleet.agents if p in self.procs])
+        live = [u for u in seen if u["usable"]]
+        return doc.status_code == 200 and got.status_code == 200 and len(live) >= wanted
+
+    @property
+    def entry_names(self) -> list[str]:
+        """Names of the entries."""
+        return list(self.fleet.entries)
+
+    def url(self, name: str) -> str:
+        """Where callers reach an entry."""
+        return "http://" + self._addr(self.fleet.entries[name]["listen"])
+
+    def internal(self, name: str) -> str:
+        """Internal address of a process."""
+        cfg = self.settings[name]
+        return "http://" + self._addr(cfg.get("internal", cfg["listen"]))
+
+    def chat(
+        self,
+        entry: str,
+        key: str = "",
+        tokens: int = 8,
+        model: str = "large",
+        stream: bool = False,
+        timeout: float = 30,
+        token: str = "mesob-dev",
+        **headers: str,
+    ) -> httpx.Response:
+        """A chat request, answered whole."""
+        head = {
+            "authorization": f"Bearer {token}",
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        }
+        if key:
+            head["idempotency-key"] = key
+        body = {
+            "model": model,
+            "max_tokens": tokens,
+            "stream": stream,
+            "messages": [{"role": "user", "content": key or "hello"}],
+        }
+        url = self.url(entry) + "/v1/chat/completions"
+        return self.http.post(url, json=body, headers=head, timeout=timeout)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self.procs[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        self.procs[name].kill()
+        self.procs[name].wait()
+        del self.procs[name]
+        self.frozen.discard(name)
+
+    def freeze(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.signal(name, signal.SIGSTOP)
+        self.frozen.add(name)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.signal(name, signal.SIGCONT)
+        self.frozen.discard(name)
+
+    def stop_planned(self, name: str, timeout: float = 30) -> int:
+        """Ask for a planned stop and give its exit code."""
+        self.signal(name, signal.SIGTERM)
+        code = self.procs[name].wait(timeout)
+        del self.procs[name]
+        return code
+
+    def fault(self, name: str, **fault: Any) -> None:
+        """Put a fault in force at a stand-in."""
+        self.http.post(self.internal(name) + "/_fault", json=fault)
+
+    def heal(self) -> None:
+        """End all faults, start what is dead, and wait until all is served again."""
+        groups = (self.agent_proxy, self.platform_proxy, self.upstream_proxy)
+        for proxy in (proxy for group in groups for proxy in group.values()):
+            proxy.set("pass")
+        for name in list(self.frozen):
+            self.thaw(name)
+        for name in self.settings:
+            proc = self.procs.get(name)
+            if proc is None or proc.poll() is not None:
+                self.spawn(name)
+        time.sleep(POLL_S)
+        for name in ("platform", *self.fleet.engines, *self.fleet.services):
+            self._until_up(name)
+            self.fault(name, mode="none")
+        self.wait_ready()
+
+    def _until_up(self, name: str) -> None:
+        deadline = time.monotonic() + READY_S
+        while time.monotonic() < deadline:
+            try:
+                self.http.get(self.internal(name) + "/_log", timeout=5)
+                return
+            except httpx.HTTPError:
+                time.sleep(POLL_S)
+
+    def stop(self) -> None:
+        """Kill everything."""
+        for name in list(self.procs):
+            if name in self.frozen:
+                self.thaw(name)
+            self.kill(name)
+        self.http.close()
--- /dev/null
+++ b/tests/harness/oracle.py
@@ -0,0 +1,99 @@
+"""The judge: what the upstreams ran, what the ledger holds, what callers were told."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, NamedTuple
+
+import httpx
+
+from tests.harness.cluster import Cluster
+
+SETTLE_S = 15.0
+
+
+class Told(NamedTuple):
+    """What a caller was told of a request."""
+
+    key: str
+    status: int
+    code: str
+    ran: str
+    text: str
+    request_id: str
+    model: str
+
+    @property
+    def served(self) -> bool:
+        """Whether it was a whole answer."""
+        return self.status == 200
+
+
+def told(key: str, got: httpx.Response) -> Told:
+    """Read an answer or refusal."""
+    body = got.json()
+    if got.status_code != 200:
+        error = body["error"]
+        return Told(key, got.status_code, error["code"], error["ran"], "", "", "")
+    text = body["choices"][0]["message"]["content"] if "choices" in body else str(body)
+    request_id = got.headers.get("x-request-id", "")
+    return Told(key, 200, "", "yes", text, request_id, body.get("model", ""))
+
+
+def runs(cluster: Cluster) -> list[dict[str, Any]]:
+    """Everything the upstreams ran, as they tell it."""
+    lines = []
+    for name in [*cluster.fleet.engines, *cluster.fleet.services]:
+        lines += cluster.http.get(cluster.internal(name) + "/_log").json()
+    return lines
+
+
+def runs_of(cluster: Cluster, key: str) -> list[dict[str, Any]]:
+    """Runs of a caller's key."""
+    return [line for line in runs(cluster) if line["idempotency_key"] == key]
+
+
+def ledger(cluster: Cluster) -> dict[str, dict[str, Any]]:
+    """Bills by request id: lines by attempt."""
+    bills: dict[str, dict[str, Any]] = {}
+    after = ""
+    while True:
+        page = cluster.http.get(
+            f"{cluster.platform}/objects", params={"prefix": "ledger/", "after": after}
+        ).json()
+        if not page["items"]:
+            return bills
+        for item in page["items"]:
+            after = item["key"]
+            for line in item["value"]["lines"]:
+                bills.setdefault(line["request_id"], {})[line["attempt"]] = line
+
+
+def wait_bills(cluster: Cluster, request_ids: set[str]) -> dict[str, dict[str, Any]]:
+    """The ledger once it has these requests, or after a while as it is."""
+    deadline = time.monotonic() + SETTLE_S
+    while True:
+        bills = ledger(cluster)
+        if request_ids <= set(bills) or time.monotonic() > deadline:
+            return bills
+        time.sleep(0.1)
+
+
+def wait_runs_over(cluster: Cluster) -> None:
+    """Wait until no upstream runs anything."""
+    deadline = time.monotonic() + SETTLE_S
+    while time.monotonic() < deadline:
+        if all(line["state"] != "running" for line in runs(cluster)):
+            return
+        time.sleep(0.1)
+
+
+def expected_text(tokens: int) -> list[str]:
+    """The beginning of every answer of so many tokens."""
+    return [f"w{i} " for i in range(tokens - 1)]
+
+
+def whole(text: str, tokens: int) -> bool:
+    """Whether a text is a whole answer of so many tokens, nothing twice, nothing missing."""
+    head = "".join(expected_text(tokens))
+    return text.startswith(head + "~q") and len(text) == len(head) + len("~q0.000")
--- /dev/null
+++ b/tests/harness/proxy.py
@@ -0,0 +1,134 @@
+"""A fault-injecting TCP proxy for the tests, one for each link.
+
+All proxies share one event loop in a thread.  A mode acts on each piece of
+bytes that passes, and may be limited to a number of strikes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import threading
+from typing import Literal
+
+Mode = Literal[
+    "pass", "cut", "freeze", "delay", "lose_reply", "truncate", "duplicate", "crossed", "half_close"
+]
+PIECE = 65536
+POLL_S = 0.02
+
+
+class Loop:
+    """The event loop that all proxies run on."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+
+    def call(self, coro):
+        """Run a coroutine there and wait for its result."""
+        return asyncio.run_coroutine_threadsafe(coro, self.loop).result(10)
+
+
+LOOP = Loop()
+
+
+class Proxy:
+    """Forwards a listening port to a target address."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.mode: Mode = "pass"
+        self.left: int | None = None
+        self.delay_s = 0.0
+        self.clients: list[asyncio.StreamWriter] = []
+        self.bytes = 0
+        server = LOOP.call(asyncio.start_server(self._serve, "127.0.0.1", 0))
+        self.addr = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+    def set(self, mode: Mode, strikes: int | None = None, delay_s: float = 0.0) -> None:
+        """Act this way from now on, or for so many strikes."""
+        self.mode, self.left, self.delay_s = mode, strikes, delay_s
+        if mode == "cut":
+            LOOP.call(self._drop_all())
+
+    async def _drop_all(self) -> None:
+        for writer in self.clients:
+            writer.transport.abort()
+        self.clients.clear()
+
+    def _strike(self) -> Mode:
+        mode = self.mode
+        if mode != "pass" and self.left is not None:
+            self.left -= 1
+            if self.left <= 0:
+                self.mode, self.left = "pass", None
+        return mode
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.mode == "cut":
+            writer.transport.abort()
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            up_reader, up_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.clients.append(writer)
+        pumps = [
+            asyncio.create_task(self._ask(reader, up_writer)),
+            asyncio.create_task(self._reply(up_reader, writer)),
+        ]
+        await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        if pumps[0].done() and not pumps[0].result():
+            await asyncio.wait(pumps, timeout=5)
+        for pump in pumps:
+            pump.cancel()
+        for side in (writer, up_writer):
+            with contextlib.suppress(OSError, RuntimeError):
+                side.close()
+        if writer in self.clients:
+            self.clients.remove(writer)
+
+    async def _hold(self) -> None:
+        while self.mode == "freeze":
+            await asyncio.sleep(POLL_S)
+        if self.mode == "delay":
+            await asyncio.sleep(self.delay_s)
+
+    async def _ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Pump requests; false when the caller only closed its half."""
+        with contextlib.suppress(OSError):
+            while data := await reader.read(PIECE):
+                await self._hold()
+                self.bytes += len(data)
+                writer.write(data)
+                await writer.drain()
+                if self.mode == "half_close":
+                    self._strike()
+                    writer.write_eof()
+                    return False
+        return True
+
+    async def _reply(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(PIECE):
+                await self._hold()
+                self.bytes += len(data)
+                mode = self._strike() if self.mode not in ("pass", "freeze", "delay") else "pass"
+                if mode in ("lose_reply", "cut"):
+                    return
+                if mode == "truncate":
+                    writer.write(data[: len(data) // 2])
+                    await writer.drain()
+                    return
+                if mode == "duplicate":
+                    data += data
+                target = self._other(writer) if mode == "crossed" else writer
+                target.write(data)
+                await target.drain()
+
+    def _other(self, writer: asyncio.StreamWriter) -> asyncio.StreamWriter:
+        others = [w for w in self.clients if w is not writer and not w.is_closing()]
+        return others[0] if others else writer
