--- a/ramppost/agent/engine.py
+++ b/ramppost/agent/engine.py
@@ -47,6 +47,7 @@
 class Chunk(TypedDict, total=False):
     """A chunk of a streamed completion."""
 
+    id: str
     choices: list[Choice]
     usage: Usage | None
     confidence: float
@@ -99,9 +100,9 @@
 
 
 async def run_engine(
-    pool: Pool, addr: str, msg: RunMsg, begun: Begun, on_text: OnText
+    pool: Pool, addr: str, msg: RunMsg, exact: bool, begun: Begun, on_text: OnText
 ) -> Ran | NotBegun | Broke:
-    """Run an attempt at the engine."""
+    """Run an attempt at the engine; `exact` as the setting `exact_stream` says."""
     path = "/v1/chat/completions"
     stream = await open_stream(
         pool, addr, "POST", path, engine_body(msg), TOKEN_TIMEOUT_S, headers_of(msg)
@@ -125,12 +126,16 @@
             chunk = decode(line[len(DATA) :], Chunk)
             if isinstance(chunk, BadMessage):
                 return Broke(f"engine sent a malformed chunk: {chunk.reason}")
+            if exact and chunk.get("id") != msg["attempt"]:
+                return Broke("chunk of another answer")
             text, finish = _text(chunk)
             if text:
                 count += 1
                 await on_text(text)
             if finish:
                 ran = _ran(finish, chunk, count)
+                if exact and ran.tokens_out != count:
+                    return Broke(f"{count} chunks of {ran.tokens_out} arrived")
     except OSError as exc:
         return Broke(f"engine's stream was cut: {exc}")
     except curio.TaskTimeout:
--- a/ramppost/agent/main.py
+++ b/ramppost/agent/main.py
@@ -15,7 +15,7 @@
 from ramppost.agent.state import Agent
 from ramppost.confsync import ask_peers, follow_platform
 from ramppost.schema.settings import AgentSettings
-from ramppost.wire.server import serve
+from ramppost.wire.server import listen, serve
 from ramppost.wire.signals import Signals
 
 HOUSEKEEPING_S: Final = 0.5
@@ -28,13 +28,14 @@
     agent = Agent(cfg)
     where = cfg["listen"]
     logger.info("agent {} of {} on {}:{}", agent.name, cfg["name"], where["host"], where["port"])
+    sock = listen(where["host"], where["port"])
     tasks = [
         await curio.spawn(follow_platform, agent.conf, agent.client, daemon=True),
         await curio.spawn(ask_peers, agent.conf, agent.pool, lambda: cfg["peers"], daemon=True),
         await curio.spawn(_probe, agent, daemon=True),
         await curio.spawn(_housekeeping, agent, daemon=True),
         await curio.spawn(agent.filer.run, daemon=True),
-        await curio.spawn(serve, where["host"], where["port"], door(agent), daemon=True),
+        await curio.spawn(serve, sock, door(agent), daemon=True),
     ]
     try:
         if signals is None:
--- a/ramppost/agent/runner.py
+++ b/ramppost/agent/runner.py
@@ -99,7 +99,9 @@
 
 async def _run_model(agent: Agent, item: Attempt, msg: RunMsg) -> None:
     mv = ModelVersion(msg["model"], msg["version"])
-    out = await run_engine(agent.pool, agent.cfg["upstream"]["addr"], msg, item.admit, item.add)
+    upstream = agent.cfg["upstream"]
+    exact = upstream.get("exact_stream", False)
+    out = await run_engine(agent.pool, upstream["addr"], msg, exact, item.admit, item.add)
     if isinstance(out, NotBegun):
         await item.refuse("upstream_down", DOWN_RETRY_S)
         return
--- a/ramppost/cli/run.py
+++ b/ramppost/cli/run.py
@@ -26,8 +26,7 @@
         for line in cfg.lines:
             command.line_error(line)
         return BAD_SETTINGS
-    run_program(cfg)
-    return 0
+    return run_program(cfg)
 
 
 class EntryCommand(Command):
--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -20,7 +20,7 @@
 from ramppost.schema.messages import EntryStatus, StatusMsg
 from ramppost.schema.settings import EntrySettings, InputLimits
 from ramppost.wire.codec import decode, encode
-from ramppost.wire.server import Handler, Limits, Reply, Request, TlsFiles, serve
+from ramppost.wire.server import Handler, Limits, Reply, Request, TlsFiles, listen, serve
 from ramppost.wire.signals import Signals
 
 STOP_POLL_S: Final = 0.05
@@ -79,6 +79,8 @@
         tls.context()
     logger.info("entry {} of {} on {}:{}", entry.name, cfg["name"], outer["host"], outer["port"])
     limits = _limits(cfg["limits"])
+    inner_sock = listen(inner["host"], inner["port"])
+    outer_sock = listen(outer["host"], outer["port"])
     tasks = [
         await curio.spawn(follow_platform, entry.conf, entry.client, daemon=True),
         await curio.spawn(ask_peers, entry.conf, entry.pool, lambda: _peers(entry), daemon=True),
@@ -88,11 +90,10 @@
         await curio.spawn(drive, entry, daemon=True),
         await curio.spawn(rate, entry, daemon=True),
         await curio.spawn(_expire_claims, entry, daemon=True),
-        await curio.spawn(serve, inner["host"], inner["port"], internal(entry), daemon=True),
+        await curio.spawn(serve, inner_sock, internal(entry), daemon=True),
         await curio.spawn(
             serve,
-            outer["host"],
-            outer["port"],
+            outer_sock,
             callers(entry),
             limits,
             caller_error,
--- a/ramppost/entry/sink.py
+++ b/ramppost/entry/sink.py
@@ -54,7 +54,8 @@
         self.started = False
 
     async def begin(self, request_id: str, mv: ModelVersion, session: str, place: str) -> None:
-        """Remember what the head will say."""
+        """Remember what the head will say; pieces of a former try are dropped."""
+        self._pieces = []
         self._id, self._model = request_id, mv.text
         self._head = _headers(request_id, mv, session)
 
--- a/ramppost/programs.py
+++ b/ramppost/programs.py
@@ -24,19 +24,30 @@
 WITH_PLANNED_STOP: Final = ("entry", "agent")
 
 
-def run_program(cfg: Any) -> None:
-    """Run a program until a signal ends it; entries and agents end by their planned stop."""
+def run_program(cfg: Any) -> int:
+    """Run a program until a signal ends it; entries and agents end by their planned stop.
+
+    Answers 0, or 1 where it could not start, such as when its port is taken.
+    """
     program = cfg["program"]
     logs.set_up(cfg["log"], cfg.get("name", program))
     signals = Signals()
-    if program in WITH_PLANNED_STOP:
-        curio.run(RUNS[program], cfg, signals)
-    else:
-        curio.run(_until_signal, RUNS[program], cfg, signals)
+    try:
+        if program in WITH_PLANNED_STOP:
+            curio.run(RUNS[program], cfg, signals)
+        else:
+            curio.run(_until_signal, RUNS[program], cfg, signals)
+    except OSError as exc:
+        logger.critical("can't start: {}", exc)
+        return 1
+    return 0
 
 
 async def _until_signal(run: Callable[..., Awaitable[None]], cfg: Any, signals: Signals) -> None:
-    task = await curio.spawn(run, cfg, daemon=True)
-    await signals.wait()
+    """Run until a signal; a program that ends before, ends with its error."""
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(run, cfg)
+        await group.spawn(signals.wait)
+    if group.completed is not None and group.completed.exception is not None:
+        raise group.completed.exception
     logger.info("stopped")
-    await task.cancel()
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -168,6 +168,10 @@
     """
     Requests it runs at once.
     """
+    exact_stream: NotRequired[bool]
+    """
+    Whether an engine names the attempt in each chunk's `id` and sends one chunk a token, so that a foreign or missing chunk is noticed.
+    """
     checks_fences: NotRequired[bool]
     """
     Whether it refuses orders with an old fencing token itself.
--- a/ramppost/standin/engine.py
+++ b/ramppost/standin/engine.py
@@ -19,7 +19,7 @@
 from ramppost.schema.settings import EngineStandinSettings, StandinModel
 from ramppost.standin.faults import Faults, with_faults
 from ramppost.wire.codec import BadMessage, decode, encode
-from ramppost.wire.server import Reply, Request, serve
+from ramppost.wire.server import Reply, Request, listen, serve
 
 LOAD_LAG_S: Final = 0.5
 DEFAULT_TOKENS: Final = 16
@@ -143,7 +143,7 @@
     await curio.spawn(_report_load, engine, daemon=True)
     where = cfg["listen"]
     logger.info("engine stand-in on {}:{}", where["host"], where["port"])
-    await serve(where["host"], where["port"], with_faults(engine.faults, handle))
+    await serve(listen(where["host"], where["port"]), with_faults(engine.faults, handle))
 
 
 async def _report_load(engine: Engine) -> None:
@@ -219,7 +219,10 @@
     while True:
         more = work.more
         while sent < len(work.tokens):
-            piece = {"choices": [{"index": 0, "delta": {"content": work.tokens[sent]}}]}
+            piece = {
+                "id": work.run["attempt"],
+                "choices": [{"index": 0, "delta": {"content": work.tokens[sent]}}],
+            }
             sent += 1
             await reply.write(b"data: " + encode(piece) + b"\n\n")
         if work.run["state"] != "running":
@@ -228,7 +231,8 @@
     finish = "stop" if work.run["state"] == "done" else "cancelled"
     usage = {"prompt_tokens": 8, "completion_tokens": len(work.tokens)}
     choice = {"index": 0, "delta": {}, "finish_reason": finish}
-    final = {"choices": [choice], "usage": usage, "confidence": work.confidence}
+    final: dict[str, Any] = {"id": work.run["attempt"], "choices": [choice], "usage": usage}
+    final["confidence"] = work.confidence
     await reply.write(b"data: " + encode(final) + b"\n\ndata: [DONE]\n\n")
     await reply.end()
 
--- a/ramppost/standin/fleet.py
+++ b/ramppost/standin/fleet.py
@@ -185,7 +185,7 @@
 def _agent(plan: FleetPlan, index: int) -> AgentSettings:
     engine = index < plan.engines
     addr = _addr(plan, UPSTREAM_PORTS + index)
-    upstream = Upstream(kind="engine", addr=addr, slots=plan.slots, checks_fences=False)
+    upstream = Upstream(kind="engine", addr=addr, slots=plan.slots, exact_stream=True)
     if not engine:
         upstream = Upstream(kind="service", addr=addr, slots=plan.slots, service=plan.service_name)
     return AgentSettings(
--- a/ramppost/standin/platform.py
+++ b/ramppost/standin/platform.py
@@ -22,7 +22,7 @@
 from ramppost.schema.settings import Box, PlatformStandinSettings
 from ramppost.standin.faults import Faults, with_faults
 from ramppost.wire.codec import BadMessage, decode, encode
-from ramppost.wire.server import Reply, Request, serve
+from ramppost.wire.server import Reply, Request, listen, serve
 
 MAX_VALUE: Final = 1_000_000
 MAX_WATCH_S: Final = 30.0
@@ -148,7 +148,7 @@
 
     where = cfg["listen"]
     logger.info("platform stand-in on {}:{}", where["host"], where["port"])
-    await serve(where["host"], where["port"], with_faults(Faults(), handle))
+    await serve(listen(where["host"], where["port"]), with_faults(Faults(), handle))
 
 
 async def _objects(store: Store, req: Request, reply: Reply) -> None:
--- a/ramppost/standin/service.py
+++ b/ramppost/standin/service.py
@@ -11,7 +11,7 @@
 from ramppost.standin.engine import Run
 from ramppost.standin.faults import Faults, with_faults
 from ramppost.wire.codec import encode
-from ramppost.wire.server import Reply, Request, serve
+from ramppost.wire.server import Reply, Request, listen, serve
 
 
 async def run(cfg: ServiceStandinSettings) -> None:
@@ -50,4 +50,4 @@
 
     where = cfg["listen"]
     logger.info("service stand-in on {}:{}", where["host"], where["port"])
-    await serve(where["host"], where["port"], with_faults(Faults(), handle))
+    await serve(listen(where["host"], where["port"]), with_faults(Faults(), handle))
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -133,16 +133,19 @@
         return self._ctx
 
 
+def listen(host: str, port: int) -> Any:
+    """A listening socket; raises OSError where the address can't be had."""
+    return curio.network.tcp_server_socket(host, port, backlog=BACKLOG, reuse_address=True)
+
+
 async def serve(
-    host: str,
-    port: int,
+    sock: Any,
     handler: Handler,
     limits: Limits = Limits(),
     error_body: ErrorBody | None = None,
     tls: TlsFiles | None = None,
 ) -> None:
     """Serve until cancelled; connections go on in daemon tasks of their own."""
-    sock = curio.network.tcp_server_socket(host, port, backlog=BACKLOG, reuse_address=True)
     open_conns = _Counter()
     async with sock:
         while True:
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -19,13 +19,15 @@
 
 READY_S = 20.0
 POLL_S = 0.05
+FIRST_PORT = 22000
 PORT_BLOCK = 400
+PORT_BLOCKS = 25
 
 
 def free_base() -> int:
     """A base port whose block is free."""
-    start = 22000 + (os.getpid() * 37 % 60) * PORT_BLOCK
-    for base in range(start, start + 20 * PORT_BLOCK, PORT_BLOCK):
+    blocks = [(os.getpid() + i) % PORT_BLOCKS for i in range(PORT_BLOCKS)]
+    for base in (FIRST_PORT + block * PORT_BLOCK for block in blocks):
         probes = (base, base + ENTRY_PORTS, base + AGENT_PORTS, base + UPSTREAM_PORTS)
         if all(_free(port) for port in probes):
             return base
