A refusal after an attempt in doubt no longer says "not run"; a bill has one turn a stage

Cause: obtain and serve_ask judged by the last attempt only. An agent that was frozen with the request in its socket ran it after the caller had heard ran=no. Ruled out: the agent's own deadline, which starts when it reads the message. Change: a request carries a trace of whether any attempt ran or is in doubt, and the final refusal can't say less. Attempt ids name stage and turn; of a stage only the last turn is charged, so a witness line of a turn that was given up can't bill a second answer. Refusals carry x-request-id. Before: test_agents_freeze... red (told ran=no, engine log has the request).

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,12 @@
 examples: $(STAMP)
 	$(BIN)/python -m ramppost.standin.write_examples examples
 
+SEED ?= 7
+DURATION_S ?= 60
+FLEET ?= mesob
+chaos: $(STAMP)
+	$(BIN)/python -m tests.harness.chaos --seed $(SEED) --duration-s $(DURATION_S) --fleet $(FLEET)
+
 binary: $(STAMP)
 	mkdir -p dist
 	$(BIN)/pex . -r requirements.txt -m ramppost -o dist/ramppost.pex
--- a/ramppost/entry/ask.py
+++ b/ramppost/entry/ask.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ramppost import ids
-from ramppost.errors import Refusal, refusal
+from ramppost.errors import Ran, Refusal, refusal
 from ramppost.policy.permissions import ModelVersion, class_named, parse_model, workspace_of
 from ramppost.policy.session import BadToken, Session, read_session
 from ramppost.schema.config import ConfigDoc, WorkClass, Workspace
@@ -37,6 +37,22 @@
     stream_options: NotRequired[StreamOptions | None]
 
 
+class Trace:
+    """Whether any attempt of a request ran, as far as is known."""
+
+    def __init__(self) -> None:
+        self.ran: Ran = "no"
+
+    def running(self) -> None:
+        """An attempt was admitted."""
+        self.ran = "yes"
+
+    def doubt(self) -> None:
+        """Nobody can say whether an attempt ran."""
+        if self.ran == "no":
+            self.ran = "unknown"
+
+
 class Ask(NamedTuple):
     """A caller's request, checked."""
 
@@ -53,6 +69,7 @@
     path: str
     body: str
     prefix: str
+    trace: Trace
 
     @property
     def who(self) -> str:
@@ -151,6 +168,7 @@
         path="",
         body=body,
         prefix="",
+        trace=Trace(),
     )
 
 
--- a/ramppost/entry/callers.py
+++ b/ramppost/entry/callers.py
@@ -109,7 +109,7 @@
             logger.bind(request=ask.request_id, workspace=name).info(
                 "refused: {} ran={}", ref_or_none.code, ref_or_none.ran
             )
-            await send_refusal(reply, ref_or_none)
+            await send_refusal(reply, ref_or_none, ask.request_id)
     finally:
         entry.running[name] -= 1
 
--- a/ramppost/entry/dispatch.py
+++ b/ramppost/entry/dispatch.py
@@ -15,9 +15,10 @@
 
 from ramppost import ids
 from ramppost.confsync import fetch
-from ramppost.entry.ask import Ask
+from ramppost.entry.ask import Ask, Trace
 from ramppost.entry.state import Entry
 from ramppost.entry.upstreams import Upstream
+from ramppost.policy.bills import request_of
 from ramppost.policy.permissions import ModelVersion
 from ramppost.schema.messages import (
     AttachMsg,
@@ -85,7 +86,7 @@
     return RunMsg(
         entry=entry.name,
         agent=agent,
-        request_id=attempt.rpartition(".")[0],
+        request_id=request_of(attempt),
         attempt=attempt,
         rev=entry.conf.rev,
         workspace=ask.ws["name"],
@@ -103,7 +104,7 @@
     )
 
 
-async def send_run(entry: Entry, up: Upstream, msg: RunMsg) -> Outcome:
+async def send_run(entry: Entry, up: Upstream, msg: RunMsg, trace: Trace) -> Outcome:
     """Send an attempt to an agent and wait for its word, resolving a cut."""
     up.own += 1
     out = await _send(entry, up, msg)
@@ -113,8 +114,11 @@
         out = await resolve(entry, up.addr, msg["agent"], msg["attempt"], 0, _mv(msg))
     if isinstance(out, Running):
         out.up = up
-    else:
-        up.own -= 1
+        trace.running()
+        return out
+    up.own -= 1
+    if isinstance(out, Unknown):
+        trace.doubt()
     return out
 
 
--- a/ramppost/entry/obtain.py
+++ b/ramppost/entry/obtain.py
@@ -30,6 +30,7 @@
 from ramppost.entry.state import Entry
 from ramppost.entry.upstreams import Upstream
 from ramppost.errors import Refusal, refusal
+from ramppost.policy.bills import attempt_id
 from ramppost.policy.claims import claim_key, shard_of
 from ramppost.policy.permissions import ModelVersion
 from ramppost.schema.messages import Claim
@@ -53,8 +54,13 @@
 Obtained = Running | Refusal | Reroute
 
 
-async def obtain(entry: Entry, ask: Ask, mv: ModelVersion, stage: int, deadline: float) -> Obtained:
-    """An answer running for this request, by a version; `stage` counts within a cascade."""
+async def obtain(
+    entry: Entry, ask: Ask, mv: ModelVersion, stage: int, turn: int, deadline: float
+) -> Obtained:
+    """An answer running for this request, by a version.
+
+    `stage` counts within a cascade; `turn` is the first number free for attempts.
+    """
     entry.retries.tried()
     if ask.key:
         return await _with_claim(entry, ask, mv, stage, deadline)
@@ -66,8 +72,10 @@
         left_s = deadline - time.monotonic()
         if left_s <= 0:
             return refusal("deadline", "deadline passed before it was begun", LEAST_RETRY_S)
-        attempt = f"{ask.request_id}.s{stage}t{number}"
-        out = await send_run(entry, up, run_msg(entry, ask, mv, up.ticket, attempt, left_s))
+        attempt = attempt_id(ask.request_id, stage, turn + number)
+        out = await send_run(
+            entry, up, run_msg(entry, ask, mv, up.ticket, attempt, left_s), ask.trace
+        )
         if isinstance(out, Running):
             return _own(out, ask.request_id)
         if isinstance(out, Unknown) and not ask.repeatable:
@@ -127,6 +135,7 @@
         claim = Claim(
             key=key,
             generation=generation,
+            stage=stage,
             request_id=request_id,
             entry=entry.name,
             candidates=[candidate(up) for up in ups],
@@ -168,7 +177,7 @@
 
 def attempt_of(claim: Claim) -> str:
     """The attempt id of a claim, the same at each of its agents."""
-    return f"{claim['request_id']}.g{claim['generation']}k{claim['key'][:8]}"
+    return attempt_id(claim["request_id"], claim["stage"], claim["generation"])
 
 
 async def _run_claimed(
@@ -183,7 +192,7 @@
             out = NotRun("deadline", LEAST_RETRY_S)
             break
         msg = run_msg(entry, ask, mv, named["agent"], attempt_of(claim), left_s)
-        out = await send_run(entry, up, msg)
+        out = await send_run(entry, up, msg, ask.trace)
         if isinstance(out, Running):
             out.claim = claim
             return _own(out, claim["request_id"])
--- a/ramppost/entry/serve.py
+++ b/ramppost/entry/serve.py
@@ -14,7 +14,7 @@
 from ramppost.entry.ask import Ask
 from ramppost.entry.dispatch import Running, abandon, finish, read_on
 from ramppost.entry.obtain import Reroute, obtain
-from ramppost.entry.route import Route, route
+from ramppost.entry.route import NO_POLICY, Route, route
 from ramppost.entry.sink import Sink
 from ramppost.entry.state import Entry
 from ramppost.entry.stats import Served
@@ -27,7 +27,7 @@
 
 MAX_REROUTES: Final = 2
 MAX_RATED_CHARS: Final = 4000
-STAGES_A_ROUND: Final = 10
+TURNS_A_ROUND: Final = 10
 RETRIED_CODES: Final = ("upstream_failed", "outcome_unknown")
 
 
@@ -41,27 +41,32 @@
 
 async def serve_ask(entry: Entry, ask: Ask, sink: Sink) -> Refusal | None:
     """Serve a request into a sink; a refusal is returned if nothing was sent yet."""
+    ref = await _rounds(entry, ask, sink)
+    if ref is not None and ref.ran == "no" and ask.trace.ran != "no":
+        ref = ref._replace(ran=ask.trace.ran)
+    if ref is not None:
+        _count_refused(entry, ask, ref)
+    return ref
+
+
+async def _rounds(entry: Entry, ask: Ask, sink: Sink) -> Refusal | None:
+    """Route and try; again where the version changed, or where a repeatable one failed."""
     started = time.monotonic()
     deadline = started + ask.deadline_ms / 1000
-    doc = entry.conf.doc
-    assert doc is not None
     out: Refusal | None = None
     for number in range(MAX_REROUTES + 1):
-        doc = entry.conf.doc or doc
-        chosen = route(entry, ask, doc)
+        assert entry.conf.doc is not None
+        chosen = route(entry, ask, entry.conf.doc)
         if isinstance(chosen, Refusal):
-            return _count_refused(entry, ask, "", chosen)
-        got = await _stages(entry, ask, chosen, sink, deadline, started, number * STAGES_A_ROUND)
+            return chosen
+        got = await _stages(entry, ask, chosen, sink, deadline, started, number * TURNS_A_ROUND)
         if isinstance(got, Reroute):
             out = refusal("overloaded", f"version {got.reason} while it was chosen", 0.5)
             continue
-        if got is not None and _again(entry, ask, sink, got):
-            out = got
-            continue
-        if got is not None:
-            _count_refused(entry, ask, chosen.policy_name, got)
-        return got
-    return None if out is None else _count_refused(entry, ask, "", out)
+        if got is None or not _again(entry, ask, sink, got):
+            return got
+        out = got
+    return out
 
 
 def _again(entry: Entry, ask: Ask, sink: Sink, got: Refusal) -> bool:
@@ -74,12 +79,12 @@
     return True
 
 
-def _count_refused(entry: Entry, ask: Ask, policy: str, ref: Refusal) -> Refusal:
-    entry.stats.policy(policy).refused += 1
+def _count_refused(entry: Entry, ask: Ask, ref: Refusal) -> None:
+    served = entry.stats.served.get(ask.request_id)
+    entry.stats.policy(served.policy if served else NO_POLICY).refused += 1
     outcome = "refused" if ref.ran == "no" else "failed"
     if ref.status >= 500 or ref.status == 429:
         entry.stats.ended(ask.ws["name"], ask.cls, outcome, None)
-    return ref
 
 
 async def _stages(
@@ -89,13 +94,13 @@
     sink: Sink,
     deadline: float,
     started: float,
-    first_stage: int,
+    turn: int,
 ) -> Refusal | Reroute | None:
     """Try the picks in order: all but the last are judged before the next is tried."""
     spare: Whole | None = None
     for stage, pick in enumerate(chosen.picks):
         last = stage == len(chosen.picks) - 1
-        run = await obtain(entry, ask, pick.mv, first_stage + stage, deadline)
+        run = await obtain(entry, ask, pick.mv, stage, turn, deadline)
         if isinstance(run, Reroute):
             return run
         if isinstance(run, Refusal):
--- a/ramppost/entry/sink.py
+++ b/ramppost/entry/sink.py
@@ -144,6 +144,9 @@
     }
 
 
-async def send_refusal(reply: Reply, ref: Refusal) -> None:
+async def send_refusal(reply: Reply, ref: Refusal, request_id: str = "") -> None:
     """Send a refusal at once, with when to come back."""
-    await reply.send(ref.status, error_body(ref), headers=retry_headers(ref))
+    head = retry_headers(ref)
+    if request_id:
+        head += (("x-request-id", request_id),)
+    await reply.send(ref.status, error_body(ref), headers=head)
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -230,6 +230,10 @@
     Digest of workspace and caller's key.
     """
     generation: int
+    stage: int
+    """
+    Stage of a cascade.
+    """
     request_id: str
     entry: str
     candidates: list[Candidate]
--- a/tests/features/once.feature
+++ b/tests/features/once.feature
@@ -30,3 +30,8 @@
       | platform down after, until the repeat    | served                   |
       | engine fails                             | upstream_failed          |
       | engine down                              | served                   |
+
+  Scenario: agents freeze while a request without a key is on its way
+    Given a small fleet
+    When all agents are frozen, a request is given up on, and they are thawed
+    Then no "not run" was false by request id
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -14,6 +14,7 @@
 
 import httpx
 
+from ramppost.policy.permissions import token_hash
 from ramppost.standin.fleet import AGENT_PORTS, ENTRY_PORTS, UPSTREAM_PORTS, FleetPlan, build
 from tests.harness.proxy import Proxy
 
@@ -57,9 +58,23 @@
         self.platform_proxy: dict[str, Proxy] = {}
         self.upstream_proxy: dict[str, Proxy] = {}
         self.fleet = build(self.plan)
+        self._bar(changes.pop("barred", ""))
         self.http = httpx.Client(timeout=30, limits=httpx.Limits(max_keepalive_connections=0))
         self._wire(changes)
 
+    def _bar(self, workspace: str) -> None:
+        """Let a workspace use the small model only, and give one to the barred if it has none."""
+        spaces = self.fleet.doc["workspaces"]
+        if workspace and workspace not in [ws["name"] for ws in spaces]:
+            fresh = spaces[0] | {
+                "name": workspace,
+                "token_hashes": [token_hash(f"{workspace}-dev")],
+            }
+            spaces.append(fresh)
+        for ws in spaces:
+            if ws["name"] == workspace:
+                ws["allow"] = ["small"]
+
     def _wire(self, changes: dict[str, Any]) -> None:
         """Put a proxy before each agent, and one between each process and the platform."""
         fleet = self.fleet
@@ -73,7 +88,7 @@
             proxy = self.upstream_proxy[name] = Proxy(agent["upstream"]["addr"])
             agent["upstream"]["addr"] = proxy.addr
             agent.update(keep_s=60, orphan_s=2, witness_s=2, **changes.get("agent", {}))
-        for name, entry in fleet.entries.items():
+        for entry in fleet.entries.values():
             entry["agents"] = [outer[a] for a in entry["agents"]]
             entry.update(bill_window_s=0.3, **changes.get("entry", {}))
         for box in fleet.platform["boxes"]:
@@ -115,10 +130,9 @@
             "--settings",
             str(self.folder / f"{name}.json"),
         ]
-        log = open(self.folder / f"{name}.log", "ab")
         root = Path(__file__).parents[2]
-        self.procs[name] = subprocess.Popen(command, stdout=log, stderr=log, cwd=root)
-        log.close()
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.procs[name] = subprocess.Popen(command, stdout=log, stderr=log, cwd=root)
 
     def wait_ready(self, entries: list[str] | None = None) -> None:
         """Wait until each entry serves each engine's model and service."""
@@ -163,6 +177,7 @@
         stream: bool = False,
         timeout: float = 30,
         token: str = "mesob-dev",
+        content: str = "",
         **headers: str,
     ) -> httpx.Response:
         """A chat request, answered whole."""
@@ -176,7 +191,7 @@
             "model": model,
             "max_tokens": tokens,
             "stream": stream,
-            "messages": [{"role": "user", "content": key or "hello"}],
+            "messages": [{"role": "user", "content": content or key or "hello"}],
         }
         url = self.url(entry) + "/v1/chat/completions"
         return self.http.post(url, json=body, headers=head, timeout=timeout)
--- a/tests/harness/oracle.py
+++ b/tests/harness/oracle.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import time
 from typing import Any, NamedTuple
 
 import httpx
 
+from ramppost.policy.bills import bill_of
 from tests.harness.cluster import Cluster
 
 SETTLE_S = 15.0
@@ -34,12 +36,28 @@
     body = got.json()
     if got.status_code != 200:
         error = body["error"]
-        return Told(key, got.status_code, error["code"], error["ran"], "", "", "")
+        request_id = got.headers.get("x-request-id", "")
+        return Told(key, got.status_code, error["code"], error["ran"], "", request_id, "")
     text = body["choices"][0]["message"]["content"] if "choices" in body else str(body)
     request_id = got.headers.get("x-request-id", "")
     return Told(key, 200, "", "yes", text, request_id, body.get("model", ""))
 
 
+def told_stream(key: str, got: httpx.Response) -> Told:
+    """Read a stream that has ended; one without `[DONE]` is not a whole answer."""
+    if got.status_code != 200:
+        return told(key, got)
+    request_id, model = got.headers["x-request-id"], got.headers["ramppost-model"]
+    events = [line[6:] for line in got.text.splitlines() if line.startswith("data: ")]
+    pieces = [json.loads(event) for event in events if event != "[DONE]"]
+    error = next((piece["error"] for piece in pieces if "error" in piece), None)
+    if error is not None:
+        return Told(key, 502, error["code"], error["ran"], "", request_id, model)
+    text = "".join(p["choices"][0]["delta"].get("content", "") for p in pieces)
+    ended = events[-1:] == ["[DONE]"]
+    return Told(key, 200 if ended else 0, "", "yes", text, request_id, model)
+
+
 def runs(cluster: Cluster) -> list[dict[str, Any]]:
     """Everything the upstreams ran, as they tell it."""
     lines = []
@@ -69,6 +87,11 @@
                 bills.setdefault(line["request_id"], {})[line["attempt"]] = line
 
 
+def charged(bills: dict[str, dict[str, Any]], request_id: str) -> int:
+    """How many lines of a request's bill count."""
+    return len(bill_of(bills.get(request_id, {}).values()))
+
+
 def wait_bills(cluster: Cluster, request_ids: set[str]) -> dict[str, dict[str, Any]]:
     """The ledger once it has these requests, or after a while as it is."""
     deadline = time.monotonic() + SETTLE_S
--- a/tests/harness/proxy.py
+++ b/tests/harness/proxy.py
@@ -44,7 +44,7 @@
         self.clients: list[asyncio.StreamWriter] = []
         self.bytes = 0
         server = LOOP.call(asyncio.start_server(self._serve, "127.0.0.1", 0))
-        self.addr = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.addr = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     def set(self, mode: Mode, strikes: int | None = None, delay_s: float = 0.0) -> None:
         """Act this way from now on, or for so many strikes."""
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -10,15 +11,14 @@
 import httpx
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from ramppost.standin.fleet import OPERATOR_TOKEN
 from tests.harness.cluster import Cluster
+from tests.harness.operator import confirm, plan_for
 from tests.harness.oracle import runs, told
 
 scenarios("features/config.feature")
 
 IN_FORCE_S = 8.0
 SEEN_S = 2.0
-OPERATOR = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
 
 
 class Watcher:
@@ -42,10 +42,8 @@
 
     def _load(self, entry: str) -> None:
         while self.on:
-            try:
+            with contextlib.suppress(httpx.HTTPError, OSError):
                 self.cluster.chat(entry, tokens=3, model=self.model, timeout=5)
-            except (httpx.HTTPError, OSError):
-                pass
             time.sleep(0.03)
 
     def _look(self, name: str) -> None:
@@ -147,17 +145,12 @@
 
 
 def intent(cluster: Cluster, entry: str, **wish: Any) -> dict[str, Any]:
-    got = cluster.http.post(cluster.url(entry) + "/v1/intents", json=wish, headers=OPERATOR)
+    got = plan_for(cluster, entry, wish)
     assert got.status_code == 200, got.text
     plan: dict[str, Any] = got.json()
     return plan
 
 
-def confirm(cluster: Cluster, entry: str, plan_id: str) -> httpx.Response:
-    url = f"{cluster.url(entry)}/v1/plans/{plan_id}/confirm"
-    return cluster.http.post(url, headers=OPERATOR)
-
-
 def carry_out(cluster: Cluster, watcher: Watcher, fault: str, **wish: Any) -> None:
     BEFORE.get(fault, nothing)(cluster)
     plan = intent(cluster, "entry-2", **wish)
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import uuid
 
 import pytest
@@ -9,7 +10,7 @@
 
 from tests.faults import CASES, Caller
 from tests.harness.cluster import Cluster
-from tests.harness.oracle import Told, runs_of, wait_bills, wait_runs_over
+from tests.harness.oracle import Told, runs, runs_of, told, wait_bills, wait_runs_over
 
 scenarios("features/once.feature")
 
@@ -79,3 +80,23 @@
 def last_word(case: Case, last: str) -> None:
     word = case.heard[-1]
     assert (word.code or "served") == last, case.heard
+
+
+@when("all agents are frozen, a request is given up on, and they are thawed")
+def frozen_agents(cluster: Cluster, case: Case) -> None:
+    agents = list(cluster.fleet.agents)
+    for name in agents:
+        cluster.freeze(name)
+    case.heard = [told("", cluster.chat("entry-1", tokens=3, ramppost_deadline_ms="700"))]
+    for name in agents:
+        cluster.thaw(name)
+    time.sleep(1)
+    wait_runs_over(cluster)
+
+
+@then('no "not run" was false by request id')
+def true_by_id(cluster: Cluster, case: Case) -> None:
+    ran = {line["request_id"] for line in runs(cluster)}
+    for word in case.heard:
+        assert word.request_id and not word.served
+        assert word.ran != "no" or word.request_id not in ran, word
