--- a/ramppost/settings.py
+++ b/ramppost/settings.py
@@ -47,7 +47,7 @@
     if isinstance(value, Bad):
         return value
     program = value.get("program") if isinstance(value, dict) else None
-    if program not in PROGRAMS:
+    if not isinstance(program, str) or program not in PROGRAMS:
         names = ", ".join(PROGRAMS)
         return Bad([f"{path}: $.program: must name a program: {names}"])
     if wanted and program != wanted:
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -22,6 +22,7 @@
 READ_SIZE: Final = 65536
 IDLE_TIMEOUT_S: Final = 75.0
 ACCEPT_RETRY_S: Final = 0.05
+LINGER_S: Final = 2.0
 BACKLOG: Final = 1024
 JSON_TYPE: Final = "application/json"
 
@@ -202,6 +203,7 @@
         body = error_body(req) if error_body else req.reason.encode()
         if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             await reply.send(req.status, body, headers=(("connection", "close"),))
+            await _linger(sock)
         return False
     try:
         await handler(req, reply)
@@ -215,6 +217,14 @@
     return conn.our_state is h11.DONE and conn.their_state is h11.DONE
 
 
+async def _linger(sock: Any) -> None:
+    """Read what a refused client still sends, so that a reset can't overtake our answer."""
+    await sock.shutdown(socket.SHUT_WR)
+    async with curio.ignore_after(LINGER_S):
+        while await sock.recv(READ_SIZE):
+            pass
+
+
 async def _read_request(
     sock: Any, conn: h11.Connection, limits: Limits
 ) -> Request | BadInput | None:
