--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,10 @@
 chaos: $(STAMP)
 	$(BIN)/python -m tests.harness.chaos --seed $(SEED) --duration-s $(DURATION_S) --fleet $(FLEET)
 
+SECONDS_EACH ?= 15
+bench: $(STAMP)
+	$(BIN)/python -m bench.main --seed $(SEED) --seconds $(SECONDS_EACH)
+
 binary: $(STAMP)
 	mkdir -p dist
 	$(BIN)/pex . -r requirements.txt -m ramppost -o dist/ramppost.pex
--- a/ramppost/agent/runner.py
+++ b/ramppost/agent/runner.py
@@ -12,7 +12,7 @@
 from ramppost.agent.engine import Broke, NotBegun, Ran, cancel_run, run_engine
 from ramppost.agent.plain import Answered, run_service
 from ramppost.agent.state import Agent
-from ramppost.policy.admission import Full, Queued, Waiting
+from ramppost.policy.admission import LOWEST, Full, Queued, Waiting
 from ramppost.policy.permissions import ModelVersion, may_run
 from ramppost.schema.messages import BillLine, End, RunMsg
 
@@ -52,7 +52,7 @@
     """Someone of lower priority has to leave the line."""
     other = agent.attempts.get(name)
     if other is not None and other.task is not None:
-        wait_s = agent.admission.retry_after(time.monotonic(), 9)
+        wait_s = agent.admission.retry_after(LOWEST)
         await other.refuse("full", wait_s)
         await other.task.cancel(blocking=False)
 
@@ -60,6 +60,7 @@
 async def _run(agent: Agent, item: Attempt, msg: RunMsg, deadline: float) -> None:
     if not await _wait_turn(agent, item, deadline):
         return
+    started = time.monotonic()
     try:
         reason = "cancelled" if item.cancelled else refusal_now(agent, msg)
         if reason:
@@ -69,7 +70,7 @@
         else:
             await _run_model(agent, item, msg)
     finally:
-        follower = agent.admission.leave(time.monotonic())
+        follower = agent.admission.leave(time.monotonic() - started)
         if follower is not None:
             await _enter(agent, follower)
 
@@ -91,7 +92,7 @@
         if item.entered:
             return True
         agent.admission.drop(item.attempt)
-        wait_s = agent.admission.retry_after(time.monotonic(), 9)
+        wait_s = agent.admission.retry_after(LOWEST)
         await item.refuse("deadline", wait_s)
         return False
     return True
--- a/ramppost/agent/state.py
+++ b/ramppost/agent/state.py
@@ -28,7 +28,9 @@
         self.conf = ConfState()
         self.keep_s = cfg.get("keep_s", 600.0)
         self.attempts = Attempts(self.keep_s, cfg.get("keep_mb", 64) * 1_000_000)
-        self.admission = Admission(cfg["upstream"]["slots"], cfg.get("queue", 64))
+        upstream = cfg["upstream"]
+        reserved = upstream.get("reserved", 0)
+        self.admission = Admission(upstream["slots"], cfg.get("queue", 64), reserved)
         self.filer = Filer(self.client, self.name, 1.0, self._filed)
         self.witness: dict[str, tuple[float, BillLine]] = {}
         self.counts: dict[ModelVersion, list[int]] = {}
@@ -55,7 +57,7 @@
     def load(self) -> Load:
         """The load now."""
         adm = self.admission
-        drain = adm.drain_per_s(time.monotonic())
+        drain = adm.drain_per_s()
         return Load(running=adm.running, waiting=adm.waiting, slots=adm.slots, drain_per_s=drain)
 
     def count(self, mv: ModelVersion, good: bool) -> None:
--- a/ramppost/entry/serve.py
+++ b/ramppost/entry/serve.py
@@ -252,6 +252,7 @@
     )
     entry.bill(line, run.addr)
     entry.bucket(ask.ws).charge(end["tokens_out"], time.monotonic())
+    entry.learned.used(ask.cls["name"], end["tokens_out"])
     entry.stats.m_cost.add({"workspace": ask.ws["name"]}, end["cost"])
     entry.stats.m_tokens.add({"model": run.mv.model, "version": run.mv.version}, end["tokens_out"])
     served = entry.stats.served.get(run.request_id)
--- a/ramppost/policy/admission.py
+++ b/ramppost/policy/admission.py
@@ -2,7 +2,8 @@
 
 Pure: no I/O, and the clock is an argument.  `Admission` holds who runs and who
 waits.  Every `FLOOR_EVERY`th freed slot goes to the longest waiting of the lower
-priorities, so that these are slowed but not starved.  When the queue is full, a
+priorities, so that these are slowed but not starved.  Some slots are kept for the
+urgent, so that these need not wait for a long routine answer to end.  When the queue is full, a
 newcomer puts out the last of a lower priority, else it is refused.
 """
 
@@ -12,9 +13,12 @@
 from typing import Final, NamedTuple
 
 FLOOR_EVERY: Final = 20
-RATE_WINDOW_S: Final = 10.0
+MEAN_WEIGHT: Final = 0.1
+WAIT_MARGIN: Final = 1.25
+LOWEST: Final = 9
 MIN_RETRY_S: Final = 0.5
 MAX_RETRY_S: Final = 60.0
+URGENT: Final = 2
 
 
 class Waiting(NamedTuple):
@@ -44,13 +48,14 @@
 class Admission:
     """Who runs and who waits at one upstream."""
 
-    def __init__(self, slots: int, queue: int) -> None:
+    def __init__(self, slots: int, queue: int, reserved: int = 0) -> None:
         self.slots = slots
         self.queue = queue
+        self.reserved = min(reserved, slots - 1)
         self.running = 0
         self.lines: dict[int, deque[Waiting]] = {}
         self._freed = 0
-        self._done: deque[float] = deque()
+        self._mean_s = 0.0
 
     @property
     def waiting(self) -> int:
@@ -59,23 +64,23 @@
 
     def offer(self, who: Waiting, now: float) -> Entered | Queued | Full:
         """Let someone in, into the line, or refuse."""
-        if self.running < self.slots and self.waiting == 0:
+        if self._fits(who.priority) and self._ahead(who.priority) == 0:
             self.running += 1
             return Entered()
         if self._hopeless(who, now):
-            return Full(self.retry_after(now, who.priority))
+            return Full(self.retry_after(who.priority))
         put_out = None
         if self.waiting >= self.queue:
             put_out = self._put_out_below(who.priority)
             if put_out is None:
-                return Full(self.retry_after(now, who.priority))
+                return Full(self.retry_after(who.priority))
         self.lines.setdefault(who.priority, deque()).append(who)
         return Queued(put_out)
 
-    def leave(self, now: float) -> Waiting | None:
-        """A slot is free again: who enters next, if anyone."""
-        self._done.append(now)
-        self._trim(now)
+    def leave(self, held_s: float) -> Waiting | None:
+        """A slot is free again after so many seconds: who enters next, if anyone."""
+        weight = MEAN_WEIGHT if self._mean_s else 1.0
+        self._mean_s += weight * (held_s - self._mean_s)
         self.running -= 1
         return self._next()
 
@@ -87,35 +92,41 @@
                     line.remove(who)
                     return
 
-    def drain_per_s(self, now: float) -> float:
-        """Requests finished a second, over the last seconds."""
-        self._trim(now)
-        return len(self._done) / RATE_WINDOW_S
+    def drain_per_s(self, priority: int = LOWEST) -> float:
+        """Requests that full slots finish a second, by how long slots were held lately."""
+        return self._slots_for(priority) / self._mean_s if self._mean_s else 0.0
 
-    def retry_after(self, now: float, priority: int) -> float:
-        """Seconds until those ahead of this priority have gone, at the present rate."""
-        rate = self.drain_per_s(now)
+    def retry_after(self, priority: int) -> float:
+        """Seconds until those ahead of this priority have gone, at the measured rate."""
+        rate = self.drain_per_s(priority)
         ahead = self._ahead(priority) + 1
         if rate <= 0:
             return MIN_RETRY_S * (1 + ahead / max(1, self.slots))
         return min(MAX_RETRY_S, max(MIN_RETRY_S, ahead / rate))
 
+    def _fits(self, priority: int) -> bool:
+        """Whether a slot is free for this priority; some are kept for the urgent."""
+        return self.running < self._slots_for(priority)
+
+    def _slots_for(self, priority: int) -> int:
+        return self.slots if priority <= URGENT else self.slots - self.reserved
+
     def _ahead(self, priority: int) -> int:
         return sum(len(line) for level, line in self.lines.items() if level <= priority)
 
     def _hopeless(self, who: Waiting, now: float) -> bool:
         """Whether those ahead will, at the present rate, outlast its deadline."""
-        rate = self.drain_per_s(now)
-        if len(self._done) < self.slots or rate <= 0:
+        rate = self.drain_per_s(who.priority)
+        if rate <= 0:
             return False
-        return now + self._ahead(who.priority) / rate > who.deadline
+        return now + WAIT_MARGIN * self._ahead(who.priority) / rate > who.deadline
 
     def _put_out_below(self, priority: int) -> str | None:
         lower = [level for level, line in self.lines.items() if level > priority and line]
         return self.lines[max(lower)].pop().name if lower else None
 
     def _next(self) -> Waiting | None:
-        levels = sorted(level for level, line in self.lines.items() if line)
+        levels = sorted(lv for lv, line in self.lines.items() if line and self._fits(lv))
         if not levels:
             return None
         self._freed += 1
@@ -124,7 +135,3 @@
             level = min(levels[1:], key=lambda lv: self.lines[lv][0].deadline)
         self.running += 1
         return self.lines[level].popleft()
-
-    def _trim(self, now: float) -> None:
-        while self._done and self._done[0] < now - RATE_WINDOW_S:
-            self._done.popleft()
--- a/ramppost/policy/limits.py
+++ b/ramppost/policy/limits.py
@@ -7,8 +7,8 @@
 
 from typing import Final
 
-RETRY_SHARE: Final = 0.1
-RETRY_BURST: Final = 5.0
+RETRY_SHARE: Final = 0.07
+RETRY_BURST: Final = 2.0
 MIN_WAIT_S: Final = 0.5
 
 
--- a/ramppost/policy/routing.py
+++ b/ramppost/policy/routing.py
@@ -6,7 +6,8 @@
 
 The learned policy minimises cost subject to a mean rating: for each request it
 draws a plausible rating of every model from what is known of it for the class,
-and takes the model with the best `price_of_quality * rating - price`.  The price
+and takes the model with the best `price_of_quality * rating - cost`, where cost
+counts the usual length of the class's answers.  The price
 of quality rises while ratings, which come late, fall short of the target, and
 sinks while they exceed it, so spending settles where the target is just met.
 """
@@ -24,9 +25,8 @@
 
 PRIOR_SD: Final = 0.35
 PRIOR_MEAN: Final = 0.6
-STEP_UP: Final = 0.05
-STEP_DOWN: Final = 0.05
-START_PRICE: Final = 1.0
+STEP: Final = 0.1
+START_PRICE: Final = 5.0
 MAX_PRICE: Final = 50.0
 MARGIN: Final = 0.005
 DEFAULT_THRESHOLD: Final = 0.7
@@ -64,6 +64,8 @@
 
     def __init__(self) -> None:
         self.arms: dict[tuple[str, str], Mean] = {}
+        self.tokens: dict[str, Mean] = {}
+        self.all_tokens = Mean()
         self.quality_price = START_PRICE
 
     def rate(self, class_name: str, model: str, score: float) -> None:
@@ -73,8 +75,19 @@
     def steer(self, target: float, score: float) -> None:
         """Move the price of quality by a rating of an answer that the policy chose."""
         gap = target + MARGIN - score
-        step = STEP_UP if gap > 0 else STEP_DOWN
-        self.quality_price = min(MAX_PRICE, max(0.0, self.quality_price + step * gap))
+        self.quality_price = min(MAX_PRICE, max(0.0, self.quality_price + STEP * gap))
+
+    def used(self, class_name: str, tokens: int) -> None:
+        """Take in how many tokens an answer of a class had."""
+        self.tokens.setdefault(class_name, Mean()).add(tokens)
+        self.all_tokens.add(tokens)
+
+    def length(self, class_name: str) -> float:
+        """Usual length of a class's answers, in that of all answers."""
+        known = self.tokens.get(class_name)
+        if known is None or not self.all_tokens.mean:
+            return 1.0
+        return known.mean / self.all_tokens.mean
 
     def draw(self, class_name: str, model: str, rng: random.Random) -> float:
         """A plausible mean rating: wide while little is known, narrow later."""
@@ -125,7 +138,8 @@
 
         def worth(model: Model) -> float:
             rating = learned.draw(class_name, model["model"], rng)
-            return learned.quality_price * rating - model["price"] / dearest
+            cost = model["price"] / dearest * learned.length(class_name)
+            return learned.quality_price * rating - cost
 
         return [max(usable, key=worth)["model"]]
 
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -168,6 +168,10 @@
     """
     Requests it runs at once.
     """
+    reserved: NotRequired[int]
+    """
+    Slots kept for classes of priority 0 to 2.
+    """
     exact_stream: NotRequired[bool]
     """
     Whether an engine names the attempt in each chunk's `id` and sends one chunk a token, so that a foreign or missing chunk is noticed.
--- a/ramppost/standin/engine.py
+++ b/ramppost/standin/engine.py
@@ -196,7 +196,7 @@
         slow = engine.faults.for_version("slow_tokens", spec["model"], spec["version"])
         token_s = spec["token_ms"] / 1000 + (slow.get("seconds", 0.1) if slow else 0)
         poor = engine.faults.for_version("poor", spec["model"], spec["version"])
-        mean = spec["quality"] * (0.3 if poor else 1)
+        mean = spec["quality"] * (poor.get("factor", 0.3) if poor else 1)
         quality = min(1.0, max(0.0, engine.rng.gauss(mean, QUALITY_SPREAD)))
         work.confidence = min(1.0, max(0.0, quality + engine.rng.gauss(0, CONFIDENCE_NOISE)))
         for index in range(count):
--- a/ramppost/standin/faults.py
+++ b/ramppost/standin/faults.py
@@ -22,13 +22,15 @@
 
 
 class Fault(TypedDict):
-    """A fault: `seconds` is the delay of `slow`, or the extra time a token of `slow_tokens`."""
+    """A fault: `seconds` is the delay of `slow`, or the extra time a token of `slow_tokens`;
+    `factor` is what `poor` multiplies quality by."""
 
     mode: Mode
     path: NotRequired[str]
     method: NotRequired[str]
     share: NotRequired[float]
     seconds: NotRequired[float]
+    factor: NotRequired[float]
     model: NotRequired[str]
     version: NotRequired[str]
 
--- a/ramppost/standin/fleet.py
+++ b/ramppost/standin/fleet.py
@@ -186,6 +186,7 @@
     engine = index < plan.engines
     addr = _addr(plan, UPSTREAM_PORTS + index)
     upstream = Upstream(kind="engine", addr=addr, slots=plan.slots, exact_stream=True)
+    upstream["reserved"] = plan.slots // 4
     if not engine:
         upstream = Upstream(kind="service", addr=addr, slots=plan.slots, service=plan.service_name)
     return AgentSettings(
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -43,6 +43,13 @@
         self.h11 = h11.Connection(h11.CLIENT)
 
 
+def _quiet(fd: int) -> bool:
+    """Whether nothing, not even an end, has come in on a file descriptor."""
+    poller = select.poll()
+    poller.register(fd, select.POLLIN | select.POLLHUP | select.POLLERR)
+    return not poller.poll(0)
+
+
 class Pool:
     """Idle connections by address, and the bytes that went over all of them."""
 
@@ -56,8 +63,7 @@
         links = self.idle.get(addr, [])
         while links:
             link = links.pop()
-            readable, _, _ = select.select([link.sock.fileno()], [], [], 0)
-            if not readable:
+            if _quiet(link.sock.fileno()):
                 return link
             link.sock._socket.close()
         return None
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -97,7 +97,6 @@
         for name, cfg in {**fleet.agents, **fleet.entries}.items():
             proxy = self.platform_proxy[name] = Proxy(platform)
             cfg["platform"] = proxy.addr
-        (self.folder / "config.json").write_text(json.dumps(fleet.doc))
         self.settings: dict[str, Any] = {
             "platform": fleet.platform,
             **fleet.engines,
@@ -105,6 +104,11 @@
             **fleet.agents,
             **fleet.entries,
         }
+        self.rewrite()
+
+    def rewrite(self) -> None:
+        """Write the configuration document and all settings."""
+        (self.folder / "config.json").write_text(json.dumps(self.fleet.doc))
         for name, cfg in self.settings.items():
             (self.folder / f"{name}.json").write_text(json.dumps(cfg))
 
@@ -146,7 +150,8 @@
     def _serves(self, name: str) -> bool:
         try:
             doc = self.http.post(self.internal(name) + "/x/report", content=b"{}", timeout=2)
-            got = self.chat(name, tokens=1, timeout=5)
+            token = f"{self.plan.workspaces[0]}-dev"
+            got = self.chat(name, tokens=1, timeout=5, token=token)
             seen = self.http.get(self.internal(name) + "/x/upstreams", timeout=2).json()
         except (httpx.HTTPError, ValueError):
             return False
