--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,12 @@
 	$(BIN)/python -m tests.harness.chaos --seed $(SEED) --duration-s $(DURATION_S) --fleet $(FLEET)
 
 SECONDS_EACH ?= 15
+slopes: $(STAMP)
+	$(BIN)/python -m bench.slopes
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
 bench: $(STAMP)
 	$(BIN)/python -m bench.main --seed $(SEED) --seconds $(SECONDS_EACH)
 
--- a/ramppost/agent/door.py
+++ b/ramppost/agent/door.py
@@ -26,6 +26,7 @@
     SettledMsg,
     StatusMsg,
 )
+from ramppost.usage import USAGE_PATH, usage
 from ramppost.wire.codec import BadMessage, decode, encode, encode_line
 from ramppost.wire.server import Handler, Reply, Request
 
@@ -51,6 +52,8 @@
             await _with(req, reply, StatusMsg, lambda msg: _status(agent, msg, reply))
         elif req.path == CONFIG_PATH:
             await send_config(agent.conf.raw, agent.conf.rev, req, reply)
+        elif req.path == USAGE_PATH:
+            await reply.send(200, encode(usage(agent.client, (agent.meter,))))
         elif req.path in ("/healthz", "/readyz"):
             ready = agent.conf.doc is not None and agent.up and not agent.leaving
             await reply.send(200 if ready or req.path == "/healthz" else 503, b"{}")
--- a/ramppost/agent/main.py
+++ b/ramppost/agent/main.py
@@ -15,7 +15,7 @@
 from ramppost.agent.state import Agent
 from ramppost.confsync import ask_peers, follow_platform
 from ramppost.schema.settings import AgentSettings
-from ramppost.wire.server import listen, serve
+from ramppost.wire.server import Limits, listen, serve
 from ramppost.wire.signals import Signals
 
 HOUSEKEEPING_S: Final = 0.5
@@ -35,7 +35,7 @@
         await curio.spawn(_probe, agent, daemon=True),
         await curio.spawn(_housekeeping, agent, daemon=True),
         await curio.spawn(agent.filer.run, daemon=True),
-        await curio.spawn(serve, sock, door(agent), daemon=True),
+        await curio.spawn(serve, sock, door(agent), Limits(), None, None, agent.meter, daemon=True),
     ]
     try:
         if signals is None:
--- a/ramppost/agent/state.py
+++ b/ramppost/agent/state.py
@@ -14,6 +14,7 @@
 from ramppost.schema.messages import BillLine, Load, VersionCount
 from ramppost.schema.settings import AgentSettings
 from ramppost.wire.client import Pool
+from ramppost.wire.server import Meter
 
 
 class Agent:
@@ -37,6 +38,7 @@
         self.versions: list[str] = []
         self.up = False
         self.leaving = False
+        self.meter = Meter()
         self.started = time.monotonic()
 
     @property
--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -19,6 +19,7 @@
 from ramppost.policy.claims import SHARDS
 from ramppost.schema.messages import EntryStatus, StatusMsg
 from ramppost.schema.settings import EntrySettings, InputLimits
+from ramppost.usage import USAGE_PATH, usage
 from ramppost.wire.codec import decode, encode
 from ramppost.wire.server import Handler, Limits, Reply, Request, TlsFiles, listen, serve
 from ramppost.wire.signals import Signals
@@ -37,6 +38,8 @@
             await _status(entry, req, reply)
         elif req.path == "/x/report":
             await reply.send(200, encode(own_report(entry)))
+        elif req.path == USAGE_PATH:
+            await reply.send(200, encode(usage(entry.client, (entry.outer, entry.inner))))
         elif req.path == "/x/upstreams":
             await reply.send(200, encode(entry.ups.listing()))
         elif req.path == "/metrics":
@@ -90,15 +93,11 @@
         await curio.spawn(drive, entry, daemon=True),
         await curio.spawn(rate, entry, daemon=True),
         await curio.spawn(_expire_claims, entry, daemon=True),
-        await curio.spawn(serve, inner_sock, internal(entry), daemon=True),
         await curio.spawn(
-            serve,
-            outer_sock,
-            callers(entry),
-            limits,
-            caller_error,
-            tls,
-            daemon=True,
+            serve, inner_sock, internal(entry), Limits(), None, None, entry.inner, daemon=True
+        ),
+        await curio.spawn(
+            serve, outer_sock, callers(entry), limits, caller_error, tls, entry.outer, daemon=True
         ),
     ]
     try:
--- a/ramppost/entry/serve.py
+++ b/ramppost/entry/serve.py
@@ -20,6 +20,7 @@
 from ramppost.entry.stats import Served
 from ramppost.errors import Refusal, refusal
 from ramppost.platform.ratings import Rated
+from ramppost.policy.permissions import ModelVersion, version_state
 from ramppost.policy.routing import Picked, cascade_stops
 from ramppost.policy.session import Session, StreamPlace, mint
 from ramppost.schema.messages import BillLine, End
@@ -69,6 +70,17 @@
     return out
 
 
+def _rated(entry: Entry, mv: ModelVersion) -> bool:
+    """Whether to hand an answer in for rating: a sample, of which a trial has the first half."""
+    doc = entry.conf.doc
+    trial = doc is not None and version_state(doc, mv) == "trial"
+    bucket = entry.rating_bucket()
+    if bucket.wait_s(time.monotonic()) > 0 or not (trial or bucket.level > bucket.burst / 2):
+        return False
+    bucket.charge(1, time.monotonic())
+    return True
+
+
 def _again(entry: Entry, ask: Ask, sink: Sink, got: Refusal) -> bool:
     """Whether to try again what failed before its caller saw any of it."""
     if not ask.repeatable or sink.started or got.code not in RETRIED_CODES:
@@ -258,7 +270,7 @@
     served = entry.stats.served.get(run.request_id)
     if served is not None:
         entry.stats.policy(served.policy).cost += end["cost"]
-    if text and not ask.service:
+    if text and not ask.service and _rated(entry, run.mv):
         rated = Rated(
             request_id=run.request_id,
             model=run.mv.model,
--- a/ramppost/entry/state.py
+++ b/ramppost/entry/state.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from typing import Final
 
 from ramppost import ids
 from ramppost.confsync import ConfState
@@ -21,8 +22,11 @@
 from ramppost.schema.settings import EntrySettings
 from ramppost.wire.client import Pool, call
 from ramppost.wire.codec import encode
+from ramppost.wire.server import Meter
 
-SETTLED_TIMEOUT_S = 2.0
+SETTLED_TIMEOUT_S: Final = 2.0
+RATED_PER_S: Final = 40.0
+RATED_BURST_S: Final = 4.0
 
 
 class Entry:
@@ -46,11 +50,14 @@
         self.learned = Learned()
         self.ratings: dict[ModelVersion, Mean] = {}
         self.to_rate: list[Rated] = []
+        self._rating_bucket = TokenBucket(RATED_PER_S, RATED_PER_S, time.monotonic())
         self.paused: set[ModelVersion] = set()
         self.retries = RetryBudget()
         self.buckets: dict[str, TokenBucket] = {}
         self.running: dict[str, int] = {}
         self.leaving = False
+        self.outer = Meter()
+        self.inner = Meter()
         self.rev_box = [0]
         self.conf.on_adopt.append(self._adopted)
 
@@ -71,6 +78,13 @@
             self.buckets[ws["name"]] = held = fresh
         return held
 
+    def rating_bucket(self) -> TokenBucket:
+        """This entry's part of the ratings that the fleet asks for."""
+        rate = RATED_PER_S / self.ups.entries()
+        if self._rating_bucket.rate != rate:
+            self._rating_bucket = TokenBucket(rate, RATED_BURST_S * rate, time.monotonic())
+        return self._rating_bucket
+
     def bill(self, line: BillLine, agent: str) -> None:
         """Queue a bill line; its agent is told when it is in the ledger."""
         self.bill_agents[line["attempt"]] = agent
--- a/ramppost/entry/upstreams.py
+++ b/ramppost/entry/upstreams.py
@@ -15,8 +15,7 @@
 from loguru import logger
 
 from ramppost import ids
-from ramppost.platform.boxes import box_list
-from ramppost.platform.objects import Unavailable
+from ramppost.platform.boxes import Boxes, box_list
 from ramppost.policy.choice import Health, Seen, order, subset
 from ramppost.policy.permissions import ModelVersion
 from ramppost.policy.rollout import Counts
@@ -34,6 +33,7 @@
 
 BOXES_PERIOD_S: Final = 2.0
 POLL_S: Final = 0.5
+POLLS_A_TICK: Final = 6
 IDLE_S: Final = 1.0
 POLL_TIMEOUT_S: Final = 1.0
 
@@ -58,6 +58,7 @@
         self.health = Health()
         self.counts: dict[ModelVersion, Counts] = {}
         self.polling = False
+        self.polled_at = 0.0
 
     def usable(self, now: float) -> bool:
         """Whether it may get new work."""
@@ -164,10 +165,12 @@
 
     async def follow_boxes(self, platform: str) -> None:
         """Read the box list now and then, until cancelled."""
+        seen = ""
         while True:
-            found = await box_list(self.pool, platform)
-            if not isinstance(found, Unavailable):
-                self.take_boxes(found)
+            found = await box_list(self.pool, platform, seen)
+            if isinstance(found, Boxes):
+                seen = found.tag
+                self.take_boxes(found.boxes)
             await curio.sleep(BOXES_PERIOD_S * random.uniform(0.75, 1.25))
 
     async def poll(self, rev: list[int]) -> None:
@@ -177,11 +180,11 @@
         """
         while True:
             now = time.monotonic()
-            for up in list(self.table.values()):
-                silent = now - up.heard_at > IDLE_S or not up.alive
-                if silent and not up.polling:
-                    up.polling = True
-                    await curio.spawn(self._ask, up, rev[0], daemon=True)
+            silent = [u for u in self.table.values() if now - u.heard_at > IDLE_S or not u.alive]
+            waiting = sorted((u for u in silent if not u.polling), key=lambda u: u.polled_at)
+            for up in waiting[:POLLS_A_TICK]:
+                up.polling, up.polled_at = True, now
+                await curio.spawn(self._ask, up, rev[0], daemon=True)
             await curio.sleep(POLL_S)
 
     async def _ask(self, up: Upstream, rev: int) -> None:
--- a/ramppost/platform/boxes.py
+++ b/ramppost/platform/boxes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Final, NamedTuple
 
 from ramppost.platform.objects import Unavailable
 from ramppost.schema.settings import Box
@@ -12,10 +12,26 @@
 CALL_TIMEOUT_S: Final = 2.0
 
 
-async def box_list(pool: Pool, addr: str) -> list[Box] | Unavailable:
-    """Boxes that the platform holds to be live or leaving."""
-    got = await call(pool, addr, "GET", "/boxes", timeout_s=CALL_TIMEOUT_S)
+class Boxes(NamedTuple):
+    """Boxes that the platform holds to be live or leaving, and the list's entity tag."""
+
+    boxes: list[Box]
+    tag: str
+
+
+class Unchanged(NamedTuple):
+    """The list is as it was."""
+
+
+async def box_list(pool: Pool, addr: str, seen: str) -> Boxes | Unchanged | Unavailable:
+    """The box list, sent only if its tag is another than the one seen."""
+    head = (("if-none-match", seen),) if seen else ()
+    got = await call(pool, addr, "GET", "/boxes", b"", CALL_TIMEOUT_S, head)
     if isinstance(got, CallFailed):
         return Unavailable(got.reason, got.sent)
+    if got.status == 304:
+        return Unchanged()
     found = decode(got.body, list[Box]) if got.status == 200 else BadMessage(f"status {got.status}")
-    return Unavailable(found.reason, True) if isinstance(found, BadMessage) else found
+    if isinstance(found, BadMessage):
+        return Unavailable(found.reason, True)
+    return Boxes(found, got.headers.get("etag", ""))
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -424,6 +424,18 @@
     rev: int
 
 
+class Usage(TypedDict, closed=True):
+    """
+    What a process has used since its start, `GET /x/usage`.
+    """
+
+    cpu_s: float
+    rss_bytes: int
+    bytes_in: int
+    bytes_out: int
+    platform_calls: int
+
+
 class Frame(TypedDict, closed=True):
     """
     Agent to entry: a piece of the answer. The last one has `end` and its number is the count of pieces.
--- a/ramppost/standin/platform.py
+++ b/ramppost/standin/platform.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import re
 import time
 from pathlib import Path
@@ -140,7 +141,7 @@
         elif req.path == "/watch":
             await _watch(store, req, reply)
         elif req.path == "/boxes":
-            await reply.send(200, encode(store.boxes))
+            await _boxes(store, req, reply)
         elif req.path == "/ratings":
             await _ratings(store, delay_s, req, reply)
         else:
@@ -151,6 +152,15 @@
     await serve(listen(where["host"], where["port"]), with_faults(Faults(), handle))
 
 
+async def _boxes(store: Store, req: Request, reply: Reply) -> None:
+    body = encode(store.boxes)
+    tag = hashlib.sha256(body).hexdigest()[:16]
+    if req.headers.get("if-none-match") == tag:
+        await reply.send(304, b"")
+    else:
+        await reply.send(200, body, headers=(("etag", tag),))
+
+
 async def _objects(store: Store, req: Request, reply: Reply) -> None:
     key = req.path.removeprefix("/objects").removeprefix("/")
     if req.method == "GET" and not key:
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -57,12 +57,22 @@
     """The client closed its connection while we were answering."""
 
 
+class Meter:
+    """Connections open now, and bytes that went over all of them."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.bytes_in = 0
+        self.bytes_out = 0
+
+
 class Reply:
     """The answer to one request: `send` for a whole one, or `start`, `write`, `end`."""
 
-    def __init__(self, sock: Any, conn: h11.Connection) -> None:
+    def __init__(self, sock: Any, conn: h11.Connection, meter: Meter) -> None:
         self._sock = sock
         self._conn = conn
+        self._meter = meter
         self.started = False
 
     async def send(
@@ -99,6 +109,7 @@
         return self._conn.send(h11.Response(status_code=status, headers=head)) or b""
 
     async def _write(self, data: bytes) -> None:
+        self._meter.bytes_out += len(data)
         try:
             await self._sock.sendall(data)
         except OSError as exc:
@@ -145,12 +156,13 @@
     limits: Limits = Limits(),
     error_body: ErrorBody | None = None,
     tls: TlsFiles | None = None,
+    meter: Meter | None = None,
 ) -> None:
     """Serve until cancelled; connections go on in daemon tasks of their own."""
-    open_conns = _Counter()
+    opened = meter or Meter()
     async with sock:
         while True:
-            if open_conns.count >= limits.connections:
+            if opened.count >= limits.connections:
                 await curio.sleep(ACCEPT_RETRY_S)
                 continue
             try:
@@ -164,26 +176,17 @@
                 client = tls.context().wrap_socket(
                     client, server_side=True, do_handshake_on_connect=False
                 )
-            await curio.spawn(
-                _serve_conn, client, handler, limits, error_body, open_conns, daemon=True
-            )
-
-
-class _Counter:
-    """Connections open now."""
-
-    def __init__(self) -> None:
-        self.count = 0
+            await curio.spawn(_serve_conn, client, handler, limits, error_body, opened, daemon=True)
 
 
 async def _serve_conn(
-    sock: Any, handler: Handler, limits: Limits, error_body: ErrorBody | None, opened: _Counter
+    sock: Any, handler: Handler, limits: Limits, error_body: ErrorBody | None, opened: Meter
 ) -> None:
     conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
     opened.count += 1
     try:
         async with sock:
-            while await _serve_one(sock, conn, handler, limits, error_body):
+            while await _serve_one(sock, conn, handler, limits, error_body, opened):
                 conn.start_next_cycle()
     except (Gone, OSError, ssl.SSLError, h11.LocalProtocolError):
         pass
@@ -192,13 +195,18 @@
 
 
 async def _serve_one(
-    sock: Any, conn: h11.Connection, handler: Handler, limits: Limits, error_body: ErrorBody | None
+    sock: Any,
+    conn: h11.Connection,
+    handler: Handler,
+    limits: Limits,
+    error_body: ErrorBody | None,
+    meter: Meter,
 ) -> bool:
     """Serve one request; true if the connection may carry another."""
-    req = await _read_request(sock, conn, limits)
+    req = await _read_request(sock, conn, limits, meter)
     if req is None:
         return False
-    reply = Reply(sock, conn)
+    reply = Reply(sock, conn, meter)
     if isinstance(req, BadInput):
         body = error_body(req) if error_body else req.reason.encode()
         if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -226,7 +234,7 @@
 
 
 async def _read_request(
-    sock: Any, conn: h11.Connection, limits: Limits
+    sock: Any, conn: h11.Connection, limits: Limits, meter: Meter
 ) -> Request | BadInput | None:
     """Read a whole request; None when the client has nothing more to ask."""
     try:
@@ -234,12 +242,13 @@
             first = await curio.timeout_after(IDLE_TIMEOUT_S, sock.recv(READ_SIZE))
             if not first:
                 return None
+            meter.bytes_in += len(first)
             conn.receive_data(first)
     except curio.TaskTimeout:
         return None
     try:
         async with curio.timeout_after(limits.read_timeout_s):
-            return await _read_events(sock, conn, limits)
+            return await _read_events(sock, conn, limits, meter)
     except curio.TaskTimeout:
         return BadInput(408, f"request not complete after {limits.read_timeout_s:g} s")
     except h11.RemoteProtocolError as exc:
@@ -247,7 +256,7 @@
 
 
 async def _read_events(
-    sock: Any, conn: h11.Connection, limits: Limits
+    sock: Any, conn: h11.Connection, limits: Limits, meter: Meter
 ) -> Request | BadInput | None:
     head: h11.Request | None = None
     body = bytearray()
@@ -257,7 +266,9 @@
             if conn.they_are_waiting_for_100_continue:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
                 await sock.sendall(conn.send(go_on) or b"")
-            conn.receive_data(await sock.recv(READ_SIZE))
+            data = await sock.recv(READ_SIZE)
+            meter.bytes_in += len(data)
+            conn.receive_data(data)
         elif isinstance(event, h11.Request):
             head = event
         elif isinstance(event, h11.Data):
