Claims go through their shard's home; a key can't be granted to two requests

Cause of a double run (found by the race case, once claims went through homes): within a group, a second claim of a key was told of the first before that was written; when the write then lost to another entry's segment, the third caller took over a claim that never was, as a later generation of another request. The fault was there before the homes, in the group; they made it likely. Ruled out: tombstones (each attempt was barred or run as it should). Change: losers of a group hear of the winner after the write, and a later generation stands only for the same request. Homes: rendezvous over live entries; an entry takes the claim itself where its home does not answer, and knows its own nonce. Also: an upstream that gave no answer at all is outcome_unknown, not failed.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -50,7 +50,7 @@
 WATCH_S: Final = 25
 BOXES_S: Final = 2
 PEER_S: Final = 2
-RATINGS_PERIOD_S: Final = 0.5
+RATINGS_PERIOD_S: Final = 2
 BILL_WINDOW_S: Final = 30
 HEADERS_BYTES: Final = 250
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -346,6 +346,7 @@
     agent = "10.20.30.40:20100"
     return Claim(
         key=f"{number:032x}",
+        nonce="0123456789ab",
         generation=0,
         stage=0,
         request_id=f"req-{number:020x}",
--- a/ramppost/agent/engine.py
+++ b/ramppost/agent/engine.py
@@ -68,8 +68,14 @@
     reason: str
 
 
+class Lost(NamedTuple):
+    """The upstream was asked and gave no answer; nobody knows whether it ran."""
+
+    reason: str
+
+
 class Broke(NamedTuple):
-    """The run began, or may have, and failed."""
+    """The run began and failed."""
 
     reason: str
 
@@ -101,14 +107,14 @@
 
 async def run_engine(
     pool: Pool, addr: str, msg: RunMsg, exact: bool, begun: Begun, on_text: OnText
-) -> Ran | NotBegun | Broke:
+) -> Ran | NotBegun | Lost | Broke:
     """Run an attempt at the engine; `exact` as the setting `exact_stream` says."""
     path = "/v1/chat/completions"
     stream = await open_stream(
         pool, addr, "POST", path, engine_body(msg), TOKEN_TIMEOUT_S, headers_of(msg)
     )
     if isinstance(stream, CallFailed):
-        return Broke(stream.reason) if stream.sent else NotBegun(stream.reason)
+        return Lost(stream.reason) if stream.sent else NotBegun(stream.reason)
     try:
         if stream.status in NOT_RUN_STATUSES:
             return NotBegun(f"engine answered {stream.status}")
--- a/ramppost/agent/plain.py
+++ b/ramppost/agent/plain.py
@@ -4,7 +4,7 @@
 
 from typing import Final, NamedTuple
 
-from ramppost.agent.engine import Broke, NotBegun, headers_of
+from ramppost.agent.engine import Broke, Lost, NotBegun, headers_of
 from ramppost.schema.messages import RunMsg
 from ramppost.wire.client import CallFailed, Pool, call
 
@@ -19,13 +19,13 @@
     body: str
 
 
-async def run_service(pool: Pool, addr: str, msg: RunMsg) -> Answered | NotBegun | Broke:
+async def run_service(pool: Pool, addr: str, msg: RunMsg) -> Answered | NotBegun | Lost | Broke:
     """Call the service; the body of its answer must be text."""
     method, _, path = msg["path"].partition(" ")
     body = msg["body"].encode()
     got = await call(pool, addr, method, path, body, CALL_TIMEOUT_S, headers_of(msg))
     if isinstance(got, CallFailed):
-        return Broke(got.reason) if got.sent else NotBegun(got.reason)
+        return Lost(got.reason) if got.sent else NotBegun(got.reason)
     kind = got.headers.get("content-type", "application/octet-stream")
     try:
         return Answered(got.status, kind, got.body.decode())
--- a/ramppost/agent/runner.py
+++ b/ramppost/agent/runner.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from ramppost.agent.attempts import Attempt
-from ramppost.agent.engine import Broke, NotBegun, Ran, cancel_run, run_engine
+from ramppost.agent.engine import Broke, Lost, NotBegun, Ran, cancel_run, run_engine
 from ramppost.agent.plain import Answered, run_service
 from ramppost.agent.state import Agent
 from ramppost.policy.admission import LOWEST, Full, Queued, Waiting
@@ -106,11 +106,12 @@
     if isinstance(out, NotBegun):
         await item.refuse("upstream_down", DOWN_RETRY_S)
         return
-    if isinstance(out, Broke):
+    if isinstance(out, Broke | Lost):
         agent.count(mv, False)
         logger.warning("attempt {} failed: {}", item.attempt, out.reason)
         await item.admit()
-        await item.finish(_end("failed", out.reason, tokens_out=len(item.frames)))
+        state = "lost" if isinstance(out, Lost) else "failed"
+        await item.finish(_end(state, out.reason, tokens_out=len(item.frames)))
         return
     agent.count(mv, True)
     state = "cancelled" if item.cancelled or out.finish == "cancelled" else "done"
@@ -125,8 +126,8 @@
         await item.refuse("upstream_down", DOWN_RETRY_S)
         return
     await item.admit()
-    if isinstance(out, Broke):
-        await item.finish(_end("failed", out.reason))
+    if isinstance(out, Broke | Lost):
+        await item.finish(_end("lost" if isinstance(out, Lost) else "failed", out.reason))
         return
     assert isinstance(out, Answered)
     _witness(agent, item, msg, 0, 0.0)
@@ -155,7 +156,7 @@
     content_type: str = "application/json",
     tokens_out: int = 0,
 ) -> End:
-    assert state in ("done", "failed", "cancelled")
+    assert state in ("done", "failed", "lost", "cancelled")
     return End(
         state=state,  # type: ignore[typeddict-item]
         reason=reason,
--- a/ramppost/entry/claimlog.py
+++ b/ramppost/entry/claimlog.py
@@ -56,6 +56,14 @@
         await self.decided.set()
 
 
+def _one_a_key(group: list[_Pending]) -> list[_Pending]:
+    """The first of each key; the others hear of it only once it is written."""
+    first: dict[str, _Pending] = {}
+    for pending in group:
+        first.setdefault(pending.claim["key"], pending)
+    return list(first.values())
+
+
 class ClaimLog:
     """The claims this entry knows of, and those on their way."""
 
@@ -79,10 +87,6 @@
             self.abandoned.add(claim["request_id"])
         return pending.outcome
 
-    async def note(self, claim: Claim) -> None:
-        """Record the end of a claim of ours; nobody waits for it."""
-        await self._queue(_Pending(claim))
-
     @property
     def idle(self) -> bool:
         """Whether nothing is on its way."""
@@ -113,7 +117,8 @@
             group = await self._turn_away_taken(state, group)
             if not group:
                 return
-            segment = ClaimSegment(nonce=nonce, claims=[p.claim for p in group])
+            first = _one_a_key(group)
+            segment = ClaimSegment(nonce=nonce, claims=[p.claim for p in first])
             seq = state.next_seq
             out = await put(self.client, segment_key(shard, seq), segment, None)
             if isinstance(out, Unavailable):
@@ -126,23 +131,23 @@
                 written = True
             if written:
                 self.groups += 1
-                self.granted += len(group)
-                for pending in group:
+                self.granted += len(first)
+                for pending in first:
                     await pending.decide(Granted())
+                chosen = set(first)
+                rest = [p for p in group if p not in chosen]
+                self.queues[shard][:0] = await self._turn_away_taken(state, rest)
                 return
         logger.warning("claims not taken: {}", reason)
         for pending in group:
             await pending.decide(NoClaim(reason))
 
     async def _turn_away_taken(self, state: Shard, group: list[_Pending]) -> list[_Pending]:
-        """Those of a group that no claim stands against, one for each key."""
+        """Those of a group that no written claim stands against."""
         free: list[_Pending] = []
-        keys: dict[str, Claim] = {}
         for pending in group:
-            claim = pending.claim
-            held = state.holder(claim) or keys.get(claim["key"])
+            held = state.holder(pending.claim)
             if held is None:
-                keys[claim["key"]] = claim
                 free.append(pending)
             else:
                 await pending.decide(Taken(held))
--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -13,14 +13,15 @@
 from ramppost.agent.door import send_config
 from ramppost.confsync import CONFIG_PATH, ask_peers, follow_platform
 from ramppost.entry.callers import caller_error, callers
+from ramppost.entry.claimhome import CLAIM_PATH, reply_of
 from ramppost.entry.report import own_report
 from ramppost.entry.rollouts import drive, rate
 from ramppost.entry.state import Entry
 from ramppost.policy.claims import SHARDS
-from ramppost.schema.messages import EntryStatus, StatusMsg
+from ramppost.schema.messages import Claim, EntryStatus, StatusMsg
 from ramppost.schema.settings import EntrySettings, InputLimits
 from ramppost.usage import USAGE_PATH, usage
-from ramppost.wire.codec import decode, encode
+from ramppost.wire.codec import BadMessage, decode, encode
 from ramppost.wire.server import Handler, Limits, Reply, Request, TlsFiles, listen, serve
 from ramppost.wire.signals import Signals
 
@@ -38,6 +39,8 @@
             await _status(entry, req, reply)
         elif req.path == "/x/report":
             await reply.send(200, encode(own_report(entry)))
+        elif req.path == CLAIM_PATH:
+            await _claim(entry, req, reply)
         elif req.path == USAGE_PATH:
             await reply.send(200, encode(usage(entry.client, (entry.outer, entry.inner))))
         elif req.path == "/x/upstreams":
@@ -56,6 +59,15 @@
     return handle
 
 
+async def _claim(entry: Entry, req: Request, reply: Reply) -> None:
+    """Take a claim as the home of its shard."""
+    claim = decode(req.body, Claim)
+    if isinstance(claim, BadMessage):
+        await reply.send(400, encode({"error": claim.reason}))
+    else:
+        await reply.send(200, encode(reply_of(await entry.claims.claim(claim))))
+
+
 async def _status(entry: Entry, req: Request, reply: Reply) -> None:
     decode(req.body, StatusMsg)
     status = EntryStatus(
@@ -122,7 +134,7 @@
     entry.leaving = True
     deadline = time.monotonic() + entry.cfg.get("drain_s", 600.0)
     while time.monotonic() < deadline:
-        if not entry.busy and entry.filer.empty and entry.claims.idle:
+        if not entry.busy and entry.filer.empty and entry.homes.idle:
             logger.info("left")
             return
         await curio.sleep(STOP_POLL_S)
--- a/ramppost/entry/obtain.py
+++ b/ramppost/entry/obtain.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import secrets
 import time
 from typing import Final, NamedTuple
 
@@ -134,6 +135,7 @@
                 return _refused(NotRun("no_upstream", LEAST_RETRY_S), mv)
         claim = Claim(
             key=key,
+            nonce=secrets.token_hex(6),
             generation=generation,
             stage=stage,
             request_id=request_id,
@@ -145,7 +147,7 @@
             state="open",
             body=ask.body_digest,
         )
-        got = await entry.claims.claim(claim)
+        got = await entry.homes.claim(claim)
         if isinstance(got, NoClaim):
             message = "the key can't be recorded now, so the request was not begun"
             return refusal("claim_unavailable", message, PLATFORM_RETRY_S)
@@ -200,7 +202,7 @@
             return _refused(out, mv)
         if out.reason == "tombstoned":
             return await _follow_successor(entry, ask, claim)
-    await entry.claims.note(claim | {"state": "not_run"})
+    await entry.homes.note(claim | {"state": "not_run"})
     if isinstance(out, NotRun) and out.reason in ("withdrawn", "forbidden"):
         return Reroute(out.reason)
     return _refused(out, mv)
@@ -208,7 +210,7 @@
 
 async def _follow_successor(entry: Entry, ask: Ask, claim: Claim) -> Obtained:
     """Another entry had our attempt barred: answer with what came of the key there."""
-    got = await entry.claims.claim(claim | {"state": "open"})
+    got = await entry.homes.claim(claim | {"nonce": ""})
     if isinstance(got, Taken) and got.held["generation"] > claim["generation"]:
         out = await join(entry, got.held)
         if isinstance(out, Running):
--- a/ramppost/entry/rollouts.py
+++ b/ramppost/entry/rollouts.py
@@ -26,6 +26,7 @@
 
 PERIOD_S: Final = 0.2
 RATINGS_PERIOD_S: Final = 0.5
+CALM_PERIOD_S: Final = 2.0
 CONTROLLER: Final = "rollout-controller"
 MAX_UNRATED: Final = 2000
 
@@ -94,7 +95,7 @@
     after = 0
     platform = entry.cfg["platform"]
     while True:
-        await curio.sleep(RATINGS_PERIOD_S)
+        await curio.sleep(RATINGS_PERIOD_S if _rolling(entry) else CALM_PERIOD_S)
         if entry.to_rate:
             batch, entry.to_rate = entry.to_rate, []
             if not await hand_in(entry.pool, platform, batch):
@@ -107,6 +108,12 @@
             _learn(entry, rating["request_id"], rating["class_name"], mv, rating["score"])
 
 
+def _rolling(entry: Entry) -> bool:
+    """Whether a roll-out is under way, so that ratings are urgent."""
+    doc = entry.conf.doc
+    return doc is not None and any(r["state"] == "running" for r in doc["rollouts"])
+
+
 def _learn(entry: Entry, request_id: str, class_name: str, mv: ModelVersion, score: float) -> None:
     """Every entry learns from every rating; policies are counted where they chose."""
     entry.learned.rate(class_name, mv.model, score)
--- a/ramppost/entry/serve.py
+++ b/ramppost/entry/serve.py
@@ -157,7 +157,7 @@
         await finish(run)
         await _settle(entry, ask, run, frame["end"], "".join(pieces))
         if frame["end"]["state"] != "done":
-            return refusal("upstream_failed", frame["end"]["reason"])
+            return _failed(frame["end"])
         return Whole(run, pieces, frame["end"])
 
 
@@ -193,9 +193,8 @@
                 continue
             end = frame["end"]
             await _settle(entry, ask, run, end, "".join(pieces))
-            if end["state"] == "failed":
-                ref = refusal("upstream_failed", end["reason"])
-                return await _broke(entry, ask, sink, ref, first_s)
+            if end["state"] in ("failed", "lost"):
+                return await _broke(entry, ask, sink, _failed(end), first_s)
             if not pieces:
                 await _begin(entry, ask, run, sink)
             await sink.end(end)
@@ -210,6 +209,12 @@
         await finish(run)
 
 
+def _failed(end: End) -> Refusal:
+    """What to say of an attempt that ended badly."""
+    code = "outcome_unknown" if end["state"] == "lost" else "upstream_failed"
+    return refusal(code, end["reason"])
+
+
 async def _broke(
     entry: Entry, ask: Ask, sink: Sink, ref: Refusal, first_s: float | None
 ) -> Refusal | None:
@@ -250,8 +255,8 @@
         "{} {} {} tokens {}", run.mv.text, end["state"], end["tokens_out"], end["reason"]
     )
     if run.claim is not None:
-        await entry.claims.note(run.claim | {"state": "done"})
-    if end["state"] == "failed":
+        await entry.homes.note(run.claim | {"state": "done"})
+    if end["state"] in ("failed", "lost"):
         return
     line = BillLine(
         request_id=run.request_id,
--- a/ramppost/entry/state.py
+++ b/ramppost/entry/state.py
@@ -8,6 +8,7 @@
 
 from ramppost import ids
 from ramppost.confsync import ConfState
+from ramppost.entry.claimhome import ClaimHomes
 from ramppost.entry.claimlog import ClaimLog
 from ramppost.entry.stats import Stats
 from ramppost.entry.upstreams import Upstreams
@@ -44,6 +45,7 @@
         self.ups = Upstreams(cfg["name"], cfg["hall"], self.name, self.pool, size, self.rng)
         self.ups.seed(cfg["agents"])
         self.claims = ClaimLog(self.client, cfg.get("claim_window_ms", 10) / 1000)
+        self.homes = ClaimHomes(self.claims, self.ups, self.pool, self.name)
         self.filer = Filer(self.client, self.name, cfg.get("bill_window_s", 1.0), self._filed)
         self.bill_agents: dict[str, str] = {}
         self.stats = Stats()
--- a/ramppost/policy/claims.py
+++ b/ramppost/policy/claims.py
@@ -70,7 +70,9 @@
 
 
 def _follows(claim: Claim, held: Claim) -> bool:
-    """Whether a claim is a later generation, or the end of the one held."""
+    """Whether a claim is a later generation of the request held, or its end."""
+    if claim["request_id"] != held["request_id"]:
+        return False
     if claim["generation"] != held["generation"]:
         return claim["generation"] > held["generation"]
     return held["state"] == "open" and claim["state"] != "open"
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -154,7 +154,10 @@
     How an attempt ended.
     """
 
-    state: Literal["done", "failed", "cancelled"]
+    state: Literal["done", "failed", "lost", "cancelled"]
+    """
+    `lost` where the upstream gave no answer at all, so that it may not have run.
+    """
     reason: str
     status: int
     """
@@ -229,6 +232,10 @@
     """
     Digest of workspace and caller's key.
     """
+    nonce: str
+    """
+    Of this very claim, to know it again when it is read back.
+    """
     generation: int
     stage: int
     """
@@ -436,6 +443,16 @@
     platform_calls: int
 
 
+class ClaimReply(TypedDict, closed=True):
+    """
+    Entry to entry, from the home of a claim's shard.
+    """
+
+    outcome: Literal["granted", "taken", "no_claim"]
+    reason: str
+    held: NotRequired[Claim]
+
+
 class Frame(TypedDict, closed=True):
     """
     Agent to entry: a piece of the answer. The last one has `end` and its number is the count of pieces.
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -218,11 +218,18 @@
 
 def engine_down(cluster: Cluster, key: str) -> list[Told]:
     cluster.kill("engine-1")
+    cluster.upstream_proxy["agent-1"].set("refuse")
     heard = nothing(cluster, key)
     cluster.heal()
     return heard
 
 
+def engine_cut(cluster: Cluster, key: str) -> list[Told]:
+    for name in cluster.fleet.engines:
+        cluster.upstream_proxy[name.replace("engine", "agent")].set("lose_reply")
+    return nothing(cluster, key)
+
+
 CASES: dict[str, Case] = {
     "nothing": nothing,
     "race at both entries": race,
@@ -243,4 +250,5 @@
     "platform down after, until the repeat": down_after,
     "engine fails": engine_fails,
     "engine down": engine_down,
+    "engine's replies lost": engine_cut,
 }
--- a/tests/features/once.feature
+++ b/tests/features/once.feature
@@ -30,6 +30,7 @@
       | platform down after, until the repeat    | served                   |
       | engine fails                             | upstream_failed          |
       | engine down                              | served                   |
+      | engine's replies lost                    | outcome_unknown          |
 
   Scenario: agents freeze while a request without a key is on its way
     Given a small fleet
--- a/tests/harness/ablated.py
+++ b/tests/harness/ablated.py
@@ -16,7 +16,7 @@
 from ramppost.agent import door
 from ramppost.cli.main import main
 from ramppost.confsync import ConfState
-from ramppost.entry import claimlog, dispatch, obtain, route, upstreams
+from ramppost.entry import claimhome, claimlog, dispatch, obtain, route, upstreams
 from ramppost.ledger import Filer
 from ramppost.wire import signals
 from ramppost.wire.codec import decode
@@ -29,6 +29,7 @@
         return claimlog.Granted()
 
     claimlog.ClaimLog.claim = claim  # type: ignore[method-assign]
+    claimhome.ClaimHomes.claim = claim  # type: ignore[method-assign]
 
 
 def no_tombstones() -> None:
--- a/tests/harness/proxy.py
+++ b/tests/harness/proxy.py
@@ -12,7 +12,16 @@
 from typing import Literal
 
 Mode = Literal[
-    "pass", "cut", "freeze", "delay", "lose_reply", "truncate", "duplicate", "crossed", "half_close"
+    "pass",
+    "refuse",
+    "cut",
+    "freeze",
+    "delay",
+    "lose_reply",
+    "truncate",
+    "duplicate",
+    "crossed",
+    "half_close",
 ]
 PIECE = 65536
 POLL_S = 0.02
@@ -43,14 +52,22 @@
         self.delay_s = 0.0
         self.clients: list[asyncio.StreamWriter] = []
         self.bytes = 0
-        server = LOOP.call(asyncio.start_server(self._serve, "127.0.0.1", 0))
-        self.addr = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.server = LOOP.call(asyncio.start_server(self._serve, "127.0.0.1", 0))
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.addr = f"127.0.0.1:{self.port}"
 
     def set(self, mode: Mode, strikes: int | None = None, delay_s: float = 0.0) -> None:
         """Act this way from now on, or for so many strikes."""
-        self.mode, self.left, self.delay_s = mode, strikes, delay_s
-        if mode == "cut":
+        before, self.mode, self.left, self.delay_s = self.mode, mode, strikes, delay_s
+        if mode in ("cut", "refuse"):
             LOOP.call(self._drop_all())
+        if mode == "refuse":
+            LOOP.call(self._close())
+        elif before == "refuse":
+            self.server = LOOP.call(asyncio.start_server(self._serve, "127.0.0.1", self.port))
+
+    async def _close(self) -> None:
+        self.server.close()
 
     async def _drop_all(self) -> None:
         for writer in self.clients:
