--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.ready
 
-.PHONY: dev test check bench slopes capacity chaos binary generate examples clean
+.PHONY: dev test check bench slopes capacity chaos binary generate docs examples clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	$(PY) -m venv $(VENV)
@@ -26,6 +26,9 @@
 generate: $(STAMP)
 	PATH=$(CURDIR)/$(BIN):$$PATH sh ramppost/schema/generate.sh
 
+docs: $(STAMP)
+	$(BIN)/python -m tools.write_reference
+
 examples: $(STAMP)
 	$(BIN)/python -m ramppost.standin.write_examples examples
 
--- a/ramppost/cli/operate.py
+++ b/ramppost/cli/operate.py
@@ -213,7 +213,7 @@
     """`ramppost history`."""
 
     name = "history"
-    description = "Show which plan made each former revision."
+    description = "Show which plan made each revision."
     options: ClassVar = COMMON
 
     def handle(self) -> int:
--- a/ramppost/entry/changes.py
+++ b/ramppost/entry/changes.py
@@ -95,14 +95,19 @@
 
 
 async def _keep_history(entry: Entry, held: ConfigDoc) -> Unavailable | None:
-    line = HistoryLine(
-        revision=held["revision"], plan_id=held["plan_id"], changed_by=held["changed_by"]
-    )
+    line = line_of(held)
     key = f"{HISTORY_PREFIX}{held['revision']:08d}"
     out = await put(entry.client, key, line, None)
     return out if isinstance(out, Unavailable) else None
 
 
+def line_of(doc: ConfigDoc) -> HistoryLine:
+    """The history's line of a document."""
+    return HistoryLine(
+        revision=doc["revision"], plan_id=doc["plan_id"], changed_by=doc["changed_by"]
+    )
+
+
 async def history(entry: Entry) -> list[HistoryLine] | Unavailable:
     """Which plan made each former revision, oldest first."""
     lines: list[HistoryLine] = []
--- a/ramppost/entry/operators.py
+++ b/ramppost/entry/operators.py
@@ -6,7 +6,7 @@
 
 from ramppost import ids
 from ramppost.entry.ask import bearer
-from ramppost.entry.changes import Applied, InDoubt, Stale, change, history
+from ramppost.entry.changes import Applied, InDoubt, Stale, change, history, line_of
 from ramppost.entry.report import all_reports, status_report
 from ramppost.entry.sink import send_refusal
 from ramppost.entry.state import Entry
@@ -64,7 +64,10 @@
     if req.path == "/v1/report":
         return encode(await all_reports(entry))
     found = await history(entry)
-    return _platform_down(found) if isinstance(found, Unavailable) else encode(found)
+    if isinstance(found, Unavailable):
+        return _platform_down(found)
+    former = [line for line in found if line["revision"] < doc["revision"]]
+    return encode([*former, line_of(doc)])
 
 
 def _platform_down(out: Unavailable) -> Refusal:
--- a/ramppost/entry/rollouts.py
+++ b/ramppost/entry/rollouts.py
@@ -20,7 +20,7 @@
 from ramppost.platform.ratings import hand_in, ratings_after
 from ramppost.policy.intent import advance, finish, withdraw_trial
 from ramppost.policy.permissions import ModelVersion
-from ramppost.policy.rollout import Counts, Verdict, judge
+from ramppost.policy.rollout import Verdict, judge, since
 from ramppost.policy.routing import Mean
 from ramppost.schema.config import ConfigDoc, Rollout
 
@@ -31,46 +31,52 @@
 MAX_UNRATED: Final = 2000
 
 
-class Step:
-    """When this entry first saw a step, and the trial's requests until then."""
+class Watched:
+    """A running roll-out as this entry sees it: what was before it, and before its step."""
 
-    def __init__(self, name: tuple[str, str, int], since: float, counts: Counts) -> None:
-        self.name = name
-        self.since = since
-        self.counts = counts
+    def __init__(self, entry: Entry, trial: ModelVersion) -> None:
+        self.before = entry.ups.totals(trial)
+        self.step = -1
+        self.step_since = 0.0
+        self.step_before = self.before
+        entry.ratings.pop(trial, None)
+        entry.paused.discard(trial)
 
 
 async def drive(entry: Entry) -> None:
     """Judge running roll-outs until cancelled."""
-    steps: dict[str, Step] = {}
+    watched: dict[ModelVersion, Watched] = {}
     while True:
         await curio.sleep(PERIOD_S)
         doc = entry.conf.doc
-        for rollout in doc["rollouts"] if doc else []:
-            if doc is not None and rollout["state"] == "running":
-                await _judge_one(entry, doc, rollout, steps)
+        running = [r for r in doc["rollouts"] if r["state"] == "running"] if doc else []
+        trials = {ModelVersion(r["model"], r["trial"]) for r in running}
+        watched = {trial: seen for trial, seen in watched.items() if trial in trials}
+        for rollout in running:
+            trial = ModelVersion(rollout["model"], rollout["trial"])
+            if trial not in watched:
+                watched[trial] = Watched(entry, trial)
+            assert doc is not None
+            await _judge_one(entry, doc, rollout, trial, watched[trial])
 
 
 async def _judge_one(
-    entry: Entry, doc: ConfigDoc, rollout: Rollout, steps: dict[str, Step]
+    entry: Entry, doc: ConfigDoc, rollout: Rollout, trial: ModelVersion, seen: Watched
 ) -> None:
-    model = rollout["model"]
-    trial = ModelVersion(model, rollout["trial"])
-    stable = ModelVersion(model, rollout["stable"])
+    stable = ModelVersion(rollout["model"], rollout["stable"])
     now = time.monotonic()
     counts = entry.ups.totals(trial)
-    name = (model, rollout["trial"], rollout["step"])
-    if model not in steps or steps[model].name != name:
-        steps[model] = Step(name, now, counts)
-    step = steps[model]
+    if seen.step != rollout["step"]:
+        seen.step, seen.step_since, seen.step_before = rollout["step"], now, counts
+    in_step = since(counts, seen.step_before)
     verdict = judge(
         rollout,
         entry.ups.totals(stable),
-        counts,
+        since(counts, seen.before),
         entry.ratings.get(stable, Mean()),
         entry.ratings.get(trial, Mean()),
-        now - step.since,
-        counts.ok + counts.bad - step.counts.ok - step.counts.bad,
+        now - seen.step_since,
+        in_step.ok + in_step.bad,
     )
     if verdict.action == "withdraw":
         entry.paused.add(trial)
--- a/ramppost/entry/upstreams.py
+++ b/ramppost/entry/upstreams.py
@@ -18,7 +18,7 @@
 from ramppost.platform.boxes import Boxes, box_list
 from ramppost.policy.choice import Health, Seen, order, subset
 from ramppost.policy.permissions import ModelVersion
-from ramppost.policy.rollout import Counts
+from ramppost.policy.rollout import Counts, plus
 from ramppost.schema.messages import (
     AgentStatus,
     Head,
@@ -57,6 +57,7 @@
         self.rev = 0
         self.health = Health()
         self.counts: dict[ModelVersion, Counts] = {}
+        self.past: dict[ModelVersion, Counts] = {}
         self.polling = False
         self.polled_at = 0.0
 
@@ -70,7 +71,11 @@
         )
 
     def heard(self, ticket: str, load: Load, counts: list[VersionCount], rev: int) -> None:
-        """Take in what a reply tells."""
+        """Take in what a reply tells; a new incarnation counts from nothing."""
+        if ids.parse_ticket(ticket).incarnation != ids.parse_ticket(self.ticket).incarnation:
+            for mv, count in self.counts.items():
+                self.past[mv] = plus(self.past.get(mv, Counts()), count)
+            self.counts = {}
         self.ticket = ticket
         self.reported = load["running"] + load["waiting"]
         self.slots = load["slots"]
@@ -154,8 +159,10 @@
 
     def totals(self, mv: ModelVersion) -> Counts:
         """What all agents of the subset have seen of a version."""
-        found = [u.counts.get(mv, Counts()) for u in self.table.values()]
-        return Counts(sum(c.ok for c in found), sum(c.bad for c in found))
+        total = Counts()
+        for up in self.table.values():
+            total = plus(total, plus(up.counts.get(mv, Counts()), up.past.get(mv, Counts())))
+        return total
 
     def take_head(self, up: Upstream, head: Head) -> None:
         """Take in the head of a reply, which also tells that an agent is leaving."""
--- a/ramppost/policy/rollout.py
+++ b/ramppost/policy/rollout.py
@@ -35,6 +35,16 @@
         return self.bad / total if total else 0.0
 
 
+def plus(a: Counts, b: Counts) -> Counts:
+    """Both together."""
+    return Counts(a.ok + b.ok, a.bad + b.bad)
+
+
+def since(now: Counts, then: Counts) -> Counts:
+    """What came after `then`."""
+    return Counts(max(0, now.ok - then.ok), max(0, now.bad - then.bad))
+
+
 class Verdict(NamedTuple):
     """What is to be done with a roll-out, and why."""
 
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -173,22 +173,32 @@
                 continue
             client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if tls is not None:
-                client = tls.context().wrap_socket(
+                client = await tls.context().wrap_socket(
                     client, server_side=True, do_handshake_on_connect=False
                 )
-            await curio.spawn(_serve_conn, client, handler, limits, error_body, opened, daemon=True)
+            shake = tls is not None
+            await curio.spawn(
+                _serve_conn, client, handler, limits, error_body, opened, shake, daemon=True
+            )
 
 
 async def _serve_conn(
-    sock: Any, handler: Handler, limits: Limits, error_body: ErrorBody | None, opened: Meter
+    sock: Any,
+    handler: Handler,
+    limits: Limits,
+    error_body: ErrorBody | None,
+    opened: Meter,
+    handshake: bool,
 ) -> None:
     conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
     opened.count += 1
     try:
         async with sock:
+            if handshake:
+                await curio.timeout_after(limits.read_timeout_s, sock.do_handshake())
             while await _serve_one(sock, conn, handler, limits, error_body, opened):
                 conn.start_next_cycle()
-    except (Gone, OSError, ssl.SSLError, h11.LocalProtocolError):
+    except (Gone, OSError, curio.TaskTimeout, h11.LocalProtocolError):
         pass
     finally:
         opened.count -= 1
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,230 @@
+"""Pure decisions, in tables."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ramppost.policy.admission import Admission, Entered, Full, Queued, Waiting
+from ramppost.policy.bills import attempt_id, bill_of
+from ramppost.policy.burn import budget_left, burn
+from ramppost.policy.choice import Health, Seen, order, subset
+from ramppost.policy.limits import RetryBudget, TokenBucket
+from ramppost.policy.permissions import ModelVersion
+from ramppost.policy.rollout import Counts, errors_too_high, judge, ratings_too_low
+from ramppost.policy.routing import Mean, pick_version, policy_for
+from ramppost.schema.config import Rollout
+from ramppost.schema.messages import BillLine
+from ramppost.schema.settings import Box
+from ramppost.standin.fleet import MESOB, config_doc
+from ramppost.wire.client import Pool, _quiet
+
+STABLE = Counts(1000, 5)
+ERROR_CASES = [
+    ("none yet", Counts(0, 0), False),
+    ("one bad", Counts(0, 1), False),
+    ("three bad of three", Counts(0, 3), True),
+    ("half of ten", Counts(5, 5), True),
+    ("as the stable one", Counts(995, 5), False),
+    ("twice the stable one's", Counts(990, 10), False),
+]
+
+
+@pytest.mark.parametrize(("name", "trial", "bad"), ERROR_CASES, ids=[c[0] for c in ERROR_CASES])
+def test_the_guard_on_errors(name: str, trial: Counts, bad: bool) -> None:
+    assert errors_too_high(STABLE, trial, 0.2) == bad
+
+
+def mean_of(value: float, n: int) -> Mean:
+    found = Mean()
+    for number in range(n):
+        found.add(value + (0.1 if number % 2 else -0.1))
+    return found
+
+
+RATING_CASES = [
+    ("few", 0.5, 1, False),
+    ("much worse", 0.5, 10, True),
+    ("worse by the drop", 0.75, 60, True),
+    ("as good", 0.9, 200, False),
+    ("better", 0.95, 200, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "n", "bad"), RATING_CASES, ids=[c[0] for c in RATING_CASES]
+)
+def test_the_guard_on_ratings(name: str, value: float, n: int, bad: bool) -> None:
+    assert ratings_too_low(mean_of(0.9, 100), mean_of(value, n), 0.1) == bad
+
+
+def test_a_roll_out_advances_and_finishes() -> None:
+    rollout = Rollout(
+        model="m", stable="a", trial="b", steps=[0.1, 1.0], step=0, step_s=10, state="running",
+        max_error_share=0.2, max_rating_drop=0.1, min_requests=20,
+    )  # fmt: skip
+    good = Counts(100, 0)
+    ask = [(5.0, 50, 0), (11.0, 5, 0), (11.0, 50, 0), (11.0, 50, 1)]
+    actions = []
+    for age, requests, step in ask:
+        rollout["step"] = step
+        verdict = judge(rollout, STABLE, good, Mean(), Mean(), age, requests)
+        actions.append(verdict.action)
+    assert actions == ["wait", "wait", "advance", "finish"]
+
+
+def test_urgent_work_goes_first_and_the_rest_is_not_starved() -> None:
+    adm = Admission(1, 100)
+    assert adm.offer(Waiting("a", 5, 1e9), 0) == Entered()
+    for number in range(40):
+        adm.offer(Waiting(f"urgent-{number}", 0, 1e9), 0)
+    adm.offer(Waiting("batch", 8, 1e9), 0)
+    left = [adm.leave(0.0) for _ in range(25)]
+    names = [who.name for who in left if who]
+    assert names[0] == "urgent-0" and "batch" in names[15:21]
+
+
+def test_slots_are_kept_for_the_urgent() -> None:
+    adm = Admission(4, 100, reserved=1)
+    routine = [adm.offer(Waiting(f"r{i}", 5, 1e9), 0) for i in range(4)]
+    assert routine == [Entered(), Entered(), Entered(), Queued(None)]
+    assert adm.offer(Waiting("u", 0, 1e9), 0) == Entered()
+    assert adm.leave(1.0) is None
+    assert adm.leave(1.0) == Waiting("r3", 5, 1e9)
+
+
+def test_a_full_line_puts_out_the_lowest_and_refuses_with_when_to_come_back() -> None:
+    adm = Admission(1, 1)
+    adm.offer(Waiting("a", 5, 1e9), 0)
+    assert adm.offer(Waiting("b", 8, 1e9), 0) == Queued(None)
+    assert adm.offer(Waiting("c", 0, 1e9), 0) == Queued("b")
+    got = adm.offer(Waiting("d", 8, 1e9), 0)
+    assert isinstance(got, Full) and got.retry_after_s > 0
+
+
+def test_what_can_not_be_begun_in_time_is_refused_at_once() -> None:
+    adm = Admission(1, 100)
+    adm.offer(Waiting("a", 5, 1e9), 0)
+    adm.leave(2.0)
+    adm.offer(Waiting("b", 5, 1e9), 0)
+    adm.offer(Waiting("c", 5, 1e9), 0)
+    assert isinstance(adm.offer(Waiting("d", 5, 2.0), 0), Full)
+    assert adm.offer(Waiting("e", 5, 60.0), 0) == Queued(None)
+
+
+def seen(addr: str, own: int = 0, reported: int = 0, hall: str = "bole") -> Seen:
+    return Seen(addr, hall, own, reported, 0.0, 4)
+
+
+def test_two_choices_avoid_the_loaded_and_the_far() -> None:
+    rng = random.Random(1)
+    agents = [seen("a", own=4), seen("b")]
+    assert {order(agents, 0.0, "bole", "", rng)[0] for _ in range(20)} == {"b"}
+    halls = [seen("near"), seen("far", hall="yeka")]
+    assert {order(halls, 0.0, "bole", "", rng)[0] for _ in range(20)} == {"near"}
+
+
+def test_a_prefix_has_its_own_agent_until_that_is_loaded() -> None:
+    rng = random.Random(1)
+    agents = [seen(str(i)) for i in range(6)]
+    homes = {order(agents, 0.0, "bole", "prompt", rng)[0] for _ in range(20)}
+    assert len(homes) == 1
+    home = homes.pop()
+    loaded = [seen(a.addr, own=8) if a.addr == home else a for a in agents]
+    assert order(loaded, 0.0, "bole", "prompt", rng)[0] != home
+
+
+def test_subsets_are_small_even_and_stable() -> None:
+    boxes = [
+        Box(name=f"a{i}", addr=f"10.0.0.1:{i}", hall="x", role="agent", pool="p", state="live")
+        for i in range(600)
+    ]
+    counts = dict.fromkeys((box["name"] for box in boxes), 0)
+    for node in range(410):
+        for box in subset(f"e{node}", boxes, 8):
+            counts[box["name"]] += 1
+    assert sum(counts.values()) == 410 * 8
+    assert max(counts.values()) < 4 * 410 * 8 / 600
+    before = {b["name"] for b in subset("e1", boxes, 8)}
+    after = {b["name"] for b in subset("e1", boxes[1:], 8)}
+    assert len(before - after) <= 1
+
+
+def test_an_agent_that_fails_is_ejected_for_longer_each_time() -> None:
+    health = Health()
+    spells = []
+    for _ in range(6):
+        health.failed(100.0)
+        spells.append(health.until - 100.0 if health.ejected(100.0) else 0.0)
+    assert spells == [0.0, 0.0, 1.0, 2.0, 4.0, 8.0]
+    health.answered()
+    assert not health.ejected(100.0)
+
+
+def test_shares_of_policies_and_roll_outs() -> None:
+    doc = config_doc(MESOB)
+    ws = doc["workspaces"][0]
+    ws["policies"] = [{"policy": "best", "share": 0.25}, {"policy": "learned", "share": 0.75}]
+    picked = [policy_for(ws, f"who-{i}") for i in range(2000)]
+    assert 0.2 < picked.count("best") / 2000 < 0.3
+    doc["models"][1]["versions"][1]["state"] = "trial"
+    doc["rollouts"] = [
+        Rollout(
+            model="large", stable="v1", trial="v2", steps=[0.1, 1.0], step=0, step_s=1,
+            state="running", max_error_share=0.2, max_rating_drop=0.1,
+        )
+    ]  # fmt: skip
+    picks = [pick_version(doc, "large", f"who-{i}", lambda mv: True) for i in range(2000)]
+    assert 0.07 < sum(p.trial for p in picks if p) / 2000 < 0.13
+    paused = pick_version(doc, "large", "w", lambda mv: mv != ModelVersion("large", "v2"))
+    assert paused is not None and not paused.trial
+
+
+def test_limits() -> None:
+    bucket = TokenBucket(10, 100, 0.0)
+    bucket.charge(150, 0.0)
+    assert bucket.wait_s(0.0) == 5.0 and bucket.wait_s(5.1) == 0.0
+    budget = RetryBudget()
+    for _ in range(1000):
+        budget.tried()
+        budget.take()
+    assert budget.retries <= 0.1 * budget.tries
+
+
+def line(attempt: str) -> BillLine:
+    return BillLine(
+        request_id="r", attempt=attempt, workspace="w", model="m", version="v", tokens=1, cost=1.0
+    )
+
+
+def test_a_bill_has_the_last_turn_of_each_stage() -> None:
+    given = [("r", 0, 0), ("r", 0, 1), ("r", 1, 0), ("r", 0, 10)]
+    lines = [line(attempt_id(*place)) for place in given]
+    assert [x["attempt"] for x in bill_of(lines)] == ["r.s0t10", "r.s1t0"]
+    assert bill_of(reversed(lines)) == bill_of(lines)
+
+
+def test_burn() -> None:
+    assert burn(0.02, 0.99) == 2.0
+    assert budget_left(995, 5, 0.99) == pytest.approx(0.5)
+
+
+def test_a_pool_takes_file_descriptors_over_1023() -> None:
+    import os
+    import resource
+    import socket
+
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, 2048), hard))
+    one, other = socket.socketpair()
+    high = os.dup2(one.fileno(), 1500)
+    try:
+        assert _quiet(high)
+        other.send(b"x")
+        assert not _quiet(high)
+    finally:
+        os.close(high)
+        one.close()
+        other.close()
+    assert Pool().take("127.0.0.1:1") is None
