Planned stops linger; one run for a keyed cascade; the oracle's time check

Found by reading: a keyed request on a cascade ran on two models, and a repeat could choose another order; what may run only once now has no cascade. Removed: /a/cancel, which nothing could reach in time.

--- a/ramppost/agent/door.py
+++ b/ramppost/agent/door.py
@@ -1,8 +1,8 @@
 """The agent's door: the only way to its upstream.
 
 `/a/run` admits an attempt or says truly that it was not run; `/a/attach` reads an
-attempt on from any piece, or bars it if it was never admitted; `/a/cancel`,
-`/a/settled` and `/a/status` do what they say.
+attempt on from any piece, or bars it if it was never admitted; `/a/settled` and
+`/a/status` do what they say.
 """
 
 from __future__ import annotations
@@ -13,13 +13,12 @@
 
 from ramppost import ids
 from ramppost.agent.attempts import Attempt
-from ramppost.agent.runner import cancel, refusal_now, take_in
+from ramppost.agent.runner import refusal_now, take_in
 from ramppost.agent.state import Agent
 from ramppost.confsync import CONFIG_PATH, fetch
 from ramppost.schema.messages import (
     AgentStatus,
     AttachMsg,
-    CancelMsg,
     Frame,
     Head,
     RunMsg,
@@ -44,8 +43,6 @@
             await _with(req, reply, RunMsg, lambda msg: _run(agent, msg, reply))
         elif req.path == "/a/attach":
             await _with(req, reply, AttachMsg, lambda msg: _attach(agent, msg, reply))
-        elif req.path == "/a/cancel":
-            await _with(req, reply, CancelMsg, lambda msg: _cancel(agent, msg, reply))
         elif req.path == "/a/settled":
             await _with(req, reply, SettledMsg, lambda msg: _settled(agent, msg, reply))
         elif req.path == "/a/status":
@@ -186,13 +183,6 @@
     await reply.send(200, encode_line(head), NDJSON)
 
 
-async def _cancel(agent: Agent, msg: CancelMsg, reply: Reply) -> None:
-    item = agent.attempts.get(msg["attempt"])
-    if item is not None:
-        await cancel(agent, item)
-    await reply.send(200, b"{}")
-
-
 async def _settled(agent: Agent, msg: SettledMsg, reply: Reply) -> None:
     for attempt in msg["attempts"]:
         agent.witness.pop(attempt, None)
--- a/ramppost/agent/main.py
+++ b/ramppost/agent/main.py
@@ -53,6 +53,7 @@
     logger.info("leaving: {} attempts under way", agent.attempts.live)
     agent.leaving = True
     deadline = time.monotonic() + agent.cfg.get("drain_s", 600.0)
+    await curio.sleep(agent.cfg.get("linger_s", 3.0))
     while time.monotonic() < deadline:
         readers = sum(item.readers for item in agent.attempts.table.values())
         if not agent.attempts.live and not readers and not agent.witness and agent.filer.empty:
--- a/ramppost/agent/runner.py
+++ b/ramppost/agent/runner.py
@@ -70,7 +70,8 @@
         else:
             await _run_model(agent, item, msg)
     finally:
-        follower = agent.admission.leave(time.monotonic() - started)
+        ran_s = time.monotonic() - started if item.end is not None else None
+        follower = agent.admission.leave(ran_s)
         if follower is not None:
             await _enter(agent, follower)
 
--- a/ramppost/dev.py
+++ b/ramppost/dev.py
@@ -10,7 +10,7 @@
 import curio
 
 from ramppost import logs
-from ramppost.programs import RUNS
+from ramppost.programs import RUNS, run_loop
 from ramppost.standin.fleet import DEV, OPERATOR_TOKEN, build, token_of
 from ramppost.wire.client import Answer, Pool, call
 from ramppost.wire.signals import Signals
@@ -70,4 +70,4 @@
 
 def run_dev() -> None:
     """Run until a signal."""
-    curio.run(dev, Signals())
+    run_loop(dev, Signals())
--- a/ramppost/entry/dispatch.py
+++ b/ramppost/entry/dispatch.py
@@ -22,14 +22,13 @@
 from ramppost.policy.permissions import ModelVersion
 from ramppost.schema.messages import (
     AttachMsg,
-    CancelMsg,
     Candidate,
     Claim,
     Frame,
     Head,
     RunMsg,
 )
-from ramppost.wire.client import CallFailed, Stream, call, open_stream
+from ramppost.wire.client import CallFailed, Stream, open_stream
 from ramppost.wire.codec import BadMessage, decode, encode
 
 HEAD_SLACK_S: Final = 0.5
@@ -37,7 +36,6 @@
 RESOLVE_TRIES: Final = 3
 RESOLVE_PAUSE_S: Final = 0.2
 FRAME_TIMEOUT_S: Final = 35.0
-CANCEL_TIMEOUT_S: Final = 1.0
 
 
 class NotRun(NamedTuple):
@@ -248,13 +246,6 @@
     await run.stream.close()
 
 
-async def abandon(entry: Entry, run: Running) -> None:
-    """Stop an attempt that nobody wants any more."""
-    await finish(run)
-    msg = CancelMsg(entry=entry.name, attempt=run.attempt, rev=entry.conf.rev)
-    await call(entry.pool, run.addr, "POST", "/a/cancel", encode(msg), CANCEL_TIMEOUT_S)
-
-
 def candidate(up: Upstream) -> Candidate:
     """An agent as a claim names it."""
     return Candidate(addr=up.addr, agent=up.ticket)
--- a/ramppost/entry/route.py
+++ b/ramppost/entry/route.py
@@ -87,12 +87,15 @@
 
 
 def _auto(entry: Entry, ask: Ask, doc: ConfigDoc) -> Route | Refusal:
+    """What the policy says; a request that may run only once has no cascade, but its last model."""
     policy = policy_named(doc, policy_for(ask.ws, ask.who))
     if policy is None:
         return refusal("not_found", f"workspace {ask.ws['name']} has no policy for `auto`")
     usable = [m for m in doc["models"] if _pick(entry, ask, doc, m["model"])]
     order = ORDERS[policy["kind"]](policy)
     names = order(ask.cls["name"], usable, entry.learned, entry.rng)
+    if not ask.repeatable:
+        names = names[-1:]
     picks = [_pick(entry, ask, doc, name) for name in names]
     found = [pick for pick in picks if pick is not None]
     if not found:
--- a/ramppost/entry/serve.py
+++ b/ramppost/entry/serve.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from ramppost.entry.ask import Ask
-from ramppost.entry.dispatch import Running, abandon, finish, read_on
+from ramppost.entry.dispatch import Running, finish, read_on
 from ramppost.entry.obtain import Reroute, obtain
 from ramppost.entry.route import NO_POLICY, Route, route
 from ramppost.entry.sink import Sink
@@ -120,7 +120,8 @@
                 return run
             await _pass_whole(entry, ask, spare, sink, started)
             return None
-        _count_begun(entry, ask, chosen, pick, run)
+        if not stage and not turn:
+            _count_begun(entry, ask, chosen, pick, run)
         if last:
             return await pass_on(entry, ask, run, sink, started)
         whole = await _read_whole(entry, ask, run)
@@ -174,7 +175,7 @@
 async def pass_on(
     entry: Entry, ask: Ask, run: Running, sink: Sink, started: float
 ) -> Refusal | None:
-    """Send an answer while it comes.  A caller who leaves ends a repeatable run."""
+    """Send an answer while it comes.  Of a caller who leaves, the agent sees no reader."""
     pieces: list[str] = []
     first_s: float | None = None
     try:
@@ -201,8 +202,6 @@
             entry.stats.ended(ask.ws["name"], ask.cls, "served", first_s)
             return None
     except Gone:
-        if ask.repeatable and not ask.stream:
-            await abandon(entry, run)
         entry.stats.ended(ask.ws["name"], ask.cls, "left", first_s)
         raise
     finally:
--- a/ramppost/policy/admission.py
+++ b/ramppost/policy/admission.py
@@ -77,10 +77,14 @@
         self.lines.setdefault(who.priority, deque()).append(who)
         return Queued(put_out)
 
-    def leave(self, held_s: float) -> Waiting | None:
-        """A slot is free again after so many seconds: who enters next, if anyone."""
-        weight = MEAN_WEIGHT if self._mean_s else 1.0
-        self._mean_s += weight * (held_s - self._mean_s)
+    def leave(self, ran_s: float | None) -> Waiting | None:
+        """A slot is free again: who enters next, if anyone.
+
+        `ran_s` is how long a run held it, None where nothing was run.
+        """
+        if ran_s is not None:
+            weight = MEAN_WEIGHT if self._mean_s else 1.0
+            self._mean_s += weight * (ran_s - self._mean_s)
         self.running -= 1
         return self._next()
 
--- a/ramppost/programs.py
+++ b/ramppost/programs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import sys
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
@@ -34,15 +36,32 @@
     signals = Signals()
     try:
         if program in WITH_PLANNED_STOP:
-            curio.run(RUNS[program], cfg, signals)
+            run_loop(RUNS[program], cfg, signals)
         else:
-            curio.run(_until_signal, RUNS[program], cfg, signals)
+            run_loop(_until_signal, RUNS[program], cfg, signals)
     except OSError as exc:
         logger.critical("can't start: {}", exc)
         return 1
     return 0
 
 
+def run_loop(main: Callable[..., Awaitable[None]], *args: Any) -> None:
+    """Run the loop until `main` ends, then end the process.
+
+    Whatever had to be done was done by `main`; connections and other tasks that
+    are left are dropped with the process.  Raises what `main` raises.
+    """
+    kernel = curio.Kernel()
+    try:
+        kernel.run(main, *args)
+    except OSError:
+        kernel.run(shutdown=True)
+        raise
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0)
+
+
 async def _until_signal(run: Callable[..., Awaitable[None]], cfg: Any, signals: Signals) -> None:
     """Run until a signal; a program that ends before, ends with its error."""
     async with curio.TaskGroup(wait=any) as group:
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -77,16 +77,6 @@
     """
 
 
-class CancelMsg(TypedDict, closed=True):
-    """
-    Entry to agent: nobody wants this attempt any more.
-    """
-
-    entry: str
-    attempt: str
-    rev: int
-
-
 class SettledMsg(TypedDict, closed=True):
     """
     Entry to agent: these bills are in the ledger.
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -129,6 +129,10 @@
     """
     How long bills wait for others to share a write, seconds.
     """
+    linger_s: NotRequired[float]
+    """
+    Least time a planned stop goes on answering that it is leaving, so that all have heard of it, seconds.
+    """
     drain_s: NotRequired[float]
     """
     Longest time a planned stop waits for running answers, seconds.
@@ -243,6 +247,10 @@
     """
     How long a bill waits for the entry to settle it before the agent files it, seconds.
     """
+    linger_s: NotRequired[float]
+    """
+    Least time a planned stop goes on answering that it is leaving, so that all have heard of it, seconds.
+    """
     drain_s: NotRequired[float]
     """
     Longest time a planned stop waits for running answers, seconds.
--- a/tests/features/once.feature
+++ b/tests/features/once.feature
@@ -36,3 +36,9 @@
     Given a small fleet
     When all agents are frozen, a request is given up on, and they are thawed
     Then no "not run" was false by request id
+
+  Scenario: a key on a policy with a cascade
+    Given a small fleet
+    When a keyed request for "auto" is sent through both entries in turn
+    Then it ran at most once
+    And the last word was "served"
--- a/tests/harness/chaos.py
+++ b/tests/harness/chaos.py
@@ -207,11 +207,14 @@
     for word, at in zip(item.told, item.told_at, strict=True):
         if word.served and item.kind != "service" and not whole(word.text, item.tokens):
             found.append(f"5 whole answer: {word.request_id} {word.text!r}")
-        if word.ran == "no" and word.request_id in at_of:
+        if word.ran == "no" and not item.key and word.request_id in at_of:
             found.append(f"6 not run: {word.request_id} told {word.code}, it ran")
         if word.ran == "no" and item.key:
             ran = [x for x in lines if x["idempotency_key"] == item.key and x["at"] < at]
             found += [f"6 not run: {item.key} told {word.code}, it ran"] if ran else []
+    if item.key and item.last and item.last.ran == "no":
+        ran = [x for x in lines if x["idempotency_key"] == item.key]
+        found += [f"6 not run: {item.key} ended with {item.last.code}, it ran"] if ran else []
     return found
 
 
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -19,6 +19,7 @@
 from tests.harness.proxy import Proxy
 
 READY_S = 20.0
+AGENT_TIMES = {"keep_s": 60, "orphan_s": 2, "witness_s": 2, "linger_s": 2}
 POLL_S = 0.05
 FIRST_PORT = 22000
 PORT_BLOCK = 400
@@ -87,10 +88,10 @@
             outer[listen] = agent["advertise"] = proxy.addr
             proxy = self.upstream_proxy[name] = Proxy(agent["upstream"]["addr"])
             agent["upstream"]["addr"] = proxy.addr
-            agent.update({"keep_s": 60, "orphan_s": 2, "witness_s": 2} | changes.get("agent", {}))
+            agent.update(AGENT_TIMES | changes.get("agent", {}))
         for entry in fleet.entries.values():
             entry["agents"] = [outer[a] for a in entry["agents"]]
-            entry.update({"bill_window_s": 0.3} | changes.get("entry", {}))
+            entry.update({"bill_window_s": 0.3, "linger_s": 1} | changes.get("entry", {}))
         for box in fleet.platform["boxes"]:
             box["addr"] = outer.get(box["addr"], box["addr"])
         fleet.platform.update(**changes.get("platform", {}))
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -57,7 +57,8 @@
     url = cluster.url("entry-1") + kw.pop("path", "/v1/chat/completions")
     content = {"content": body} if isinstance(body, bytes) else {"json": body}
     got = cluster.http.post(url, headers=head, **content)
-    return Got(got.status_code, got.json(), got.headers)
+    streamed = got.headers["content-type"].startswith("text/event-stream")
+    return Got(got.status_code, got.text if streamed else got.json(), got.headers)
 
 
 def raw(cluster: Cluster, data: bytes) -> Got:
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -100,3 +100,9 @@
     for word in case.heard:
         assert word.request_id and not word.served
         assert word.ran != "no" or word.request_id not in ran, word
+
+
+@when(parsers.parse('a keyed request for "{model}" is sent through both entries in turn'))
+def keyed_auto(cluster: Cluster, case: Case, model: str) -> None:
+    for entry in cluster.entry_names * 2:
+        case.heard.append(told(case.key, cluster.chat(entry, case.key, 5, model=model)))
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -90,7 +90,7 @@
     routine = [adm.offer(Waiting(f"r{i}", 5, 1e9), 0) for i in range(4)]
     assert routine == [Entered(), Entered(), Entered(), Queued(None)]
     assert adm.offer(Waiting("u", 0, 1e9), 0) == Entered()
-    assert adm.leave(1.0) is None
+    assert adm.leave(None) is None
     assert adm.leave(1.0) == Waiting("r3", 5, 1e9)
 
 
