Remove what nothing used: the ledger's reader and three counters

Cause: read for dead code. read_ledger had no caller; adopted_at, stored_at and granted were written and never read. Behaviour is unchanged.

--- a/ramppost/confsync.py
+++ b/ramppost/confsync.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 from typing import Final
 
@@ -39,9 +38,7 @@
     def __init__(self) -> None:
         self.doc: ConfigDoc | None = None
         self.raw = b""
-        self.adopted_at = 0.0
         self.on_adopt: list[Adopted] = []
-        self.stored_at: dict[int, int] = {}
 
     @property
     def rev(self) -> int:
@@ -54,7 +51,6 @@
             return False
         self.doc = doc
         self.raw = encode(doc)
-        self.adopted_at = time.time()
         logger.info("configuration revision {} in force, from {}", doc["revision"], source)
         for listener in self.on_adopt:
             listener(doc)
--- a/ramppost/entry/claimlog.py
+++ b/ramppost/entry/claimlog.py
@@ -75,7 +75,6 @@
         self.writing: set[int] = set()
         self.abandoned: set[str] = set()
         self.groups = 0
-        self.granted = 0
 
     async def claim(self, claim: Claim) -> Outcome:
         """Take a claim; the outcome is final."""
@@ -131,7 +130,6 @@
                 written = True
             if written:
                 self.groups += 1
-                self.granted += len(first)
                 for pending in first:
                     await pending.decide(Granted())
                 chosen = set(first)
--- a/ramppost/ledger.py
+++ b/ramppost/ledger.py
@@ -14,9 +14,8 @@
 import curio
 from loguru import logger
 
-from ramppost.platform.objects import Client, Unavailable, listing, put
+from ramppost.platform.objects import Client, Unavailable, put
 from ramppost.schema.messages import BillBatch, BillLine
-from ramppost.wire.codec import BadMessage, decode, encode
 
 LEDGER_PREFIX: Final = "ledger/"
 RETRY_MIN_S: Final = 0.5
@@ -68,23 +67,3 @@
             wait_s = min(RETRY_MAX_S, wait_s * 2)
         self.filing = False
         await self.filed(group)
-
-
-async def read_ledger(client: Client) -> dict[str, dict[str, BillLine]] | Unavailable:
-    """All bills: lines by request id and attempt."""
-    bills: dict[str, dict[str, BillLine]] = {}
-    after = ""
-    while True:
-        page = await listing(client, LEDGER_PREFIX, after)
-        if isinstance(page, Unavailable):
-            return page
-        if not page["items"]:
-            return bills
-        for item in page["items"]:
-            after = item["key"]
-            batch = decode(encode(item["value"]), BillBatch)
-            if isinstance(batch, BadMessage):
-                logger.error("ledger object {} is malformed: {}", item["key"], batch.reason)
-                continue
-            for line in batch["lines"]:
-                bills.setdefault(line["request_id"], {}).setdefault(line["attempt"], line)
