A key that ran is never told "not run": known claims are told at once, and asked for

Ruled out: claims, ejection, the stand-in.

Change: a claim that is known to stand is told without the platform; home and deputy keep their shards' logs read; entries remember claims they were told of; a refusal of a keyed request that came before its claim asks whether the key ran; after a write without an answer new claims are refused at once for a second. An entry whose peers are all new asks agents for the configuration. The harness waits for the incarnations that run.

Before (new cases against the code as found): 3 failed of 3: the repeat in the outage not served, no entry ready after all were replaced in an outage, "limited, not run" of a key that had run.

--- a/ramppost/entry/ask.py
+++ b/ramppost/entry/ask.py
@@ -16,6 +16,7 @@
 from ramppost.wire.server import Request
 
 AUTO: Final = "auto"
+KEY_HEADER: Final = "idempotency-key"
 MAX_KEY: Final = 255
 MAX_DEADLINE_MS: Final = 3_600_000
 PREFIX_CHARS: Final = 256
@@ -38,10 +39,14 @@
 
 
 class Trace:
-    """Whether any attempt of a request ran, as far as is known."""
+    """Whether any attempt of a request ran, as far as is known.
+
+    `claimed` is whether its key, if it has one, was looked up.
+    """
 
     def __init__(self) -> None:
         self.ran: Ran = "no"
+        self.claimed = False
 
     def running(self) -> None:
         """An attempt was admitted."""
@@ -145,7 +150,7 @@
     cls = _class(req, doc)
     if isinstance(cls, Refusal):
         return cls
-    key = req.headers.get("idempotency-key", "")
+    key = req.headers.get(KEY_HEADER, "")
     if len(key) > MAX_KEY or not key.isascii():
         return refusal("bad_request", f"Idempotency-Key: at most {MAX_KEY} ASCII characters")
     deadline_ms = _deadline(req, cls)
--- a/ramppost/entry/callers.py
+++ b/ramppost/entry/callers.py
@@ -6,13 +6,14 @@
 
 from loguru import logger
 
-from ramppost.entry.ask import Ask, read_chat, read_service, workspace_for
+from ramppost.entry.ask import KEY_HEADER, Ask, read_chat, read_service, workspace_for
 from ramppost.entry.dispatch import Running, resolve
+from ramppost.entry.obtain import key_of
 from ramppost.entry.operators import operators
 from ramppost.entry.serve import pass_on, serve_ask
 from ramppost.entry.sink import STREAM_HEADER, Sink, StreamSink, WholeSink, send_refusal
 from ramppost.entry.state import Entry
-from ramppost.errors import Refusal, error_body, refusal
+from ramppost.errors import Ran, Refusal, error_body, refusal
 from ramppost.policy.permissions import ModelVersion, allowed, version_state
 from ramppost.policy.session import BadToken, read_place
 from ramppost.schema.config import ConfigDoc, Workspace
@@ -35,10 +36,10 @@
     async def handle(req: Request, reply: Reply) -> None:
         doc = entry.conf.doc
         if req.path in ("/healthz", "/readyz"):
-            ready = doc is not None and not entry.leaving
-            await reply.send(200 if ready or req.path == "/healthz" else 503, b"{}")
+            await reply.send(200 if entry.ready or req.path == "/healthz" else 503, b"{}")
         elif doc is None:
-            ref = refusal("not_ready", "no configuration yet", NOT_READY_RETRY_S)
+            ran: Ran = "unknown" if KEY_HEADER in req.headers else "no"
+            ref = refusal("not_ready", "no configuration yet", NOT_READY_RETRY_S, ran)
             await send_refusal(reply, ref)
         elif req.path in ("/v1/models", CHAT_PATH) or req.path.startswith("/services/"):
             await _caller(entry, doc, req, reply)
@@ -54,8 +55,6 @@
         await send_refusal(reply, ws)
     elif req.path == "/v1/models":
         await reply.send(200, encode({"object": "list", "data": _models(doc, ws)}))
-    elif entry.leaving:
-        await send_refusal(reply, refusal("leaving", "this entry is stopping", 1.0))
     elif req.path == CHAT_PATH and req.method != "POST":
         await send_refusal(reply, refusal("bad_request", "POST wanted"))
     else:
@@ -80,38 +79,46 @@
     return [{"id": n, "object": "model", "created": 0, "owned_by": "ramppost"} for n in names]
 
 
+def _turned_away(entry: Entry, ws: Workspace) -> Refusal | None:
+    """A refusal where this entry is stopping, or a workspace over its limits."""
+    name = ws["name"]
+    if entry.leaving:
+        return refusal("leaving", "this entry is stopping", 1.0)
+    wait_s = entry.bucket(ws).wait_s(time.monotonic())
+    if wait_s > 0:
+        return refusal("limited", f"workspace {name} is over its tokens", wait_s)
+    if entry.running.get(name, 0) >= ws["concurrency"]:
+        return refusal("limited", f"workspace {name} is over its concurrency", 0.5)
+    return None
+
+
 async def _limited(entry: Entry, ask: Ask, req: Request, reply: Reply) -> None:
     """Serve a request within its workspace's limits."""
     name = ask.ws["name"]
-    wait_s = entry.bucket(ask.ws).wait_s(time.monotonic())
-    if wait_s > 0:
-        await send_refusal(
-            reply, refusal("limited", f"workspace {name} is over its tokens", wait_s)
-        )
+    ref = _turned_away(entry, ask.ws)
+    if ref is None:
+        entry.running[name] = entry.running.get(name, 0) + 1
+        try:
+            ref = await _served(entry, ask, req, reply)
+        finally:
+            entry.running[name] -= 1
+    if ref is None:
         return
-    if entry.running.get(name, 0) >= ask.ws["concurrency"]:
-        ref = refusal("limited", f"workspace {name} is over its concurrency", 0.5)
-        await send_refusal(reply, ref)
-        return
-    entry.running[name] = entry.running.get(name, 0) + 1
-    sink: Sink
-    sink = (
+    if ask.key and ref.ran == "no" and not ask.trace.claimed:
+        ref = ref._replace(ran=await entry.homes.ran(key_of(ask)))
+    bound = logger.bind(request=ask.request_id, workspace=name)
+    bound.info("refused: {} ran={}", ref.code, ref.ran)
+    await send_refusal(reply, ref, ask.request_id)
+
+
+async def _served(entry: Entry, ask: Ask, req: Request, reply: Reply) -> Refusal | None:
+    sink: Sink = (
         StreamSink(reply, ask.include_usage) if ask.stream else WholeSink(reply, bool(ask.service))
     )
-    try:
-        place = req.headers.get(STREAM_HEADER, "")
-        last = req.headers.get("last-event-id", "")
-        if place:
-            ref_or_none = await _resume(entry, ask, place, last, sink)
-        else:
-            ref_or_none = await serve_ask(entry, ask, sink)
-        if ref_or_none is not None:
-            logger.bind(request=ask.request_id, workspace=name).info(
-                "refused: {} ran={}", ref_or_none.code, ref_or_none.ran
-            )
-            await send_refusal(reply, ref_or_none, ask.request_id)
-    finally:
-        entry.running[name] -= 1
+    place = req.headers.get(STREAM_HEADER, "")
+    if place:
+        return await _resume(entry, ask, place, req.headers.get("last-event-id", ""), sink)
+    return await serve_ask(entry, ask, sink)
 
 
 async def _resume(entry: Entry, ask: Ask, token: str, last: str, sink: Sink) -> Refusal | None:
--- a/ramppost/entry/claimhome.py
+++ b/ramppost/entry/claimhome.py
@@ -1,10 +1,13 @@
 """Sends the claims of a shard through one entry, its home, so that they share writes.
 
-The home is found by rendezvous among the entries that the box list holds live.
-It is a matter of cost, not of safety: a shard's log can be written by any entry
-(see `ramppost.policy.claims`).  So an entry that gets no answer from a home
-takes the claim itself, and finds its own nonce in the log if the home had
-written it after all.
+The home is found by rendezvous among the entries that the box list holds live;
+the next in rank is its deputy.  Both keep the shard's log read.  This is a matter
+of cost, not of safety: a shard's log can be written by any entry (see
+`ramppost.policy.claims`).  So where neither can take a claim, the entry tries
+itself, and finds its own nonce in the log if one of them had written it after all.
+
+Every entry also remembers the claims it was told of, so that it knows a key that
+it served when nobody else can be asked.
 """
 
 from __future__ import annotations
@@ -15,17 +18,34 @@
 import curio
 
 from ramppost import ids
-from ramppost.entry.claimlog import ClaimLog, Granted, NoClaim, Outcome, Taken
+from ramppost.entry.claimlog import (
+    GIVE_UP_S,
+    RETENTION_S,
+    ClaimLog,
+    Free,
+    Granted,
+    NoClaim,
+    Outcome,
+    Taken,
+)
 from ramppost.entry.upstreams import Upstreams
-from ramppost.policy.claims import shard_of
+from ramppost.errors import Ran
+from ramppost.policy.claims import SHARDS, Shard, shard_of
 from ramppost.policy.routing import unit
-from ramppost.schema.messages import Claim, ClaimReply
+from ramppost.schema.messages import Claim, ClaimReply, PeekMsg
+from ramppost.schema.settings import Box
 from ramppost.wire.client import CallFailed, Pool, call
 from ramppost.wire.codec import BadMessage, decode, encode
 
 CLAIM_PATH: Final = "/x/claim"
-ASK_TIMEOUT_S: Final = 1.0
+PEEK_PATH: Final = "/x/peek"
+ASK_TIMEOUT_S: Final = GIVE_UP_S + 0.5
 SHUN_S: Final = 3.0
+READERS: Final = 2
+READ_PERIOD_S: Final = 5.0
+BOXES_POLL_S: Final = 0.1
+
+RAN_BY_STATE: Final[dict[str, Ran]] = {"open": "unknown", "done": "yes", "not_run": "no"}
 
 
 class ClaimHomes:
@@ -38,34 +58,64 @@
         self.me = ids.address(me)
         self.shunned: dict[str, float] = {}
         self.noting = 0
+        self.told = Shard()
+        self.read_once = False
 
-    def home_of(self, shard: int) -> str:
-        """Address of the entry that a shard's claims go through now."""
+    def ranked(self, shard: int) -> list[str]:
+        """Addresses of a shard's home and deputy."""
         now = time.monotonic()
-        live = [
-            box["addr"]
-            for box in self.ups.boxes
-            if box["role"] == "entry" and box["state"] == "live"
-        ]
+        live = {box["addr"] for box in self.ups.boxes if _live_entry(box)} | {self.me}
         usable = [addr for addr in live if self.shunned.get(addr, 0.0) < now]
-        return min(usable or [self.me], key=lambda addr: unit("claim-home", str(shard), addr))
+        return sorted(usable, key=lambda addr: unit("claim-home", str(shard), addr))[:READERS]
 
     async def claim(self, claim: Claim) -> Outcome:
         """Take a claim; the outcome is final."""
-        home = self.home_of(shard_of(claim["key"]))
-        if home != self.me:
-            out = await self._ask(home, claim)
-            if out is not None:
-                return out
-            self.shunned[home] = time.monotonic() + SHUN_S
-        got = await self.log.claim(claim)
-        if isinstance(got, Taken) and got.held["nonce"] == claim["nonce"]:
+        out = await self._claim(claim)
+        if isinstance(out, Granted):
+            self.told.take(claim)
+        elif isinstance(out, Taken):
+            self.told.take(out.held)
+        return out
+
+    async def _claim(self, claim: Claim) -> Outcome:
+        out = await self._asked(shard_of(claim["key"]), CLAIM_PATH, claim)
+        assert not isinstance(out, Free)
+        if isinstance(out, Taken) and out.held["nonce"] == claim["nonce"]:
             return Granted()
-        return got
+        held = self.told.holder(claim) if isinstance(out, NoClaim) else None
+        return out if held is None else Taken(held)
+
+    async def ran(self, key: str) -> Ran:
+        """What can truly be said of a key that was not claimed now: whether it ever ran."""
+        out = await self._asked(shard_of(key), PEEK_PATH, PeekMsg(key=key))
+        if isinstance(out, Taken):
+            return RAN_BY_STATE[out.held["state"]]
+        told = self.told.claims.get(key)
+        if isinstance(out, NoClaim) and told is not None:
+            return RAN_BY_STATE[told["state"]]
+        return "unknown" if isinstance(out, NoClaim) and not out.sure else "no"
+
+    async def _asked(self, shard: int, path: str, msg: Claim | PeekMsg) -> Outcome | Free:
+        """What the home says; where it can't say, the deputy; then this entry's own log."""
+        ranks = self.ranked(shard)
+        sure, reason = True, ""
+        for addr in ranks if self.me in ranks else [*ranks, self.me]:
+            out = await (self.own(msg) if addr == self.me else self._ask(addr, path, msg))
+            if not isinstance(out, NoClaim):
+                return out
+            sure, reason = sure and out.sure, out.reason
+        return NoClaim(reason, sure)
+
+    async def own(self, msg: Claim | PeekMsg) -> Outcome | Free:
+        """What this entry's own log says."""
+        if "nonce" in msg:
+            return await self.log.claim(msg)
+        return await self.log.peek(msg["key"])
 
     async def note(self, claim: Claim) -> None:
         """Record the end of a claim of ours; nobody waits for it."""
         self.noting += 1
+        self.told.take(claim)
         await curio.spawn(self._note, claim, daemon=True)
 
     @property
@@ -79,25 +129,57 @@
         finally:
             self.noting -= 1
 
-    async def _ask(self, home: str, claim: Claim) -> Outcome | None:
-        """What the home says; None where it does not answer."""
-        got = await call(self.pool, home, "POST", CLAIM_PATH, encode(claim), ASK_TIMEOUT_S)
-        if isinstance(got, CallFailed) or got.status != 200:
-            return None
-        reply = decode(got.body, ClaimReply)
+    async def keep_read(self) -> None:
+        """Keep the logs of this entry's shards read, until cancelled."""
+        while not self.ups.boxes:
+            await curio.sleep(BOXES_POLL_S)
+        while True:
+            for shard in range(SHARDS):
+                if self.me in self.ranked(shard):
+                    await self._keep_one(shard)
+            self.read_once = True
+            self.told.forget(time.time() - RETENTION_S)
+            await curio.sleep(READ_PERIOD_S)
+
+    async def _keep_one(self, shard: int) -> None:
+        age_s = time.monotonic() - self.log.read_at.get(shard, -READ_PERIOD_S)
+        if age_s >= READ_PERIOD_S:
+            await self.log.read(shard)
+
+    async def _ask(self, addr: str, path: str, msg: Claim | PeekMsg) -> Outcome | Free:
+        """What another entry says; one that gives no answer is not asked for a while."""
+        got = await call(self.pool, addr, "POST", path, encode(msg), ASK_TIMEOUT_S)
+        if isinstance(got, CallFailed):
+            reply: ClaimReply | BadMessage = BadMessage(got.reason)
+        else:
+            reply = decode(got.body, ClaimReply)
         if isinstance(reply, BadMessage):
-            return None
-        if reply["outcome"] == "granted":
-            return Granted()
-        if reply["outcome"] == "no_claim":
-            return NoClaim(reply["reason"])
-        return Taken(reply["held"]) if "held" in reply else None
+            self.shunned[addr] = time.monotonic() + SHUN_S
+            return NoClaim(f"entry {addr} gave no answer", False)
+        return _outcome(reply)
+
+
+def _live_entry(box: Box) -> bool:
+    return box["role"] == "entry" and box["state"] == "live"
+
+
+def _outcome(reply: ClaimReply) -> Outcome | Free:
+    """What an entry told, as an outcome."""
+    if reply["outcome"] == "granted":
+        return Granted()
+    if reply["outcome"] == "free":
+        return Free()
+    if reply["outcome"] == "taken" and "held" in reply:
+        return Taken(reply["held"])
+    return NoClaim(reply["reason"], reply.get("sure", False))
 
 
-def reply_of(out: Outcome) -> ClaimReply:
-    """An outcome as the home tells it."""
+def reply_of(out: Outcome | Free) -> ClaimReply:
+    """An outcome as an entry tells it."""
     if isinstance(out, Granted):
         return ClaimReply(outcome="granted", reason="")
+    if isinstance(out, Free):
+        return ClaimReply(outcome="free", reason="")
     if isinstance(out, Taken):
         return ClaimReply(outcome="taken", reason="", held=out.held)
-    return ClaimReply(outcome="no_claim", reason=out.reason)
+    return ClaimReply(outcome="no_claim", reason=out.reason, sure=out.sure)
--- a/ramppost/entry/claimlog.py
+++ b/ramppost/entry/claimlog.py
@@ -3,7 +3,10 @@
 Claims of a shard wait a moment for each other, then go as one segment of the
 shard's log (see `ramppost.policy.claims`).  A write whose reply is lost is read
 back by its nonce.  Where the platform can't say within `GIVE_UP_S`, the claims
-are not granted; nothing was dispatched, so "not run" is true.
+are not granted, and for a moment nobody waits for the next try either.
+
+A claim that is known to stand is told at once, without the platform.  So a key
+that ran is known as such in an outage, by whoever has read the shard's log.
 """
 
 from __future__ import annotations
@@ -15,15 +18,27 @@
 import curio
 from loguru import logger
 
-from ramppost.platform.objects import Client, Found, Unavailable, Written, delete, get, listing, put
+from ramppost.platform.objects import (
+    Absent,
+    Client,
+    Found,
+    Unavailable,
+    Written,
+    delete,
+    get,
+    listing,
+    put,
+)
 from ramppost.policy.claims import Shard, segment_key, segment_seq, shard_of, shard_prefix
 from ramppost.schema.messages import Claim, ClaimSegment
 from ramppost.wire.codec import BadMessage, decode, encode
 
-GIVE_UP_S: Final = 2.5
+GIVE_UP_S: Final = 1.5
 RETRY_S: Final = 0.1
 RETENTION_S: Final = 7200
 MAX_GROUP: Final = 2000
+DOWN_S: Final = 1.0
+FRESH_S: Final = 1.0
 
 
 class Granted(NamedTuple):
@@ -37,9 +52,17 @@
 
 
 class NoClaim(NamedTuple):
-    """The platform could not say in time."""
+    """The platform could not say in time.
+
+    `sure` is whether the log was read before, and holds no claim of the key.
+    """
 
     reason: str
+    sure: bool
+
+
+class Free(NamedTuple):
+    """No claim of the key stands."""
 
 
 Outcome = Granted | Taken | NoClaim
@@ -75,17 +98,57 @@
         self.writing: set[int] = set()
         self.abandoned: set[str] = set()
         self.groups = 0
+        self.read_at: dict[int, float] = {}
+        self.down_until = 0.0
+
+    def held(self, claim: Claim) -> Taken | None:
+        """What is known, without asking, to stand against a claim."""
+        state = self.shards.get(shard_of(claim["key"]))
+        found = state.holder(claim) if state else None
+        return Taken(found) if found is not None else None
 
     async def claim(self, claim: Claim) -> Outcome:
         """Take a claim; the outcome is final."""
+        taken = self.held(claim)
+        if taken is not None:
+            return taken
+        if time.monotonic() < self.down_until:
+            return self._no_claim(claim, "the platform gave no answer a moment ago")
         pending = _Pending(claim)
         await self._queue(pending)
         await pending.decided.wait()
         assert pending.outcome is not None
-        if isinstance(pending.outcome, NoClaim):
-            self.abandoned.add(claim["request_id"])
         return pending.outcome
 
+    def _no_claim(self, claim: Claim, reason: str) -> NoClaim:
+        self.abandoned.add(claim["request_id"])
+        return NoClaim(reason, shard_of(claim["key"]) in self.shards)
+
+    async def peek(self, key: str) -> Taken | Free | NoClaim:
+        """Whether a claim of a key stands, by the log as it was a moment ago at most."""
+        shard = shard_of(key)
+        if time.monotonic() - self.read_at.get(shard, -FRESH_S) >= FRESH_S:
+            await self.read(shard)
+        state = self.shards.get(shard)
+        if state is None:
+            return NoClaim("claims not read", False)
+        found = state.claims.get(key)
+        return Taken(found) if found is not None else Free()
+
+    async def read(self, shard: int) -> bool:
+        """Read a shard's log to its end; false where the platform can't be read."""
+        state = await self._loaded(shard)
+        while state is not None:
+            seq = state.next_seq
+            got = await get(self.client, segment_key(shard, seq), ClaimSegment)
+            if isinstance(got, Absent):
+                self.read_at[shard] = time.monotonic()
+                return True
+            if not isinstance(got, Found):
+                return False
+            state.apply(seq, got.value)
+        return False
+
     @property
     def idle(self) -> bool:
         """Whether nothing is on its way."""
@@ -104,41 +167,53 @@
             await curio.sleep(self.window_s)
             group = self.queues[shard][:MAX_GROUP]
             self.queues[shard] = self.queues[shard][MAX_GROUP:]
-            await self._commit(shard, group)
+            async with curio.ignore_after(GIVE_UP_S):
+                await self._commit(shard, group)
+            await self._give_up(group)
         self.writing.discard(shard)
 
+    async def _give_up(self, group: list[_Pending]) -> None:
+        """Tell those of a group who are neither decided nor in line again: no claim."""
+        line = self.queues.get(shard_of(group[0].claim["key"]), [])
+        undecided = [p for p in group if p.outcome is None and p not in line]
+        if not undecided:
+            return
+        logger.warning("claims not taken: {} without an answer", len(undecided))
+        self.down_until = time.monotonic() + DOWN_S
+        for pending in undecided:
+            reason = "the platform gave no answer in time"
+            await pending.decide(self._no_claim(pending.claim, reason))
+
     async def _commit(self, shard: int, group: list[_Pending]) -> None:
-        deadline = time.monotonic() + GIVE_UP_S
+        """Write a group, again and again until it stands or all of it is taken."""
         nonce = secrets.token_hex(8)
         state = await self._loaded(shard)
-        reason = "claims not read" if state is None else ""
-        while state is not None and time.monotonic() < deadline:
+        while state is not None:
             group = await self._turn_away_taken(state, group)
             if not group:
                 return
             first = _one_a_key(group)
             segment = ClaimSegment(nonce=nonce, claims=[p.claim for p in first])
-            seq = state.next_seq
-            out = await put(self.client, segment_key(shard, seq), segment, None)
-            if isinstance(out, Unavailable):
-                reason = out.reason
-                await curio.sleep(RETRY_S)
-            if not isinstance(out, Written):
-                written = await self._read_back(shard, state, seq, nonce)
-            else:
-                state.apply(seq, segment)
-                written = True
-            if written:
+            if await self._written(shard, state, segment):
                 self.groups += 1
                 for pending in first:
                     await pending.decide(Granted())
-                chosen = set(first)
-                rest = [p for p in group if p not in chosen]
+                rest = [p for p in group if p.outcome is None]
                 self.queues[shard][:0] = await self._turn_away_taken(state, rest)
                 return
-        logger.warning("claims not taken: {}", reason)
-        for pending in group:
-            await pending.decide(NoClaim(reason))
+
+    async def _written(self, shard: int, state: Shard, segment: ClaimSegment) -> bool:
+        """Write a segment at the log's end; false where that may or does not stand there."""
+        seq = state.next_seq
+        out = await put(self.client, segment_key(shard, seq), segment, None)
+        if isinstance(out, Written):
+            state.apply(seq, segment)
+            self.read_at[shard] = time.monotonic()
+            return True
+        if isinstance(out, Unavailable):
+            logger.info("segment {} of shard {} in doubt: {}", seq, shard, out.reason)
+            await curio.sleep(RETRY_S)
+        return await self._read_back(shard, state, seq, segment["nonce"])
 
     async def _turn_away_taken(self, state: Shard, group: list[_Pending]) -> list[_Pending]:
         """Those of a group that no written claim stands against."""
--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -13,12 +13,12 @@
 from ramppost.agent.door import send_config
 from ramppost.confsync import CONFIG_PATH, ask_peers, follow_platform
 from ramppost.entry.callers import caller_error, callers
-from ramppost.entry.claimhome import CLAIM_PATH, reply_of
+from ramppost.entry.claimhome import CLAIM_PATH, PEEK_PATH, reply_of
 from ramppost.entry.report import own_report
 from ramppost.entry.rollouts import drive, rate
 from ramppost.entry.state import Entry
 from ramppost.policy.claims import SHARDS
-from ramppost.schema.messages import Claim, EntryStatus, StatusMsg
+from ramppost.schema.messages import Claim, EntryStatus, PeekMsg, StatusMsg
 from ramppost.schema.settings import EntrySettings, InputLimits
 from ramppost.usage import USAGE_PATH, usage
 from ramppost.wire.codec import BadMessage, decode, encode
@@ -40,7 +40,9 @@
         elif req.path == "/x/report":
             await reply.send(200, encode(own_report(entry)))
         elif req.path == CLAIM_PATH:
-            await _claim(entry, req, reply)
+            await _ask_log(entry, req, reply, Claim)
+        elif req.path == PEEK_PATH:
+            await _ask_log(entry, req, reply, PeekMsg)
         elif req.path == USAGE_PATH:
             await reply.send(200, encode(usage(entry.client, (entry.outer, entry.inner))))
         elif req.path == "/x/upstreams":
@@ -51,21 +53,22 @@
             text, head = render(entry.stats.registry, [])
             await reply.send(200, text, head["Content-Type"])
         elif req.path in ("/healthz", "/readyz"):
-            ready = entry.conf.doc is not None and not entry.leaving
-            await reply.send(200 if ready or req.path == "/healthz" else 503, b"{}")
+            await reply.send(200 if entry.ready or req.path == "/healthz" else 503, b"{}")
         else:
             await reply.send(404, b'{"error":"no such path"}')
 
     return handle
 
 
-async def _claim(entry: Entry, req: Request, reply: Reply) -> None:
-    """Take a claim as the home of its shard."""
-    claim = decode(req.body, Claim)
-    if isinstance(claim, BadMessage):
-        await reply.send(400, encode({"error": claim.reason}))
+async def _ask_log(
+    entry: Entry, req: Request, reply: Reply, kind: type[Claim] | type[PeekMsg]
+) -> None:
+    """Take a claim or look a key up, as a home or deputy of its shard."""
+    msg = decode(req.body, kind)
+    if isinstance(msg, BadMessage):
+        await reply.send(400, encode({"error": msg.reason}))
     else:
-        await reply.send(200, encode(reply_of(await entry.claims.claim(claim))))
+        await reply.send(200, encode(reply_of(await entry.homes.own(msg))))
 
 
 async def _status(entry: Entry, req: Request, reply: Reply) -> None:
@@ -104,6 +107,7 @@
         await curio.spawn(entry.filer.run, daemon=True),
         await curio.spawn(drive, entry, daemon=True),
         await curio.spawn(rate, entry, daemon=True),
+        await curio.spawn(entry.homes.keep_read, daemon=True),
         await curio.spawn(_expire_claims, entry, daemon=True),
         await curio.spawn(
             serve, inner_sock, internal(entry), Limits(), None, None, entry.inner, daemon=True
@@ -124,8 +128,8 @@
 
 
 def _peers(entry: Entry) -> list[str]:
-    """Where to ask for a newer configuration: entries of the settings, else agents."""
-    return entry.cfg["peers"] or [up.addr for up in entry.ups.table.values() if up.alive]
+    """Where to ask for a newer configuration: entries of the settings, and agents."""
+    return [*entry.cfg["peers"], *(up.addr for up in entry.ups.table.values() if up.alive)]
 
 
 async def _stop(entry: Entry) -> None:
--- a/ramppost/entry/obtain.py
+++ b/ramppost/entry/obtain.py
@@ -125,7 +125,7 @@
 async def _with_claim(
     entry: Entry, ask: Ask, mv: ModelVersion, stage: int, deadline: float
 ) -> Obtained:
-    key = claim_key(ask.ws["name"], f"{stage}:{ask.key}")
+    key = key_of(ask, stage)
     generation, request_id = 0, ask.request_id
     for _ in range(MAX_GENERATIONS):
         ups = entry.ups.choose(mv, ask.service, ask.prefix)[:CANDIDATES]
@@ -148,9 +148,13 @@
             body=ask.body_digest,
         )
         got = await entry.homes.claim(claim)
+        ask.trace.claimed = True
         if isinstance(got, NoClaim):
             message = "the key can't be recorded now, so the request was not begun"
-            return refusal("claim_unavailable", message, PLATFORM_RETRY_S)
+            if got.sure:
+                return refusal("claim_unavailable", message, PLATFORM_RETRY_S)
+            message += "; whether an earlier one with this key was can't be told now"
+            return refusal("claim_unavailable", message, PLATFORM_RETRY_S, "unknown")
         if isinstance(got, Granted):
             return await _run_claimed(entry, ask, claim, ups, deadline)
         assert isinstance(got, Taken)
@@ -165,10 +169,16 @@
     return refusal("overloaded", "the key is contended", LEAST_RETRY_S)
 
 
+def key_of(ask: Ask, stage: int = 0) -> str:
+    """The claim key of a request's stage."""
+    return claim_key(ask.ws["name"], f"{stage}:{ask.key}")
+
+
 def _known(entry: Entry, key: str) -> Claim | None:
     """A claim of this key that is known without asking."""
     shard = entry.claims.shards.get(shard_of(key))
-    return shard.claims.get(key) if shard else None
+    held = shard.claims.get(key) if shard else None
+    return held or entry.homes.told.claims.get(key)
 
 
 def _lost(held: Claim, out: Unknown) -> Refusal:
--- a/ramppost/entry/state.py
+++ b/ramppost/entry/state.py
@@ -26,6 +26,7 @@
 from ramppost.wire.server import Meter
 
 SETTLED_TIMEOUT_S: Final = 2.0
+CLAIMS_WAIT_S: Final = 3.0
 RATED_PER_S: Final = 40.0
 RATED_BURST_S: Final = 4.0
 
@@ -58,6 +59,7 @@
         self.buckets: dict[str, TokenBucket] = {}
         self.running: dict[str, int] = {}
         self.leaving = False
+        self.started = time.monotonic()
         self.outer = Meter()
         self.inner = Meter()
         self.rev_box = [0]
@@ -68,6 +70,12 @@
         """Callers' requests under way."""
         return sum(self.running.values())
 
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here: configured, and claims read or not to be had."""
+        claims = self.homes.read_once or time.monotonic() - self.started > CLAIMS_WAIT_S
+        return self.conf.doc is not None and not self.leaving and claims
+
     def bucket(self, ws: Workspace) -> TokenBucket:
         """This entry's part of a workspace's tokens."""
         part = 1 / self.ups.entries()
--- a/ramppost/entry/upstreams.py
+++ b/ramppost/entry/upstreams.py
@@ -147,6 +147,7 @@
         return [
             UpstreamLine(
                 addr=up.addr,
+                agent=up.ticket,
                 name=up.name,
                 hall=up.hall,
                 usable=up.usable(now),
--- a/ramppost/errors.py
+++ b/ramppost/errors.py
@@ -3,7 +3,8 @@
 A `Refusal` carries a stable code, the HTTP status, a sentence, whether the
 request ran, and when to come back.  `CATALOGUE` lists the codes for the docs.
 
-`ran` is `"no"` only where no upstream was or will be asked to run the request.
+`ran` is `"no"` only where no upstream was or will be asked to run the request.  With
+an idempotency key it speaks of the key: of the request, and of earlier ones with it.
 """
 
 from __future__ import annotations
@@ -104,7 +105,7 @@
     "claim_unavailable": CodeDoc(
         503,
         "no",
-        "The platform can't record the caller's key, so a request that may run only once is not begun.",
+        "The platform can't record the caller's key, so a request that may run only once is not begun. `ran` is `unknown` where no entry can be asked that has read the claims, so that an earlier request with the key may have run.",
         "Repeat with the same key after `Retry-After`.",
     ),
     "deadline": CodeDoc(
--- a/ramppost/policy/claims.py
+++ b/ramppost/policy/claims.py
@@ -54,11 +54,15 @@
     def apply(self, seq: int, segment: ClaimSegment) -> None:
         """Take in a segment; a later generation or state replaces a former one."""
         for claim in segment["claims"]:
-            held = self.claims.get(claim["key"])
-            if held is None or _follows(claim, held):
-                self.claims[claim["key"]] = claim
+            self.take(claim)
         self.next_seq = max(self.next_seq, seq + 1)
 
+    def take(self, claim: Claim) -> None:
+        """Take in a claim that is known to be written."""
+        held = self.claims.get(claim["key"])
+        if held is None or _follows(claim, held):
+            self.claims[claim["key"]] = claim
+
     def forget(self, before_s: float) -> None:
         """Forget claims made before a time."""
         self.claims = {k: c for k, c in self.claims.items() if c["at_s"] >= before_s}
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -413,6 +413,10 @@
     """
 
     addr: str
+    agent: str
+    """
+    Its ticket.
+    """
     name: str
     hall: str
     usable: bool
@@ -433,13 +437,28 @@
     platform_calls: int
 
 
+class PeekMsg(TypedDict, closed=True):
+    """
+    Entry to entry: does a claim of this key stand?
+    """
+
+    key: str
+    """
+    Digest of workspace and caller's key.
+    """
+
+
 class ClaimReply(TypedDict, closed=True):
     """
     Entry to entry, from the home of a claim's shard.
     """
 
-    outcome: Literal["granted", "taken", "no_claim"]
+    outcome: Literal["granted", "taken", "free", "no_claim"]
     reason: str
+    sure: NotRequired[bool]
+    """
+    With `no_claim`: the shard's log was read, and no claim of the key is in it.
+    """
     held: NotRequired[Claim]
 
 
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -11,7 +11,9 @@
 
 import httpx
 
+from ramppost.entry.obtain import PLATFORM_RETRY_S
 from tests.harness.cluster import Cluster
+from tests.harness.operator import confirm, plan_for, wait_revision
 from tests.harness.oracle import Told, runs_of, told
 
 LONG = 60
@@ -210,6 +212,54 @@
     return heard + second
 
 
+def down_until_repeats(cluster: Cluster, key: str) -> list[Told]:
+    """The platform goes down mid-run; the key is repeated in the outage through both entries."""
+    caller = Caller(cluster, "entry-1", key)
+    wait_runs(cluster, key)
+    cluster.fault("platform", mode="down")
+    heard = caller.heard()
+    repeats = [Caller(cluster, name, key) for name in cluster.entry_names]
+    heard += [word for repeat in repeats for word in repeat.heard()]
+    cluster.fault("platform", mode="none")
+    return heard
+
+
+def entries_replaced_in_outage(cluster: Cluster, key: str) -> list[Told]:
+    """All entries are replaced while the platform is down; what their memory held is gone."""
+    heard = nothing(cluster, key)
+    cluster.fault("platform", mode="down")
+    for name in cluster.entry_names:
+        cluster.kill(name)
+        cluster.spawn(name)
+    cluster.wait_ready()
+    for name in cluster.entry_names:
+        heard += Caller(cluster, name, key).heard()
+    assert [word.ran for word in heard[1:]] == ["unknown"] * 2, heard
+    cluster.fault("platform", mode="none")
+    time.sleep(PLATFORM_RETRY_S)
+    return heard
+
+
+def refused_by_limits(cluster: Cluster, key: str) -> list[Told]:
+    """The workspace may run nothing more when its key, and one never used, are repeated."""
+    heard = nothing(cluster, key)
+    _concurrency(cluster, 0)
+    heard += Caller(cluster, "entry-2", key).heard()
+    fresh = Caller(cluster, "entry-2", f"{key}-unused").heard()
+    assert (fresh[0].code, fresh[0].ran) == ("limited", "no"), fresh
+    assert (heard[-1].code, heard[-1].ran) == ("limited", "yes"), heard
+    _concurrency(cluster, 1000)
+    return heard
+
+
+def _concurrency(cluster: Cluster, number: int) -> None:
+    """Change a limit by an intent, and wait until it is in force at all entries."""
+    wish = {"kind": "limits", "workspace": "mesob", "concurrency": number}
+    plan = plan_for(cluster, "entry-1", wish).json()
+    done = confirm(cluster, "entry-1", plan["plan_id"]).json()
+    wait_revision(cluster, done["revision"])
+
+
 def engine_fails(cluster: Cluster, key: str) -> list[Told]:
     for name in cluster.fleet.engines:
         cluster.fault(name, mode="errors", model="large")
@@ -248,6 +298,9 @@
     "platform down before": down_before,
     "platform down during": down_during,
     "platform down after, until the repeat": down_after,
+    "platform down during, until repeats": down_until_repeats,
+    "entries replaced in an outage": entries_replaced_in_outage,
+    "limits, at the repeat": refused_by_limits,
     "engine fails": engine_fails,
     "engine down": engine_down,
     "engine's replies lost": engine_cut,
--- a/tests/features/once.feature
+++ b/tests/features/once.feature
@@ -28,6 +28,9 @@
       | platform down before                     | served                   |
       | platform down during                     | served                   |
       | platform down after, until the repeat    | served                   |
+      | platform down during, until repeats      | served                   |
+      | entries replaced in an outage            | served                   |
+      | limits, at the repeat                    | served                   |
       | engine fails                             | upstream_failed          |
       | engine down                              | served                   |
       | engine's replies lost                    | outcome_unknown          |
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -14,6 +14,7 @@
 
 import httpx
 
+from ramppost import ids
 from ramppost.policy.permissions import token_hash
 from ramppost.standin.fleet import AGENT_PORTS, ENTRY_PORTS, UPSTREAM_PORTS, FleetPlan, build
 from tests.harness.proxy import Proxy
@@ -46,6 +47,10 @@
         return True
 
 
+def _incarnation(line: Any) -> str:
+    return ids.parse_ticket(line["agent"]).incarnation
+
+
 class Cluster:
     """Processes by name: platform, engine-1, service-1, agent-1, entry-1 and so on."""
 
@@ -150,15 +155,24 @@
 
     def _serves(self, name: str) -> bool:
         try:
-            doc = self.http.post(self.internal(name) + "/x/report", content=b"{}", timeout=2)
+            ready = self.http.get(self.internal(name) + "/readyz", timeout=2)
             token = f"{self.plan.workspaces[0]}-dev"
             got = self.chat(name, tokens=1, timeout=5, token=token)
             seen = self.http.get(self.internal(name) + "/x/upstreams", timeout=2).json()
+            running = self._agents_now()
         except (httpx.HTTPError, ValueError):
             return False
-        wanted = len([p for p in self.fleet.agents if p in self.procs])
-        live = [u for u in seen if u["usable"]]
-        return doc.status_code == 200 and got.status_code == 200 and len(live) >= wanted
+        served = ready.status_code == 200 and got.status_code == 200
+        return served and running <= {_incarnation(u) for u in seen if u["usable"]}
+
+    def _agents_now(self) -> set[str]:
+        """Incarnations of the agents that run, by their own word."""
+        asked = {"entry": "test:0#0", "rev": 0}
+        names = [n for n in self.fleet.agents if n in self.procs]
+        replies = [
+            self.http.post(self.internal(n) + "/a/status", json=asked, timeout=2) for n in names
+        ]
+        return {_incarnation(got.json()) for got in replies}
 
     @property
     def entry_names(self) -> list[str]:
--- a/tests/harness/operator.py
+++ b/tests/harness/operator.py
@@ -40,3 +40,23 @@
             pass
         time.sleep(PAUSE_S)
     return 0.0
+
+
+def revision(cluster: Cluster, name: str) -> int:
+    """Revision in force at a process, 0 where it does not answer."""
+    try:
+        got = cluster.http.get(cluster.internal(name) + "/x/config?rev=0", timeout=1)
+        return int(got.json()["revision"])
+    except (httpx.HTTPError, ValueError):
+        return 0
+
+
+def wait_revision(cluster: Cluster, rev: int, timeout: float = 20) -> list[str]:
+    """Processes without a revision once all have it, or at the end of the time."""
+    deadline = time.monotonic() + timeout
+    names = [n for n in (*cluster.fleet.entries, *cluster.fleet.agents) if n in cluster.procs]
+    while True:
+        behind = [name for name in names if revision(cluster, name) < rev]
+        if not behind or time.monotonic() > deadline:
+            return behind
+        time.sleep(0.05)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,7 +12,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from tests.harness.cluster import Cluster
-from tests.harness.operator import confirm, plan_for
+from tests.harness.operator import confirm, plan_for, revision, wait_revision
 from tests.harness.oracle import runs, told
 
 scenarios("features/config.feature")
@@ -59,15 +59,6 @@
             thread.join()
 
 
-def revision(cluster: Cluster, name: str) -> int:
-    """Revision in force at a process, 0 where it does not answer."""
-    try:
-        got = cluster.http.get(cluster.internal(name) + "/x/config?rev=0", timeout=1)
-        return int(got.json()["revision"])
-    except (httpx.HTTPError, ValueError):
-        return 0
-
-
 def reset(cluster: Cluster) -> None:
     """Put the first document in force again, as a higher revision."""
     held = cluster.http.get(f"{cluster.platform}/objects/config/current").json()
@@ -77,17 +68,6 @@
     wait_revision(cluster, doc["revision"])
 
 
-def wait_revision(cluster: Cluster, rev: int, timeout: float = 20) -> list[str]:
-    """Processes without a revision once all have it, or at the end of the time."""
-    deadline = time.monotonic() + timeout
-    names = [n for n in (*cluster.fleet.entries, *cluster.fleet.agents) if n in cluster.procs]
-    while True:
-        behind = [name for name in names if revision(cluster, name) < rev]
-        if not behind or time.monotonic() > deadline:
-            return behind
-        time.sleep(0.05)
-
-
 @given(parsers.parse('a small fleet under a steady load on "{model}"'), target_fixture="watcher")
 def loaded(cluster: Cluster, model: str) -> Iterator[Watcher]:
     reset(cluster)
