Claim logs with a head under its version: deleting old segments can't break the fence

Cause, found by reading: segment N of a shard was fenced by its creation. Once N had been deleted (two hours later), an entry that had read the shard before and slept, or was neither home nor deputy since, created N again, below the log's end, and granted keys that had run. And ages went by the wall clock in the claim, so a writer whose clock is behind, or a home whose clock jumps ahead, had fresh claims deleted. Ruled out: checking after the write for later segments (what was written below the end stays there, and who reads it later believes it); trusting a read only for some time (a paused virtual machine's clock may stand still).

Change: one head object for a shard, updated on the version its writer has read; at 256 claims it is copied under its number and the next begins. Ages are counted by the reader's own monotonic clock since it read a segment. A claim is kept as a tuple with shared strings instead of a dictionary.

Writes: closing and deleting cost two writes in 256 claims instead of one a group.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -333,9 +333,10 @@
     before = tracemalloc.get_traced_memory()[0]
     shard = Shard()
     for number in range(count):
-        segment = decode(encode(ClaimSegment(nonce="n", claims=[claim(number)])), ClaimSegment)
+        raw = encode(ClaimSegment(seq=number, nonces=["n"], claims=[claim(number)]))
+        segment = decode(raw, ClaimSegment)
         assert isinstance(segment, dict)
-        shard.apply(number, segment)
+        shard.close(segment, 0.0)
     used = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     return used / count
--- a/ramppost/entry/claimhome.py
+++ b/ramppost/entry/claimhome.py
@@ -20,7 +20,6 @@
 from ramppost import ids
 from ramppost.entry.claimlog import (
     GIVE_UP_S,
-    RETENTION_S,
     ClaimLog,
     Free,
     Granted,
@@ -42,6 +41,7 @@
 ASK_TIMEOUT_S: Final = GIVE_UP_S + 0.5
 SHUN_S: Final = 3.0
 READERS: Final = 2
+MAX_TOLD: Final = 10_000
 READ_PERIOD_S: Final = 5.0
 BOXES_POLL_S: Final = 0.1
 
@@ -90,7 +90,7 @@
         out = await self._asked(shard_of(key), PEEK_PATH, PeekMsg(key=key))
         if isinstance(out, Taken):
             return RAN_BY_STATE[out.held["state"]]
-        told = self.told.claims.get(key)
+        told = self.told.get(key)
         if isinstance(out, NoClaim) and told is not None:
             return RAN_BY_STATE[told["state"]]
         return "unknown" if isinstance(out, NoClaim) and not out.sure else "no"
@@ -135,10 +135,13 @@
             await curio.sleep(BOXES_POLL_S)
         while True:
             for shard in range(SHARDS):
-                if self.me in self.ranked(shard):
+                ranks = self.ranked(shard)
+                if self.me in ranks:
                     await self._keep_one(shard)
+                if self.me == ranks[0]:
+                    await self.log.expire(shard)
             self.read_once = True
-            self.told.forget(time.time() - RETENTION_S)
+            self.told.trim(MAX_TOLD)
             await curio.sleep(READ_PERIOD_S)
 
     async def _keep_one(self, shard: int) -> None:
--- a/ramppost/entry/claimlog.py
+++ b/ramppost/entry/claimlog.py
@@ -1,8 +1,8 @@
 """Takes claims on callers' keys through the object API, many in one write.
 
-Claims of a shard wait a moment for each other, then go as one segment of the
-shard's log (see `ramppost.policy.claims`).  A write whose reply is lost is read
-back by its nonce.  Where the platform can't say within `GIVE_UP_S`, the claims
+Claims of a shard wait a moment for each other, then go as one group into the head
+of the shard's log (see `ramppost.policy.claims`).  A write whose reply is lost is
+read back by its nonce.  Where the platform can't say within `GIVE_UP_S`, the claims
 are not granted, and for a moment nobody waits for the next try either.
 
 A claim that is known to stand is told at once, without the platform.  So a key
@@ -19,7 +19,6 @@
 from loguru import logger
 
 from ramppost.platform.objects import (
-    Absent,
     Client,
     Found,
     Unavailable,
@@ -29,14 +28,16 @@
     listing,
     put,
 )
-from ramppost.policy.claims import Shard, segment_key, segment_seq, shard_of, shard_prefix
+from ramppost.policy.claims import Shard, head_key, segment_key, shard_of, shard_prefix
 from ramppost.schema.messages import Claim, ClaimSegment
 from ramppost.wire.codec import BadMessage, decode, encode
 
 GIVE_UP_S: Final = 1.5
 RETRY_S: Final = 0.1
 RETENTION_S: Final = 7200
-MAX_GROUP: Final = 2000
+MAX_GROUP: Final = 500
+EXPIRE_GROUP: Final = 20
+MAX_ABANDONED: Final = 10_000
 DOWN_S: Final = 1.0
 FRESH_S: Final = 1.0
 
@@ -90,9 +91,10 @@
 class ClaimLog:
     """The claims this entry knows of, and those on their way."""
 
-    def __init__(self, client: Client, window_s: float) -> None:
+    def __init__(self, client: Client, window_s: float, retention_s: float = RETENTION_S) -> None:
         self.client = client
         self.window_s = window_s
+        self.retention_s = retention_s
         self.shards: dict[int, Shard] = {}
         self.queues: dict[int, list[_Pending]] = {}
         self.writing: set[int] = set()
@@ -121,6 +123,8 @@
         return pending.outcome
 
     def _no_claim(self, claim: Claim, reason: str) -> NoClaim:
+        if len(self.abandoned) >= MAX_ABANDONED:
+            self.abandoned.clear()
         self.abandoned.add(claim["request_id"])
         return NoClaim(reason, shard_of(claim["key"]) in self.shards)
 
@@ -132,22 +136,13 @@
         state = self.shards.get(shard)
         if state is None:
             return NoClaim("claims not read", False)
-        found = state.claims.get(key)
+        found = state.get(key)
         return Taken(found) if found is not None else Free()
 
     async def read(self, shard: int) -> bool:
         """Read a shard's log to its end; false where the platform can't be read."""
         state = await self._loaded(shard)
-        while state is not None:
-            seq = state.next_seq
-            got = await get(self.client, segment_key(shard, seq), ClaimSegment)
-            if isinstance(got, Absent):
-                self.read_at[shard] = time.monotonic()
-                return True
-            if not isinstance(got, Found):
-                return False
-            state.apply(seq, got.value)
-        return False
+        return state is not None and await self._catch_up(shard, state) is not None
 
     @property
     def idle(self) -> bool:
@@ -187,14 +182,12 @@
     async def _commit(self, shard: int, group: list[_Pending]) -> None:
         """Write a group, again and again until it stands or all of it is taken."""
         nonce = secrets.token_hex(8)
-        state = await self._loaded(shard)
-        while state is not None:
+        while (state := await self._loaded(shard)) is not None:
             group = await self._turn_away_taken(state, group)
             if not group:
                 return
             first = _one_a_key(group)
-            segment = ClaimSegment(nonce=nonce, claims=[p.claim for p in first])
-            if await self._written(shard, state, segment):
+            if await self._written(shard, state, nonce, [p.claim for p in first]):
                 self.groups += 1
                 for pending in first:
                     await pending.decide(Granted())
@@ -202,18 +195,30 @@
                 self.queues[shard][:0] = await self._turn_away_taken(state, rest)
                 return
 
-    async def _written(self, shard: int, state: Shard, segment: ClaimSegment) -> bool:
-        """Write a segment at the log's end; false where that may or does not stand there."""
-        seq = state.next_seq
-        out = await put(self.client, segment_key(shard, seq), segment, None)
+    async def _written(self, shard: int, state: Shard, nonce: str, claims: list[Claim]) -> bool:
+        """Add a group at the log's end; false where it does not stand there, or may not."""
+        head, version = state.head, state.head_version
+        segment = state.next_head(nonce, claims)
+        full = segment["seq"] > head["seq"]
+        if full and not await self._closed(shard, head):
+            return False
+        out = await put(self.client, head_key(shard), segment, version)
         if isinstance(out, Written):
-            state.apply(seq, segment)
+            if full:
+                state.close(head, time.monotonic())
+            state.take_head(segment, out.version)
             self.read_at[shard] = time.monotonic()
             return True
         if isinstance(out, Unavailable):
-            logger.info("segment {} of shard {} in doubt: {}", seq, shard, out.reason)
+            logger.info("claims of shard {} in doubt: {}", shard, out.reason)
             await curio.sleep(RETRY_S)
-        return await self._read_back(shard, state, seq, segment["nonce"])
+        nonces = await self._catch_up(shard, state)
+        return nonces is not None and nonce in nonces
+
+    async def _closed(self, shard: int, head: ClaimSegment) -> bool:
+        """Copy a full head under its number; whoever else did so wrote the same."""
+        out = await put(self.client, segment_key(shard, head["seq"]), head, None)
+        return not isinstance(out, Unavailable)
 
     async def _turn_away_taken(self, state: Shard, group: list[_Pending]) -> list[_Pending]:
         """Those of a group that no written claim stands against."""
@@ -226,14 +231,27 @@
                 await pending.decide(Taken(held))
         return free
 
-    async def _read_back(self, shard: int, state: Shard, seq: int, nonce: str) -> bool:
-        """Read segment `seq`, whoever wrote it; true if it was this writer's."""
-        got = await get(self.client, segment_key(shard, seq), ClaimSegment)
-        if not isinstance(got, Found):
-            return False
-        state.apply(seq, got.value)
-        segment: ClaimSegment = got.value
-        return segment["nonce"] == nonce
+    async def _catch_up(self, shard: int, state: Shard) -> set[str] | None:
+        """Read on to the log's end; nonces of the groups read, None if that can't be done.
+
+        Where segments to be read are deleted already, the shard is read anew next time.
+        """
+        got = await get(self.client, head_key(shard), ClaimSegment)
+        if isinstance(got, Unavailable):
+            return None
+        nonces: set[str] = set()
+        if isinstance(got, Found):
+            for seq in range(state.head["seq"], got.value["seq"]):
+                closed = await get(self.client, segment_key(shard, seq), ClaimSegment)
+                if not isinstance(closed, Found):
+                    self.shards.pop(shard, None)
+                    return None
+                state.close(closed.value, time.monotonic())
+                nonces.update(closed.value["nonces"])
+            state.take_head(got.value, got.version)
+            nonces.update(got.value["nonces"])
+        self.read_at[shard] = time.monotonic()
+        return nonces
 
     async def _loaded(self, shard: int) -> Shard | None:
         """The shard's state, read from the platform the first time."""
@@ -252,23 +270,25 @@
                 after = item["key"]
                 segment = decode(encode(item["value"]), ClaimSegment)
                 assert not isinstance(segment, BadMessage), f"{after}: {segment}"
-                state.apply(segment_seq(after), segment)
+                if after == head_key(shard):
+                    state.take_head(segment, item["version"])
+                else:
+                    state.close(segment, time.monotonic())
 
-    async def expire(self, shard: int, now_s: float) -> int:
-        """Delete segments whose claims are all old, but never the last; how many."""
-        page = await listing(self.client, shard_prefix(shard))
-        if isinstance(page, Unavailable):
-            return 0
+    async def expire(self, shard: int) -> int:
+        """Delete closed segments that were seen long ago by this process; how many.
+
+        Ages are by this process's own clock since it read them: a clock that jumps
+        must not make claims old, here or at their writers.
+        """
+        state = self.shards.get(shard)
         deleted = 0
-        for item in page["items"][:-1]:
-            segment = decode(encode(item["value"]), ClaimSegment)
-            if isinstance(segment, BadMessage):
-                continue
-            if any(c["at_s"] > now_s - RETENTION_S for c in segment["claims"]):
+        while state and state.closed and deleted < EXPIRE_GROUP:
+            oldest = state.closed[0]
+            if oldest.seen_at > time.monotonic() - self.retention_s:
                 break
-            await delete(self.client, item["key"])
+            if isinstance(await delete(self.client, segment_key(shard, oldest.seq)), Unavailable):
+                break
+            state.forget(oldest)
             deleted += 1
-        state = self.shards.get(shard)
-        if state is not None:
-            state.forget(now_s - RETENTION_S)
         return deleted
--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import time
 from typing import Final
 
@@ -17,7 +16,6 @@
 from ramppost.entry.report import own_report
 from ramppost.entry.rollouts import drive, rate
 from ramppost.entry.state import Entry
-from ramppost.policy.claims import SHARDS
 from ramppost.schema.messages import Claim, EntryStatus, PeekMsg, StatusMsg
 from ramppost.schema.settings import EntrySettings, InputLimits
 from ramppost.usage import USAGE_PATH, usage
@@ -26,7 +24,6 @@
 from ramppost.wire.signals import Signals
 
 STOP_POLL_S: Final = 0.05
-EXPIRE_PERIOD_S: Final = 60.0
 
 
 def internal(entry: Entry) -> Handler:
@@ -108,7 +105,6 @@
         await curio.spawn(drive, entry, daemon=True),
         await curio.spawn(rate, entry, daemon=True),
         await curio.spawn(entry.homes.keep_read, daemon=True),
-        await curio.spawn(_expire_claims, entry, daemon=True),
         await curio.spawn(
             serve, inner_sock, internal(entry), Limits(), None, None, entry.inner, daemon=True
         ),
@@ -144,10 +140,3 @@
             return
         await curio.sleep(STOP_POLL_S)
     logger.warning("left with {} requests and {} bills", entry.busy, len(entry.filer.queue))
-
-
-async def _expire_claims(entry: Entry) -> None:
-    """Delete old claims, a random shard now and then, until cancelled."""
-    while True:
-        await curio.sleep(EXPIRE_PERIOD_S * random.uniform(0.5, 1.5))
-        await entry.claims.expire(random.randrange(SHARDS), time.time())
--- a/ramppost/entry/obtain.py
+++ b/ramppost/entry/obtain.py
@@ -177,8 +177,8 @@
 def _known(entry: Entry, key: str) -> Claim | None:
     """A claim of this key that is known without asking."""
     shard = entry.claims.shards.get(shard_of(key))
-    held = shard.claims.get(key) if shard else None
-    return held or entry.homes.told.claims.get(key)
+    held = shard.get(key) if shard else None
+    return held or entry.homes.told.get(key)
 
 
 def _lost(held: Claim, out: Unknown) -> Refusal:
--- a/ramppost/policy/claims.py
+++ b/ramppost/policy/claims.py
@@ -1,21 +1,28 @@
-"""State of a claim shard: a log of segments, each written once.
-
-Pure.  Segment N of a shard can be created by one writer only, and only a writer
-that has read all segments before N creates it knowingly; so a group of claims
-that was written is valid, whoever else writes, paused or not.  Nobody has to
-own a shard for that; sending a shard's claims through one entry only saves
-conflicts.
+"""State of a claim shard: a log in segments, of which only the head is ever changed.
+
+Pure; times are arguments.  The head is replaced only by an update on the version
+that its writer has read, and a writer has read all segments before it; so a group
+of claims that was written is valid, whoever else writes, paused or not.  A full
+head is copied under its number and never changed again, and the next begins; old
+copies can be deleted, since nobody ever writes there.  Nobody has to own a shard
+for that; sending a shard's claims through one entry only saves conflicts.
 """
 
 from __future__ import annotations
 
 import hashlib
-from typing import Final
+import sys
+from collections import deque
+from typing import Final, NamedTuple
 
-from ramppost.schema.messages import Claim, ClaimSegment
+from ramppost import ids
+from ramppost.schema.messages import Candidate, Claim, ClaimSegment
 
 SHARDS: Final = 16
 SEQ_DIGITS: Final = 10
+FULL_RECORDS: Final = 256
+"""A head with so many records is closed.  All entries must agree on it: where they
+don't, one could close a head that another still adds to."""
 
 
 def claim_key(workspace: str, caller_key: str) -> str:
@@ -34,49 +41,151 @@
     return f"claims/{shard:03d}/"
 
 
+def head_key(shard: int) -> str:
+    """Object key of a shard's head; it sorts after all closed segments."""
+    return f"{shard_prefix(shard)}head"
+
+
 def segment_key(shard: int, seq: int) -> str:
-    """Object key of a segment; keys sort as their numbers."""
+    """Object key of a closed segment; keys sort as their numbers."""
     return f"{shard_prefix(shard)}{seq:0{SEQ_DIGITS}d}"
 
 
-def segment_seq(object_key: str) -> int:
-    """Number of a segment from its object key."""
-    return int(object_key.rpartition("/")[2])
+class Held(NamedTuple):
+    """A claim as it is kept for hours: without its key, and sharing what repeats."""
+
+    seq: int
+    nonce: str
+    generation: int
+    stage: int
+    request_id: str
+    entry: str
+    tickets: tuple[str, ...]
+    model: str
+    version: str
+    at_s: int
+    state: str
+    body: str
+
+
+def _held(claim: Claim, seq: int) -> Held:
+    return Held(
+        seq,
+        claim["nonce"],
+        claim["generation"],
+        claim["stage"],
+        claim["request_id"],
+        sys.intern(claim["entry"]),
+        tuple(sys.intern(named["agent"]) for named in claim["candidates"]),
+        sys.intern(claim["model"]),
+        sys.intern(claim["version"]),
+        claim["at_s"],
+        sys.intern(claim["state"]),
+        claim["body"],
+    )
+
+
+def _claim(key: str, held: Held) -> Claim:
+    return Claim(
+        key=key,
+        nonce=held.nonce,
+        generation=held.generation,
+        stage=held.stage,
+        request_id=held.request_id,
+        entry=held.entry,
+        candidates=[Candidate(addr=ids.address(t), agent=t) for t in held.tickets],
+        model=held.model,
+        version=held.version,
+        at_s=held.at_s,
+        state=held.state,  # type: ignore[typeddict-item]
+        body=held.body,
+    )
+
+
+class Closed(NamedTuple):
+    """A closed segment: its number, when it was first seen, and its keys."""
+
+    seq: int
+    seen_at: float
+    keys: list[str]
 
 
 class Shard:
-    """What is known of a shard: claims by key, and the next segment's number."""
+    """What is known of a shard."""
 
     def __init__(self) -> None:
-        self.next_seq = 0
-        self.claims: dict[str, Claim] = {}
-
-    def apply(self, seq: int, segment: ClaimSegment) -> None:
-        """Take in a segment; a later generation or state replaces a former one."""
-        for claim in segment["claims"]:
-            self.take(claim)
-        self.next_seq = max(self.next_seq, seq + 1)
-
-    def take(self, claim: Claim) -> None:
+        self.head = ClaimSegment(seq=0, nonces=[], claims=[])
+        self.head_version: int | None = None
+        self.closed: deque[Closed] = deque()
+        self._claims: dict[str, Held] = {}
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def close(self, segment: ClaimSegment, now: float) -> None:
+        """Take in a closed segment; closed ones come in order, maybe twice."""
+        if self.closed and segment["seq"] <= self.closed[-1].seq:
+            return
+        self._take_all(segment)
+        keys = [claim["key"] for claim in segment["claims"]]
+        self.closed.append(Closed(segment["seq"], now, keys))
+
+    def take_head(self, segment: ClaimSegment, version: int) -> None:
+        """Take in the head as it was at a version of its object, if that is news."""
+        if self.head_version is not None and version <= self.head_version:
+            return
+        self._take_all(segment)
+        self.head, self.head_version = segment, version
+
+    def next_head(self, nonce: str, claims: list[Claim]) -> ClaimSegment:
+        """The head with a group added, or a new one begun with it if it is full."""
+        head = self.head
+        if len(head["claims"]) >= FULL_RECORDS:
+            return ClaimSegment(seq=head["seq"] + 1, nonces=[nonce], claims=claims)
+        return ClaimSegment(
+            seq=head["seq"],
+            nonces=[*head["nonces"], nonce],
+            claims=[*head["claims"], *claims],
+        )
+
+    def take(self, claim: Claim, seq: int = 0) -> None:
         """Take in a claim that is known to be written."""
-        held = self.claims.get(claim["key"])
+        held = self._claims.get(claim["key"])
         if held is None or _follows(claim, held):
-            self.claims[claim["key"]] = claim
+            self._claims[claim["key"]] = _held(claim, seq)
 
-    def forget(self, before_s: float) -> None:
-        """Forget claims made before a time."""
-        self.claims = {k: c for k, c in self.claims.items() if c["at_s"] >= before_s}
+    def get(self, key: str) -> Claim | None:
+        """The claim of a key."""
+        held = self._claims.get(key)
+        return None if held is None else _claim(key, held)
 
     def holder(self, claim: Claim) -> Claim | None:
         """The claim that stands against this one, if any."""
-        held = self.claims.get(claim["key"])
-        return None if held is None or _follows(claim, held) else held
+        held = self._claims.get(claim["key"])
+        return None if held is None or _follows(claim, held) else _claim(claim["key"], held)
+
+    def forget(self, closed: Closed) -> None:
+        """Forget the claims whose last word is in a closed segment that was deleted."""
+        self.closed.remove(closed)
+        for key in closed.keys:
+            held = self._claims.get(key)
+            if held is not None and held.seq <= closed.seq:
+                del self._claims[key]
+
+    def trim(self, count: int) -> None:
+        """Keep no more than so many claims, the last taken in."""
+        for key in list(self._claims)[: max(0, len(self._claims) - count)]:
+            del self._claims[key]
+
+    def _take_all(self, segment: ClaimSegment) -> None:
+        for claim in segment["claims"]:
+            self.take(claim, segment["seq"])
 
 
-def _follows(claim: Claim, held: Claim) -> bool:
+def _follows(claim: Claim, held: Held) -> bool:
     """Whether a claim is a later generation of the request held, or its end."""
-    if claim["request_id"] != held["request_id"]:
+    if claim["request_id"] != held.request_id:
         return False
-    if claim["generation"] != held["generation"]:
-        return claim["generation"] > held["generation"]
-    return held["state"] == "open" and claim["state"] != "open"
+    if claim["generation"] != held.generation:
+        return claim["generation"] > held.generation
+    return held.state == "open" and claim["state"] != "open"
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -238,7 +238,7 @@
     version: str
     at_s: int
     """
-    When, seconds since 1970; used only to expire claims.
+    When, seconds since 1970, for people only: clocks of boxes jump.
     """
     state: Literal["open", "done", "not_run"]
     """
@@ -252,10 +252,14 @@
 
 class ClaimSegment(TypedDict, closed=True):
     """
-    Object `claims/<shard>/<number>`: a group of claims, written once and never changed.
+    Object `claims/<shard>/head`, or a closed one, `claims/<shard>/<seq>`: claims in the order in which they were written.
     """
 
-    nonce: str
+    seq: int
+    nonces: list[str]
+    """
+    Of each group, to know it again when it is read back.
+    """
     claims: list[Claim]
 
 
