Halls lost and parted: proofs over real processes on an address for each hall

Cause: docs/PROOFS.md listed parted regions and a lost hall as not proved. Change: a process's connections leave from the address it listens on (Pool(source)), so in the tests each hall has a loopback address of its own and the proxies, now before entries too, cut callers by where they come from. Five cases: a hall killed with its upstreams, parted from the other, parted from that and the platform, a key that ran out of reach, a withdrawal while parted.

What is open stays said: a side parted from the platform and from all who know of a withdrawal goes on until any link is back.

--- a/ramppost/agent/state.py
+++ b/ramppost/agent/state.py
@@ -24,7 +24,7 @@
         self.cfg = cfg
         where = cfg["listen"]
         self.name = ids.incarnation(cfg.get("advertise", f"{where['host']}:{where['port']}"))
-        self.pool = Pool()
+        self.pool = Pool(where["host"])
         self.client = Client(cfg["platform"], self.pool)
         self.conf = ConfState()
         self.keep_s = cfg.get("keep_s", 600.0)
--- a/ramppost/entry/state.py
+++ b/ramppost/entry/state.py
@@ -38,7 +38,7 @@
         self.cfg = cfg
         where = cfg["internal"]
         self.name = ids.incarnation(cfg.get("advertise", f"{where['host']}:{where['port']}"))
-        self.pool = Pool()
+        self.pool = Pool(where["host"])
         self.client = Client(cfg["platform"], self.pool)
         self.conf = ConfState()
         self.rng = random.Random()
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -18,6 +18,7 @@
 MAX_IDLE: Final = 32
 MAX_LINE: Final = 8 * 1024 * 1024
 CONNECT_TIMEOUT_S: Final = 2.0
+UNSPECIFIED: Final = ("", "0.0.0.0")
 
 
 class CallFailed(NamedTuple):
@@ -51,9 +52,14 @@
 
 
 class Pool:
-    """Idle connections by address, and the bytes that went over all of them."""
+    """Idle connections by address, and the bytes that went over all of them.
 
-    def __init__(self) -> None:
+    Connections leave from the address `source`, where one is given: a box with
+    several is known to others by the one that it listens on.
+    """
+
+    def __init__(self, source: str = "") -> None:
+        self.source = None if source in UNSPECIFIED else (source, 0)
         self.idle: dict[str, list[_Link]] = {}
         self.bytes_out = 0
         self.bytes_in = 0
@@ -168,7 +174,7 @@
     """Send a request and read the head of its answer within `timeout_s`."""
     link = pool.take(addr)
     if link is None:
-        opened = await _connect(addr, min(timeout_s, CONNECT_TIMEOUT_S))
+        opened = await _connect(pool, addr, min(timeout_s, CONNECT_TIMEOUT_S))
         if isinstance(opened, CallFailed):
             return opened
         link = opened
@@ -226,11 +232,11 @@
             await stream.close()
 
 
-async def _connect(addr: str, timeout_s: float) -> _Link | CallFailed:
+async def _connect(pool: Pool, addr: str, timeout_s: float) -> _Link | CallFailed:
     host, _, port = addr.rpartition(":")
     try:
         async with curio.timeout_after(timeout_s):
-            sock = await curio.open_connection(host, int(port))
+            sock = await curio.open_connection(host, int(port), source_addr=pool.source)
     except curio.TaskTimeout:
         return CallFailed(f"no connection to {addr} in {timeout_s:g} s", False)
     except OSError as exc:
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -16,7 +16,7 @@
 
 from ramppost import ids
 from ramppost.policy.permissions import token_hash
-from ramppost.standin.fleet import AGENT_PORTS, ENTRY_PORTS, UPSTREAM_PORTS, FleetPlan, build
+from ramppost.standin.fleet import AGENT_PORTS, ENTRY_PORTS, HOST, UPSTREAM_PORTS, FleetPlan, build
 from tests.harness.proxy import Proxy
 
 READY_S = 20.0
@@ -47,6 +47,11 @@
         return True
 
 
+def _on_home(addr: str) -> str:
+    """An address as it is in a built fleet, before its process moved to its hall."""
+    return f"{HOST}:{addr.rpartition(':')[2]}"
+
+
 def _incarnation(line: Any) -> str:
     return ids.parse_ticket(line["agent"]).incarnation
 
@@ -63,6 +68,7 @@
         self.agent_proxy: dict[str, Proxy] = {}
         self.platform_proxy: dict[str, Proxy] = {}
         self.upstream_proxy: dict[str, Proxy] = {}
+        self.entry_proxy: dict[str, Proxy] = {}
         self.fleet = build(self.plan)
         self._bar(changes.pop("barred", ""))
         self.http = httpx.Client(timeout=30, limits=httpx.Limits(max_keepalive_connections=0))
@@ -82,23 +88,30 @@
                 ws["allow"] = ["small"]
 
     def _wire(self, changes: dict[str, Any]) -> None:
-        """Put a proxy before each agent, and one between each process and the platform."""
+        """Give each hall an address, and put a proxy before each process and the platform."""
         fleet = self.fleet
+        self._move_to_halls()
         platform = self._addr(fleet.platform["listen"])
         self.platform = f"http://{platform}"
         outer: dict[str, str] = {}
+        for name, entry in fleet.entries.items():
+            inner = self._addr(entry["internal"])
+            proxy = self.entry_proxy[name] = Proxy(inner)
+            outer[_on_home(inner)] = entry["advertise"] = proxy.addr
+            entry.update({"bill_window_s": 0.3, "linger_s": 1} | changes.get("entry", {}))
         for name, agent in fleet.agents.items():
             listen = self._addr(agent["listen"])
             proxy = self.agent_proxy[name] = Proxy(listen)
-            outer[listen] = agent["advertise"] = proxy.addr
+            outer[_on_home(listen)] = agent["advertise"] = proxy.addr
             proxy = self.upstream_proxy[name] = Proxy(agent["upstream"]["addr"])
             agent["upstream"]["addr"] = proxy.addr
             agent.update(AGENT_TIMES | changes.get("agent", {}))
+        for cfg in (*fleet.entries.values(), *fleet.agents.values()):
+            cfg["peers"] = [outer[addr] for addr in cfg["peers"]]
         for entry in fleet.entries.values():
             entry["agents"] = [outer[a] for a in entry["agents"]]
-            entry.update({"bill_window_s": 0.3, "linger_s": 1} | changes.get("entry", {}))
         for box in fleet.platform["boxes"]:
-            box["addr"] = outer.get(box["addr"], box["addr"])
+            box["addr"] = outer[box["addr"]]
         fleet.platform.update(**changes.get("platform", {}))
         for name, cfg in {**fleet.agents, **fleet.entries}.items():
             proxy = self.platform_proxy[name] = Proxy(platform)
@@ -112,6 +125,30 @@
         }
         self.rewrite()
 
+    def _move_to_halls(self) -> None:
+        """Entries and agents listen on, and call from, the loopback address of their hall."""
+        for entry in self.fleet.entries.values():
+            entry["listen"]["host"] = entry["internal"]["host"] = self.hall_ip(entry["hall"])
+        for agent in self.fleet.agents.values():
+            agent["listen"]["host"] = self.hall_ip(agent["hall"])
+
+    def hall_ip(self, hall: str) -> str:
+        """The loopback address of a hall."""
+        return f"127.0.{self.plan.halls.index(hall) + 2}.1"
+
+    def in_hall(self, hall: str) -> list[str]:
+        """Entries and agents of a hall."""
+        cfgs = {**self.fleet.entries, **self.fleet.agents}
+        return [name for name, cfg in cfgs.items() if cfg["hall"] == hall]
+
+    def part(self, *far: str) -> None:
+        """Cut these halls off from the others, in both directions; none ends the cut."""
+        ips = {hall: self.hall_ip(hall) for hall in self.plan.halls}
+        beyond = {ip for hall, ip in ips.items() if hall in far} if far else set()
+        here = set(ips.values()) - beyond if far else set()
+        for name, proxy in {**self.entry_proxy, **self.agent_proxy}.items():
+            proxy.part(here if self.settings[name]["hall"] in far else beyond)
+
     def rewrite(self) -> None:
         """Write the configuration document and all settings."""
         (self.folder / "config.json").write_text(json.dumps(self.fleet.doc))
@@ -250,7 +287,8 @@
 
     def heal(self) -> None:
         """End all faults, start what is dead, and wait until all is served again."""
-        groups = (self.agent_proxy, self.platform_proxy, self.upstream_proxy)
+        self.part()
+        groups = (self.entry_proxy, self.agent_proxy, self.platform_proxy, self.upstream_proxy)
         for proxy in (proxy for group in groups for proxy in group.values()):
             proxy.set("pass")
         for name in list(self.frozen):
--- a/tests/harness/operator.py
+++ b/tests/harness/operator.py
@@ -51,12 +51,24 @@
         return 0
 
 
-def wait_revision(cluster: Cluster, rev: int, timeout: float = 20) -> list[str]:
-    """Processes without a revision once all have it, or at the end of the time."""
+def wait_revision(
+    cluster: Cluster, rev: int, timeout: float = 20, hall: str | None = None
+) -> list[str]:
+    """Processes, all or of a hall, without a revision once they have it or the time is up."""
     deadline = time.monotonic() + timeout
-    names = [n for n in (*cluster.fleet.entries, *cluster.fleet.agents) if n in cluster.procs]
+    halls = [hall] if hall else cluster.plan.halls
+    names = [n for h in halls for n in cluster.in_hall(h) if n in cluster.procs]
     while True:
         behind = [name for name in names if revision(cluster, name) < rev]
         if not behind or time.monotonic() > deadline:
             return behind
         time.sleep(0.05)
+
+
+def reset(cluster: Cluster) -> None:
+    """Put the first document in force again, as a higher revision."""
+    held = cluster.http.get(f"{cluster.platform}/objects/config/current").json()
+    doc = cluster.fleet.doc | {"revision": held["value"]["revision"] + 1, "plan_id": "reset"}
+    head = {"if-match": str(held["version"])}
+    cluster.http.put(f"{cluster.platform}/objects/config/current", json=doc, headers=head)
+    wait_revision(cluster, doc["revision"])
--- a/tests/harness/proxy.py
+++ b/tests/harness/proxy.py
@@ -1,7 +1,8 @@
 """A fault-injecting TCP proxy for the tests, one for each link.
 
 All proxies share one event loop in a thread.  A mode acts on each piece of
-bytes that passes, and may be limited to a number of strikes.
+bytes that passes, and may be limited to a number of strikes.  Callers whose
+address is in `apart` are cut off, whatever the mode.
 """
 
 from __future__ import annotations
@@ -51,6 +52,7 @@
         self.left: int | None = None
         self.delay_s = 0.0
         self.clients: list[asyncio.StreamWriter] = []
+        self.apart: set[str] = set()
         self.bytes = 0
         self.server = LOOP.call(asyncio.start_server(self._serve, "127.0.0.1", 0))
         self.port = self.server.sockets[0].getsockname()[1]
@@ -66,6 +68,20 @@
         elif before == "refuse":
             self.server = LOOP.call(asyncio.start_server(self._serve, "127.0.0.1", self.port))
 
+    def part(self, callers: set[str]) -> None:
+        """Cut these callers off from now on; the others, and new ones, are let through."""
+        self.apart = callers
+        if callers:
+            LOOP.call(self._drop_apart())
+
+    async def _drop_apart(self) -> None:
+        for writer in self.clients:
+            if self._is_apart(writer):
+                writer.transport.abort()
+
+    def _is_apart(self, writer: asyncio.StreamWriter) -> bool:
+        return writer.get_extra_info("peername")[0] in self.apart
+
     async def _close(self) -> None:
         self.server.close()
 
@@ -83,7 +99,7 @@
         return mode
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.mode == "cut":
+        if self.mode == "cut" or self._is_apart(writer):
             writer.transport.abort()
             return
         host, _, port = self.target.rpartition(":")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,7 +12,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from tests.harness.cluster import Cluster
-from tests.harness.operator import confirm, plan_for, revision, wait_revision
+from tests.harness.operator import confirm, plan_for, reset, revision, wait_revision
 from tests.harness.oracle import runs, told
 
 scenarios("features/config.feature")
@@ -59,15 +59,6 @@
             thread.join()
 
 
-def reset(cluster: Cluster) -> None:
-    """Put the first document in force again, as a higher revision."""
-    held = cluster.http.get(f"{cluster.platform}/objects/config/current").json()
-    doc = cluster.fleet.doc | {"revision": held["value"]["revision"] + 1, "plan_id": "reset"}
-    head = {"if-match": str(held["version"])}
-    cluster.http.put(f"{cluster.platform}/objects/config/current", json=doc, headers=head)
-    wait_revision(cluster, doc["revision"])
-
-
 @given(parsers.parse('a small fleet under a steady load on "{model}"'), target_fixture="watcher")
 def loaded(cluster: Cluster, model: str) -> Iterator[Watcher]:
     reset(cluster)
--- /dev/null
+++ b/tests/test_halls.py
@@ -0,0 +1,167 @@
+"""A data hall lost, halls parted from each other and from the platform."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Iterator
+
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from tests.faults import Caller
+from tests.harness.balanced import Load
+from tests.harness.cluster import Cluster
+from tests.harness.operator import confirm, plan_for, reset, wait_revision
+from tests.harness.oracle import Told, charged, runs, runs_of
+
+scenarios("features/halls.feature")
+
+IN_FORCE_S = 8.0
+LEAST_SERVED = 0.9
+WITHDRAWN = {"kind": "withdraw", "model": "small", "version": "v1"}
+
+
+def lose(cluster: Cluster, hall: str) -> None:
+    """Kill all that is in a hall, upstreams too."""
+    for name in cluster.in_hall(hall):
+        cluster.kill(name)
+        if name.startswith("agent"):
+            upstream = name.replace("agent", "engine")
+            cluster.kill(upstream if upstream in cluster.procs else "service-1")
+
+
+def part(cluster: Cluster, hall: str, platform: bool) -> None:
+    """Cut a hall off from the others, and from the platform if so."""
+    cluster.part(hall)
+    for name in cluster.in_hall(hall) if platform else []:
+        cluster.platform_proxy[name].set("cut")
+
+
+@given("two halls under a load of keyed and plain requests", target_fixture="load")
+def loaded(cluster: Cluster) -> Iterator[Load]:
+    load = Load(cluster)
+    time.sleep(0.5)
+    yield load
+    load.stop()
+
+
+@given("two halls")
+def two_halls(cluster: Cluster) -> None:
+    """The fixture starts them."""
+
+
+@when(parsers.parse('hall "{hall}" is "{away}" for {seconds:d} seconds'))
+def away(cluster: Cluster, load: Load, hall: str, away: str, seconds: int) -> None:
+    if away.startswith("lost"):
+        lose(cluster, hall)
+    else:
+        part(cluster, hall, platform=away.endswith("platform"))
+    time.sleep(seconds)
+    cluster.heal()
+
+
+@then("no key ran twice, and what was served was billed once")
+def once(load: Load) -> None:
+    load.stop()
+    counts, bills = load.judged()
+    assert [key for key, count in counts.items() if count > 1] == []
+    assert [r for r in load.keys.values() if charged(bills, r) != 1] == []
+
+
+@then(parsers.parse("at least {share:d} of 100 requests were served"))
+def mostly_served(load: Load, share: int) -> None:
+    asked = load.served + len(load.failed)
+    assert load.served >= asked * share / 100, (load.served, load.failed)
+
+
+@then(
+    parsers.parse(
+        "within {seconds:d} seconds requests of both kinds are served through every entry"
+    )
+)
+def again(cluster: Cluster, seconds: int) -> None:
+    deadline = time.monotonic() + seconds
+    for name in cluster.entry_names:
+        for key in ("", f"key-{uuid.uuid4()}"):
+            while (word := Caller(cluster, name, key, 3).heard()[0]) and not word.served:
+                assert time.monotonic() < deadline, word
+                time.sleep(0.2)
+
+
+@when(
+    parsers.parse('a keyed request ran in "{here}" and "{far}" is parted from it and the platform'),
+    target_fixture="key",
+)
+def ran_here(cluster: Cluster, here: str, far: str) -> str:
+    key = f"key-{uuid.uuid4()}"
+    for name in cluster.in_hall(far):
+        if name.startswith("agent"):
+            cluster.agent_proxy[name].set("cut")
+    entry = next(n for n in cluster.in_hall(here) if n.startswith("entry"))
+    deadline = time.monotonic() + 5
+    while not Caller(cluster, entry, key, 5).heard()[0].served:
+        assert time.monotonic() < deadline
+        time.sleep(0.2)
+    part(cluster, far, platform=True)
+    return key
+
+
+@when(parsers.parse('its key is repeated in "{far}"'), target_fixture="word")
+def repeated(cluster: Cluster, key: str, far: str) -> Told:
+    entry = next(n for n in cluster.in_hall(far) if n.startswith("entry"))
+    return Caller(cluster, entry, key, 5).heard()[0]
+
+
+@then('the repeat is not told "not run"')
+def not_told(word: Told) -> None:
+    assert not word.served and word.ran != "no", word
+
+
+@then("once the halls are joined the repeat has the answer, and it ran once")
+def joined(cluster: Cluster, key: str) -> None:
+    cluster.heal()
+    time.sleep(2)
+    heard = [Caller(cluster, name, key, 5).heard()[0] for name in cluster.entry_names]
+    assert all(word.served for word in heard), heard
+    assert len(runs_of(cluster, key)) == 1
+
+
+@when(
+    parsers.parse(
+        '"{far}" is parted from the other and the platform, and "small@v1" is withdrawn in "{here}"'
+    ),
+    target_fixture="revision",
+)
+def withdrawn(cluster: Cluster, far: str, here: str) -> int:
+    reset(cluster)
+    part(cluster, far, platform=True)
+    entry = next(n for n in cluster.in_hall(here) if n.startswith("entry"))
+    plan = plan_for(cluster, entry, dict(WITHDRAWN)).json()
+    return int(confirm(cluster, entry, plan["plan_id"]).json()["revision"])
+
+
+@then(parsers.parse('it is in force within {seconds:d} seconds in "{here}"'))
+def in_force(cluster: Cluster, revision: int, seconds: int, here: str) -> None:
+    assert wait_revision(cluster, revision, seconds, here) == []
+
+
+@then(
+    parsers.parse(
+        'once the halls are joined, the platform still out of reach of "{far}", in "{same}" too'
+    )
+)
+def in_force_far(cluster: Cluster, revision: int, far: str) -> None:
+    assert set(wait_revision(cluster, revision, 0, far)) == set(cluster.in_hall(far))
+    cluster.part()
+    assert wait_revision(cluster, revision, IN_FORCE_S, far) == []
+
+
+@then("then no upstream begins a request on it")
+def nothing_new(cluster: Cluster) -> None:
+    before = time.time()
+    for name in cluster.entry_names:
+        cluster.chat(name, tokens=2, model="small")
+        cluster.chat(name, tokens=2, model="small@v1")
+    late = [x for x in runs(cluster) if x["model"] == "small" and x["at"] > before]
+    reset(cluster)
+    assert late == []
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -4,31 +4,23 @@
 
 import threading
 import time
-import uuid
 from collections.abc import Iterator
 
-import httpx
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from tests.harness.balanced import Load
 from tests.harness.cluster import Cluster
 from tests.harness.oracle import (
     Told,
     charged,
-    runs,
-    told,
     told_stream,
     wait_bills,
-    wait_runs_over,
     whole,
 )
 
 scenarios("features/stop.feature")
 
 STREAM_TOKENS = 200
-TOKENS = 6
-CALLERS = 6
-TRIES = 60
-PAUSE_S = 0.25
 LEAVING_S = 5.0
 WATCHED_S = 3.0
 
@@ -85,52 +77,6 @@
     assert len(ids) == n and all(charged(bills, i) == 1 for i in ids)
 
 
-class Load:
-    """Callers who follow Retry-After, through whichever entry answers, as a balancer picks."""
-
-    def __init__(self, cluster: Cluster) -> None:
-        self.cluster = cluster
-        self.on = True
-        self.failed: list[str] = []
-        self.keys: dict[str, str] = {}
-        self.served = 0
-        self.threads = [threading.Thread(target=self._call, args=(i,)) for i in range(CALLERS)]
-        for thread in self.threads:
-            thread.start()
-
-    def _call(self, number: int) -> None:
-        while self.on:
-            key = f"key-{uuid.uuid4()}" if number % 2 else ""
-            self._until_final(key, number)
-
-    def _until_final(self, key: str, number: int) -> None:
-        last = ""
-        for turn in range(TRIES):
-            entry = self.cluster.entry_names[(number + turn) % 2]
-            try:
-                got = self.cluster.chat(entry, key, TOKENS, timeout=20)
-            except httpx.TransportError as exc:
-                last = repr(exc)
-                time.sleep(PAUSE_S)
-                continue
-            word = told(key, got)
-            if word.served and whole(word.text, TOKENS):
-                self.served += 1
-                if key:
-                    self.keys[key] = word.request_id
-                return
-            last = f"{word.code} ran={word.ran}"
-            if "retry-after" not in got.headers:
-                break
-            time.sleep(min(1.0, float(got.headers["retry-after"])))
-        self.failed.append(last)
-
-    def stop(self) -> None:
-        self.on = False
-        for thread in self.threads:
-            thread.join()
-
-
 @given("a small fleet under a load of keyed and plain requests", target_fixture="load")
 def loaded(cluster: Cluster) -> Iterator[Load]:
     load = Load(cluster)
@@ -177,10 +123,6 @@
 
 @then("each key ran once and was billed once")
 def keys_once(cluster: Cluster, load: Load) -> None:
-    wait_runs_over(cluster)
-    bills = wait_bills(cluster, set(load.keys.values()))
-    counts: dict[str, int] = {}
-    for line in runs(cluster):
-        counts[line["idempotency_key"]] = counts.get(line["idempotency_key"], 0) + 1
+    counts, bills = load.judged()
     for key, request_id in load.keys.items():
         assert counts[key] == 1 and charged(bills, request_id) == 1
