Roll-outs: a guard on slow answers, a cap on exposure, and counts that belong to one roll-out

Cause: docs/design/policies.md named latency as not guarded and exposure as bounded by share only.

Change: agents count slow answers (twice the stable version's usual time, kept by each agent); the same sequential test judges them. max_exposed is divided among entries by rank. Counts carry the revision that began the roll-out, request ids the revision they came in at, so what came before does not count, whoever was replaced.

--- a/ramppost/agent/runner.py
+++ b/ramppost/agent/runner.py
@@ -13,13 +13,35 @@
 from ramppost.agent.plain import Answered, run_service
 from ramppost.agent.state import Agent
 from ramppost.policy.admission import LOWEST, Full, Queued, Waiting
+from ramppost.policy.pace import Timing
 from ramppost.policy.permissions import ModelVersion, may_run
+from ramppost.policy.rollout import Counts
 from ramppost.schema.messages import BillLine, End, RunMsg
 
 TOKENS_PER_PRICE: Final = 1000
 DOWN_RETRY_S: Final = 1.0
 
 
+class Clock:
+    """Times the tokens of a run."""
+
+    def __init__(self) -> None:
+        self.began = time.monotonic()
+        self.first = self.last = self.began
+        self.tokens = 0
+
+    def token(self, now: float) -> None:
+        """A token came."""
+        self.first = self.first if self.tokens else now
+        self.last = now
+        self.tokens += 1
+
+    def timing(self) -> Timing:
+        """Of the run so far."""
+        gaps = max(1, self.tokens - 1)
+        return Timing(self.first - self.began, (self.last - self.first) / gaps)
+
+
 def refusal_now(agent: Agent, msg: RunMsg) -> str:
     """Why this may not be run now by the configuration in force; empty where it may."""
     doc = agent.conf.doc
@@ -103,18 +125,24 @@
     mv = ModelVersion(msg["model"], msg["version"])
     upstream = agent.cfg["upstream"]
     exact = upstream.get("exact_stream", False)
-    out = await run_engine(agent.pool, upstream["addr"], msg, exact, item.admit, item.add)
+    clock = Clock()
+
+    async def add(text: str) -> None:
+        clock.token(time.monotonic())
+        await item.add(text)
+
+    out = await run_engine(agent.pool, upstream["addr"], msg, exact, item.admit, add)
     if isinstance(out, NotBegun):
         await item.refuse("upstream_down", DOWN_RETRY_S)
         return
     if isinstance(out, Broke | Lost):
-        agent.count(mv, False)
+        agent.count(mv, Counts(bad=1))
         logger.warning("attempt {} failed: {}", item.attempt, out.reason)
         await item.admit()
         state = "lost" if isinstance(out, Lost) else "failed"
         await item.finish(_end(state, out.reason, tokens_out=len(item.frames)))
         return
-    agent.count(mv, True)
+    agent.count(mv, Counts(ok=1, slow=int(agent.slow(mv, clock.timing()))))
     state = "cancelled" if item.cancelled or out.finish == "cancelled" else "done"
     cost = out.tokens_out * agent.price(msg["model"]) / TOKENS_PER_PRICE
     _witness(agent, item, msg, out.tokens_out, cost)
--- a/ramppost/agent/state.py
+++ b/ramppost/agent/state.py
@@ -10,7 +10,9 @@
 from ramppost.ledger import Filer
 from ramppost.platform.objects import Client
 from ramppost.policy.admission import Admission
-from ramppost.policy.permissions import ModelVersion, model_named
+from ramppost.policy.pace import Pace, Timing
+from ramppost.policy.permissions import ModelVersion, model_named, version_state
+from ramppost.policy.rollout import Counted, Counts, counted_as, plus
 from ramppost.schema.messages import BillLine, Load, VersionCount
 from ramppost.schema.settings import AgentSettings
 from ramppost.wire.client import Pool
@@ -34,7 +36,8 @@
         self.admission = Admission(upstream["slots"], cfg.get("queue", 64), reserved)
         self.filer = Filer(self.client, self.name, 1.0, self._filed)
         self.witness: dict[str, tuple[float, BillLine]] = {}
-        self.counts: dict[ModelVersion, list[int]] = {}
+        self.counts: dict[Counted, Counts] = {}
+        self.paces: dict[str, Pace] = {}
         self.versions: list[str] = []
         self.up = False
         self.leaving = False
@@ -62,15 +65,33 @@
         drain = adm.drain_per_s()
         return Load(running=adm.running, waiting=adm.waiting, slots=adm.slots, drain_per_s=drain)
 
-    def count(self, mv: ModelVersion, good: bool) -> None:
-        """Count how a version did."""
-        self.counts.setdefault(mv, [0, 0])[0 if good else 1] += 1
+    def count(self, mv: ModelVersion, fresh: Counts) -> None:
+        """Count how a version did; of its roll-outs only the last is kept."""
+        what = counted_as(self.conf.doc, mv) if self.conf.doc else Counted(mv, 0)
+        for other in [c for c in self.counts if c.mv == mv and 0 < c.since < what.since]:
+            del self.counts[other]
+        self.counts[what] = plus(self.counts.get(what, Counts()), fresh)
+
+    def slow(self, mv: ModelVersion, seen: Timing) -> bool:
+        """Whether an answer was slow for its model; the stable version's say what is usual."""
+        pace = self.paces.setdefault(mv.model, Pace())
+        slow = pace.slow(seen)
+        if self.conf.doc is not None and version_state(self.conf.doc, mv) == "stable":
+            pace.note(seen)
+        return slow
 
     def count_list(self) -> list[VersionCount]:
         """Counts by version since the start."""
         return [
-            VersionCount(model=mv.model, version=mv.version, ok=ok, bad=bad)
-            for mv, (ok, bad) in self.counts.items()
+            VersionCount(
+                model=what.mv.model,
+                version=what.mv.version,
+                since=what.since,
+                ok=x.ok,
+                bad=x.bad,
+                slow=x.slow,
+            )
+            for what, x in self.counts.items()
         ]
 
     def price(self, model: str) -> float:
--- a/ramppost/cli/operate.py
+++ b/ramppost/cli/operate.py
@@ -41,11 +41,12 @@
     "step-s",
     "max-error-share",
     "max-rating-drop",
+    "max-slow-share",
     "tokens-per-s",
     "burst-tokens",
     "threshold",
 )
-WHOLE_NUMBERS: Final = ("min-requests", "concurrency")
+WHOLE_NUMBERS: Final = ("min-requests", "max-exposed", "concurrency")
 TEXTS: Final = ("model", "workspace", "policy")
 TEXT_LISTS: Final = ("allow", "models")
 
--- a/ramppost/entry/ask.py
+++ b/ramppost/entry/ask.py
@@ -160,7 +160,7 @@
     if isinstance(session, Refusal):
         return session
     return Ask(
-        request_id=ids.new_id("req"),
+        request_id=ids.request_id(doc["revision"]),
         ws=ws,
         cls=cls,
         wanted=ModelVersion("", ""),
--- a/ramppost/entry/claimhome.py
+++ b/ramppost/entry/claimhome.py
@@ -32,7 +32,6 @@
 from ramppost.policy.claims import SHARDS, Shard, shard_of
 from ramppost.policy.routing import unit
 from ramppost.schema.messages import Claim, ClaimReply, PeekMsg
-from ramppost.schema.settings import Box
 from ramppost.wire.client import CallFailed, Pool, call
 from ramppost.wire.codec import BadMessage, decode, encode
 
@@ -64,8 +63,7 @@
     def ranked(self, shard: int) -> list[str]:
         """Addresses of a shard's home and deputy."""
         now = time.monotonic()
-        live = {box["addr"] for box in self.ups.boxes if _live_entry(box)} | {self.me}
-        usable = [addr for addr in live if self.shunned.get(addr, 0.0) < now]
+        usable = [addr for addr in self.ups.live_entries() if self.shunned.get(addr, 0.0) < now]
         return sorted(usable, key=lambda addr: unit("claim-home", str(shard), addr))[:READERS]
 
     async def claim(self, claim: Claim) -> Outcome:
@@ -162,10 +160,6 @@
         return _outcome(reply)
 
 
-def _live_entry(box: Box) -> bool:
-    return box["role"] == "entry" and box["state"] == "live"
-
-
 def _outcome(reply: ClaimReply) -> Outcome | Free:
     """What an entry told, as an outcome."""
     if reply["outcome"] == "granted":
--- a/ramppost/entry/rollouts.py
+++ b/ramppost/entry/rollouts.py
@@ -20,8 +20,7 @@
 from ramppost.platform.ratings import hand_in, ratings_after
 from ramppost.policy.intent import advance, finish, withdraw_trial
 from ramppost.policy.permissions import ModelVersion
-from ramppost.policy.rollout import Verdict, judge, since
-from ramppost.policy.routing import Mean
+from ramppost.policy.rollout import Counted, Counts, Ratings, Verdict, judge, since
 from ramppost.schema.config import ConfigDoc, Rollout
 
 PERIOD_S: Final = 0.2
@@ -32,54 +31,56 @@
 
 
 class Watched:
-    """A running roll-out as this entry sees it: what was before it, and before its step."""
+    """A running roll-out as this entry sees it: its step, and what was counted before that."""
 
-    def __init__(self, entry: Entry, trial: ModelVersion) -> None:
-        self.before = entry.ups.totals(trial)
+    def __init__(self) -> None:
         self.step = -1
         self.step_since = 0.0
-        self.step_before = self.before
-        entry.ratings.pop(trial, None)
-        entry.paused.discard(trial)
+        self.step_before = Counts()
 
 
 async def drive(entry: Entry) -> None:
     """Judge running roll-outs until cancelled."""
-    watched: dict[ModelVersion, Watched] = {}
+    watched: dict[Counted, Watched] = {}
     while True:
         await curio.sleep(PERIOD_S)
         doc = entry.conf.doc
         running = [r for r in doc["rollouts"] if r["state"] == "running"] if doc else []
-        trials = {ModelVersion(r["model"], r["trial"]) for r in running}
-        watched = {trial: seen for trial, seen in watched.items() if trial in trials}
-        for rollout in running:
-            trial = ModelVersion(rollout["model"], rollout["trial"])
+        now = {_trial_of(r): r for r in running}
+        watched = {trial: seen for trial, seen in watched.items() if trial in now}
+        for trial, rollout in now.items():
             if trial not in watched:
-                watched[trial] = Watched(entry, trial)
+                watched[trial] = Watched()
+                entry.paused.discard(trial.mv)
             assert doc is not None
             await _judge_one(entry, doc, rollout, trial, watched[trial])
 
 
+def _trial_of(rollout: Rollout) -> Counted:
+    mv = ModelVersion(rollout["model"], rollout["trial"])
+    return Counted(mv, rollout.get("since_revision", 0))
+
+
 async def _judge_one(
-    entry: Entry, doc: ConfigDoc, rollout: Rollout, trial: ModelVersion, seen: Watched
+    entry: Entry, doc: ConfigDoc, rollout: Rollout, trial: Counted, seen: Watched
 ) -> None:
     stable = ModelVersion(rollout["model"], rollout["stable"])
     now = time.monotonic()
-    counts = entry.ups.totals(trial)
+    counts = entry.ups.totals(trial.mv, trial.since)
     if seen.step != rollout["step"]:
         seen.step, seen.step_since, seen.step_before = rollout["step"], now, counts
     in_step = since(counts, seen.step_before)
     verdict = judge(
         rollout,
         entry.ups.totals(stable),
-        since(counts, seen.before),
-        entry.ratings.get(stable, Mean()),
-        entry.ratings.get(trial, Mean()),
+        counts,
+        entry.ratings.get(stable, Ratings()).all,
+        entry.ratings.get(trial.mv, Ratings()).since(trial.since),
         now - seen.step_since,
         in_step.ok + in_step.bad,
     )
     if verdict.action == "withdraw":
-        entry.paused.add(trial)
+        entry.paused.add(trial.mv)
     if verdict.action != "wait":
         await _carry_out(entry, doc, rollout, verdict)
 
@@ -110,7 +111,8 @@
         for rating in [] if isinstance(found, Unavailable) else found:
             after = max(after, rating["seq"])
             mv = ModelVersion(rating["model"], rating["version"])
-            entry.ratings.setdefault(mv, Mean()).add(rating["score"])
+            revision = ids.revision_of(rating["request_id"])
+            entry.ratings.setdefault(mv, Ratings()).add(revision, rating["score"])
             _learn(entry, rating["request_id"], rating["class_name"], mv, rating["score"])
 
 
--- a/ramppost/entry/route.py
+++ b/ramppost/entry/route.py
@@ -12,6 +12,7 @@
     allowed,
     model_named,
     policy_named,
+    running_rollout,
     version_state,
 )
 from ramppost.policy.routing import ORDERS, Picked, pick_version, policy_for
@@ -108,6 +109,10 @@
         free = allowed(ask.ws, mv) and mv not in entry.paused
         return free and bool(entry.ups.candidates(mv, ""))
 
+    rollout = running_rollout(doc, model)
+    if rollout is not None and not entry.may_expose(rollout):
+        trial = rollout["trial"]
+        return pick_version(doc, model, ask.who, lambda mv: mv.version != trial and may(mv))
     return pick_version(doc, model, ask.who, may)
 
 
--- a/ramppost/entry/serve.py
+++ b/ramppost/entry/serve.py
@@ -112,6 +112,8 @@
     spare: Whole | None = None
     for stage, pick in enumerate(chosen.picks):
         last = stage == len(chosen.picks) - 1
+        if pick.trial and entry.conf.doc is not None:
+            entry.expose(entry.conf.doc, pick.mv)
         run = await obtain(entry, ask, pick.mv, stage, turn, deadline)
         if isinstance(run, Reroute):
             return run
--- a/ramppost/entry/state.py
+++ b/ramppost/entry/state.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from typing import Final
+from typing import Final, NamedTuple
 
 from ramppost import ids
 from ramppost.confsync import ConfState
@@ -16,9 +16,10 @@
 from ramppost.platform.objects import Client
 from ramppost.platform.ratings import Rated
 from ramppost.policy.limits import RetryBudget, TokenBucket
-from ramppost.policy.permissions import ModelVersion
-from ramppost.policy.routing import Learned, Mean
-from ramppost.schema.config import ConfigDoc, Workspace
+from ramppost.policy.permissions import ModelVersion, running_rollout
+from ramppost.policy.rollout import Counted, Ratings, counted_as, part_of_cap
+from ramppost.policy.routing import Learned
+from ramppost.schema.config import ConfigDoc, Rollout, Workspace
 from ramppost.schema.messages import BillLine, SettledMsg
 from ramppost.schema.settings import EntrySettings
 from ramppost.wire.client import Pool, call
@@ -31,6 +32,13 @@
 RATED_BURST_S: Final = 4.0
 
 
+class Exposed(NamedTuple):
+    """Requests that this entry sent to a trial in a step."""
+
+    step: int
+    requests: int
+
+
 class Entry:
     """Everything an entry holds; all of it may be lost at any time."""
 
@@ -51,10 +59,11 @@
         self.bill_agents: dict[str, str] = {}
         self.stats = Stats()
         self.learned = Learned()
-        self.ratings: dict[ModelVersion, Mean] = {}
+        self.ratings: dict[ModelVersion, Ratings] = {}
         self.to_rate: list[Rated] = []
         self._rating_bucket = TokenBucket(RATED_PER_S, RATED_PER_S, time.monotonic())
         self.paused: set[ModelVersion] = set()
+        self.exposed: dict[Counted, Exposed] = {}
         self.retries = RetryBudget()
         self.buckets: dict[str, TokenBucket] = {}
         self.running: dict[str, int] = {}
@@ -65,6 +74,26 @@
         self.rev_box = [0]
         self.conf.on_adopt.append(self._adopted)
 
+    def may_expose(self, rollout: Rollout) -> bool:
+        """Whether this entry's part of the cap on a step's exposure has room."""
+        if "max_exposed" not in rollout:
+            return True
+        mv = ModelVersion(rollout["model"], rollout["trial"])
+        since, step = rollout.get("since_revision", 0), rollout["step"]
+        seen = self.exposed.get(Counted(mv, since))
+        sent = seen.requests if seen and seen.step == step else 0
+        rank = self.ups.rank(f"{mv.text} {since} {step}")
+        return sent < part_of_cap(rollout["max_exposed"], self.ups.entries(), rank)
+
+    def expose(self, doc: ConfigDoc, mv: ModelVersion) -> None:
+        """Count a request that goes to a trial."""
+        rollout = running_rollout(doc, mv.model)
+        step = rollout["step"] if rollout else 0
+        what = counted_as(doc, mv)
+        seen = self.exposed.get(what)
+        sent = seen.requests if seen and seen.step == step else 0
+        self.exposed[what] = Exposed(step, sent + 1)
+
     @property
     def busy(self) -> int:
         """Callers' requests under way."""
--- a/ramppost/entry/upstreams.py
+++ b/ramppost/entry/upstreams.py
@@ -18,7 +18,8 @@
 from ramppost.platform.boxes import Boxes, box_list
 from ramppost.policy.choice import Health, Seen, order, subset
 from ramppost.policy.permissions import ModelVersion
-from ramppost.policy.rollout import Counts, plus
+from ramppost.policy.rollout import Counted, Counts, plus
+from ramppost.policy.routing import unit
 from ramppost.schema.messages import (
     AgentStatus,
     Head,
@@ -56,8 +57,8 @@
         self.heard_at = 0.0
         self.rev = 0
         self.health = Health()
-        self.counts: dict[ModelVersion, Counts] = {}
-        self.past: dict[ModelVersion, Counts] = {}
+        self.counts: dict[Counted, Counts] = {}
+        self.past: dict[Counted, Counts] = {}
         self.polling = False
         self.polled_at = 0.0
 
@@ -73,8 +74,8 @@
     def heard(self, ticket: str, load: Load, counts: list[VersionCount], rev: int) -> None:
         """Take in what a reply tells; a new incarnation counts from nothing."""
         if ids.parse_ticket(ticket).incarnation != ids.parse_ticket(self.ticket).incarnation:
-            for mv, count in self.counts.items():
-                self.past[mv] = plus(self.past.get(mv, Counts()), count)
+            for what, count in self.counts.items():
+                self.past[what] = plus(self.past.get(what, Counts()), count)
             self.counts = {}
         self.ticket = ticket
         self.reported = load["running"] + load["waiting"]
@@ -83,8 +84,8 @@
         self.rev = rev
         self.health.answered()
         for item in counts:
-            mv = ModelVersion(item["model"], item["version"])
-            self.counts[mv] = Counts(item["ok"], item["bad"])
+            what = Counted(ModelVersion(item["model"], item["version"]), item["since"])
+            self.counts[what] = Counts(item["ok"], item["bad"], item["slow"])
 
     def seen(self) -> Seen:
         """For the choice among agents."""
@@ -123,9 +124,19 @@
             if addr not in chosen and not self.table[addr].own:
                 del self.table[addr]
 
+    def live_entries(self) -> set[str]:
+        """Addresses of the entries that the box list holds live, and this one's."""
+        live = {b["addr"] for b in self.boxes if b["role"] == "entry" and b["state"] == "live"}
+        return live | {ids.address(self.me)}
+
     def entries(self) -> int:
-        """How many entries the box list holds live, 1 at least."""
-        return max(1, sum(1 for b in self.boxes if b["role"] == "entry" and b["state"] == "live"))
+        """How many entries there are."""
+        return len(self.live_entries())
+
+    def rank(self, salt: str) -> int:
+        """This entry's place among all, from 0, in an order that the salt gives."""
+        mine = unit(salt, ids.address(self.me))
+        return sum(unit(salt, addr) < mine for addr in self.live_entries())
 
     def candidates(self, mv: ModelVersion, service: str) -> list[Upstream]:
         """Agents that may get a request for a version or a service now."""
@@ -158,11 +169,13 @@
             for up in self.table.values()
         ]
 
-    def totals(self, mv: ModelVersion) -> Counts:
-        """What all agents of the subset have seen of a version."""
+    def totals(self, mv: ModelVersion, since: int | None = None) -> Counts:
+        """What all agents of the subset have seen of a version, or of it in one roll-out."""
         total = Counts()
         for up in self.table.values():
-            total = plus(total, plus(up.counts.get(mv, Counts()), up.past.get(mv, Counts())))
+            for what, count in (*up.counts.items(), *up.past.items()):
+                if what.mv == mv and since in (None, what.since):
+                    total = plus(total, count)
         return total
 
     def take_head(self, up: Upstream, head: Head) -> None:
--- a/ramppost/ids.py
+++ b/ramppost/ids.py
@@ -24,6 +24,17 @@
     return f"{prefix}-{secrets.token_hex(10)}"
 
 
+def request_id(revision: int) -> str:
+    """A fresh id of a request that came in at a configuration revision, `req-<rev>-<random>`."""
+    return new_id(f"req-{revision}")
+
+
+def revision_of(request: str) -> int:
+    """The revision within a request id, 0 where it has none."""
+    found = request.split("-")
+    return int(found[1]) if len(found) == 3 and found[1].isdigit() else 0
+
+
 def incarnation(addr: str) -> str:
     """A fresh incarnation of the process at an address, `ip:port`."""
     return f"{addr}#{secrets.token_hex(6)}"
--- a/ramppost/policy/intent.py
+++ b/ramppost/policy/intent.py
@@ -20,6 +20,7 @@
     version_state,
     workspace_named,
 )
+from ramppost.policy.rollout import DEFAULT_SLOW_SHARE
 from ramppost.schema.config import ConfigDoc, Model, Policy, PolicyShare, Rollout, SessionKey
 from ramppost.schema.messages import Intent
 
@@ -69,8 +70,12 @@
         state="running",
         max_error_share=intent.get("max_error_share", DEFAULT_ERRORS),
         max_rating_drop=intent.get("max_rating_drop", DEFAULT_DROP),
+        since_revision=doc["revision"] + 1,
+        max_slow_share=intent.get("max_slow_share", DEFAULT_SLOW_SHARE),
         min_requests=intent.get("min_requests", DEFAULT_MIN_REQUESTS),
     )
+    if "max_exposed" in intent:
+        rollout["max_exposed"] = intent["max_exposed"]
     doc["rollouts"] = [*doc["rollouts"][-KEPT_ROLLOUTS:], rollout]
     return ""
 
--- a/ramppost/policy/rollout.py
+++ b/ramppost/policy/rollout.py
@@ -1,9 +1,10 @@
 """Guards of a roll-out: sequential tests of the trial version against the stable one.
 
 Pure.  Errors: Wald's sequential probability ratio test of the trial's error share,
-"as the stable one's" against "as high as `max_error_share`".  Ratings: the same
-test for a mean that has fallen by `max_rating_drop`.  Either may end a roll-out
-after any request, at the error rates named below.
+"as the stable one's" against "as high as `max_error_share`".  Slow answers: the
+same with `max_slow_share` (see `ramppost.policy.pace`).  Ratings: the same test for
+a mean that has fallen by `max_rating_drop`.  Each may end a roll-out after any
+request, at the error rates named below.
 """
 
 from __future__ import annotations
@@ -11,38 +12,89 @@
 import math
 from typing import Final, Literal, NamedTuple
 
+from ramppost.policy.permissions import ModelVersion, running_rollout
 from ramppost.policy.routing import Mean
-from ramppost.schema.config import Rollout
+from ramppost.schema.config import ConfigDoc, Rollout
 
 FALSE_ALARM: Final = 0.001
 MISSED: Final = 0.05
 LEAST_ERROR_SHARE: Final = 0.01
+LEAST_SLOW_SHARE: Final = 0.05
+DEFAULT_SLOW_SHARE: Final = 0.5
 LEAST_SD: Final = 0.1
 LEAST_STABLE_RATINGS: Final = 10
+KEPT_REVISIONS: Final = 64
 BOUND: Final = math.log((1 - MISSED) / FALSE_ALARM)
 
 
 class Counts(NamedTuple):
-    """Requests that ended well and badly."""
+    """Requests that ended well and badly; `slow` is how many of the good were slow."""
 
     ok: int = 0
     bad: int = 0
+    slow: int = 0
 
-    @property
-    def share(self) -> float:
-        """Share of bad ones."""
-        total = self.ok + self.bad
-        return self.bad / total if total else 0.0
+
+class Counted(NamedTuple):
+    """What counts are of: a version, in the roll-out that a revision began, 0 for none."""
+
+    mv: ModelVersion
+    since: int
+
+
+def counted_as(doc: ConfigDoc, mv: ModelVersion) -> Counted:
+    """What a run of a version counts for by a configuration."""
+    rollout = running_rollout(doc, mv.model)
+    if rollout is None or rollout["trial"] != mv.version:
+        return Counted(mv, 0)
+    return Counted(mv, rollout.get("since_revision", 0))
+
+
+class Ratings:
+    """Ratings of a version by the revision in force when the request came in."""
+
+    def __init__(self) -> None:
+        self.all = Mean()
+        self._by_revision: dict[int, Mean] = {}
+
+    def add(self, revision: int, score: float) -> None:
+        """Take in one; of many revisions the oldest are forgotten."""
+        self.all.add(score)
+        self._by_revision.setdefault(revision, Mean()).add(score)
+        if len(self._by_revision) > KEPT_REVISIONS:
+            del self._by_revision[min(self._by_revision)]
+
+    def since(self, revision: int) -> Mean:
+        """Those of requests that came in at a revision or later."""
+        total = Mean()
+        for known, mean in self._by_revision.items():
+            if known >= revision:
+                total.n += mean.n
+                total.total += mean.total
+                total.squares += mean.squares
+        return total
 
 
 def plus(a: Counts, b: Counts) -> Counts:
     """Both together."""
-    return Counts(a.ok + b.ok, a.bad + b.bad)
+    return Counts(a.ok + b.ok, a.bad + b.bad, a.slow + b.slow)
 
 
 def since(now: Counts, then: Counts) -> Counts:
     """What came after `then`."""
-    return Counts(max(0, now.ok - then.ok), max(0, now.bad - then.bad))
+    return Counts(
+        max(0, now.ok - then.ok), max(0, now.bad - then.bad), max(0, now.slow - then.slow)
+    )
+
+
+def part_of_cap(cap: int, entries: int, rank: int) -> int:
+    """An entry's part of a cap on requests, so that all parts add up to it; ranks count from 0.
+
+    >>> [part_of_cap(11, 3, rank) for rank in range(3)]
+    [4, 4, 3]
+    """
+    whole, rest = divmod(cap, entries)
+    return whole + (rank < rest)
 
 
 class Verdict(NamedTuple):
@@ -52,18 +104,33 @@
     reason: str
 
 
+def _share(part: int, rest: int) -> float:
+    return part / (part + rest) if part else 0.0
+
+
+def _speaks_for(part: int, rest: int, usual: float, bad: float) -> bool:
+    """Whether `part` of `part + rest` speaks for a share of `bad` rather than `usual`."""
+    high = max(bad, 2 * usual)
+    if high >= 1:
+        return False
+    ratio = part * math.log(high / usual) + rest * math.log((1 - high) / (1 - usual))
+    return ratio > BOUND
+
+
 def errors_too_high(stable: Counts, trial: Counts, max_share: float) -> bool:
     """Whether the trial's errors speak for `max_share` rather than the stable share.
 
     >>> errors_too_high(Counts(1000, 2), Counts(3, 4), 0.2)
     True
     """
-    p0 = max(LEAST_ERROR_SHARE, stable.share)
-    p1 = max(max_share, 2 * p0)
-    if p1 >= 1:
-        return False
-    ratio = trial.bad * math.log(p1 / p0) + trial.ok * math.log((1 - p1) / (1 - p0))
-    return ratio > BOUND
+    usual = max(LEAST_ERROR_SHARE, _share(stable.bad, stable.ok))
+    return _speaks_for(trial.bad, trial.ok, usual, max_share)
+
+
+def too_slow(stable: Counts, trial: Counts, max_share: float) -> bool:
+    """Whether the trial's slow answers speak for `max_share` rather than the stable share."""
+    usual = max(LEAST_SLOW_SHARE, _share(stable.slow, stable.ok - stable.slow))
+    return _speaks_for(trial.slow, trial.ok - trial.slow, usual, max_share)
 
 
 def ratings_too_low(stable: Mean, trial: Mean, max_drop: float) -> bool:
@@ -87,6 +154,8 @@
     """What to do now; `step_requests` counts the trial's requests in this step."""
     if errors_too_high(stable, trial, rollout["max_error_share"]):
         return Verdict("withdraw", f"{trial.bad} of {trial.ok + trial.bad} requests failed")
+    if too_slow(stable, trial, rollout.get("max_slow_share", DEFAULT_SLOW_SHARE)):
+        return Verdict("withdraw", f"{trial.slow} of {trial.ok} answers were slow")
     if ratings_too_low(stable_ratings, trial_ratings, rollout["max_rating_drop"]):
         fell = f"{trial_ratings.mean:.2f} after {stable_ratings.mean:.2f}"
         return Verdict("withdraw", f"mean rating {fell} on {trial_ratings.n} answers")
--- a/ramppost/schema/config.py
+++ b/ramppost/schema/config.py
@@ -198,6 +198,18 @@
     """
     Loss of mean rating at which the trial is certainly bad.
     """
+    since_revision: NotRequired[int]
+    """
+    Revision that began it; what came before does not count for its guards.
+    """
+    max_slow_share: NotRequired[float]
+    """
+    Share of slow answers at which the trial is certainly bad; 1 for none. Slow is twice the stable version's usual time to the first token, or between tokens.
+    """
+    max_exposed: NotRequired[int]
+    """
+    Requests of a step that may reach the trial, over all entries; the others of its share get the stable version. No bound where it is left out.
+    """
     min_requests: NotRequired[int]
     """
     Requests of the trial that a step must have seen.
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -117,8 +117,16 @@
 
     model: str
     version: str
+    since: int
+    """
+    Revision that began the roll-out that these belong to, 0 where there was none.
+    """
     ok: int
     bad: int
+    slow: int
+    """
+    Those of `ok` that took much longer than the stable version's.
+    """
 
 
 class Head(TypedDict, closed=True):
@@ -500,6 +508,8 @@
     step_s: NotRequired[float]
     max_error_share: NotRequired[float]
     max_rating_drop: NotRequired[float]
+    max_slow_share: NotRequired[float]
+    max_exposed: NotRequired[int]
     min_requests: NotRequired[int]
     tokens_per_s: NotRequired[float]
     burst_tokens: NotRequired[float]
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -13,7 +13,7 @@
 
 from ramppost.entry.obtain import PLATFORM_RETRY_S
 from tests.harness.cluster import Cluster
-from tests.harness.operator import confirm, plan_for, wait_revision
+from tests.harness.operator import carried_out
 from tests.harness.oracle import Told, runs_of, told
 
 LONG = 60
@@ -243,23 +243,16 @@
 def refused_by_limits(cluster: Cluster, key: str) -> list[Told]:
     """The workspace may run nothing more when its key, and one never used, are repeated."""
     heard = nothing(cluster, key)
-    _concurrency(cluster, 0)
+    limits = {"kind": "limits", "workspace": "mesob"}
+    carried_out(cluster, "entry-1", **limits, concurrency=0)
     heard += Caller(cluster, "entry-2", key).heard()
     fresh = Caller(cluster, "entry-2", f"{key}-unused").heard()
     assert (fresh[0].code, fresh[0].ran) == ("limited", "no"), fresh
     assert (heard[-1].code, heard[-1].ran) == ("limited", "yes"), heard
-    _concurrency(cluster, 1000)
+    carried_out(cluster, "entry-1", **limits, concurrency=1000)
     return heard
 
 
-def _concurrency(cluster: Cluster, number: int) -> None:
-    """Change a limit by an intent, and wait until it is in force at all entries."""
-    wish = {"kind": "limits", "workspace": "mesob", "concurrency": number}
-    plan = plan_for(cluster, "entry-1", wish).json()
-    done = confirm(cluster, "entry-1", plan["plan_id"]).json()
-    wait_revision(cluster, done["revision"])
-
-
 def engine_fails(cluster: Cluster, key: str) -> list[Told]:
     for name in cluster.fleet.engines:
         cluster.fault(name, mode="errors", model="large")
--- a/tests/harness/operator.py
+++ b/tests/harness/operator.py
@@ -24,6 +24,19 @@
     return cluster.http.post(f"{cluster.url(entry)}/v1/plans/{plan_id}/confirm", headers=HEAD)
 
 
+def carried_out(cluster: Cluster, entry: str, **wish: Any) -> int:
+    """Plan a wish, confirm it, and wait until it is in force everywhere; its revision."""
+    plan = plan_for(cluster, entry, wish).json()
+    done = confirm(cluster, entry, plan["plan_id"]).json()
+    wait_revision(cluster, done["revision"])
+    return int(done["revision"])
+
+
+def document(cluster: Cluster, name: str) -> dict[str, Any]:
+    """The configuration in force at a process."""
+    return dict(cluster.http.get(cluster.internal(name) + "/x/config?rev=0", timeout=2).json())
+
+
 def change_and_note(cluster: Cluster, until: float, **wish: Any) -> float:
     """Carry out a wish however often it takes; when it was accepted, 0 if never."""
     turn = 0
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -11,8 +11,16 @@
 from ramppost.policy.burn import budget_left, burn
 from ramppost.policy.choice import Health, Seen, order, subset
 from ramppost.policy.limits import RetryBudget, TokenBucket
+from ramppost.policy.pace import Pace, Timing
 from ramppost.policy.permissions import ModelVersion
-from ramppost.policy.rollout import Counts, errors_too_high, judge, ratings_too_low
+from ramppost.policy.rollout import (
+    Counts,
+    errors_too_high,
+    judge,
+    part_of_cap,
+    ratings_too_low,
+    too_slow,
+)
 from ramppost.policy.routing import Mean, pick_version, policy_for
 from ramppost.schema.config import Rollout
 from ramppost.schema.messages import BillLine
@@ -36,6 +44,36 @@
     assert errors_too_high(STABLE, trial, 0.2) == bad
 
 
+SLOW_CASES = [
+    ("none", Counts(50, 0, 0), False),
+    ("one of two", Counts(2, 0, 1), False),
+    ("nearly all", Counts(6, 0, 5), True),
+    ("as the stable one", Counts(300, 0, 15), False),
+]
+
+
+@pytest.mark.parametrize(("name", "trial", "bad"), SLOW_CASES, ids=[c[0] for c in SLOW_CASES])
+def test_the_guard_on_slow_answers(name: str, trial: Counts, bad: bool) -> None:
+    assert too_slow(Counts(1000, 0, 50), trial, 0.5) == bad
+
+
+def test_what_is_slow_follows_the_stable_version() -> None:
+    pace = Pace()
+    assert not pace.slow(Timing(9.0, 9.0))
+    for _ in range(20):
+        pace.note(Timing(0.2, 0.03))
+    seen = [Timing(0.3, 0.04), Timing(0.6, 0.03), Timing(0.2, 0.08)]
+    assert [pace.slow(timing) for timing in seen] == [False, True, True]
+    for _ in range(60):
+        pace.note(Timing(0.8, 0.1))
+    assert not any(pace.slow(timing) for timing in seen)
+
+
+@pytest.mark.parametrize(("cap", "entries"), [(11, 2), (100, 410), (1, 3), (820, 410)])
+def test_parts_of_a_cap_add_up_to_it(cap: int, entries: int) -> None:
+    assert sum(part_of_cap(cap, entries, rank) for rank in range(entries)) == cap
+
+
 def mean_of(value: float, n: int) -> Mean:
     found = Mean()
     for number in range(n):
--- /dev/null
+++ b/tests/test_rollouts.py
@@ -0,0 +1,163 @@
+"""Roll-outs under guards, over real processes."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import httpx
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from tests.harness.cluster import Cluster
+from tests.harness.operator import carried_out, document, reset
+from tests.harness.oracle import runs, wait_runs_over
+
+scenarios("features/rollouts.feature")
+
+FAULTS: dict[str, dict[str, Any]] = {
+    "fails half its runs": {"mode": "errors", "share": 0.5},
+    "answers slowly": {"mode": "slow_tokens", "seconds": 0.04},
+    "is rated worse": {"mode": "poor", "factor": 0.8},
+}
+TRIAL = {"model": "large", "version": "v2"}
+TOKENS = 5
+CALLERS = 6
+WARM_REQUESTS = 40
+MORE = 20
+
+
+class Traffic:
+    """New sessions through both entries until stopped."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.on = True
+        self.statuses: list[int] = []
+        self.threads = [threading.Thread(target=self._call, args=(i,)) for i in range(CALLERS)]
+        for thread in self.threads:
+            thread.start()
+
+    def _call(self, number: int) -> None:
+        turn = number
+        while self.on:
+            turn += 1
+            entry = self.cluster.entry_names[turn % len(self.cluster.entry_names)]
+            try:
+                self.statuses.append(self.cluster.chat(entry, tokens=TOKENS).status_code)
+            except httpx.HTTPError:
+                time.sleep(0.1)
+
+    def wait(self, count: int) -> None:
+        """Until so many more were answered."""
+        wanted = len(self.statuses) + count
+        deadline = time.monotonic() + 30
+        while len(self.statuses) < wanted:
+            assert time.monotonic() < deadline
+            time.sleep(0.02)
+
+    def stop(self) -> None:
+        self.on = False
+        for thread in self.threads:
+            thread.join()
+
+
+def on_trial(cluster: Cluster) -> list[dict[str, Any]]:
+    """Runs of the trial."""
+    return [line for line in runs(cluster) if line["version"] == TRIAL["version"]]
+
+
+def last_rollout(cluster: Cluster) -> dict[str, Any]:
+    """The last roll-out in the configuration in force at an entry."""
+    found = document(cluster, "entry-1")["rollouts"]
+    return found[-1] if found else {"state": "none"}
+
+
+def ended(cluster: Cluster, state: str, seconds: float) -> dict[str, Any]:
+    """The last roll-out, once it has a state."""
+    deadline = time.monotonic() + seconds
+    while (found := last_rollout(cluster))["state"] != state:
+        assert time.monotonic() < deadline, (found["state"], found.get("note"))
+        time.sleep(0.1)
+    return found
+
+
+@given('a small fleet with "large@v1" in use', target_fixture="traffic")
+def in_use(cluster: Cluster) -> Iterator[Traffic]:
+    reset(cluster)
+    wait_runs_over(cluster)
+    traffic = Traffic(cluster)
+    traffic.wait(WARM_REQUESTS)
+    yield traffic
+    traffic.stop()
+
+
+@pytest.fixture
+def before(cluster: Cluster) -> int:
+    """How many runs of the trial's version there were before the scenario."""
+    return len(on_trial(cluster))
+
+
+@when(parsers.parse('"large@v2" is rolled out and "{fault}"'))
+def rolled_out_bad(cluster: Cluster, before: int, fault: str) -> None:
+    for engine in cluster.fleet.engines:
+        cluster.fault(engine, **TRIAL, **FAULTS[fault])
+    wish = {"steps": [0.3, 1.0], "step_s": 60, "min_requests": 1000}
+    carried_out(cluster, "entry-1", kind="rollout", **TRIAL, **wish)
+
+
+@then(
+    parsers.parse('it is withdrawn by itself within {seconds:d} seconds because of its "{guard}"')
+)
+def withdrawn(cluster: Cluster, seconds: int, guard: str) -> None:
+    assert guard in ended(cluster, "withdrawn", seconds)["note"]
+
+
+@then(parsers.parse("at most {n:d} requests reached it, and nothing new does"))
+def few(cluster: Cluster, traffic: Traffic, before: int, n: int) -> None:
+    traffic.wait(MORE)
+    reached = len(on_trial(cluster))
+    traffic.wait(MORE)
+    assert len(on_trial(cluster)) == reached
+    assert 0 < reached - before <= n
+
+
+@when(
+    parsers.parse('"large@v2" is rolled out to all with at most {n:d} requests exposed'),
+    target_fixture="stopped",
+)
+def rolled_out_capped(cluster: Cluster, traffic: Traffic, before: int, n: int) -> Traffic:
+    traffic.stop()
+    wish = {"steps": [1.0], "step_s": 600, "max_exposed": n}
+    carried_out(cluster, "entry-1", kind="rollout", **TRIAL, **wish)
+    return traffic
+
+
+@then(
+    parsers.parse(
+        "of {count:d} requests through both entries at most {n:d} reach it, and all are served"
+    )
+)
+def capped(cluster: Cluster, before: int, count: int, n: int) -> None:
+    got = [cluster.chat(cluster.entry_names[i % 2], tokens=2) for i in range(count)]
+    assert {answer.status_code for answer in got} == {200}
+    assert 0 < len(on_trial(cluster)) - before <= n
+
+
+@when('"large@v2" is rolled out and all entries are killed and started again')
+def interrupted(cluster: Cluster, traffic: Traffic) -> None:
+    wish = {"steps": [0.5, 1.0], "step_s": 3, "min_requests": 5}
+    carried_out(cluster, "entry-1", kind="rollout", **TRIAL, **wish)
+    traffic.wait(MORE)
+    for name in cluster.entry_names:
+        cluster.kill(name)
+    for name in cluster.entry_names:
+        cluster.spawn(name)
+    cluster.wait_ready()
+
+
+@then("the roll-out goes on to its end")
+def goes_on(cluster: Cluster) -> None:
+    ended(cluster, "done", 40)
