Engines load a trial by fenced order of their agent

Cause: a roll-out of a version that no engine had loaded stood still without a word; the stand-in took orders, and nothing gave them (docs/design/policies.md said so).

Change: an agent orders its engine to load a trial wherever the stable version is served, under the configuration's revision, after a random wait, again as the engine says or every 5 s. It orders only if it has heard from the platform or a peer within 6 s by the monotonic clock, since not all engines check fences. The stand-in loads one version at a time and logs its orders.

Proof: an agent paused with an order to give, the version withdrawn meanwhile, woken cut off from all who know: with the 6 s check off it ordered the load (1 failed); with it no order. All of test_orders: 7 passed in 40 s.

--- a/ramppost/agent/engine.py
+++ b/ramppost/agent/engine.py
@@ -13,6 +13,7 @@
 import curio
 import msgspec
 
+from ramppost.policy.orders import LoadOrder
 from ramppost.schema.messages import RunMsg
 from ramppost.wire.client import CallFailed, Pool, call, open_stream
 from ramppost.wire.codec import BadMessage, decode, encode
@@ -168,6 +169,40 @@
     await call(pool, addr, "POST", "/v1/cancel", encode({"attempt": attempt}), CALL_TIMEOUT_S)
 
 
+class Ordered(NamedTuple):
+    """The engine took an order; what it loads shows in its versions once it is done."""
+
+
+class OrderRefused(NamedTuple):
+    """The engine did not take an order, or gave no answer; orders may be given again."""
+
+    reason: str
+    retry_after_s: float
+
+
+class OrderBody(TypedDict):
+    """A fenced order as the engine takes it."""
+
+    fence: int
+    action: str
+    model: str
+    version: str
+
+
+async def order_load(pool: Pool, addr: str, order: LoadOrder) -> Ordered | OrderRefused:
+    """Order an engine to load a version."""
+    body = OrderBody(
+        fence=order.fence, action="load", model=order.mv.model, version=order.mv.version
+    )
+    got = await call(pool, addr, "POST", "/order", encode(body), CALL_TIMEOUT_S)
+    if isinstance(got, CallFailed):
+        return OrderRefused(got.reason, 0.0)
+    if got.status == 200:
+        return Ordered()
+    wait = got.headers.get("retry-after", "")
+    return OrderRefused(f"engine answered {got.status}", float(wait) if wait.isdigit() else 0.0)
+
+
 async def versions_of(pool: Pool, addr: str) -> list[str] | None:
     """The versions an engine serves, `model@version`; None where it does not answer."""
     got = await call(pool, addr, "GET", "/v1/models", timeout_s=CALL_TIMEOUT_S)
--- a/ramppost/agent/main.py
+++ b/ramppost/agent/main.py
@@ -10,6 +10,7 @@
 
 from ramppost.agent.door import door
 from ramppost.agent.engine import versions_of
+from ramppost.agent.orders import give_orders
 from ramppost.agent.plain import service_up
 from ramppost.agent.runner import cancel
 from ramppost.agent.state import Agent
@@ -34,6 +35,7 @@
         await curio.spawn(ask_peers, agent.conf, agent.pool, lambda: cfg["peers"], daemon=True),
         await curio.spawn(_probe, agent, daemon=True),
         await curio.spawn(_housekeeping, agent, daemon=True),
+        await curio.spawn(give_orders, agent, daemon=True),
         await curio.spawn(agent.filer.run, daemon=True),
         await curio.spawn(serve, sock, door(agent), Limits(), None, None, agent.meter, daemon=True),
     ]
--- a/ramppost/confsync.py
+++ b/ramppost/confsync.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Callable
 from typing import Final
 
@@ -39,6 +40,11 @@
         self.doc: ConfigDoc | None = None
         self.raw = b""
         self.on_adopt: list[Adopted] = []
+        self.heard_at = float("-inf")
+
+    def heard(self) -> None:
+        """The platform or a peer has just told of its revision."""
+        self.heard_at = time.monotonic()
 
     @property
     def rev(self) -> int:
@@ -68,6 +74,7 @@
             wait_s = min(BACKOFF_MAX_S, wait_s * 2)
             continue
         wait_s = BACKOFF_MIN_S
+        state.heard()
         for item in found["items"]:
             since = max(since, item["version"])
             doc = decode(encode(item["value"]), ConfigDoc)
@@ -94,6 +101,8 @@
     """Fetch what an address has if it is newer; true if it was put in force."""
     path = f"{CONFIG_PATH}?rev={state.rev}"
     got = await call(pool, addr, "GET", path, timeout_s=PEER_TIMEOUT_S)
+    if not isinstance(got, CallFailed) and got.status in (200, 304):
+        state.heard()
     if isinstance(got, CallFailed) or got.status != 200:
         return False
     doc = decode(got.body, ConfigDoc)
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -182,7 +182,7 @@
     """
     checks_fences: NotRequired[bool]
     """
-    Whether it refuses orders with an old fencing token itself.
+    Whether it refuses orders with an old fencing token itself; for people only.
     """
 
 
@@ -231,6 +231,10 @@
     """
     Requests that may wait for a slot.
     """
+    order_spread_s: NotRequired[float]
+    """
+    Orders to load weights wait a random part of this, seconds, so that a fleet does not ask the weight store at once.
+    """
     keep_s: NotRequired[float]
     """
     How long a finished answer and a tombstone are kept, seconds.
@@ -313,6 +317,10 @@
     """
     Time for a token, milliseconds.
     """
+    loaded: NotRequired[bool]
+    """
+    Whether its weights are there from the start, or come by order.
+    """
 
 
 class EngineStandinSettings(TypedDict, closed=True):
@@ -340,6 +348,10 @@
     """
     Whether it refuses orders with an old fencing token.
     """
+    load_s: NotRequired[float]
+    """
+    Time to load a version's weights, seconds; one at a time.
+    """
     log: Log
     """
     Logging.
--- a/ramppost/standin/engine.py
+++ b/ramppost/standin/engine.py
@@ -66,6 +66,16 @@
     version: str
 
 
+class Order(TypedDict):
+    """A line of `/_orders`."""
+
+    at: float
+    fence: int
+    action: str
+    name: str
+    status: int
+
+
 class Work:
     """A run and what it has produced."""
 
@@ -87,9 +97,12 @@
     def __init__(self, cfg: EngineStandinSettings) -> None:
         self.slots = cfg["slots"]
         self.checks_fences = cfg.get("checks_fences", False)
-        self.models: dict[str, StandinModel] = {
-            f"{m['model']}@{m['version']}": m for m in cfg["models"]
-        }
+        known = {f"{m['model']}@{m['version']}": m for m in cfg["models"]}
+        self.models = {name: m for name, m in known.items() if m.get("loaded", True)}
+        self.store = known
+        self.load_s = cfg.get("load_s", 0.5)
+        self.loading = ""
+        self.orders: list[Order] = []
         self.fence = 0
         self.running = 0
         self.waiting: list[tuple[int, int, curio.Event]] = []
@@ -135,6 +148,8 @@
             await reply.send(200, encode({"running": engine.reported, "slots": engine.slots}))
         elif req.path == "/order":
             await _order(engine, req, reply)
+        elif req.path == "/_orders":
+            await reply.send(200, encode(engine.orders))
         elif req.path == "/_log":
             await reply.send(200, encode(engine.log))
         else:
@@ -258,8 +273,36 @@
     order = decode(req.body, OrderBody)
     if isinstance(order, BadMessage):
         await reply.send(400, encode({"error": order.reason}))
-    elif engine.checks_fences and order["fence"] < engine.fence:
-        await reply.send(409, encode({"error": "old fence", "fence": engine.fence}))
+        return
+    name = f"{order['model']}@{order['version']}"
+    status = _order_status(engine, order, name)
+    line = Order(
+        at=time.time(), fence=order["fence"], action=order["action"], name=name, status=status
+    )
+    engine.orders.append(line)
+    if status != 200:
+        await reply.send(status, b'{"error":"not taken"}', headers=(("retry-after", "1"),))
+        return
+    engine.fence = max(engine.fence, order["fence"])
+    if order["action"] == "load":
+        engine.loading = name
+        await curio.spawn(_load, engine, name, daemon=True)
     else:
-        engine.fence = max(engine.fence, order["fence"])
-        await reply.send(200, b"{}")
+        engine.models.pop(name, None)
+    await reply.send(200, b"{}")
+
+
+def _order_status(engine: Engine, order: OrderBody, name: str) -> int:
+    """200 for an order that is taken, 409 for an old fence, 503 while the store is busy."""
+    if engine.checks_fences and order["fence"] < engine.fence:
+        return 409
+    if name not in engine.store:
+        return 404
+    return 503 if engine.loading else 200
+
+
+async def _load(engine: Engine, name: str) -> None:
+    """Load a version's weights."""
+    await curio.sleep(engine.load_s)
+    engine.models[name] = engine.store[name]
+    engine.loading = ""
