Capacity: homes of claim shards as a role of their own; keyed requests in a module

The arithmetic takes its constants from the code instead of copies, counts closing and deleting of claim segments, reads during a roll-out, and what the home and deputy of a shard bear, which the former page spread over all entries.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,6 +11,12 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
+from ramppost.entry.claimhome import READ_PERIOD_S, READERS
+from ramppost.entry.claimlog import RETENTION_S
+from ramppost.entry.rollouts import CALM_PERIOD_S, RATINGS_PERIOD_S
+from ramppost.entry.upstreams import BOXES_PERIOD_S, IDLE_POLLS, POLL_S
+from ramppost.policy.claims import FULL_RECORDS, SHARDS
+
 DOCS: Final = Path(__file__).parents[1] / "docs"
 BEGIN: Final = "<!-- figures: written by `make capacity` -->"
 END: Final = "<!-- end of figures -->"
@@ -42,19 +48,23 @@
 SETTLED_BYTES: Final = 350
 RATINGS_S: Final = 40
 RATING_BYTES: Final = 160
-RETENTION_S: Final = 7200
-CLAIM_SHARDS: Final = 16
+HEADERS_BYTES: Final = 250
 
 # Settings and constants of the code.
-POLLS_S: Final = 12
+POLLS_S: Final = IDLE_POLLS / POLL_S
 WATCH_S: Final = 25
-BOXES_S: Final = 2
+BOXES_S: Final = BOXES_PERIOD_S
 PEER_S: Final = 2
-RATINGS_PERIOD_S: Final = 2
 BILL_WINDOW_S: Final = 30
 CLAIM_WINDOW_MS: Final = 10
-TARGET_WINDOW_MS: Final = 250
-HEADERS_BYTES: Final = 250
+TARGET_WINDOW_MS: Final = 300
+
+# What follows from both.
+KEYED_S: Final = REQUESTS_S * KEYED_SHARE
+RECORDS_S: Final = 2 * KEYED_S
+SHARD_RECORDS_S: Final = RECORDS_S / SHARDS
+COMMITS_S: Final = 1000 / TARGET_WINDOW_MS
+CLOSED_S: Final = RECORDS_S / FULL_RECORDS
 
 
 class Line(NamedTuple):
@@ -93,25 +103,40 @@
     return s["config_base_bytes"] + s["config_entry_bytes"] * WORKSPACES
 
 
+def record_bytes(s: dict[str, float]) -> float:
+    """Mean size of a record: a claim, or its end."""
+    return (s["claim_record"] + s["end_record"]) / 2
+
+
+def entry_bytes(s: dict[str, float]) -> list[Line]:
+    """An entry's control bytes, a line for each cause."""
+    polls = min(POLLS_S, POOLS * SUBSET)
+    boxes = (RUNNERS + NODES) * s["box_bytes"] * 2 * (REPLACED_DAY + FAILED_DAY) / DAY_S
+    requests = REQUESTS_S / NODES
+    records = requests * KEYED_SHARE * (s["claim_record"] + s["end_record"])
+    records += requests * (s["bill_record"] + SETTLED_BYTES / 10)
+    config = config_bytes(s) * CHANGES_DAY / DAY_S
+    lines = [
+        ("polls of silent agents", s["upstream_bytes"] * polls, f"at most {POLLS_S:g} a second"),
+        ("box list", boxes + 2 * HEADERS_BYTES / BOXES_S, "entity tag: sent only when changed"),
+        ("configuration", config, "one watch, whole document a change"),
+        ("ratings", RATINGS_S * RATING_BYTES, f"{RATINGS_S}/s over the fleet, all read by each"),
+        ("claims, bills, settled", records, "records as stored"),
+    ]
+    idle = Line(
+        "- idle: peers and watch", s["entry_idle_bytes"], "B/s", 0, "measured", f"every {PEER_S} s"
+    )
+    return [*(Line(f"- {n}", v, "B/s", 0, "derived", how) for n, v, how in lines), idle]
+
+
 def entry_role(s: dict[str, float]) -> Role:
     """An entry: 410 of them."""
     requests, tokens = REQUESTS_S / NODES, TOKENS_S / NODES
-    agents = POOLS * SUBSET
-    polls = min(POLLS_S, agents)
-    boxes = (RUNNERS + NODES) * s["box_bytes"]
-    box_changes = 2 * (REPLACED_DAY + FAILED_DAY) / DAY_S
-    config_s = config_bytes(s) * CHANGES_DAY / DAY_S
-    control_cpu = s["entry_idle_cpu"] + s["upstream_cpu"] * polls
+    control_cpu = s["entry_idle_cpu"] + s["upstream_cpu"] * min(POLLS_S, POOLS * SUBSET)
     control_cpu += requests * KEYED_SHARE * s["claim_cpu"] / 1e6
-    polls_bytes = s["upstream_bytes"] * polls
-    list_bytes = boxes * box_changes + 2 * HEADERS_BYTES / BOXES_S
-    ratings = RATINGS_S * RATING_BYTES
-    records = requests * (
-        KEYED_SHARE * 2 * s["claim_record"] + s["bill_record"] + SETTLED_BYTES / 10
-    )
-    wire = s["entry_idle_bytes"] + polls_bytes + list_bytes + config_s + ratings + records
-    claims_mb = REQUESTS_S * KEYED_SHARE * RETENTION_S * s["claim_memory"] / 1e6
     data = requests * s["entry_request_cpu"] / 1e6 + tokens * s["entry_frame_cpu"] / 1e6
+    parts = entry_bytes(s)
+    wire = sum(line.value for line in parts)
     return Role(
         f"Entry ({NODES} of them, {requests:.1f} requests/s and {tokens:.0f} tokens/s each)",
         [
@@ -119,67 +144,74 @@
                 "control CPU", control_cpu, "core", CPU_BUDGET, "derived", "idle + polls + claims"
             ),
             Line("control bytes", wire, "B/s", BYTES_BUDGET, "derived", "the six lines below"),
+            *parts,
             Line(
-                "- polls of silent agents",
-                polls_bytes,
-                "B/s",
-                0,
-                "derived",
-                f"load rides on replies; at most {POLLS_S} polls/s",
-            ),
-            Line(
-                "- box list", list_bytes, "B/s", 0, "derived", "entity tag: sent only when changed"
+                "memory",
+                s["entry_rss"],
+                "MB",
+                RAM_BUDGET_MB,
+                "measured",
+                "nothing is kept by session",
             ),
+            Line("data CPU (not control)", data, "core", 0, "derived", "requests and token frames"),
+        ],
+    )
+
+
+def home_role(s: dict[str, float]) -> Role:
+    """What the home or deputy of a claim shard bears besides."""
+    entry = entry_role(s).lines
+    head = FULL_RECORDS / 2 * record_bytes(s)
+    group = SHARD_RECORDS_S / COMMITS_S * record_bytes(s)
+    writes = COMMITS_S * (head + group)
+    calls = SHARD_RECORDS_S * (record_bytes(s) + HEADERS_BYTES)
+    tail = SHARD_RECORDS_S * record_bytes(s) + head / READ_PERIOD_S
+    held = KEYED_S * RETENTION_S / SHARDS * s["claim_memory"] / 1e6
+    start = SHARD_RECORDS_S * RETENTION_S * record_bytes(s) / 1e6
+    cpu = (SHARD_RECORDS_S + COMMITS_S) * s["upstream_cpu"]
+    return Role(
+        f"Home and deputy of a claim shard ({READERS * SHARDS} of the entries, besides the above)",
+        [
             Line(
-                "- configuration",
-                config_s,
-                "B/s",
-                0,
+                "control CPU, home",
+                entry[0].value + cpu,
+                "core",
+                CPU_BUDGET,
                 "derived",
-                "one watch, whole document a change",
+                f"{SHARD_RECORDS_S:.0f} calls/s at the cost of a poll: see change 1",
             ),
             Line(
-                "- ratings",
-                ratings,
+                "control bytes, home",
+                entry[1].value + calls + writes,
                 "B/s",
-                0,
+                BYTES_BUDGET,
                 "derived",
-                f"sample of {RATINGS_S}/s over the fleet, every entry reads it",
+                "calls, and the head written again with each group: see change 1",
             ),
-            Line("- claims, bills, settled", records, "B/s", 0, "derived", "records as stored"),
             Line(
-                "- idle: peers and watch",
-                s["entry_idle_bytes"],
+                "control bytes, deputy",
+                entry[1].value + tail,
                 "B/s",
-                0,
-                "measured",
-                f"a peer asked every {PEER_S} s",
-            ),
-            Line(
-                "memory, idle and working",
-                s["entry_rss"],
-                "MB",
-                RAM_BUDGET_MB,
-                "measured",
-                "nothing is kept by session",
+                BYTES_BUDGET,
+                "derived",
+                "reads what the home writes",
             ),
             Line(
-                "memory, claims if it read all shards",
-                s["entry_rss"] + claims_mb,
+                "memory",
+                s["entry_rss"] + held,
                 "MB",
                 RAM_BUDGET_MB,
                 "derived",
-                f"{RETENTION_S} s of claims, all held",
+                f"{RETENTION_S} s of claims of one shard",
             ),
             Line(
-                "memory, claims of its own shards",
-                s["entry_rss"] + claims_mb / NODES * max(1, NODES / CLAIM_SHARDS),
+                "read at the start of a home",
+                start,
                 "MB",
-                RAM_BUDGET_MB,
+                0,
                 "derived",
-                "one shard a home: see change 1",
+                "until then the former deputy, which has it read, takes the claims",
             ),
-            Line("data CPU (not control)", data, "core", 0, "derived", "requests and token frames"),
         ],
     )
 
@@ -226,71 +258,55 @@
     )
 
 
+def platform_writes(s: dict[str, float]) -> list[Line]:
+    """Writes that the platform bears, by way."""
+    bills = NODES / BILL_WINDOW_S
+    one_each = RECORDS_S + REQUESTS_S
+    defaults = min(RECORDS_S, SHARDS * 1000 / CLAIM_WINDOW_MS) + 2 * CLOSED_S + NODES / 1.0
+    target = SHARDS * COMMITS_S + 2 * CLOSED_S + bills
+    return [
+        Line(name, value, "/s", WRITES_BUDGET, "derived", how)
+        for name, value, how in (
+            ("writes, one for each claim, end and bill", one_each, "ruled out"),
+            (
+                "writes, with the default windows",
+                defaults,
+                f"claim_window_ms {CLAIM_WINDOW_MS}, bill_window_s 1",
+            ),
+            (
+                "writes, with the windows for the target",
+                target,
+                f"{SHARDS} homes, claim_window_ms {TARGET_WINDOW_MS}, bill_window_s "
+                f"{BILL_WINDOW_S}; closing and deleting {2 * CLOSED_S:.0f}/s of it",
+            ),
+        )
+    ]
+
+
 def platform_role(s: dict[str, float]) -> Role:
     """What the platform's service bears."""
     everyone = NODES + RUNNERS
-    keyed = REQUESTS_S * KEYED_SHARE
-    one_each = keyed * 2 + REQUESTS_S
-    defaults = min(keyed * 2, CLAIM_SHARDS * 1000 / CLAIM_WINDOW_MS) + NODES / 1.0
-    homes = CLAIM_SHARDS * 1000 / TARGET_WINDOW_MS
-    bills = NODES / BILL_WINDOW_S
-    watches = everyone / WATCH_S
-    reads = watches + NODES / BOXES_S + NODES / RATINGS_PERIOD_S
-    calm = watches + NODES / BOXES_S + NODES / 5
+    steady = everyone / WATCH_S + NODES / BOXES_S + CLOSED_S + SHARDS / READ_PERIOD_S
+    calm = steady + NODES / CALM_PERIOD_S
+    rolling = steady + NODES / RATINGS_PERIOD_S
     storm = everyone / HALLS * 4 / IN_FORCE_S
     burst = everyone * config_bytes(s) / 1e6
-    replay = keyed * 2 * RETENTION_S * s["claim_record"] / 1e6
+    kept = RECORDS_S * RETENTION_S * record_bytes(s) / 1e6
+    lines = [
+        (
+            "reads, no roll-out under way",
+            calm,
+            READS_BUDGET,
+            "watches, box list, ratings, deputies",
+        ),
+        ("reads, during a roll-out", rolling, READS_BUDGET, f"ratings every {RATINGS_PERIOD_S} s"),
+        ("reads, a hall comes back then", rolling + storm, READS_BUDGET, "4 reads a box in 8 s"),
+    ]
     return Role(
         "The platform's service",
         [
-            Line(
-                "writes, one for each claim, end and bill",
-                one_each,
-                "/s",
-                WRITES_BUDGET,
-                "derived",
-                "ruled out",
-            ),
-            Line(
-                "writes, with the default windows",
-                defaults,
-                "/s",
-                WRITES_BUDGET,
-                "derived",
-                f"claim_window_ms {CLAIM_WINDOW_MS}, bill_window_s 1",
-            ),
-            Line(
-                "writes, with the windows for the target",
-                homes + bills,
-                "/s",
-                WRITES_BUDGET,
-                "derived",
-                f"{CLAIM_SHARDS} shard homes, claim_window_ms {TARGET_WINDOW_MS}, bill_window_s {BILL_WINDOW_S}",
-            ),
-            Line(
-                "reads, as it runs today",
-                reads,
-                "/s",
-                READS_BUDGET,
-                "derived",
-                "watches, box list, ratings",
-            ),
-            Line(
-                "reads, ratings every 5 s (change 3)",
-                calm,
-                "/s",
-                READS_BUDGET,
-                "derived",
-                "watches, box list, ratings",
-            ),
-            Line(
-                "reads, a hall comes back",
-                calm + storm,
-                "/s",
-                READS_BUDGET,
-                "derived",
-                "4 reads a box within 8 s",
-            ),
+            *platform_writes(s),
+            *(Line(n, value, "/s", budget, "derived", how) for n, value, budget, how in lines),
             Line(
                 "bytes of one change to all",
                 burst,
@@ -299,14 +315,7 @@
                 "derived",
                 f"within {IN_FORCE_S} s: {burst / IN_FORCE_S:.1f} MB/s",
             ),
-            Line(
-                "claims held for two hours",
-                replay,
-                "MB",
-                0,
-                "derived",
-                "read whole by whoever starts: see change 1",
-            ),
+            Line("claims kept for two hours", kept, "MB", 0, "derived", "see change 1"),
         ],
     )
 
@@ -347,7 +356,7 @@
 
 def roles(s: dict[str, float]) -> list[Role]:
     """All roles."""
-    return [entry_role(s), agent_role(s), platform_role(s), link_role(s)]
+    return [entry_role(s), home_role(s), agent_role(s), platform_role(s), link_role(s)]
 
 
 def figures(s: dict[str, float]) -> str:
--- a/ramppost/entry/callers.py
+++ b/ramppost/entry/callers.py
@@ -8,7 +8,7 @@
 
 from ramppost.entry.ask import KEY_HEADER, Ask, read_chat, read_service, workspace_for
 from ramppost.entry.dispatch import Running, resolve
-from ramppost.entry.obtain import key_of
+from ramppost.entry.keyed import key_of
 from ramppost.entry.operators import operators
 from ramppost.entry.serve import pass_on, serve_ask
 from ramppost.entry.sink import STREAM_HEADER, Sink, StreamSink, WholeSink, send_refusal
--- a/ramppost/entry/obtain.py
+++ b/ramppost/entry/obtain.py
@@ -1,60 +1,27 @@
 """From a request and a version to a running answer, or a refusal.
 
 Without a key, several agents are tried as long as each says "not run", or the
-request may be repeated.  With a key, a claim comes first: it names up to three
-agents, each by ticket, and only its entry may dispatch, only to them.  Whoever
-meets a claim that stands joins its answer, or has the attempt barred at all of
-its agents and claims the next generation.
+request may be repeated.  With a key, see `ramppost.entry.keyed`.
 """
 
 from __future__ import annotations
 
-import secrets
 import time
-from typing import Final, NamedTuple
-
-import curio
+from typing import Final
 
 from ramppost.entry.ask import Ask
-from ramppost.entry.claimlog import Granted, NoClaim, Taken
-from ramppost.entry.dispatch import (
-    NotRun,
-    Outcome,
-    Running,
-    Unknown,
-    attach,
-    candidate,
-    resolve,
-    run_msg,
-    send_run,
-)
+from ramppost.entry.dispatch import NotRun, Outcome, Running, Unknown, run_msg, send_run
+from ramppost.entry.keyed import obtain_keyed
+from ramppost.entry.obtained import LEAST_RETRY_S, Obtained, Reroute, own, refused
 from ramppost.entry.state import Entry
-from ramppost.entry.upstreams import Upstream
-from ramppost.errors import Refusal, refusal
+from ramppost.errors import refusal
 from ramppost.policy.bills import attempt_id
-from ramppost.policy.claims import claim_key, shard_of
 from ramppost.policy.permissions import ModelVersion
-from ramppost.schema.messages import Claim
 
 MAX_TRIES: Final = 3
-MAX_GENERATIONS: Final = 4
-CANDIDATES: Final = 3
-JOIN_GRACE_S: Final = 0.6
-JOIN_PAUSE_S: Final = 0.1
-PLATFORM_RETRY_S: Final = 2.0
-LEAST_RETRY_S: Final = 0.5
 FREE_RETRIES: Final = ("leaving", "wrong_incarnation", "behind", "unreachable")
 
 
-class Reroute(NamedTuple):
-    """The version may not be used any more by a newer configuration: choose again."""
-
-    reason: str
-
-
-Obtained = Running | Refusal | Reroute
-
-
 async def obtain(
     entry: Entry, ask: Ask, mv: ModelVersion, stage: int, turn: int, deadline: float
 ) -> Obtained:
@@ -64,7 +31,7 @@
     """
     entry.retries.tried()
     if ask.key:
-        return await _with_claim(entry, ask, mv, stage, deadline)
+        return await obtain_keyed(entry, ask, mv, stage, deadline)
     ups = entry.ups.choose(mv, ask.service, ask.prefix)
     out: Outcome = NotRun("no_upstream", LEAST_RETRY_S)
     for number, up in enumerate(ups[:MAX_TRIES]):
@@ -78,12 +45,12 @@
             entry, up, run_msg(entry, ask, mv, up.ticket, attempt, left_s), ask.trace
         )
         if isinstance(out, Running):
-            return _own(out, ask.request_id)
+            return own(out, ask.request_id)
         if isinstance(out, Unknown) and not ask.repeatable:
             break
         if isinstance(out, NotRun) and out.reason in ("withdrawn", "forbidden"):
             return Reroute(out.reason)
-    return _refused(out, mv)
+    return refused(out, mv)
 
 
 def _may_retry(entry: Entry, out: Outcome) -> bool:
@@ -94,165 +61,3 @@
         return False
     entry.stats.m_retries.inc({})
     return True
-
-
-def _own(run: Running, request_id: str) -> Running:
-    run.request_id = request_id
-    return run
-
-
-def _refused(out: Outcome, mv: ModelVersion) -> Refusal:
-    """The final word on a request that no agent runs."""
-    if isinstance(out, Unknown):
-        return refusal("outcome_unknown", f"can't tell whether it ran: {out.reason}")
-    assert isinstance(out, NotRun)
-    wait_s = max(LEAST_RETRY_S, out.retry_after_s)
-    if out.reason in (
-        "no_upstream",
-        "unreachable",
-        "upstream_down",
-        "wrong_incarnation",
-        "leaving",
-    ):
-        return refusal(
-            "no_upstream", f"no live upstream for {mv.text.strip('@') or 'service'}", wait_s
-        )
-    if out.reason in ("deadline", "cancelled"):
-        return refusal("deadline", "deadline passed before it was begun", wait_s)
-    return refusal("overloaded", f"no room at the upstreams: {out.reason}", wait_s)
-
-
-async def _with_claim(
-    entry: Entry, ask: Ask, mv: ModelVersion, stage: int, deadline: float
-) -> Obtained:
-    key = key_of(ask, stage)
-    generation, request_id = 0, ask.request_id
-    for _ in range(MAX_GENERATIONS):
-        ups = entry.ups.choose(mv, ask.service, ask.prefix)[:CANDIDATES]
-        if not ups:
-            held = _known(entry, key)
-            if held is None:
-                return _refused(NotRun("no_upstream", LEAST_RETRY_S), mv)
-        claim = Claim(
-            key=key,
-            nonce=secrets.token_hex(6),
-            generation=generation,
-            stage=stage,
-            request_id=request_id,
-            entry=entry.name,
-            candidates=[candidate(up) for up in ups],
-            model=mv.model,
-            version=mv.version,
-            at_s=int(time.time()),
-            state="open",
-            body=ask.body_digest,
-        )
-        got = await entry.homes.claim(claim)
-        ask.trace.claimed = True
-        if isinstance(got, NoClaim):
-            message = "the key can't be recorded now, so the request was not begun"
-            if got.sure:
-                return refusal("claim_unavailable", message, PLATFORM_RETRY_S)
-            message += "; whether an earlier one with this key was can't be told now"
-            return refusal("claim_unavailable", message, PLATFORM_RETRY_S, "unknown")
-        if isinstance(got, Granted):
-            return await _run_claimed(entry, ask, claim, ups, deadline)
-        assert isinstance(got, Taken)
-        if got.held["body"] != claim["body"]:
-            return refusal("bad_request", "Idempotency-Key was used for another request")
-        out = await join(entry, got.held)
-        if isinstance(out, Running):
-            return _own(out, got.held["request_id"])
-        if isinstance(out, Unknown):
-            return _lost(got.held, out)
-        generation, request_id = got.held["generation"] + 1, got.held["request_id"]
-    return refusal("overloaded", "the key is contended", LEAST_RETRY_S)
-
-
-def key_of(ask: Ask, stage: int = 0) -> str:
-    """The claim key of a request's stage."""
-    return claim_key(ask.ws["name"], f"{stage}:{ask.key}")
-
-
-def _known(entry: Entry, key: str) -> Claim | None:
-    """A claim of this key that is known without asking."""
-    shard = entry.claims.shards.get(shard_of(key))
-    held = shard.get(key) if shard else None
-    return held or entry.homes.told.get(key)
-
-
-def _lost(held: Claim, out: Unknown) -> Refusal:
-    if held["state"] == "done":
-        return refusal("answer_lost", f"it ran; its answer is no longer kept: {out.reason}")
-    return refusal("outcome_unknown", f"can't tell whether it ran: {out.reason}")
-
-
-def attempt_of(claim: Claim) -> str:
-    """The attempt id of a claim, the same at each of its agents."""
-    return attempt_id(claim["request_id"], claim["stage"], claim["generation"])
-
-
-async def _run_claimed(
-    entry: Entry, ask: Ask, claim: Claim, ups: list[Upstream], deadline: float
-) -> Obtained:
-    """Dispatch under a claim of ours, to its agents in turn."""
-    mv = ModelVersion(claim["model"], claim["version"])
-    out: Outcome = NotRun("no_upstream", LEAST_RETRY_S)
-    for named, up in zip(claim["candidates"], ups, strict=True):
-        left_s = deadline - time.monotonic()
-        if left_s <= 0:
-            out = NotRun("deadline", LEAST_RETRY_S)
-            break
-        msg = run_msg(entry, ask, mv, named["agent"], attempt_of(claim), left_s)
-        out = await send_run(entry, up, msg, ask.trace)
-        if isinstance(out, Running):
-            out.claim = claim
-            return _own(out, claim["request_id"])
-        if isinstance(out, Unknown):
-            return _refused(out, mv)
-        if out.reason == "tombstoned":
-            return await _follow_successor(entry, ask, claim)
-    await entry.homes.note(claim | {"state": "not_run"})
-    if isinstance(out, NotRun) and out.reason in ("withdrawn", "forbidden"):
-        return Reroute(out.reason)
-    return _refused(out, mv)
-
-
-async def _follow_successor(entry: Entry, ask: Ask, claim: Claim) -> Obtained:
-    """Another entry had our attempt barred: answer with what came of the key there."""
-    got = await entry.homes.claim(claim | {"nonce": ""})
-    if isinstance(got, Taken) and got.held["generation"] > claim["generation"]:
-        out = await join(entry, got.held)
-        if isinstance(out, Running):
-            return _own(out, got.held["request_id"])
-    return refusal("outcome_unknown", "the key was taken over by another entry")
-
-
-async def join(entry: Entry, held: Claim) -> Outcome:
-    """The answer of a claim that stands, or `NotRun` once all its agents have barred it.
-
-    A claim whose entry is just about to dispatch gets a moment to do so.
-    """
-    if held["state"] == "not_run":
-        return NotRun("not_run", 0.0)
-    mv = ModelVersion(held["model"], held["version"])
-    attempt = attempt_of(held)
-    until = time.monotonic() + JOIN_GRACE_S
-    while time.monotonic() < until:
-        for named in held["candidates"]:
-            out = await attach(
-                entry, named["addr"], named["agent"], attempt, 0, mv, tombstone=False
-            )
-            if isinstance(out, Running):
-                return out
-        if held["state"] == "done" or held["request_id"] in entry.claims.abandoned:
-            break
-        await curio.sleep(JOIN_PAUSE_S)
-    doubt: Unknown | None = None
-    for named in held["candidates"]:
-        out = await resolve(entry, named["addr"], named["agent"], attempt, 0, mv)
-        if isinstance(out, Running):
-            return out
-        if isinstance(out, Unknown):
-            doubt = out
-    return doubt if doubt is not None else NotRun("barred", 0.0)
--- a/ramppost/entry/serve.py
+++ b/ramppost/entry/serve.py
@@ -13,7 +13,8 @@
 
 from ramppost.entry.ask import Ask
 from ramppost.entry.dispatch import Running, finish, read_on
-from ramppost.entry.obtain import Reroute, obtain
+from ramppost.entry.obtain import obtain
+from ramppost.entry.obtained import Reroute
 from ramppost.entry.route import NO_POLICY, Route, route
 from ramppost.entry.sink import Sink
 from ramppost.entry.state import Entry
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -11,7 +11,7 @@
 
 import httpx
 
-from ramppost.entry.obtain import PLATFORM_RETRY_S
+from ramppost.entry.keyed import PLATFORM_RETRY_S
 from tests.harness.cluster import Cluster
 from tests.harness.operator import carried_out
 from tests.harness.oracle import Told, runs_of, told
--- a/tests/harness/ablated.py
+++ b/tests/harness/ablated.py
@@ -16,7 +16,7 @@
 from ramppost.agent import door
 from ramppost.cli.main import main
 from ramppost.confsync import ConfState
-from ramppost.entry import claimhome, claimlog, dispatch, obtain, route, upstreams
+from ramppost.entry import claimhome, claimlog, dispatch, keyed, route, upstreams
 from ramppost.ledger import Filer
 from ramppost.wire import signals
 from ramppost.wire.codec import decode
@@ -39,7 +39,7 @@
         return dispatch.NotRun("assumed", 0.0)
 
     dispatch.resolve = resolve  # type: ignore[assignment]
-    obtain.resolve = resolve  # type: ignore[assignment]
+    keyed.resolve = resolve  # type: ignore[assignment]
 
 
 def no_bill_identity() -> None:
