Bill lines are copied to another hall; ratings are read at once when a roll-out begins

Cause: an entry prefers agents of its hall, so the line at the entry and the agent's witness copy are lost together with a hall, up to bill_window_s of them. Change: an entry sends its lines once a second to an entry of another hall, which files those that nobody settles. Ruled out: sending before the answer ends (each answer would wait).

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,6 +13,7 @@
 
 from ramppost.entry.claimhome import READ_PERIOD_S, READERS
 from ramppost.entry.claimlog import RETENTION_S
+from ramppost.entry.copies import SEND_PERIOD_S
 from ramppost.entry.rollouts import CALM_PERIOD_S, RATINGS_PERIOD_S
 from ramppost.entry.upstreams import BOXES_PERIOD_S, IDLE_POLLS, POLL_S
 from ramppost.policy.claims import FULL_RECORDS, SHARDS
@@ -114,14 +115,14 @@
     boxes = (RUNNERS + NODES) * s["box_bytes"] * 2 * (REPLACED_DAY + FAILED_DAY) / DAY_S
     requests = REQUESTS_S / NODES
     records = requests * KEYED_SHARE * (s["claim_record"] + s["end_record"])
-    records += requests * (s["bill_record"] + SETTLED_BYTES / 10)
+    records += requests * (3 * s["bill_record"] + 2 * SETTLED_BYTES / 10)
     config = config_bytes(s) * CHANGES_DAY / DAY_S
     lines = [
         ("polls of silent agents", s["upstream_bytes"] * polls, f"at most {POLLS_S:g} a second"),
         ("box list", boxes + 2 * HEADERS_BYTES / BOXES_S, "entity tag: sent only when changed"),
         ("configuration", config, "one watch, whole document a change"),
         ("ratings", RATINGS_S * RATING_BYTES, f"{RATINGS_S}/s over the fleet, all read by each"),
-        ("claims, bills, settled", records, "records as stored"),
+        ("claims, bills, copies", records, "records as stored; copies go out and come in"),
     ]
     idle = Line(
         "- idle: peers and watch", s["entry_idle_bytes"], "B/s", 0, "measured", f"every {PEER_S} s"
@@ -134,6 +135,7 @@
     requests, tokens = REQUESTS_S / NODES, TOKENS_S / NODES
     control_cpu = s["entry_idle_cpu"] + s["upstream_cpu"] * min(POLLS_S, POOLS * SUBSET)
     control_cpu += requests * KEYED_SHARE * s["claim_cpu"] / 1e6
+    control_cpu += 2 / SEND_PERIOD_S * s["upstream_cpu"]
     data = requests * s["entry_request_cpu"] / 1e6 + tokens * s["entry_frame_cpu"] / 1e6
     parts = entry_bytes(s)
     wire = sum(line.value for line in parts)
@@ -141,7 +143,12 @@
         f"Entry ({NODES} of them, {requests:.1f} requests/s and {tokens:.0f} tokens/s each)",
         [
             Line(
-                "control CPU", control_cpu, "core", CPU_BUDGET, "derived", "idle + polls + claims"
+                "control CPU",
+                control_cpu,
+                "core",
+                CPU_BUDGET,
+                "derived",
+                "idle + polls + claims + copies of bills, out and in",
             ),
             Line("control bytes", wire, "B/s", BYTES_BUDGET, "derived", "the six lines below"),
             *parts,
--- /dev/null
+++ b/ramppost/entry/copies.py
@@ -0,0 +1,117 @@
+"""Copies of bill lines at an entry of another data hall, until they are in the ledger.
+
+An agent keeps a witness copy of each line it caused, but an entry prefers agents
+of its own hall, and a hall is lost as a whole.  So an entry also sends its lines,
+a moment's worth in one message, to a live entry elsewhere, which files those that
+nobody settles in time.  The ledger is a set by attempt: a line filed twice counts
+once.  Nobody waits for a copy; a line that is younger than `SEND_PERIOD_S` can
+still be lost with its hall.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+import curio
+
+from ramppost import ids
+from ramppost.entry.upstreams import Upstreams
+from ramppost.ledger import Filer
+from ramppost.policy.routing import unit
+from ramppost.schema.messages import BillLine, CopiesMsg, SettledMsg
+from ramppost.wire.client import CallFailed, Pool, call
+from ramppost.wire.codec import encode
+
+COPIES_PATH: Final = "/x/copies"
+SETTLED_PATH: Final = "/x/settled"
+SEND_PERIOD_S: Final = 1.0
+CALL_TIMEOUT_S: Final = 1.0
+SHUN_S: Final = 3.0
+MAX_UNSENT: Final = 10_000
+LEAST_KEEP_S: Final = 5.0
+KEEP_WINDOWS: Final = 3
+
+
+class Copies:
+    """Our lines on their way to another entry, and other entries' lines here."""
+
+    def __init__(self, ups: Upstreams, pool: Pool, me: str, keep_s: float) -> None:
+        self.ups = ups
+        self.pool = pool
+        self.me = me
+        self.keep_s = keep_s
+        self.unsent: dict[str, BillLine] = {}
+        self.holders: dict[str, str] = {}
+        self.kept: dict[str, tuple[float, BillLine]] = {}
+        self.shunned: dict[str, float] = {}
+
+    def add(self, line: BillLine) -> None:
+        """Have a line of ours copied; the oldest go without where none can be sent."""
+        self.unsent[line["attempt"]] = line
+        if len(self.unsent) > MAX_UNSENT:
+            del self.unsent[next(iter(self.unsent))]
+
+    def take(self, msg: CopiesMsg) -> None:
+        """Keep another entry's lines."""
+        for line in msg["lines"]:
+            self.kept[line["attempt"]] = (time.monotonic(), line)
+
+    def settle(self, attempts: list[str]) -> None:
+        """These lines are in the ledger: drop the copies."""
+        for attempt in attempts:
+            self.kept.pop(attempt, None)
+
+    async def settled(self, lines: list[BillLine]) -> None:
+        """Our lines are in the ledger: tell who holds copies."""
+        by_holder: dict[str, list[str]] = {}
+        for line in lines:
+            self.unsent.pop(line["attempt"], None)
+            holder = self.holders.pop(line["attempt"], None)
+            if holder is not None:
+                by_holder.setdefault(holder, []).append(line["attempt"])
+        for holder, attempts in by_holder.items():
+            msg = SettledMsg(entry=self.me, attempts=attempts, rev=0)
+            await call(self.pool, holder, "POST", SETTLED_PATH, encode(msg), CALL_TIMEOUT_S)
+
+    async def run(self, filer: Filer) -> None:
+        """Send our lines, and file others' that nobody settled, until cancelled."""
+        while True:
+            await curio.sleep(SEND_PERIOD_S)
+            if self.unsent:
+                await self._send()
+            for attempt, (since, line) in list(self.kept.items()):
+                if time.monotonic() - since > self.keep_s:
+                    del self.kept[attempt]
+                    filer.add(line)
+
+    async def _send(self) -> None:
+        holder = self._holder()
+        if holder is None:
+            return
+        lines = list(self.unsent.values())
+        msg = CopiesMsg(entry=self.me, lines=lines)
+        got = await call(self.pool, holder, "POST", COPIES_PATH, encode(msg), CALL_TIMEOUT_S)
+        if isinstance(got, CallFailed):
+            self.shunned[holder] = time.monotonic() + SHUN_S
+            return
+        for line in lines:
+            if self.unsent.pop(line["attempt"], None) is not None:
+                self.holders[line["attempt"]] = holder
+
+    def _holder(self) -> str | None:
+        """A live entry of another hall, by rendezvous; of this one where there is no other."""
+        now, mine = time.monotonic(), ids.address(self.me)
+        others = [
+            box
+            for box in self.ups.boxes
+            if box["role"] == "entry" and box["state"] == "live" and box["addr"] != mine
+        ]
+        usable = [box for box in others if self.shunned.get(box["addr"], 0.0) < now]
+        if not usable:
+            return None
+        best = min(
+            usable,
+            key=lambda box: (box["hall"] == self.ups.hall, unit("copies", self.me, box["addr"])),
+        )
+        return best["addr"]
--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -13,10 +13,11 @@
 from ramppost.confsync import CONFIG_PATH, ask_peers, follow_platform
 from ramppost.entry.callers import caller_error, callers
 from ramppost.entry.claimhome import CLAIM_PATH, PEEK_PATH, reply_of
+from ramppost.entry.copies import COPIES_PATH, SETTLED_PATH
 from ramppost.entry.report import own_report
 from ramppost.entry.rollouts import drive, rate
 from ramppost.entry.state import Entry
-from ramppost.schema.messages import Claim, EntryStatus, PeekMsg, StatusMsg
+from ramppost.schema.messages import Claim, CopiesMsg, EntryStatus, PeekMsg, SettledMsg, StatusMsg
 from ramppost.schema.settings import EntrySettings, InputLimits
 from ramppost.usage import USAGE_PATH, usage
 from ramppost.wire.codec import BadMessage, decode, encode
@@ -40,6 +41,10 @@
             await _ask_log(entry, req, reply, Claim)
         elif req.path == PEEK_PATH:
             await _ask_log(entry, req, reply, PeekMsg)
+        elif req.path == COPIES_PATH:
+            await _keep_copies(entry, req, reply)
+        elif req.path == SETTLED_PATH:
+            await _drop_copies(entry, req, reply)
         elif req.path == USAGE_PATH:
             await reply.send(200, encode(usage(entry.client, (entry.outer, entry.inner))))
         elif req.path == "/x/upstreams":
@@ -68,6 +73,26 @@
         await reply.send(200, encode(reply_of(await entry.homes.own(msg))))
 
 
+async def _keep_copies(entry: Entry, req: Request, reply: Reply) -> None:
+    """Keep another entry's bill lines until they are settled."""
+    msg = decode(req.body, CopiesMsg)
+    if isinstance(msg, BadMessage):
+        await reply.send(400, encode({"error": msg.reason}))
+    else:
+        entry.copies.take(msg)
+        await reply.send(200, b"{}")
+
+
+async def _drop_copies(entry: Entry, req: Request, reply: Reply) -> None:
+    """Drop the lines that are in the ledger."""
+    msg = decode(req.body, SettledMsg)
+    if isinstance(msg, BadMessage):
+        await reply.send(400, encode({"error": msg.reason}))
+    else:
+        entry.copies.settle(msg["attempts"])
+        await reply.send(200, b"{}")
+
+
 async def _status(entry: Entry, req: Request, reply: Reply) -> None:
     decode(req.body, StatusMsg)
     status = EntryStatus(
@@ -102,6 +127,7 @@
         await curio.spawn(entry.ups.follow_boxes, cfg["platform"], daemon=True),
         await curio.spawn(entry.ups.poll, entry.rev_box, daemon=True),
         await curio.spawn(entry.filer.run, daemon=True),
+        await curio.spawn(entry.copies.run, entry.filer, daemon=True),
         await curio.spawn(drive, entry, daemon=True),
         await curio.spawn(rate, entry, daemon=True),
         await curio.spawn(entry.homes.keep_read, daemon=True),
--- a/ramppost/entry/rollouts.py
+++ b/ramppost/entry/rollouts.py
@@ -100,9 +100,14 @@
 async def rate(entry: Entry) -> None:
     """Hand answers in for rating and take in late ratings, until cancelled."""
     after = 0
+    waited_s = 0.0
     platform = entry.cfg["platform"]
     while True:
-        await curio.sleep(RATINGS_PERIOD_S if _rolling(entry) else CALM_PERIOD_S)
+        await curio.sleep(RATINGS_PERIOD_S)
+        waited_s += RATINGS_PERIOD_S
+        if not _rolling(entry) and waited_s < CALM_PERIOD_S:
+            continue
+        waited_s = 0.0
         if entry.to_rate:
             batch, entry.to_rate = entry.to_rate, []
             if not await hand_in(entry.pool, platform, batch):
--- a/ramppost/entry/state.py
+++ b/ramppost/entry/state.py
@@ -10,6 +10,7 @@
 from ramppost.confsync import ConfState
 from ramppost.entry.claimhome import ClaimHomes
 from ramppost.entry.claimlog import ClaimLog
+from ramppost.entry.copies import KEEP_WINDOWS, LEAST_KEEP_S, Copies
 from ramppost.entry.stats import Stats
 from ramppost.entry.upstreams import Upstreams
 from ramppost.ledger import Filer
@@ -55,7 +56,10 @@
         self.ups.seed(cfg["agents"])
         self.claims = ClaimLog(self.client, cfg.get("claim_window_ms", 10) / 1000)
         self.homes = ClaimHomes(self.claims, self.ups, self.pool, self.name)
-        self.filer = Filer(self.client, self.name, cfg.get("bill_window_s", 1.0), self._filed)
+        window_s = cfg.get("bill_window_s", 1.0)
+        self.filer = Filer(self.client, self.name, window_s, self._filed)
+        keep_s = max(LEAST_KEEP_S, KEEP_WINDOWS * window_s)
+        self.copies = Copies(self.ups, self.pool, self.name, keep_s)
         self.bill_agents: dict[str, str] = {}
         self.stats = Stats()
         self.learned = Learned()
@@ -128,6 +132,7 @@
         """Queue a bill line; its agent is told when it is in the ledger."""
         self.bill_agents[line["attempt"]] = agent
         self.filer.add(line)
+        self.copies.add(line)
 
     def _adopted(self, doc: ConfigDoc) -> None:
         self.rev_box[0] = doc["revision"]
@@ -136,8 +141,10 @@
     async def _filed(self, lines: list[BillLine]) -> None:
         by_agent: dict[str, list[str]] = {}
         for line in lines:
-            agent = self.bill_agents.pop(line["attempt"], "")
-            by_agent.setdefault(agent, []).append(line["attempt"])
+            agent = self.bill_agents.pop(line["attempt"], None)
+            if agent is not None:
+                by_agent.setdefault(agent, []).append(line["attempt"])
         for agent, attempts in by_agent.items():
             msg = SettledMsg(entry=self.name, attempts=attempts, rev=self.conf.rev)
             await call(self.pool, agent, "POST", "/a/settled", encode(msg), SETTLED_TIMEOUT_S)
+        await self.copies.settled(lines)
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -79,7 +79,7 @@
 
 class SettledMsg(TypedDict, closed=True):
     """
-    Entry to agent: these bills are in the ledger.
+    Entry to agent, or to the entry that keeps copies: these bills are in the ledger.
     """
 
     entry: str
@@ -283,6 +283,15 @@
     cost: float
 
 
+class CopiesMsg(TypedDict, closed=True):
+    """
+    Entry to an entry of another hall: bill lines to keep until they are settled.
+    """
+
+    entry: str
+    lines: list[BillLine]
+
+
 class BillBatch(TypedDict, closed=True):
     """
     Object `ledger/<incarnation>/<number>`: a group of bill lines, written once.
--- a/tests/features/halls.feature
+++ b/tests/features/halls.feature
@@ -20,6 +20,11 @@
     Then the repeat is not told "not run"
     And once the halls are joined the repeat has the answer, and it ran once
 
+  Scenario: a hall is lost with the bills of its entry and agent
+    Given two halls whose entries file their bills seldom
+    When requests ran in "kirkos" only and it is lost
+    Then every one of them is billed once within 30 seconds
+
   Scenario: a withdrawal while halls are parted
     Given two halls
     When "kirkos" is parted from the other and the platform, and "small@v1" is withdrawn in "bole"
--- a/tests/harness/ablated.py
+++ b/tests/harness/ablated.py
@@ -16,7 +16,7 @@
 from ramppost.agent import door
 from ramppost.cli.main import main
 from ramppost.confsync import ConfState
-from ramppost.entry import claimhome, claimlog, dispatch, keyed, route, upstreams
+from ramppost.entry import claimhome, claimlog, copies, dispatch, keyed, route, upstreams
 from ramppost.ledger import Filer
 from ramppost.wire import signals
 from ramppost.wire.codec import decode
@@ -60,6 +60,11 @@
     runner._witness = lambda *args: None
 
 
+def no_copies() -> None:
+    """No entry has its bill lines copied to another hall."""
+    copies.Copies.add = lambda self, line: None  # type: ignore[method-assign]
+
+
 def no_frame_checks() -> None:
     """Pieces are passed on whatever their attempt and number."""
 
@@ -149,6 +154,7 @@
     "tombstones": no_tombstones,
     "bill_identity": no_bill_identity,
     "witness": no_witness,
+    "copies": no_copies,
     "frame_checks": no_frame_checks,
     "gossip": no_gossip,
     "reverting": reverting,
--- a/tests/test_halls.py
+++ b/tests/test_halls.py
@@ -2,22 +2,26 @@
 
 from __future__ import annotations
 
+import os
 import time
 import uuid
 from collections.abc import Iterator
+from pathlib import Path
 
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from tests.conftest import SMALL
 from tests.faults import Caller
 from tests.harness.balanced import Load
 from tests.harness.cluster import Cluster
 from tests.harness.operator import confirm, plan_for, reset, wait_revision
-from tests.harness.oracle import Told, charged, runs, runs_of
+from tests.harness.oracle import Told, charged, ledger, runs, runs_of
 
 scenarios("features/halls.feature")
 
 IN_FORCE_S = 8.0
 UNFILED_S = 2.0
+COPIED_S = 2.0
 WITHDRAWN = {"kind": "withdraw", "model": "small", "version": "v1"}
 
 
@@ -45,6 +49,40 @@
     load.stop()
 
 
+@given("two halls whose entries file their bills seldom", target_fixture="seldom")
+def seldom(tmp_path: Path) -> Iterator[Cluster]:
+    """Agents settle as late, so that none of these files while the hall stands."""
+    times = {"entry": {"bill_window_s": 4}, "agent": {"witness_s": 60}}
+    ablate = os.environ.get("RAMPPOST_ABLATE", "")
+    cluster = Cluster(tmp_path, SMALL, ablate, **times).start()
+    yield cluster
+    cluster.stop()
+
+
+@when(parsers.parse('requests ran in "{hall}" only and it is lost'), target_fixture="served")
+def ran_and_lost(seldom: Cluster, hall: str) -> set[str]:
+    """Lose the hall while some of its bills are not filed."""
+    seldom.agent_proxy["agent-1"].set("refuse")
+    entry = next(n for n in seldom.in_hall(hall) if n.startswith("entry"))
+    unfiled: set[str] = set()
+    while not unfiled:
+        heard = [Caller(seldom, entry, f"key-{uuid.uuid4()}", 3).heard()[0] for _ in range(5)]
+        time.sleep(COPIED_S)
+        unfiled = {word.request_id for word in heard if word.served} - set(ledger(seldom))
+    lose(seldom, hall)
+    return unfiled
+
+
+@then(parsers.parse("every one of them is billed once within {seconds:d} seconds"))
+def billed_once(seldom: Cluster, served: set[str], seconds: int) -> None:
+    assert served
+    deadline = time.monotonic() + seconds
+    while not served <= set(bills := ledger(seldom)):
+        assert time.monotonic() < deadline, len(served - set(bills))
+        time.sleep(0.2)
+    assert {charged(bills, request_id) for request_id in served} == {1}
+
+
 @given("two halls")
 def two_halls(cluster: Cluster) -> None:
     """The fixture starts them."""
