--- a/ramppost/entry/claimhome.py
+++ b/ramppost/entry/claimhome.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import time
+from itertools import islice
 from typing import Final
 
 import curio
@@ -58,13 +59,20 @@
         self.shunned: dict[str, float] = {}
         self.noting = 0
         self.told = Shard()
+        self._order_of = ups.live
+        self._order: dict[int, list[str]] = {}
         self.read_once = False
 
     def ranked(self, shard: int) -> list[str]:
         """Addresses of a shard's home and deputy."""
+        if self._order_of is not self.ups.live:
+            self._order_of, self._order = self.ups.live, {}
+        if shard not in self._order:
+            by_rank = sorted(self.ups.live, key=lambda a: unit("claim-home", str(shard), a))
+            self._order[shard] = by_rank
         now = time.monotonic()
-        usable = [addr for addr in self.ups.live_entries() if self.shunned.get(addr, 0.0) < now]
-        return sorted(usable, key=lambda addr: unit("claim-home", str(shard), addr))[:READERS]
+        usable = (addr for addr in self._order[shard] if self.shunned.get(addr, 0.0) < now)
+        return list(islice(usable, READERS))
 
     async def claim(self, claim: Claim) -> Outcome:
         """Take a claim; the outcome is final."""
--- a/ramppost/entry/claimlog.py
+++ b/ramppost/entry/claimlog.py
@@ -3,8 +3,8 @@
 Claims of a shard wait a moment for each other, then go as one group into the head
 of the shard's log (see `ramppost.policy.claims`); they wait longer while the platform
 is busy, so that more share a write.  A write whose reply is lost is read back by its
-nonce.  Where the platform can't say within `GIVE_UP_S`, the claims
-are not granted, and for a moment nobody waits for the next try either.
+nonce.  Where the platform can't say within `GIVE_UP_S`, the claims are not granted,
+and for a moment nobody waits for the next try either.
 
 A claim that is known to stand is told at once, without the platform.  So a key
 that ran is known as such in an outage, by whoever has read the shard's log.
--- a/ramppost/entry/upstreams.py
+++ b/ramppost/entry/upstreams.py
@@ -94,7 +94,10 @@
 
 
 class Upstreams:
-    """All agents of this entry's subset, by address."""
+    """All agents of this entry's subset, by address, and which entries there are.
+
+    `live` holds the addresses of the entries that the box list holds live, and this one's.
+    """
 
     def __init__(
         self, node: str, hall: str, me: str, pool: Pool, size: int, rng: random.Random
@@ -107,6 +110,7 @@
         self.rng = rng
         self.table: dict[str, Upstream] = {}
         self.boxes: list[Box] = []
+        self.live = frozenset({ids.address(me)})
 
     def seed(self, addrs: list[str]) -> None:
         """Agents from the settings, for the time before the box list is read."""
@@ -116,6 +120,8 @@
     def take_boxes(self, boxes: list[Box]) -> None:
         """Take in the box list."""
         self.boxes = boxes
+        live = {b["addr"] for b in boxes if b["role"] == "entry" and b["state"] == "live"}
+        self.live = frozenset(live | {ids.address(self.me)})
         chosen = {box["addr"]: box for box in subset(self.node, boxes, self.size)}
         for addr, box in chosen.items():
             up = self.table.setdefault(addr, Upstream(addr, box["hall"]))
@@ -125,19 +131,14 @@
             if addr not in chosen and not self.table[addr].own:
                 del self.table[addr]
 
-    def live_entries(self) -> set[str]:
-        """Addresses of the entries that the box list holds live, and this one's."""
-        live = {b["addr"] for b in self.boxes if b["role"] == "entry" and b["state"] == "live"}
-        return live | {ids.address(self.me)}
-
     def entries(self) -> int:
         """How many entries there are."""
-        return len(self.live_entries())
+        return len(self.live)
 
     def rank(self, salt: str) -> int:
         """This entry's place among all, from 0, in an order that the salt gives."""
         mine = unit(salt, ids.address(self.me))
-        return sum(unit(salt, addr) < mine for addr in self.live_entries())
+        return sum(unit(salt, addr) < mine for addr in self.live)
 
     def candidates(self, mv: ModelVersion, service: str) -> list[Upstream]:
         """Agents that may get a request for a version or a service now."""
