--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
-from ramppost.entry.claimhome import READ_PERIOD_S, READERS
+from ramppost.entry.claimhome import MAX_TOLD, READ_PERIOD_S, READERS
 from ramppost.entry.claimlog import RETENTION_S
 from ramppost.entry.copies import SEND_PERIOD_S
 from ramppost.entry.rollouts import CALM_PERIOD_S, RATINGS_PERIOD_S
@@ -130,6 +130,21 @@
     return [*(Line(f"- {n}", v, "B/s", 0, "derived", how) for n, v, how in lines), idle]
 
 
+def entry_messages() -> float:
+    """Control messages a second at an entry, sent and received."""
+    polls = min(POLLS_S, POOLS * SUBSET)
+    own = polls + 1 / PEER_S + 1 / BOXES_S + 1 / CALM_PERIOD_S + 1 / WATCH_S + 1 / BILL_WINDOW_S
+    asked = (1 + RUNNERS / NODES) / PEER_S
+    claims = 2 * KEYED_S / NODES
+    return own + asked + claims + 2 / SEND_PERIOD_S
+
+
+def entry_state_mb(s: dict[str, float]) -> float:
+    """What an entry keeps: configuration, box list, claims that it was told of."""
+    boxes = (RUNNERS + NODES) * s["box_bytes"]
+    return (config_bytes(s) + boxes + MAX_TOLD * s["claim_memory"]) / 1e6
+
+
 def entry_role(s: dict[str, float]) -> Role:
     """An entry: 410 of them."""
     requests, tokens = REQUESTS_S / NODES, TOKENS_S / NODES
@@ -152,13 +167,29 @@
             ),
             Line("control bytes", wire, "B/s", BYTES_BUDGET, "derived", "the six lines below"),
             *parts,
+            Line(
+                "control messages",
+                entry_messages(),
+                "/s",
+                0,
+                "derived",
+                "polls, peers, platform, claims, copies",
+            ),
+            Line(
+                "state",
+                entry_state_mb(s),
+                "MB",
+                0,
+                "derived",
+                f"configuration, box list, at most {MAX_TOLD} claims told of; none by session",
+            ),
             Line(
                 "memory",
-                s["entry_rss"],
+                s["entry_rss"] + entry_state_mb(s),
                 "MB",
                 RAM_BUDGET_MB,
-                "measured",
-                "nothing is kept by session",
+                "derived",
+                "as measured, and the state",
             ),
             Line("data CPU (not control)", data, "core", 0, "derived", "requests and token frames"),
         ],
@@ -252,6 +283,22 @@
                 "derived",
                 "polls, configuration, settled",
             ),
+            Line(
+                "control messages",
+                asked + 1 / PEER_S + 1 / WATCH_S + min(requests, NODES / BILL_WINDOW_S),
+                "/s",
+                0,
+                "derived",
+                "polls, peers, watch, settled",
+            ),
+            Line(
+                "state",
+                min(64, kept),
+                "MB",
+                0,
+                "derived",
+                "answers kept for reading on, attempts and tombstones",
+            ),
             Line(
                 "memory",
                 s["agent_rss"] + min(64, kept),
@@ -322,7 +369,15 @@
                 "derived",
                 f"within {IN_FORCE_S} s: {burst / IN_FORCE_S:.1f} MB/s",
             ),
-            Line("claims kept for two hours", kept, "MB", 0, "derived", "see change 1"),
+            Line("state: claims of two hours", kept, "MB", 0, "derived", "see change 2"),
+            Line(
+                "state: bill lines of a day",
+                REQUESTS_S * DAY_S * s["bill_record"] / 1e6,
+                "MB",
+                0,
+                "derived",
+                "never deleted: see change 7",
+            ),
         ],
     )
 
@@ -357,6 +412,14 @@
                 "derived",
                 "one entry asks all; for people only",
             ),
+            Line(
+                "status, CPU at the entry asked",
+                (NODES + RUNNERS) * s["call_cpu"] / 1e6,
+                "s",
+                0,
+                "derived",
+                "the client itself makes one call and keeps nothing",
+            ),
         ],
     )
 
