--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -17,6 +17,7 @@
 from ramppost.entry.report import own_report
 from ramppost.entry.rollouts import drive, rate
 from ramppost.entry.state import Entry
+from ramppost.policy.claims import is_claim_key
 from ramppost.schema.messages import Claim, CopiesMsg, EntryStatus, PeekMsg, SettledMsg, StatusMsg
 from ramppost.schema.settings import EntrySettings, InputLimits
 from ramppost.usage import USAGE_PATH, usage
@@ -69,6 +70,8 @@
     msg = decode(req.body, kind)
     if isinstance(msg, BadMessage):
         await reply.send(400, encode({"error": msg.reason}))
+    elif not is_claim_key(msg["key"]):
+        await reply.send(400, b'{"error":"key: 32 hexadecimal digits wanted"}')
     else:
         await reply.send(200, encode(reply_of(await entry.homes.own(msg))))
 
--- a/ramppost/policy/claims.py
+++ b/ramppost/policy/claims.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import hashlib
+import re
 import sys
 from collections import deque
 from typing import Final, NamedTuple
@@ -20,6 +21,8 @@
 
 SHARDS: Final = 16
 SEQ_DIGITS: Final = 10
+KEY_BYTES: Final = 16
+KEY_FORM: Final = re.compile(f"[0-9a-f]{{{2 * KEY_BYTES}}}")
 FULL_RECORDS: Final = 64
 """A head with so many records is closed.  All entries must agree on it: where they
 don't, one could close a head that another still adds to."""
@@ -28,7 +31,12 @@
 def claim_key(workspace: str, caller_key: str) -> str:
     """Digest that names a caller's key within its workspace."""
     text = f"{workspace}\0{caller_key}".encode()
-    return hashlib.blake2b(text, digest_size=16).hexdigest()
+    return hashlib.blake2b(text, digest_size=KEY_BYTES).hexdigest()
+
+
+def is_claim_key(text: str) -> bool:
+    """Whether a text has the form of a claim key."""
+    return KEY_FORM.fullmatch(text) is not None
 
 
 def shard_of(key: str) -> int:
