A stopping entry files the bill lines it keeps for others

Cause: read while checking what a planned stop loses: copies kept for an entry of another hall went with the process, and their owner still counted on them. Test: kept lines that were settled are dropped, the others are in the filer's queue.

--- a/ramppost/entry/copies.py
+++ b/ramppost/entry/copies.py
@@ -80,10 +80,14 @@
             await curio.sleep(SEND_PERIOD_S)
             if self.unsent:
                 await self._send()
-            for attempt, (since, line) in list(self.kept.items()):
-                if time.monotonic() - since > self.keep_s:
-                    del self.kept[attempt]
-                    filer.add(line)
+            self.file_kept(filer, self.keep_s)
+
+    def file_kept(self, filer: Filer, older_than_s: float) -> None:
+        """File others' lines that were kept so long; all of them where this entry stops."""
+        for attempt, (since, line) in list(self.kept.items()):
+            if time.monotonic() - since >= older_than_s:
+                del self.kept[attempt]
+                filer.add(line)
 
     async def _send(self) -> None:
         holder = self._holder()
--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -163,6 +163,7 @@
     entry.leaving = True
     deadline = time.monotonic() + entry.cfg.get("drain_s", 600.0)
     await curio.sleep(entry.cfg.get("linger_s", 3.0))
+    entry.copies.file_kept(entry.filer, 0.0)
     while time.monotonic() < deadline:
         if not entry.busy and entry.filer.empty and entry.homes.idle:
             logger.info("left")
