--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
+from ramppost.confsync import PEER_PERIOD_S, WATCH_S
 from ramppost.entry.claimhome import MAX_TOLD, READ_PERIOD_S, READERS
 from ramppost.entry.claimlog import RETENTION_S
 from ramppost.entry.copies import SEND_PERIOD_S
@@ -53,9 +54,8 @@
 
 # Settings and constants of the code.
 POLLS_S: Final = IDLE_POLLS / POLL_S
-WATCH_S: Final = 25
 BOXES_S: Final = BOXES_PERIOD_S
-PEER_S: Final = 2
+PEER_S: Final = PEER_PERIOD_S
 BILL_WINDOW_S: Final = 30
 CLAIM_WINDOW_MS: Final = 10
 TARGET_WINDOW_MS: Final = 300
@@ -125,7 +125,12 @@
         ("claims, bills, copies", records, "records as stored; copies go out and come in"),
     ]
     idle = Line(
-        "- idle: peers and watch", s["entry_idle_bytes"], "B/s", 0, "measured", f"every {PEER_S} s"
+        "- idle: peers and watch",
+        s["entry_idle_bytes"],
+        "B/s",
+        0,
+        "measured",
+        f"every {PEER_S:g} s",
     )
     return [*(Line(f"- {n}", v, "B/s", 0, "derived", how) for n, v, how in lines), idle]
 
--- a/ramppost/agent/door.py
+++ b/ramppost/agent/door.py
@@ -8,8 +8,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable
-from typing import Literal, TypeVar
+from typing import Literal
 
 from ramppost import ids
 from ramppost.agent.attempts import Attempt
@@ -26,27 +25,26 @@
     StatusMsg,
 )
 from ramppost.usage import USAGE_PATH, usage
-from ramppost.wire.codec import BadMessage, decode, encode, encode_line
+from ramppost.wire.codec import encode, encode_line
+from ramppost.wire.messages import with_message
 from ramppost.wire.server import Handler, Reply, Request
 
 NDJSON = "application/x-ndjson"
 HeadOutcome = Literal["admitted", "not_run", "unknown"]
 
-T = TypeVar("T")
-
 
 def door(agent: Agent) -> Handler:
     """The handler of an agent's listener."""
 
     async def handle(req: Request, reply: Reply) -> None:
         if req.path == "/a/run":
-            await _with(req, reply, RunMsg, lambda msg: _run(agent, msg, reply))
+            await with_message(req, reply, RunMsg, lambda msg: _run(agent, msg, reply))
         elif req.path == "/a/attach":
-            await _with(req, reply, AttachMsg, lambda msg: _attach(agent, msg, reply))
+            await with_message(req, reply, AttachMsg, lambda msg: _attach(agent, msg, reply))
         elif req.path == "/a/settled":
-            await _with(req, reply, SettledMsg, lambda msg: _settled(agent, msg, reply))
+            await with_message(req, reply, SettledMsg, lambda msg: _settled(agent, msg, reply))
         elif req.path == "/a/status":
-            await _with(req, reply, StatusMsg, lambda msg: _status(agent, msg, reply))
+            await with_message(req, reply, StatusMsg, lambda msg: _status(agent, msg, reply))
         elif req.path == CONFIG_PATH:
             await send_config(agent.conf.raw, agent.conf.rev, req, reply)
         elif req.path == USAGE_PATH:
@@ -60,16 +58,6 @@
     return handle
 
 
-async def _with(
-    req: Request, reply: Reply, kind: type[T], then: Callable[[T], Awaitable[None]]
-) -> None:
-    msg = decode(req.body, kind)
-    if isinstance(msg, BadMessage):
-        await reply.send(400, encode({"error": msg.reason}))
-    else:
-        await then(msg)
-
-
 async def send_config(raw: bytes, rev: int, req: Request, reply: Reply) -> None:
     """Answer a peer that asks for a revision newer than its own."""
     asked = req.query.get("rev", "0")
--- a/ramppost/agent/orders.py
+++ b/ramppost/agent/orders.py
@@ -31,7 +31,9 @@
 
 
 async def give_orders(agent: Agent) -> None:
-    """Give the engine what it is due, until cancelled."""
+    """Give the engine what it is due, until cancelled; a plain service is due nothing."""
+    if agent.cfg["upstream"]["kind"] != "engine":
+        return
     not_before: dict[LoadOrder, float] = {}
     while True:
         await curio.sleep(PERIOD_S)
--- a/ramppost/entry/callers.py
+++ b/ramppost/entry/callers.py
@@ -96,17 +96,23 @@
     """Serve a request within its workspace's limits."""
     name = ask.ws["name"]
     ref = _turned_away(entry, ask.ws)
-    if ref is None:
-        entry.running[name] = entry.running.get(name, 0) + 1
-        try:
-            ref = await _served(entry, ask, req, reply)
-        finally:
-            entry.running[name] -= 1
-    if ref is None:
+    if ref is not None:
+        await _refuse(entry, ask, ref, reply)
         return
+    entry.running[name] = entry.running.get(name, 0) + 1
+    try:
+        ref = await _served(entry, ask, req, reply)
+        if ref is not None:
+            await _refuse(entry, ask, ref, reply)
+    finally:
+        entry.running[name] -= 1
+
+
+async def _refuse(entry: Entry, ask: Ask, ref: Refusal, reply: Reply) -> None:
+    """Send the final word; "not run" of a key that was not looked up yet is checked first."""
     if ask.key and ref.ran == "no" and not ask.trace.claimed:
         ref = ref._replace(ran=await entry.homes.ran(key_of(ask)))
-    bound = logger.bind(request=ask.request_id, workspace=name)
+    bound = logger.bind(request=ask.request_id, workspace=ask.ws["name"])
     bound.info("refused: {} ran={}", ref.code, ref.ran)
     await send_refusal(reply, ref, ask.request_id)
 
--- a/ramppost/entry/claimhome.py
+++ b/ramppost/entry/claimhome.py
@@ -28,10 +28,10 @@
     Outcome,
     Taken,
 )
+from ramppost.entry.shunned import Shunned
 from ramppost.entry.upstreams import Upstreams
 from ramppost.errors import Ran
 from ramppost.policy.claims import SHARDS, Shard, shard_of
-from ramppost.policy.routing import unit
 from ramppost.schema.messages import Claim, ClaimReply, PeekMsg
 from ramppost.wire.client import CallFailed, Pool, call
 from ramppost.wire.codec import BadMessage, decode, encode
@@ -39,7 +39,6 @@
 CLAIM_PATH: Final = "/x/claim"
 PEEK_PATH: Final = "/x/peek"
 ASK_TIMEOUT_S: Final = GIVE_UP_S + 0.5
-SHUN_S: Final = 3.0
 READERS: Final = 2
 MAX_TOLD: Final = 10_000
 READ_PERIOD_S: Final = 5.0
@@ -56,23 +55,15 @@
         self.ups = ups
         self.pool = pool
         self.me = ids.address(me)
-        self.shunned: dict[str, float] = {}
+        self.shunned = Shunned()
         self.noting = 0
         self.told = Shard()
-        self._order_of = ups.live
-        self._order: dict[int, list[str]] = {}
         self.read_once = False
 
     def ranked(self, shard: int) -> list[str]:
         """Addresses of a shard's home and deputy."""
-        if self._order_of is not self.ups.live:
-            self._order_of, self._order = self.ups.live, {}
-        if shard not in self._order:
-            by_rank = sorted(self.ups.live, key=lambda a: unit("claim-home", str(shard), a))
-            self._order[shard] = by_rank
-        now = time.monotonic()
-        usable = (addr for addr in self._order[shard] if self.shunned.get(addr, 0.0) < now)
-        return list(islice(usable, READERS))
+        ordered = self.ups.ordered("claim-home", str(shard))
+        return list(islice((addr for addr in ordered if addr not in self.shunned), READERS))
 
     async def claim(self, claim: Claim) -> Outcome:
         """Take a claim; the outcome is final."""
@@ -163,7 +154,7 @@
         else:
             reply = decode(got.body, ClaimReply)
         if isinstance(reply, BadMessage):
-            self.shunned[addr] = time.monotonic() + SHUN_S
+            self.shunned.add(addr)
             return NoClaim(f"entry {addr} gave no answer", False)
         return _outcome(reply)
 
--- a/ramppost/entry/claimlog.py
+++ b/ramppost/entry/claimlog.py
@@ -194,8 +194,9 @@
         self.queues[shard] = [p for p in self.queues[shard] if p.until > now]
         if lost:
             self.down_until = now + DOWN_S
+        if lost or late:
+            logger.warning("{} claims not taken: no answer in time", len(lost) + len(late))
         for pending in (*lost, *late):
-            logger.warning("claim not taken: no answer from the platform in time")
             reason = "the platform gave no answer in time"
             await pending.decide(self._no_claim(pending.claim, reason))
 
--- a/ramppost/entry/copies.py
+++ b/ramppost/entry/copies.py
@@ -16,9 +16,9 @@
 import curio
 
 from ramppost import ids
+from ramppost.entry.shunned import Shunned
 from ramppost.entry.upstreams import Upstreams
 from ramppost.ledger import Filer
-from ramppost.policy.routing import unit
 from ramppost.schema.messages import BillLine, CopiesMsg, SettledMsg
 from ramppost.wire.client import CallFailed, Pool, call
 from ramppost.wire.codec import encode
@@ -27,7 +27,6 @@
 SETTLED_PATH: Final = "/x/settled"
 SEND_PERIOD_S: Final = 1.0
 CALL_TIMEOUT_S: Final = 1.0
-SHUN_S: Final = 3.0
 MAX_UNSENT: Final = 10_000
 LEAST_KEEP_S: Final = 5.0
 KEEP_WINDOWS: Final = 3
@@ -44,7 +43,7 @@
         self.unsent: dict[str, BillLine] = {}
         self.holders: dict[str, str] = {}
         self.kept: dict[str, tuple[float, BillLine]] = {}
-        self.shunned: dict[str, float] = {}
+        self.shunned = Shunned()
 
     def add(self, line: BillLine) -> None:
         """Have a line of ours copied; the oldest go without where none can be sent."""
@@ -97,7 +96,7 @@
         msg = CopiesMsg(entry=self.me, lines=lines)
         got = await call(self.pool, holder, "POST", COPIES_PATH, encode(msg), CALL_TIMEOUT_S)
         if isinstance(got, CallFailed):
-            self.shunned[holder] = time.monotonic() + SHUN_S
+            self.shunned.add(holder)
             return
         for line in lines:
             if self.unsent.pop(line["attempt"], None) is not None:
@@ -105,17 +104,12 @@
 
     def _holder(self) -> str | None:
         """A live entry of another hall, by rendezvous; of this one where there is no other."""
-        now, mine = time.monotonic(), ids.address(self.me)
-        others = [
-            box
-            for box in self.ups.boxes
-            if box["role"] == "entry" and box["state"] == "live" and box["addr"] != mine
+        mine = ids.address(self.me)
+        halls = {box["addr"]: box["hall"] for box in self.ups.boxes}
+        usable = [
+            addr
+            for addr in self.ups.ordered("copies", self.me)
+            if addr != mine and addr not in self.shunned
         ]
-        usable = [box for box in others if self.shunned.get(box["addr"], 0.0) < now]
-        if not usable:
-            return None
-        best = min(
-            usable,
-            key=lambda box: (box["hall"] == self.ups.hall, unit("copies", self.me, box["addr"])),
-        )
-        return best["addr"]
+        away = [addr for addr in usable if halls[addr] != self.ups.hall]
+        return next(iter(away or usable), None)
--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -21,7 +21,8 @@
 from ramppost.schema.messages import Claim, CopiesMsg, EntryStatus, PeekMsg, SettledMsg, StatusMsg
 from ramppost.schema.settings import EntrySettings, InputLimits
 from ramppost.usage import USAGE_PATH, usage
-from ramppost.wire.codec import BadMessage, decode, encode
+from ramppost.wire.codec import decode, encode
+from ramppost.wire.messages import with_message
 from ramppost.wire.server import Handler, Limits, Reply, Request, TlsFiles, listen, serve
 from ramppost.wire.signals import Signals
 
@@ -39,13 +40,13 @@
         elif req.path == "/x/report":
             await reply.send(200, encode(own_report(entry)))
         elif req.path == CLAIM_PATH:
-            await _ask_log(entry, req, reply, Claim)
+            await with_message(req, reply, Claim, lambda msg: _ask_log(entry, msg, reply))
         elif req.path == PEEK_PATH:
-            await _ask_log(entry, req, reply, PeekMsg)
+            await with_message(req, reply, PeekMsg, lambda msg: _ask_log(entry, msg, reply))
         elif req.path == COPIES_PATH:
-            await _keep_copies(entry, req, reply)
+            await with_message(req, reply, CopiesMsg, lambda msg: _keep_copies(entry, msg, reply))
         elif req.path == SETTLED_PATH:
-            await _drop_copies(entry, req, reply)
+            await with_message(req, reply, SettledMsg, lambda msg: _drop_copies(entry, msg, reply))
         elif req.path == USAGE_PATH:
             await reply.send(200, encode(usage(entry.client, (entry.outer, entry.inner))))
         elif req.path == "/x/upstreams":
@@ -63,37 +64,24 @@
     return handle
 
 
-async def _ask_log(
-    entry: Entry, req: Request, reply: Reply, kind: type[Claim] | type[PeekMsg]
-) -> None:
+async def _ask_log(entry: Entry, msg: Claim | PeekMsg, reply: Reply) -> None:
     """Take a claim or look a key up, as a home or deputy of its shard."""
-    msg = decode(req.body, kind)
-    if isinstance(msg, BadMessage):
-        await reply.send(400, encode({"error": msg.reason}))
-    elif not is_claim_key(msg["key"]):
-        await reply.send(400, b'{"error":"key: 32 hexadecimal digits wanted"}')
-    else:
+    if is_claim_key(msg["key"]):
         await reply.send(200, encode(reply_of(await entry.homes.own(msg))))
+    else:
+        await reply.send(400, b'{"error":"key: 32 hexadecimal digits wanted"}')
 
 
-async def _keep_copies(entry: Entry, req: Request, reply: Reply) -> None:
+async def _keep_copies(entry: Entry, msg: CopiesMsg, reply: Reply) -> None:
     """Keep another entry's bill lines until they are settled."""
-    msg = decode(req.body, CopiesMsg)
-    if isinstance(msg, BadMessage):
-        await reply.send(400, encode({"error": msg.reason}))
-    else:
-        entry.copies.take(msg)
-        await reply.send(200, b"{}")
+    entry.copies.take(msg)
+    await reply.send(200, b"{}")
 
 
-async def _drop_copies(entry: Entry, req: Request, reply: Reply) -> None:
+async def _drop_copies(entry: Entry, msg: SettledMsg, reply: Reply) -> None:
     """Drop the lines that are in the ledger."""
-    msg = decode(req.body, SettledMsg)
-    if isinstance(msg, BadMessage):
-        await reply.send(400, encode({"error": msg.reason}))
-    else:
-        entry.copies.settle(msg["attempts"])
-        await reply.send(200, b"{}")
+    entry.copies.settle(msg["attempts"])
+    await reply.send(200, b"{}")
 
 
 async def _status(entry: Entry, req: Request, reply: Reply) -> None:
--- a/ramppost/entry/rollouts.py
+++ b/ramppost/entry/rollouts.py
@@ -20,7 +20,7 @@
 from ramppost.platform.ratings import hand_in, ratings_after
 from ramppost.policy.intent import advance, finish, withdraw_trial
 from ramppost.policy.permissions import ModelVersion
-from ramppost.policy.rollout import Counted, Counts, Ratings, Verdict, judge, since
+from ramppost.policy.rollout import Counted, Counts, Ratings, Verdict, judge, since, trial_of
 from ramppost.schema.config import ConfigDoc, Rollout
 
 PERIOD_S: Final = 0.2
@@ -46,7 +46,7 @@
         await curio.sleep(PERIOD_S)
         doc = entry.conf.doc
         running = [r for r in doc["rollouts"] if r["state"] == "running"] if doc else []
-        now = {_trial_of(r): r for r in running}
+        now = {trial_of(r): r for r in running}
         watched = {trial: seen for trial, seen in watched.items() if trial in now}
         for trial, rollout in now.items():
             if trial not in watched:
@@ -56,11 +56,6 @@
             await _judge_one(entry, doc, rollout, trial, watched[trial])
 
 
-def _trial_of(rollout: Rollout) -> Counted:
-    mv = ModelVersion(rollout["model"], rollout["trial"])
-    return Counted(mv, rollout.get("since_revision", 0))
-
-
 async def _judge_one(
     entry: Entry, doc: ConfigDoc, rollout: Rollout, trial: Counted, seen: Watched
 ) -> None:
--- /dev/null
+++ b/ramppost/entry/shunned.py
@@ -0,0 +1,22 @@
+"""Entries that gave no answer, which are not asked for a while."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+SHUN_S: Final = 3.0
+
+
+class Shunned:
+    """Addresses that are passed over now."""
+
+    def __init__(self) -> None:
+        self._until: dict[str, float] = {}
+
+    def add(self, addr: str) -> None:
+        """It gave no answer just now."""
+        self._until[addr] = time.monotonic() + SHUN_S
+
+    def __contains__(self, addr: str) -> bool:
+        return time.monotonic() <= self._until.get(addr, 0.0)
--- a/ramppost/entry/state.py
+++ b/ramppost/entry/state.py
@@ -18,7 +18,7 @@
 from ramppost.platform.ratings import Rated
 from ramppost.policy.limits import RetryBudget, TokenBucket
 from ramppost.policy.permissions import ModelVersion, running_rollout
-from ramppost.policy.rollout import Counted, Ratings, counted_as, part_of_cap
+from ramppost.policy.rollout import Counted, Ratings, counted_as, part_of_cap, trial_of
 from ramppost.policy.routing import Learned
 from ramppost.schema.config import ConfigDoc, Rollout, Workspace
 from ramppost.schema.messages import BillLine, SettledMsg
@@ -82,21 +82,22 @@
         """Whether this entry's part of the cap on a step's exposure has room."""
         if "max_exposed" not in rollout:
             return True
-        mv = ModelVersion(rollout["model"], rollout["trial"])
-        since, step = rollout.get("since_revision", 0), rollout["step"]
-        seen = self.exposed.get(Counted(mv, since))
-        sent = seen.requests if seen and seen.step == step else 0
-        rank = self.ups.rank(f"{mv.text} {since} {step}")
-        return sent < part_of_cap(rollout["max_exposed"], self.ups.entries(), rank)
+        trial, step = trial_of(rollout), rollout["step"]
+        rank = self.ups.rank(f"{trial.mv.text} {trial.since} {step}")
+        part = part_of_cap(rollout["max_exposed"], self.ups.entries(), rank)
+        return self._exposed_in(trial, step) < part
 
     def expose(self, doc: ConfigDoc, mv: ModelVersion) -> None:
         """Count a request that goes to a trial."""
         rollout = running_rollout(doc, mv.model)
         step = rollout["step"] if rollout else 0
-        what = counted_as(doc, mv)
-        seen = self.exposed.get(what)
-        sent = seen.requests if seen and seen.step == step else 0
-        self.exposed[what] = Exposed(step, sent + 1)
+        trial = counted_as(doc, mv)
+        self.exposed[trial] = Exposed(step, self._exposed_in(trial, step) + 1)
+
+    def _exposed_in(self, trial: Counted, step: int) -> int:
+        """Requests that went to a trial in a step."""
+        seen = self.exposed.get(trial)
+        return seen.requests if seen and seen.step == step else 0
 
     @property
     def busy(self) -> int:
--- a/ramppost/entry/upstreams.py
+++ b/ramppost/entry/upstreams.py
@@ -110,7 +110,8 @@
         self.rng = rng
         self.table: dict[str, Upstream] = {}
         self.boxes: list[Box] = []
-        self.live = frozenset({ids.address(me)})
+        self.live = {ids.address(me)}
+        self._ordered: dict[tuple[str, ...], list[str]] = {}
 
     def seed(self, addrs: list[str]) -> None:
         """Agents from the settings, for the time before the box list is read."""
@@ -121,7 +122,8 @@
         """Take in the box list."""
         self.boxes = boxes
         live = {b["addr"] for b in boxes if b["role"] == "entry" and b["state"] == "live"}
-        self.live = frozenset(live | {ids.address(self.me)})
+        self.live = live | {ids.address(self.me)}
+        self._ordered = {}
         chosen = {box["addr"]: box for box in subset(self.node, boxes, self.size)}
         for addr, box in chosen.items():
             up = self.table.setdefault(addr, Upstream(addr, box["hall"]))
@@ -135,10 +137,15 @@
         """How many entries there are."""
         return len(self.live)
 
+    def ordered(self, *salt: str) -> list[str]:
+        """All entries in an order that the salt gives, kept until the box list changes."""
+        if salt not in self._ordered:
+            self._ordered[salt] = sorted(self.live, key=lambda addr: unit(*salt, addr))
+        return self._ordered[salt]
+
     def rank(self, salt: str) -> int:
         """This entry's place among all, from 0, in an order that the salt gives."""
-        mine = unit(salt, ids.address(self.me))
-        return sum(unit(salt, addr) < mine for addr in self.live)
+        return self.ordered(salt).index(ids.address(self.me))
 
     def candidates(self, mv: ModelVersion, service: str) -> list[Upstream]:
         """Agents that may get a request for a version or a service now."""
--- a/ramppost/policy/claims.py
+++ b/ramppost/policy/claims.py
@@ -137,9 +137,6 @@
         self.closed: deque[Closed] = deque()
         self._claims: dict[str, Held] = {}
 
-    def __len__(self) -> int:
-        return len(self._claims)
-
     def close(self, segment: ClaimSegment, now: float) -> None:
         """Take in a closed segment; closed ones come in order, maybe twice."""
         if self.closed and segment["seq"] <= self.closed[-1].seq:
--- a/ramppost/policy/rollout.py
+++ b/ramppost/policy/rollout.py
@@ -43,12 +43,18 @@
     since: int
 
 
+def trial_of(rollout: Rollout) -> Counted:
+    """What the runs of a roll-out's trial count for."""
+    mv = ModelVersion(rollout["model"], rollout["trial"])
+    return Counted(mv, rollout.get("since_revision", 0))
+
+
 def counted_as(doc: ConfigDoc, mv: ModelVersion) -> Counted:
     """What a run of a version counts for by a configuration."""
     rollout = running_rollout(doc, mv.model)
     if rollout is None or rollout["trial"] != mv.version:
         return Counted(mv, 0)
-    return Counted(mv, rollout.get("since_revision", 0))
+    return trial_of(rollout)
 
 
 class Ratings:
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -141,6 +141,10 @@
         cfgs = {**self.fleet.entries, **self.fleet.agents}
         return [name for name, cfg in cfgs.items() if cfg["hall"] == hall]
 
+    def entry_in(self, hall: str) -> str:
+        """An entry of a hall."""
+        return next(name for name in self.in_hall(hall) if name in self.fleet.entries)
+
     def part(self, *far: str) -> None:
         """Cut these halls off from the others, in both directions; none ends the cut."""
         ips = {hall: self.hall_ip(hall) for hall in self.plan.halls}
@@ -204,12 +208,14 @@
 
     def _agents_now(self) -> set[str]:
         """Incarnations of the agents that run, by their own word."""
-        asked = {"entry": "test:0#0", "rev": 0}
         names = [n for n in self.fleet.agents if n in self.procs]
-        replies = [
-            self.http.post(self.internal(n) + "/a/status", json=asked, timeout=2) for n in names
-        ]
-        return {_incarnation(got.json()) for got in replies}
+        return {_incarnation(self.agent_status(name)) for name in names}
+
+    def agent_status(self, name: str) -> dict[str, Any]:
+        """What an agent says of itself."""
+        asked = {"entry": "test:0#0", "rev": 0}
+        got = self.http.post(self.internal(name) + "/a/status", json=asked, timeout=2)
+        return dict(got.json())
 
     @property
     def entry_names(self) -> list[str]:
--- a/tests/test_halls.py
+++ b/tests/test_halls.py
@@ -63,7 +63,7 @@
 def ran_and_lost(seldom: Cluster, hall: str) -> set[str]:
     """Lose the hall while some of its bills are not filed."""
     seldom.agent_proxy["agent-1"].set("refuse")
-    entry = next(n for n in seldom.in_hall(hall) if n.startswith("entry"))
+    entry = seldom.entry_in(hall)
     unfiled: set[str] = set()
     while not unfiled:
         heard = [Caller(seldom, entry, f"key-{uuid.uuid4()}", 3).heard()[0] for _ in range(5)]
@@ -142,7 +142,7 @@
     for name in cluster.in_hall(far):
         if name.startswith("agent"):
             cluster.agent_proxy[name].set("refuse")
-    entry = next(n for n in cluster.in_hall(here) if n.startswith("entry"))
+    entry = cluster.entry_in(here)
     deadline = time.monotonic() + 5
     while not Caller(cluster, entry, key, 5).heard()[0].served:
         assert time.monotonic() < deadline
@@ -153,7 +153,7 @@
 
 @when(parsers.parse('its key is repeated in "{far}"'), target_fixture="word")
 def repeated(cluster: Cluster, key: str, far: str) -> Told:
-    entry = next(n for n in cluster.in_hall(far) if n.startswith("entry"))
+    entry = cluster.entry_in(far)
     return Caller(cluster, entry, key, 5).heard()[0]
 
 
@@ -180,7 +180,7 @@
 def withdrawn(cluster: Cluster, far: str, here: str) -> int:
     reset(cluster)
     part(cluster, far, platform=True)
-    entry = next(n for n in cluster.in_hall(here) if n.startswith("entry"))
+    entry = cluster.entry_in(here)
     plan = plan_for(cluster, entry, dict(WITHDRAWN)).json()
     return int(confirm(cluster, entry, plan["plan_id"]).json()["revision"])
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -77,8 +77,7 @@
 def agents(cluster: Cluster) -> list[dict[str, Any]]:
     """What the agents of engines say of themselves."""
     names = [n.replace("engine", "agent") for n in cluster.fleet.engines]
-    asked = {"entry": "test:0#0", "rev": 0}
-    return [cluster.http.post(cluster.internal(n) + "/a/status", json=asked).json() for n in names]
+    return [cluster.agent_status(name) for name in names]
 
 
 def orders(cluster: Cluster, engine: str) -> list[dict[str, Any]]:
