--- /dev/null
+++ b/ramppost/gateway/admit.py
@@ -0,0 +1,60 @@
+"""Which route and workspace a request belongs to, or why it is refused."""
+
+from __future__ import annotations
+
+import time
+from typing import Final, NamedTuple
+
+from ramppost.errors import Refusal, refusal
+from ramppost.gateway.model import CallerRequest, Route, RoutingTable, Workspace
+from ramppost.gateway.state import Gateway
+
+STALE_RETRY_S: Final = 0.5
+"""Another gateway may still reach the store, and this one tries twice a second."""
+
+
+class Admitted(NamedTuple):
+    """A request's route, and its workspace where it gave a key that is in force."""
+
+    route: Route
+    workspace: Workspace | None
+
+
+def admit(gw: Gateway, req: CallerRequest) -> Admitted | Refusal:
+    """Find the route and check the key by the configuration in force.
+
+    While that may no longer be the newest, nothing is refused for good by it: a route
+    or key that it lacks may have been added since.
+    """
+    table = gw.table
+    if table is None or not gw.members_listed:
+        return refusal("not_ready", "no configuration yet", STALE_RETRY_S)
+    fresh = gw.fresh.holds(time.monotonic())
+    route = find_route(table, req.host, req.target)
+    if route is None:
+        return _final(fresh, "not_found", f"no route for {req.target.partition('?')[0]}")
+    if table.keys is None:
+        return Admitted(route, None)
+    workspace = table.keys.get(req.key) if req.key else None
+    if workspace is None and not route.anonymous:
+        return _final(fresh, "unauthorized", "unknown key" if req.key else "no key")
+    if workspace is not None and not fresh:
+        return _stale()
+    return Admitted(route, workspace)
+
+
+def find_route(table: RoutingTable, host: str, target: str) -> Route | None:
+    """The route of a host with the longest prefix of the path."""
+    path = target.partition("?")[0]
+    for route in table.routes.get(host, ()):
+        if path.startswith(route.prefix):
+            return route
+    return None
+
+
+def _final(fresh: bool, code: str, message: str) -> Refusal:
+    return refusal(code, message) if fresh else _stale()
+
+
+def _stale() -> Refusal:
+    return refusal("not_ready", "the configuration may not be the newest", STALE_RETRY_S)
--- /dev/null
+++ b/ramppost/gateway/attempt.py
@@ -0,0 +1,191 @@
+"""One attempt: send a request to an upstream and wait for the head of its answer.
+
+An upstream that is silent is given up only where the request may run again, and only
+if nothing at all came from it since: an engine that answers others is alive and busy.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Final, NamedTuple
+
+import curio
+from loguru import logger
+
+from ramppost.gateway.job import Job
+from ramppost.gateway.links import Broken, Exchange, NotSent, OutgoingRequest, open_exchange
+from ramppost.gateway.load import OwnWork
+from ramppost.gateway.pick import Chosen
+from ramppost.gateway.state import Gateway
+from ramppost.platform.headers import AnswerHead, Send, upstream_head
+
+PATIENCE_OF_OBJECTIVE: Final = 0.4
+"""Part of the objective after which a silent upstream is given up: time for another is left."""
+LEAST_PATIENCE_S: Final = 0.25
+"""Several times the usual work of a plain service, whose objective may be tight."""
+PATIENCE_PER_TOKEN_S: Final = 1 / 10000
+"""Seconds more for each prompt token: several times what a large model takes to read it."""
+
+
+class Refused(NamedTuple):
+    """The upstream said that it did not run the request."""
+
+    status: int
+    wrong_upstream: bool
+    retry_after_s: float
+
+
+class Running(NamedTuple):
+    """An attempt that is being answered."""
+
+    chosen: Chosen
+    model: str
+    exchange: Exchange
+    head: AnswerHead
+    work: OwnWork
+    sent_at: float
+    first_s: float
+
+
+async def attempt(
+    gw: Gateway, job: Job, chosen: Chosen, model: str
+) -> Running | Refused | NotSent | Broken:
+    """Send the request; the outcome is logged and counted."""
+    upstream = chosen.upstream
+    job.tried.add(upstream.id)
+    now = time.monotonic()
+    work = gw.loads.own(upstream.id)
+    tokens = float(job.req.prompt.tokens_in) if job.req.prompt else 0.0
+    work.requests += 1
+    work.pending_tokens += tokens
+    got: Running | Refused | NotSent | Broken = Broken("cancelled")
+    try:
+        got = await _send_and_wait(gw, job, chosen, model, work)
+    finally:
+        work.pending_tokens -= tokens
+        if not isinstance(got, Running):
+            work.requests -= 1
+        _note(gw, job, chosen, model, got, time.monotonic() - now)
+    return got
+
+
+async def release(running: Running, whole: bool) -> None:
+    """The attempt is over; `whole` where its answer was read to the end."""
+    running.work.requests -= 1
+    if whole:
+        await running.exchange.finish()
+    else:
+        await running.exchange.abort()
+
+
+async def _send_and_wait(
+    gw: Gateway, job: Job, chosen: Chosen, model: str, work: OwnWork
+) -> Running | Refused | NotSent | Broken:
+    sent_at = time.monotonic()
+    opened = await open_exchange(gw.links, chosen.upstream, _outgoing(job, chosen, model, sent_at))
+    if isinstance(opened, NotSent):
+        return opened
+    job.attempts += 1
+    ran_before = job.may_have_run
+    job.may_have_run = True
+    if isinstance(opened, Broken):
+        return opened
+    kept = False
+    try:
+        head = await _head_in_time(gw, job, chosen, opened)
+        if isinstance(head, Broken):
+            return head
+        now = time.monotonic()
+        if head.running is not None:
+            gw.loads.report(chosen.upstream.id, head.running, head.waiting or 0, now)
+        if head.not_run:
+            job.may_have_run = ran_before
+            await opened.abort()
+            kept = True
+            return Refused(head.status, head.wrong_upstream, head.retry_after_s or 0.0)
+        kept = True
+        return Running(chosen, model, opened, head, work, sent_at, now - sent_at)
+    finally:
+        if not kept:
+            await opened.abort()
+
+
+def _outgoing(job: Job, chosen: Chosen, model: str, now: float) -> OutgoingRequest:
+    send = Send(
+        chosen.upstream,
+        job.left_s(now),
+        job.workspace,
+        job.priority if chosen.service.engine is not None else None,
+        model,
+        job.last_event_id,
+    )
+    req = job.req
+    headers = upstream_head(req, send, bool(req.body) or req.method in ("POST", "PUT", "PATCH"))
+    return OutgoingRequest(req.method, req.target, headers, req.body, req.attempt_id)
+
+
+async def _head_in_time(
+    gw: Gateway, job: Job, chosen: Chosen, exchange: Exchange
+) -> AnswerHead | Broken:
+    """The head; Broken for an upstream that stays silent where another may be asked."""
+    if job.route.repeat == "never":
+        return await exchange.head()
+    tokens = job.req.prompt.tokens_in if job.req.prompt else 0
+    part_s = PATIENCE_OF_OBJECTIVE * job.route.objective_s
+    patience_s = max(LEAST_PATIENCE_S, part_s) + PATIENCE_PER_TOKEN_S * tokens
+    since = exchange.sent_at
+    while True:
+        try:
+            got: AnswerHead | Broken = await curio.timeout_after(patience_s, exchange.head())
+            return got
+        except curio.TaskTimeout:
+            heard_at = gw.links.heard.get(chosen.upstream.id, float("-inf"))
+            if heard_at < since:
+                return Broken(f"silent for {patience_s:.2f} s")
+            since = time.monotonic()
+
+
+def _note(
+    gw: Gateway,
+    job: Job,
+    chosen: Chosen,
+    model: str,
+    got: Running | Refused | NotSent | Broken,
+    took_s: float,
+) -> None:
+    """Log and count an attempt, and remember what it says of the upstream."""
+    now = time.monotonic()
+    if isinstance(got, Running):
+        outcome = f"status {got.head.status}"
+        failed = got.head.status >= 500
+        if got.head.status < 500 and job.req.prompt is not None:
+            gw.kept.sent(chosen.upstream.id, job.req.prompt.parts, now)
+        if chosen.service.engine is None:
+            gw.suspicion_of(chosen.upstream.id).took(took_s, now)
+    elif isinstance(got, Refused):
+        outcome = f"refused with {got.status}"
+        failed = False
+    else:
+        outcome = got.reason
+        failed = True
+    if outcome != "cancelled":
+        gw.suspicion_of(chosen.upstream.id).note(failed, now)
+    if job.req.session:
+        version = chosen.upstream.version
+        gw.rollouts.pins.ran(chosen.service.name, job.req.session, version, now)
+    gw.metrics.count("ramppost_attempts_total", outcome=type(got).__name__.lower())
+    logger.info(
+        "attempt {}: {}",
+        job.attempts,
+        outcome,
+        request=job.req.attempt_id,
+        upstream=chosen.upstream.id,
+        version=chosen.upstream.version,
+        model=model,
+        after_event=job.last_event_id,
+        candidates=chosen.candidates,
+        own=chosen.own,
+        reported=chosen.reported,
+        report_age_s=round(min(chosen.report_age_s, 999.0), 3),
+        took_s=round(took_s, 4),
+    )
--- /dev/null
+++ b/ramppost/gateway/events.py
@@ -0,0 +1,50 @@
+"""Splits a stream of server-sent events into whole events.
+
+Only whole events are passed on: an upstream may break off within one.
+
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\\ndata: x\\n\\nid: 2\\nda")   # one event, the rest is kept
+"""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple
+
+SEPARATOR: Final = b"\n\n"
+ID_FIELD: Final = b"id:"
+
+
+class Event(NamedTuple):
+    """A whole event with its separator; `id` is empty where it has none."""
+
+    raw: bytes
+    id: str
+
+
+class EventSplitter:
+    """Bytes of a stream that are not a whole event yet."""
+
+    def __init__(self) -> None:
+        self._buf = bytearray()
+
+    @property
+    def rest(self) -> bytes:
+        """What came after the last whole event."""
+        return bytes(self._buf)
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Take in bytes; gives the events that they complete."""
+        self._buf += data
+        events = []
+        while (end := self._buf.find(SEPARATOR)) >= 0:
+            raw = bytes(self._buf[: end + len(SEPARATOR)])
+            del self._buf[: end + len(SEPARATOR)]
+            events.append(Event(raw, _event_id(raw)))
+        return events
+
+
+def _event_id(raw: bytes) -> str:
+    for line in raw.split(b"\n"):
+        if line.startswith(ID_FIELD):
+            return line[len(ID_FIELD) :].strip().decode("latin-1")
+    return ""
--- /dev/null
+++ b/ramppost/gateway/follow.py
@@ -0,0 +1,100 @@
+"""Keeps up with a kind of objects in the store: list once, then watch.
+
+`follow` runs until cancelled.  It lists again where the history is gone, backs off
+while the store gives no answer, and logs once when the store is lost and once when it
+is back.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+import curio
+from loguru import logger
+
+from ramppost.platform.store import (
+    Change,
+    Changes,
+    HistoryGone,
+    Snapshot,
+    StoreClient,
+    Unavailable,
+    list_kind,
+    watch,
+)
+
+FIRST_BACKOFF_S: Final = 0.1
+MAX_BACKOFF_S: Final = 0.5
+"""Calls to a store that is away are paid for too, and it has to be noticed soon when back."""
+
+
+class Follower(NamedTuple):
+    """What is done with what comes: the whole list, a change, and each answered call.
+
+    `confirmed` gets when the call was sent and whether the calls before it had failed.
+    """
+
+    kind: str
+    wait_s: float
+    on_snapshot: Callable[[Snapshot], None]
+    on_change: Callable[[Change], None]
+    on_confirmed: Callable[[float], None]
+
+
+class Outage:
+    """Whether the store answers, and since when it does not (steady clock)."""
+
+    def __init__(self) -> None:
+        self.failing_since: float | None = None
+        self.recovered_at = float("-inf")
+
+    def failed(self, kind: str, reason: str) -> None:
+        """A call had no usable answer."""
+        if self.failing_since is None:
+            self.failing_since = time.monotonic()
+            logger.warning("store lost: {}", reason, kind=kind)
+
+    def answered(self, kind: str) -> None:
+        """A call was answered."""
+        if self.failing_since is None:
+            return
+        now = time.monotonic()
+        away_s = now - self.failing_since
+        self.failing_since = None
+        self.recovered_at = now
+        logger.info("store regained after {:.1f} s", away_s, kind=kind)
+
+
+async def follow(client: StoreClient, follower: Follower, outage: Outage) -> None:
+    """List, watch, and list again where that is needed."""
+    revision: int | None = None
+    backoff_s = FIRST_BACKOFF_S
+    while True:
+        sent_at = time.monotonic()
+        if revision is None:
+            got: Snapshot | Changes | HistoryGone | Unavailable = await list_kind(
+                client, follower.kind
+            )
+        else:
+            got = await watch(client, follower.kind, revision, follower.wait_s)
+        if isinstance(got, Unavailable):
+            outage.failed(follower.kind, got.reason)
+            await curio.sleep(backoff_s * random.uniform(0.5, 1.0))
+            backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+            continue
+        outage.answered(follower.kind)
+        backoff_s = FIRST_BACKOFF_S
+        if isinstance(got, HistoryGone):
+            logger.info("history gone before revision {}; listing again", revision)
+            revision = None
+            continue
+        if isinstance(got, Snapshot):
+            follower.on_snapshot(got)
+        else:
+            for change in got.changes:
+                follower.on_change(change)
+        revision = got.revision
+        follower.on_confirmed(sent_at)
--- /dev/null
+++ b/ramppost/gateway/freshness.py
@@ -0,0 +1,41 @@
+"""How long ago the configuration was known to be the newest.
+
+A key that an operator takes away must stop working at every gateway within a bound,
+also at one that can't reach the store.  So a gateway starts work for a key only while
+it holds a confirmation, younger than that bound, that no newer configuration existed.
+A confirmation is dated by when its call was sent, on the steady clock: whatever the
+store acknowledged before that, the answer would have shown.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+MARGIN_S: Final = 0.3
+"""Kept from the bound for the way from this check to the upstream."""
+
+
+class Freshness:
+    """The newest confirmation; times on the steady clock, in seconds."""
+
+    def __init__(self, bound_s: float) -> None:
+        self.bound_s = bound_s
+        self._sent_at = float("-inf")
+
+    def confirm(self, sent_at: float) -> None:
+        """A call sent then was answered, and the configuration in force was the newest."""
+        self._sent_at = max(self._sent_at, sent_at)
+
+    def age(self, now: float) -> float:
+        """Seconds since the newest confirming call was sent; infinite where there is none."""
+        return now - self._sent_at
+
+    def holds(self, now: float) -> bool:
+        """Whether work for a key may start.
+
+        >>> fresh = Freshness(5.0)
+        >>> fresh.confirm(100.0)
+        >>> fresh.holds(104.0), fresh.holds(105.0)
+        (True, False)
+        """
+        return self.age(now) < self.bound_s - MARGIN_S
--- /dev/null
+++ b/ramppost/gateway/job.py
@@ -0,0 +1,40 @@
+"""A request on its way through the gateway."""
+
+from __future__ import annotations
+
+from ramppost.gateway.admit import Admitted
+from ramppost.gateway.model import CallerRequest
+
+PRIORITIES_A_WORKSPACE = 3
+LOWEST_PRIORITY = 9
+
+
+class Job:
+    """A request, what has been tried for it, and until when; times on the steady clock."""
+
+    def __init__(self, req: CallerRequest, admitted: Admitted, read_at: float) -> None:
+        self.req = req
+        self.route = admitted.route
+        self.workspace = admitted.workspace
+        self.read_at = read_at
+        self.deadline = read_at + min(req.deadline_s, admitted.route.timeout_s)
+        self.attempts = 0
+        """Upstreams that it was sent to, those that refused it among them."""
+        self.may_have_run = False
+        """Whether an upstream got it and did not say that it had not run it."""
+        self.tried: set[str] = set()
+        self.model = ""
+        self.last_event_id = ""
+        """Of the last event passed on, as the upstream gave it."""
+
+    def left_s(self, now: float) -> float:
+        """Seconds until it has to be answered."""
+        return self.deadline - now
+
+    @property
+    def priority(self) -> int | None:
+        """How urgent it is at an engine: the workspace's priority first, then the route's."""
+        if self.workspace is None:
+            return None
+        level = self.workspace.priority * PRIORITIES_A_WORKSPACE + self.route.priority
+        return min(LOWEST_PRIORITY, level)
--- /dev/null
+++ b/ramppost/gateway/main.py
@@ -0,0 +1,137 @@
+"""Starts a gateway, reloads its settings, and stops it as planned."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+from typing import Final
+
+import curio
+from loguru import logger
+
+from ramppost import logs
+from ramppost.errors import error_body, refusal
+from ramppost.gateway.inbound import BadRequest, Doorway, accept_callers
+from ramppost.gateway.rollout_duty import drive_rollouts
+from ramppost.gateway.serve import serve
+from ramppost.gateway.settings import BadSettings, address, read_settings
+from ramppost.gateway.state import Gateway
+from ramppost.gateway.watchers import start_watchers
+from ramppost.schema.settings import GatewaySettings
+from ramppost.wire.server import Handler, Reply, Request, listen
+from ramppost.wire.server import serve as serve_http
+from ramppost.wire.signals import Signals
+
+SETTINGS_VARIABLE: Final = "RAMPPOST_CONFIG"
+BAD_SETTINGS: Final = 2
+SETTINGS_POLL_S: Final = 1.0
+LEAST_STOP_S: Final = 2.5
+"""The balancer asks every second and takes a box out after two misses."""
+STOP_MARGIN_S: Final = 0.7
+"""Kept from the time a planned stop may take, to end by ourselves."""
+STOP_POLL_S: Final = 0.05
+METRICS_TYPE: Final = "text/plain; version=0.0.4"
+
+
+def main() -> None:
+    """Run a gateway with the settings file that the environment names."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    cfg = read_settings(path)
+    if isinstance(cfg, BadSettings):
+        print(cfg.reason, file=sys.stderr)
+        sys.exit(BAD_SETTINGS)
+    logs.set_up_stdout(cfg["log"], cfg["name"])
+    signals = Signals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    kernel = curio.Kernel()
+    kernel.run(run, cfg, path, signals)
+    os._exit(0)
+
+
+async def run(cfg: GatewaySettings, path: str, signals: Signals) -> None:
+    """Run until a signal asks for a planned stop."""
+    gw = Gateway(cfg)
+    logger.info("starting", addr=cfg["listen"], hall=cfg["hall"], store=cfg["store"]["addr"])
+    await start_watchers(gw)
+    await curio.spawn(drive_rollouts, gw, daemon=True)
+    await curio.spawn(serve_http, listen(*address(cfg["health"])), _health(gw), daemon=True)
+    metrics = listen(cfg["ip"], cfg["metrics_port"])
+    await curio.spawn(serve_http, metrics, _metrics(gw), daemon=True)
+    doorway = Doorway(
+        limits=lambda: gw.limits,
+        closing=lambda: gw.leaving,
+        serve=lambda req, reply, read_at: serve(gw, req, reply, read_at),
+        refuse=_unreadable,
+    )
+    callers = listen(*address(cfg["listen"]))
+    await curio.spawn(accept_callers, callers, gw.callers, doorway, daemon=True)
+    await curio.spawn(_poll_settings, gw, path, daemon=True)
+    while (number := await signals.wait()) == signal.SIGHUP:
+        reload_settings(gw, path)
+    await _stop(gw, number)
+
+
+def reload_settings(gw: Gateway, path: str) -> None:
+    """Take the settings file in again; a faulty one leaves what was in force."""
+    cfg = read_settings(path)
+    if isinstance(cfg, BadSettings):
+        logger.error("settings not reloaded: {}", cfg.reason)
+        return
+    changed = [key for key in cfg if cfg.get(key) != gw.cfg.get(key)]
+    gw.reconfigure(cfg)
+    logger.info("settings reloaded", changed=changed)
+
+
+async def _poll_settings(gw: Gateway, path: str) -> None:
+    """Reload when the file changes without a signal."""
+    seen = _modified(path)
+    while True:
+        await curio.sleep(SETTINGS_POLL_S)
+        now = _modified(path)
+        if now != seen:
+            seen = now
+            reload_settings(gw, path)
+
+
+def _modified(path: str) -> float:
+    try:
+        return os.stat(path).st_mtime
+    except OSError:
+        return 0.0
+
+
+async def _stop(gw: Gateway, number: int) -> None:
+    """Planned stop: not ready at once, new work taken until callers have gone, none cut."""
+    began = time.monotonic()
+    gw.leaving = True
+    logger.info("stopping", signal=number, busy=gw.callers.busy)
+    until = began + gw.cfg["timing"]["stop_s"] - STOP_MARGIN_S
+    while (now := time.monotonic()) < until:
+        if now - began >= LEAST_STOP_S and not gw.callers.busy:
+            break
+        await curio.sleep(STOP_POLL_S)
+    logger.info("stopped", left_busy=gw.callers.busy, after_s=round(now - began, 2))
+
+
+def _unreadable(bad: BadRequest) -> bytes:
+    code = {408: "too_slow", 413: "too_large", 431: "too_large"}.get(bad.status, "bad_request")
+    logger.info("request not read: {}", bad.reason, status=bad.status)
+    return error_body(refusal(code, bad.reason))
+
+
+def _health(gw: Gateway) -> Handler:
+    async def handle(req: Request, reply: Reply) -> None:
+        await reply.send(200 if gw.ready else 503, b"{}")
+
+    return handle
+
+
+def _metrics(gw: Gateway) -> Handler:
+    async def handle(req: Request, reply: Reply) -> None:
+        gw.metrics.gauges["ramppost_store_calls"] = gw.store.calls
+        gw.metrics.gauges["ramppost_upstream_connections_opened"] = gw.links.opened
+        gw.metrics.gauges["ramppost_log_lines_dropped"] = logs.dropped()
+        await reply.send(200, gw.metrics.text(), METRICS_TYPE)
+
+    return handle
--- /dev/null
+++ b/ramppost/gateway/model.py
@@ -0,0 +1,135 @@
+"""What a gateway knows of its deployment, in the project's own terms.
+
+The adapter in `ramppost.platform` decodes these from the platform's documents; the
+rest of the gateway reads nothing else.  All are immutable: a new configuration is a
+new `RoutingTable`.
+"""
+
+from __future__ import annotations
+
+from typing import Literal, NamedTuple
+
+Repeat = Literal["any", "never"]
+"""Whether a request may be run again after its first run may have begun."""
+
+RolloutState = Literal["ordered", "completed", "rolled_back"]
+
+
+class Target(NamedTuple):
+    """A service that takes a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """How requests below a path of a host are served; times in seconds."""
+
+    name: str
+    host: str
+    prefix: str
+    streams: bool
+    repeat: Repeat
+    resumable: bool
+    timeout_s: float
+    objective_s: float
+    gap_objective_s: float
+    attempts: int
+    priority: int
+    anonymous: bool
+    models: tuple[str, ...]
+    targets: tuple[Target, ...]
+
+
+class Engine(NamedTuple):
+    """What a service's model engines have in common."""
+
+    slots: int
+    memory_tokens: int
+    tokens_per_event: int
+    prices: dict[str, float]
+
+
+class Service(NamedTuple):
+    """A pool of upstreams; `engine` is None for a plain service."""
+
+    name: str
+    max_connections: int
+    engine: Engine | None
+
+
+class Workspace(NamedTuple):
+    """Whom a key belongs to; priority 0 goes first."""
+
+    name: str
+    priority: int
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may send and how long it may take; seconds and bytes."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class RoutingTable(NamedTuple):
+    """A configuration.  `routes` of a host are sorted by prefix, longest first.
+
+    `keys` is None where the configuration has no workspaces, so that no key is asked for.
+    """
+
+    version: int
+    revision: int
+    routes: dict[str, tuple[Route, ...]]
+    services: dict[str, Service]
+    keys: dict[str, Workspace] | None
+    limits: CallerLimits
+
+
+class Upstream(NamedTuple):
+    """A running upstream; `id` is new at each of its starts."""
+
+    id: str
+    addr: str
+    service: str
+    hall: str
+    version: str
+    slots: int
+    leaving: bool
+
+
+class RolloutOrder(NamedTuple):
+    """An operator's order to move a service to a version, and what became of it."""
+
+    service: str
+    version: str
+    duration_s: float
+    state: RolloutState
+    revision: int
+
+
+class Prompt(NamedTuple):
+    """What a caller told of a prompt: the parts it shares with others, and sizes in tokens."""
+
+    parts: tuple[tuple[str, int], ...]
+    tokens_in: int
+    max_tokens_out: int
+
+
+class CallerRequest(NamedTuple):
+    """A request as it came in.  `headers` are those that travel on, as they were sent."""
+
+    method: str
+    target: str
+    host: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    attempt_id: str
+    key: str
+    deadline_s: float
+    session: str
+    last_event_id: str
+    any_model: bool
+    prompt: Prompt | None
--- /dev/null
+++ b/ramppost/gateway/passing.py
@@ -0,0 +1,116 @@
+"""Passes an upstream's answer on to the caller.
+
+Streams go event by event as they come.  A whole answer is read first, so that one that
+breaks off can still be asked for again; a large one is passed on while it comes.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Final, NamedTuple
+
+import curio
+
+from ramppost.gateway.attempt import Running
+from ramppost.gateway.events import Event, EventSplitter
+from ramppost.gateway.inbound import Reply
+from ramppost.gateway.job import Job
+from ramppost.gateway.links import Broken, End
+from ramppost.gateway.state import Gateway
+from ramppost.platform.headers import Headers
+
+HELD_BYTES: Final = 262144
+"""A whole answer up to this size is read before it is passed on."""
+STALL_GAPS: Final = 3.0
+"""A stream that pauses so many times its allowed gap is taken up elsewhere."""
+
+
+class Passed(NamedTuple):
+    """The answer was passed on whole; seconds from sending to its first and last byte."""
+
+    first_s: float
+    last_s: float
+    events: int
+
+
+async def pass_whole(running: Running, reply: Reply) -> Passed | Broken:
+    """Pass on an answer that is not a stream."""
+    body = bytearray()
+    while True:
+        piece = await running.exchange.piece()
+        if isinstance(piece, Broken):
+            return piece
+        if isinstance(piece, End):
+            break
+        if reply.started:
+            await reply.write(piece)
+            continue
+        body += piece
+        if len(body) > HELD_BYTES:
+            await reply.start(running.head.status, running.head.headers, bytes(body))
+    if reply.started:
+        await reply.end()
+    else:
+        await reply.send(running.head.status, running.head.headers, bytes(body))
+    return Passed(running.first_s, time.monotonic() - running.sent_at, 0)
+
+
+async def pass_stream(gw: Gateway, job: Job, running: Running, reply: Reply) -> Passed | Broken:
+    """Pass on a stream's events; Broken where it stops before its end."""
+    splitter = EventSplitter()
+    passed = 0
+    while True:
+        piece = await _piece_in_time(gw, job, running)
+        if isinstance(piece, Broken):
+            return piece
+        if isinstance(piece, End):
+            if splitter.rest:
+                return Broken("stream ended within an event")
+            break
+        events = splitter.feed(piece)
+        for event in events:
+            if not _follows(job, event):
+                return Broken(f"event {event.id!r} after {job.last_event_id!r}")
+            if event.id:
+                job.last_event_id = event.id
+        if events:
+            await _write_events(running, reply, b"".join(event.raw for event in events))
+            passed += len(events)
+    if not reply.started:
+        await reply.send(running.head.status, running.head.headers, b"")
+    else:
+        await reply.end()
+    return Passed(running.first_s, time.monotonic() - running.sent_at, passed)
+
+
+async def _write_events(running: Running, reply: Reply, data: bytes) -> None:
+    if reply.started:
+        await reply.write(data)
+    else:
+        await reply.start(running.head.status, without_length(running.head.headers), data)
+
+
+def without_length(headers: Headers) -> Headers:
+    """Headers for an answer that may go on from another upstream."""
+    return tuple(item for item in headers if item[0] != b"content-length")
+
+
+def _follows(job: Job, event: Event) -> bool:
+    """Whether an event is the next one; ids rise by one."""
+    if not event.id.isdigit() or not job.last_event_id.isdigit():
+        return True
+    return int(event.id) == int(job.last_event_id) + 1
+
+
+async def _piece_in_time(gw: Gateway, job: Job, running: Running) -> bytes | End | Broken:
+    """The next bytes; Broken where the upstream has gone silent altogether."""
+    limit_s = STALL_GAPS * job.route.gap_objective_s
+    while True:
+        since = time.monotonic()
+        try:
+            got: bytes | End | Broken = await curio.timeout_after(limit_s, running.exchange.piece())
+            return got
+        except curio.TaskTimeout:
+            upstream_id = running.chosen.upstream.id
+            if gw.links.heard.get(upstream_id, float("-inf")) < since:
+                return Broken(f"silent for {limit_s:.1f} s within its stream")
--- /dev/null
+++ b/ramppost/gateway/rollout_duty.py
@@ -0,0 +1,173 @@
+"""Drives roll-outs to their end: completed in time, or rolled back at the first proof.
+
+Any gateway may end one, by a conditional write of its status.  A gateway that holds a
+version to be bad stops sending to it at once, whether or not the store can be told.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Final, TypedDict
+
+import curio
+from loguru import logger
+
+from ramppost.gateway.attempt import Running
+from ramppost.gateway.model import RolloutOrder
+from ramppost.gateway.passing import Passed
+from ramppost.gateway.rollouts import Running as Rollout
+from ramppost.gateway.state import Gateway
+from ramppost.platform import names
+from ramppost.platform.documents import rollout_order, rollout_status
+from ramppost.platform.store import (
+    Conflict,
+    Missing,
+    StoredObject,
+    Unavailable,
+    create,
+    read,
+    replace,
+    set_status,
+)
+from ramppost.policy.pace import Pace, Timing
+from ramppost.policy.ramp import COMPLETE_AT, STEPS
+from ramppost.policy.routing import unit
+from ramppost.wire.codec import BadMessage
+
+TICK_S: Final = 0.1
+SPREAD_S: Final = 0.5
+"""Gateways act within this of each other, so that the first one's write spares the others'."""
+RETRY_S: Final = 0.3
+PROGRESS_KIND: Final = "rollout-progress"
+
+
+class Progress(TypedDict):
+    """How far a roll-out has come, kept for gateways that start in the middle."""
+
+    version: str
+    part: float
+
+
+def judge_answer(
+    gw: Gateway, running: Running, bad: bool, slow: bool, passed: Passed | None = None
+) -> None:
+    """Take an answer in as evidence for or against its version."""
+    chosen = running.chosen
+    service = chosen.service.name
+    rollout = gw.rollouts.of(service)
+    if passed is not None and not bad:
+        slow = _is_slow(gw, running, passed, rollout)
+    reason = gw.rollouts.judge(service, chosen.upstream, bad, slow)
+    if reason:
+        assert rollout is not None
+        logger.warning(
+            "version held to be bad: {}", reason, service=service, version=rollout.order.version
+        )
+
+
+def _is_slow(gw: Gateway, running: Running, passed: Passed, rollout: Rollout | None) -> bool:
+    """Whether an answer took several times what the version in service usually takes."""
+    service = running.chosen.service.name
+    pace = gw.paces.setdefault((service, running.model), Pace())
+    gap_s = (passed.last_s - passed.first_s) / max(1, passed.events)
+    timing = Timing(passed.first_s, gap_s)
+    on_trial = (
+        rollout is not None
+        and rollout.order.state == "ordered"
+        and running.chosen.upstream.version == rollout.order.version
+    )
+    if not on_trial:
+        pace.note(timing)
+    return pace.slow(timing)
+
+
+async def drive_rollouts(gw: Gateway) -> None:
+    """End roll-outs that are due, until cancelled."""
+    noted: dict[str, int] = {}
+    while True:
+        await curio.sleep(TICK_S)
+        for rollout in gw.rollouts.all():
+            if rollout.order.state != "ordered":
+                continue
+            now = time.monotonic()
+            delay_s = SPREAD_S * unit("duty", gw.cfg["name"], rollout.order.service)
+            part = rollout.part(now - delay_s)
+            if rollout.withdrawn:
+                await _end(gw, rollout, completed=False)
+            elif part >= COMPLETE_AT:
+                await _end(gw, rollout, completed=True)
+            else:
+                await _note_progress(gw, rollout, part, noted)
+
+
+async def _end(gw: Gateway, rollout: Rollout, completed: bool) -> None:
+    """Write the status that ends a roll-out, if it has none yet."""
+    order = rollout.order
+    status = rollout_status(order, completed)
+    got = await set_status(gw.store, names.ROLLOUT_KIND, order.service, order.revision, status)
+    if isinstance(got, Unavailable):
+        logger.warning("roll-out not ended yet: {}", got.reason, service=order.service)
+        await curio.sleep(RETRY_S)
+        return
+    if isinstance(got, Conflict):
+        await _read_back(gw, order)
+        return
+    logger.info(
+        "roll-out {}",
+        status["state"],
+        service=order.service,
+        version=order.version,
+        reason=rollout.withdrawn,
+    )
+    seen = rollout_order(got)
+    if not isinstance(seen, BadMessage):
+        gw.rollouts.seen(seen, time.monotonic())
+
+
+async def _read_back(gw: Gateway, order: RolloutOrder) -> None:
+    """Another gateway wrote first, or an earlier write of ours was done after all."""
+    got = await read(gw.store, names.ROLLOUT_KIND, order.service)
+    if isinstance(got, StoredObject):
+        seen = rollout_order(got)
+        if not isinstance(seen, BadMessage):
+            gw.rollouts.seen(seen, time.monotonic())
+            return
+    logger.info("roll-out changed meanwhile", service=order.service, found=type(got).__name__)
+    if isinstance(got, Missing):
+        gw.rollouts.removed(order.service)
+    else:
+        await curio.sleep(RETRY_S)
+
+
+async def _note_progress(gw: Gateway, rollout: Rollout, part: float, noted: dict[str, int]) -> None:
+    """Keep in the store which step a roll-out has reached."""
+    step = sum(part >= step.begins for step in STEPS)
+    key = f"{rollout.order.service}/{rollout.order.version}"
+    if step <= noted.get(key, 0):
+        return
+    noted[key] = step
+    await write_progress(gw, rollout, part)
+
+
+async def write_progress(gw: Gateway, rollout: Rollout, part: float) -> None:
+    """Write how far a roll-out has come, unless the store has it further on already."""
+    order = rollout.order
+    spec = Progress(version=order.version, part=part)
+    found = await read(gw.store, PROGRESS_KIND, order.service)
+    if isinstance(found, Missing):
+        await create(gw.store, PROGRESS_KIND, order.service, spec)
+    elif isinstance(found, StoredObject) and not _is_further(found, spec):
+        await replace(gw.store, PROGRESS_KIND, order.service, found.revision, spec)
+
+
+async def take_up_progress(gw: Gateway, order: RolloutOrder) -> None:
+    """Go on from where the store says that a roll-out is."""
+    found = await read(gw.store, PROGRESS_KIND, order.service)
+    if isinstance(found, StoredObject) and found.spec.get("version") == order.version:
+        gw.rollouts.resume_at(order.service, float(found.spec["part"]), time.monotonic())
+        logger.info("roll-out taken up at {:.2f}", found.spec["part"], service=order.service)
+
+
+def _is_further(found: StoredObject, spec: Progress) -> bool:
+    same = found.spec.get("version") == spec["version"]
+    return same and float(found.spec["part"]) >= spec["part"]
--- /dev/null
+++ b/ramppost/gateway/rollouts.py
@@ -0,0 +1,106 @@
+"""Roll-outs of services: how far each is, who is on the new version, what speaks against it.
+
+Every gateway keeps its own steady clock of each roll-out from when it saw the order.
+How far one had come is kept in the store, so that a gateway that starts in the middle
+goes on from there instead of from the beginning.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ramppost.gateway.model import RolloutOrder, Upstream
+from ramppost.policy.guard import Tally, reason_against
+from ramppost.policy.ramp import HALF, Pins, on_new
+
+
+class Running:
+    """A roll-out under way."""
+
+    def __init__(self, order: RolloutOrder, seen_at: float) -> None:
+        self.order = order
+        self.began_at = seen_at
+        self.stable = Tally()
+        self.trial = Tally()
+        self.trial_upstreams = 1
+        self.withdrawn = ""
+        """Why this gateway holds the version to be bad, empty while it does not."""
+
+    def part(self, now: float) -> float:
+        """Part of its time that has passed."""
+        return (now - self.began_at) / max(0.001, self.order.duration_s)
+
+
+class Side(NamedTuple):
+    """Which upstreams may take a request, those to be preferred first."""
+
+    preferred: list[Upstream]
+    others: list[Upstream]
+
+
+class Rollouts:
+    """The newest order of each service, and where sessions ran."""
+
+    def __init__(self, session_s: float) -> None:
+        self.pins = Pins(session_s)
+        self._by_service: dict[str, Running] = {}
+
+    def seen(self, order: RolloutOrder, now: float) -> bool:
+        """An order or its state; true if it is new."""
+        known = self._by_service.get(order.service)
+        if known is not None and known.order.version == order.version:
+            if order.revision >= known.order.revision:
+                known.order = order
+            return False
+        self._by_service[order.service] = Running(order, now)
+        return True
+
+    def removed(self, service: str) -> None:
+        """The order is gone."""
+        self._by_service.pop(service, None)
+
+    def of(self, service: str) -> Running | None:
+        """The newest order of a service."""
+        return self._by_service.get(service)
+
+    def all(self) -> list[Running]:
+        """Every order known."""
+        return list(self._by_service.values())
+
+    def resume_at(self, service: str, part: float, now: float) -> None:
+        """A roll-out had come this far by what the store keeps."""
+        found = self._by_service.get(service)
+        if found is not None:
+            began_at = now - part * found.order.duration_s
+            found.began_at = min(found.began_at, began_at)
+
+    def side(
+        self, service: str, usable: list[Upstream], who: str, session: str, now: float
+    ) -> Side:
+        """The upstreams that may take a request of a session."""
+        found = self._by_service.get(service)
+        if found is None:
+            return Side(usable, [])
+        version = found.order.version
+        new = [upstream for upstream in usable if upstream.version == version]
+        old = [upstream for upstream in usable if upstream.version != version]
+        found.trial_upstreams = max(1, len(new))
+        if found.withdrawn or found.order.state == "rolled_back":
+            return Side(old, [])
+        if found.order.state == "completed":
+            return Side(new, []) if new else Side(old, [])
+        pinned = self.pins.version(service, session, now) if session else ""
+        part = found.part(now)
+        if new and on_new(service, version, session or who, part, pinned):
+            return Side(new, old)
+        return Side(old, new if part >= HALF else [])
+
+    def judge(self, service: str, upstream: Upstream, bad: bool, slow: bool) -> str:
+        """Take in an answer; gives why the version has to be withdrawn, if it newly has to."""
+        found = self._by_service.get(service)
+        if found is None or found.order.state != "ordered" or found.withdrawn:
+            return ""
+        trial = upstream.version == found.order.version
+        (found.trial if trial else found.stable).add(upstream.id, bad, slow)
+        found.withdrawn = reason_against(found.stable, found.trial, found.trial_upstreams)
+        return found.withdrawn
--- /dev/null
+++ b/ramppost/gateway/serve.py
@@ -0,0 +1,234 @@
+"""Serves one request: admit it, find an upstream that answers, pass the answer on.
+
+A request that may run again is tried again, within its route's attempts and the
+gateway's part of the retry budget, as long as its caller has seen nothing of an answer.
+A stream that breaks off is taken up after its last event, inside the same answer.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+import curio
+from loguru import logger
+
+from ramppost.errors import Refusal, error_body, refusal
+from ramppost.gateway.admit import admit
+from ramppost.gateway.attempt import Refused, Running, attempt, release
+from ramppost.gateway.inbound import JSON_TYPE, Reply
+from ramppost.gateway.job import Job
+from ramppost.gateway.links import Broken, NotSent
+from ramppost.gateway.model import CallerRequest
+from ramppost.gateway.models import ModelPlan, good_enough, model_plan
+from ramppost.gateway.passing import Passed, pass_stream, pass_whole
+from ramppost.gateway.pick import pick, service_of
+from ramppost.gateway.rollout_duty import judge_answer
+from ramppost.gateway.state import Gateway
+from ramppost.platform.headers import Headers, refusal_headers
+from ramppost.wire.server import Gone
+
+MAX_CONNECT_FAILURES: Final = 4
+"""Upstreams that can't be reached cost no retry, but time."""
+NO_ROOM_RETRY_S: Final = 0.4
+"""When to come back to a service that refused: some answers have ended by then."""
+LEAST_LEFT_S: Final = 0.01
+
+
+async def serve(gw: Gateway, req: CallerRequest, reply: Reply, read_at: float) -> None:
+    """Serve a request that was read whole at `read_at`; raises Gone to close the connection."""
+    admitted = admit(gw, req)
+    if isinstance(admitted, Refusal):
+        await _refuse(gw, req, reply, admitted, read_at)
+        return
+    job = Job(req, admitted, read_at)
+    failed: Refusal | None = None
+    try:
+        async with curio.timeout_after(max(LEAST_LEFT_S, job.left_s(time.monotonic()))):
+            failed = await _answer(gw, job, reply)
+    except curio.TaskTimeout:
+        failed = _time_is_up(job)
+    if failed is None:
+        _note_end(gw, job, "served", reply.status, read_at)
+    elif reply.started:
+        _note_end(gw, job, f"broken off: {failed.message}", reply.status, read_at)
+        raise Gone
+    else:
+        await _refuse(gw, req, reply, failed, read_at)
+
+
+async def _answer(gw: Gateway, job: Job, reply: Reply) -> Refusal | None:
+    """Find who answers and pass it on; a refusal where nobody did."""
+    service = service_of(job)
+    budget = gw.budget_of(service)
+    budget.tried()
+    resumes = bool(job.req.last_event_id)
+    plan = model_plan(job.route, job.req.any_model, resumes, budget.left >= 1)
+    stage = 0
+    while True:
+        got = await _running(gw, job, service, plan.stages[stage], reply)
+        if isinstance(got, Refusal):
+            return got
+        judged = not reply.started and got.head.status < 400
+        if judged and not good_enough(plan, stage, got.head.confidence) and budget.take():
+            _note_stage(job, plan, stage, got)
+            await release(got, False)
+            stage += 1
+            job.tried.clear()
+            continue
+        stage = len(plan.stages) - 1
+        # A stream that breaks off goes on with the model that began it.
+        plan = ModelPlan((*plan.stages[:-1], got.model), plan.policy)
+        failed = await _pass(gw, job, got, reply)
+        if failed is None:
+            return None
+        if job.route.repeat == "never" or (reply.started and not job.route.resumable):
+            return refusal("outcome_unknown", failed.reason)
+
+
+async def _running(
+    gw: Gateway, job: Job, service: str, model: str, reply: Reply
+) -> Running | Refusal:
+    """Try upstreams until one answers, or until there is no reason to go on."""
+    failures = 0
+    last = refusal("no_upstream", f"no upstream of {service} can be asked", NO_ROOM_RETRY_S)
+    while True:
+        now = time.monotonic()
+        if job.workspace is not None and not gw.fresh.holds(now):
+            last = refusal("not_ready", "the configuration may not be the newest", 0.5)
+            return _final(job, last)
+        chosen = pick(gw, job, service, now)
+        if chosen is None or not _may_send(gw, job, service):
+            return _final(job, last)
+        got = await attempt(gw, job, chosen, model)
+        if isinstance(got, Running):
+            if not _worth_another(gw, job, service, got, reply):
+                return got
+            await release(got, False)
+            last = refusal("upstream_failed", f"upstream answered {got.head.status}")
+        elif isinstance(got, Refused):
+            last = refusal(
+                "overloaded", "upstreams have no room", got.retry_after_s or NO_ROOM_RETRY_S
+            )
+        elif isinstance(got, NotSent):
+            failures += 1
+            last = refusal("no_upstream", got.reason, NO_ROOM_RETRY_S)
+            if failures >= MAX_CONNECT_FAILURES:
+                return _final(job, last)
+        else:
+            last = refusal("outcome_unknown", got.reason)
+            if job.route.repeat == "never":
+                return last
+
+
+def _may_send(gw: Gateway, job: Job, service: str) -> bool:
+    """Whether one more upstream may be asked, by the route's attempts and the budget."""
+    if job.attempts == 0:
+        return True
+    if job.attempts >= job.route.attempts:
+        return False
+    return gw.budget_of(service).take()
+
+
+def _worth_another(gw: Gateway, job: Job, service: str, got: Running, reply: Reply) -> bool:
+    """Whether a failure that an upstream answered is not passed on but tried again."""
+    if got.head.status < 500 and not reply.started:
+        return False
+    if got.head.status < 400:
+        return False
+    judge_answer(gw, got, bad=got.head.status >= 500, slow=False)
+    if reply.started:
+        return True
+    if job.route.repeat == "never" or job.attempts >= job.route.attempts:
+        return False
+    enough = gw.budget_of(service).left >= 1
+    return enough and pick(gw, job, service, time.monotonic()) is not None
+
+
+def _final(job: Job, last: Refusal) -> Refusal:
+    """The refusal, which says "not run" only where that is so."""
+    if job.may_have_run and last.ran == "no":
+        return refusal("outcome_unknown", last.message)
+    return last
+
+
+async def _pass(gw: Gateway, job: Job, running: Running, reply: Reply) -> Broken | None:
+    """Pass an answer on; gives why it broke off."""
+    whole = False
+    try:
+        if job.route.streams and running.head.status < 400:
+            got = await pass_stream(gw, job, running, reply)
+        else:
+            got = await pass_whole(running, reply)
+        whole = isinstance(got, Passed)
+    finally:
+        await release(running, whole)
+    if isinstance(got, Broken):
+        gw.suspicion_of(running.chosen.upstream.id).note(True, time.monotonic())
+        logger.info(
+            "answer broke off: {}",
+            got.reason,
+            request=job.req.attempt_id,
+            upstream=running.chosen.upstream.id,
+            after_event=job.last_event_id,
+        )
+        return got
+    judge_answer(gw, running, bad=running.head.status >= 500, slow=False, passed=got)
+    return None
+
+
+def _time_is_up(job: Job) -> Refusal:
+    if job.may_have_run:
+        return refusal("deadline", "the time limit passed while it was running", ran="unknown")
+    return refusal("overloaded", "the time limit passed before it was begun", NO_ROOM_RETRY_S)
+
+
+async def _refuse(
+    gw: Gateway, req: CallerRequest, reply: Reply, ref: Refusal, read_at: float
+) -> None:
+    """Send a final answer of our own."""
+    headers: Headers = (JSON_TYPE, *refusal_headers(req.attempt_id))
+    if ref.retry_after_s and ref.ran == "no":
+        headers = (*headers, (b"retry-after", f"{ref.retry_after_s:.2f}".encode()))
+    held_s = time.monotonic() - read_at
+    gw.metrics.count("ramppost_refusals_total", code=ref.code)
+    logger.info(
+        "refused: {}",
+        ref.message,
+        request=req.attempt_id,
+        code=ref.code,
+        status=ref.status,
+        ran=ref.ran,
+        held_s=round(held_s, 4),
+        config_age_s=round(min(gw.fresh.age(time.monotonic()), 999.0), 3),
+        config=gw.table.version if gw.table else None,
+    )
+    await reply.send(ref.status, headers, error_body(ref))
+
+
+def _note_stage(job: Job, plan: ModelPlan, stage: int, got: Running) -> None:
+    logger.info(
+        "answer of {} not taken",
+        plan.stages[stage],
+        request=job.req.attempt_id,
+        confidence=got.head.confidence,
+        policy=plan.policy["name"],
+    )
+
+
+def _note_end(gw: Gateway, job: Job, outcome: str, status: int, read_at: float) -> None:
+    took_s = time.monotonic() - read_at
+    result = "served" if outcome == "served" else "broken"
+    gw.metrics.count("ramppost_requests_total", route=job.route.name, outcome=result)
+    gw.metrics.observe("ramppost_request_seconds", took_s, route=job.route.name)
+    logger.info(
+        "{}",
+        outcome,
+        request=job.req.attempt_id,
+        route=job.route.name,
+        workspace=job.workspace.name if job.workspace else "",
+        status=status,
+        attempts=job.attempts,
+        events=job.last_event_id,
+        took_s=round(took_s, 4),
+    )
--- /dev/null
+++ b/ramppost/gateway/state.py
@@ -0,0 +1,98 @@
+"""Everything a gateway knows and counts.  One object, made at its start."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Final
+
+from ramppost.gateway.follow import Outage
+from ramppost.gateway.freshness import Freshness
+from ramppost.gateway.inbound import Callers
+from ramppost.gateway.links import Links
+from ramppost.gateway.load import Loads
+from ramppost.gateway.membership import Members
+from ramppost.gateway.metrics import Metrics
+from ramppost.gateway.model import CallerLimits, RolloutOrder, RoutingTable
+from ramppost.gateway.rollouts import Rollouts
+from ramppost.platform.documents import DEFAULT_LIMITS
+from ramppost.platform.store import StoreClient
+from ramppost.policy.limits import RetryBudget
+from ramppost.policy.pace import Pace
+from ramppost.policy.placement import KeptParts
+from ramppost.policy.suspicion import Suspicion
+from ramppost.schema.settings import GatewaySettings
+from ramppost.wire.client import Pool
+
+BUDGET_PART: Final = 0.85
+"""Part of the allowed retry ratio that is used: the rest is for retries counted late."""
+SLACK_SHARERS: Final = 16
+"""Gateways that the slack is shared among: more than there are on a small deployment; on a
+large one the slack counts for little beside the ratio."""
+LEAST_BURST: Final = 2.0
+
+
+class Gateway:
+    """State of a gateway.  Times are on the steady clock, in seconds."""
+
+    def __init__(self, cfg: GatewaySettings) -> None:
+        self.cfg = cfg
+        self.rng = random.Random()
+        self.table: RoutingTable | None = None
+        self.members = Members()
+        self.members_listed = False
+        self.fresh = Freshness(cfg["timing"]["withdrawal_ms"] / 1000)
+        self.outage = Outage()
+        self.store = StoreClient(cfg["store"]["addr"], Pool(cfg["ip"]))
+        self.links = Links(cfg["ip"])
+        self.loads = Loads()
+        self.kept = KeptParts()
+        self.suspicions: dict[str, Suspicion] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.paces: dict[tuple[str, str], Pace] = {}
+        self.rollouts = Rollouts(cfg["timing"]["session_s"])
+        self.taking_up: list[RolloutOrder] = []
+        """Orders new to this gateway, whose progress has to be read from the store."""
+        self.callers = Callers()
+        self.metrics = Metrics()
+        self.leaving = False
+        self.started_at = time.monotonic()
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits on what callers send, those in force."""
+        return self.table.limits if self.table is not None else DEFAULT_LIMITS
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        known = self.table is not None and self.members_listed
+        return known and not self.leaving and self.fresh.holds(time.monotonic())
+
+    def reconfigure(self, cfg: GatewaySettings) -> None:
+        """Take in changed settings; addresses it listens on stay until the next start."""
+        self.cfg = cfg
+        self.store.addr = cfg["store"]["addr"]
+        self.fresh.bound_s = cfg["timing"]["withdrawal_ms"] / 1000
+        self.rollouts.pins.session_s = cfg["timing"]["session_s"]
+        self.budgets.clear()
+
+    def suspicion_of(self, upstream_id: str) -> Suspicion:
+        """What speaks against an upstream."""
+        return self.suspicions.setdefault(upstream_id, Suspicion())
+
+    def budget_of(self, service: str) -> RetryBudget:
+        """This gateway's part of a service's retry budget."""
+        found = self.budgets.get(service)
+        if found is None:
+            retries = self.cfg["retries"]
+            burst = max(LEAST_BURST, retries["slack"] / SLACK_SHARERS)
+            found = RetryBudget(retries["ratio"] * BUDGET_PART, burst)
+            self.budgets[service] = found
+        return found
+
+    def forget(self, upstream_id: str) -> None:
+        """Drop what is known of an upstream that has left."""
+        self.links.forget(upstream_id)
+        self.loads.forget(upstream_id)
+        self.suspicions.pop(upstream_id, None)
--- /dev/null
+++ b/ramppost/gateway/watchers.py
@@ -0,0 +1,187 @@
+"""What a gateway follows in the store: configuration, upstreams, roll-outs."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+import curio
+from loguru import logger
+
+from ramppost.gateway.follow import Follower, follow
+from ramppost.gateway.model import RoutingTable, Upstream
+from ramppost.gateway.rollout_duty import take_up_progress
+from ramppost.gateway.state import Gateway
+from ramppost.platform import names
+from ramppost.platform.documents import rollout_order, routing_table, upstream
+from ramppost.platform.store import Change, Snapshot, StoredObject
+from ramppost.wire.codec import BadMessage
+
+CONFIG_WAIT_S: Final = 1.0
+"""Each answered watch confirms the configuration as of when it was sent, so this is how old
+a confirmation usually grows; a fifth of the least bound met so far."""
+UPSTREAM_WAIT_S: Final = 1.5
+"""A watch that died unseen is noticed within this and its slack: upstreams that leave are
+to be known within 2 s."""
+ROLLOUT_WAIT_S: Final = 3.0
+SWEEP_S: Final = 0.2
+LAPSE_AFTER_S: Final = 4.0
+"""Removals within this of an outage may be entries that lapsed in it."""
+
+
+async def start_watchers(gw: Gateway) -> None:
+    """Start following; the tasks end with the process."""
+    followers = (
+        Follower(
+            names.CONFIG_KIND,
+            CONFIG_WAIT_S,
+            lambda snapshot: _config_listed(gw, snapshot),
+            lambda change: _config_changed(gw, change),
+            gw.fresh.confirm,
+        ),
+        Follower(
+            names.UPSTREAM_KIND,
+            UPSTREAM_WAIT_S,
+            lambda snapshot: _upstreams_listed(gw, snapshot),
+            lambda change: _upstream_changed(gw, change),
+            lambda sent_at: None,
+        ),
+        Follower(
+            names.ROLLOUT_KIND,
+            ROLLOUT_WAIT_S,
+            lambda snapshot: _rollouts_listed(gw, snapshot),
+            lambda change: _rollout_changed(gw, change),
+            lambda sent_at: None,
+        ),
+    )
+    for follower in followers:
+        await curio.spawn(follow, gw.store, follower, gw.outage, daemon=True)
+    await curio.spawn(_sweep, gw, daemon=True)
+
+
+def _config_listed(gw: Gateway, snapshot: Snapshot) -> None:
+    for obj in snapshot.objects:
+        _take_config(gw, obj)
+
+
+def _take_config(gw: Gateway, obj: StoredObject) -> None:
+    """Put a configuration in force unless a newer one is."""
+    if obj.name != names.CONFIG_NAME:
+        return
+    table = routing_table(obj)
+    if isinstance(table, BadMessage):
+        logger.error("configuration not understood: {}", table.reason, revision=obj.revision)
+        return
+    if gw.table is not None and table.revision <= gw.table.revision:
+        return
+    _log_config(gw.table, table)
+    gw.table = table
+    gw.metrics.gauges["ramppost_config_version"] = table.version
+
+
+def _config_changed(gw: Gateway, change: Change) -> None:
+    if change.removed:
+        logger.error("configuration removed from the store; the last one stays in force")
+    else:
+        _take_config(gw, change.obj)
+
+
+def _log_config(old: RoutingTable | None, new: RoutingTable) -> None:
+    logger.info(
+        "configuration in force",
+        version=new.version,
+        before=old.version if old else None,
+        revision=new.revision,
+        routes=sum(len(routes) for routes in new.routes.values()),
+        keys=len(new.keys) if new.keys is not None else None,
+    )
+
+
+def _lapsing(gw: Gateway, now: float) -> bool:
+    """Whether removals seen now may be entries that lapsed while the store was away."""
+    return gw.outage.failing_since is not None or now - gw.outage.recovered_at < LAPSE_AFTER_S
+
+
+def _upstreams_listed(gw: Gateway, snapshot: Snapshot) -> None:
+    listed = [up for obj in snapshot.objects if (up := _upstream(obj)) is not None]
+    now = time.monotonic()
+    gw.members.replace_all(listed, now, _lapsing(gw, now))
+    gw.members_listed = True
+    logger.info("upstreams listed", count=len(listed), revision=snapshot.revision)
+
+
+def _upstream(obj: StoredObject) -> Upstream | None:
+    found = upstream(obj)
+    if isinstance(found, BadMessage):
+        logger.error("upstream's entry not understood: {}", found.reason, upstream=obj.name)
+        return None
+    return found
+
+
+def _upstream_changed(gw: Gateway, change: Change) -> None:
+    now = time.monotonic()
+    if change.removed:
+        if gw.members.remove(change.obj.name, now, _lapsing(gw, now)):
+            logger.info("upstream's entry gone", upstream=change.obj.name)
+        if change.obj.name not in gw.members:
+            gw.forget(change.obj.name)
+        return
+    found = _upstream(change.obj)
+    if found is not None and gw.members.put(found):
+        logger.info(
+            "upstream {}",
+            "leaving" if found.leaving else "there",
+            upstream=found.id,
+            service=found.service,
+            version=found.version,
+            addr=found.addr,
+        )
+    if found is not None and found.leaving:
+        gw.links.forget(found.id)
+
+
+def _rollouts_listed(gw: Gateway, snapshot: Snapshot) -> None:
+    listed = {obj.name for obj in snapshot.objects}
+    for running in gw.rollouts.all():
+        if running.order.service not in listed:
+            gw.rollouts.removed(running.order.service)
+    for obj in snapshot.objects:
+        _take_rollout(gw, obj)
+
+
+def _rollout_changed(gw: Gateway, change: Change) -> None:
+    if change.removed:
+        gw.rollouts.removed(change.obj.name)
+    else:
+        _take_rollout(gw, change.obj)
+
+
+def _take_rollout(gw: Gateway, obj: StoredObject) -> None:
+    order = rollout_order(obj)
+    if isinstance(order, BadMessage):
+        logger.error("roll-out not understood: {}", order.reason, service=obj.name)
+        return
+    new = gw.rollouts.seen(order, time.monotonic())
+    logger.info(
+        "roll-out {}",
+        order.state,
+        service=order.service,
+        version=order.version,
+        duration_s=order.duration_s,
+        revision=order.revision,
+    )
+    if new and order.state == "ordered":
+        gw.taking_up.append(order)
+
+
+async def _sweep(gw: Gateway) -> None:
+    """Drop what has not come back, close idle connections, take roll-outs up."""
+    while True:
+        await curio.sleep(SWEEP_S)
+        now = time.monotonic()
+        for gone in gw.members.sweep(now):
+            logger.info("upstream dropped: its entry did not come back", upstream=gone.id)
+            gw.forget(gone.id)
+        gw.links.close_expired(now)
+        while gw.taking_up:
+            await take_up_progress(gw, gw.taking_up.pop())
--- /dev/null
+++ b/ramppost/platform/names.py
@@ -0,0 +1,54 @@
+"""Names on the platform's wire, in one place.
+
+Header names are in lower case, as `h11` compares them.  Nothing outside
+`ramppost.platform` spells any of these; a test checks that.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+# Headers of requests and answers.
+ATTEMPT_ID: Final = b"x-attempt-id"
+DEADLINE_MS: Final = b"x-deadline-ms"
+KEY: Final = b"api-key"
+WORKSPACE: Final = b"x-tenant"
+UPSTREAM_ID: Final = b"x-expect-instance"
+VERSION_WANTED: Final = b"x-expect-version"
+PRIORITY: Final = b"x-request-priority"
+MODEL: Final = b"x-model"
+TOKENS: Final = b"x-token-counts"
+PROMPT_PARTS: Final = b"x-prompt-prefix"
+SESSION: Final = b"session"
+LAST_EVENT_ID: Final = b"last-event-id"
+SIGNATURE: Final = b"x-runner-stamp"
+"""An upstream's signature on its answer; it covers status and body."""
+NOT_RUN: Final = b"x-not-executed"
+LOAD: Final = b"x-runner-load"
+CONFIDENCE: Final = b"x-confidence"
+
+ANY_MODEL: Final = "*"
+STATUS_WRONG_UPSTREAM: Final = 421
+
+RESERVED: Final = frozenset(
+    {
+        KEY,
+        WORKSPACE,
+        UPSTREAM_ID,
+        VERSION_WANTED,
+        PRIORITY,
+        DEADLINE_MS,
+        b"x-kv-hold",
+        b"x-pin-ms",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    }
+)
+"""Headers that only the router sets: a caller's are dropped."""
+
+# Kinds of objects in the store.
+CONFIG_KIND: Final = "config"
+CONFIG_NAME: Final = "main"
+UPSTREAM_KIND: Final = "servers"
+ROLLOUT_KIND: Final = "rollouts"
--- /dev/null
+++ b/ramppost/platform/store.py
@@ -0,0 +1,212 @@
+"""Client of the platform's object store.
+
+Every outcome is a value: what was read, `Missing`, `Conflict` where a condition did
+not hold, `HistoryGone` where a watch asked too far back, or `Unavailable`.  After an
+`Unavailable` write the object has to be read back, for the write may have been done or
+may still be done later.
+
+    snapshot = await list_kind(client, "config")
+    changes = await watch(client, "config", snapshot.revision, 1.0)
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final, NamedTuple, NotRequired, TypedDict
+from urllib.parse import quote, urlencode
+
+from ramppost.wire.client import Answer, CallFailed, Pool, call
+from ramppost.wire.codec import BadMessage, decode, encode
+
+CALL_TIMEOUT_S: Final = 1.0
+"""Seconds for a call; the store answers in milliseconds, or a few hundred when it is slow."""
+WATCH_SLACK_S: Final = 0.8
+"""Seconds a watch may be late; the margin is that of a slow store."""
+MAX_PAGES: Final = 1000
+
+
+class StoredObject(NamedTuple):
+    """An object; `spec` and `status` are decoded JSON, `status` None before the first write."""
+
+    name: str
+    revision: int
+    spec: Any
+    status: Any
+
+
+class Snapshot(NamedTuple):
+    """All objects of a kind, and the store's revision when they were listed."""
+
+    objects: list[StoredObject]
+    revision: int
+
+
+class Change(NamedTuple):
+    """An object that changed, or that was removed."""
+
+    obj: StoredObject
+    removed: bool
+
+
+class Changes(NamedTuple):
+    """What changed since a revision, and the revision to go on from."""
+
+    changes: list[Change]
+    revision: int
+
+
+class HistoryGone(NamedTuple):
+    """The store no longer has the history asked for: list again."""
+
+
+class Missing(NamedTuple):
+    """No such object."""
+
+
+class Conflict(NamedTuple):
+    """The object has another revision, or is there already."""
+
+
+class Unavailable(NamedTuple):
+    """No usable answer; `refused` where the store said that nothing was done."""
+
+    reason: str
+    refused: bool
+
+
+class _Metadata(TypedDict):
+    name: str
+    revision: int
+
+
+class _Object(TypedDict):
+    metadata: _Metadata
+    spec: Any
+    status: NotRequired[Any]
+
+
+class _List(TypedDict):
+    items: list[_Object]
+    truncated: bool
+    current_rev: int
+
+
+class _Event(TypedDict):
+    object: _Object
+    tombstone: bool
+
+
+class _Watch(TypedDict):
+    events: list[_Event]
+    current_rev: int
+
+
+class StoreClient:
+    """The store's address, the connections to it, and how many calls went out."""
+
+    def __init__(self, addr: str, pool: Pool) -> None:
+        self.addr = addr
+        self.pool = pool
+        self.calls = 0
+
+
+async def list_kind(client: StoreClient, kind: str) -> Snapshot | Unavailable:
+    """All objects of a kind, page by page; the revision is that of the first page."""
+    objects: list[StoredObject] = []
+    after, first_revision = "", None
+    for _ in range(MAX_PAGES):
+        query = f"?{urlencode({'after': after})}" if after else ""
+        got = await _call(client, "GET", f"/objects/{quote(kind)}{query}")
+        page = _body(got, _List)
+        if isinstance(page, Unavailable):
+            return page
+        objects += [_stored(item) for item in page["items"]]
+        if first_revision is None:
+            first_revision = page["current_rev"]
+        if not page["truncated"] or not page["items"]:
+            return Snapshot(objects, first_revision)
+        after = page["items"][-1]["metadata"]["name"]
+    return Unavailable(f"more than {MAX_PAGES} pages of {kind}", False)
+
+
+async def watch(
+    client: StoreClient, kind: str, since: int, wait_s: float
+) -> Changes | HistoryGone | Unavailable:
+    """Changes of a kind after a revision; waits up to `wait_s` seconds for the first."""
+    query = urlencode({"watch": since, "wait_ms": int(wait_s * 1000)})
+    path = f"/objects/{quote(kind)}?{query}"
+    got = await _call(client, "GET", path, timeout_s=wait_s + WATCH_SLACK_S)
+    if isinstance(got, Answer) and got.status == 410:
+        return HistoryGone()
+    body = _body(got, _Watch)
+    if isinstance(body, Unavailable):
+        return body
+    changes = [Change(_stored(event["object"]), event["tombstone"]) for event in body["events"]]
+    return Changes(changes, body["current_rev"])
+
+
+async def read(client: StoreClient, kind: str, name: str) -> StoredObject | Missing | Unavailable:
+    """One object."""
+    got = await _call(client, "GET", f"/objects/{quote(kind)}/{quote(name)}")
+    if isinstance(got, Answer) and got.status == 404:
+        return Missing()
+    body = _body(got, _Object)
+    return body if isinstance(body, Unavailable) else _stored(body)
+
+
+async def create(
+    client: StoreClient, kind: str, name: str, spec: Any
+) -> StoredObject | Conflict | Unavailable:
+    """Make an object; `Conflict` where one of this name is there already."""
+    body = encode({"metadata": {"name": name}, "spec": spec})
+    return _written(await _call(client, "POST", f"/objects/{quote(kind)}", body))
+
+
+async def replace(
+    client: StoreClient, kind: str, name: str, revision: int, spec: Any
+) -> StoredObject | Conflict | Unavailable:
+    """Replace an object's spec if it has this revision."""
+    body = encode({"metadata": {"name": name, "revision": revision}, "spec": spec})
+    return _written(await _call(client, "PUT", f"/objects/{quote(kind)}/{quote(name)}", body))
+
+
+async def set_status(
+    client: StoreClient, kind: str, name: str, revision: int, status: Any
+) -> StoredObject | Conflict | Unavailable:
+    """Replace an object's status if it has this revision."""
+    body = encode({"metadata": {"name": name, "revision": revision}, "status": status})
+    path = f"/objects/{quote(kind)}/{quote(name)}/status"
+    return _written(await _call(client, "PUT", path, body))
+
+
+async def _call(
+    client: StoreClient,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    timeout_s: float = CALL_TIMEOUT_S,
+) -> Answer | CallFailed:
+    client.calls += 1
+    head = (("content-type", "application/json"),) if body else ()
+    return await call(client.pool, client.addr, method, path, body, timeout_s, head)
+
+
+def _written(got: Answer | CallFailed) -> StoredObject | Conflict | Unavailable:
+    if isinstance(got, Answer) and got.status in (404, 409):
+        return Conflict()
+    body = _body(got, _Object)
+    return body if isinstance(body, Unavailable) else _stored(body)
+
+
+def _body(got: Answer | CallFailed, kind: type[Any]) -> Any:
+    """The decoded body of a successful answer."""
+    if isinstance(got, CallFailed):
+        return Unavailable(got.reason, not got.sent)
+    if got.status not in (200, 201):
+        return Unavailable(f"status {got.status}", got.status in (429, 503))
+    body = decode(got.body, kind)
+    return Unavailable(body.reason, False) if isinstance(body, BadMessage) else body
+
+
+def _stored(item: _Object) -> StoredObject:
+    meta = item["metadata"]
+    return StoredObject(meta["name"], meta["revision"], item["spec"], item.get("status"))
--- a/ramppost/policy/limits.py
+++ b/ramppost/policy/limits.py
@@ -42,17 +42,23 @@
 
 
 class RetryBudget:
-    """Retries may be a share of first tries, so that they can't amplify an outage."""
+    """Retries may be a share of first tries, so that they can't amplify an outage.
 
-    def __init__(self) -> None:
-        self.left = RETRY_BURST
+    `share` is what each first try adds, `burst` the most that is saved up, so that any
+    window holds at most `share` of its first tries and `burst` more.
+    """
+
+    def __init__(self, share: float = RETRY_SHARE, burst: float = RETRY_BURST) -> None:
+        self.share = share
+        self.burst = burst
+        self.left = burst
         self.tries = 0
         self.retries = 0
 
     def tried(self) -> None:
         """A request was tried for the first time."""
         self.tries += 1
-        self.left = min(RETRY_BURST, self.left + RETRY_SHARE)
+        self.left = min(self.burst, self.left + self.share)
 
     def take(self) -> bool:
         """Whether one more retry is within the budget."""
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -265,6 +265,153 @@
     """
 
 
+class StoreAddress(TypedDict, closed=True):
+    """
+    The platform's object store and the rates that all boxes share.
+    """
+
+    addr: str
+    """
+    Address, `ip:port`.
+    """
+    writes_per_s: float
+    """
+    Writing calls a second, of all boxes together.
+    """
+    reads_per_s: float
+    """
+    Reading calls a second, of all boxes together.
+    """
+
+
+class GatewayTiming(TypedDict, closed=True):
+    """
+    Times that a deployment promises or allows.
+    """
+
+    withdrawal_ms: int
+    """
+    A key that was taken away must not start work after this, milliseconds.
+    """
+    config_apply_ms: int
+    """
+    A configuration must be in force after this, milliseconds.
+    """
+    upstream_leave_ms: int
+    """
+    An upstream that said it is leaving still takes work for this, milliseconds.
+    """
+    stop_s: float
+    """
+    A planned stop may take this long, seconds.
+    """
+    session_s: float
+    """
+    Requests of a session follow each other within this, seconds.
+    """
+    heartbeat_ms: int
+    """
+    How often an upstream renews its entry in the store, milliseconds.
+    """
+
+
+class RetrySettings(TypedDict, closed=True):
+    """
+    Retries that all gateways together may send to a service.
+    """
+
+    ratio: float
+    """
+    Retries for each request of callers.
+    """
+    window_s: float
+    """
+    Window that retries and requests are counted over, seconds.
+    """
+    slack: float
+    """
+    Retries that are allowed beyond the ratio in a window.
+    """
+
+
+class ExposureSettings(TypedDict, closed=True):
+    """
+    How much a bad version may be given.
+    """
+
+    share: float
+    """
+    Share of a service's requests during its roll-out.
+    """
+    slack: float
+    """
+    Requests beyond that share.
+    """
+    rollback_ms: int
+    """
+    A version known to be bad must get nothing after this, milliseconds.
+    """
+
+
+class GatewaySettings(TypedDict, closed=True):
+    """
+    Settings of `ramppost gateway`.
+    """
+
+    program: Literal["gateway"]
+    """
+    Which program reads this file.
+    """
+    name: str
+    """
+    Name of this box, unique.
+    """
+    hall: str
+    """
+    Data hall this box stands in.
+    """
+    ip: str
+    """
+    IP number of this box.
+    """
+    listen: str
+    """
+    Where callers connect, `ip:port`.
+    """
+    health: str
+    """
+    Where the balancer asks whether this box takes callers, `ip:port`.
+    """
+    internal_port: int
+    """
+    Port for other gateways and operators.
+    """
+    metrics_port: int
+    """
+    Port of `/metrics`.
+    """
+    store: StoreAddress
+    """
+    The platform's object store.
+    """
+    timing: GatewayTiming
+    """
+    Times that the deployment promises or allows.
+    """
+    retries: RetrySettings
+    """
+    Retries that all gateways together may send.
+    """
+    exposure: ExposureSettings
+    """
+    How much a bad version may be given.
+    """
+    log: Log
+    """
+    Logging.
+    """
+
+
 class Box(TypedDict, closed=True):
     """
     A line of the platform's box list.
@@ -427,6 +574,7 @@
 Settings: TypeAlias = (
     EntrySettings
     | AgentSettings
+    | GatewaySettings
     | PlatformStandinSettings
     | EngineStandinSettings
     | ServiceStandinSettings
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -44,11 +44,11 @@
         self.h11 = h11.Connection(h11.CLIENT)
 
 
-def _quiet(fd: int) -> bool:
-    """Whether nothing, not even an end, has come in on a file descriptor."""
+def readable(fd: int) -> bool:
+    """Whether bytes, an end or an error have come in on a file descriptor."""
     poller = select.poll()
     poller.register(fd, select.POLLIN | select.POLLHUP | select.POLLERR)
-    return not poller.poll(0)
+    return bool(poller.poll(0))
 
 
 class Pool:
@@ -69,7 +69,7 @@
         links = self.idle.get(addr, [])
         while links:
             link = links.pop()
-            if _quiet(link.sock.fileno()):
+            if not readable(link.sock.fileno()):
                 return link
             link.sock._socket.close()
         return None
--- a/ramppost/wire/signals.py
+++ b/ramppost/wire/signals.py
@@ -9,15 +9,15 @@
 
 
 class Signals:
-    """Waits for SIGTERM or SIGINT; make one on the main thread before the loop runs."""
+    """Waits for signals; make one on the main thread before the loop runs."""
 
-    def __init__(self) -> None:
+    def __init__(self, numbers: tuple[int, ...] = (signal.SIGTERM, signal.SIGINT)) -> None:
         self._read, write = socket.socketpair()
         self._write = write
         self._read.setblocking(False)
         write.setblocking(False)
         signal.set_wakeup_fd(write.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in numbers:
             signal.signal(number, _ignore)
 
     async def wait(self) -> int:
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -26,7 +26,7 @@
 from ramppost.schema.messages import BillLine
 from ramppost.schema.settings import Box
 from ramppost.standin.fleet import MESOB, config_doc
-from ramppost.wire.client import Pool, _quiet
+from ramppost.wire.client import Pool, readable
 
 STABLE = Counts(1000, 5)
 ERROR_CASES = [
@@ -259,9 +259,9 @@
     one, other = socket.socketpair()
     high = os.dup2(one.fileno(), 1500)
     try:
-        assert _quiet(high)
+        assert not readable(high)
         other.send(b"x")
-        assert not _quiet(high)
+        assert readable(high)
     finally:
         os.close(high)
         one.close()
