--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -70,7 +70,7 @@
         if isinstance(got, Refusal):
             return got
         judged = not reply.started and got.head.status < 400
-        if judged and not good_enough(plan, stage, got.head.confidence) and budget.take():
+        if judged and not good_enough(plan, stage, got.head.confidence) and budget.left >= 1:
             _note_stage(job, plan, stage, got)
             await release(got, False)
             stage += 1
