Planned stop: late streams refused, idle connections closed, callers that leave logged

Ruled out: streams taken before the balancer knew, which the rule leaves out. Change: 2.5 s into a stop streams are refused as not run and idle connections are closed. Serving ends as a value, so that a cut answer is no task crash.

--- a/ramppost/gateway/admit.py
+++ b/ramppost/gateway/admit.py
@@ -11,6 +11,8 @@
 
 STALE_RETRY_S: Final = 0.5
 """Another gateway may still reach the store, and this one tries twice a second."""
+LEAVING_RETRY_S: Final = 0.05
+"""The balancer already sends new connections elsewhere."""
 
 
 class Admitted(NamedTuple):
@@ -33,6 +35,8 @@
     route = find_route(table, req.host, req.target)
     if route is None:
         return _final(fresh, "not_found", f"no route for {req.target.partition('?')[0]}")
+    if gw.refusing_streams and route.streams:
+        return refusal("leaving", "this gateway is stopping", LEAVING_RETRY_S)
     if table.keys is None:
         return Admitted(route, None)
     workspace = table.keys.get(req.key) if req.key else None
--- a/ramppost/gateway/inbound.py
+++ b/ramppost/gateway/inbound.py
@@ -108,6 +108,12 @@
         self.busy = 0
         self.idle: set[Any] = set()
 
+    def close_idle(self) -> None:
+        """End connections that wait for a request: their callers open others elsewhere."""
+        for sock in self.idle:
+            sock._socket.shutdown(socket.SHUT_RDWR)
+        self.idle.clear()
+
 
 async def accept_callers(sock: Any, callers: Callers, doorway: Doorway) -> None:
     """Accept connections until cancelled; each goes on in a daemon task of its own."""
@@ -255,15 +261,22 @@
     """Serve a request; cancel the work where the caller closes its connection."""
     read_at = time.monotonic()
     async with curio.TaskGroup(wait=any) as group:
-        work = await group.spawn(serve, req, reply, read_at)
+        work = await group.spawn(_served, serve, req, reply, read_at)
         await group.spawn(_until_gone, sock, conn)
-    if work.cancelled or work.exception is None:
-        if group.completed is not work:
-            raise Gone
-        return
-    if not isinstance(work.exception, Gone):
-        logger.opt(exception=work.exception).error("serving failed", request=req.attempt_id)
-    raise Gone
+    if group.completed is not work or not work.result:
+        raise Gone
+
+
+async def _served(serve: Serve, req: CallerRequest, reply: Reply, read_at: float) -> bool:
+    """Serve a request; false where the connection has to be closed."""
+    try:
+        await serve(req, reply, read_at)
+    except Gone:
+        return False
+    except Exception as exc:
+        logger.opt(exception=exc).error("serving failed", request=req.attempt_id)
+        return False
+    return True
 
 
 async def _until_gone(sock: Any, conn: h11.Connection) -> None:
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -28,7 +28,8 @@
 BAD_SETTINGS: Final = 2
 SETTINGS_POLL_S: Final = 1.0
 LEAST_STOP_S: Final = 2.5
-"""The balancer asks every second and takes a box out after two misses."""
+"""The balancer asks every second and takes a box out after two misses; then idle connections
+are closed, and streams that still come in are refused, since they may outlast the stop."""
 STOP_MARGIN_S: Final = 0.7
 """Kept from the time a planned stop may take, to end by ourselves."""
 STOP_POLL_S: Final = 0.05
@@ -107,9 +108,10 @@
     gw.leaving = True
     logger.info("stopping", signal=number, busy=gw.callers.busy)
     until = began + gw.cfg["timing"]["stop_s"] - STOP_MARGIN_S
-    while (now := time.monotonic()) < until:
-        if now - began >= LEAST_STOP_S and not gw.callers.busy:
-            break
+    await curio.sleep(LEAST_STOP_S)
+    gw.refusing_streams = True
+    while (now := time.monotonic()) < until and gw.callers.busy:
+        gw.callers.close_idle()
         await curio.sleep(STOP_POLL_S)
     logger.info("stopped", left_busy=gw.callers.busy, after_s=round(now - began, 2))
 
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -48,6 +48,9 @@
             failed = await _answer(gw, job, reply)
     except curio.TaskTimeout:
         failed = _time_is_up(job)
+    except (Gone, curio.CancelledError):
+        _note_end(gw, job, "caller left", reply.status, read_at)
+        raise
     if failed is None:
         _note_end(gw, job, "served", reply.status, read_at)
     elif reply.started:
@@ -218,7 +221,7 @@
 
 def _note_end(gw: Gateway, job: Job, outcome: str, status: int, read_at: float) -> None:
     took_s = time.monotonic() - read_at
-    result = "served" if outcome == "served" else "broken"
+    result = outcome.partition(":")[0]
     gw.metrics.count("ramppost_requests_total", route=job.route.name, outcome=result)
     gw.metrics.observe("ramppost_request_seconds", took_s, route=job.route.name)
     logger.info(
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -56,6 +56,8 @@
         self.callers = Callers()
         self.metrics = Metrics()
         self.leaving = False
+        """A planned stop has begun: not ready, and each answer closes its connection."""
+        self.refusing_streams = False
         self.started_at = time.monotonic()
 
     @property
--- a/ramppost/logs.py
+++ b/ramppost/logs.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 import select
 import sys
@@ -81,6 +82,8 @@
         output.write(_json_line(message))
 
     logger.add(sink, level=cfg["level"], format="{message}")
+    # curio warns of each operation that ends just after its time limit; nothing is lost then.
+    logging.getLogger("curio").setLevel(logging.ERROR)
 
 
 def dropped() -> int:
