--- /dev/null
+++ b/tests/test_gateway_policy.py
@@ -0,0 +1,361 @@
+"""Pure parts of the gateway, in tables: placement, suspicion, ramp, guard, freshness, members."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ramppost.gateway.events import EventSplitter
+from ramppost.gateway.freshness import MARGIN_S, Freshness
+from ramppost.gateway.membership import LAPSE_GRACE_S, Members
+from ramppost.gateway.model import RolloutOrder, Upstream
+from ramppost.gateway.rollouts import Rollouts
+from ramppost.policy.guard import Tally, reason_against
+from ramppost.policy.limits import RetryBudget
+from ramppost.policy.placement import (
+    KEPT_S,
+    EngineView,
+    KeptParts,
+    PlainView,
+    home_tokens,
+    plain_ranked,
+    ranked,
+)
+from ramppost.policy.ramp import STEPS, Pins, on_new, share_at
+from ramppost.policy.suspicion import Suspicion
+
+NOW = 1000.0
+PARTS = (("shared", 4000), ("own", 1000))
+
+
+def engine(name: str, **changes: object) -> EngineView:
+    usual = EngineView(name, "here", 0.0, 0, 0, NOW, 0.0)
+    return usual._replace(**changes)  # type: ignore[arg-type]
+
+
+def upstream(name: str, version: str = "v1", leaving: bool = False) -> Upstream:
+    return Upstream(name, "10.0.0.1:80", "lm", "here", version, 64, leaving)
+
+
+# --- placement
+
+
+@pytest.mark.parametrize(
+    ("worse", "why"),
+    [
+        ({"pending_tokens": 30000.0}, "own prompts wait there"),
+        ({"others_running": 200}, "others run there"),
+        ({"waiting": 20}, "requests wait there"),
+        ({"failing": 1.0}, "it fails"),
+    ],
+)
+def test_an_engine_with_more_ahead_comes_last(worse: dict[str, object], why: str) -> None:
+    engines = [engine("a"), engine("b", **worse), engine("c")]
+    order = ranked(engines, (), 5000, KeptParts(), "here", NOW, random.Random(1))
+    assert order[-1] == "b", why
+
+
+def test_a_kept_prompt_draws_its_request() -> None:
+    kept = KeptParts()
+    kept.sent("b", PARTS[:1], NOW - 1)
+    engines = [engine(name) for name in "abcdef"]
+    home, _ = home_tokens(engines, PARTS)
+    others = [e for e in engines if e.id != home or e.id == "b"]
+    assert ranked(others, PARTS, 5000, kept, "here", NOW, random.Random(1))[0] == "b"
+
+
+def test_a_kept_prompt_does_not_draw_to_an_engine_that_is_full() -> None:
+    kept = KeptParts()
+    kept.sent("b", PARTS[:1], NOW - 1)
+    engines = [engine("a"), engine("b", pending_tokens=20000.0)]
+    assert ranked(engines, PARTS, 5000, kept, "here", NOW, random.Random(1))[0] == "a"
+
+
+def test_kept_parts_end_at_the_first_that_is_not_kept() -> None:
+    kept = KeptParts()
+    kept.sent("a", (("one", 10), ("three", 30)), NOW)
+    assert kept.kept_tokens("a", (("one", 10), ("two", 20), ("three", 30)), NOW) == 10
+
+
+def test_kept_parts_are_forgotten_in_time() -> None:
+    kept = KeptParts()
+    kept.sent("a", PARTS, NOW)
+    assert kept.kept_tokens("a", PARTS, NOW + KEPT_S + 1) == 0
+
+
+def test_all_gateways_agree_on_a_home() -> None:
+    engines = [engine(name) for name in "abcdef"]
+    assert home_tokens(engines, PARTS) == home_tokens(engines[::-1], PARTS)
+
+
+def test_old_reports_count_for_little() -> None:
+    stale = engine("a", others_running=60, reported_at=NOW - 30)
+    fresh = engine("b", others_running=30)
+    assert ranked([stale, fresh], (), 100, KeptParts(), "here", NOW, random.Random(1))[0] == "a"
+
+
+@pytest.mark.parametrize("worse", [{"latency_s": 0.2}, {"load": 4.0}, {"failing": 0.5}])
+def test_a_worse_plain_upstream_comes_last(worse: dict[str, float]) -> None:
+    good = PlainView("a", "here", 0.0, 0.03, 0.0)
+    bad = good._replace(id="b", **worse)  # type: ignore[arg-type]
+    assert plain_ranked([bad, good], "here", random.Random(1)) == ["a", "b"]
+
+
+# --- suspicion
+
+
+def test_failures_fade() -> None:
+    seen = Suspicion()
+    for _ in range(5):
+        seen.note(True, NOW)
+    assert seen.failing(NOW) > 0.8
+    assert seen.failing(NOW + 12) < 0.06
+
+
+def test_good_answers_clear_suspicion() -> None:
+    seen = Suspicion()
+    seen.note(True, NOW)
+    for _ in range(6):
+        seen.note(False, NOW)
+    assert seen.failing(NOW) < 0.04
+
+
+def test_latency_returns_to_the_usual_one() -> None:
+    seen = Suspicion()
+    seen.took(0.5, NOW)
+    assert seen.latency_s(0.03, NOW) == pytest.approx(0.5)
+    assert seen.latency_s(0.03, NOW + 20) < 0.05
+
+
+# --- retry budget
+
+
+@pytest.mark.parametrize(("share", "burst"), [(0.75, 3.0), (0.1, 2.0), (0.0, 2.0)])
+def test_no_window_holds_more_than_share_and_burst(share: float, burst: float) -> None:
+    budget = RetryBudget(share, burst)
+    rng = random.Random(4)
+    log = []
+    for _ in range(3000):
+        if rng.random() < 0.5:
+            budget.tried()
+            log.append("try")
+        elif budget.take():
+            log.append("retry")
+    for start in range(0, len(log), 37):
+        window = log[start : start + 400]
+        assert window.count("retry") <= share * window.count("try") + burst + 1
+
+
+# --- ramp
+
+
+def test_the_share_never_falls() -> None:
+    shares = [share_at(i / 100) for i in range(-5, 120)]
+    assert shares == sorted(shares)
+    assert shares[-1] == 1.0
+
+
+def test_nothing_grows_in_the_first_half() -> None:
+    assert share_at(0.0) == share_at(0.49) == STEPS[0].share
+
+
+def test_sessions_only_move_forward() -> None:
+    for who in (f"s{i}" for i in range(300)):
+        sides = [on_new("lm", "v2", who, i / 100, "") for i in range(100)]
+        assert sides == sorted(sides)
+
+
+@pytest.mark.parametrize(
+    ("part", "pinned", "moves"),
+    [(0.2, "v1", False), (0.45, "v1", False), (0.2, "v2", True), (0.9, "v1", True)],
+)
+def test_a_session_in_progress_stays_in_the_first_half(
+    part: float, pinned: str, moves: bool
+) -> None:
+    sides = [on_new("lm", "v2", f"s{i}", part, pinned) for i in range(500)]
+    assert any(sides) == moves
+
+
+def test_pins_last_as_long_as_a_session() -> None:
+    pins = Pins(5.0)
+    pins.ran("lm", "s", "v1", NOW)
+    assert pins.version("lm", "s", NOW + 4) == "v1"
+    assert pins.version("lm", "s", NOW + 6) == ""
+
+
+# --- guard
+
+
+def tally(answers: str, upstreams: str = "ab") -> Tally:
+    """`.` good, `x` failed, `s` slow; upstreams take turns."""
+    found = Tally()
+    for i, answer in enumerate(answers):
+        found.add(upstreams[i % len(upstreams)], answer == "x", answer == "s")
+    return found
+
+
+@pytest.mark.parametrize(
+    ("stable", "trial", "upstreams", "bad"),
+    [
+        ("." * 200, "xx", 9, False),
+        ("." * 200, "xxx", 9, True),
+        ("." * 200, "." * 30, 9, False),
+        ("." * 200, ".x" + "." * 20, 9, False),
+        ("." * 200, "...x..x.x", 9, True),
+        (".x" * 100, ".x" * 10, 9, False),
+        ("." * 200, "ssss", 9, False),
+        ("." * 200, "ssssssss", 9, True),
+        (".s" * 100, ".s" * 8, 9, False),
+    ],
+)
+def test_when_a_version_is_bad(stable: str, trial: str, upstreams: int, bad: bool) -> None:
+    assert bool(reason_against(tally(stable), tally(trial), upstreams)) == bad
+
+
+def test_one_faulty_upstream_does_not_condemn_a_version() -> None:
+    assert reason_against(tally("." * 200), tally("xxxxxx", "a"), 9) == ""
+    assert reason_against(tally("." * 200), tally("xxxxxx", "a"), 1) != ""
+
+
+# --- roll-outs seen by a gateway
+
+
+def rollouts(state: str = "ordered", at: float = 0.2) -> Rollouts:
+    found = Rollouts(5.0)
+    found.seen(RolloutOrder("lm", "v2", 10.0, state, 1), NOW - 10.0 * at)  # type: ignore[arg-type]
+    return found
+
+
+BOTH = [upstream("old"), upstream("new", "v2")]
+
+
+@pytest.mark.parametrize(
+    ("state", "allowed"),
+    [("completed", {"new"}), ("rolled_back", {"old"})],
+)
+def test_an_ended_rollout_leaves_one_side(state: str, allowed: set[str]) -> None:
+    for i in range(50):
+        side = rollouts(state).side("lm", BOTH, f"r{i}", "", NOW)
+        assert {u.id for u in [*side.preferred, *side.others]} == allowed
+
+
+def test_a_version_held_to_be_bad_gets_nothing_more() -> None:
+    found = rollouts()
+    found.side("lm", BOTH, "r", "", NOW)
+    for _ in range(20):
+        found.judge("lm", BOTH[0], bad=False, slow=False)
+    for _ in range(3):
+        found.judge("lm", BOTH[1], bad=True, slow=False)
+    for i in range(200):
+        side = found.side("lm", BOTH, f"r{i}", "", NOW)
+        assert [u.id for u in [*side.preferred, *side.others]] == ["old"]
+
+
+def test_the_new_version_is_no_way_out_in_the_first_half() -> None:
+    old_only = [f"r{i}" for i in range(100) if not on_new("lm", "v2", f"r{i}", 0.2, "")]
+    for who in old_only:
+        assert rollouts().side("lm", BOTH, who, "", NOW).others == []
+
+
+def test_a_gateway_that_starts_late_goes_on_from_what_is_kept() -> None:
+    found = rollouts(at=0.0)
+    found.resume_at("lm", 0.7, NOW)
+    running = found.of("lm")
+    assert running is not None
+    assert running.part(NOW) == pytest.approx(0.7)
+
+
+def test_progress_never_goes_back() -> None:
+    found = rollouts(at=0.8)
+    found.resume_at("lm", 0.1, NOW)
+    running = found.of("lm")
+    assert running is not None
+    assert running.part(NOW) == pytest.approx(0.8)
+
+
+# --- freshness
+
+
+@pytest.mark.parametrize(
+    ("age", "holds"), [(0.0, True), (4.0, True), (5.0 - MARGIN_S, False), (60.0, False)]
+)
+def test_a_confirmation_grows_old(age: float, holds: bool) -> None:
+    fresh = Freshness(5.0)
+    fresh.confirm(NOW)
+    assert fresh.holds(NOW + age) is holds
+
+
+def test_without_a_confirmation_nothing_holds() -> None:
+    assert not Freshness(5.0).holds(NOW)
+
+
+def test_a_late_answer_does_not_make_a_confirmation_older() -> None:
+    fresh = Freshness(5.0)
+    fresh.confirm(NOW)
+    fresh.confirm(NOW - 3)
+    assert fresh.age(NOW) == 0
+
+
+# --- members
+
+
+def test_a_removal_counts_at_once_while_the_store_is_well() -> None:
+    members = Members()
+    members.put(upstream("a"))
+    members.remove("a", NOW, lapsing=False)
+    assert members.usable("lm", NOW) == []
+
+
+def test_a_lapsed_entry_is_kept_for_a_grace() -> None:
+    members = Members()
+    members.put(upstream("a"))
+    members.remove("a", NOW, lapsing=True)
+    assert members.usable("lm", NOW + LAPSE_GRACE_S - 0.1) != []
+    assert members.usable("lm", NOW + LAPSE_GRACE_S) == []
+    assert [u.id for u in members.sweep(NOW + LAPSE_GRACE_S)] == ["a"]
+
+
+def test_a_lapsed_entry_that_comes_back_stays() -> None:
+    members = Members()
+    members.put(upstream("a"))
+    members.remove("a", NOW, lapsing=True)
+    members.put(upstream("a"))
+    assert members.sweep(NOW + 60) == []
+    assert members.usable("lm", NOW + 60) != []
+
+
+def test_a_leaving_upstream_is_dropped_even_in_an_outage() -> None:
+    members = Members()
+    members.put(upstream("a", leaving=True))
+    assert members.usable("lm", NOW) == []
+    members.remove("a", NOW, lapsing=True)
+    assert "a" not in members
+
+
+def test_a_list_is_the_whole_truth() -> None:
+    members = Members()
+    members.put(upstream("a"))
+    members.replace_all([upstream("b")], NOW, lapsing=False)
+    assert [u.id for u in members.all()] == ["b"]
+
+
+# --- events
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 1000])
+def test_events_are_whole_however_bytes_arrive(size: int) -> None:
+    stream = b"".join(b"id: %d\ndata: %s\n\n" % (i, b"x" * i) for i in range(1, 9))
+    splitter = EventSplitter()
+    events = []
+    for start in range(0, len(stream), size):
+        events += splitter.feed(stream[start : start + size])
+    assert [event.id for event in events] == [str(i) for i in range(1, 9)]
+    assert b"".join(event.raw for event in events) == stream
+    assert splitter.rest == b""
+
+
+def test_a_truncated_event_is_held_back() -> None:
+    splitter = EventSplitter()
+    assert len(splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")) == 1
+    assert splitter.rest == b"id: 2\nda"
