--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -17,9 +17,9 @@
 from ramppost.platform.store import Change, Snapshot, StoredObject
 from ramppost.wire.codec import BadMessage
 
-CONFIG_WAIT_S: Final = 1.0
-"""Each answered watch confirms the configuration as of when it was sent, so this is how old
-a confirmation usually grows; a fifth of the least bound met so far."""
+CONFIG_WAIT_OF_BOUND: Final = 0.2
+"""Each answered watch confirms the configuration as of when it was sent, so its wait is how
+old a confirmation usually grows: a fifth of the bound, so that several may fail in a row."""
 UPSTREAM_WAIT_S: Final = 1.5
 """A watch that died unseen is noticed within this and its slack: upstreams that leave are
 to be known within 2 s."""
@@ -34,16 +34,16 @@
     followers = (
         Follower(
             names.CONFIG_KIND,
-            CONFIG_WAIT_S,
-            lambda snapshot: _config_listed(gw, snapshot),
+            CONFIG_WAIT_OF_BOUND * gw.fresh.bound_s,
+            lambda snapshot: config_listed(gw, snapshot),
             lambda change: _config_changed(gw, change),
             gw.fresh.confirm,
         ),
         Follower(
             names.UPSTREAM_KIND,
             UPSTREAM_WAIT_S,
-            lambda snapshot: _upstreams_listed(gw, snapshot),
-            lambda change: _upstream_changed(gw, change),
+            lambda snapshot: upstreams_listed(gw, snapshot),
+            lambda change: upstream_changed(gw, change),
             lambda sent_at: None,
         ),
         Follower(
@@ -59,7 +59,7 @@
     await curio.spawn(_sweep, gw, daemon=True)
 
 
-def _config_listed(gw: Gateway, snapshot: Snapshot) -> None:
+def config_listed(gw: Gateway, snapshot: Snapshot) -> None:
     for obj in snapshot.objects:
         _take_config(gw, obj)
 
@@ -102,7 +102,7 @@
     return gw.outage.failing_since is not None or now - gw.outage.recovered_at < LAPSE_AFTER_S
 
 
-def _upstreams_listed(gw: Gateway, snapshot: Snapshot) -> None:
+def upstreams_listed(gw: Gateway, snapshot: Snapshot) -> None:
     listed = [up for obj in snapshot.objects if (up := _upstream(obj)) is not None]
     now = time.monotonic()
     gw.members.replace_all(listed, now, _lapsing(gw, now))
@@ -118,7 +118,7 @@
     return found
 
 
-def _upstream_changed(gw: Gateway, change: Change) -> None:
+def upstream_changed(gw: Gateway, change: Change) -> None:
     now = time.monotonic()
     if change.removed:
         if gw.members.remove(change.obj.name, now, _lapsing(gw, now)):
--- a/ramppost/platform/names.py
+++ b/ramppost/platform/names.py
@@ -27,6 +27,8 @@
 LOAD: Final = b"x-runner-load"
 CONFIDENCE: Final = b"x-confidence"
 
+INSTANCE: Final = b"x-instance-id"
+
 ANY_MODEL: Final = "*"
 STATUS_WRONG_UPSTREAM: Final = 421
 
--- a/ramppost/programs.py
+++ b/ramppost/programs.py
@@ -13,7 +13,7 @@
 from ramppost import logs
 from ramppost.agent import main as agent
 from ramppost.entry import main as entry
-from ramppost.standin import engine, platform, service
+from ramppost.standin import engine, platform, service, store, upstream
 from ramppost.wire.signals import Signals
 
 RUNS: Final[dict[str, Callable[..., Awaitable[None]]]] = {
@@ -22,6 +22,8 @@
     "standin-platform": platform.run,
     "standin-engine": engine.run,
     "standin-service": service.run,
+    "standin-store": store.run,
+    "standin-upstream": upstream.run,
 }
 WITH_PLANNED_STOP: Final = ("entry", "agent")
 
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -532,6 +532,92 @@
     """
 
 
+class StoreStandinSettings(TypedDict, closed=True):
+    """
+    Settings of `ramppost standin store`: the object store that gateways follow.
+    """
+
+    program: Literal["standin-store"]
+    """
+    Which program reads this file.
+    """
+    listen: Listen
+    """
+    Where it listens.
+    """
+    seed: str
+    """
+    The configuration it starts with, a JSON file.
+    """
+    writes_per_s: NotRequired[float]
+    """
+    Writes it takes a second.
+    """
+    reads_per_s: NotRequired[float]
+    """
+    Reads it takes a second.
+    """
+    history_s: NotRequired[float]
+    """
+    How far back a watch may ask, seconds.
+    """
+    log: Log
+    """
+    Logging.
+    """
+
+
+class UpstreamStandinSettings(TypedDict, closed=True):
+    """
+    Settings of `ramppost standin upstream`: an upstream that gateways send to.
+    """
+
+    program: Literal["standin-upstream"]
+    """
+    Which program reads this file.
+    """
+    listen: Listen
+    """
+    Where it listens.
+    """
+    store: str
+    """
+    The store it keeps its entry in, `ip:port`.
+    """
+    id: str
+    """
+    Its id; another at each start.
+    """
+    service: str
+    """
+    Service it belongs to.
+    """
+    hall: str
+    """
+    Data hall it stands in.
+    """
+    version: str
+    """
+    Version of its software.
+    """
+    slots: int
+    """
+    Requests it runs at once.
+    """
+    work_ms: float
+    """
+    Time to an answer or a first event, milliseconds.
+    """
+    event_ms: NotRequired[float]
+    """
+    Time between events of a stream, milliseconds.
+    """
+    log: Log
+    """
+    Logging.
+    """
+
+
 class PlatformStandinSettings(TypedDict, closed=True):
     """
     Settings of `ramppost standin platform`: object API, box list and rating service.
@@ -578,6 +664,8 @@
     | PlatformStandinSettings
     | EngineStandinSettings
     | ServiceStandinSettings
+    | StoreStandinSettings
+    | UpstreamStandinSettings
 )
 """
 Settings of every ramppost program, one file for each process.
--- a/ramppost/settings.py
+++ b/ramppost/settings.py
@@ -21,6 +21,9 @@
 PROGRAMS: Final = {
     "entry": "EntrySettings",
     "agent": "AgentSettings",
+    "gateway": "GatewaySettings",
+    "standin-store": "StoreStandinSettings",
+    "standin-upstream": "UpstreamStandinSettings",
     "standin-platform": "PlatformStandinSettings",
     "standin-engine": "EngineStandinSettings",
     "standin-service": "ServiceStandinSettings",
--- /dev/null
+++ b/ramppost/standin/upstream.py
@@ -0,0 +1,190 @@
+"""Stand-in for an upstream of the users' platform: keeps its entry, runs, streams.
+
+A request that tells tokens is answered with a stream of events, any other with a small
+body.  `GET /_log` tells its runs, `POST /_behave` sets a `Behaviour`, and `POST /_leave`
+makes it say that it is leaving.
+"""
+
+from __future__ import annotations
+
+import secrets
+import time
+from typing import Final, NotRequired, TypedDict
+
+import curio
+from loguru import logger
+
+from ramppost.platform import names
+from ramppost.platform.documents import LEAVING
+from ramppost.platform.store import Conflict, StoreClient, Unavailable, create, read, replace
+from ramppost.schema.settings import UpstreamStandinSettings
+from ramppost.wire.client import Pool
+from ramppost.wire.codec import BadMessage, decode, encode
+from ramppost.wire.server import Gone, Reply, Request, listen, serve
+
+HEARTBEAT_S: Final = 0.4
+DEFAULT_CONFIDENCE: Final = 90
+DEFAULT_EVENTS: Final = 5
+SIGNATURE: Final = "signature"
+
+
+class Behaviour(TypedDict):
+    """How it answers from now on: events of a stream, after how many it breaks off, the
+    confidence it tells, a status instead of an answer, a refusal, or silence."""
+
+    events: NotRequired[int]
+    cut_after: NotRequired[int]
+    confidence: NotRequired[int]
+    status: NotRequired[int]
+    refuse: NotRequired[bool]
+    hang: NotRequired[bool]
+
+
+class RunLine(TypedDict):
+    """A run, as `/_log` tells it."""
+
+    at: float
+    attempt_id: str
+    model: str
+    workspace: str
+    key_seen: bool
+    priority: str
+    left_ms: int
+    after_event: str
+    target: str
+    body: str
+    state: str
+
+
+class _Upstream:
+    def __init__(self, cfg: UpstreamStandinSettings) -> None:
+        self.cfg = cfg
+        self.how = Behaviour()
+        self.runs: list[RunLine] = []
+        self.running = 0
+        self.leaving = False
+
+
+async def run(cfg: UpstreamStandinSettings) -> None:
+    """Serve until cancelled."""
+    up = _Upstream(cfg)
+
+    async def handle(req: Request, reply: Reply) -> None:
+        if req.path.startswith("/_"):
+            await _inspect(up, req, reply)
+        else:
+            await _answer(up, req, reply)
+
+    where = cfg["listen"]
+    await curio.spawn(_keep_entry, up, daemon=True)
+    logger.info("upstream stand-in {} on {}:{}", cfg["id"], where["host"], where["port"])
+    await serve(listen(where["host"], where["port"]), handle)
+
+
+def _entry(up: _Upstream) -> dict[str, object]:
+    cfg = up.cfg
+    return {
+        "service": cfg["service"],
+        "addr": f"{cfg['listen']['host']}:{cfg['listen']['port']}",
+        "zone": cfg["hall"],
+        "version": cfg["version"],
+        "slots": cfg["slots"],
+        "state": LEAVING if up.leaving else "ready",
+    }
+
+
+async def _keep_entry(up: _Upstream) -> None:
+    """Keep the entry in the store as it should be."""
+    client = StoreClient(up.cfg["store"], Pool())
+    while True:
+        got = await create(client, names.UPSTREAM_KIND, up.cfg["id"], _entry(up))
+        if isinstance(got, Conflict):
+            held = await read(client, names.UPSTREAM_KIND, up.cfg["id"])
+            if not isinstance(held, Unavailable) and getattr(held, "spec", None) != _entry(up):
+                revision = getattr(held, "revision", 0)
+                await replace(client, names.UPSTREAM_KIND, up.cfg["id"], revision, _entry(up))
+        await curio.sleep(HEARTBEAT_S)
+
+
+async def _answer(up: _Upstream, req: Request, reply: Reply) -> None:
+    heads = {name.encode(): value for name, value in req.headers.items()}
+    attempt_id = heads.get(names.ATTEMPT_ID, "")
+    common = (
+        (names.ATTEMPT_ID.decode(), attempt_id),
+        (names.LOAD.decode(), f"{up.running},0,{up.cfg['slots']}"),
+    )
+    if heads.get(names.UPSTREAM_ID, up.cfg["id"]) != up.cfg["id"]:
+        own = (names.INSTANCE.decode(), up.cfg["id"])
+        await reply.send(names.STATUS_WRONG_UPSTREAM, b"", headers=(*common, own))
+        return
+    if up.how.get("refuse") or up.running >= up.cfg["slots"]:
+        await reply.send(503, b"", headers=(*common, (names.NOT_RUN.decode(), "1")))
+        return
+    line = _run_line(req, heads, attempt_id)
+    up.runs.append(line)
+    up.running += 1
+    try:
+        await _run(up, req, reply, heads, common)
+        line["state"] = "done"
+    except (Gone, curio.CancelledError):
+        line["state"] = "cut"
+        raise
+    finally:
+        up.running -= 1
+
+
+def _run_line(req: Request, heads: dict[bytes, str], attempt_id: str) -> RunLine:
+    return RunLine(
+        at=time.time(),
+        attempt_id=attempt_id,
+        model=heads.get(names.MODEL, ""),
+        workspace=heads.get(names.WORKSPACE, ""),
+        key_seen=names.KEY in heads,
+        priority=heads.get(names.PRIORITY, ""),
+        left_ms=int(heads.get(names.DEADLINE_MS, "0")),
+        after_event=heads.get(names.LAST_EVENT_ID, ""),
+        target=f"{req.method} {req.path}",
+        body=req.body.decode("latin-1"),
+        state="running",
+    )
+
+
+async def _run(
+    up: _Upstream,
+    req: Request,
+    reply: Reply,
+    heads: dict[bytes, str],
+    common: tuple[tuple[str, str], ...],
+) -> None:
+    if up.how.get("hang"):
+        await curio.sleep(float("inf"))
+    await curio.sleep(up.cfg["work_ms"] / 1000)
+    head = (*common, (names.SIGNATURE.decode(), f"{SIGNATURE}.{up.cfg['id']}"))
+    status = up.how.get("status", 200)
+    if names.TOKENS not in heads or status != 200:
+        body = {"upstream": up.cfg["id"], "nonce": secrets.token_hex(4), "echo": req.path}
+        await reply.send(status, encode(body), headers=head)
+        return
+    confidence = (names.CONFIDENCE.decode(), str(up.how.get("confidence", DEFAULT_CONFIDENCE)))
+    await reply.start(200, "text/event-stream", (*head, confidence))
+    begin = int(heads.get(names.LAST_EVENT_ID, "0") or "0")
+    for number in range(begin + 1, up.how.get("events", DEFAULT_EVENTS) + 1):
+        if number > up.how.get("cut_after", number):
+            await reply.write(b"id: %d\ndata: tor" % number)
+            raise Gone
+        await reply.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
+        await curio.sleep(up.cfg.get("event_ms", 10) / 1000)
+    await reply.end()
+
+
+async def _inspect(up: _Upstream, req: Request, reply: Reply) -> None:
+    """Calls of tests and trials."""
+    if req.path == "/_behave":
+        how = decode(req.body, Behaviour)
+        if isinstance(how, BadMessage):
+            await reply.send(400, encode({"error": how.reason}))
+            return
+        up.how = how
+    elif req.path == "/_leave":
+        up.leaving = True
+    await reply.send(200, encode(up.runs))
--- /dev/null
+++ b/tests/harness/gateways.py
@@ -0,0 +1,327 @@
+"""A small deployment of gateways as real processes: a store, upstreams, gateways."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import httpx
+
+from ramppost.platform import names
+from tests.harness.cluster import free_base
+
+HOST = "127.0.0.1"
+READY_S = 15.0
+POLL_S = 0.03
+KEYS = {"kitchen": "key-kitchen", "toll": "key-toll"}
+SITE = "site.example"
+MODELS = ["small", "middle", "large"]
+STREAM, ONCE, SAFE, OPEN = "/stream/", "/once/", "/safe/", "/open/"
+
+
+class Given(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def events(self) -> list[int]:
+        """Ids of the whole events of a stream."""
+        lines = self.body.decode("latin-1").split("\n\n")[:-1]
+        return [int(line.partition("id: ")[2].partition("\n")[0]) for line in lines]
+
+
+def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    usual = {
+        "name": name,
+        "host": SITE,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 4000,
+        "target_latency_ms": 400,
+        "max_attempts": 3,
+        "service": service,
+        "allow_anonymous": False,
+    }
+    return usual | more
+
+
+def config(version: int, keys: dict[str, str] = KEYS, **more: Any) -> dict[str, Any]:
+    """A configuration with a stream, a call that may run once, one that may repeat, an open one."""
+    routes = [
+        route("stream", STREAM, "streaming", "lm", sizes=MODELS, stream_resume=True),
+        route("once", ONCE, "non_idempotent", "web", max_attempts=1),
+        route("safe", SAFE, "idempotent", "web", max_attempts=2),
+        route("open", OPEN, "idempotent", "web", allow_anonymous=True),
+    ]
+    engine = {"slots": 8, "kv_capacity": 100000, "models": [{"name": m, "cost": 1} for m in MODELS]}
+    return {
+        "version": version,
+        "routes": routes + more.get("routes", []),
+        "services": [
+            {"name": "lm", "max_conns": 100, "engine": engine},
+            {"name": "web", "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 200000,
+            "header_timeout_ms": 1000,
+            "idle_timeout_ms": 5000,
+        },
+        "tenants": [{"name": name, "api_keys": [key]} for name, key in keys.items()],
+    }
+
+
+class Deployment:
+    """Processes by name: store, lm-1, web-1, gateway-1 and so on."""
+
+    def __init__(
+        self, folder: Path, gateways: int = 2, engines: int = 2, services: int = 2, **timing: Any
+    ) -> None:
+        self.folder = folder
+        self.base = free_base()
+        self.timing = timing
+        self.procs: dict[str, subprocess.Popen[bytes]] = {}
+        self.ports: dict[str, int] = {"store": self.base}
+        self.http = httpx.Client(timeout=10, limits=httpx.Limits(max_keepalive_connections=0))
+        (folder / "seed.json").write_text(json.dumps(config(1)))
+        self.gateways = [f"gateway-{i + 1}" for i in range(gateways)]
+        self.starts = 0
+        self._start_store()
+        for i in range(engines):
+            self.start_upstream(f"lm-{i + 1}", "lm", "v1")
+        for i in range(services):
+            self.start_upstream(f"web-{i + 1}", "web", "v1")
+        for name in self.gateways:
+            self.start_gateway(name)
+        for name in self.gateways:
+            self.wait_ready(name)
+        self.wait_members()
+
+    def stop(self) -> None:
+        """End every process this deployment started."""
+        for proc in self.procs.values():
+            if proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
+                proc.kill()
+            proc.wait()
+        self.http.close()
+
+    # --- processes
+
+    def port(self, name: str) -> int:
+        """The port of a process, the same for its life and later ones."""
+        if name not in self.ports:
+            self.ports[name] = self.base + 8 * len(self.ports)
+        return self.ports[name]
+
+    def _start_store(self) -> None:
+        cfg = {
+            "program": "standin-store",
+            "listen": {"host": HOST, "port": self.port("store")},
+            "seed": "seed.json",
+            "log": {"form": "human", "level": "WARNING"},
+        }
+        self._start("store", cfg, ["-m", "ramppost", "standin", "store", "--settings"])
+        self._wait_until(lambda: self._answers(f"{self.store}/_log"), "store")
+
+    def start_upstream(self, name: str, service: str, version: str) -> str:
+        """Start an upstream as a new incarnation; gives its id."""
+        self.starts += 1
+        upstream_id = f"i-{name}-{self.starts}"
+        cfg = {
+            "program": "standin-upstream",
+            "listen": {"host": HOST, "port": self.port(name)},
+            "store": f"{HOST}:{self.port('store')}",
+            "id": upstream_id,
+            "service": service,
+            "hall": "bole",
+            "version": version,
+            "slots": 8,
+            "work_ms": 5,
+            "log": {"form": "human", "level": "WARNING"},
+        }
+        self._start(name, cfg, ["-m", "ramppost", "standin", "upstream", "--settings"])
+        self._wait_until(lambda: self._answers(f"{self.url(name)}/_log"), name)
+        return upstream_id
+
+    def start_gateway(self, name: str) -> None:
+        """Start a gateway with its settings in the variable that names the file."""
+        port = self.port(name)
+        timing = {
+            "withdrawal_ms": 2000,
+            "config_apply_ms": 1000,
+            "upstream_leave_ms": 1000,
+            "stop_s": 6,
+            "session_s": 2,
+            "heartbeat_ms": 400,
+        }
+        cfg = {
+            "program": "gateway",
+            "name": name,
+            "hall": "bole",
+            "ip": HOST,
+            "listen": f"{HOST}:{port}",
+            "health": f"{HOST}:{port + 1}",
+            "internal_port": port + 2,
+            "metrics_port": port + 3,
+            "store": {
+                "addr": f"{HOST}:{self.port('store')}",
+                "writes_per_s": 400,
+                "reads_per_s": 2000,
+            },
+            "timing": timing | self.timing,
+            "retries": {"ratio": 0.9, "window_s": 10, "slack": 50},
+            "exposure": {"share": 0.15, "slack": 30, "rollback_ms": 5000},
+            "log": {"form": "json", "level": "INFO"},
+        }
+        self._start(name, cfg, ["-m", "ramppost.gateway"])
+
+    def _start(self, name: str, cfg: dict[str, Any], command: list[str]) -> None:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(cfg))
+        args = [sys.executable, *command, *([str(path)] if command[-1] == "--settings" else [])]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.procs[name] = subprocess.Popen(
+                args,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"RAMPPOST_CONFIG": str(path)},
+            )
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process."""
+        self.procs[name].send_signal(number)
+
+    def wait_end(self, name: str, within_s: float = 10.0) -> int:
+        """Exit code of a process that ends."""
+        return self.procs[name].wait(within_s)
+
+    # --- what they say
+
+    @property
+    def store(self) -> str:
+        """URL of the store."""
+        return self.url("store")
+
+    def url(self, name: str) -> str:
+        """URL of a process."""
+        return f"http://{HOST}:{self.port(name)}"
+
+    def ready(self, name: str) -> bool:
+        """Whether a gateway wants callers."""
+        return self._answers(f"http://{HOST}:{self.port(name) + 1}/ready")
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until a gateway wants callers."""
+        self._wait_until(lambda: self.ready(name), name)
+
+    def wait_members(self) -> None:
+        """Wait until each gateway serves each kind of call."""
+        for name in self.gateways:
+            self._wait_until(lambda name=name: self.call(name, SAFE).status == 200, name)
+            self._wait_until(lambda name=name: self.call(name, STREAM).status == 200, name)
+
+    def lines(self, name: str) -> list[dict[str, Any]]:
+        """Log lines of a gateway."""
+        found = []
+        for text in (self.folder / f"{name}.log").read_text().splitlines():
+            if text.startswith("{"):
+                found.append(json.loads(text))
+        return found
+
+    def runs(self, *upstreams: str) -> list[dict[str, Any]]:
+        """Runs that upstreams tell."""
+        found: list[dict[str, Any]] = []
+        for name in upstreams:
+            found += self.http.get(f"{self.url(name)}/_log").json()
+        return found
+
+    def _answers(self, url: str) -> bool:
+        try:
+            return self.http.get(url).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def _wait_until(self, true: Any, what: str, within_s: float = READY_S) -> None:
+        deadline = time.monotonic() + within_s
+        while time.monotonic() < deadline:
+            if true():
+                return
+            time.sleep(POLL_S)
+        raise AssertionError(f"{what} did not come in {within_s} s")
+
+    def until(self, true: Any, within_s: float, what: str = "it") -> None:
+        """Wait until something is true."""
+        self._wait_until(true, what, within_s)
+
+    # --- what is done to them
+
+    def behave(self, name: str, **how: Any) -> None:
+        """Tell an upstream how to answer from now on."""
+        self.http.post(f"{self.url(name)}/_behave", json=how).raise_for_status()
+
+    def fault(self, name: str, **fault: Any) -> None:
+        """Put a fault in force at the store."""
+        self.http.post(f"{self.url(name)}/_fault", json=fault).raise_for_status()
+
+    def put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+        """Write to the store as the operator does."""
+        self.http.post(f"{self.store}/_put/{kind}/{name}", json=spec).raise_for_status()
+
+    def configure(self, doc: dict[str, Any]) -> None:
+        """Write a new configuration."""
+        self.put(names.CONFIG_KIND, names.CONFIG_NAME, doc)
+
+    def rollout(self, version: str, duration_s: float) -> None:
+        """Order a roll-out of the engines' service."""
+        order = {"service": "lm", "target_version": version, "duration_s": duration_s}
+        self.put(names.ROLLOUT_KIND, "lm", order)
+
+    def rollout_status(self) -> str:
+        """The state that the roll-out of the engines' service was given, empty while none."""
+        got = self.http.get(f"{self.store}/objects/{names.ROLLOUT_KIND}/lm").json()
+        return str((got.get("status") or {}).get("state", ""))
+
+    def call(
+        self,
+        gateway: str,
+        prefix: str,
+        key: str = KEYS["kitchen"],
+        attempt: str = "",
+        deadline_ms: int = 4000,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"question",
+    ) -> Given:
+        """Make a request as a caller; the status is 0 where the connection broke."""
+        head = {
+            "Host": SITE,
+            names.ATTEMPT_ID.decode(): attempt or os.urandom(8).hex(),
+            names.DEADLINE_MS.decode(): str(deadline_ms),
+        }
+        if key:
+            head[names.KEY.decode()] = key
+        if prefix == STREAM:
+            head[names.TOKENS.decode()] = "100,40"
+            head[names.PROMPT_PARTS.decode()] = "aa:60,bb:40"
+            head[names.MODEL.decode()] = names.ANY_MODEL
+        head |= headers or {}
+        url = f"{self.url(gateway)}{prefix}x/2f?q=%20a"
+        got = bytearray()
+        status, found = 0, {}
+        try:
+            with self.http.stream("POST", url, headers=head, content=body) as answer:
+                status, found = answer.status_code, dict(answer.headers)
+                for piece in answer.iter_raw():
+                    got += piece
+        except httpx.HTTPError:
+            return Given(-status, found, bytes(got))
+        return Given(status, found, bytes(got))
--- /dev/null
+++ b/tests/test_gateway_state.py
@@ -0,0 +1,160 @@
+"""What a gateway makes of what it follows in the store."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import pytest
+
+from ramppost.errors import Refusal
+from ramppost.gateway.admit import Admitted, admit
+from ramppost.gateway.state import Gateway
+from ramppost.gateway.watchers import config_listed, upstream_changed, upstreams_listed
+from ramppost.platform import names
+from ramppost.platform.documents import LEAVING
+from ramppost.platform.headers import caller_request
+from ramppost.platform.store import Change, Snapshot, StoredObject
+from ramppost.schema.settings import GatewaySettings
+from tests.harness.gateways import KEYS, ONCE, OPEN, SITE, STREAM, config
+
+SETTINGS = GatewaySettings(
+    program="gateway",
+    name="gateway-1",
+    hall="bole",
+    ip="127.0.0.1",
+    listen="127.0.0.1:1",
+    health="127.0.0.1:2",
+    internal_port=3,
+    metrics_port=4,
+    store={"addr": "127.0.0.1:5", "writes_per_s": 400, "reads_per_s": 2000},
+    timing={
+        "withdrawal_ms": 5000,
+        "config_apply_ms": 2000,
+        "upstream_leave_ms": 2000,
+        "stop_s": 8,
+        "session_s": 5,
+        "heartbeat_ms": 1200,
+    },
+    retries={"ratio": 0.9, "window_s": 10, "slack": 58},
+    exposure={"share": 0.15, "slack": 30, "rollback_ms": 5000},
+    log={"form": "json", "level": "INFO"},
+)
+
+
+@pytest.fixture
+def gw() -> Gateway:
+    found = Gateway(SETTINGS)
+    take(found, 5, 1)
+    upstreams_listed(found, Snapshot([], 5))
+    found.fresh.confirm(time.monotonic())
+    return found
+
+
+def take(gw: Gateway, revision: int, version: int, **more: Any) -> None:
+    obj = StoredObject(names.CONFIG_NAME, revision, config(version, **more), None)
+    config_listed(gw, Snapshot([obj], revision))
+
+
+def ask(gw: Gateway, prefix: str, key: str = KEYS["kitchen"], host: str = SITE) -> Any:
+    head = ((b"host", host.encode()), (names.KEY, key.encode()))
+    return admit(gw, caller_request("POST", prefix + "x", head, b""))
+
+
+def version(gw: Gateway) -> int:
+    assert gw.table is not None
+    return gw.table.version
+
+
+def test_a_configuration_never_goes_back(gw: Gateway) -> None:
+    take(gw, 9, 4)
+    take(gw, 7, 3)
+    assert version(gw) == 4
+
+
+def test_a_configuration_that_is_not_understood_leaves_the_last_in_force(gw: Gateway) -> None:
+    obj = StoredObject(names.CONFIG_NAME, 9, {"version": "broken"}, None)
+    config_listed(gw, Snapshot([obj], 9))
+    assert version(gw) == 1
+
+
+@pytest.mark.parametrize(
+    ("prefix", "key", "host", "code"),
+    [
+        (ONCE, KEYS["toll"], SITE, ""),
+        (OPEN, "", SITE, ""),
+        (OPEN, "unknown", SITE, ""),
+        (ONCE, "unknown", SITE, "unauthorized"),
+        (ONCE, "", SITE, "unauthorized"),
+        ("/nowhere/", "", SITE, "not_found"),
+        (ONCE, KEYS["toll"], "other.example", "not_found"),
+    ],
+)
+def test_who_is_let_in(gw: Gateway, prefix: str, key: str, host: str, code: str) -> None:
+    got = ask(gw, prefix, key, host)
+    assert (got.code if isinstance(got, Refusal) else "") == code
+
+
+@pytest.mark.parametrize(
+    ("prefix", "key", "let_in"),
+    [
+        (ONCE, KEYS["toll"], False),
+        (ONCE, "unknown", False),
+        ("/nowhere/", "", False),
+        (OPEN, "", True),
+        (OPEN, KEYS["toll"], False),
+    ],
+)
+def test_a_stale_configuration_refuses_nothing_for_good(
+    gw: Gateway, prefix: str, key: str, let_in: bool
+) -> None:
+    gw.fresh.bound_s = 0
+    got = ask(gw, prefix, key)
+    if let_in:
+        assert isinstance(got, Admitted)
+    else:
+        assert (got.code, got.status, got.ran) == ("not_ready", 503, "no")
+        assert got.retry_after_s > 0
+
+
+def test_without_a_configuration_nothing_is_refused_for_good() -> None:
+    got = ask(Gateway(SETTINGS), "/nowhere/")
+    assert (got.code, got.status) == ("not_ready", 503)
+
+
+def test_a_stopping_gateway_refuses_streams_that_come_late(gw: Gateway) -> None:
+    gw.refusing_streams = True
+    assert ask(gw, STREAM).code == "leaving"
+    assert isinstance(ask(gw, ONCE), Admitted)
+
+
+def entry(name: str, state: str = "ready") -> StoredObject:
+    spec = {
+        "service": "lm",
+        "addr": "127.0.0.1:9",
+        "zone": "bole",
+        "version": "v1",
+        "slots": 8,
+        "state": state,
+    }
+    return StoredObject(name, 1, spec, None)
+
+
+def usable(gw: Gateway) -> set[str]:
+    return {u.id for u in gw.members.usable("lm", time.monotonic())}
+
+
+def test_a_removal_right_after_an_outage_may_be_a_lapse(gw: Gateway) -> None:
+    upstreams_listed(gw, Snapshot([entry("a"), entry("b")], 6))
+    upstream_changed(gw, Change(entry("a"), True))
+    assert usable(gw) == {"b"}
+    gw.outage.failed("servers", "no answer")
+    gw.outage.answered("servers")
+    upstream_changed(gw, Change(entry("b"), True))
+    assert usable(gw) == {"b"}
+
+
+def test_an_upstream_that_is_leaving_is_not_used(gw: Gateway) -> None:
+    upstreams_listed(gw, Snapshot([entry("a"), entry("b")], 6))
+    upstream_changed(gw, Change(entry("a", LEAVING), False))
+    assert usable(gw) == {"b"}
