A silent upstream is given up only where another may be asked

Cause: calls on their last attempt were answered with 502 after the patience for a silent upstream, before their time limit.

--- a/ramppost/gateway/admit.py
+++ b/ramppost/gateway/admit.py
@@ -35,7 +35,7 @@
     route = find_route(table, req.host, req.target)
     if route is None:
         return _final(fresh, "not_found", f"no route for {req.target.partition('?')[0]}")
-    if gw.refusing_streams and route.streams:
+    if gw.refusing == "all" or (gw.refusing == "streams" and route.streams):
         return refusal("leaving", "this gateway is stopping", LEAVING_RETRY_S)
     if table.keys is None:
         return Admitted(route, None)
--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -128,7 +128,7 @@
     gw: Gateway, job: Job, chosen: Chosen, exchange: Exchange
 ) -> AnswerHead | Broken:
     """The head; Broken for an upstream that stays silent where another may be asked."""
-    if job.route.repeat == "never":
+    if job.route.repeat == "never" or job.attempts >= job.route.attempts:
         return await exchange.head()
     tokens = job.req.prompt.tokens_in if job.req.prompt else 0
     part_s = PATIENCE_OF_OBJECTIVE * job.route.objective_s
@@ -182,6 +182,7 @@
         upstream=chosen.upstream.id,
         version=chosen.upstream.version,
         model=model,
+        confidence=got.head.confidence if isinstance(got, Running) else None,
         after_event=job.last_event_id,
         candidates=chosen.candidates,
         own=chosen.own,
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -32,6 +32,8 @@
 are closed, and streams that still come in are refused, since they may outlast the stop."""
 STOP_MARGIN_S: Final = 0.7
 """Kept from the time a planned stop may take, to end by ourselves."""
+LONGEST_CALL_S: Final = 1.5
+"""What a plain call may take: the last ones are taken so long before a stop's end."""
 STOP_POLL_S: Final = 0.05
 METRICS_TYPE: Final = "text/plain; version=0.0.4"
 
@@ -109,8 +111,10 @@
     logger.info("stopping", signal=number, busy=gw.callers.busy)
     until = began + gw.cfg["timing"]["stop_s"] - STOP_MARGIN_S
     await curio.sleep(LEAST_STOP_S)
-    gw.refusing_streams = True
+    gw.refusing = "streams"
     while (now := time.monotonic()) < until and gw.callers.busy:
+        if now > until - LONGEST_CALL_S:
+            gw.refusing = "all"
         gw.callers.close_idle()
         await curio.sleep(STOP_POLL_S)
     logger.info("stopped", left_busy=gw.callers.busy, after_s=round(now - began, 2))
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from typing import Final
+from typing import Final, Literal
 
 from ramppost.gateway.follow import Outage
 from ramppost.gateway.freshness import Freshness
@@ -32,6 +32,9 @@
 LEAST_BURST: Final = 2.0
 
 
+Refusing = Literal["none", "streams", "all"]
+
+
 class Gateway:
     """State of a gateway.  Times are on the steady clock, in seconds."""
 
@@ -57,7 +60,8 @@
         self.metrics = Metrics()
         self.leaving = False
         """A planned stop has begun: not ready, and each answer closes its connection."""
-        self.refusing_streams = False
+        self.refusing: Refusing = "none"
+        """What a planned stop refuses as not run."""
         self.started_at = time.monotonic()
 
     @property
--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -30,7 +30,7 @@
 
 class Behaviour(TypedDict):
     """How it answers from now on: events of a stream, after how many it breaks off, the
-    confidence it tells, a status instead of an answer, a refusal, or silence."""
+    confidence it tells, a status instead of an answer, a refusal, silence, or a time to work."""
 
     events: NotRequired[int]
     cut_after: NotRequired[int]
@@ -38,6 +38,7 @@
     status: NotRequired[int]
     refuse: NotRequired[bool]
     hang: NotRequired[bool]
+    work_ms: NotRequired[int]
 
 
 class RunLine(TypedDict):
@@ -158,7 +159,7 @@
 ) -> None:
     if up.how.get("hang"):
         await curio.sleep(float("inf"))
-    await curio.sleep(up.cfg["work_ms"] / 1000)
+    await curio.sleep(up.how.get("work_ms", up.cfg["work_ms"]) / 1000)
     head = (*common, (names.SIGNATURE.decode(), f"{SIGNATURE}.{up.cfg['id']}"))
     status = up.how.get("status", 200)
     if names.TOKENS not in heads or status != 200:
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -100,3 +100,8 @@
     When a caller makes a call that may run once
     Then its log lines lead from its id to its upstream
     And the metrics count it
+
+  Scenario: the last upstream that may be asked is waited for
+    Given services that take 600 ms
+    When a caller makes a call that may repeat
+    Then it is served
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -91,6 +91,12 @@
         seen.site.behave(name, hang=True)
 
 
+@given(parsers.parse("services that take {ms:d} ms"))
+def slow_services(seen: Seen, ms: int) -> None:
+    for name in SERVICES:
+        seen.site.behave(name, work_ms=ms)
+
+
 @given("engines that stream slowly")
 def slow(seen: Seen) -> None:
     for name in ENGINES:
@@ -148,6 +154,11 @@
         seen.ask(SAFE)
 
 
+@when("a caller makes a call that may repeat")
+def safe_call(seen: Seen) -> None:
+    seen.ask(SAFE)
+
+
 @when("a caller leaves within a stream")
 def leaves(seen: Seen) -> None:
     head = {
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -122,10 +122,19 @@
     assert (got.code, got.status) == ("not_ready", 503)
 
 
-def test_a_stopping_gateway_refuses_streams_that_come_late(gw: Gateway) -> None:
-    gw.refusing_streams = True
-    assert ask(gw, STREAM).code == "leaving"
-    assert isinstance(ask(gw, ONCE), Admitted)
+@pytest.mark.parametrize(
+    ("refusing", "refused"),
+    [("none", set()), ("streams", {STREAM}), ("all", {STREAM, ONCE, OPEN})],
+)
+def test_a_stopping_gateway_refuses_what_may_outlast_it(
+    gw: Gateway, refusing: Any, refused: set[str]
+) -> None:
+    gw.refusing = refusing
+    for prefix in (STREAM, ONCE, OPEN):
+        got = ask(gw, prefix)
+        assert isinstance(got, Refusal) == (prefix in refused)
+        if isinstance(got, Refusal):
+            assert (got.code, got.ran, got.retry_after_s > 0) == ("leaving", "no", True)
 
 
 def entry(name: str, state: str = "ready") -> StoredObject:
