A starting gateway listens before its imports, and serves its first callers with a configuration

Cause: after a kill callers were refused by the closed port for the 0.4 s that imports take at 0.8 of a core; their retries met it again.

--- a/ramppost/gateway/__main__.py
+++ b/ramppost/gateway/__main__.py
@@ -1,5 +1,23 @@
-"""Runs a gateway: `python -m ramppost.gateway`."""
+"""Runs a gateway: `python -m ramppost.gateway`.
 
-from ramppost.gateway.main import main
+The callers' address is listened on before anything large is imported: imports take
+several tenths of a second of a small share of a core, and callers that connect meanwhile
+wait in the backlog instead of being refused.
+"""
 
-main()
+from __future__ import annotations
+
+import os
+
+from ramppost.gateway.early import listen_early
+
+
+def _main() -> None:
+    path = os.environ.get("RAMPPOST_CONFIG", "")
+    early = listen_early(path)
+    from ramppost.gateway.main import main
+
+    main(path, early)
+
+
+_main()
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import socket
 import sys
 import time
 from typing import Final
@@ -24,7 +25,6 @@
 from ramppost.wire.server import serve as serve_http
 from ramppost.wire.signals import Signals
 
-SETTINGS_VARIABLE: Final = "RAMPPOST_CONFIG"
 BAD_SETTINGS: Final = 2
 SETTINGS_POLL_S: Final = 1.0
 LEAST_STOP_S: Final = 2.5
@@ -34,13 +34,15 @@
 """Kept from the time a planned stop may take, to end by ourselves."""
 LONGEST_CALL_S: Final = 1.5
 """What a plain call may take: the last ones are taken so long before a stop's end."""
+FIRST_STATE_S: Final = 0.4
+"""The store answers in milliseconds; without it, callers are soon told to come back."""
+FIRST_STATE_POLL_S: Final = 0.005
 STOP_POLL_S: Final = 0.05
 METRICS_TYPE: Final = "text/plain; version=0.0.4"
 
 
-def main() -> None:
-    """Run a gateway with the settings file that the environment names."""
-    path = os.environ.get(SETTINGS_VARIABLE, "")
+def main(path: str, early: socket.socket | None = None) -> None:
+    """Run a gateway with a settings file; `early` already listens where callers connect."""
     cfg = read_settings(path)
     if isinstance(cfg, BadSettings):
         print(cfg.reason, file=sys.stderr)
@@ -48,11 +50,13 @@
     logs.set_up_stdout(cfg["log"], cfg["name"])
     signals = Signals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
     kernel = curio.Kernel()
-    kernel.run(run, cfg, path, signals)
+    kernel.run(run, cfg, path, signals, early)
     os._exit(0)
 
 
-async def run(cfg: GatewaySettings, path: str, signals: Signals) -> None:
+async def run(
+    cfg: GatewaySettings, path: str, signals: Signals, early: socket.socket | None
+) -> None:
     """Run until a signal asks for a planned stop."""
     gw = Gateway(cfg)
     logger.info("starting", addr=cfg["listen"], hall=cfg["hall"], store=cfg["store"]["addr"])
@@ -67,7 +71,8 @@
         serve=lambda req, reply, read_at: serve(gw, req, reply, read_at),
         refuse=_unreadable,
     )
-    callers = listen(*address(cfg["listen"]))
+    await _first_state(gw)
+    callers = curio.io.Socket(early) if early is not None else listen(*address(cfg["listen"]))
     await curio.spawn(accept_callers, callers, gw.callers, doorway, daemon=True)
     await curio.spawn(_poll_settings, gw, path, daemon=True)
     while (number := await signals.wait()) == signal.SIGHUP:
@@ -75,6 +80,13 @@
     await _stop(gw, number)
 
 
+async def _first_state(gw: Gateway) -> None:
+    """Wait for a configuration and upstreams, so that the first callers are not refused."""
+    until = time.monotonic() + FIRST_STATE_S
+    while time.monotonic() < until and (gw.table is None or not gw.members_listed):
+        await curio.sleep(FIRST_STATE_POLL_S)
+
+
 def reload_settings(gw: Gateway, path: str) -> None:
     """Take the settings file in again; a faulty one leaves what was in force."""
     cfg = read_settings(path)
