--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -15,6 +15,7 @@
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, Exchange, NotSent, OutgoingRequest, open_exchange
 from ramppost.gateway.load import OwnWork
+from ramppost.gateway.model import Prompt
 from ramppost.gateway.pick import Chosen
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import AnswerHead, Send, upstream_head
@@ -55,14 +56,17 @@
     job.tried.add(upstream.id)
     now = time.monotonic()
     work = gw.loads.own(upstream.id)
-    tokens = float(job.req.prompt.tokens_in) if job.req.prompt else 0.0
     work.requests += 1
-    work.pending_tokens += tokens
+    work.pending += 1
+    work.pending_s += chosen.prefill_s
+    if chosen.service.engine is not None:
+        gw.rates.sent(chosen.prefill_s)
     got: Running | Refused | NotSent | Broken = Broken("cancelled")
     try:
         got = await _send_and_wait(gw, job, chosen, model, work)
     finally:
-        work.pending_tokens -= tokens
+        work.pending -= 1
+        work.pending_s -= chosen.prefill_s
         if not isinstance(got, Running):
             work.requests -= 1
         _note(gw, job, chosen, model, got, time.monotonic() - now)
@@ -145,6 +149,15 @@
             since = time.monotonic()
 
 
+def _learn_engine(gw: Gateway, prompt: Prompt, chosen: Chosen, model: str, first_s: float) -> None:
+    """Remember what an engine keeps now, and how fast the model read."""
+    now = time.monotonic()
+    read = chosen.prefill_s / gw.rates.rate_s(model)
+    queued_s = chosen.first_s - chosen.prefill_s
+    gw.rates.saw(model, read, max(0.0, first_s - queued_s))
+    gw.kept.sent(chosen.upstream.id, model, prompt.parts, now)
+
+
 def _note(
     gw: Gateway,
     job: Job,
@@ -159,7 +172,7 @@
         outcome = f"status {got.head.status}"
         failed = got.head.status >= 500
         if got.head.status < 500 and job.req.prompt is not None:
-            gw.kept.sent(chosen.upstream.id, job.req.prompt.parts, now)
+            _learn_engine(gw, job.req.prompt, chosen, model, got.first_s)
         if chosen.service.engine is None:
             gw.suspicion_of(chosen.upstream.id).took(took_s, now)
     elif isinstance(got, Refused):
@@ -188,5 +201,6 @@
         own=chosen.own,
         reported=chosen.reported,
         report_age_s=round(min(chosen.report_age_s, 999.0), 3),
+        predicted_s=round(chosen.first_s, 4),
         took_s=round(took_s, 4),
     )
--- a/ramppost/gateway/load.py
+++ b/ramppost/gateway/load.py
@@ -21,8 +21,10 @@
 
     def __init__(self) -> None:
         self.requests = 0
-        self.pending_tokens = 0.0
-        """Prompt tokens of those requests that have not begun to answer."""
+        self.pending = 0
+        """Those of them that have not begun to answer."""
+        self.pending_s = 0.0
+        """Predicted time to read the prompts of those."""
 
 
 class Loads:
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -7,7 +7,14 @@
 from ramppost.gateway.job import Job
 from ramppost.gateway.model import Service, Upstream
 from ramppost.gateway.state import Gateway
-from ramppost.policy.placement import EngineView, PlainView, plain_ranked, ranked
+from ramppost.policy.placement import (
+    EngineView,
+    Placed,
+    PlainView,
+    Work,
+    plain_ranked,
+    ranked,
+)
 from ramppost.policy.routing import unit
 
 USUAL_PLAIN_S = 0.03
@@ -15,7 +22,11 @@
 
 
 class Chosen(NamedTuple):
-    """An upstream, and what decided for it, for the log."""
+    """An upstream, and what decided for it, for the log.
+
+    `first_s` is the predicted time to its first byte, `prefill_s` that of reading the
+    prompt, both in seconds.
+    """
 
     upstream: Upstream
     service: Service
@@ -23,6 +34,8 @@
     own: int
     reported: int
     report_age_s: float
+    first_s: float
+    prefill_s: float
 
 
 def service_of(job: Job) -> str:
@@ -39,7 +52,7 @@
     return targets[-1].service
 
 
-def pick(gw: Gateway, job: Job, service_name: str, now: float) -> Chosen | None:
+def pick(gw: Gateway, job: Job, service_name: str, model: str, now: float) -> Chosen | None:
     """The best upstream that was not tried yet; None where there is none."""
     assert gw.table is not None
     service = gw.table.services.get(service_name)
@@ -50,33 +63,47 @@
     for group in (side.preferred, side.others):
         untried = [upstream for upstream in group if upstream.id not in job.tried]
         if untried:
-            return _best(gw, job, service, untried, now)
+            return _best(gw, job, service, untried, model, now)
     return None
 
 
-def _best(gw: Gateway, job: Job, service: Service, untried: list[Upstream], now: float) -> Chosen:
+def _best(
+    gw: Gateway, job: Job, service: Service, untried: list[Upstream], model: str, now: float
+) -> Chosen:
     by_id = {upstream.id: upstream for upstream in untried}
     prompt = job.req.prompt
     if service.engine is not None and prompt is not None:
         engines = [_engine_view(gw, upstream, now) for upstream in untried]
-        order = ranked(
-            engines, prompt.parts, prompt.tokens_in, gw.kept, gw.cfg["hall"], now, gw.rng
-        )
+        work = Work(model, prompt.parts, prompt.tokens_in)
+        found = ranked(engines, work, gw.kept, gw.rates, gw.cfg["hall"], now, gw.rng)[0]
     else:
-        order = plain_ranked(_plain_views(gw, untried, now), gw.cfg["hall"], gw.rng)
-    best = by_id[order[0]]
+        name = plain_ranked(_plain_views(gw, untried, now), gw.cfg["hall"], gw.rng)[0]
+        found = Placed(name, USUAL_PLAIN_S, 0.0)
+    best = by_id[found.id]
     report = gw.loads.reported(best.id)
-    own = gw.loads.own(best.id).requests
-    return Chosen(best, service, len(untried), own, report.running, now - report.at)
+    return Chosen(
+        best,
+        service,
+        len(untried),
+        gw.loads.own(best.id).requests,
+        report.running,
+        now - report.at,
+        found.first_s,
+        found.prefill_s,
+    )
 
 
 def _engine_view(gw: Gateway, upstream: Upstream, now: float) -> EngineView:
     own = gw.loads.own(upstream.id)
     report = gw.loads.reported(upstream.id)
-    others = max(0, report.running - own.requests)
-    failing = gw.suspicion_of(upstream.id).failing(now)
     return EngineView(
-        upstream.id, upstream.hall, own.pending_tokens, others, report.waiting, report.at, failing
+        upstream.id,
+        upstream.hall,
+        own.pending_s,
+        max(0, report.running - (own.requests - own.pending)),
+        max(0, report.waiting - own.pending),
+        report.at,
+        gw.suspicion_of(upstream.id).failing(now),
     )
 
 
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -100,7 +100,7 @@
         if job.workspace is not None and not gw.fresh.holds(now):
             last = refusal("not_ready", "the configuration may not be the newest", 0.5)
             return _final(job, last)
-        chosen = pick(gw, job, service, now)
+        chosen = pick(gw, job, service, model, now)
         if chosen is None or not _may_send(gw, job, service):
             return _final(job, last)
         got = await attempt(gw, job, chosen, model)
@@ -145,7 +145,7 @@
     if job.route.repeat == "never" or job.attempts >= job.route.attempts:
         return False
     enough = gw.budget_of(service).left >= 1
-    return enough and pick(gw, job, service, time.monotonic()) is not None
+    return enough and pick(gw, job, service, got.model, time.monotonic()) is not None
 
 
 def _final(job: Job, last: Refusal) -> Refusal:
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -19,7 +19,7 @@
 from ramppost.platform.store import StoreClient
 from ramppost.policy.limits import RetryBudget
 from ramppost.policy.pace import Pace
-from ramppost.policy.placement import KeptParts
+from ramppost.policy.placement import KeptParts, PrefillRates
 from ramppost.policy.suspicion import Suspicion
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.client import Pool
@@ -50,6 +50,7 @@
         self.links = Links(cfg["ip"])
         self.loads = Loads()
         self.kept = KeptParts()
+        self.rates = PrefillRates()
         self.suspicions: dict[str, Suspicion] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.paces: dict[tuple[str, str], Pace] = {}
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -18,7 +18,10 @@
     EngineView,
     KeptParts,
     PlainView,
+    PrefillRates,
+    Work,
     home_tokens,
+    long_homes,
     plain_ranked,
     ranked,
 )
@@ -41,58 +44,104 @@
 # --- placement
 
 
+WORK = Work("m", PARTS, 5000)
+
+
+def order(engines: list[EngineView], work: Work = WORK, kept: KeptParts | None = None) -> list[str]:
+    """Ids of engines as they are ranked for a prompt, seen from one hall."""
+    found = ranked(engines, work, kept or KeptParts(), PrefillRates(), "here", NOW, RNG)
+    return [placed.id for placed in found]
+
+
+RNG = random.Random(1)
+
+
 @pytest.mark.parametrize(
     ("worse", "why"),
     [
-        ({"pending_tokens": 30000.0}, "own prompts wait there"),
+        ({"pending_s": 1.0}, "own prompts wait there"),
         ({"others_running": 200}, "others run there"),
-        ({"waiting": 20}, "requests wait there"),
+        ({"others_waiting": 20}, "requests wait there"),
         ({"failing": 1.0}, "it fails"),
     ],
 )
 def test_an_engine_with_more_ahead_comes_last(worse: dict[str, object], why: str) -> None:
     engines = [engine("a"), engine("b", **worse), engine("c")]
-    order = ranked(engines, (), 5000, KeptParts(), "here", NOW, random.Random(1))
-    assert order[-1] == "b", why
+    assert order(engines, Work("m", (), 5000))[-1] == "b", why
 
 
 def test_a_kept_prompt_draws_its_request() -> None:
     kept = KeptParts()
-    kept.sent("b", PARTS[:1], NOW - 1)
-    engines = [engine(name) for name in "abcdef"]
-    home, _ = home_tokens(engines, PARTS)
+    kept.sent("b", "m", PARTS[:1], NOW - 1)
+    engines = [engine(name) for name in "abcde"]
+    home, _ = home_tokens(engines, WORK)
     others = [e for e in engines if e.id != home or e.id == "b"]
-    assert ranked(others, PARTS, 5000, kept, "here", NOW, random.Random(1))[0] == "b"
+    assert order(others, kept=kept)[0] == "b"
+
+
+def test_a_prompt_kept_for_another_model_draws_nothing() -> None:
+    kept = KeptParts()
+    kept.sent("b", "other", PARTS, NOW - 1)
+    assert kept.kept_tokens("b", "m", PARTS, NOW) == 0
 
 
 def test_a_kept_prompt_does_not_draw_to_an_engine_that_is_full() -> None:
     kept = KeptParts()
-    kept.sent("b", PARTS[:1], NOW - 1)
-    engines = [engine("a"), engine("b", pending_tokens=20000.0)]
-    assert ranked(engines, PARTS, 5000, kept, "here", NOW, random.Random(1))[0] == "a"
+    kept.sent("b", "m", PARTS[:1], NOW - 1)
+    assert order([engine("a"), engine("b", pending_s=1.0)], kept=kept)[0] == "a"
 
 
 def test_kept_parts_end_at_the_first_that_is_not_kept() -> None:
     kept = KeptParts()
-    kept.sent("a", (("one", 10), ("three", 30)), NOW)
-    assert kept.kept_tokens("a", (("one", 10), ("two", 20), ("three", 30)), NOW) == 10
+    kept.sent("a", "m", (("one", 10), ("three", 30)), NOW)
+    chain = (("one", 10), ("two", 20), ("three", 30))
+    assert kept.kept_tokens("a", "m", chain, NOW) == 10
 
 
 def test_kept_parts_are_forgotten_in_time() -> None:
     kept = KeptParts()
-    kept.sent("a", PARTS, NOW)
-    assert kept.kept_tokens("a", PARTS, NOW + KEPT_S + 1) == 0
+    kept.sent("a", "m", PARTS, NOW)
+    assert kept.kept_tokens("a", "m", PARTS, NOW + KEPT_S + 1) == 0
 
 
 def test_all_gateways_agree_on_a_home() -> None:
     engines = [engine(name) for name in "abcdef"]
-    assert home_tokens(engines, PARTS) == home_tokens(engines[::-1], PARTS)
+    assert home_tokens(engines, WORK) == home_tokens(engines[::-1], WORK)
+    assert long_homes(engines) == long_homes(engines[::-1])
+
+
+@pytest.mark.parametrize(("count", "apart"), [(1, 0), (5, 0), (6, 1), (9, 1), (18, 3)])
+def test_how_many_engines_long_prompts_share(count: int, apart: int) -> None:
+    assert len(long_homes([engine(str(i)) for i in range(count)])) == apart
+
+
+def test_long_prompts_go_where_others_do_not() -> None:
+    engines = [engine(name) for name in "abcdefgh"]
+    (apart,) = long_homes(engines)
+    assert order(engines, Work("m", (("own", 60000),), 60000))[0] == apart
+    assert order(engines, Work("m", (("own", 900),), 900))[-1] == apart
+
+
+def test_the_engine_for_long_prompts_is_used_when_others_are_full() -> None:
+    engines = [engine(name) for name in "abcdefgh"]
+    (apart,) = long_homes(engines)
+    full = [e if e.id == apart else e._replace(pending_s=1.0) for e in engines]
+    assert order(full, Work("m", (("own", 900),), 900))[0] == apart
 
 
 def test_old_reports_count_for_little() -> None:
     stale = engine("a", others_running=60, reported_at=NOW - 30)
     fresh = engine("b", others_running=30)
-    assert ranked([stale, fresh], (), 100, KeptParts(), "here", NOW, random.Random(1))[0] == "a"
+    assert order([stale, fresh], Work("m", (), 100))[0] == "a"
+
+
+def test_the_rate_of_a_model_is_learned() -> None:
+    rates = PrefillRates()
+    for _ in range(200):
+        rates.saw("slow", 10000, 0.5)
+        rates.saw("fast", 10000, 0.05)
+    assert rates.rate_s("slow") == pytest.approx(0.5 / 10000, rel=0.1)
+    assert rates.rate_s("fast") == pytest.approx(0.05 / 10000, rel=0.1)
 
 
 @pytest.mark.parametrize("worse", [{"latency_s": 0.2}, {"load": 4.0}, {"failing": 0.5}])
