--- a/ramppost/gateway/models.py
+++ b/ramppost/gateway/models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from ramppost.gateway.model import Route
@@ -14,9 +15,12 @@
 
 
 class ModelPlan(NamedTuple):
-    """Models to try in order, empty names where the caller's own stands, and the policy."""
+    """Models that may answer, the smallest first, by a policy.
 
-    stages: tuple[str, ...]
+    `models` holds one empty name where the caller's own model stands.
+    """
+
+    models: tuple[str, ...]
     policy: Policy
 
 
@@ -24,16 +28,37 @@
     """The models for a request.
 
     A stream that is taken up again goes straight to the largest, and so does one that
-    there is no retry left for: a cascade's second stage counts as a retry.
+    there is no retry left for: a second stage counts as a retry.
     """
     if not any_model or not route.models:
         return ModelPlan(("",), DEFAULT_POLICY)
     if resumes or not may_retry or route.attempts < 2 or len(route.models) == 1:
         return ModelPlan((route.models[-1],), DEFAULT_POLICY)
-    return ModelPlan((route.models[0], route.models[-1]), DEFAULT_POLICY)
+    return ModelPlan(route.models, DEFAULT_POLICY)
 
 
-def good_enough(plan: ModelPlan, stage: int, confidence: float | None) -> bool:
-    """Whether a stage's answer is taken; `confidence` is 0 to 100, None where not told."""
-    last = stage == len(plan.stages) - 1
+def good_enough(plan: ModelPlan, model: str, confidence: float | None) -> bool:
+    """Whether an answer is taken; `confidence` is 0 to 100, None where not told."""
+    last = model == plan.models[-1]
     return last or confidence is None or cascade_stops(plan.policy, confidence / 100)
+
+
+def next_model(
+    plan: ModelPlan, model: str, first_s: Callable[[str], float | None], left_s: float
+) -> str:
+    """The model to ask after one whose answer is not good enough; empty where none is.
+
+    The largest that is predicted to begin within what is left of the objective: an answer
+    that comes late earns little, and a long prompt holds up others while it is read.
+    `first_s` predicts the seconds to a model's first token, None where nobody serves it.
+
+    >>> plan = ModelPlan(("s", "m", "l"), DEFAULT_POLICY)
+    >>> next_model(plan, "s", {"m": 0.3, "l": 2.0}.get, 1.2)
+    'm'
+    """
+    larger = plan.models[plan.models.index(model) + 1 :]
+    for candidate in reversed(larger):
+        predicted_s = first_s(candidate)
+        if predicted_s is not None and predicted_s <= left_s:
+            return candidate
+    return ""
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -20,7 +20,7 @@
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, NotSent
 from ramppost.gateway.model import CallerRequest
-from ramppost.gateway.models import ModelPlan, good_enough, model_plan
+from ramppost.gateway.models import ModelPlan, good_enough, model_plan, next_model
 from ramppost.gateway.passing import Passed, pass_stream, pass_whole
 from ramppost.gateway.pick import pick, service_of
 from ramppost.gateway.rollout_duty import judge_answer
@@ -67,21 +67,19 @@
     budget.tried()
     resumes = bool(job.req.last_event_id)
     plan = model_plan(job.route, job.req.any_model, resumes, budget.left >= 1)
-    stage = 0
+    model = plan.models[0]
     while True:
-        got = await _running(gw, job, service, plan.stages[stage], reply)
+        got = await _running(gw, job, service, model, reply)
         if isinstance(got, Refusal):
             return got
-        judged = not reply.started and got.head.status < 400
-        if judged and not good_enough(plan, stage, got.head.confidence) and budget.left >= 1:
-            _note_stage(job, plan, stage, got)
+        larger = "" if reply.started else _larger_model(gw, job, service, plan, got)
+        if larger:
             await release(got, False)
-            stage += 1
+            model = larger
             job.tried.clear()
             continue
-        stage = len(plan.stages) - 1
         # A stream that breaks off goes on with the model that began it.
-        plan = ModelPlan((*plan.stages[:-1], got.model), plan.policy)
+        plan = plan._replace(models=(model,))
         failed = await _pass(gw, job, got, reply)
         if failed is None:
             return None
@@ -89,6 +87,32 @@
             return refusal("outcome_unknown", failed.reason)
 
 
+def _larger_model(gw: Gateway, job: Job, service: str, plan: ModelPlan, got: Running) -> str:
+    """The larger model to ask instead of passing an answer on; empty to pass it on."""
+    if got.head.status >= 400 or good_enough(plan, got.model, got.head.confidence):
+        return ""
+    if job.attempts >= job.route.attempts or gw.budget_of(service).left < 1:
+        return ""
+    now = time.monotonic()
+    tried, job.tried = job.tried, set()
+
+    def first_s(model: str) -> float | None:
+        chosen = pick(gw, job, service, model, now)
+        return chosen.first_s if chosen is not None else None
+
+    larger = next_model(plan, got.model, first_s, job.read_at + job.route.objective_s - now)
+    job.tried = tried
+    logger.info(
+        "answer of {} not good enough",
+        got.model,
+        request=job.req.attempt_id,
+        confidence=got.head.confidence,
+        policy=plan.policy["name"],
+        next_model=larger,
+    )
+    return larger
+
+
 async def _running(
     gw: Gateway, job: Job, service: str, model: str, reply: Reply
 ) -> Running | Refusal:
@@ -209,16 +233,6 @@
     await reply.send(ref.status, headers, error_body(ref))
 
 
-def _note_stage(job: Job, plan: ModelPlan, stage: int, got: Running) -> None:
-    logger.info(
-        "answer of {} not taken",
-        plan.stages[stage],
-        request=job.req.attempt_id,
-        confidence=got.head.confidence,
-        policy=plan.policy["name"],
-    )
-
-
 def _note_end(gw: Gateway, job: Job, outcome: str, status: int, read_at: float) -> None:
     took_s = time.monotonic() - read_at
     result = outcome.partition(":")[0]
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -10,6 +10,7 @@
 from ramppost.gateway.freshness import MARGIN_S, Freshness
 from ramppost.gateway.membership import LAPSE_GRACE_S, Members
 from ramppost.gateway.model import RolloutOrder, Upstream
+from ramppost.gateway.models import DEFAULT_POLICY, ModelPlan, good_enough, next_model
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.policy.guard import Tally, reason_against
 from ramppost.policy.limits import RetryBudget
@@ -408,3 +409,32 @@
     splitter = EventSplitter()
     assert len(splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")) == 1
     assert splitter.rest == b"id: 2\nda"
+
+
+# --- models
+
+PLAN = ModelPlan(("s", "m", "l"), DEFAULT_POLICY)
+
+
+@pytest.mark.parametrize(
+    ("model", "confidence", "taken"),
+    [("s", 90, True), ("s", 20, False), ("s", None, True), ("m", 20, False), ("l", 20, True)],
+)
+def test_when_an_answer_is_taken(model: str, confidence: float | None, taken: bool) -> None:
+    assert good_enough(PLAN, model, confidence) is taken
+
+
+@pytest.mark.parametrize(
+    ("predicted", "left_s", "chosen"),
+    [
+        ({"m": 0.1, "l": 0.3}, 1.0, "l"),
+        ({"m": 0.3, "l": 2.0}, 1.0, "m"),
+        ({"m": 1.3, "l": 2.0}, 1.0, ""),
+        ({"m": 0.3}, 1.0, "m"),
+        ({}, 1.0, ""),
+    ],
+)
+def test_the_largest_model_that_is_in_time(
+    predicted: dict[str, float], left_s: float, chosen: str
+) -> None:
+    assert next_model(PLAN, "s", predicted.get, left_s) == chosen
