--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -25,12 +25,13 @@
     StoredObject,
     Unavailable,
     create,
+    list_kind,
     read,
     replace,
     set_status,
 )
 from ramppost.policy.pace import Pace, Timing
-from ramppost.policy.ramp import COMPLETE_AT, STEPS
+from ramppost.policy.ramp import COMPLETE_AT, STEPS, TELL_AT
 from ramppost.policy.routing import unit
 from ramppost.wire.codec import BadMessage
 
@@ -38,7 +39,18 @@
 SPREAD_S: Final = 0.5
 """Gateways act within this of each other, so that the first one's write spares the others'."""
 RETRY_S: Final = 0.3
+HEAR_EARLY: Final = 0.02
+"""Part of a roll-out's time by which the sessions of others are read before any moves."""
 PROGRESS_KIND: Final = "rollout-progress"
+SESSIONS_KIND: Final = "rollout-sessions"
+FIRST_MOVES_AT: Final = STEPS[1].begins
+
+
+class OldSessions(TypedDict):
+    """Sessions that one gateway saw on the former version as a roll-out began."""
+
+    version: str
+    sessions: list[str]
 
 
 class Progress(TypedDict):
@@ -97,6 +109,7 @@
             elif part >= COMPLETE_AT:
                 await _end(gw, rollout, completed=True)
             else:
+                await _exchange_sessions(gw, rollout, now)
                 await _note_progress(gw, rollout, part, noted)
 
 
@@ -139,6 +152,52 @@
         await curio.sleep(RETRY_S)
 
 
+async def _exchange_sessions(gw: Gateway, rollout: Rollout, now: float) -> None:
+    """Tell the others which sessions run on the former version, and hear theirs.
+
+    A session that goes on at another gateway would else be moved there.
+    """
+    part = rollout.part(now)
+    if part >= TELL_AT and not rollout.told:
+        rollout.told = True
+        await _tell_sessions(gw, rollout, now)
+    if part >= FIRST_MOVES_AT - HEAR_EARLY and not rollout.heard:
+        rollout.heard = True
+        await _hear_sessions(gw, rollout)
+
+
+async def _tell_sessions(gw: Gateway, rollout: Rollout, now: float) -> None:
+    order = rollout.order
+    sessions = gw.rollouts.pins.under_way(order.service, order.version, now)
+    if not sessions:
+        return
+    name = f"{order.service}.{gw.cfg['name']}"
+    spec = OldSessions(version=order.version, sessions=sessions)
+    got = await create(gw.store, SESSIONS_KIND, name, spec)
+    if isinstance(got, Conflict):
+        held = await read(gw.store, SESSIONS_KIND, name)
+        if isinstance(held, StoredObject):
+            got = await replace(gw.store, SESSIONS_KIND, name, held.revision, spec)
+    logger.info(
+        "sessions under way told",
+        service=order.service,
+        count=len(sessions),
+        outcome=type(got).__name__,
+    )
+
+
+async def _hear_sessions(gw: Gateway, rollout: Rollout) -> None:
+    order = rollout.order
+    got = await list_kind(gw.store, SESSIONS_KIND)
+    if isinstance(got, Unavailable):
+        logger.warning("sessions of other gateways not read: {}", got.reason)
+        return
+    for obj in got.objects:
+        if obj.name.startswith(f"{order.service}.") and obj.spec["version"] == order.version:
+            rollout.held.update(obj.spec["sessions"])
+    logger.info("sessions under way heard", service=order.service, count=len(rollout.held))
+
+
 async def _note_progress(gw: Gateway, rollout: Rollout, part: float, noted: dict[str, int]) -> None:
     """Keep in the store which step a roll-out has reached."""
     step = sum(part >= step.begins for step in STEPS)
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -23,6 +23,12 @@
         self.stable = Tally()
         self.trial = Tally()
         self.trial_upstreams = 1
+        self.held: set[str] = set()
+        """Sessions that ran on the former version as the roll-out began, at any gateway."""
+        self.told = False
+        """Whether this gateway has told those of its own."""
+        self.heard = False
+        """Whether it has read those of others."""
         self.withdrawn = ""
         """Why this gateway holds the version to be bad, empty while it does not."""
 
@@ -91,7 +97,8 @@
             return Side(new, []) if new else Side(old, [])
         pinned = self.pins.version(service, session, now) if session else ""
         part = found.part(now)
-        if new and on_new(service, version, session or who, part, pinned):
+        held = part < HALF and session in found.held and pinned != version
+        if new and not held and on_new(service, version, session or who, part, pinned):
             return Side(new, old)
         return Side(old, new if part >= HALF else [])
 
--- a/ramppost/policy/ramp.py
+++ b/ramppost/policy/ramp.py
@@ -23,9 +23,19 @@
     share: float
 
 
-STEPS: Final = (Step(0.0, 0.06), Step(0.5, 0.25), Step(0.6, 0.5), Step(0.68, 1.0))
-"""The first share keeps a version that is bad for half the time far below a seventh of all
-requests; the later steps are as short as a sequential test needs at some requests a second."""
+FIRST_SHARE: Final = 0.06
+"""Keeps a version that is bad for half the time far below a seventh of all requests."""
+STEPS: Final = (
+    Step(0.0, 0.0),
+    Step(0.1, FIRST_SHARE),
+    Step(0.5, 0.25),
+    Step(0.6, 0.5),
+    Step(0.68, 1.0),
+)
+"""Nothing moves until gateways have told each other which sessions are under way.  The later
+steps are as short as a sequential test needs at some requests a second."""
+TELL_AT: Final = 0.06
+"""Part of the time at which a gateway tells the sessions that ran on the former version."""
 HALF: Final = 0.5
 COMPLETE_AT: Final = 0.92
 """Part of the time at which the former version is stopped: most answers have ended since
@@ -36,8 +46,8 @@
 def share_at(part: float) -> float:
     """The version's share of sessions at a part of the roll-out's time.
 
-    >>> share_at(0.1), share_at(0.55), share_at(0.9)
-    (0.06, 0.25, 1.0)
+    >>> share_at(0.0), share_at(0.1), share_at(0.55), share_at(0.9)
+    (0.0, 0.06, 0.25, 1.0)
     """
     return [step.share for step in STEPS if step.begins <= max(0.0, part)][-1]
 
@@ -70,6 +80,22 @@
         pin = self._pins.get((service, session))
         return pin.version if pin is not None and now - pin.at <= self.session_s else ""
 
+    def under_way(self, service: str, version: str, now: float) -> list[str]:
+        """Sessions in progress elsewhere that would be among the first on a version."""
+        return [
+            session
+            for (pinned_service, session), pin in self._pins.items()
+            if pinned_service == service
+            and pin.version != version
+            and now - pin.at <= self.session_s
+            and place_of(service, version, session) < FIRST_SHARE
+        ]
+
+
+def place_of(service: str, version: str, who: str) -> float:
+    """Where a session or request stands among all, 0 to 1: it moves when the share is above."""
+    return unit("ramp", service, version, who)
+
 
 def on_new(service: str, version: str, who: str, part: float, pinned: str) -> bool:
     """Whether a session (or a request without one) goes to the version being rolled out.
@@ -80,4 +106,4 @@
         return True
     if pinned and part < HALF:
         return False
-    return unit("ramp", service, version, who) < share_at(part)
+    return place_of(service, version, who) < share_at(part)
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -26,7 +26,7 @@
     plain_ranked,
     ranked,
 )
-from ramppost.policy.ramp import STEPS, Pins, on_new, share_at
+from ramppost.policy.ramp import FIRST_SHARE, STEPS, Pins, on_new, place_of, share_at
 from ramppost.policy.suspicion import Suspicion
 
 NOW = 1000.0
@@ -207,7 +207,8 @@
 
 
 def test_nothing_grows_in_the_first_half() -> None:
-    assert share_at(0.0) == share_at(0.49) == STEPS[0].share
+    assert share_at(0.0) == 0.0
+    assert share_at(STEPS[1].begins) == share_at(0.49) == FIRST_SHARE
 
 
 def test_sessions_only_move_forward() -> None:
@@ -234,6 +235,18 @@
     assert pins.version("lm", "s", NOW + 6) == ""
 
 
+def test_sessions_that_would_be_among_the_first_are_told() -> None:
+    pins = Pins(5.0)
+    names = [f"s{i}" for i in range(400)]
+    for name in names:
+        pins.ran("lm", name, "v1", NOW)
+    pins.ran("other", "s-other", "v1", NOW)
+    told = pins.under_way("lm", "v2", NOW + 1)
+    assert told == [name for name in names if place_of("lm", "v2", name) < FIRST_SHARE]
+    assert 0 < len(told) < 60
+    assert pins.under_way("lm", "v2", NOW + 6) == []
+
+
 # --- guard
 
 
@@ -280,6 +293,19 @@
 BOTH = [upstream("old"), upstream("new", "v2")]
 
 
+def test_a_session_under_way_elsewhere_stays_in_the_first_half() -> None:
+    first = [f"s{i}" for i in range(400) if place_of("lm", "v2", f"s{i}") < FIRST_SHARE]
+    fresh = rollouts(at=0.3)
+    assert all(fresh.side("lm", BOTH, "r", s, NOW).preferred[0].id == "new" for s in first)
+    held = rollouts(at=0.3)
+    running = held.of("lm")
+    assert running is not None
+    running.held.update(first)
+    assert all(held.side("lm", BOTH, "r", s, NOW).preferred[0].id == "old" for s in first)
+    running.began_at = NOW - 8.0
+    assert all(held.side("lm", BOTH, "r", s, NOW).preferred[0].id == "new" for s in first)
+
+
 @pytest.mark.parametrize(
     ("state", "allowed"),
     [("completed", {"new"}), ("rolled_back", {"old"})],
