Gateways lend each other confirmations, and stay ready in an outage that strikes all

One that alone is cut off refused all keyed requests though others held a confirmation. Change: gateways list each other in the store, ask two when their own confirmation grows old, date what they are told by when they asked, and are ready with an old one only where others answer. Three scenarios over real processes; a removed key is refused by the borrower too.

--- a/ramppost/gateway/freshness.py
+++ b/ramppost/gateway/freshness.py
@@ -26,6 +26,11 @@
         """A call sent then was answered, and the configuration in force was the newest."""
         self._sent_at = max(self._sent_at, sent_at)
 
+    @property
+    def known(self) -> bool:
+        """Whether there was ever a confirmation."""
+        return self._sent_at > float("-inf")
+
     def age(self, now: float) -> float:
         """Seconds since the newest confirming call was sent; infinite where there is none."""
         return now - self._sent_at
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -15,6 +15,7 @@
 from ramppost import logs
 from ramppost.errors import error_body, refusal
 from ramppost.gateway.inbound import BadRequest, Doorway, accept_callers
+from ramppost.gateway.peers import borrow, internal, keep_listed
 from ramppost.gateway.rollout_duty import drive_rollouts
 from ramppost.gateway.serve import serve
 from ramppost.gateway.settings import BadSettings, address, read_settings
@@ -63,6 +64,10 @@
     await start_watchers(gw)
     await curio.spawn(drive_rollouts, gw, daemon=True)
     await curio.spawn(serve_http, listen(*address(cfg["health"])), _health(gw), daemon=True)
+    inner = listen(cfg["ip"], cfg["internal_port"])
+    await curio.spawn(serve_http, inner, internal(gw), daemon=True)
+    await curio.spawn(keep_listed, gw, daemon=True)
+    await curio.spawn(borrow, gw, daemon=True)
     metrics = listen(cfg["ip"], cfg["metrics_port"])
     await curio.spawn(serve_http, metrics, _metrics(gw), daemon=True)
     doorway = Doorway(
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -16,7 +16,7 @@
 from ramppost.gateway.model import CallerLimits, RolloutOrder, RoutingTable
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.platform.documents import DEFAULT_LIMITS
-from ramppost.platform.store import StoreClient
+from ramppost.platform.store import StoreClient, StoredObject
 from ramppost.policy.limits import RetryBudget
 from ramppost.policy.pace import Pace
 from ramppost.policy.placement import KeptParts, PrefillRates
@@ -42,6 +42,12 @@
         self.cfg = cfg
         self.rng = random.Random()
         self.table: RoutingTable | None = None
+        self.config_obj: StoredObject | None = None
+        """The document that the table was made of, for gateways that ask."""
+        self.peers: list[str] = []
+        """Internal addresses of other gateways, as last listed."""
+        self.peers_answer = False
+        """Whether others answered when last asked, fresh or not."""
         self.members = Members()
         self.members_listed = False
         self.fresh = Freshness(cfg["timing"]["withdrawal_ms"] / 1000)
@@ -72,9 +78,14 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the balancer should send callers here."""
+        """Whether the balancer should send callers here.
+
+        With an old confirmation that is so only where other gateways answer and have no
+        newer one: then none is better off.
+        """
         known = self.table is not None and self.members_listed
-        return known and not self.leaving and self.fresh.holds(time.monotonic())
+        as_good = self.fresh.holds(time.monotonic()) or self.peers_answer
+        return known and not self.leaving and as_good
 
     def reconfigure(self, cfg: GatewaySettings) -> None:
         """Take in changed settings; addresses it listens on stay until the next start."""
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -61,10 +61,10 @@
 
 def config_listed(gw: Gateway, snapshot: Snapshot) -> None:
     for obj in snapshot.objects:
-        _take_config(gw, obj)
+        take_config(gw, obj)
 
 
-def _take_config(gw: Gateway, obj: StoredObject) -> None:
+def take_config(gw: Gateway, obj: StoredObject) -> None:
     """Put a configuration in force unless a newer one is."""
     if obj.name != names.CONFIG_NAME:
         return
@@ -76,6 +76,7 @@
         return
     _log_config(gw.table, table)
     gw.table = table
+    gw.config_obj = obj
     gw.metrics.gauges["ramppost_config_version"] = table.version
 
 
@@ -83,7 +84,7 @@
     if change.removed:
         logger.error("configuration removed from the store; the last one stays in force")
     else:
-        _take_config(gw, change.obj)
+        take_config(gw, change.obj)
 
 
 def _log_config(old: RoutingTable | None, new: RoutingTable) -> None:
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -87,6 +87,44 @@
     rev: int
 
 
+class ConfirmationMsg(TypedDict, closed=True):
+    """
+    Gateway to gateway: the configuration I have, and how long ago it was known to be the newest.
+    """
+
+    name: str
+    """
+    Name of the gateway that answers.
+    """
+    revision: int
+    """
+    Revision of its configuration in the store, 0 for none.
+    """
+    age_ms: float
+    """
+    Milliseconds since its newest confirming call was sent; -1 for none.
+    """
+
+
+class ConfigMsg(TypedDict, closed=True):
+    """
+    Gateway to gateway: the configuration document in force.
+    """
+
+    name: str
+    """
+    Name of the gateway that answers.
+    """
+    revision: int
+    """
+    Revision of the document in the store.
+    """
+    spec: dict[str, Any]
+    """
+    The document, as the operator wrote it.
+    """
+
+
 class StatusMsg(TypedDict, closed=True):
     """
     Entry to agent or entry: how are you?
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -74,6 +74,23 @@
     And an open route still works
     And the gateway does not want callers
 
+  Scenario: a gateway that the store turns away serves by the word of another
+    Given another gateway, and the first one cut from the store
+    When 3 seconds have passed
+    Then a keyed request is served by both
+    And both want callers
+
+  Scenario: a key that is taken away stops working also by the word of another
+    Given another gateway, and the first one cut from the store
+    When a key is taken away and 2 seconds have passed
+    Then that key is refused by both
+    And a keyed request is served by both
+
+  Scenario: in an outage for all, a stopping gateway is the only one not ready
+    Given another gateway, and a store that answers nobody
+    When 3 seconds have passed
+    Then both want callers
+
   Scenario: a new configuration is in force soon
     When a route is added
     Then it is served within 1 seconds
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -153,8 +153,8 @@
         self._wait_until(lambda: self._answers(f"{self.url(name)}/_log"), name)
         return upstream_id
 
-    def start_gateway(self, name: str) -> None:
-        """Start a gateway with its settings in the variable that names the file."""
+    def start_gateway(self, name: str, store: str = "") -> None:
+        """Start a gateway, perhaps by another way to the store."""
         port = self.port(name)
         timing = {
             "withdrawal_ms": 2000,
@@ -174,7 +174,7 @@
             "internal_port": port + 2,
             "metrics_port": port + 3,
             "store": {
-                "addr": f"{HOST}:{self.port('store')}",
+                "addr": store or f"{HOST}:{self.port('store')}",
                 "writes_per_s": 400,
                 "reads_per_s": 2000,
             },
@@ -197,6 +197,12 @@
                 env=os.environ | {"RAMPPOST_CONFIG": str(path)},
             )
 
+    def restart_gateway(self, name: str, store: str) -> None:
+        """Kill a gateway and start it by another way to the store."""
+        self.procs[name].kill()
+        self.wait_end(name)
+        self.start_gateway(name, store)
+
     def signal(self, name: str, number: int) -> None:
         """Send a signal to a process."""
         self.procs[name].send_signal(number)
@@ -216,6 +222,12 @@
         """URL of a process."""
         return f"http://{HOST}:{self.port(name)}"
 
+    def peers_known(self, name: str) -> bool:
+        """Whether a gateway that was started last knows another."""
+        lines = self.lines(name)
+        start = max(i for i, line in enumerate(lines) if line["message"] == "starting")
+        return any(line.get("gateways") for line in lines[start:])
+
     def ready(self, name: str) -> bool:
         """Whether a gateway wants callers."""
         return self._answers(f"http://{HOST}:{self.port(name) + 1}/ready")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,12 +14,14 @@
 
 from ramppost.platform import names
 from tests.harness.gateways import KEYS, ONCE, OPEN, SAFE, STREAM, Deployment, Given, config, route
+from tests.harness.proxy import Proxy
 
 scenarios("features/gateway.feature")
 
 ENGINES = ("lm-1", "lm-2")
 SERVICES = ("web-1", "web-2")
 GATEWAY = "gateway-1"
+OTHER = "gateway-2"
 
 
 @pytest.fixture
@@ -108,6 +110,49 @@
     seen.site.fault("store", mode="frozen")
 
 
+@given("another gateway, and the first one cut from the store")
+def other_gateway(seen: Seen) -> None:
+    cut = Proxy(f"127.0.0.1:{seen.site.port('store')}")
+    seen.site.restart_gateway(GATEWAY, cut.addr)
+    seen.site.start_gateway(OTHER)
+    seen.site.wait_ready(GATEWAY)
+    seen.site.wait_ready(OTHER)
+    seen.site.until(lambda: seen.site.peers_known(GATEWAY) and seen.site.peers_known(OTHER), 12)
+    cut.set("freeze")
+
+
+@given("another gateway, and a store that answers nobody")
+def outage_for_all(seen: Seen) -> None:
+    seen.site.restart_gateway(GATEWAY, "")
+    seen.site.start_gateway(OTHER)
+    seen.site.wait_ready(OTHER)
+    seen.site.until(lambda: seen.site.peers_known(GATEWAY) and seen.site.peers_known(OTHER), 12)
+    seen.site.fault("store", mode="frozen")
+
+
+@when(parsers.parse("a key is taken away and {n:d} seconds have passed"))
+def revoked(seen: Seen, n: int) -> None:
+    seen.site.configure(config(2, {"kitchen": KEYS["kitchen"]}))
+    time.sleep(n)
+
+
+@then("a keyed request is served by both")
+def served_by_both(seen: Seen) -> None:
+    for name in (GATEWAY, OTHER):
+        assert seen.site.call(name, SAFE).status == 200, name
+
+
+@then("that key is refused by both")
+def refused_by_both(seen: Seen) -> None:
+    for name in (GATEWAY, OTHER):
+        assert seen.site.call(name, SAFE, key=KEYS["toll"]).status == 401, name
+
+
+@then("both want callers")
+def both_ready(seen: Seen) -> None:
+    assert seen.site.ready(GATEWAY) and seen.site.ready(OTHER)
+
+
 @when(parsers.parse("{n:d} seconds have passed"))
 def passed(n: int) -> None:
     time.sleep(n)
@@ -340,7 +385,12 @@
 
 @then("its log lines lead from its id to its upstream")
 def traced(seen: Seen) -> None:
-    lines = [line for line in seen.site.lines(GATEWAY) if line.get("request") == "a1b2"]
+    def lines_of() -> list[dict[str, Any]]:
+        return [line for line in seen.site.lines(GATEWAY) if line.get("request") == "a1b2"]
+
+    # The last line is written after the caller has its answer.
+    seen.site.until(lambda: len(lines_of()) == 2, 2, "the last line")
+    lines = lines_of()
     assert [line["message"] for line in lines] == ["attempt 1: status 200", "served"]
     assert lines[0]["upstream"].startswith("i-web")
     assert lines[0]["report_age_s"] >= 0
