--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -24,8 +24,8 @@
 """Part of the objective after which a silent upstream is given up: time for another is left."""
 LEAST_PATIENCE_S: Final = 0.25
 """Several times the usual work of a plain service, whose objective may be tight."""
-PATIENCE_PER_TOKEN_S: Final = 1 / 10000
-"""Seconds more for each prompt token: several times what a large model takes to read it."""
+PATIENCE_OF_PREDICTED: Final = 3.0
+"""Times the predicted time to a first byte that are waited beside: engines queue in bursts."""
 
 
 class Refused(NamedTuple):
@@ -134,9 +134,8 @@
     """The head; Broken for an upstream that stays silent where another may be asked."""
     if job.route.repeat == "never" or job.attempts >= job.route.attempts:
         return await exchange.head()
-    tokens = job.req.prompt.tokens_in if job.req.prompt else 0
     part_s = PATIENCE_OF_OBJECTIVE * job.route.objective_s
-    patience_s = max(LEAST_PATIENCE_S, part_s) + PATIENCE_PER_TOKEN_S * tokens
+    patience_s = max(LEAST_PATIENCE_S, part_s) + PATIENCE_OF_PREDICTED * chosen.first_s
     since = exchange.sent_at
     while True:
         try:
@@ -144,7 +143,8 @@
             return got
         except curio.TaskTimeout:
             heard_at = gw.links.heard.get(chosen.upstream.id, float("-inf"))
-            if heard_at < since:
+            affordable = gw.budget_of(chosen.service.name).left >= 1
+            if heard_at < since and affordable and chosen.candidates > 1:
                 return Broken(f"silent for {patience_s:.2f} s")
             since = time.monotonic()
 
--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -34,7 +34,8 @@
 class Follower(NamedTuple):
     """What is done with what comes: the whole list, a change, and each answered call.
 
-    `confirmed` gets when the call was sent and whether the calls before it had failed.
+    `on_confirmed` gets when the call was sent.  One that `probes` goes on calling a store
+    that does not answer; the others wait until it is answered.
     """
 
     kind: str
@@ -42,6 +43,7 @@
     on_snapshot: Callable[[Snapshot], None]
     on_change: Callable[[Change], None]
     on_confirmed: Callable[[float], None]
+    probes: bool
 
 
 class Outage:
@@ -68,6 +70,12 @@
         logger.info("store regained after {:.1f} s", away_s, kind=kind)
 
 
+async def _outage_over(outage: Outage) -> None:
+    """Wait until the store has answered somebody."""
+    while outage.failing_since is not None:
+        await curio.sleep(FIRST_BACKOFF_S)
+
+
 async def follow(client: StoreClient, follower: Follower, outage: Outage) -> None:
     """List, watch, and list again where that is needed."""
     revision: int | None = None
@@ -84,6 +92,8 @@
             outage.failed(follower.kind, got.reason)
             await curio.sleep(backoff_s * random.uniform(0.5, 1.0))
             backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+            if not follower.probes:
+                await _outage_over(outage)
             continue
         outage.answered(follower.kind)
         backoff_s = FIRST_BACKOFF_S
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -20,10 +20,11 @@
 CONFIG_WAIT_OF_BOUND: Final = 0.2
 """Each answered watch confirms the configuration as of when it was sent, so its wait is how
 old a confirmation usually grows: a fifth of the bound, so that several may fail in a row."""
-UPSTREAM_WAIT_S: Final = 1.5
-"""A watch that died unseen is noticed within this and its slack: upstreams that leave are
-to be known within 2 s."""
-ROLLOUT_WAIT_S: Final = 3.0
+UPSTREAM_WAIT_S: Final = 2.5
+"""A watch that died unseen is noticed within this and its slack, which is less than the time
+after an outage in which upstreams that leave must be known."""
+ROLLOUT_WAIT_S: Final = 5.0
+"""Orders last many seconds, and a gateway also judges versions by itself."""
 SWEEP_S: Final = 0.2
 LAPSE_AFTER_S: Final = 4.0
 """Removals within this of an outage may be entries that lapsed in it."""
@@ -38,6 +39,7 @@
             lambda snapshot: config_listed(gw, snapshot),
             lambda change: _config_changed(gw, change),
             gw.fresh.confirm,
+            probes=True,
         ),
         Follower(
             names.UPSTREAM_KIND,
@@ -45,6 +47,7 @@
             lambda snapshot: upstreams_listed(gw, snapshot),
             lambda change: upstream_changed(gw, change),
             lambda sent_at: None,
+            probes=False,
         ),
         Follower(
             names.ROLLOUT_KIND,
@@ -52,6 +55,7 @@
             lambda snapshot: _rollouts_listed(gw, snapshot),
             lambda change: _rollout_changed(gw, change),
             lambda sent_at: None,
+            probes=False,
         ),
     )
     for follower in followers:
