A few gateways ask the store often, the others ask them

Change: scouts by rank of a hash over the listed gateways watch shortly; the others watch long, borrow confirmations and are told of upstreams' changes that their own watch missed. A gateway that no longer sees outages by itself can't tell a lapsed entry from a real end, so an upstream without entry is now used only where its service has no other, for 1.6 s.

--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -35,15 +35,17 @@
     """What is done with what comes: the whole list, a change, and each answered call.
 
     `on_confirmed` gets when the call was sent.  One that `probes` goes on calling a store
-    that does not answer; the others wait until it is answered.
+    that does not answer; the others wait until it is answered.  Setting `wake` begins the
+    watch anew.
     """
 
     kind: str
-    wait_s: float
+    wait_s: Callable[[], float]
     on_snapshot: Callable[[Snapshot], None]
     on_change: Callable[[Change], None]
     on_confirmed: Callable[[float], None]
     probes: bool
+    wake: curio.Event
 
 
 class Outage:
@@ -51,7 +53,6 @@
 
     def __init__(self) -> None:
         self.failing_since: float | None = None
-        self.recovered_at = float("-inf")
 
     def failed(self, kind: str, reason: str) -> None:
         """A call had no usable answer."""
@@ -63,13 +64,25 @@
         """A call was answered."""
         if self.failing_since is None:
             return
-        now = time.monotonic()
-        away_s = now - self.failing_since
+        away_s = time.monotonic() - self.failing_since
         self.failing_since = None
-        self.recovered_at = now
         logger.info("store regained after {:.1f} s", away_s, kind=kind)
 
 
+async def _watch_unless_woken(
+    client: StoreClient, follower: Follower, revision: int
+) -> Snapshot | Changes | HistoryGone | Unavailable:
+    """Watch; where the watch is known to have missed something, begin it anew."""
+    follower.wake.clear()
+    async with curio.TaskGroup(wait=any) as group:
+        watching = await group.spawn(watch, client, follower.kind, revision, follower.wait_s())
+        await group.spawn(follower.wake.wait)
+    if group.completed is watching:
+        got: Changes | HistoryGone | Unavailable = watching.result
+        return got
+    return Changes([], revision)
+
+
 async def _outage_over(outage: Outage) -> None:
     """Wait until the store has answered somebody."""
     while outage.failing_since is not None:
@@ -87,7 +100,7 @@
                 client, follower.kind
             )
         else:
-            got = await watch(client, follower.kind, revision, follower.wait_s)
+            got = await _watch_unless_woken(client, follower, revision)
         if isinstance(got, Unavailable):
             outage.failed(follower.kind, got.reason)
             await curio.sleep(backoff_s * random.uniform(0.5, 1.0))
--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -1,8 +1,9 @@
 """Which upstreams there are, by their own entries in the store.
 
-An entry that is removed while the store works well means that its upstream has left.
-One that is removed around an outage may only have lapsed, because its upstream could
-not renew it: such an upstream is kept for a grace and dropped if it has not come back.
+An entry that is removed means that its upstream has left, or that it could not renew the
+entry because the store was away; then it is back soon.  Which of the two can't be told
+when it happens.  So an upstream whose entry is gone is used only where its service has
+no other, and dropped after a grace if the entry has not come back.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 
 from ramppost.gateway.model import Upstream
 
-LAPSE_GRACE_S: Final = 1.7
+LAPSE_GRACE_S: Final = 1.6
 """Entries that lapsed in an outage are back about 2 s after it, and an upstream that was
 removed for good must get nothing after 2 s: the margin is for the way to it."""
 
@@ -35,22 +36,22 @@
         self._members[upstream.id] = Member(upstream, None)
         return known is None or known.upstream != upstream or known.drop_at is not None
 
-    def remove(self, upstream_id: str, now: float, lapsing: bool) -> bool:
-        """An entry is gone; `lapsing` where it may come back.  True if it was known."""
+    def remove(self, upstream_id: str, now: float) -> bool:
+        """An entry is gone.  True if it was known."""
         known = self._members.get(upstream_id)
         if known is None:
             return False
-        if not lapsing or known.upstream.leaving:
+        if known.upstream.leaving:
             del self._members[upstream_id]
         elif known.drop_at is None:
             self._members[upstream_id] = Member(known.upstream, now + LAPSE_GRACE_S)
         return True
 
-    def replace_all(self, listed: list[Upstream], now: float, lapsing: bool) -> None:
+    def replace_all(self, listed: list[Upstream], now: float) -> None:
         """The entries are exactly these."""
         there = {upstream.id for upstream in listed}
         for missing in [name for name in self._members if name not in there]:
-            self.remove(missing, now, lapsing)
+            self.remove(missing, now)
         for upstream in listed:
             self.put(upstream)
 
@@ -66,14 +67,16 @@
         return [member.upstream for member in self._members.values()]
 
     def usable(self, service: str, now: float) -> list[Upstream]:
-        """Upstreams of a service that take new work."""
-        return [
-            member.upstream
+        """Upstreams of a service that take new work; those without an entry as a last resort."""
+        working = [
+            member
             for member in self._members.values()
-            if member.upstream.service == service
-            and not member.upstream.leaving
-            and (member.drop_at is None or now < member.drop_at)
+            if member.upstream.service == service and not member.upstream.leaving
         ]
+        listed = [member.upstream for member in working if member.drop_at is None]
+        if listed:
+            return listed
+        return [m.upstream for m in working if m.drop_at is not None and now < m.drop_at]
 
     def __contains__(self, upstream_id: str) -> bool:
         return upstream_id in self._members
--- a/ramppost/gateway/peers.py
+++ b/ramppost/gateway/peers.py
@@ -16,7 +16,7 @@
 from loguru import logger
 
 from ramppost.gateway.state import Gateway
-from ramppost.gateway.watchers import take_config
+from ramppost.gateway.watchers import ASK_SELF_FROM, take_config
 from ramppost.platform import names
 from ramppost.platform.store import (
     Conflict,
@@ -35,17 +35,16 @@
 GATEWAY_KIND: Final = "gateways"
 CONFIRMATION_PATH: Final = "/x/confirmation"
 CONFIG_PATH: Final = "/x/config"
-ASK_FROM: Final = 0.45
-"""Part of the bound on withdrawals from which the confirmation is asked of others: twice the
-age that it reaches while the store answers."""
+ASK_FROM: Final = 0.4
+"""Part of the bound on withdrawals from which the confirmation is asked of a scout: a scout's
+own, which grows to a fifth, stays below it."""
+ASK_WIDELY_FROM: Final = 0.5
 ASK_EVERY_S: Final = 0.25
 ASKED_AT_ONCE: Final = 2
 ASK_TIMEOUT_S: Final = 0.3
 LIST_FIRST_S: Final = 3.0
 """Boxes start within a second of each other."""
 LIST_EVERY_S: Final = 20.0
-MAX_PEERS: Final = 64
-"""Addresses kept at most: any few reachable ones do."""
 
 
 class GatewayEntry(TypedDict):
@@ -75,7 +74,12 @@
     revision = gw.table.revision if gw.table is not None else 0
     age_s = gw.fresh.age(time.monotonic())
     age_ms = age_s * 1000 if gw.fresh.known else -1.0
-    return ConfirmationMsg(name=gw.cfg["name"], revision=revision, age_ms=age_ms)
+    return ConfirmationMsg(
+        name=gw.cfg["name"],
+        revision=revision,
+        upstreams_revision=gw.upstreams_revision,
+        age_ms=age_ms,
+    )
 
 
 async def keep_listed(gw: Gateway) -> None:
@@ -109,46 +113,73 @@
     if isinstance(got, Unavailable):
         logger.info("gateways not listed: {}", got.reason)
         return
-    others = [obj for obj in got.objects if obj.name != gw.cfg["name"]]
-    found = [str(obj.spec["addr"]) for obj in others]
-    gw.rng.shuffle(found)
-    gw.peers = found[:MAX_PEERS]
-    logger.info("gateways listed", gateways=len(found))
+    gw.roll.replace({obj.name: str(obj.spec["addr"]) for obj in got.objects})
+    now = time.monotonic()
+    logger.info("gateways listed", gateways=len(gw.roll.addrs), scouts=gw.roll.scouts(now))
 
 
 async def borrow(gw: Gateway) -> None:
-    """Ask others for a confirmation while the own one is old, until cancelled."""
+    """Ask others for a confirmation while the own one grows old, until cancelled.
+
+    A scout is asked first; with an older one also any other, and then the store itself.
+    """
     while True:
         await curio.sleep(ASK_EVERY_S)
-        age_s = gw.fresh.age(time.monotonic())
-        if age_s < ASK_FROM * gw.fresh.bound_s or not gw.peers or gw.table is None:
+        now = time.monotonic()
+        part = gw.fresh.age(now) / gw.fresh.bound_s
+        if part < ASK_FROM or gw.table is None or not gw.roll.addrs:
             continue
-        asked = gw.rng.sample(gw.peers, min(ASKED_AT_ONCE, len(gw.peers)))
-        async with curio.TaskGroup() as group:
-            for addr in asked:
-                await group.spawn(_ask, gw, addr)
-        gw.peers_answer = any(task.result for task in group.tasks)
-
-
-async def _ask(gw: Gateway, addr: str) -> bool:
+        await _ask_others(gw, now, wide=part >= ASK_WIDELY_FROM)
+        if gw.fresh.age(now) / gw.fresh.bound_s >= ASK_SELF_FROM:
+            gw.wake_config.set()
+
+
+async def _ask_others(gw: Gateway, now: float, wide: bool) -> None:
+    """Ask a scout, or where that has not helped several gateways."""
+    alive = gw.roll.alive(now)
+    scouts = [name for name in gw.roll.scouts(now) if name in alive]
+    asked = gw.rng.sample(scouts, min(1, len(scouts)))
+    if wide:
+        known = list(gw.roll.addrs)
+        asked = list({*asked, *gw.rng.sample(known, min(ASKED_AT_ONCE, len(known)))})
+    answers = []
+    async with curio.TaskGroup() as group:
+        for name in asked:
+            answers.append((name, await group.spawn(_ask, gw, name, gw.roll.addrs[name])))
+    for name, task in answers:
+        gw.roll.heard(name, task.result, time.monotonic())
+    if asked:
+        gw.peers_answer = any(task.result for _, task in answers)
+
+
+async def _ask(gw: Gateway, name: str, addr: str) -> bool:
     """Ask one gateway; false where it does not answer."""
     sent_at = time.monotonic()
     got = await call(gw.store.pool, addr, "GET", CONFIRMATION_PATH, timeout_s=ASK_TIMEOUT_S)
     if isinstance(got, CallFailed):
+        logger.info("gateway does not answer: {}", got.reason, peer=name)
         return False
     msg = decode(got.body, ConfirmationMsg)
     if isinstance(msg, BadMessage):
-        logger.warning("confirmation not understood: {}", msg.reason, peer=addr)
+        logger.warning("confirmation not understood: {}", msg.reason, peer=name)
         return False
-    confirmed_at = sent_at - msg["age_ms"] / 1000
-    if msg["age_ms"] < 0 or gw.fresh.age(sent_at) <= msg["age_ms"] / 1000:
-        return True
+    if msg["upstreams_revision"] > gw.upstreams_revision:
+        gw.wake_upstreams.set()
+    await _take_confirmation(gw, addr, msg, sent_at)
+    return True
+
+
+async def _take_confirmation(gw: Gateway, addr: str, msg: ConfirmationMsg, sent_at: float) -> None:
+    """Use a confirmation that is younger than the own one."""
+    age_s = msg["age_ms"] / 1000
+    if msg["age_ms"] < 0 or gw.fresh.age(sent_at) <= age_s:
+        return
     if gw.table is not None and msg["revision"] > gw.table.revision:
+        gw.wake_config.set()
         await _take_newer(gw, addr, msg["revision"])
     if gw.table is not None and msg["revision"] == gw.table.revision:
-        gw.fresh.confirm(confirmed_at)
-        logger.info("confirmation borrowed", peer=msg["name"], age_ms=round(msg["age_ms"], 1))
-    return True
+        gw.fresh.confirm(sent_at - age_s)
+        logger.debug("confirmation borrowed", peer=msg["name"], age_ms=round(msg["age_ms"], 1))
 
 
 async def _take_newer(gw: Gateway, addr: str, revision: int) -> None:
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -6,6 +6,8 @@
 import time
 from typing import Final, Literal
 
+import curio
+
 from ramppost.gateway.follow import Outage
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.inbound import Callers
@@ -20,6 +22,7 @@
 from ramppost.policy.limits import RetryBudget
 from ramppost.policy.pace import Pace
 from ramppost.policy.placement import KeptParts, PrefillRates
+from ramppost.policy.scouts import Roll
 from ramppost.policy.suspicion import Suspicion
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.client import Pool
@@ -44,8 +47,12 @@
         self.table: RoutingTable | None = None
         self.config_obj: StoredObject | None = None
         """The document that the table was made of, for gateways that ask."""
-        self.peers: list[str] = []
-        """Internal addresses of other gateways, as last listed."""
+        self.roll = Roll(cfg["name"])
+        self.upstreams_revision = 0
+        """Of the newest change of an upstream's entry that was seen."""
+        self.wake_config = curio.Event()
+        self.wake_upstreams = curio.Event()
+        """Set where others have seen what the own watch has not."""
         self.peers_answer = False
         """Whether others answered when last asked, fresh or not."""
         self.members = Members()
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -23,11 +23,13 @@
 UPSTREAM_WAIT_S: Final = 2.5
 """A watch that died unseen is noticed within this and its slack, which is less than the time
 after an outage in which upstreams that leave must be known."""
-ROLLOUT_WAIT_S: Final = 5.0
+LONG_WAIT_S: Final = 15.0
+"""For gateways that are no scouts: they are told by others when a watch has missed something."""
+ROLLOUT_WAIT_S: Final = 6.0
 """Orders last many seconds, and a gateway also judges versions by itself."""
+ASK_SELF_FROM: Final = 0.6
+"""Part of the bound on withdrawals from which a gateway whose scouts don't help asks the store."""
 SWEEP_S: Final = 0.2
-LAPSE_AFTER_S: Final = 4.0
-"""Removals within this of an outage may be entries that lapsed in it."""
 
 
 async def start_watchers(gw: Gateway) -> None:
@@ -35,27 +37,30 @@
     followers = (
         Follower(
             names.CONFIG_KIND,
-            CONFIG_WAIT_OF_BOUND * gw.fresh.bound_s,
+            lambda: _wait_s(gw, CONFIG_WAIT_OF_BOUND * gw.fresh.bound_s),
             lambda snapshot: config_listed(gw, snapshot),
             lambda change: _config_changed(gw, change),
             gw.fresh.confirm,
             probes=True,
+            wake=gw.wake_config,
         ),
         Follower(
             names.UPSTREAM_KIND,
-            UPSTREAM_WAIT_S,
+            lambda: _wait_s(gw, UPSTREAM_WAIT_S),
             lambda snapshot: upstreams_listed(gw, snapshot),
             lambda change: upstream_changed(gw, change),
             lambda sent_at: None,
             probes=False,
+            wake=gw.wake_upstreams,
         ),
         Follower(
             names.ROLLOUT_KIND,
-            ROLLOUT_WAIT_S,
+            lambda: ROLLOUT_WAIT_S,
             lambda snapshot: _rollouts_listed(gw, snapshot),
             lambda change: _rollout_changed(gw, change),
             lambda sent_at: None,
             probes=False,
+            wake=curio.Event(),
         ),
     )
     for follower in followers:
@@ -63,6 +68,13 @@
     await curio.spawn(_sweep, gw, daemon=True)
 
 
+def _wait_s(gw: Gateway, scouting_s: float) -> float:
+    """How long a watch waits: shortly at a scout, and where no scout has helped; else long."""
+    now = time.monotonic()
+    alone = gw.fresh.age(now) >= ASK_SELF_FROM * gw.fresh.bound_s
+    return scouting_s if alone or gw.roll.is_scout(now) else LONG_WAIT_S
+
+
 def config_listed(gw: Gateway, snapshot: Snapshot) -> None:
     for obj in snapshot.objects:
         take_config(gw, obj)
@@ -102,16 +114,12 @@
     )
 
 
-def _lapsing(gw: Gateway, now: float) -> bool:
-    """Whether removals seen now may be entries that lapsed while the store was away."""
-    return gw.outage.failing_since is not None or now - gw.outage.recovered_at < LAPSE_AFTER_S
-
-
 def upstreams_listed(gw: Gateway, snapshot: Snapshot) -> None:
     listed = [up for obj in snapshot.objects if (up := _upstream(obj)) is not None]
     now = time.monotonic()
-    gw.members.replace_all(listed, now, _lapsing(gw, now))
+    gw.members.replace_all(listed, now)
     gw.members_listed = True
+    gw.upstreams_revision = max([gw.upstreams_revision, *(o.revision for o in snapshot.objects)])
     logger.info("upstreams listed", count=len(listed), revision=snapshot.revision)
 
 
@@ -125,8 +133,9 @@
 
 def upstream_changed(gw: Gateway, change: Change) -> None:
     now = time.monotonic()
+    gw.upstreams_revision = max(gw.upstreams_revision, change.obj.revision)
     if change.removed:
-        if gw.members.remove(change.obj.name, now, _lapsing(gw, now)):
+        if gw.members.remove(change.obj.name, now):
             logger.info("upstream's entry gone", upstream=change.obj.name)
         if change.obj.name not in gw.members:
             gw.forget(change.obj.name)
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -100,6 +100,10 @@
     """
     Revision of its configuration in the store, 0 for none.
     """
+    upstreams_revision: int
+    """
+    Revision of the newest change of an upstream's entry that it has seen, 0 for none.
+    """
     age_ms: float
     """
     Milliseconds since its newest confirming call was sent; -1 for none.
