--- a/ramppost/gateway/peers.py
+++ b/ramppost/gateway/peers.py
@@ -131,7 +131,7 @@
             continue
         await _ask_others(gw, now, wide=part >= ASK_WIDELY_FROM)
         if gw.fresh.age(now) / gw.fresh.bound_s >= ASK_SELF_FROM:
-            gw.wake_config.set()
+            await gw.wake_config.set()
 
 
 async def _ask_others(gw: Gateway, now: float, wide: bool) -> None:
@@ -164,7 +164,7 @@
         logger.warning("confirmation not understood: {}", msg.reason, peer=name)
         return False
     if msg["upstreams_revision"] > gw.upstreams_revision:
-        gw.wake_upstreams.set()
+        await gw.wake_upstreams.set()
     await _take_confirmation(gw, addr, msg, sent_at)
     return True
 
@@ -175,7 +175,7 @@
     if msg["age_ms"] < 0 or gw.fresh.age(sent_at) <= age_s:
         return
     if gw.table is not None and msg["revision"] > gw.table.revision:
-        gw.wake_config.set()
+        await gw.wake_config.set()
         await _take_newer(gw, addr, msg["revision"])
     if gw.table is not None and msg["revision"] == gw.table.revision:
         gw.fresh.confirm(sent_at - age_s)
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -114,6 +114,14 @@
                 proc.kill()
             proc.wait()
         self.http.close()
+        self._check_logs()
+
+    def _check_logs(self) -> None:
+        """No gateway has crashed a task or forgotten to wait for one."""
+        for name in self.gateways:
+            text = (self.folder / f"{name}.log").read_text()
+            for sign in ("Traceback", "RuntimeWarning", "Task Crash", "serving failed"):
+                assert sign not in text, f"{name}: {sign}"
 
     # --- processes
 
