--- a/ramppost/cli/main.py
+++ b/ramppost/cli/main.py
@@ -20,6 +20,7 @@
     CheckConfigCommand,
     DevCommand,
     EntryCommand,
+    GatewayCommand,
     StandinCommand,
 )
 
@@ -29,6 +30,7 @@
     app = Application("ramppost", __version__)
     for command in (
         EntryCommand,
+        GatewayCommand,
         AgentCommand,
         StandinCommand,
         DevCommand,
--- a/ramppost/cli/run.py
+++ b/ramppost/cli/run.py
@@ -9,6 +9,7 @@
 from cleo.helpers import argument, option
 
 from ramppost.dev import run_dev
+from ramppost.gateway.main import main as run_gateway
 from ramppost.programs import run_program
 from ramppost.settings import Bad, check_file, load_settings
 
@@ -41,6 +42,21 @@
         return start(self, self.option("settings"), "entry")
 
 
+class GatewayCommand(Command):
+    """`ramppost gateway`."""
+
+    name = "gateway"
+    description = (
+        "Run a gateway on the users' platform: callers on one side, upstreams on the other."
+    )
+    options: ClassVar = [SETTINGS]
+
+    def handle(self) -> int:
+        """Run it."""
+        run_gateway(self.option("settings") or "")
+        return 0
+
+
 class AgentCommand(Command):
     """`ramppost agent`."""
 
