--- /dev/null
+++ b/tests/test_gateway_links.py
@@ -0,0 +1,268 @@
+"""Exchanges with an upstream over real sockets, against a peer that follows a script."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import curio
+import pytest
+
+from ramppost.gateway.links import (
+    Broken,
+    End,
+    Exchange,
+    Links,
+    NotSent,
+    OutgoingRequest,
+    open_exchange,
+)
+from ramppost.gateway.model import Upstream
+from ramppost.platform import names
+
+HOST = "127.0.0.1"
+ID = names.ATTEMPT_ID.decode()
+Script = Callable[[socket.socket, int], None]
+
+
+class Peer:
+    """Accepts connections; each is served by the script, with its number from 0."""
+
+    def __init__(self, script: Script) -> None:
+        self._sock = socket.create_server((HOST, 0))
+        self.addr = f"{HOST}:{self._sock.getsockname()[1]}"
+        self.accepted = 0
+        self._script = script
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                conn, _ = self._sock.accept()
+            except OSError:
+                return
+            number, self.accepted = self.accepted, self.accepted + 1
+            threading.Thread(target=self._script, args=(conn, number), daemon=True).start()
+
+    def close(self) -> None:
+        self._sock.close()
+
+
+def read_request(conn: socket.socket) -> bytes:
+    """A request up to the end of its head."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = conn.recv(65536)
+        if not piece:
+            return data
+        data += piece
+    return data
+
+
+def answer(attempt: str, body: bytes = b"whole", **more: str) -> bytes:
+    lines = ["HTTP/1.1 200 OK", f"{ID}: {attempt}", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in more.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def reset(conn: socket.socket) -> None:
+    """Close with a reset."""
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    conn.close()
+
+
+@pytest.fixture
+def start() -> Iterator[Callable[[Script], Peer]]:
+    peers: list[Peer] = []
+
+    def begin(script: Script) -> Peer:
+        peers.append(Peer(script))
+        return peers[-1]
+
+    yield begin
+    for peer in peers:
+        peer.close()
+
+
+def upstream(addr: str) -> Upstream:
+    return Upstream("i-1", addr, "web", "bole", "v1", 8, False)
+
+
+def request(attempt: str, body: bytes = b"") -> OutgoingRequest:
+    head = [(b"host", b"h"), (names.ATTEMPT_ID, attempt.encode())]
+    if body:
+        head.append((b"content-length", str(len(body)).encode()))
+    return OutgoingRequest("POST" if body else "GET", "/x", head, body, attempt)
+
+
+async def whole(links: Links, addr: str, attempt: str, body: bytes = b"") -> Any:
+    """Body of an answer, or the failure."""
+    opened = await open_exchange(links, upstream(addr), request(attempt, body))
+    if not isinstance(opened, Exchange):
+        return opened
+    head = await opened.head()
+    if isinstance(head, Broken):
+        await opened.abort()
+        return head
+    found = bytearray()
+    while True:
+        piece = await opened.piece()
+        if isinstance(piece, End):
+            await opened.finish()
+            return bytes(found)
+        if isinstance(piece, Broken):
+            await opened.abort()
+            return piece
+        found += piece
+
+
+def ask(addr: str, *attempts: str, body: bytes = b"", pause_s: float = 0.0) -> list[Any]:
+    """Answers to requests one after the other over the same links."""
+
+    async def played() -> list[Any]:
+        links = Links(HOST)
+        got = []
+        for attempt in attempts:
+            got.append(await curio.timeout_after(3, whole(links, addr, attempt, body)))
+            await curio.sleep(pause_s)
+        return got
+
+    result: list[Any] = curio.run(played())
+    return result
+
+
+def test_connections_are_reused(start: Callable[[Script], Peer]) -> None:
+    def script(conn: socket.socket, number: int) -> None:
+        for attempt in ("a", "b", "c"):
+            read_request(conn)
+            conn.sendall(answer(attempt))
+
+    peer = start(script)
+    assert ask(peer.addr, "a", "b", "c") == [b"whole"] * 3
+    assert peer.accepted == 1
+
+
+@pytest.mark.parametrize(
+    ("more", "accepted"),
+    [({"Connection": "close"}, 2), ({"Keep_Alive": "timeout=1"}, 2), ({"Keep_Alive": "9"}, 1)],
+)
+def test_connections_that_will_be_closed_are_not_reused(
+    start: Callable[[Script], Peer], more: dict[str, str], accepted: int
+) -> None:
+    def script(conn: socket.socket, number: int) -> None:
+        while read_request(conn):
+            conn.sendall(answer("", **more))
+
+    peer = start(script)
+    assert ask(peer.addr, "a", "b") == [b"whole"] * 2
+    assert peer.accepted == accepted
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.02])
+def test_a_surplus_answer_on_an_idle_connection_is_not_passed_on(
+    start: Callable[[Script], Peer], late_s: float
+) -> None:
+    def script(conn: socket.socket, number: int) -> None:
+        read_request(conn)
+        attempt = "ab"[number]
+        if late_s:
+            conn.sendall(answer(attempt))
+            time.sleep(late_s)
+            conn.sendall(answer(attempt, b"surplus"))
+        else:
+            conn.sendall(answer(attempt) + answer(attempt, b"surplus"))
+        read_request(conn)
+
+    peer = start(script)
+    assert ask(peer.addr, "a", "b", pause_s=0.1) == [b"whole"] * 2
+    assert peer.accepted == 2
+
+
+def test_a_late_surplus_answer_is_skipped(start: Callable[[Script], Peer]) -> None:
+    def script(conn: socket.socket, number: int) -> None:
+        read_request(conn)
+        conn.sendall(answer("a"))
+        read_request(conn)
+        conn.sendall(answer("a", b"surplus"))
+        time.sleep(0.02)
+        conn.sendall(answer("b", b"own"))
+
+    assert ask(start(script).addr, "a", "b") == [b"whole", b"own"]
+
+
+@pytest.mark.parametrize(
+    ("reply", "why"),
+    [
+        (b"", "closed"),
+        (b"garbage\r\n\r\n", "not an answer"),
+        (b"HTTP/1.1 200 OK\r\nContent-Le", "closed"),
+        (answer("a")[:-2], "not an answer"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "not an answer"),
+    ],
+)
+def test_a_broken_answer_is_no_answer(
+    start: Callable[[Script], Peer], reply: bytes, why: str
+) -> None:
+    def script(conn: socket.socket, number: int) -> None:
+        read_request(conn)
+        conn.sendall(reply)
+        conn.close()
+
+    (got,) = ask(start(script).addr, "a")
+    assert isinstance(got, Broken), why
+
+
+def test_a_reset_after_sending_leaves_the_outcome_open(start: Callable[[Script], Peer]) -> None:
+    def script(conn: socket.socket, number: int) -> None:
+        read_request(conn)
+        reset(conn)
+
+    (got,) = ask(start(script).addr, "a")
+    assert isinstance(got, Broken)
+
+
+def test_a_refused_connection_was_not_sent() -> None:
+    with socket.create_server((HOST, 0)) as sock:
+        port = sock.getsockname()[1]
+    (got,) = ask(f"{HOST}:{port}", "a")
+    assert isinstance(got, NotSent)
+
+
+def test_an_answer_without_length_ends_with_its_connection(
+    start: Callable[[Script], Peer],
+) -> None:
+    def script(conn: socket.socket, number: int) -> None:
+        read_request(conn)
+        conn.sendall(b"HTTP/1.1 200 OK\r\n\r\nall of it")
+        conn.close()
+
+    assert ask(start(script).addr, "a") == [b"all of it"]
+
+
+def test_an_answer_without_length_that_is_reset_is_not_whole(
+    start: Callable[[Script], Peer],
+) -> None:
+    def script(conn: socket.socket, number: int) -> None:
+        read_request(conn)
+        conn.sendall(b"HTTP/1.1 200 OK\r\n\r\npart of")
+        time.sleep(0.1)
+        reset(conn)
+
+    (got,) = ask(start(script).addr, "a")
+    assert isinstance(got, Broken)
+
+
+def test_an_early_answer_to_a_large_body_is_taken_and_its_connection_left(
+    start: Callable[[Script], Peer],
+) -> None:
+    def script(conn: socket.socket, number: int) -> None:
+        read_request(conn)
+        conn.sendall(answer("", b"early"))
+        time.sleep(1)
+
+    peer = start(script)
+    assert ask(peer.addr, "a", "b", body=b"x" * 8_000_000) == [b"early"] * 2
+    assert peer.accepted == 2
