--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.ready
 
-.PHONY: dev test check bench slopes capacity chaos binary generate docs examples clean
+.PHONY: dev test check bench slopes capacity chaos soak binary generate docs examples clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	$(PY) -m venv $(VENV)
@@ -38,6 +38,11 @@
 chaos: $(STAMP)
 	$(BIN)/python -m tests.harness.chaos --seed $(SEED) --duration-s $(DURATION_S) --fleet $(FLEET)
 
+SEEDS ?=
+SOAK_S ?= 12
+soak: $(STAMP)
+	$(BIN)/python -m tests.harness.soak --duration-s $(SOAK_S) --seeds $(SEEDS)
+
 SECONDS_EACH ?= 15
 slopes: $(STAMP)
 	$(BIN)/python -m bench.slopes
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import time
@@ -45,7 +46,11 @@
             except OSError:
                 return
             number, self.accepted = self.accepted, self.accepted + 1
-            threading.Thread(target=self._script, args=(conn, number), daemon=True).start()
+            threading.Thread(target=self._play, args=(conn, number), daemon=True).start()
+
+    def _play(self, conn: socket.socket, number: int) -> None:
+        with contextlib.suppress(OSError):
+            self._script(conn, number)
 
     def close(self) -> None:
         self._sock.close()
