--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -33,7 +33,7 @@
 from ramppost.policy.pace import Pace, Timing
 from ramppost.policy.ramp import COMPLETE_AT, STEPS, TELL_AT
 from ramppost.policy.routing import unit
-from ramppost.wire.codec import BadMessage
+from ramppost.wire.codec import BadMessage, decode, encode
 
 TICK_S: Final = 0.1
 SPREAD_S: Final = 0.5
@@ -54,7 +54,7 @@
 
 
 class Progress(TypedDict):
-    """How far a roll-out has come, kept for gateways that start in the middle."""
+    """How far a roll-out has come, for gateways that saw the order late or start in the middle."""
 
     version: str
     part: float
@@ -219,12 +219,13 @@
         await replace(gw.store, PROGRESS_KIND, order.service, found.revision, spec)
 
 
-async def take_up_progress(gw: Gateway, order: RolloutOrder) -> None:
-    """Go on from where the store says that a roll-out is."""
-    found = await read(gw.store, PROGRESS_KIND, order.service)
-    if isinstance(found, StoredObject) and found.spec.get("version") == order.version:
-        gw.rollouts.resume_at(order.service, float(found.spec["part"]), time.monotonic())
-        logger.info("roll-out taken up at {:.2f}", found.spec["part"], service=order.service)
+def progress_seen(gw: Gateway, obj: StoredObject) -> None:
+    """Be no further back than the store says that a roll-out is."""
+    progress = decode(encode(obj.spec), Progress)
+    if isinstance(progress, BadMessage):
+        logger.error("roll-out's progress not understood: {}", progress.reason, service=obj.name)
+        return
+    gw.rollouts.progress_seen(obj.name, progress["version"], progress["part"], time.monotonic())
 
 
 def _is_further(found: StoredObject, spec: Progress) -> bool:
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -37,6 +37,14 @@
         return (now - self.began_at) / max(0.001, self.order.duration_s)
 
 
+class Progress(NamedTuple):
+    """The part of its time that a version's roll-out had reached somewhere, at a time."""
+
+    version: str
+    part: float
+    at: float
+
+
 class Side(NamedTuple):
     """Which upstreams may take a request, those to be preferred first."""
 
@@ -50,6 +58,7 @@
     def __init__(self, session_s: float) -> None:
         self.pins = Pins(session_s)
         self._by_service: dict[str, Running] = {}
+        self._progress: dict[str, Progress] = {}
 
     def seen(self, order: RolloutOrder, now: float) -> bool:
         """An order or its state; true if it is new."""
@@ -59,6 +68,7 @@
                 known.order = order
             return False
         self._by_service[order.service] = Running(order, now)
+        self._catch_up(order.service, now)
         return True
 
     def removed(self, service: str) -> None:
@@ -73,12 +83,18 @@
         """Every order known."""
         return list(self._by_service.values())
 
-    def resume_at(self, service: str, part: float, now: float) -> None:
-        """A roll-out had come this far by what the store keeps."""
-        found = self._by_service.get(service)
-        if found is not None:
-            began_at = now - part * found.order.duration_s
-            found.began_at = min(found.began_at, began_at)
+    def progress_seen(self, service: str, version: str, part: float, now: float) -> None:
+        """Some gateway had come this far with a version; its order may not be known yet."""
+        self._progress[service] = Progress(version, part, now)
+        self._catch_up(service, now)
+
+    def _catch_up(self, service: str, now: float) -> None:
+        """Be no further back than what was told."""
+        found, told = self._by_service.get(service), self._progress.get(service)
+        if found is None or told is None or told.version != found.order.version:
+            return
+        began_at = told.at - told.part * found.order.duration_s
+        found.began_at = min(found.began_at, began_at)
 
     def side(
         self, service: str, usable: list[Upstream], who: str, session: str, now: float
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -15,7 +15,7 @@
 from ramppost.gateway.load import Loads
 from ramppost.gateway.membership import Members
 from ramppost.gateway.metrics import Metrics
-from ramppost.gateway.model import CallerLimits, RolloutOrder, RoutingTable
+from ramppost.gateway.model import CallerLimits, RoutingTable
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.platform.documents import DEFAULT_LIMITS
 from ramppost.platform.store import StoreClient, StoredObject
@@ -68,8 +68,6 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.paces: dict[tuple[str, str], Pace] = {}
         self.rollouts = Rollouts(cfg["timing"]["session_s"])
-        self.taking_up: list[RolloutOrder] = []
-        """Orders new to this gateway, whose progress has to be read from the store."""
         self.callers = Callers()
         self.metrics = Metrics()
         self.leaving = False
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -10,7 +10,7 @@
 
 from ramppost.gateway.follow import Follower, follow
 from ramppost.gateway.model import RoutingTable, Upstream
-from ramppost.gateway.rollout_duty import take_up_progress
+from ramppost.gateway.rollout_duty import PROGRESS_KIND, progress_seen
 from ramppost.gateway.state import Gateway
 from ramppost.platform import names
 from ramppost.platform.documents import rollout_order, routing_table, upstream
@@ -62,6 +62,15 @@
             probes=False,
             wake=curio.Event(),
         ),
+        Follower(
+            PROGRESS_KIND,
+            lambda: LONG_WAIT_S,
+            lambda snapshot: _progress_listed(gw, snapshot),
+            lambda change: progress_seen(gw, change.obj),
+            lambda sent_at: None,
+            probes=False,
+            wake=curio.Event(),
+        ),
     )
     for follower in followers:
         await curio.spawn(follow, gw.store, follower, gw.outage, daemon=True)
@@ -170,12 +179,17 @@
         _take_rollout(gw, change.obj)
 
 
+def _progress_listed(gw: Gateway, snapshot: Snapshot) -> None:
+    for obj in snapshot.objects:
+        progress_seen(gw, obj)
+
+
 def _take_rollout(gw: Gateway, obj: StoredObject) -> None:
     order = rollout_order(obj)
     if isinstance(order, BadMessage):
         logger.error("roll-out not understood: {}", order.reason, service=obj.name)
         return
-    new = gw.rollouts.seen(order, time.monotonic())
+    gw.rollouts.seen(order, time.monotonic())
     logger.info(
         "roll-out {}",
         order.state,
@@ -184,12 +198,10 @@
         duration_s=order.duration_s,
         revision=order.revision,
     )
-    if new and order.state == "ordered":
-        gw.taking_up.append(order)
 
 
 async def _sweep(gw: Gateway) -> None:
-    """Drop what has not come back, close idle connections, take roll-outs up."""
+    """Drop what has not come back, close idle connections."""
     while True:
         await curio.sleep(SWEEP_S)
         now = time.monotonic()
@@ -197,5 +209,3 @@
             logger.info("upstream dropped: its entry did not come back", upstream=gone.id)
             gw.forget(gone.id)
         gw.links.close_expired(now)
-        while gw.taking_up:
-            await take_up_progress(gw, gw.taking_up.pop())
--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -30,7 +30,8 @@
 
 class Behaviour(TypedDict):
     """How it answers from now on: events of a stream, after how many it breaks off, the
-    confidence it tells, a status instead of an answer, a refusal, silence, or a time to work."""
+    confidence it tells, a status instead of an answer, a refusal, silence, an answer lost
+    after the run, or a time to work."""
 
     events: NotRequired[int]
     cut_after: NotRequired[int]
@@ -38,6 +39,7 @@
     status: NotRequired[int]
     refuse: NotRequired[bool]
     hang: NotRequired[bool]
+    lose: NotRequired[bool]
     work_ms: NotRequired[int]
 
 
@@ -160,6 +162,8 @@
     if up.how.get("hang"):
         await curio.sleep(float("inf"))
     await curio.sleep(up.how.get("work_ms", up.cfg["work_ms"]) / 1000)
+    if up.how.get("lose"):
+        raise Gone
     head = (*common, (names.SIGNATURE.decode(), f"{SIGNATURE}.{up.cfg['id']}"))
     status = up.how.get("status", 200)
     if names.TOKENS not in heads or status != 200:
