A watch that is given up confirms nothing

Change: giving up is an outcome of its own; the long watch is ended once; a configuration that is not understood confirms nothing.

--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -48,6 +48,10 @@
     wake: curio.Event
 
 
+class Woken(NamedTuple):
+    """The watch was given up before the store answered: nothing is known by it."""
+
+
 class Outage:
     """Whether the store answers, and since when it does not (steady clock)."""
 
@@ -71,7 +75,7 @@
 
 async def _watch_unless_woken(
     client: StoreClient, follower: Follower, revision: int
-) -> Snapshot | Changes | HistoryGone | Unavailable:
+) -> Changes | HistoryGone | Unavailable | Woken:
     """Watch; where the watch is known to have missed something, begin it anew."""
     follower.wake.clear()
     async with curio.TaskGroup(wait=any) as group:
@@ -80,7 +84,7 @@
     if group.completed is watching:
         got: Changes | HistoryGone | Unavailable = watching.result
         return got
-    return Changes([], revision)
+    return Woken()
 
 
 async def _outage_over(outage: Outage) -> None:
@@ -96,11 +100,13 @@
     while True:
         sent_at = time.monotonic()
         if revision is None:
-            got: Snapshot | Changes | HistoryGone | Unavailable = await list_kind(
+            got: Snapshot | Changes | HistoryGone | Unavailable | Woken = await list_kind(
                 client, follower.kind
             )
         else:
             got = await _watch_unless_woken(client, follower, revision)
+        if isinstance(got, Woken):
+            continue
         if isinstance(got, Unavailable):
             outage.failed(follower.kind, got.reason)
             await curio.sleep(backoff_s * random.uniform(0.5, 1.0))
--- a/ramppost/gateway/peers.py
+++ b/ramppost/gateway/peers.py
@@ -123,17 +123,25 @@
 
     A scout is asked first; with an older one also any other, and then the store itself.
     """
+    asks_itself = False
     while True:
         await curio.sleep(ASK_EVERY_S)
         now = time.monotonic()
-        part = gw.fresh.age(now) / gw.fresh.bound_s
-        if part < ASK_FROM or gw.table is None or not gw.roll.addrs:
+        if _age_part(gw, now) < ASK_FROM or gw.table is None or not gw.roll.addrs:
+            asks_itself = False
             continue
-        await _ask_others(gw, now, wide=part >= ASK_WIDELY_FROM)
-        if gw.fresh.age(now) / gw.fresh.bound_s >= ASK_SELF_FROM:
+        await _ask_others(gw, now, wide=_age_part(gw, now) >= ASK_WIDELY_FROM)
+        if _age_part(gw, now) >= ASK_SELF_FROM and not asks_itself:
+            # Ends the long watch once; those that follow are short until one is answered.
+            asks_itself = True
             await gw.wake_config.set()
 
 
+def _age_part(gw: Gateway, now: float) -> float:
+    """Age of the confirmation, as a part of the bound on withdrawals."""
+    return gw.fresh.age(now) / gw.fresh.bound_s
+
+
 async def _ask_others(gw: Gateway, now: float, wide: bool) -> None:
     """Ask a scout, or where that has not helped several gateways."""
     alive = gw.roll.alive(now)
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -45,6 +45,8 @@
         self.cfg = cfg
         self.rng = random.Random()
         self.table: RoutingTable | None = None
+        self.config_seen = 0
+        """Revision of the newest configuration seen, understood or not."""
         self.config_obj: StoredObject | None = None
         """The document that the table was made of, for gateways that ask."""
         self.roll = Roll(cfg["name"])
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -40,7 +40,7 @@
             lambda: _wait_s(gw, CONFIG_WAIT_OF_BOUND * gw.fresh.bound_s),
             lambda snapshot: config_listed(gw, snapshot),
             lambda change: _config_changed(gw, change),
-            gw.fresh.confirm,
+            lambda sent_at: confirmed(gw, sent_at),
             probes=True,
             wake=gw.wake_config,
         ),
@@ -89,10 +89,17 @@
         take_config(gw, obj)
 
 
+def confirmed(gw: Gateway, sent_at: float) -> None:
+    """The store was asked at that time, and what it answered is in force."""
+    if gw.table is not None and gw.table.revision >= gw.config_seen:
+        gw.fresh.confirm(sent_at)
+
+
 def take_config(gw: Gateway, obj: StoredObject) -> None:
     """Put a configuration in force unless a newer one is."""
     if obj.name != names.CONFIG_NAME:
         return
+    gw.config_seen = max(gw.config_seen, obj.revision)
     table = routing_table(obj)
     if isinstance(table, BadMessage):
         logger.error("configuration not understood: {}", table.reason, revision=obj.revision)
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -86,6 +86,11 @@
     Then that key is refused by both
     And a keyed request is served by both
 
+  Scenario: a gateway that nobody can help refuses keyed requests, though it knows others
+    Given another gateway, and a store that answers nobody
+    When 4 seconds have passed
+    Then a keyed request is refused as not run
+
   Scenario: in an outage for all, a stopping gateway is the only one not ready
     Given another gateway, and a store that answers nobody
     When 3 seconds have passed
--- a/tests/test_gateway_follow.py
+++ b/tests/test_gateway_follow.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+from typing import NamedTuple
 
 import curio
 
@@ -32,12 +33,20 @@
         await reply.send(200, b'{"items":[],"truncated":false,"current_rev":5}')
 
 
-async def _played(wake_after_s: float | None, for_s: float) -> list[str]:
+class Played(NamedTuple):
+    """Calls that the store got, and how many confirmations the follower took from them."""
+
+    calls: list[str]
+    confirmed: int
+
+
+async def _played(wake_after_s: float | None, for_s: float) -> Played:
+    confirmed: list[float] = []
     store, port = Store(), free_port()
     await curio.spawn(serve, listen("127.0.0.1", port), store.handle, daemon=True)
     wake = curio.Event()
     follower = Follower(
-        "kind", lambda: 20.0, lambda s: None, lambda c: None, lambda at: None, True, wake
+        "kind", lambda: 20.0, lambda s: None, lambda c: None, confirmed.append, True, wake
     )
     client = StoreClient(f"127.0.0.1:{port}", Pool())
     task = await curio.spawn(follow, client, follower, Outage(), daemon=True)
@@ -47,12 +56,16 @@
         await wake.set()
     await curio.sleep(for_s - (time.monotonic() - began))
     await task.cancel()
-    return store.calls
+    return Played(store.calls, len(confirmed))
 
 
 def test_a_watch_that_is_woken_begins_anew() -> None:
-    assert curio.run(_played(0.3, 0.8)) == ["list", "watch", "watch"]
+    assert curio.run(_played(0.3, 0.8)).calls == ["list", "watch", "watch"]
+
+
+def test_a_watch_that_is_woken_confirms_nothing() -> None:
+    assert curio.run(_played(0.3, 0.8)).confirmed == 1
 
 
 def test_a_watch_that_is_not_woken_waits() -> None:
-    assert curio.run(_played(None, 0.6)) == ["list", "watch"]
+    assert curio.run(_played(None, 0.6)) == Played(["list", "watch"], 1)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -9,8 +9,14 @@
 
 from ramppost.errors import Refusal
 from ramppost.gateway.admit import Admitted, admit
+from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.state import Gateway
-from ramppost.gateway.watchers import config_listed, upstream_changed, upstreams_listed
+from ramppost.gateway.watchers import (
+    config_listed,
+    confirmed,
+    upstream_changed,
+    upstreams_listed,
+)
 from ramppost.platform import names
 from ramppost.platform.documents import LEAVING
 from ramppost.platform.headers import caller_request
@@ -167,3 +173,13 @@
     upstreams_listed(gw, Snapshot([entry("a"), entry("b")], 6))
     upstream_changed(gw, Change(entry("a", LEAVING), False))
     assert usable(gw) == {"b"}
+
+
+def test_a_configuration_that_is_not_understood_is_not_confirmed(gw: Gateway) -> None:
+    gw.fresh = Freshness(5.0)
+    confirmed(gw, time.monotonic())
+    assert gw.fresh.known
+    gw.fresh = Freshness(5.0)
+    config_listed(gw, Snapshot([StoredObject(names.CONFIG_NAME, 9, {"version": "x"}, None)], 9))
+    confirmed(gw, time.monotonic())
+    assert not gw.fresh.known
