Gateway: one copy of connecting, accepting, reading comments, and create-or-replace

Cause: read once more, the gateway had written again what the wire package does (connect with a source and a limit, accept up to a limit), comments and addresses were read in two places, and create, then read, then replace stood three times. Change: connect, next_client, without_comments and put serve all of them; a parameter that was always false, a field and a time that nobody read are gone. Behaviour is meant to be as before.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -32,7 +32,6 @@
     """The upstream said that it did not run the request."""
 
     status: int
-    wrong_upstream: bool
     retry_after_s: float
 
 
@@ -106,7 +105,7 @@
             job.may_have_run = ran_before
             await opened.abort()
             kept = True
-            return Refused(head.status, head.wrong_upstream, head.retry_after_s or 0.0)
+            return Refused(head.status, head.retry_after_s or 0.0)
         kept = True
         return Running(chosen, model, opened, head, work, sent_at, now - sent_at)
     finally:
--- a/ramppost/gateway/early.py
+++ b/ramppost/gateway/early.py
@@ -10,18 +10,29 @@
 import socket
 
 BACKLOG = 1024
+COMMENT = "//"
+
+
+def without_comments(text: str) -> str:
+    """The text without lines that are comments; line numbers stay as they are."""
+    lines = text.split("\n")
+    return "\n".join("" if line.lstrip().startswith(COMMENT) else line for line in lines)
+
+
+def address(text: str) -> tuple[str, int]:
+    """Host and port of `ip:port`."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
 
 
 def listen_early(path: str) -> socket.socket | None:
     """A socket that listens on the address of the settings, or None."""
     try:
         with open(path, encoding="utf-8") as file:
-            lines = file.read().split("\n")
-        cfg = json.loads("\n".join(line for line in lines if not line.lstrip().startswith("//")))
-        host, _, port = cfg["listen"].rpartition(":")
+            cfg = json.loads(without_comments(file.read()))
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, int(port)))
+        sock.bind(address(cfg["listen"]))
         sock.listen(BACKLOG)
         sock.setblocking(False)
     except (OSError, ValueError, KeyError, AttributeError, TypeError):
--- a/ramppost/gateway/inbound.py
+++ b/ramppost/gateway/inbound.py
@@ -19,7 +19,7 @@
 from ramppost.gateway.links import set_probes
 from ramppost.gateway.model import CallerLimits, CallerRequest
 from ramppost.platform.headers import Headers, caller_request
-from ramppost.wire.server import ACCEPT_RETRY_S, Gone
+from ramppost.wire.server import Gone, next_client
 
 READ_SIZE: Final = 65536
 MAX_CONNECTIONS: Final = 3000
@@ -119,15 +119,7 @@
     """Accept connections until cancelled; each goes on in a daemon task of its own."""
     async with sock:
         while True:
-            if callers.count >= MAX_CONNECTIONS:
-                await curio.sleep(ACCEPT_RETRY_S)
-                continue
-            try:
-                client, _ = await sock.accept()
-            except OSError as exc:
-                logger.warning("accept failed: {}", exc)
-                await curio.sleep(ACCEPT_RETRY_S)
-                continue
+            client = await next_client(sock, lambda: callers.count >= MAX_CONNECTIONS)
             set_probes(client)
             await curio.spawn(_connection, client, callers, doorway, daemon=True)
 
--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -17,7 +17,7 @@
 
 from ramppost.gateway.model import Upstream
 from ramppost.platform.headers import AnswerHead, Headers, answer_head
-from ramppost.wire.client import readable
+from ramppost.wire.client import CallFailed, connect, readable
 
 READ_SIZE: Final = 65536
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -250,10 +250,12 @@
     """Send a request to an upstream, on a kept connection or a new one."""
     link = links.take(upstream, time.monotonic())
     if link is None:
-        opened = await _connect(links, upstream)
-        if isinstance(opened, NotSent):
-            return opened
-        link = opened
+        links.opened += 1
+        sock = await connect(upstream.addr, (links.source, 0), CONNECT_TIMEOUT_S)
+        if isinstance(sock, CallFailed):
+            return NotSent(sock.reason)
+        set_probes(sock)
+        link = Link(sock, upstream)
     exchange = Exchange(links, link, req)
     failed = await exchange.send()
     if failed is not None:
@@ -262,27 +264,6 @@
     return exchange
 
 
-async def _connect(links: Links, upstream: Upstream) -> Link | NotSent:
-    host, _, port = upstream.addr.rpartition(":")
-    sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    links.opened += 1
-    try:
-        sock.bind((links.source, 0))
-        async with curio.timeout_after(CONNECT_TIMEOUT_S):
-            await sock.connect((host, int(port)))
-    except curio.TaskTimeout:
-        await sock.close()
-        return NotSent(f"no connection to {upstream.addr} in {CONNECT_TIMEOUT_S:g} s")
-    except (OSError, ValueError) as exc:
-        await sock.close()
-        return NotSent(f"no connection to {upstream.addr}: {exc}")
-    except curio.CancelledError:
-        await sock.close()
-        raise
-    set_probes(sock)
-    return Link(sock, upstream)
-
-
 def set_probes(sock: Any) -> None:
     """Send small packets at once, and notice a peer that has gone dark."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -14,11 +14,12 @@
 
 from ramppost import logs
 from ramppost.errors import error_body, refusal
+from ramppost.gateway.early import address
 from ramppost.gateway.inbound import BadRequest, Doorway, accept_callers
 from ramppost.gateway.peers import borrow, internal, keep_listed
 from ramppost.gateway.rollout_duty import drive_rollouts
 from ramppost.gateway.serve import serve
-from ramppost.gateway.settings import BadSettings, address, read_settings
+from ramppost.gateway.settings import BadSettings, read_settings
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import start_watchers
 from ramppost.schema.settings import GatewaySettings
--- a/ramppost/gateway/peers.py
+++ b/ramppost/gateway/peers.py
@@ -18,15 +18,7 @@
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import ASK_SELF_FROM, take_config
 from ramppost.platform import names
-from ramppost.platform.store import (
-    Conflict,
-    StoredObject,
-    Unavailable,
-    create,
-    list_kind,
-    read,
-    replace,
-)
+from ramppost.platform.store import StoredObject, Unavailable, list_kind, put
 from ramppost.schema.messages import ConfigMsg, ConfirmationMsg
 from ramppost.wire.client import CallFailed, call
 from ramppost.wire.codec import BadMessage, decode, encode
@@ -85,7 +77,7 @@
 async def keep_listed(gw: Gateway) -> None:
     """Keep the own entry, and know those of others, until cancelled."""
     entry = GatewayEntry(addr=f"{gw.cfg['ip']}:{gw.cfg['internal_port']}", hall=gw.cfg["hall"])
-    while not await _write_entry(gw, entry):
+    while not isinstance(await put(gw.store, GATEWAY_KIND, gw.cfg["name"], entry), StoredObject):
         await curio.sleep(ASK_EVERY_S)
     await curio.sleep(gw.rng.uniform(0.5, 1.0) * LIST_FIRST_S)
     while True:
@@ -93,21 +85,6 @@
         await curio.sleep(gw.rng.uniform(0.5, 1.5) * LIST_EVERY_S)
 
 
-async def _write_entry(gw: Gateway, entry: GatewayEntry) -> bool:
-    """Write the own entry where it is not there already; false to try again."""
-    name = gw.cfg["name"]
-    got = await create(gw.store, GATEWAY_KIND, name, entry)
-    if not isinstance(got, Conflict):
-        return not isinstance(got, Unavailable)
-    held = await read(gw.store, GATEWAY_KIND, name)
-    if not isinstance(held, StoredObject):
-        return False
-    if held.spec == entry:
-        return True
-    written = await replace(gw.store, GATEWAY_KIND, name, held.revision, entry)
-    return isinstance(written, StoredObject)
-
-
 async def _list_others(gw: Gateway) -> None:
     got = await list_kind(gw.store, GATEWAY_KIND)
     if isinstance(got, Unavailable):
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -26,6 +26,7 @@
     Unavailable,
     create,
     list_kind,
+    put,
     read,
     replace,
     set_status,
@@ -60,15 +61,12 @@
     part: float
 
 
-def judge_answer(
-    gw: Gateway, running: Running, bad: bool, slow: bool, passed: Passed | None = None
-) -> None:
+def judge_answer(gw: Gateway, running: Running, bad: bool, passed: Passed | None = None) -> None:
     """Take an answer in as evidence for or against its version."""
     chosen = running.chosen
     service = chosen.service.name
     rollout = gw.rollouts.of(service)
-    if passed is not None and not bad:
-        slow = _is_slow(gw, running, passed, rollout)
+    slow = passed is not None and not bad and _is_slow(gw, running, passed, rollout)
     reason = gw.rollouts.judge(service, chosen.upstream, bad, slow)
     if reason:
         assert rollout is not None
@@ -173,11 +171,7 @@
         return
     name = f"{order.service}.{gw.cfg['name']}"
     spec = OldSessions(version=order.version, sessions=sessions)
-    got = await create(gw.store, SESSIONS_KIND, name, spec)
-    if isinstance(got, Conflict):
-        held = await read(gw.store, SESSIONS_KIND, name)
-        if isinstance(held, StoredObject):
-            got = await replace(gw.store, SESSIONS_KIND, name, held.revision, spec)
+    got = await put(gw.store, SESSIONS_KIND, name, spec)
     logger.info(
         "sessions under way told",
         service=order.service,
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -163,7 +163,7 @@
         return False
     if got.head.status < 400:
         return False
-    judge_answer(gw, got, bad=got.head.status >= 500, slow=False)
+    judge_answer(gw, got, bad=got.head.status >= 500)
     if reply.started:
         return True
     if job.route.repeat == "never" or job.attempts >= job.route.attempts:
@@ -200,7 +200,7 @@
             after_event=job.last_event_id,
         )
         return got
-    judge_answer(gw, running, bad=running.head.status >= 500, slow=False, passed=got)
+    judge_answer(gw, running, bad=running.head.status >= 500, passed=got)
     return None
 
 
--- a/ramppost/gateway/settings.py
+++ b/ramppost/gateway/settings.py
@@ -8,13 +8,12 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
+from ramppost.gateway.early import without_comments
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.codec import BadMessage, decode
 
-COMMENT: Final = "//"
-
 
 class BadSettings(NamedTuple):
     """Why a settings file can't be used: file, field and mend in one line."""
@@ -37,15 +36,3 @@
     if isinstance(found, BadMessage):
         return BadSettings(f"{path}: {found.reason}; see docs/operators/settings.md")
     return found
-
-
-def without_comments(text: str) -> str:
-    """The text without lines that are comments; line numbers stay as they are."""
-    lines = text.split("\n")
-    return "\n".join("" if line.lstrip().startswith(COMMENT) else line for line in lines)
-
-
-def address(text: str) -> tuple[str, int]:
-    """Host and port of `ip:port`."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -76,7 +76,6 @@
         """A planned stop has begun: not ready, and each answer closes its connection."""
         self.refusing: Refusing = "none"
         """What a planned stop refuses as not run."""
-        self.started_at = time.monotonic()
 
     @property
     def limits(self) -> CallerLimits:
--- a/ramppost/platform/store.py
+++ b/ramppost/platform/store.py
@@ -169,6 +169,22 @@
     return _written(await _call(client, "PUT", f"/objects/{quote(kind)}/{quote(name)}", body))
 
 
+async def put(
+    client: StoreClient, kind: str, name: str, spec: Any
+) -> StoredObject | Conflict | Unavailable:
+    """Make an object, or replace its spec where it has another; `Conflict` if it changed or
+    went meanwhile."""
+    got = await create(client, kind, name, spec)
+    if not isinstance(got, Conflict):
+        return got
+    held = await read(client, kind, name)
+    if isinstance(held, Missing):
+        return got
+    if isinstance(held, Unavailable) or held.spec == spec:
+        return held
+    return await replace(client, kind, name, held.revision, spec)
+
+
 async def set_status(
     client: StoreClient, kind: str, name: str, revision: int, status: Any
 ) -> StoredObject | Conflict | Unavailable:
--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -16,7 +16,7 @@
 
 from ramppost.platform import names
 from ramppost.platform.documents import LEAVING
-from ramppost.platform.store import Conflict, StoreClient, Unavailable, create, read, replace
+from ramppost.platform.store import StoreClient, put
 from ramppost.schema.settings import UpstreamStandinSettings
 from ramppost.wire.client import Pool
 from ramppost.wire.codec import BadMessage, decode, encode
@@ -100,12 +100,7 @@
     """Keep the entry in the store as it should be."""
     client = StoreClient(up.cfg["store"], Pool())
     while True:
-        got = await create(client, names.UPSTREAM_KIND, up.cfg["id"], _entry(up))
-        if isinstance(got, Conflict):
-            held = await read(client, names.UPSTREAM_KIND, up.cfg["id"])
-            if not isinstance(held, Unavailable) and getattr(held, "spec", None) != _entry(up):
-                revision = getattr(held, "revision", 0)
-                await replace(client, names.UPSTREAM_KIND, up.cfg["id"], revision, _entry(up))
+        await put(client, names.UPSTREAM_KIND, up.cfg["id"], _entry(up))
         await curio.sleep(HEARTBEAT_S)
 
 
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -174,10 +174,10 @@
     """Send a request and read the head of its answer within `timeout_s`."""
     link = pool.take(addr)
     if link is None:
-        opened = await _connect(pool, addr, min(timeout_s, CONNECT_TIMEOUT_S))
-        if isinstance(opened, CallFailed):
-            return opened
-        link = opened
+        sock = await connect(addr, pool.source, min(timeout_s, CONNECT_TIMEOUT_S))
+        if isinstance(sock, CallFailed):
+            return sock
+        link = _Link(sock)
     head = h11.Request(
         method=method,
         target=path,
@@ -232,13 +232,17 @@
             await stream.close()
 
 
-async def _connect(pool: Pool, addr: str, timeout_s: float) -> _Link | CallFailed:
+async def connect(addr: str, source: tuple[str, int] | None, timeout_s: float) -> Any:
+    """A connected socket, or `CallFailed`: nothing can have arrived.
+
+    It leaves from the address `source`, where one is given.
+    """
     host, _, port = addr.rpartition(":")
     # Not curio.open_connection: it looks names up in a thread, even where there is none.
     sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        if pool.source is not None:
-            sock.bind(pool.source)
+        if source is not None:
+            sock.bind(source)
         async with curio.timeout_after(timeout_s):
             await sock.connect((host, int(port)))
     except curio.TaskTimeout:
@@ -247,5 +251,8 @@
     except (OSError, ValueError) as exc:
         await sock.close()
         return CallFailed(f"no connection to {addr}: {exc}", False)
+    except curio.CancelledError:
+        await sock.close()
+        raise
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return _Link(sock)
+    return sock
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -150,6 +150,18 @@
     return curio.network.tcp_server_socket(host, port, backlog=BACKLOG, reuse_address=True)
 
 
+async def next_client(sock: Any, full: Callable[[], bool]) -> Any:
+    """The next connection; none is taken while there are as many as there may be."""
+    while True:
+        if not full():
+            try:
+                client, _ = await sock.accept()
+                return client
+            except OSError as exc:
+                logger.warning("accept failed: {}", exc)
+        await curio.sleep(ACCEPT_RETRY_S)
+
+
 async def serve(
     sock: Any,
     handler: Handler,
@@ -162,15 +174,7 @@
     opened = meter or Meter()
     async with sock:
         while True:
-            if opened.count >= limits.connections:
-                await curio.sleep(ACCEPT_RETRY_S)
-                continue
-            try:
-                client, _ = await sock.accept()
-            except OSError as exc:
-                logger.warning("accept failed: {}", exc)
-                await curio.sleep(ACCEPT_RETRY_S)
-                continue
+            client = await next_client(sock, lambda: opened.count >= limits.connections)
             client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if tls is not None:
                 client = await tls.context().wrap_socket(
