Streams that callers take up again go through the cascade, too

Ruled out: the gateways' start (first answers 0.7 s after the kill), the load they don't know (all engines were slow alike). Change: such a request has the same plan as any other; the confidence of the smallest model decides as it did for the first run.

--- a/ramppost/gateway/models.py
+++ b/ramppost/gateway/models.py
@@ -24,15 +24,17 @@
     policy: Policy
 
 
-def model_plan(route: Route, any_model: bool, resumes: bool, may_retry: bool) -> ModelPlan:
+def model_plan(route: Route, any_model: bool, may_retry: bool) -> ModelPlan:
     """The models for a request.
 
-    A stream that is taken up again goes straight to the largest, and so does one that
-    there is no retry left for: a second stage counts as a retry.
+    One that there is no retry left for goes straight to the largest: a second stage counts
+    as a retry.  A stream that its caller takes up again goes through the cascade like any
+    other: after all gateways were killed, largest models for all streams would hold the
+    engines up for seconds.
     """
     if not any_model or not route.models:
         return ModelPlan(("",), DEFAULT_POLICY)
-    if resumes or not may_retry or route.attempts < 2 or len(route.models) == 1:
+    if not may_retry or route.attempts < 2 or len(route.models) == 1:
         return ModelPlan((route.models[-1],), DEFAULT_POLICY)
     return ModelPlan(route.models, DEFAULT_POLICY)
 
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -65,8 +65,7 @@
     service = service_of(job)
     budget = gw.budget_of(service)
     budget.tried()
-    resumes = bool(job.req.last_event_id)
-    plan = model_plan(job.route, job.req.any_model, resumes, budget.left >= 1)
+    plan = model_plan(job.route, job.req.any_model, budget.left >= 1)
     model = plan.models[0]
     while True:
         got = await _running(gw, job, service, model, reply)
