--- /dev/null
+++ b/ramppost/gateway/feed.py
@@ -0,0 +1,96 @@
+"""Tells other gateways what changes in the store, so that they need not ask it.
+
+A gateway that asks says how far it knows each kind of objects.  It is answered as soon as
+something changed or was confirmed later, or when its wait is over.  The answer holds the
+latest change of each object since, and how long ago the whole was known to be the newest.
+Any gateway answers; how good its answer is shows by these ages.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+from ramppost.gateway.follow import Followed
+from ramppost.gateway.state import Gateway
+from ramppost.platform.store import Change
+from ramppost.schema.messages import FeedChange, FeedKind, FeedMsg, FeedQuery
+from ramppost.wire.codec import BadMessage, decode, encode
+from ramppost.wire.server import Handler, Reply, Request
+
+FEED_PATH: Final = "/x/feed"
+LONGEST_WAIT_S: Final = 5.0
+"""A call is answered within this, whatever it asks for."""
+WORTH_TELLING_S: Final = 0.1
+"""A confirmation that is so much younger than the asker's own ends its wait."""
+NEVER_MS: Final = -1.0
+"""Stands for an age where there was no confirmation."""
+
+
+def feed(gw: Gateway) -> Handler:
+    """What other gateways may ask."""
+
+    async def handle(req: Request, reply: Reply) -> None:
+        query = decode(req.body, FeedQuery)
+        if req.path != FEED_PATH or isinstance(query, BadMessage):
+            await reply.send(404, b'{"error":"no such path or query"}')
+            return
+        await reply.send(200, encode(await _answer(gw, query)))
+
+    return handle
+
+
+async def _answer(gw: Gateway, query: FeedQuery) -> FeedMsg:
+    """The answer, once there is something to tell or the wait is over."""
+    came_at = time.monotonic()
+    until = came_at + min(LONGEST_WAIT_S, query["wait_ms"] / 1000)
+    while time.monotonic() < until and not _worth_telling(gw, query, came_at):
+        await gw.news.wait(until - time.monotonic())
+    now = time.monotonic()
+    kinds = [
+        _told(followed, mark["revision"], now)
+        for mark in query["kinds"]
+        if (followed := gw.followed.get(mark["kind"])) and followed.revision is not None
+    ]
+    return FeedMsg(name=gw.cfg["name"], waited_ms=(now - came_at) * 1000, kinds=kinds)
+
+
+def _worth_telling(gw: Gateway, query: FeedQuery, came_at: float) -> bool:
+    """Whether there is a change, or a later confirmation of what has to be known at once."""
+    for mark in query["kinds"]:
+        followed = gw.followed.get(mark["kind"])
+        if followed is None or (followed.revision or -1) < mark["revision"]:
+            continue
+        told = followed.told(mark["revision"])
+        if told.full or told.changes:
+            return True
+        age_s = mark["age_ms"] / 1000 if mark["age_ms"] >= 0 else float("inf")
+        later_s = followed.confirmed_at - (came_at - age_s)
+        if followed.urgent and later_s > WORTH_TELLING_S:
+            return True
+    return False
+
+
+def _told(followed: Followed, since: int, now: float) -> FeedKind:
+    """What is known of a kind after a revision."""
+    told = followed.told(since)
+    age_s = now - followed.confirmed_at
+    return FeedKind(
+        kind=followed.kind,
+        since=since,
+        revision=followed.revision or 0,
+        age_ms=age_s * 1000 if followed.confirmed_at > float("-inf") else NEVER_MS,
+        full=told.full,
+        changes=[_change(change) for change in told.changes],
+    )
+
+
+def _change(change: Change) -> FeedChange:
+    obj = change.obj
+    return FeedChange(
+        name=obj.name,
+        revision=obj.revision,
+        removed=change.removed,
+        spec=obj.spec,
+        status=obj.status,
+    )
--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -2,7 +2,8 @@
 
 `follow` runs until cancelled.  It lists again where the history is gone, backs off
 while the store gives no answer, and logs once when the store is lost and once when it
-is back.
+is back.  While a relay tells what changes (`ramppost.gateway.subscribe`), the store is
+not asked; both ways meet in a `Followed`, which takes in nothing older than it has.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
     HistoryGone,
     Snapshot,
     StoreClient,
+    StoredObject,
     Unavailable,
     list_kind,
     watch,
@@ -29,27 +31,128 @@
 FIRST_BACKOFF_S: Final = 0.1
 MAX_BACKOFF_S: Final = 0.5
 """Calls to a store that is away are paid for too, and it has to be noticed soon when back."""
+MAX_LOG: Final = 4096
+"""Objects whose latest change is kept for gateways that ask: more than change within the time
+that one may go unanswered.  A gateway that asks further back is told everything."""
 
 
-class Follower(NamedTuple):
-    """What is done with what comes: the whole list, a change, and each answered call.
+class Handlers(NamedTuple):
+    """What is done with what comes: the whole list, a change, and each confirmation.
 
-    `on_confirmed` gets when the call was sent.  One that `probes` goes on calling a store
-    that does not answer; the others wait until it is answered.  Setting `wake` begins the
-    watch anew.
+    `on_confirmed` gets the time (steady clock) at which the state was known to be the newest.
     """
 
-    kind: str
-    wait_s: Callable[[], float]
     on_snapshot: Callable[[Snapshot], None]
     on_change: Callable[[Change], None]
     on_confirmed: Callable[[float], None]
-    probes: bool
-    wake: curio.Event
 
 
-class Woken(NamedTuple):
-    """The watch was given up before the store answered: nothing is known by it."""
+class Told(NamedTuple):
+    """What another gateway is told of a kind: everything (`full`), or what changed."""
+
+    full: bool
+    changes: list[Change]
+
+
+class News:
+    """Wakes all who wait for anything new of any kind."""
+
+    def __init__(self) -> None:
+        self._event = curio.Event()
+
+    async def tell(self) -> None:
+        """Something is new."""
+        event, self._event = self._event, curio.Event()
+        await event.set()
+
+    async def wait(self, longest_s: float) -> None:
+        """Return at the next news, or after so long."""
+        await curio.ignore_after(longest_s, self._event.wait)
+
+
+class Followed:
+    """How far a kind of objects is known here, and its latest changes for those who ask.
+
+    `urgent` tells that other gateways have to know its state within a bound, so that a later
+    confirmation is news, too.
+    """
+
+    def __init__(self, kind: str, handlers: Handlers, news: News, urgent: bool) -> None:
+        self.kind = kind
+        self.urgent = urgent
+        self.revision: int | None = None
+        """The store's revision that is known here; None where it has to be listed."""
+        self.confirmed_at = float("-inf")
+        """When that was known to be the newest (steady clock)."""
+        self._news = news
+        self._handlers = handlers
+        self._objects: dict[str, StoredObject] = {}
+        self._latest: dict[str, tuple[int, Change]] = {}
+        self._logged_from = 0
+
+    async def listed(self, snapshot: Snapshot, at: float) -> None:
+        """Everything was listed, as it stood at a time or later."""
+        if self.revision is not None and snapshot.revision < self.revision:
+            return
+        self._handlers.on_snapshot(snapshot)
+        self._objects = {obj.name: obj for obj in snapshot.objects}
+        self._latest.clear()
+        self._logged_from = self.revision = snapshot.revision
+        await self._confirmed(at)
+
+    async def advanced(self, since: int, changes: Changes, at: float) -> None:
+        """These changed after `since`; at a time, nothing else had."""
+        if self.revision != since or changes.revision < since:
+            return
+        for change in changes.changes:
+            self._keep(change, changes.revision)
+            self._handlers.on_change(change)
+        self.revision = changes.revision
+        await self._confirmed(at)
+
+    def told(self, revision: int) -> Told:
+        """What somebody who knows up to a revision has to be told."""
+        if revision < self._logged_from:
+            return Told(True, [Change(obj, False) for obj in self._objects.values()])
+        found = []
+        for changed_at, change in reversed(self._latest.values()):
+            if changed_at <= revision:
+                break
+            found.append(change)
+        return Told(False, found[::-1])
+
+    def _keep(self, change: Change, revision: int) -> None:
+        name = change.obj.name
+        self._latest.pop(name, None)
+        self._latest[name] = (revision, change)
+        if change.removed:
+            self._objects.pop(name, None)
+        else:
+            self._objects[name] = change.obj
+        while len(self._latest) > MAX_LOG:
+            self._logged_from, _ = self._latest.pop(next(iter(self._latest)))
+
+    async def _confirmed(self, at: float) -> None:
+        self.confirmed_at = max(self.confirmed_at, at)
+        self._handlers.on_confirmed(at)
+        await self._news.tell()
+
+
+class Follower(NamedTuple):
+    """How a kind is followed.
+
+    `wait_s` is how long a watch waits, `pause_s` what is waited between two, so that changes
+    that come together cost one call.  `fed_until` gives the time (steady clock) up to which a
+    relay keeps us up to date; the store is asked `patience_s` after that.  One that `probes`
+    goes on calling a store that does not answer; the others wait until it is answered.
+    """
+
+    followed: Followed
+    wait_s: float
+    pause_s: float
+    patience_s: float
+    fed_until: Callable[[], float]
+    probes: bool
 
 
 class Outage:
@@ -73,57 +176,58 @@
         logger.info("store regained after {:.1f} s", away_s, kind=kind)
 
 
-async def _watch_unless_woken(
-    client: StoreClient, follower: Follower, revision: int
-) -> Changes | HistoryGone | Unavailable | Woken:
-    """Watch; where the watch is known to have missed something, begin it anew."""
-    follower.wake.clear()
-    async with curio.TaskGroup(wait=any) as group:
-        watching = await group.spawn(watch, client, follower.kind, revision, follower.wait_s())
-        await group.spawn(follower.wake.wait)
-    if group.completed is watching:
-        got: Changes | HistoryGone | Unavailable = watching.result
-        return got
-    return Woken()
-
-
-async def _outage_over(outage: Outage) -> None:
-    """Wait until the store has answered somebody."""
-    while outage.failing_since is not None:
-        await curio.sleep(FIRST_BACKOFF_S)
-
-
 async def follow(client: StoreClient, follower: Follower, outage: Outage) -> None:
     """List, watch, and list again where that is needed."""
-    revision: int | None = None
+    followed = follower.followed
     backoff_s = FIRST_BACKOFF_S
     while True:
-        sent_at = time.monotonic()
-        if revision is None:
-            got: Snapshot | Changes | HistoryGone | Unavailable | Woken = await list_kind(
-                client, follower.kind
-            )
-        else:
-            got = await _watch_unless_woken(client, follower, revision)
-        if isinstance(got, Woken):
-            continue
-        if isinstance(got, Unavailable):
-            outage.failed(follower.kind, got.reason)
-            await curio.sleep(backoff_s * random.uniform(0.5, 1.0))
-            backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
-            if not follower.probes:
-                await _outage_over(outage)
+        if followed.revision is not None:
+            await _while_fed(follower)
+        failed = await _ask_store(client, follower)
+        if failed is None:
+            outage.answered(followed.kind)
+            backoff_s = FIRST_BACKOFF_S
+            await curio.sleep(follower.pause_s)
             continue
-        outage.answered(follower.kind)
-        backoff_s = FIRST_BACKOFF_S
-        if isinstance(got, HistoryGone):
-            logger.info("history gone before revision {}; listing again", revision)
-            revision = None
-            continue
-        if isinstance(got, Snapshot):
-            follower.on_snapshot(got)
-        else:
-            for change in got.changes:
-                follower.on_change(change)
-        revision = got.revision
-        follower.on_confirmed(sent_at)
+        outage.failed(followed.kind, failed.reason)
+        await curio.sleep(backoff_s * random.uniform(0.5, 1.0))
+        backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+        if not follower.probes:
+            await _outage_over(follower, outage)
+
+
+async def _ask_store(client: StoreClient, follower: Follower) -> Unavailable | None:
+    """One call to the store, and what follows from its answer; gives why there was none."""
+    followed = follower.followed
+    since = followed.revision
+    sent_at = time.monotonic()
+    if since is None:
+        listed = await list_kind(client, followed.kind)
+        if isinstance(listed, Unavailable):
+            return listed
+        await followed.listed(listed, sent_at)
+        return None
+    got = await watch(client, followed.kind, since, follower.wait_s)
+    if isinstance(got, Unavailable):
+        return got
+    if isinstance(got, HistoryGone):
+        logger.info("history gone before revision {}; listing again", since)
+        followed.revision = None
+        return None
+    await followed.advanced(since, got, sent_at)
+    return None
+
+
+async def _while_fed(follower: Follower) -> None:
+    """Wait while a relay keeps us up to date, and `patience_s` longer."""
+    while follower.followed.revision is not None:
+        left_s = follower.fed_until() + follower.patience_s - time.monotonic()
+        if left_s <= 0:
+            return
+        await curio.sleep(left_s)
+
+
+async def _outage_over(follower: Follower, outage: Outage) -> None:
+    """Wait until the store has answered somebody, or a relay helps."""
+    while outage.failing_since is not None and follower.fed_until() < time.monotonic():
+        await curio.sleep(FIRST_BACKOFF_S)
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -15,12 +15,14 @@
 from ramppost import logs
 from ramppost.errors import error_body, refusal
 from ramppost.gateway.early import address
+from ramppost.gateway.feed import feed
 from ramppost.gateway.inbound import BadRequest, Doorway, accept_callers
-from ramppost.gateway.peers import borrow, internal, keep_listed
+from ramppost.gateway.peers import keep_listed
 from ramppost.gateway.rollout_duty import drive_rollouts
 from ramppost.gateway.serve import serve
 from ramppost.gateway.settings import BadSettings, read_settings
 from ramppost.gateway.state import Gateway
+from ramppost.gateway.subscribe import subscribe
 from ramppost.gateway.watchers import start_watchers
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.server import Handler, Reply, Request, listen
@@ -66,9 +68,9 @@
     await curio.spawn(drive_rollouts, gw, daemon=True)
     await curio.spawn(serve_http, listen(*address(cfg["health"])), _health(gw), daemon=True)
     inner = listen(cfg["ip"], cfg["internal_port"])
-    await curio.spawn(serve_http, inner, internal(gw), daemon=True)
+    await curio.spawn(serve_http, inner, feed(gw), daemon=True)
     await curio.spawn(keep_listed, gw, daemon=True)
-    await curio.spawn(borrow, gw, daemon=True)
+    await curio.spawn(subscribe, gw, daemon=True)
     metrics = listen(cfg["ip"], cfg["metrics_port"])
     await curio.spawn(serve_http, metrics, _metrics(gw), daemon=True)
     doorway = Doorway(
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -199,7 +199,8 @@
     if step <= noted.get(key, 0):
         return
     noted[key] = step
-    await write_progress(gw, rollout, part)
+    if gw.rollouts.known_part(rollout.order) < STEPS[step - 1].begins:
+        await write_progress(gw, rollout, part)
 
 
 async def write_progress(gw: Gateway, rollout: Rollout, part: float) -> None:
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -88,6 +88,11 @@
         self._progress[service] = Progress(version, part, now)
         self._catch_up(service, now)
 
+    def known_part(self, order: RolloutOrder) -> float:
+        """How far some gateway has told to have come with an order; -1 where none has."""
+        told = self._progress.get(order.service)
+        return told.part if told is not None and told.version == order.version else -1.0
+
     def _catch_up(self, service: str, now: float) -> None:
         """Be no further back than what was told."""
         found, told = self._by_service.get(service), self._progress.get(service)
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -6,9 +6,7 @@
 import time
 from typing import Final, Literal
 
-import curio
-
-from ramppost.gateway.follow import Outage
+from ramppost.gateway.follow import Followed, News, Outage
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.inbound import Callers
 from ramppost.gateway.links import Links
@@ -18,11 +16,11 @@
 from ramppost.gateway.model import CallerLimits, RoutingTable
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.platform.documents import DEFAULT_LIMITS
-from ramppost.platform.store import StoreClient, StoredObject
+from ramppost.platform.store import StoreClient
 from ramppost.policy.limits import RetryBudget
 from ramppost.policy.pace import Pace
 from ramppost.policy.placement import KeptParts, PrefillRates
-from ramppost.policy.scouts import Roll
+from ramppost.policy.relays import Peers
 from ramppost.policy.suspicion import Suspicion
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.client import Pool
@@ -47,16 +45,14 @@
         self.table: RoutingTable | None = None
         self.config_seen = 0
         """Revision of the newest configuration seen, understood or not."""
-        self.config_obj: StoredObject | None = None
-        """The document that the table was made of, for gateways that ask."""
-        self.roll = Roll(cfg["name"])
-        self.upstreams_revision = 0
-        """Of the newest change of an upstream's entry that was seen."""
-        self.wake_config = curio.Event()
-        self.wake_upstreams = curio.Event()
-        """Set where others have seen what the own watch has not."""
+        self.peers = Peers(cfg["name"])
         self.peers_answer = False
-        """Whether others answered when last asked, fresh or not."""
+        """Whether another answered when last asked, fresh or not."""
+        self.news = News()
+        self.followed: dict[str, Followed] = {}
+        """What is known of each kind of objects in the store."""
+        self.fed_until = float("-inf")
+        """Up to when another gateway keeps us up to date (steady clock)."""
         self.members = Members()
         self.members_listed = False
         self.fresh = Freshness(cfg["timing"]["withdrawal_ms"] / 1000)
--- /dev/null
+++ b/ramppost/gateway/subscribe.py
@@ -0,0 +1,115 @@
+"""Follows a relay: asks it for what changed in the store, again and again.
+
+The age that a relay tells, with the time it held the question, dates its confirmation on
+our own steady clock: it is never taken for younger than it is.  While a relay keeps up with
+the store, `Gateway.fed_until` moves on and the store is not asked.  Where it does not, others
+are asked, and meanwhile the store itself.  A relay that lost the store asks others, too, and
+goes on asking the store.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+import curio
+from loguru import logger
+
+from ramppost.gateway.feed import FEED_PATH, NEVER_MS
+from ramppost.gateway.follow import Followed
+from ramppost.gateway.state import Gateway
+from ramppost.gateway.watchers import feed_wait_s, oldest_s
+from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
+from ramppost.schema.messages import FeedChange, FeedKind, FeedMark, FeedMsg, FeedQuery
+from ramppost.wire.client import CallFailed, call
+from ramppost.wire.codec import BadMessage, decode, encode
+
+ANSWER_SLACK_S: Final = 0.2
+"""What an answer may take beyond its wait: many times the way there and back."""
+IDLE_S: Final = 0.25
+"""How often a gateway that has nobody to follow looks again."""
+BACKOFF_S: Final = 0.1
+"""Kept between calls that did not help, so that they can't follow each other at once."""
+
+
+async def subscribe(gw: Gateway) -> None:
+    """Follow whoever helps, until cancelled."""
+    name, helped = "", False
+    while True:
+        now = time.monotonic()
+        if gw.peers.is_relay(now) and gw.fresh.age(now) <= oldest_s(gw):
+            name, helped = "", False
+            await curio.sleep(IDLE_S)
+            continue
+        name = gw.peers.to_follow(name, helped, now, gw.rng)
+        if not name:
+            await curio.sleep(IDLE_S)
+            continue
+        helped = await ask_once(gw, name)
+        if not helped:
+            await curio.sleep(BACKOFF_S)
+
+
+async def ask_once(gw: Gateway, name: str) -> bool:
+    """Ask a gateway once; whether it keeps up with the store."""
+    sent_at = time.monotonic()
+    wait_s = feed_wait_s(gw)
+    marks = [_mark(followed, sent_at) for followed in gw.followed.values()]
+    body = encode(FeedQuery(wait_ms=wait_s * 1000, kinds=marks))
+    timeout_s = wait_s + ANSWER_SLACK_S
+    addr = gw.peers.addrs[name]
+    got = await call(gw.store.pool, addr, "POST", FEED_PATH, body, timeout_s)
+    msg = BadMessage(got.reason) if isinstance(got, CallFailed) else decode(got.body, FeedMsg)
+    gw.peers_answer = not isinstance(msg, BadMessage)
+    gw.peers.heard(name, gw.peers_answer, time.monotonic())
+    if isinstance(msg, BadMessage):
+        logger.info("gateway does not answer: {}", msg.reason, peer=name)
+        return False
+    for told in msg["kinds"]:
+        if told["kind"] in gw.followed:
+            await _take(gw.followed[told["kind"]], told, sent_at + msg["waited_ms"] / 1000)
+    now = time.monotonic()
+    age_s = _urgent_age_s(gw, msg)
+    if msg["waited_ms"] / 1000 >= wait_s or age_s > oldest_s(gw):
+        logger.info("gateway lags behind the store", peer=name, age_s=round(min(age_s, 999.0), 3))
+        if gw.outage.failing_since is None:
+            # The store is better off with others: let the next in rank be a relay instead.
+            gw.peers.heard(name, False, now)
+        return False
+    if not gw.peers.is_relay(now):
+        gw.fed_until = now + timeout_s
+    return True
+
+
+def _urgent_age_s(gw: Gateway, msg: FeedMsg) -> float:
+    """The oldest confirmation of what has to be known at once; infinite where one lacks."""
+    ages_ms = {told["kind"]: told["age_ms"] for told in msg["kinds"]}
+    urgent = [ages_ms.get(kind, NEVER_MS) for kind, f in gw.followed.items() if f.urgent]
+    return max(age_ms / 1000 if age_ms >= 0 else float("inf") for age_ms in urgent)
+
+
+def _mark(followed: Followed, now: float) -> FeedMark:
+    age_s = now - followed.confirmed_at
+    known = followed.confirmed_at > float("-inf")
+    return FeedMark(
+        kind=followed.kind,
+        revision=followed.revision or 0,
+        age_ms=age_s * 1000 if known else NEVER_MS,
+    )
+
+
+async def _take(followed: Followed, told: FeedKind, answered_at: float) -> None:
+    """Take in what was told of a kind; `answered_at` is no later than when it was told."""
+    if told["age_ms"] < 0:
+        return
+    at = answered_at - told["age_ms"] / 1000
+    changes = [_change(item) for item in told["changes"]]
+    if told["full"]:
+        await followed.listed(Snapshot([c.obj for c in changes], told["revision"]), at)
+    else:
+        await followed.advanced(told["since"], Changes(changes, told["revision"]), at)
+
+
+def _change(item: FeedChange) -> Change:
+    obj = StoredObject(item["name"], item["revision"], item.get("spec"), item.get("status"))
+    return Change(obj, item["removed"])
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -8,7 +8,7 @@
 import curio
 from loguru import logger
 
-from ramppost.gateway.follow import Follower, follow
+from ramppost.gateway.follow import Followed, Follower, Handlers, follow
 from ramppost.gateway.model import RoutingTable, Upstream
 from ramppost.gateway.rollout_duty import PROGRESS_KIND, progress_seen
 from ramppost.gateway.state import Gateway
@@ -20,68 +20,91 @@
 CONFIG_WAIT_OF_BOUND: Final = 0.2
 """Each answered watch confirms the configuration as of when it was sent, so its wait is how
 old a confirmation usually grows: a fifth of the bound, so that several may fail in a row."""
-UPSTREAM_WAIT_S: Final = 2.5
-"""A watch that died unseen is noticed within this and its slack, which is less than the time
-after an outage in which upstreams that leave must be known."""
-LONG_WAIT_S: Final = 15.0
-"""For gateways that are no scouts: they are told by others when a watch has missed something."""
+UPSTREAM_WAIT_OF_BOUND: Final = 0.4
+"""Part of the time in which an upstream's leaving must be known.  A relay that lost the store
+or died is noticed within this, `FEED_SLACK_S` and the slack of a call; the rest is for asking
+the store instead."""
+FEED_SLACK_S: Final = 0.4
+"""How much longer than a relay's own watch a gateway waits for its next confirmation: a store
+that is slow answers in some tenths of a second."""
+SLOW_WAIT_S: Final = 15.0
+"""For what other gateways write: a watch is answered at once where there is something."""
 ROLLOUT_WAIT_S: Final = 6.0
 """Orders last many seconds, and a gateway also judges versions by itself."""
-ASK_SELF_FROM: Final = 0.6
-"""Part of the bound on withdrawals from which a gateway whose scouts don't help asks the store."""
+PATIENCE_S: Final = 3.0
+"""What is not urgent is asked of the store only so long after the last relay has helped."""
+GATHER_S: Final = 0.25
+"""Kept between two watches of upstreams: many change together."""
 SWEEP_S: Final = 0.2
 
 
+def feed_wait_s(gw: Gateway) -> float:
+    """Within this, a relay that keeps up with the store has a later confirmation to tell."""
+    return _upstream_wait_s(gw) + FEED_SLACK_S
+
+
+def oldest_s(gw: Gateway) -> float:
+    """How old a confirmation grows at a relay that keeps up: it is dated by when a watch was
+    sent, and stands until the next watch has ended."""
+    return 2 * _upstream_wait_s(gw) + FEED_SLACK_S
+
+
+def _config_wait_s(gw: Gateway) -> float:
+    return min(CONFIG_WAIT_OF_BOUND * gw.fresh.bound_s, _upstream_wait_s(gw))
+
+
+def _upstream_wait_s(gw: Gateway) -> float:
+    return UPSTREAM_WAIT_OF_BOUND * gw.cfg["timing"]["upstream_leave_ms"] / 1000
+
+
 async def start_watchers(gw: Gateway) -> None:
     """Start following; the tasks end with the process."""
-    followers = (
-        Follower(
-            names.CONFIG_KIND,
-            lambda: _wait_s(gw, CONFIG_WAIT_OF_BOUND * gw.fresh.bound_s),
-            lambda snapshot: config_listed(gw, snapshot),
-            lambda change: _config_changed(gw, change),
-            lambda sent_at: confirmed(gw, sent_at),
-            probes=True,
-            wake=gw.wake_config,
-        ),
-        Follower(
-            names.UPSTREAM_KIND,
-            lambda: _wait_s(gw, UPSTREAM_WAIT_S),
-            lambda snapshot: upstreams_listed(gw, snapshot),
-            lambda change: upstream_changed(gw, change),
-            lambda sent_at: None,
-            probes=False,
-            wake=gw.wake_upstreams,
-        ),
-        Follower(
-            names.ROLLOUT_KIND,
-            lambda: ROLLOUT_WAIT_S,
-            lambda snapshot: _rollouts_listed(gw, snapshot),
-            lambda change: _rollout_changed(gw, change),
-            lambda sent_at: None,
-            probes=False,
-            wake=curio.Event(),
-        ),
-        Follower(
-            PROGRESS_KIND,
-            lambda: LONG_WAIT_S,
-            lambda snapshot: _progress_listed(gw, snapshot),
-            lambda change: progress_seen(gw, change.obj),
-            lambda sent_at: None,
-            probes=False,
-            wake=curio.Event(),
-        ),
+    config = Handlers(
+        lambda snapshot: config_listed(gw, snapshot),
+        lambda change: _config_changed(gw, change),
+        lambda at: confirmed(gw, at),
     )
-    for follower in followers:
-        await curio.spawn(follow, gw.store, follower, gw.outage, daemon=True)
+    upstreams = Handlers(
+        lambda snapshot: upstreams_listed(gw, snapshot),
+        lambda change: upstream_changed(gw, change),
+        _unused,
+    )
+    rollouts = Handlers(
+        lambda snapshot: _rollouts_listed(gw, snapshot),
+        lambda change: _rollout_changed(gw, change),
+        _unused,
+    )
+    progress = Handlers(
+        lambda snapshot: _progress_listed(gw, snapshot),
+        lambda change: progress_seen(gw, change.obj),
+        _unused,
+    )
+    await watch_kind(gw, names.CONFIG_KIND, config, _config_wait_s(gw), urgent=True)
+    await watch_kind(gw, names.UPSTREAM_KIND, upstreams, _upstream_wait_s(gw), urgent=True)
+    await watch_kind(gw, names.ROLLOUT_KIND, rollouts, ROLLOUT_WAIT_S)
+    await watch_kind(gw, PROGRESS_KIND, progress, SLOW_WAIT_S)
     await curio.spawn(_sweep, gw, daemon=True)
 
 
-def _wait_s(gw: Gateway, scouting_s: float) -> float:
-    """How long a watch waits: shortly at a scout, and where no scout has helped; else long."""
-    now = time.monotonic()
-    alone = gw.fresh.age(now) >= ASK_SELF_FROM * gw.fresh.bound_s
-    return scouting_s if alone or gw.roll.is_scout(now) else LONG_WAIT_S
+async def watch_kind(
+    gw: Gateway, kind: str, handlers: Handlers, wait_s: float, urgent: bool = False
+) -> None:
+    """Follow a kind from now on; what is urgent is asked of the store without patience."""
+    followed = Followed(kind, handlers, gw.news, urgent)
+    gw.followed[kind] = followed
+    follower = Follower(
+        followed,
+        wait_s,
+        GATHER_S if kind == names.UPSTREAM_KIND else 0.0,
+        0.0 if urgent else PATIENCE_S,
+        lambda: gw.fed_until,
+        probes=kind == names.CONFIG_KIND,
+    )
+    await curio.spawn(follow, gw.store, follower, gw.outage, daemon=True)
+
+
+def _unused(at: float) -> None:
+    """Nothing depends on how old this kind's confirmation is."""
 
 
 def config_listed(gw: Gateway, snapshot: Snapshot) -> None:
@@ -108,7 +131,6 @@
         return
     _log_config(gw.table, table)
     gw.table = table
-    gw.config_obj = obj
     gw.metrics.gauges["ramppost_config_version"] = table.version
 
 
@@ -135,7 +157,6 @@
     now = time.monotonic()
     gw.members.replace_all(listed, now)
     gw.members_listed = True
-    gw.upstreams_revision = max([gw.upstreams_revision, *(o.revision for o in snapshot.objects)])
     logger.info("upstreams listed", count=len(listed), revision=snapshot.revision)
 
 
@@ -149,7 +170,6 @@
 
 def upstream_changed(gw: Gateway, change: Change) -> None:
     now = time.monotonic()
-    gw.upstreams_revision = max(gw.upstreams_revision, change.obj.revision)
     if change.removed:
         if gw.members.remove(change.obj.name, now):
             logger.info("upstream's entry gone", upstream=change.obj.name)
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -1,40 +1,43 @@
-"""Which gateways ask the store often, for all others.
+"""Which gateways watch the store for all others.
 
 Pure.  Calls to the store are paid for and its rates grow more slowly than the fleet, so a
-few gateways confirm the configuration by short watches and the others ask one of them.
-All rank the known names by the same hash.  A gateway is a scout while fewer than
-`scout_count` of those before it in rank are known to answer, so scouts that die are followed
-by the next ones without any agreement.
+few gateways, the relays, watch it and the others follow one of them.  All rank the known
+names by the same hash.  A gateway is a relay while fewer than `relay_count` of those
+before it in rank are known to answer, so relays that die are replaced by the next ones
+without any agreement.
 """
 
 from __future__ import annotations
 
 import math
+import random
 from typing import Final
 
 from ramppost.policy.routing import unit
 
-LEAST_SCOUTS: Final = 2
-"""One may be dead or cut off before the others have noticed."""
+LEAST_RELAYS: Final = 1
+"""Where it dies or is cut off, its followers notice within its usual silence and ask the store."""
 DEAD_S: Final = 5.0
 """How long a gateway that did not answer is passed over."""
+ANY_SHARE: Final = 0.5
+"""Where the relays have not helped, the part of calls that go to any gateway."""
 
 
 def ranked_names(names: list[str]) -> list[str]:
-    """Names in the order in which they are scouts."""
-    return sorted(names, key=lambda name: unit("scout", name))
+    """Names in the order in which they are relays."""
+    return sorted(names, key=lambda name: unit("relay", name))
 
 
-def scout_count(gateways: int) -> int:
-    """How many scouts a fleet has: few calls to the store, and few askers of each.
+def relay_count(gateways: int) -> int:
+    """How many relays a fleet has: few calls to the store, and few followers of each.
 
-    >>> scout_count(6), scout_count(29), scout_count(410)
-    (2, 3, 10)
+    >>> relay_count(6), relay_count(29), relay_count(410)
+    (1, 3, 10)
     """
-    return max(LEAST_SCOUTS, round(math.sqrt(gateways) / 2))
+    return max(LEAST_RELAYS, round(math.sqrt(gateways) / 2))
 
 
-class Roll:
+class Peers:
     """Other gateways by name, and which of them did not answer lately."""
 
     def __init__(self, own: str) -> None:
@@ -42,12 +45,15 @@
         self.addrs: dict[str, str] = {}
         self._dead_until: dict[str, float] = {}
 
-    def replace(self, addrs: dict[str, str]) -> None:
-        """The gateways listed in the store, the own one left out."""
-        self.addrs = {name: addr for name, addr in addrs.items() if name != self.own}
+    def put(self, name: str, addr: str) -> bool:
+        """A gateway is listed in the store; true if that is new."""
+        if name == self.own or self.addrs.get(name) == addr:
+            return False
+        self.addrs[name] = addr
+        return True
 
     def heard(self, name: str, answered: bool, now: float) -> None:
-        """A gateway was asked."""
+        """A gateway was asked; one that answers but lags counts as one that does not answer."""
         if answered:
             self._dead_until.pop(name, None)
         else:
@@ -58,15 +64,31 @@
         names = [n for n in self.addrs if self._dead_until.get(n, 0.0) <= now]
         return ranked_names(names)
 
-    def scouts(self, now: float) -> list[str]:
-        """The scouts by what is known here; the own name may be among them.
+    def relays(self, now: float) -> list[str]:
+        """The relays by what is known here; the own name may be among them.
 
-        >>> roll = Roll("a")
-        >>> roll.scouts(0.0)
+        >>> peers = Peers("a")
+        >>> peers.relays(0.0)
         ['a']
         """
-        return ranked_names([self.own, *self.alive(now)])[: scout_count(len(self.addrs) + 1)]
+        return ranked_names([self.own, *self.alive(now)])[: relay_count(len(self.addrs) + 1)]
 
-    def is_scout(self, now: float) -> bool:
-        """Whether this gateway has to ask the store often."""
-        return self.own in self.scouts(now)
+    def is_relay(self, now: float) -> bool:
+        """Whether this gateway watches the store."""
+        return self.own in self.relays(now)
+
+    def to_follow(self, current: str, helped: bool, now: float, rng: random.Random) -> str:
+        """Whom to ask next: the one that helped, else a relay or any other; empty for nobody.
+
+        >>> peers = Peers("a")
+        >>> peers.put("b", "10.0.0.2:7340")
+        >>> peers.to_follow("", False, 0.0, random.Random(1))
+        'b'
+        """
+        relays = [name for name in self.relays(now) if name != self.own]
+        if helped and current in relays:
+            return current
+        others = self.alive(now)
+        widely = not relays or (bool(current) and rng.random() < ANY_SHARE)
+        found = others if widely else relays
+        return rng.choice(found) if found else ""
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -87,45 +87,49 @@
     rev: int
 
 
-class ConfirmationMsg(TypedDict, closed=True):
+class FeedMark(TypedDict, closed=True):
     """
-    Gateway to gateway: the configuration I have, and how long ago it was known to be the newest.
+    How far a kind of objects is known to whoever asks.
     """
 
-    name: str
+    kind: str
     """
-    Name of the gateway that answers.
+    The kind's name in the store.
     """
     revision: int
     """
-    Revision of its configuration in the store, 0 for none.
-    """
-    upstreams_revision: int
-    """
-    Revision of the newest change of an upstream's entry that it has seen, 0 for none.
+    The store's revision up to which its changes are known.
     """
     age_ms: float
     """
-    Milliseconds since its newest confirming call was sent; -1 for none.
+    Milliseconds since that was known to be the newest; -1 for never.
     """
 
 
-class ConfigMsg(TypedDict, closed=True):
+class FeedChange(TypedDict, closed=True):
     """
-    Gateway to gateway: the configuration document in force.
+    An object that changed, or that was removed.
     """
 
     name: str
     """
-    Name of the gateway that answers.
+    The object's name.
     """
     revision: int
     """
-    Revision of the document in the store.
+    Its own revision in the store.
+    """
+    removed: bool
     """
-    spec: dict[str, Any]
+    Whether it was removed.
     """
-    The document, as the operator wrote it.
+    spec: NotRequired[Any]
+    """
+    Its spec, as it stands in the store.
+    """
+    status: NotRequired[Any]
+    """
+    Its status, as it stands in the store.
     """
 
 
@@ -523,6 +527,46 @@
     held: NotRequired[Claim]
 
 
+class FeedQuery(TypedDict, closed=True):
+    """
+    Gateway to gateway: what I know of each kind of objects in the store; answer when you know more.
+    """
+
+    wait_ms: float
+    """
+    Milliseconds to wait for something new.
+    """
+    kinds: list[FeedMark]
+
+
+class FeedKind(TypedDict, closed=True):
+    """
+    Changes of a kind of objects after the revision that was asked from.
+    """
+
+    kind: str
+    """
+    The kind's name in the store.
+    """
+    since: int
+    """
+    The revision that was asked from.
+    """
+    revision: int
+    """
+    The store's revision up to which the changes go.
+    """
+    age_ms: float
+    """
+    Milliseconds, at the time of the answer, since nothing later was known to exist; -1 for never.
+    """
+    full: bool
+    """
+    Whether the changes are all objects there are, since those after that revision are not known one by one.
+    """
+    changes: list[FeedChange]
+
+
 class Frame(TypedDict, closed=True):
     """
     Agent to entry: a piece of the answer. The last one has `end` and its number is the count of pieces.
@@ -584,3 +628,19 @@
     models: NotRequired[list[str]]
     threshold: NotRequired[float]
     split: NotRequired[list[Share]]
+
+
+class FeedMsg(TypedDict, closed=True):
+    """
+    Gateway to gateway: what changed in the store, and how long ago that was known to be all.
+    """
+
+    name: str
+    """
+    Name of the gateway that answers.
+    """
+    waited_ms: float
+    """
+    Milliseconds from taking in the question to this answer.
+    """
+    kinds: list[FeedKind]
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -234,7 +234,9 @@
         """Whether a gateway that was started last knows another."""
         lines = self.lines(name)
         start = max(i for i, line in enumerate(lines) if line["message"] == "starting")
-        return any(line.get("gateways") for line in lines[start:])
+        return any(
+            line.get("gateways") or line["message"] == "gateway known" for line in lines[start:]
+        )
 
     def ready(self, name: str) -> bool:
         """Whether a gateway wants callers."""
--- /dev/null
+++ b/tests/test_gateway_feed.py
@@ -0,0 +1,186 @@
+"""Gateways that tell each other what changes in the store, over real connections."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import pytest
+
+from ramppost.gateway.feed import feed
+from ramppost.gateway.follow import Followed, Handlers
+from ramppost.gateway.state import Gateway
+from ramppost.gateway.subscribe import ask_once
+from ramppost.gateway.watchers import feed_wait_s, oldest_s
+from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
+from ramppost.schema.settings import GatewaySettings
+from ramppost.wire.server import listen, serve
+from tests.test_gateway_follow import free_port
+from tests.test_gateway_state import SETTINGS
+
+RELAY, ASKER = "relay", "asker"
+URGENT, OTHER = "urgent", "other"
+
+
+class Pair:
+    """A gateway that is asked, and one that asks it; each follows two kinds."""
+
+    def __init__(self) -> None:
+        self.relay, self.asker = gateway(RELAY), gateway(ASKER)
+        self.port = free_port()
+        self.taken: list[str] = []
+        for gw, taken in ((self.relay, []), (self.asker, self.taken)):
+            for kind in (URGENT, OTHER):
+                gw.followed[kind] = Followed(kind, noting(taken), gw.news, kind == URGENT)
+        # By the hash of their names the first is the relay of the two.
+        self.asker.peers.put(RELAY, f"127.0.0.1:{self.port}")
+
+    async def start(self) -> None:
+        await curio.spawn(serve, listen("127.0.0.1", self.port), feed(self.relay), daemon=True)
+
+    async def list_both(self, revision: int, age_s: float = 0.0) -> None:
+        at = time.monotonic() - age_s
+        for gw in (self.relay, self.asker):
+            for followed in gw.followed.values():
+                await followed.listed(Snapshot([obj("a", revision)], revision), at)
+
+    async def change(self, kind: str, name: str, removed: bool = False) -> None:
+        followed = self.relay.followed[kind]
+        since = followed.revision or 0
+        changes = Changes([Change(obj(name, since + 1), removed)], since + 1)
+        await followed.advanced(since, changes, time.monotonic())
+
+
+def noting(taken: list[str]) -> Handlers:
+    return Handlers(
+        lambda snapshot: taken.append(f"all {len(snapshot.objects)}"),
+        lambda change: taken.append(f"{change.obj.name}{' gone' if change.removed else ''}"),
+        lambda at: None,
+    )
+
+
+def gateway(name: str) -> Gateway:
+    cfg: GatewaySettings = {**SETTINGS, "name": name}
+    return Gateway(cfg)
+
+
+def obj(name: str, revision: int) -> StoredObject:
+    return StoredObject(name, revision, {"x": 1}, {"state": "there"})
+
+
+def play(scene: Callable[[Pair], Awaitable[Any]]) -> Any:
+    async def run() -> Any:
+        pair = Pair()
+        await pair.start()
+        return await scene(pair)
+
+    return curio.run(run)
+
+
+def test_a_change_is_told_at_once() -> None:
+    async def scene(pair: Pair) -> None:
+        await pair.list_both(5)
+        pair.taken.clear()
+        began = time.monotonic()
+        asking = await curio.spawn(ask_once, pair.asker, RELAY)
+        await curio.sleep(0.1)
+        await pair.change(OTHER, "b", removed=True)
+        await asking.join()
+        assert time.monotonic() - began < 0.1 + 0.5 * feed_wait_s(pair.asker)
+        assert pair.taken == ["b gone"]
+        assert pair.asker.followed[OTHER].revision == 6
+
+    play(scene)
+
+
+def test_a_later_confirmation_is_told_at_once_and_feeds() -> None:
+    async def scene(pair: Pair) -> None:
+        await pair.list_both(5)
+        asking = await curio.spawn(ask_once, pair.asker, RELAY)
+        await curio.sleep(0.2)
+        await pair.relay.followed[URGENT].advanced(5, Changes([], 5), time.monotonic())
+        assert await asking.join()
+        assert pair.asker.fed_until > time.monotonic()
+
+    play(scene)
+
+
+def test_a_confirmation_is_never_taken_for_younger_than_it_is() -> None:
+    async def scene(pair: Pair) -> None:
+        await pair.list_both(5, age_s=1.0)
+        confirmed_at = time.monotonic() - 0.3
+        await pair.relay.followed[URGENT].advanced(5, Changes([], 5), confirmed_at)
+        await ask_once(pair.asker, RELAY)
+        taken_at = pair.asker.followed[URGENT].confirmed_at
+        assert confirmed_at - 0.2 <= taken_at <= confirmed_at
+
+    play(scene)
+
+
+def test_a_relay_that_lags_behind_the_store_does_not_feed() -> None:
+    async def scene(pair: Pair) -> None:
+        await pair.list_both(5, age_s=oldest_s(pair.asker) + 1)
+        await pair.change(OTHER, "b")
+        assert not await ask_once(pair.asker, RELAY)
+        assert pair.asker.fed_until < time.monotonic()
+        assert pair.taken[-1] == "b", "what it tells is taken all the same"
+
+    play(scene)
+
+
+def test_a_relay_without_a_later_confirmation_does_not_feed() -> None:
+    async def scene(pair: Pair) -> None:
+        await pair.list_both(5)
+        began = time.monotonic()
+        assert not await ask_once(pair.asker, RELAY)
+        assert time.monotonic() - began >= feed_wait_s(pair.asker)
+        assert pair.asker.peers.alive(time.monotonic()) == []
+
+    play(scene)
+
+
+def test_a_relay_that_knows_less_tells_nothing() -> None:
+    async def scene(pair: Pair) -> None:
+        await pair.list_both(5)
+        now = time.monotonic()
+        await pair.asker.followed[URGENT].listed(Snapshot([], 9), now)
+        await pair.relay.followed[URGENT].advanced(5, Changes([], 7), now + 5)
+        await ask_once(pair.asker, RELAY)
+        assert pair.asker.followed[URGENT].revision == 9
+        assert pair.asker.followed[URGENT].confirmed_at == now
+
+    play(scene)
+
+
+def test_a_relay_that_nobody_has_told_anything_confirms_nothing() -> None:
+    async def scene(pair: Pair) -> None:
+        assert not await ask_once(pair.asker, RELAY)
+        assert pair.asker.followed[URGENT].confirmed_at == float("-inf")
+
+    play(scene)
+
+
+def test_a_gateway_that_knows_nothing_is_told_everything() -> None:
+    async def scene(pair: Pair) -> None:
+        for followed in pair.relay.followed.values():
+            await followed.listed(Snapshot([obj("a", 4), obj("b", 5)], 5), time.monotonic())
+        assert await ask_once(pair.asker, RELAY)
+        assert pair.taken == ["all 2", "all 2"]
+
+    play(scene)
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_a_gateway_that_does_not_answer_is_passed_over(answers: bool) -> None:
+    async def scene(pair: Pair) -> None:
+        await pair.list_both(5)
+        if not answers:
+            pair.asker.peers.put(RELAY, f"127.0.0.1:{free_port()}")
+        await pair.change(URGENT, "b")
+        assert await ask_once(pair.asker, RELAY) == answers
+        assert pair.asker.peers.alive(time.monotonic()) == ([RELAY] if answers else [])
+        assert pair.asker.peers_answer == answers
+
+    play(scene)
--- a/tests/test_gateway_follow.py
+++ b/tests/test_gateway_follow.py
@@ -1,15 +1,16 @@
-"""Following the store: a watch that is known to have missed something begins anew."""
+"""Following the store: what is taken in, what is told to others, and when the store is asked."""
 
 from __future__ import annotations
 
 import socket
 import time
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import curio
+import pytest
 
-from ramppost.gateway.follow import Follower, Outage, follow
-from ramppost.platform.store import StoreClient
+from ramppost.gateway.follow import Followed, Follower, Handlers, News, Outage, follow
+from ramppost.platform.store import Change, Changes, Snapshot, StoreClient, StoredObject
 from ramppost.wire.client import Pool
 from ramppost.wire.server import Reply, Request, listen, serve
 
@@ -20,52 +21,190 @@
         return int(sock.getsockname()[1])
 
 
-class Store:
-    """Lists nothing at revision 5, and lets every watch wait."""
+class Seen:
+    """What the handlers of a kind were given."""
 
     def __init__(self) -> None:
+        self.lists: list[list[str]] = []
+        self.changes: list[str] = []
+        self.confirmed: list[float] = []
+
+    def handlers(self) -> Handlers:
+        return Handlers(
+            lambda snapshot: self.lists.append([obj.name for obj in snapshot.objects]),
+            lambda change: self.changes.append(change.obj.name),
+            self.confirmed.append,
+        )
+
+
+class Kind(NamedTuple):
+    """A kind that is followed, and what its handlers saw."""
+
+    followed: Followed
+    seen: Seen
+
+
+@pytest.fixture
+def kind() -> Kind:
+    seen = Seen()
+    return Kind(Followed("kind", seen.handlers(), News(), True), seen)
+
+
+def obj(name: str, revision: int) -> StoredObject:
+    return StoredObject(name, revision, {}, None)
+
+
+def listed(kind: Kind, revision: int, *names: str, at: float = 1.0) -> None:
+    objects = [obj(name, revision) for name in names]
+    curio.run(kind.followed.listed(Snapshot(objects, revision), at))
+
+
+def advanced(
+    kind: Kind, since: int, revision: int, *names: str, gone: bool = False, at: float = 2.0
+) -> None:
+    changes = [Change(obj(name, revision), gone) for name in names]
+    curio.run(kind.followed.advanced(since, Changes(changes, revision), at))
+
+
+def told(kind: Kind, revision: int) -> tuple[bool, list[tuple[str, bool]]]:
+    full, changes = kind.followed.told(revision)
+    return full, [(change.obj.name, change.removed) for change in changes]
+
+
+# --- what is taken in
+
+
+def test_changes_that_do_not_follow_what_is_known_are_dropped(kind: Kind) -> None:
+    listed(kind, 5, "a")
+    advanced(kind, 5, 8, "b")
+    advanced(kind, 5, 9, "late", at=9.0)
+    advanced(kind, 7, 9, "unknown start", at=9.0)
+    advanced(kind, 8, 7, "back", at=9.0)
+    assert kind.seen.changes == ["b"]
+    assert (kind.followed.revision, kind.followed.confirmed_at) == (8, 2.0)
+
+
+def test_an_older_list_is_dropped(kind: Kind) -> None:
+    listed(kind, 5, "a")
+    listed(kind, 4, "b", at=9.0)
+    assert kind.seen.lists == [["a"]]
+    assert kind.followed.confirmed_at == 1.0
+
+
+def test_a_confirmation_never_goes_back(kind: Kind) -> None:
+    listed(kind, 5, at=3.0)
+    advanced(kind, 5, 5, at=2.0)
+    assert kind.followed.confirmed_at == 3.0
+
+
+# --- what is told
+
+
+@pytest.mark.parametrize(
+    ("revision", "expected"),
+    [
+        (3, (True, [("a", False), ("c", False)])),
+        (5, (False, [("b", True), ("c", False)])),
+        (6, (False, [("b", True), ("c", False)])),
+        (7, (False, [("c", False)])),
+        (8, (False, [])),
+        (9, (False, [])),
+    ],
+)
+def test_what_somebody_is_told(
+    kind: Kind, revision: int, expected: tuple[bool, list[tuple[str, bool]]]
+) -> None:
+    listed(kind, 5, "a", "b")
+    advanced(kind, 5, 7, "b", gone=True)
+    advanced(kind, 7, 8, "c")
+    assert told(kind, revision) == expected
+
+
+def test_only_the_latest_change_of_an_object_is_told(kind: Kind) -> None:
+    listed(kind, 5)
+    advanced(kind, 5, 6, "a", "b")
+    advanced(kind, 6, 7, "a", gone=True)
+    assert told(kind, 5) == (False, [("b", False), ("a", True)])
+
+
+def test_whoever_is_too_far_back_is_told_everything(
+    kind: Kind, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("ramppost.gateway.follow.MAX_LOG", 2)
+    listed(kind, 5)
+    for at, name in enumerate("abc"):
+        advanced(kind, 5 + at, 6 + at, name)
+    assert told(kind, 5) == (True, [("a", False), ("b", False), ("c", False)])
+    assert told(kind, 6) == (False, [("b", False), ("c", False)])
+
+
+# --- when the store is asked
+
+
+class Store:
+    """Lists nothing at revision 5, and lets every watch wait, or cuts it."""
+
+    def __init__(self, cuts: bool) -> None:
         self.calls: list[str] = []
+        self.cuts = cuts
 
     async def handle(self, req: Request, reply: Reply) -> None:
         self.calls.append("watch" if "watch" in req.query else "list")
         if "watch" in req.query:
-            await curio.sleep(30)
-        await reply.send(200, b'{"items":[],"truncated":false,"current_rev":5}')
+            if self.cuts:
+                await reply.send(503, b"{}")
+                return
+            await curio.sleep(int(req.query["wait_ms"]) / 1000)
+        body = b'{"events":[],"current_rev":5}' if "watch" in req.query else LISTED
+        await reply.send(200, body)
+
+
+LISTED = b'{"items":[],"truncated":false,"current_rev":5}'
 
 
 class Played(NamedTuple):
-    """Calls that the store got, and how many confirmations the follower took from them."""
+    """Calls that the store got, and how many confirmations came of them."""
 
     calls: list[str]
     confirmed: int
 
 
-async def _played(wake_after_s: float | None, for_s: float) -> Played:
-    confirmed: list[float] = []
-    store, port = Store(), free_port()
+async def _played(fed_for_s: float, patience_s: float, for_s: float, cuts: bool) -> Played:
+    store, port, seen = Store(cuts), free_port(), Seen()
     await curio.spawn(serve, listen("127.0.0.1", port), store.handle, daemon=True)
-    wake = curio.Event()
-    follower = Follower(
-        "kind", lambda: 20.0, lambda s: None, lambda c: None, confirmed.append, True, wake
-    )
+    fed_until = time.monotonic() + fed_for_s
+    followed = Followed("kind", seen.handlers(), News(), True)
+    follower = Follower(followed, 20.0, 0.0, patience_s, lambda: fed_until, True)
     client = StoreClient(f"127.0.0.1:{port}", Pool())
     task = await curio.spawn(follow, client, follower, Outage(), daemon=True)
-    began = time.monotonic()
-    if wake_after_s is not None:
-        await curio.sleep(wake_after_s)
-        await wake.set()
-    await curio.sleep(for_s - (time.monotonic() - began))
+    await curio.sleep(for_s)
     await task.cancel()
-    return Played(store.calls, len(confirmed))
+    return Played(store.calls, len(seen.confirmed))
+
+
+def played(fed_for_s: float, patience_s: float, for_s: float, cuts: bool = False) -> Played:
+    got: Any = curio.run(_played(fed_for_s, patience_s, for_s, cuts))
+    assert isinstance(got, Played)
+    return got
+
+
+def test_the_store_is_listed_and_watched_where_nobody_feeds() -> None:
+    assert played(-1.0, 0.0, 0.5) == Played(["list", "watch"], 1)
+
+
+def test_the_store_is_not_watched_while_a_relay_feeds() -> None:
+    assert played(5.0, 0.0, 0.5) == Played(["list"], 1)
 
 
-def test_a_watch_that_is_woken_begins_anew() -> None:
-    assert curio.run(_played(0.3, 0.8)).calls == ["list", "watch", "watch"]
+def test_the_store_is_watched_when_the_feed_has_ended() -> None:
+    assert played(0.3, 0.0, 0.8) == Played(["list", "watch"], 1)
 
 
-def test_a_watch_that_is_woken_confirms_nothing() -> None:
-    assert curio.run(_played(0.3, 0.8)).confirmed == 1
+def test_what_is_not_urgent_waits_longer_for_the_feed() -> None:
+    assert played(0.3, 5.0, 0.8) == Played(["list"], 1)
 
 
-def test_a_watch_that_is_not_woken_waits() -> None:
-    assert curio.run(_played(None, 0.6)) == Played(["list", "watch"], 1)
+def test_a_watch_that_fails_confirms_nothing() -> None:
+    got = played(-1.0, 0.0, 0.6, cuts=True)
+    assert got.calls[:3] == ["list", "watch", "watch"]
+    assert got.confirmed == 1
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -9,8 +9,14 @@
 from ramppost.gateway.events import EventSplitter
 from ramppost.gateway.freshness import MARGIN_S, Freshness
 from ramppost.gateway.membership import LAPSE_GRACE_S, Members
-from ramppost.gateway.model import RolloutOrder, Upstream
-from ramppost.gateway.models import DEFAULT_POLICY, ModelPlan, good_enough, next_model
+from ramppost.gateway.model import RolloutOrder, Route, Target, Upstream
+from ramppost.gateway.models import (
+    DEFAULT_POLICY,
+    ModelPlan,
+    good_enough,
+    model_plan,
+    next_model,
+)
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.policy.guard import Tally, reason_against
 from ramppost.policy.limits import RetryBudget
@@ -27,7 +33,7 @@
     ranked,
 )
 from ramppost.policy.ramp import FIRST_SHARE, STEPS, Pins, on_new, place_of, share_at
-from ramppost.policy.scouts import DEAD_S, Roll, ranked_names, scout_count
+from ramppost.policy.relays import DEAD_S, Peers, ranked_names, relay_count
 from ramppost.policy.suspicion import Suspicion
 
 NOW = 1000.0
@@ -487,29 +493,86 @@
     assert next_model(PLAN, "s", predicted.get, left_s) == chosen
 
 
-# --- scouts
+CASCADE_ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/",
+    streams=True,
+    repeat="any",
+    resumable=True,
+    timeout_s=25.0,
+    objective_s=3.0,
+    gap_objective_s=1.2,
+    attempts=3,
+    priority=0,
+    anonymous=False,
+    models=("s", "m", "l"),
+    targets=(Target("lm", 1.0),),
+)
+
+
+@pytest.mark.parametrize(
+    ("any_model", "may_retry", "attempts", "models"),
+    [
+        (True, True, 3, ("s", "m", "l")),
+        (True, False, 3, ("l",)),
+        (True, True, 1, ("l",)),
+        (False, True, 3, ("",)),
+    ],
+)
+def test_which_models_may_answer(
+    any_model: bool, may_retry: bool, attempts: int, models: tuple[str, ...]
+) -> None:
+    route = CASCADE_ROUTE._replace(attempts=attempts)
+    assert model_plan(route, any_model, may_retry).models == models
+
+
+# --- relays
+
+
+def list_all(peers: Peers, names: list[str]) -> None:
+    for name in names:
+        peers.put(name, "addr")
 
 
-def test_all_gateways_agree_on_the_scouts() -> None:
+def test_all_gateways_agree_on_the_relays() -> None:
     names = [f"g{i}" for i in range(8)]
-    rolls = [Roll(name) for name in names]
-    for roll in rolls:
-        roll.replace(dict.fromkeys(names, "addr"))
-    assert len({tuple(roll.scouts(NOW)) for roll in rolls}) == 1
-    assert sum(roll.is_scout(NOW) for roll in rolls) == scout_count(8)
+    views = [Peers(name) for name in names]
+    for peers in views:
+        list_all(peers, names)
+    assert len({tuple(peers.relays(NOW)) for peers in views}) == 1
+    assert sum(peers.is_relay(NOW) for peers in views) == relay_count(8)
 
 
-def test_a_gateway_that_knows_no_other_is_a_scout() -> None:
-    assert Roll("a").is_scout(NOW)
+def test_a_gateway_that_knows_no_other_is_a_relay() -> None:
+    assert Peers("a").is_relay(NOW)
 
 
-def test_the_next_in_rank_follows_a_dead_scout_and_yields_again() -> None:
+def test_the_next_in_rank_follows_a_dead_relay_and_yields_again() -> None:
     names = ranked_names([f"g{i}" for i in range(8)])
-    roll = Roll(names[scout_count(8)])
-    roll.replace(dict.fromkeys(names, "addr"))
-    assert not roll.is_scout(NOW)
-    roll.heard(names[0], False, NOW)
-    assert roll.is_scout(NOW + 1)
-    assert not roll.is_scout(NOW + DEAD_S + 1)
-    roll.heard(names[0], True, NOW + 1)
-    assert not roll.is_scout(NOW + 1)
+    peers = Peers(names[relay_count(8)])
+    list_all(peers, names)
+    assert not peers.is_relay(NOW)
+    peers.heard(names[0], False, NOW)
+    assert peers.is_relay(NOW + 1)
+    assert not peers.is_relay(NOW + DEAD_S + 1)
+    peers.heard(names[0], True, NOW + 1)
+    assert not peers.is_relay(NOW + 1)
+
+
+def test_a_relay_that_helps_is_kept_and_others_are_tried_where_none_does() -> None:
+    names = ranked_names([f"g{i}" for i in range(29)])
+    peers = Peers(names[-1])
+    list_all(peers, names)
+    rng = random.Random(1)
+    relays = set(names[: relay_count(29)])
+    assert {peers.to_follow("", False, NOW, rng) for _ in range(50)} == relays
+    assert {peers.to_follow(names[1], True, NOW, rng) for _ in range(50)} == {names[1]}
+    assert {peers.to_follow(names[1], False, NOW, rng) for _ in range(900)} == set(names[:-1])
+
+
+def test_nobody_is_followed_where_all_are_dead() -> None:
+    peers = Peers("a")
+    list_all(peers, ["a", "b"])
+    peers.heard("b", False, NOW)
+    assert peers.to_follow("b", True, NOW, random.Random(1)) == ""
