Following relays: large objects are read from the store; outages of a relay's own cost no time

Cause: a configuration of some hundred KB went from one relay to ten gateways over a link of 5 to 10 Mbit/s, which then held up its callers for seconds. Cause: both first relays were cut from the store as the order came; roll-outs were asked of the store only 3 s after the last feed, and a relay that the store turned away asked others only once its confirmation was old. Change: orders are watched without that patience; a relay asks others as soon as the store fails it.

--- a/ramppost/gateway/feed.py
+++ b/ramppost/gateway/feed.py
@@ -23,6 +23,9 @@
 """A call is answered within this, whatever it asks for."""
 WORTH_TELLING_S: Final = 0.1
 """A confirmation that is so much younger than the asker's own ends its wait."""
+LARGE_BYTES: Final = 32768
+"""Objects above this are read from the store by whoever needs them: on a box with 10 Mbit/s, one
+of 500 KB for ten gateways would hold up everything else for seconds."""
 NEVER_MS: Final = -1.0
 """Stands for an age where there was no confirmation."""
 
@@ -48,7 +51,7 @@
         await gw.news.wait(until - time.monotonic())
     now = time.monotonic()
     kinds = [
-        _told(followed, mark["revision"], now)
+        _told(followed, mark["revision"], now, query["large"])
         for mark in query["kinds"]
         if (followed := gw.followed.get(mark["kind"])) and followed.revision is not None
     ]
@@ -71,7 +74,7 @@
     return False
 
 
-def _told(followed: Followed, since: int, now: float) -> FeedKind:
+def _told(followed: Followed, since: int, now: float, large: bool) -> FeedKind:
     """What is known of a kind after a revision."""
     told = followed.told(since)
     age_s = now - followed.confirmed_at
@@ -81,16 +84,19 @@
         revision=followed.revision or 0,
         age_ms=age_s * 1000 if followed.confirmed_at > float("-inf") else NEVER_MS,
         full=told.full,
-        changes=[_change(change) for change in told.changes],
+        changes=[
+            _change(change, large or followed.size_of(change.obj.name) <= LARGE_BYTES)
+            for change in told.changes
+        ],
     )
 
 
-def _change(change: Change) -> FeedChange:
+def _change(change: Change, whole: bool) -> FeedChange:
     obj = change.obj
-    return FeedChange(
-        name=obj.name,
-        revision=obj.revision,
-        removed=change.removed,
-        spec=obj.spec,
-        status=obj.status,
+    told = FeedChange(
+        name=obj.name, revision=obj.revision, removed=change.removed, whole=whole or change.removed
     )
+    if whole and not change.removed:
+        told["spec"] = obj.spec
+        told["status"] = obj.status
+    return told
--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -27,6 +27,7 @@
     list_kind,
     watch,
 )
+from ramppost.wire.codec import encode
 
 FIRST_BACKOFF_S: Final = 0.1
 MAX_BACKOFF_S: Final = 0.5
@@ -88,6 +89,7 @@
         self._handlers = handlers
         self._objects: dict[str, StoredObject] = {}
         self._latest: dict[str, tuple[int, Change]] = {}
+        self._sizes: dict[str, int] = {}
         self._logged_from = 0
 
     async def listed(self, snapshot: Snapshot, at: float) -> None:
@@ -97,6 +99,7 @@
         self._handlers.on_snapshot(snapshot)
         self._objects = {obj.name: obj for obj in snapshot.objects}
         self._latest.clear()
+        self._sizes.clear()
         self._logged_from = self.revision = snapshot.revision
         await self._confirmed(at)
 
@@ -121,8 +124,16 @@
             found.append(change)
         return Told(False, found[::-1])
 
+    def size_of(self, name: str) -> int:
+        """Bytes of an object's spec as JSON; 0 where it is not there."""
+        if name not in self._sizes:
+            obj = self._objects.get(name)
+            self._sizes[name] = len(encode(obj.spec)) if obj is not None else 0
+        return self._sizes[name]
+
     def _keep(self, change: Change, revision: int) -> None:
         name = change.obj.name
+        self._sizes.pop(name, None)
         self._latest.pop(name, None)
         self._latest[name] = (revision, change)
         if change.removed:
--- a/ramppost/gateway/peers.py
+++ b/ramppost/gateway/peers.py
@@ -9,7 +9,7 @@
 
 from ramppost.gateway.follow import Handlers
 from ramppost.gateway.state import Gateway
-from ramppost.gateway.watchers import SLOW_WAIT_S, watch_kind
+from ramppost.gateway.watchers import PATIENCE_S, SLOW_WAIT_S, watch_kind
 from ramppost.platform.store import Snapshot, StoredObject, put
 from ramppost.wire.codec import BadMessage, decode, encode
 
@@ -37,7 +37,7 @@
         lambda change: None if change.removed else _found(gw, change.obj),
         lambda at: None,
     )
-    await watch_kind(gw, GATEWAY_KIND, handlers, SLOW_WAIT_S)
+    await watch_kind(gw, GATEWAY_KIND, handlers, SLOW_WAIT_S, PATIENCE_S)
 
 
 def _listed(gw: Gateway, snapshot: Snapshot) -> None:
--- a/ramppost/gateway/subscribe.py
+++ b/ramppost/gateway/subscribe.py
@@ -19,7 +19,15 @@
 from ramppost.gateway.follow import Followed
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import feed_wait_s, oldest_s
-from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
+from ramppost.platform.store import (
+    Change,
+    Changes,
+    Missing,
+    Snapshot,
+    StoredObject,
+    Unavailable,
+    read,
+)
 from ramppost.schema.messages import FeedChange, FeedKind, FeedMark, FeedMsg, FeedQuery
 from ramppost.wire.client import CallFailed, call
 from ramppost.wire.codec import BadMessage, decode, encode
@@ -37,7 +45,7 @@
     name, helped = "", False
     while True:
         now = time.monotonic()
-        if gw.peers.is_relay(now) and gw.fresh.age(now) <= oldest_s(gw):
+        if not wants_feed(gw, now):
             name, helped = "", False
             await curio.sleep(IDLE_S)
             continue
@@ -50,12 +58,19 @@
             await curio.sleep(BACKOFF_S)
 
 
+def wants_feed(gw: Gateway, now: float) -> bool:
+    """Whether to ask others: unless this gateway is a relay that keeps up with the store."""
+    behind = gw.outage.failing_since is not None or gw.fresh.age(now) > oldest_s(gw)
+    return behind or not gw.peers.is_relay(now)
+
+
 async def ask_once(gw: Gateway, name: str) -> bool:
     """Ask a gateway once; whether it keeps up with the store."""
     sent_at = time.monotonic()
     wait_s = feed_wait_s(gw)
     marks = [_mark(followed, sent_at) for followed in gw.followed.values()]
-    body = encode(FeedQuery(wait_ms=wait_s * 1000, kinds=marks))
+    large = gw.outage.failing_since is not None
+    body = encode(FeedQuery(wait_ms=wait_s * 1000, large=large, kinds=marks))
     timeout_s = wait_s + ANSWER_SLACK_S
     addr = gw.peers.addrs[name]
     got = await call(gw.store.pool, addr, "POST", FEED_PATH, body, timeout_s)
@@ -67,7 +82,7 @@
         return False
     for told in msg["kinds"]:
         if told["kind"] in gw.followed:
-            await _take(gw.followed[told["kind"]], told, sent_at + msg["waited_ms"] / 1000)
+            await _take(gw, told, sent_at + msg["waited_ms"] / 1000)
     now = time.monotonic()
     age_s = _urgent_age_s(gw, msg)
     if msg["waited_ms"] / 1000 >= wait_s or age_s > oldest_s(gw):
@@ -98,18 +113,35 @@
     )
 
 
-async def _take(followed: Followed, told: FeedKind, answered_at: float) -> None:
+async def _take(gw: Gateway, told: FeedKind, answered_at: float) -> None:
     """Take in what was told of a kind; `answered_at` is no later than when it was told."""
+    followed = gw.followed[told["kind"]]
     if told["age_ms"] < 0:
         return
     at = answered_at - told["age_ms"] / 1000
-    changes = [_change(item) for item in told["changes"]]
+    changes = []
+    for item in told["changes"]:
+        change = await _change(gw, told["kind"], item)
+        if change is None:
+            return
+        changes.append(change)
     if told["full"]:
         await followed.listed(Snapshot([c.obj for c in changes], told["revision"]), at)
     else:
         await followed.advanced(told["since"], Changes(changes, told["revision"]), at)
 
 
-def _change(item: FeedChange) -> Change:
-    obj = StoredObject(item["name"], item["revision"], item.get("spec"), item.get("status"))
-    return Change(obj, item["removed"])
+async def _change(gw: Gateway, kind: str, item: FeedChange) -> Change | None:
+    """A change as it was told, or as the store has it now; None where that can't be read."""
+    if item["whole"]:
+        obj = StoredObject(item["name"], item["revision"], item.get("spec"), item.get("status"))
+        return Change(obj, item["removed"])
+    got = await read(gw.store, kind, item["name"])
+    if isinstance(got, Unavailable):
+        logger.info("large object not read: {}", got.reason, kind=kind, name=item["name"])
+        # From now on the relay is asked for large objects, too.
+        gw.outage.failed(kind, got.reason)
+        return None
+    if isinstance(got, Missing):
+        return Change(StoredObject(item["name"], item["revision"], None, None), True)
+    return Change(got, False)
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -32,7 +32,7 @@
 ROLLOUT_WAIT_S: Final = 6.0
 """Orders last many seconds, and a gateway also judges versions by itself."""
 PATIENCE_S: Final = 3.0
-"""What is not urgent is asked of the store only so long after the last relay has helped."""
+"""What other gateways write is asked of the store only so long after a relay has helped."""
 GATHER_S: Final = 0.25
 """Kept between two watches of upstreams: many change together."""
 SWEEP_S: Final = 0.2
@@ -79,24 +79,29 @@
         lambda change: progress_seen(gw, change.obj),
         _unused,
     )
-    await watch_kind(gw, names.CONFIG_KIND, config, _config_wait_s(gw), urgent=True)
-    await watch_kind(gw, names.UPSTREAM_KIND, upstreams, _upstream_wait_s(gw), urgent=True)
-    await watch_kind(gw, names.ROLLOUT_KIND, rollouts, ROLLOUT_WAIT_S)
-    await watch_kind(gw, PROGRESS_KIND, progress, SLOW_WAIT_S)
+    await watch_kind(gw, names.CONFIG_KIND, config, _config_wait_s(gw), 0.0, urgent=True)
+    await watch_kind(gw, names.UPSTREAM_KIND, upstreams, _upstream_wait_s(gw), 0.0, urgent=True)
+    await watch_kind(gw, names.ROLLOUT_KIND, rollouts, ROLLOUT_WAIT_S, 0.0)
+    await watch_kind(gw, PROGRESS_KIND, progress, SLOW_WAIT_S, PATIENCE_S)
     await curio.spawn(_sweep, gw, daemon=True)
 
 
 async def watch_kind(
-    gw: Gateway, kind: str, handlers: Handlers, wait_s: float, urgent: bool = False
+    gw: Gateway,
+    kind: str,
+    handlers: Handlers,
+    wait_s: float,
+    patience_s: float,
+    urgent: bool = False,
 ) -> None:
-    """Follow a kind from now on; what is urgent is asked of the store without patience."""
+    """Follow a kind from now on."""
     followed = Followed(kind, handlers, gw.news, urgent)
     gw.followed[kind] = followed
     follower = Follower(
         followed,
         wait_s,
         GATHER_S if kind == names.UPSTREAM_KIND else 0.0,
-        0.0 if urgent else PATIENCE_S,
+        patience_s,
         lambda: gw.fed_until,
         probes=kind == names.CONFIG_KIND,
     )
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -123,6 +123,10 @@
     """
     Whether it was removed.
     """
+    whole: bool
+    """
+    False for a large object that has to be read from the store instead.
+    """
     spec: NotRequired[Any]
     """
     Its spec, as it stands in the store.
@@ -532,6 +536,10 @@
     Gateway to gateway: what I know of each kind of objects in the store; answer when you know more.
     """
 
+    large: bool
+    """
+    Whether to tell large objects whole, too: the store does not answer me.
+    """
     wait_ms: float
     """
     Milliseconds to wait for something new.
