Policies at gateways: a document in the store, changed by plan and confirm; reports

Change: `policies/main` in the store holds policies, each workspace's shares of them and the operators; gateways follow it like the rest. The intent API answers at the internal port with an entry's paths, messages and commands: intents are applied by the same code, on a configuration made of the document and of what the platform tells. A confirmation is one conditional write that names its plan. Counts of policies and burn lines of the entry moved to `policy/compare.py` and `policy/burn.py`, used by both. Ruled out: operators in the settings (a second copy of the type, and no way to change them by a plan).

--- a/ramppost/cli/main.py
+++ b/ramppost/cli/main.py
@@ -15,6 +15,7 @@
     ReportBurnCommand,
     StatusCommand,
 )
+from ramppost.cli.policy_init import PolicyInitCommand
 from ramppost.cli.run import (
     AgentCommand,
     CheckConfigCommand,
@@ -39,6 +40,7 @@
         ConfirmCommand,
         StatusCommand,
         HistoryCommand,
+        PolicyInitCommand,
         PolicyCompareCommand,
         ReportBurnCommand,
     ):
--- a/ramppost/entry/stats.py
+++ b/ramppost/entry/stats.py
@@ -12,15 +12,14 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from hdrh.histogram import HdrHistogram
 
-from ramppost.policy.burn import FAST_S, SLOW_S, Window, budget_left, burn
+from ramppost.policy.burn import Class, Window, class_line
+from ramppost.policy.compare import PolicyCount, policy_line
 from ramppost.policy.permissions import ModelVersion
-from ramppost.policy.routing import Mean
 from ramppost.schema.config import WorkClass
 from ramppost.schema.messages import ClassReport, PolicyReport
 
 REMEMBERED: Final = 20000
 MAX_MS: Final = 3_600_000
-Z95: Final = 1.96
 DEFAULT_OBJECTIVE_MS: Final = 1000
 DEFAULT_OBJECTIVE_SHARE: Final = 0.99
 
@@ -33,17 +32,6 @@
     mv: ModelVersion
 
 
-class PolicyCount:
-    """Counts of a policy."""
-
-    def __init__(self) -> None:
-        self.requests = 0
-        self.refused = 0
-        self.cost = 0.0
-        self.trial = 0
-        self.ratings = Mean()
-
-
 class ClassCount:
     """Counts of a class of a workspace."""
 
@@ -111,23 +99,7 @@
 
     def policy_reports(self) -> list[PolicyReport]:
         """A line for each policy, with a 95% interval of its mean rating."""
-        lines = []
-        for name, count in self.policies.items():
-            mean, n = count.ratings.mean, count.ratings.n
-            half = Z95 * count.ratings.sd / n**0.5 if n else 0.0
-            line = PolicyReport(
-                policy=name,
-                requests=count.requests,
-                refused=count.refused,
-                cost=count.cost,
-                rated=n,
-                quality=mean,
-                quality_low=mean - half,
-                quality_high=mean + half,
-                trial_requests=count.trial,
-            )
-            lines.append(line)
-        return lines
+        return [policy_line(name, count) for name, count in self.policies.items()]
 
     def class_reports(self) -> list[ClassReport]:
         """A line for each class of each workspace."""
@@ -136,16 +108,13 @@
         for (workspace, name), count in self.classes.items():
             share = self.objectives[name].get("objective_share", DEFAULT_OBJECTIVE_SHARE)
             window = count.window
-            line = ClassReport(
-                workspace=workspace,
-                class_name=name,
-                good=window.good,
-                bad=window.bad,
-                fast_burn=burn(window.bad_share(FAST_S, now), share),
-                slow_burn=burn(window.bad_share(SLOW_S, now), share),
-                budget_left=budget_left(window.good, window.bad, share),
-                p50_ms=float(count.first_ms.get_value_at_percentile(50)),
-                p99_ms=float(count.first_ms.get_value_at_percentile(99)),
+            line = class_line(
+                Class(workspace, name),
+                window,
+                share,
+                now,
+                float(count.first_ms.get_value_at_percentile(50)),
+                float(count.first_ms.get_value_at_percentile(99)),
             )
             lines.append(line)
         return lines
--- /dev/null
+++ b/ramppost/gateway/counts.py
@@ -0,0 +1,106 @@
+"""What a gateway counts for its operators: policies, and classes by workspace and route.
+
+All of it is lost with the process.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Final, NamedTuple
+
+from ramppost.gateway.metrics import BUCKETS_S, Histogram
+from ramppost.policy.burn import Class, Window, class_line
+from ramppost.policy.compare import PolicyCount, policy_line
+from ramppost.schema.messages import Report
+
+OBJECTIVE_SHARE: Final = 0.99
+"""Part of the requests that must be within their route's objective; the platform names none."""
+MAX_CLASSES: Final = 4096
+"""Classes that are counted: workspaces times routes, which a configuration may add by hundreds."""
+
+
+class Ended(NamedTuple):
+    """A request that has ended.  `took_s` is the time to the head of its answer, or to its end;
+    `policy` is empty where the caller named a model; `confidence` is 0 to 100."""
+
+    workspace: str
+    route: str
+    served: bool
+    took_s: float
+    objective_s: float
+    policy: str
+    cost: float
+    confidence: float | None
+
+
+class ClassCount:
+    """Counts of a class."""
+
+    def __init__(self) -> None:
+        self.window = Window()
+        self.first = Histogram()
+
+
+class Counts:
+    """Everything counted."""
+
+    def __init__(self) -> None:
+        self.policies: dict[str, PolicyCount] = {}
+        self.classes: dict[Class, ClassCount] = {}
+
+    def ended(self, req: Ended) -> None:
+        """Count a request's end."""
+        cls = self._class_of(req)
+        cls.window.add(req.served and req.took_s <= req.objective_s, time.time())
+        if req.served:
+            cls.first.observe(req.took_s)
+        if not req.policy:
+            return
+        count = self.policies.setdefault(req.policy, PolicyCount())
+        count.requests += 1
+        count.refused += not req.served
+        count.cost += req.cost
+        if req.served and req.confidence is not None:
+            count.ratings.add(req.confidence / 100)
+
+    def report(self, name: str) -> Report:
+        """What the operators are told."""
+        now = time.time()
+        return Report(
+            entry=name,
+            policies=[policy_line(policy, count) for policy, count in self.policies.items()],
+            classes=[
+                class_line(
+                    cls,
+                    count.window,
+                    OBJECTIVE_SHARE,
+                    now,
+                    percentile_ms(count.first, 0.5),
+                    percentile_ms(count.first, 0.99),
+                )
+                for cls, count in self.classes.items()
+            ],
+        )
+
+    def _class_of(self, req: Ended) -> ClassCount:
+        cls = Class(req.workspace, req.route)
+        if cls not in self.classes and len(self.classes) >= MAX_CLASSES:
+            cls = Class("", "others")
+        return self.classes.setdefault(cls, ClassCount())
+
+
+def percentile_ms(histogram: Histogram, part: float) -> float:
+    """Upper bound of the bucket that a part of the values reaches, in milliseconds.
+
+    >>> seen = Histogram()
+    >>> for seconds in (0.02, 0.02, 0.3): seen.observe(seconds)
+    >>> percentile_ms(seen, 0.5), percentile_ms(seen, 0.99)
+    (25.0, 400.0)
+    """
+    wanted = part * sum(histogram.counts)
+    passed = 0
+    for bound_s, count in zip(BUCKETS_S, histogram.counts, strict=False):
+        passed += count
+        if passed >= wanted:
+            return bound_s * 1000
+    return BUCKETS_S[-1] * 1000
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -25,6 +25,16 @@
         self.tried: set[str] = set()
         self.failed_versions: set[str] = set()
         """Versions of upstreams that answered with a failure which was tried again."""
+        self.policy = ""
+        """Name of the policy that chose its models, empty where the caller named one."""
+        self.cost = 0.0
+        """What its answers have cost so far, dropped ones too, in the platform's prices."""
+        self.confidence: float | None = None
+        """Of the answer that was passed on, 0 to 100."""
+        self.first_at: float | None = None
+        """When the head of that answer came (steady clock)."""
+        self.events = 0
+        """Events of a stream that were passed on."""
         self.last_event_id = ""
         """Of the last event passed on, as the upstream gave it."""
 
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -15,8 +15,8 @@
 from ramppost import logs
 from ramppost.errors import error_body, refusal
 from ramppost.gateway.early import address
-from ramppost.gateway.feed import feed
 from ramppost.gateway.inbound import BadRequest, Doorway, accept_callers
+from ramppost.gateway.operators import internal
 from ramppost.gateway.peers import keep_listed
 from ramppost.gateway.rollout_duty import drive_rollouts
 from ramppost.gateway.serve import serve
@@ -68,7 +68,7 @@
     await curio.spawn(drive_rollouts, gw, daemon=True)
     await curio.spawn(serve_http, listen(*address(cfg["health"])), _health(gw), daemon=True)
     inner = listen(cfg["ip"], cfg["internal_port"])
-    await curio.spawn(serve_http, inner, feed(gw), daemon=True)
+    await curio.spawn(serve_http, inner, internal(gw), daemon=True)
     await curio.spawn(keep_listed, gw, daemon=True)
     await curio.spawn(subscribe, gw, daemon=True)
     metrics = listen(cfg["ip"], cfg["metrics_port"])
--- a/ramppost/gateway/models.py
+++ b/ramppost/gateway/models.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from ramppost.gateway.model import Route
+from ramppost.policy.policydoc import models_of
 from ramppost.policy.routing import cascade_stops
 from ramppost.schema.config import Policy
 
-DEFAULT_POLICY: Final = Policy(name="default", kind="cascade", models=[], threshold=0.6)
-"""A cascade over a route's smallest and largest model.  Gains are flat between thresholds of
-0.5 and 0.7 (trial with one run each)."""
-
 
 class ModelPlan(NamedTuple):
     """Models that may answer, the smallest first, by a policy.
@@ -24,8 +21,8 @@
     policy: Policy
 
 
-def model_plan(route: Route, any_model: bool, may_retry: bool) -> ModelPlan:
-    """The models for a request.
+def model_plan(route: Route, policy: Policy, any_model: bool, may_retry: bool) -> ModelPlan:
+    """The models for a request by its policy.
 
     One that there is no retry left for goes straight to the largest: a second stage counts
     as a retry.  A stream that its caller takes up again goes through the cascade like any
@@ -33,10 +30,11 @@
     engines up for seconds.
     """
     if not any_model or not route.models:
-        return ModelPlan(("",), DEFAULT_POLICY)
-    if not may_retry or route.attempts < 2 or len(route.models) == 1:
-        return ModelPlan((route.models[-1],), DEFAULT_POLICY)
-    return ModelPlan(route.models, DEFAULT_POLICY)
+        return ModelPlan(("",), policy)
+    models = models_of(policy, route.models)
+    if not may_retry or route.attempts < 2:
+        return ModelPlan(models[-1:], policy)
+    return ModelPlan(models, policy)
 
 
 def good_enough(plan: ModelPlan, model: str, confidence: float | None) -> bool:
@@ -54,7 +52,7 @@
     that comes late earns little, and a long prompt holds up others while it is read.
     `first_s` predicts the seconds to a model's first token, None where nobody serves it.
 
-    >>> plan = ModelPlan(("s", "m", "l"), DEFAULT_POLICY)
+    >>> plan = ModelPlan(("s", "m", "l"), Policy(name="p", kind="cascade", models=[]))
     >>> next_model(plan, "s", {"m": 0.3, "l": 2.0}.get, 1.2)
     'm'
     """
--- a/ramppost/gateway/passing.py
+++ b/ramppost/gateway/passing.py
@@ -76,6 +76,7 @@
         if events:
             await _write_events(running, reply, b"".join(event.raw for event in events))
             passed += len(events)
+            job.events += len(events)
     if not reply.started:
         await reply.send(running.head.status, running.head.headers, b"")
     else:
--- /dev/null
+++ b/ramppost/gateway/policies.py
@@ -0,0 +1,62 @@
+"""The policies in force at a gateway, from a document of ours in the store."""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from ramppost.gateway.model import RoutingTable
+from ramppost.platform.store import StoredObject
+from ramppost.policy.policydoc import DEFAULT_POLICY, Known, as_config, empty_doc, policy_of
+from ramppost.schema.config import ConfigDoc, Policy, PolicyDoc
+from ramppost.wire.codec import BadMessage, decode, encode
+
+POLICY_KIND = "policies"
+POLICY_NAME = "main"
+
+
+class Policies:
+    """The newest document, and the whole configuration that it makes with what is known."""
+
+    def __init__(self) -> None:
+        self.doc: PolicyDoc = empty_doc([])
+        self.revision = 0
+        self._config: ConfigDoc | None = None
+        self._known = Known({}, [])
+
+    def seen(self, obj: StoredObject) -> None:
+        """A document is in the store; one that is older or not understood changes nothing."""
+        doc = decode(encode(obj.spec), PolicyDoc)
+        if isinstance(doc, BadMessage):
+            logger.error("policies not understood: {}", doc.reason, revision=obj.revision)
+            return
+        if obj.name != POLICY_NAME or obj.revision <= self.revision:
+            return
+        self.doc, self.revision, self._config = doc, obj.revision, None
+        logger.info(
+            "policies in force",
+            revision=obj.revision,
+            plan=doc["plan_id"],
+            by=doc["changed_by"],
+            policies=[policy["name"] for policy in doc["policies"]],
+        )
+
+    def learn(self, table: RoutingTable) -> None:
+        """A configuration of the platform is in force."""
+        prices: dict[str, float] = {}
+        for service in table.services.values():
+            if service.engine is not None:
+                prices |= service.engine.prices
+        names = sorted({ws.name for ws in (table.keys or {}).values()})
+        self._known, self._config = Known(prices, names), None
+
+    def config(self) -> ConfigDoc:
+        """The whole configuration, as intents are applied to it."""
+        if self._config is None:
+            self._config = as_config(self.doc, max(1, self.revision), self._known)
+        return self._config
+
+    def of(self, workspace: str, who: str) -> Policy:
+        """The policy of a workspace's session or request."""
+        if not self.doc["workspaces"]:
+            return DEFAULT_POLICY
+        return policy_of(self.config(), workspace, who)
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -16,6 +16,7 @@
 from ramppost.errors import Refusal, error_body, refusal
 from ramppost.gateway.admit import admit
 from ramppost.gateway.attempt import Refused, Running, attempt, release
+from ramppost.gateway.counts import Ended
 from ramppost.gateway.inbound import JSON_TYPE, Reply
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, NotSent
@@ -26,6 +27,7 @@
 from ramppost.gateway.rollout_duty import judge_answer
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers, refusal_headers
+from ramppost.policy.policydoc import READ_PRICE_PART
 from ramppost.wire.server import Gone
 
 MAX_CONNECT_FAILURES: Final = 4
@@ -51,6 +53,7 @@
     except (Gone, curio.CancelledError):
         _note_end(gw, job, "caller left", reply.status, read_at)
         raise
+    gw.counts.ended(_ended(job, failed is None, time.monotonic()))
     if failed is None:
         _note_end(gw, job, "served", reply.status, read_at)
     elif reply.started:
@@ -65,7 +68,7 @@
     service = service_of(job)
     budget = gw.budget_of(service)
     budget.tried()
-    plan = model_plan(job.route, job.req.any_model, budget.left >= 1)
+    plan = _plan(gw, job, budget.left >= 1)
     model = plan.models[0]
     while True:
         got = await _running(gw, job, service, model, reply)
@@ -86,6 +89,23 @@
             return refusal("outcome_unknown", failed.reason)
 
 
+def _plan(gw: Gateway, job: Job, may_retry: bool) -> ModelPlan:
+    """The models to ask, by the policy that the session or request falls to."""
+    workspace = job.workspace.name if job.workspace is not None else ""
+    policy = gw.policies.of(workspace, job.req.session or job.req.attempt_id)
+    plan = model_plan(job.route, policy, job.req.any_model, may_retry)
+    if plan.models[0]:
+        job.policy = policy["name"]
+    return plan
+
+
+def _charge(job: Job, running: Running, tokens: float) -> None:
+    """Add what a model has read or made to the cost of its request, in tokens made."""
+    engine = running.chosen.service.engine
+    if engine is not None:
+        job.cost += engine.prices.get(running.model, 0.0) * tokens / 1000
+
+
 def _larger_model(gw: Gateway, job: Job, service: str, plan: ModelPlan, got: Running) -> str:
     """The larger model to ask instead of passing an answer on; empty to pass it on."""
     if got.head.status >= 400 or good_enough(plan, got.model, got.head.confidence):
@@ -128,6 +148,8 @@
             return _final(job, last)
         got = await attempt(gw, job, chosen, model)
         if isinstance(got, Running):
+            if job.req.prompt is not None:
+                _charge(job, got, READ_PRICE_PART * job.req.prompt.tokens_in)
             if not _worth_another(gw, job, service, got, reply):
                 return got
             await release(got, False)
@@ -182,6 +204,9 @@
 async def _pass(gw: Gateway, job: Job, running: Running, reply: Reply) -> Broken | None:
     """Pass an answer on; gives why it broke off."""
     whole = False
+    job.confidence = running.head.confidence
+    job.first_at = job.first_at or running.sent_at + running.first_s
+    events_before = job.events
     try:
         if job.route.streams and running.head.status < 400:
             got = await pass_stream(gw, job, running, reply)
@@ -190,6 +215,9 @@
         whole = isinstance(got, Passed)
     finally:
         await release(running, whole)
+        engine = running.chosen.service.engine
+        if engine is not None:
+            _charge(job, running, (job.events - events_before) * engine.tokens_per_event)
     if isinstance(got, Broken):
         gw.suspicion_of(running.chosen.upstream.id).note(True, time.monotonic())
         logger.info(
@@ -233,6 +261,20 @@
     await reply.send(ref.status, headers, error_body(ref))
 
 
+def _ended(job: Job, served: bool, now: float) -> Ended:
+    """What is counted of a request for the operators' reports."""
+    return Ended(
+        workspace=job.workspace.name if job.workspace is not None else "",
+        route=job.route.name,
+        served=served,
+        took_s=(now if job.first_at is None else job.first_at) - job.read_at,
+        objective_s=job.route.objective_s,
+        policy=job.policy,
+        cost=job.cost,
+        confidence=job.confidence,
+    )
+
+
 def _note_end(gw: Gateway, job: Job, outcome: str, status: int, read_at: float) -> None:
     took_s = time.monotonic() - read_at
     result = outcome.partition(":")[0]
@@ -247,5 +289,7 @@
         status=status,
         attempts=job.attempts,
         events=job.last_event_id,
+        policy=job.policy,
+        cost=round(job.cost, 5),
         took_s=round(took_s, 4),
     )
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -6,6 +6,7 @@
 import time
 from typing import Final, Literal
 
+from ramppost.gateway.counts import Counts
 from ramppost.gateway.follow import Followed, News, Outage
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.inbound import Callers
@@ -14,6 +15,7 @@
 from ramppost.gateway.membership import Members
 from ramppost.gateway.metrics import Metrics
 from ramppost.gateway.model import CallerLimits, RoutingTable
+from ramppost.gateway.policies import Policies
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.platform.documents import DEFAULT_LIMITS
 from ramppost.platform.store import StoreClient
@@ -68,6 +70,8 @@
         self.rollouts = Rollouts(cfg["timing"]["session_s"])
         self.callers = Callers()
         self.metrics = Metrics()
+        self.counts = Counts()
+        self.policies = Policies()
         self.leaving = False
         """A planned stop has begun: not ready, and each answer closes its connection."""
         self.refusing: Refusing = "none"
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -10,6 +10,7 @@
 
 from ramppost.gateway.follow import Followed, Follower, Handlers, follow
 from ramppost.gateway.model import RoutingTable, Upstream
+from ramppost.gateway.policies import POLICY_KIND
 from ramppost.gateway.rollout_duty import PROGRESS_KIND, progress_seen
 from ramppost.gateway.state import Gateway
 from ramppost.platform import names
@@ -79,10 +80,16 @@
         lambda change: progress_seen(gw, change.obj),
         _unused,
     )
+    policies = Handlers(
+        lambda snapshot: _policies_listed(gw, snapshot),
+        lambda change: _policies_changed(gw, change),
+        _unused,
+    )
     await watch_kind(gw, names.CONFIG_KIND, config, _config_wait_s(gw), 0.0, urgent=True)
     await watch_kind(gw, names.UPSTREAM_KIND, upstreams, _upstream_wait_s(gw), 0.0, urgent=True)
     await watch_kind(gw, names.ROLLOUT_KIND, rollouts, ROLLOUT_WAIT_S, 0.0)
     await watch_kind(gw, PROGRESS_KIND, progress, SLOW_WAIT_S, PATIENCE_S)
+    await watch_kind(gw, POLICY_KIND, policies, SLOW_WAIT_S, PATIENCE_S)
     await curio.spawn(_sweep, gw, daemon=True)
 
 
@@ -136,6 +143,7 @@
         return
     _log_config(gw.table, table)
     gw.table = table
+    gw.policies.learn(table)
     gw.metrics.gauges["ramppost_config_version"] = table.version
 
 
@@ -216,6 +224,18 @@
         progress_seen(gw, obj)
 
 
+def _policies_listed(gw: Gateway, snapshot: Snapshot) -> None:
+    for obj in snapshot.objects:
+        gw.policies.seen(obj)
+
+
+def _policies_changed(gw: Gateway, change: Change) -> None:
+    if change.removed:
+        logger.warning("policies removed from the store; the last ones stay in force")
+    else:
+        gw.policies.seen(change.obj)
+
+
 def _take_rollout(gw: Gateway, obj: StoredObject) -> None:
     order = rollout_order(obj)
     if isinstance(order, BadMessage):
--- a/ramppost/policy/burn.py
+++ b/ramppost/policy/burn.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Final
+from typing import Final, NamedTuple
+
+from ramppost.schema.messages import ClassReport
 
 BUCKET_S: Final = 10.0
 FAST_S: Final = 300.0
@@ -54,3 +56,27 @@
     """Share of the error budget not used yet; below zero when overdrawn."""
     allowed = (good + bad) * (1 - objective)
     return 1 - bad / allowed if allowed else 1.0
+
+
+class Class(NamedTuple):
+    """A class of requests of a workspace."""
+
+    workspace: str
+    name: str
+
+
+def class_line(
+    cls: Class, window: Window, share: float, now: float, p50_ms: float, p99_ms: float
+) -> ClassReport:
+    """What a report says of a class; `share` is the part of requests that must be good."""
+    return ClassReport(
+        workspace=cls.workspace,
+        class_name=cls.name,
+        good=window.good,
+        bad=window.bad,
+        fast_burn=burn(window.bad_share(FAST_S, now), share),
+        slow_burn=burn(window.bad_share(SLOW_S, now), share),
+        budget_left=budget_left(window.good, window.bad, share),
+        p50_ms=p50_ms,
+        p99_ms=p99_ms,
+    )
--- a/ramppost/schema/config.py
+++ b/ramppost/schema/config.py
@@ -142,7 +142,7 @@
     """
     models: list[str]
     """
-    Models, cheapest first for a cascade.
+    Models, cheapest first for a cascade; at a gateway also `smallest` and `largest` of a route.
     """
     threshold: NotRequired[float]
     """
@@ -254,6 +254,48 @@
     """
 
 
+class WorkspacePolicies(TypedDict, closed=True):
+    """
+    Policies that share a workspace's requests at gateways.
+    """
+
+    name: str
+    """
+    Workspace name.
+    """
+    policies: list[PolicyShare]
+    """
+    Policies and their shares.
+    """
+
+
+class PolicyDoc(TypedDict, closed=True):
+    """
+    Policies of a deployment on the users' platform, where routes, keys and models are the platform's.
+    """
+
+    plan_id: str
+    """
+    Plan that made this document.
+    """
+    changed_by: str
+    """
+    Operator that confirmed it.
+    """
+    policies: list[Policy]
+    """
+    Policies.
+    """
+    workspaces: list[WorkspacePolicies]
+    """
+    Workspaces that have policies of their own; the others use the default.
+    """
+    operators: list[Operator]
+    """
+    Who may plan, confirm and read.
+    """
+
+
 class ConfigDoc(TypedDict, closed=True):
     """
     The whole configuration.
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -414,7 +414,7 @@
     """
 
     name: str
-    role: Literal["entry", "agent"]
+    role: Literal["entry", "agent", "gateway"]
     addr: str
     hall: str
     rev: int
--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -30,12 +30,13 @@
 
 class Behaviour(TypedDict):
     """How it answers from now on: events of a stream, after how many it breaks off, the
-    confidence it tells, a status instead of an answer, a refusal, silence, an answer lost
-    after the run, or a time to work."""
+    confidence it tells (for all models, or by model), a status instead of an answer, a refusal,
+    silence, an answer lost after the run, or a time to work."""
 
     events: NotRequired[int]
     cut_after: NotRequired[int]
     confidence: NotRequired[int]
+    confidences: NotRequired[dict[str, int]]
     status: NotRequired[int]
     refuse: NotRequired[bool]
     hang: NotRequired[bool]
@@ -165,7 +166,9 @@
         body = {"upstream": up.cfg["id"], "nonce": secrets.token_hex(4), "echo": req.path}
         await reply.send(status, encode(body), headers=head)
         return
-    confidence = (names.CONFIDENCE.decode(), str(up.how.get("confidence", DEFAULT_CONFIDENCE)))
+    model = heads.get(names.MODEL, "")
+    own = up.how.get("confidences", {}).get(model, up.how.get("confidence", DEFAULT_CONFIDENCE))
+    confidence = (names.CONFIDENCE.decode(), str(own))
     await reply.start(200, "text/event-stream", (*head, confidence))
     begin = int(heads.get(names.LAST_EVENT_ID, "0") or "0")
     for number in range(begin + 1, up.how.get("events", DEFAULT_EVENTS) + 1):
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -21,7 +21,8 @@
 POLL_S = 0.03
 KEYS = {"kitchen": "key-kitchen", "toll": "key-toll"}
 SITE = "site.example"
-MODELS = ["small", "middle", "large"]
+PRICES = {"small": 0.1, "middle": 0.4, "large": 1.0}
+MODELS = list(PRICES)
 STREAM, ONCE, SAFE, OPEN = "/stream/", "/once/", "/safe/", "/open/"
 
 
@@ -62,7 +63,11 @@
         route("safe", SAFE, "idempotent", "web", max_attempts=2),
         route("open", OPEN, "idempotent", "web", allow_anonymous=True),
     ]
-    engine = {"slots": 8, "kv_capacity": 100000, "models": [{"name": m, "cost": 1} for m in MODELS]}
+    engine = {
+        "slots": 8,
+        "kv_capacity": 100000,
+        "models": [{"name": m, "cost": cost} for m, cost in PRICES.items()],
+    }
     return {
         "version": version,
         "routes": routes + more.get("routes", []),
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 import pytest
 
@@ -11,7 +12,6 @@
 from ramppost.gateway.membership import LAPSE_GRACE_S, Members
 from ramppost.gateway.model import RolloutOrder, Route, Target, Upstream
 from ramppost.gateway.models import (
-    DEFAULT_POLICY,
     ModelPlan,
     good_enough,
     model_plan,
@@ -32,9 +32,18 @@
     plain_ranked,
     ranked,
 )
+from ramppost.policy.policydoc import (
+    DEFAULT_POLICY,
+    Known,
+    as_config,
+    empty_doc,
+    models_of,
+    policy_of,
+)
 from ramppost.policy.ramp import FIRST_SHARE, STEPS, Pins, on_new, place_of, share_at
 from ramppost.policy.relays import DEAD_S, Peers, ranked_names, relay_count
 from ramppost.policy.suspicion import Suspicion
+from ramppost.schema.config import Policy, PolicyShare, WorkspacePolicies
 
 NOW = 1000.0
 PARTS = (("shared", 4000), ("own", 1000))
@@ -524,7 +533,36 @@
     any_model: bool, may_retry: bool, attempts: int, models: tuple[str, ...]
 ) -> None:
     route = CASCADE_ROUTE._replace(attempts=attempts)
-    assert model_plan(route, any_model, may_retry).models == models
+    assert model_plan(route, DEFAULT_POLICY, any_model, may_retry).models == models
+
+
+@pytest.mark.parametrize(
+    ("kind", "named", "models"),
+    [
+        ("fixed", ["largest"], ("l",)),
+        ("fixed", ["m", "l"], ("m",)),
+        ("cascade", ["smallest", "largest"], ("s", "l")),
+        ("cascade", ["smallest", "s"], ("s",)),
+        ("cascade", ["gone", "m"], ("m",)),
+        ("cascade", ["gone"], ("s", "m", "l")),
+        ("cascade", [], ("s", "m", "l")),
+    ],
+)
+def test_the_models_that_a_policy_names(
+    kind: Any, named: list[str], models: tuple[str, ...]
+) -> None:
+    assert models_of(Policy(name="p", kind=kind, models=named), ("s", "m", "l")) == models
+
+
+def test_a_workspace_shares_its_sessions_among_its_policies() -> None:
+    doc = empty_doc([])
+    doc["policies"] = [Policy(name="best", kind="fixed", models=["largest"])]
+    shares = [PolicyShare(policy="best", share=0.25), PolicyShare(policy="default", share=0.75)]
+    doc["workspaces"] = [WorkspacePolicies(name="kitchen", policies=shares)]
+    known = as_config(doc, 3, Known({"s": 0.1, "l": 1.0}, ["kitchen", "toll"]))
+    chosen = [policy_of(known, "kitchen", f"session-{i}")["name"] for i in range(4000)]
+    assert 0.22 < chosen.count("best") / len(chosen) < 0.28
+    assert {policy_of(known, "toll", f"session-{i}")["name"] for i in range(50)} == {"default"}
 
 
 # --- relays
