Soak: overlapping schedules, kept connections, links between gateways, and what holds after the storm

Cause: the soak played one fault at a time, its callers opened a connection for each request, and nothing disturbed what gateways tell each other, which all but the relays now live by. Change: two schedules from one seed overlap (a lock for each process and link); callers keep their connections until they break; a proxy stands before one gateway's internal port; upstreams say that they leave; after the storm an engine and a service leave, and none may be given work 1.5 s later.

--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -47,6 +47,7 @@
 class RunLine(TypedDict):
     """A run, as `/_log` tells it."""
 
+    upstream: str
     at: float
     attempt_id: str
     model: str
@@ -119,7 +120,7 @@
     if up.how.get("refuse") or up.running >= up.cfg["slots"]:
         await reply.send(503, b"", headers=(*common, (names.NOT_RUN.decode(), "1")))
         return
-    line = _run_line(req, heads, attempt_id)
+    line = _run_line(up.cfg["id"], req, heads, attempt_id)
     up.runs.append(line)
     up.running += 1
     try:
@@ -132,8 +133,9 @@
         up.running -= 1
 
 
-def _run_line(req: Request, heads: dict[bytes, str], attempt_id: str) -> RunLine:
+def _run_line(upstream_id: str, req: Request, heads: dict[bytes, str], attempt_id: str) -> RunLine:
     return RunLine(
+        upstream=upstream_id,
         at=time.time(),
         attempt_id=attempt_id,
         model=heads.get(names.MODEL, ""),
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -100,6 +100,8 @@
         (folder / "seed.json").write_text(json.dumps(config(1)))
         self.gateways = [f"gateway-{i + 1}" for i in range(gateways)]
         self.starts = 0
+        self.ids: dict[str, str] = {}
+        """Ids of the upstreams' last incarnations."""
         self._start_store()
         for i in range(engines):
             self.start_upstream(f"lm-{i + 1}", "lm", "v1")
@@ -149,7 +151,7 @@
     def start_upstream(self, name: str, service: str, version: str) -> str:
         """Start an upstream as a new incarnation; gives its id."""
         self.starts += 1
-        upstream_id = f"i-{name}-{self.starts}"
+        upstream_id = self.ids[name] = f"i-{name}-{self.starts}"
         cfg = {
             "program": "standin-upstream",
             "listen": {"host": HOST, "port": self.port(name)},
@@ -327,8 +329,10 @@
         deadline_ms: int = 4000,
         headers: dict[str, str] | None = None,
         body: bytes = b"question",
+        http: httpx.Client | None = None,
     ) -> Given:
-        """Make a request as a caller; the status is 0 where the connection broke."""
+        """Make a request as a caller, on a new connection or one that `http` keeps; the status
+        is 0 or below where the connection broke."""
         head = {
             "Host": SITE,
             names.ATTEMPT_ID.decode(): attempt or os.urandom(8).hex(),
@@ -345,7 +349,7 @@
         got = bytearray()
         status, found = 0, {}
         try:
-            with self.http.stream("POST", url, headers=head, content=body) as answer:
+            with (http or self.http).stream("POST", url, headers=head, content=body) as answer:
                 status, found = answer.status_code, dict(answer.headers)
                 for piece in answer.iter_raw():
                     got += piece
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -2,10 +2,11 @@
 
     python -m tests.harness.soak --seeds 1 2 3 --duration-s 12
 
-Callers ask for streams, calls that may repeat and calls that may run once, on kept
-connections, while a schedule drawn from the seed stops, pauses, kills and restarts
-gateways and upstreams, disturbs the store and its links, takes a key away and brings a
-version in.  What upstreams ran and what callers got is compared at the end.
+Callers ask for streams, calls that may repeat and calls that may run once, each on a
+connection that it keeps until it breaks, while two schedules drawn from the seed, which
+overlap, stop, pause, kill and restart gateways and upstreams, disturb the store, its links
+and those between gateways, take a key away, let upstreams leave and bring a version in.
+What upstreams ran and what callers got is compared at the end.
 """
 
 from __future__ import annotations
@@ -34,6 +35,20 @@
 """As the harness sets it for gateways."""
 RECOVERY_S = 10.0
 NOT_RUN = (429, 503)
+SCHEDULES = 2
+LEAVE_S = 1.0
+"""As the harness sets it for gateways: what a leaving upstream may still be given work for."""
+LEAVE_SLACK_S = 0.5
+"""For the upstream's own heartbeat, which tells the store, and for a busy machine."""
+CALM_S = 3.0
+"""So long after the last disturbance gateways are held to what they must know in time."""
+
+
+class Left(NamedTuple):
+    """An upstream that said that it leaves, and when (time of day)."""
+
+    upstream: str
+    at: float
 
 
 class Asked(NamedTuple):
@@ -59,14 +74,18 @@
 
     def _call(self, number: int) -> None:
         rng = random.Random(number)
+        kept = httpx.Client(timeout=10, limits=httpx.Limits(max_connections=4))
         while not self._ending.is_set():
             prefix = rng.choice((ONCE, ONCE, SAFE, STREAM))
             workspace = rng.choice(sorted(KEYS))
             gateway = rng.choice(self.site.gateways)
             attempt, at = os.urandom(8).hex(), time.time()
-            got = self.site.call(gateway, prefix, KEYS[workspace], attempt, deadline_ms=2500)
+            got = self.site.call(
+                gateway, prefix, KEYS[workspace], attempt, deadline_ms=2500, http=kept
+            )
             self.asked.append(Asked(attempt, prefix, workspace, at, got))
             time.sleep(rng.uniform(0.0, 0.05))
+        kept.close()
 
     def end(self) -> None:
         """Let them finish."""
@@ -79,77 +98,136 @@
     """A deployment under faults drawn from a seed."""
 
     def __init__(self, folder: Path, seed: int) -> None:
-        self.rng = random.Random(seed)
+        self.rngs = [random.Random(f"{seed}/{number}") for number in range(SCHEDULES)]
         self.site = Deployment(folder, gateways=3, engines=len(ENGINES), services=len(SERVICES))
         self.store_link = Proxy(f"127.0.0.1:{self.site.port('store')}")
         self.site.restart_gateway(self.site.gateways[0], self.store_link.addr)
         self.site.wait_ready(self.site.gateways[0])
+        self.peer_link = Proxy(f"127.0.0.1:{self.site.port(self.site.gateways[1]) + 2}")
         self.removed_at: float | None = None
         self.kept_runs: list[dict[str, Any]] = []
+        self.left: list[Left] = []
+        """Upstreams that left after the last disturbance."""
         self.done: list[str] = []
+        self.failed: list[BaseException] = []
+        self._locks = {name: threading.Lock() for name in (*self.site.procs, "store", "link")}
 
-    def step(self) -> None:
+    def play(self, until: float) -> None:
+        """Play all schedules until then; a failure of the harness itself is raised."""
+        threads = [threading.Thread(target=self._schedule, args=(r, until)) for r in self.rngs]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        if self.failed:
+            raise self.failed[0]
+
+    def _schedule(self, rng: random.Random, until: float) -> None:
+        try:
+            while time.monotonic() < until:
+                self.step(rng)
+                time.sleep(rng.uniform(0.0, 0.5))
+        except (AssertionError, OSError, httpx.HTTPError) as exc:
+            self.failed.append(exc)
+
+    def step(self, rng: random.Random) -> None:
         """One fault, or the end of one."""
-        faults: list[Callable[[], None]] = [
+        faults: list[Callable[[random.Random], None]] = [
             self.kill_gateway,
             self.stop_gateway,
             self.pause_gateway,
             self.disturb_store,
             self.disturb_link,
+            self.disturb_peers,
+            self.leave,
             self.upset_upstream,
             self.replace_upstream,
             self.take_key_away,
             self.bring_version_in,
         ]
-        fault = self.rng.choice(faults)
+        fault = rng.choice(faults)
         self.done.append(fault.__name__)
-        fault()
-
-    def _gateway(self) -> str:
-        return self.rng.choice(self.site.gateways)
+        fault(rng)
 
     def _start(self, name: str) -> None:
         link = self.store_link.addr if name == self.site.gateways[0] else ""
         self.site.start_gateway(name, link)
 
-    def kill_gateway(self) -> None:
-        name = self._gateway()
-        self.site.signal(name, signal.SIGKILL)
-        self.site.wait_end(name)
-        self._start(name)
-
-    def stop_gateway(self) -> None:
-        name = self._gateway()
-        self.site.signal(name, signal.SIGTERM)
-        self.site.wait_end(name, 12)
-        self._start(name)
-
-    def pause_gateway(self) -> None:
-        name = self._gateway()
-        self.site.signal(name, signal.SIGSTOP)
-        time.sleep(self.rng.uniform(0.2, 3.0))
-        self.site.signal(name, signal.SIGCONT)
-
-    def disturb_store(self) -> None:
+    def put_proxy_between(self) -> None:
+        """Let other gateways reach the second one by a link that can be disturbed."""
+        entry = {"addr": self.peer_link.addr, "hall": "bole"}
+        self.site.put("gateways", self.site.gateways[1], entry)
+
+    def kill_gateway(self, rng: random.Random) -> None:
+        name = rng.choice(self.site.gateways)
+        with self._locks[name]:
+            self.site.signal(name, signal.SIGKILL)
+            self.site.wait_end(name)
+            self._start(name)
+
+    def stop_gateway(self, rng: random.Random) -> None:
+        name = rng.choice(self.site.gateways)
+        with self._locks[name]:
+            self.site.signal(name, signal.SIGTERM)
+            self.site.wait_end(name, 12)
+            self._start(name)
+
+    def pause_gateway(self, rng: random.Random) -> None:
+        name = rng.choice(self.site.gateways)
+        with self._locks[name]:
+            self.site.signal(name, signal.SIGSTOP)
+            time.sleep(rng.uniform(0.2, 3.0))
+            self.site.signal(name, signal.SIGCONT)
+
+    def disturb_peers(self, rng: random.Random) -> None:
+        """Disturb the way of other gateways to the second one, which may be a relay."""
+        with self._locks["link"]:
+            self.put_proxy_between()
+            self.peer_link.set(rng.choice(("cut", "freeze", "lose_reply", "delay")), None, 0.4)
+            time.sleep(rng.uniform(0.3, 4.0))
+            self.peer_link.set("pass")
+
+    def leave(self, rng: random.Random) -> None:
+        """Let an upstream say that it leaves, and replace it some time later."""
+        name = rng.choice((*ENGINES, *SERVICES))
+        with self._locks[name]:
+            self._say_leaving(name)
+            time.sleep(rng.uniform(0.0, LEAVE_S))
+            self._replace(name)
+
+    def _say_leaving(self, name: str) -> Left:
+        self.site.http.post(f"{self.site.url(name)}/_leave").raise_for_status()
+        return Left(self.site.ids[name], time.time())
+
+    def leave_in_calm(self) -> None:
+        """After the storm, let an engine and a service leave one after the other."""
+        time.sleep(CALM_S)
+        for name in (ENGINES[0], SERVICES[0]):
+            self.left.append(self._say_leaving(name))
+            time.sleep(LEAVE_S + 2 * LEAVE_SLACK_S)
+
+    def disturb_store(self, rng: random.Random) -> None:
         modes: list[dict[str, Any]] = [
             {"mode": "down"},
             {"mode": "frozen"},
             {"mode": "slow", "seconds": 0.3},
             {"mode": "lost_reply", "share": 0.5},
         ]
-        self.site.fault("store", **self.rng.choice(modes))
-        time.sleep(self.rng.uniform(0.3, 3.0))
-        self.site.fault("store", mode="none")
+        with self._locks["store"]:
+            self.site.fault("store", **rng.choice(modes))
+            time.sleep(rng.uniform(0.3, 3.0))
+            self.site.fault("store", mode="none")
 
-    def disturb_link(self) -> None:
+    def disturb_link(self, rng: random.Random) -> None:
         """Disturb one gateway's way to the store; half the time a key goes meanwhile."""
-        self.store_link.set(self.rng.choice(("cut", "freeze", "lose_reply", "delay")), None, 0.4)
-        if self.rng.random() < 0.5:
-            self.take_key_away()
-        time.sleep(self.rng.uniform(0.3, 5.0))
-        self.store_link.set("pass")
-
-    def upset_upstream(self) -> None:
+        with self._locks["link"]:
+            self.store_link.set(rng.choice(("cut", "freeze", "lose_reply", "delay")), None, 0.4)
+            if rng.random() < 0.5:
+                self.take_key_away(rng)
+            time.sleep(rng.uniform(0.3, 5.0))
+            self.store_link.set("pass")
+
+    def upset_upstream(self, rng: random.Random) -> None:
         how: list[dict[str, Any]] = [
             {"cut_after": 2},
             {"hang": True},
@@ -159,29 +237,42 @@
             {"work_ms": 300},
             {"confidence": 10},
         ]
-        name = self.rng.choice((*ENGINES, *SERVICES))
-        self.site.behave(name, **self.rng.choice(how))
-        time.sleep(self.rng.uniform(0.3, 2.0))
-        self.site.behave(name)
-
-    def replace_upstream(self) -> None:
+        name = rng.choice((*ENGINES, *SERVICES))
+        with self._locks[name]:
+            self.site.behave(name, **rng.choice(how))
+            time.sleep(rng.uniform(0.3, 2.0))
+            self.site.behave(name)
+
+    def replace_upstream(self, rng: random.Random) -> None:
+        name = rng.choice((*ENGINES, *SERVICES))
+        with self._locks[name]:
+            self._replace(name)
+
+    def _replace(self, name: str) -> None:
         """Kill an upstream and start another in its place; its runs are read first."""
-        name = self.rng.choice((*ENGINES, *SERVICES))
-        self.site.signal(name, signal.SIGSTOP)
-        self.site.signal(name, signal.SIGCONT)
         self.kept_runs += self.site.runs(name)
         self.site.signal(name, signal.SIGKILL)
         self.site.wait_end(name)
         self.site.start_upstream(name, "lm" if name in ENGINES else "web", "v1")
 
-    def take_key_away(self) -> None:
+    def take_key_away(self, rng: random.Random) -> None:
         if self.removed_at is None:
             self.site.configure(config(2, {"kitchen": KEYS["kitchen"]}))
             self.removed_at = time.time()
 
-    def bring_version_in(self) -> None:
+    def bring_version_in(self, rng: random.Random) -> None:
         self.site.rollout("v2", 4)
 
+    def late_for_leaving(self) -> list[str]:
+        """Upstreams that were given work too long after they said that they leave."""
+        runs = self.kept_runs + self.site.runs(*ENGINES, *SERVICES)
+        found = []
+        for left in self.left:
+            last = max((r["at"] for r in runs if r["upstream"] == left.upstream), default=0.0)
+            if last - left.at > LEAVE_S + LEAVE_SLACK_S:
+                found.append(f"{left.upstream}: given work {last - left.at:.2f} s after leaving")
+        return found
+
     def faults_of(self, asked: list[Asked]) -> list[str]:
         """Promises that were broken."""
         runs = self.kept_runs + self.site.runs(*ENGINES, *SERVICES)
@@ -226,13 +317,11 @@
     played = Soak(folder, seed)
     try:
         callers = Callers(played.site)
-        until = time.monotonic() + duration_s
-        while time.monotonic() < until:
-            played.step()
-            time.sleep(played.rng.uniform(0.0, 0.5))
+        played.play(time.monotonic() + duration_s)
         recovered = played.recovers()
+        played.leave_in_calm()
         callers.end()
-        found = played.faults_of(callers.asked)
+        found = played.faults_of(callers.asked) + played.late_for_leaving()
         if not recovered:
             found.append(f"not served again in {RECOVERY_S:g} s")
         served = sum(1 for one in callers.asked if one.got.status == 200)
