The retry budget of a gateway is a window of time instead of a bucket

The same bucket ran empty when some requests in a row needed the larger model, and then passed on answers that the small one was not confident of. Ruled out: attempts of the route (one or two of three were used), no upstreams (nine candidates). Change: `WindowBudget` allows 0.85 of the ratio times the own tries of the last ten seconds, and a sixteenth of the slack; whatever the tries of other gateways, no window of all holds more than the rule allows (a test over four gateways with changing load). That what was unused may be spent at once has a test that the bucket could not meet.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -142,7 +142,7 @@
             return got
         except curio.TaskTimeout:
             heard_at = gw.links.heard.get(chosen.upstream.id, float("-inf"))
-            affordable = gw.budget_of(chosen.service.name).left >= 1
+            affordable = gw.budget_of(chosen.service.name).left(time.monotonic()) >= 1
             if heard_at < since and affordable and chosen.candidates > 1:
                 return Broken(f"silent for {patience_s:.2f} s")
             since = time.monotonic()
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -67,8 +67,9 @@
     """Find who answers and pass it on; a refusal where nobody did."""
     service = service_of(job)
     budget = gw.budget_of(service)
-    budget.tried()
-    plan = _plan(gw, job, budget.left >= 1)
+    began_at = time.monotonic()
+    budget.tried(began_at)
+    plan = _plan(gw, job, budget.left(began_at) >= 1)
     model = plan.models[0]
     while True:
         got = await _running(gw, job, service, model, reply)
@@ -110,9 +111,9 @@
     """The larger model to ask instead of passing an answer on; empty to pass it on."""
     if got.head.status >= 400 or good_enough(plan, got.model, got.head.confidence):
         return ""
-    if job.attempts >= job.route.attempts or gw.budget_of(service).left < 1:
-        return ""
     now = time.monotonic()
+    if job.attempts >= job.route.attempts or gw.budget_of(service).left(now) < 1:
+        return ""
     tried, job.tried = job.tried, set()
 
     def first_s(model: str) -> float | None:
@@ -176,7 +177,7 @@
         return True
     if job.attempts >= job.route.attempts:
         return False
-    return gw.budget_of(service).take()
+    return gw.budget_of(service).take(time.monotonic())
 
 
 def _worth_another(gw: Gateway, job: Job, service: str, got: Running, reply: Reply) -> bool:
@@ -190,8 +191,9 @@
         return True
     if job.route.repeat == "never" or job.attempts >= job.route.attempts:
         return False
-    enough = gw.budget_of(service).left >= 1
-    return enough and pick(gw, job, service, got.model, time.monotonic()) is not None
+    now = time.monotonic()
+    enough = gw.budget_of(service).left(now) >= 1
+    return enough and pick(gw, job, service, got.model, now) is not None
 
 
 def _final(job: Job, last: Refusal) -> Refusal:
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -19,7 +19,7 @@
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.platform.documents import DEFAULT_LIMITS
 from ramppost.platform.store import StoreClient
-from ramppost.policy.limits import RetryBudget
+from ramppost.policy.limits import WindowBudget
 from ramppost.policy.pace import Pace
 from ramppost.policy.placement import KeptParts, PrefillRates
 from ramppost.policy.relays import Peers
@@ -32,7 +32,8 @@
 SLACK_SHARERS: Final = 16
 """Gateways that the slack is shared among: more than there are on a small deployment; on a
 large one the slack counts for little beside the ratio."""
-LEAST_BURST: Final = 2.0
+LEAST_SLACK: Final = 2.0
+"""So that a gateway with few requests can try one again."""
 
 
 Refusing = Literal["none", "streams", "all"]
@@ -65,7 +66,7 @@
         self.kept = KeptParts()
         self.rates = PrefillRates()
         self.suspicions: dict[str, Suspicion] = {}
-        self.budgets: dict[str, RetryBudget] = {}
+        self.budgets: dict[str, WindowBudget] = {}
         self.paces: dict[tuple[str, str], Pace] = {}
         self.rollouts = Rollouts(cfg["timing"]["session_s"])
         self.callers = Callers()
@@ -105,13 +106,13 @@
         """What speaks against an upstream."""
         return self.suspicions.setdefault(upstream_id, Suspicion())
 
-    def budget_of(self, service: str) -> RetryBudget:
+    def budget_of(self, service: str) -> WindowBudget:
         """This gateway's part of a service's retry budget."""
         found = self.budgets.get(service)
         if found is None:
             retries = self.cfg["retries"]
-            burst = max(LEAST_BURST, retries["slack"] / SLACK_SHARERS)
-            found = RetryBudget(retries["ratio"] * BUDGET_PART, burst)
+            slack = max(LEAST_SLACK, retries["slack"] / SLACK_SHARERS)
+            found = WindowBudget(retries["ratio"] * BUDGET_PART, retries["window_s"], slack)
             self.budgets[service] = found
         return found
 
--- a/ramppost/policy/limits.py
+++ b/ramppost/policy/limits.py
@@ -1,15 +1,18 @@
-"""Limits at an entry: tokens and concurrency of a workspace, and the retry budget.
+"""Limits at an entry or gateway: tokens and concurrency of a workspace, and the retry budget.
 
 Pure: the clock is an argument.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from typing import Final
 
 RETRY_SHARE: Final = 0.07
 RETRY_BURST: Final = 2.0
 MIN_WAIT_S: Final = 0.5
+SLOT_PART: Final = 0.05
+"""Part of a budget's window that is counted as one: so much longer a retry is remembered."""
 
 
 class TokenBucket:
@@ -67,3 +70,51 @@
         self.left -= 1
         self.retries += 1
         return True
+
+
+class WindowBudget:
+    """Retries by what a window of time holds: a share of its first tries, and some slack.
+
+    Unlike a bucket it lets a gateway whose upstreams crash spend at once what it has not
+    used in the window, so that streams by the dozen can be taken up elsewhere.  Retries
+    are never more than `share` of the tries of the last `window_s` seconds and `slack`.
+
+    >>> budget = WindowBudget(0.5, 10.0, 1.0)
+    >>> for _ in range(4): budget.tried(100.0)
+    >>> budget.left(101.0), budget.left(111.0)
+    (3.0, 1.0)
+    """
+
+    def __init__(self, share: float, window_s: float, slack: float) -> None:
+        self.share = share
+        self.window_s = window_s
+        self.slack = slack
+        self._slots: deque[tuple[float, int, int]] = deque()
+        """When each slot of time ends, and the tries and retries in it."""
+
+    def tried(self, now: float) -> None:
+        """A request was tried for the first time."""
+        self._count(now, 1, 0)
+
+    def left(self, now: float) -> float:
+        """Retries that may follow at once."""
+        # A retry is remembered until all of its slot has passed, a try only as long as that.
+        while self._slots and self._slots[0][0] <= now - self.window_s:
+            self._slots.popleft()
+        tries = sum(slot[1] for slot in self._slots)
+        retries = sum(slot[2] for slot in self._slots)
+        return self.share * tries + self.slack - retries
+
+    def take(self, now: float) -> bool:
+        """Whether one more retry is within the budget."""
+        if self.left(now) < 1:
+            return False
+        self._count(now, 0, 1)
+        return True
+
+    def _count(self, now: float, tries: int, retries: int) -> None:
+        slot_s = self.window_s * SLOT_PART
+        if not self._slots or now >= self._slots[-1][0]:
+            self._slots.append((now + slot_s, 0, 0))
+        ends, tried, retried = self._slots[-1]
+        self._slots[-1] = (ends, tried + tries, retried + retries)
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -19,7 +19,7 @@
 )
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.policy.guard import Tally, reason_against
-from ramppost.policy.limits import RetryBudget
+from ramppost.policy.limits import RetryBudget, WindowBudget
 from ramppost.policy.placement import (
     KEPT_S,
     EngineView,
@@ -161,7 +161,10 @@
     assert rates.rate_s("fast") == pytest.approx(0.05 / 10000, rel=0.1)
 
 
-@pytest.mark.parametrize("worse", [{"latency_s": 0.2}, {"load": 4.0}, {"failing": 0.5}])
+@pytest.mark.parametrize(
+    "worse",
+    [{"latency_s": 0.2}, {"load": 4.0}, {"failing": 0.5}],
+)
 def test_a_worse_plain_upstream_comes_last(worse: dict[str, float]) -> None:
     good = PlainView("a", "here", 0.0, 0.03, 0.0)
     bad = good._replace(id="b", **worse)  # type: ignore[arg-type]
@@ -213,6 +216,60 @@
         assert window.count("retry") <= share * window.count("try") + burst + 1
 
 
+class Log:
+    """Tries and retries of several gateways, each with its part of a budget; times in seconds."""
+
+    def __init__(self, gateways: int, share: float, window_s: float, slack: float) -> None:
+        self.budgets = [WindowBudget(share, window_s, slack) for _ in range(gateways)]
+        self.window_s = window_s
+        self.tries: list[float] = []
+        self.retries: list[float] = []
+
+    def tried(self, gateway: int, now: float) -> None:
+        self.budgets[gateway].tried(now)
+        self.tries.append(now)
+
+    def take(self, gateway: int, now: float) -> bool:
+        taken = self.budgets[gateway].take(now)
+        if taken:
+            self.retries.append(now)
+        return taken
+
+    def within(self, times: list[float], begin: float) -> int:
+        return sum(begin <= at < begin + self.window_s for at in times)
+
+
+def test_no_window_of_all_gateways_holds_more_retries_than_they_may() -> None:
+    log, rng, now = Log(4, 0.765, 10.0, 4.0), random.Random(5), NOW
+    for _ in range(12000):
+        now += rng.expovariate(60.0)
+        busy = 0.8 if int(now / 17) % 2 else 0.2
+        gateway = rng.randrange(4)
+        if rng.random() < busy:
+            log.tried(gateway, now)
+        else:
+            log.take(gateway, now)
+    for begin in range(int(NOW), int(now), 3):
+        nearby = (begin, begin - 5.0, begin - 10.0)
+        tries = max(log.within(log.tries, at) for at in nearby)
+        assert log.within(log.retries, begin) <= 0.9 * tries + 16.0
+
+
+def test_what_was_not_used_in_a_window_may_be_used_at_once() -> None:
+    log = Log(1, 0.765, 10.0, 4.0)
+    for i in range(100):
+        log.tried(0, NOW + i * 0.09)
+    assert sum(log.take(0, NOW + 9) for _ in range(200)) == 80
+    assert not log.take(0, NOW + 9.5)
+
+
+def test_a_window_that_has_passed_gives_nothing() -> None:
+    log = Log(1, 0.765, 10.0, 4.0)
+    for _ in range(100):
+        log.tried(0, NOW)
+    assert sum(log.take(0, NOW + 11) for _ in range(200)) == 4
+
+
 # --- ramp
 
 
