The threshold of the default cascade is 0.5 and gives way while engines are short

A threshold decides what the larger model is worth, and that depends on who waits: it reads a prompt ten times as slowly as the smallest. Change: `policy/pressure.py` keeps the usual wait at the engines beyond the reading of the own prompt; the default policy is now of kind `learned`, a cascade whose threshold falls from 0.5 to 0.25 as that wait grows to 0.4 s, and goes back with it. Cascades that operators define keep their threshold. The threshold in force is logged.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -153,6 +153,7 @@
     now = time.monotonic()
     read = chosen.prefill_s / gw.rates.rate_s(model)
     queued_s = chosen.first_s - chosen.prefill_s
+    gw.pressure.waited(first_s - chosen.prefill_s, now)
     gw.rates.saw(model, read, max(0.0, first_s - queued_s))
     gw.kept.sent(chosen.upstream.id, model, prompt.parts, now)
 
--- a/ramppost/gateway/models.py
+++ b/ramppost/gateway/models.py
@@ -7,7 +7,8 @@
 
 from ramppost.gateway.model import Route
 from ramppost.policy.policydoc import models_of
-from ramppost.policy.routing import cascade_stops
+from ramppost.policy.pressure import threshold_under
+from ramppost.policy.routing import DEFAULT_THRESHOLD, cascade_stops
 from ramppost.schema.config import Policy
 
 
@@ -21,6 +22,14 @@
     policy: Policy
 
 
+def under_load(policy: Policy, shortage: float) -> Policy:
+    """A `learned` policy as a cascade with the threshold that the load allows."""
+    if policy["kind"] != "learned":
+        return policy
+    threshold = threshold_under(policy.get("threshold", DEFAULT_THRESHOLD), shortage)
+    return Policy(name=policy["name"], kind="cascade", models=policy["models"], threshold=threshold)
+
+
 def model_plan(route: Route, policy: Policy, any_model: bool, may_retry: bool) -> ModelPlan:
     """The models for a request by its policy.
 
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -21,7 +21,7 @@
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, NotSent
 from ramppost.gateway.model import CallerRequest
-from ramppost.gateway.models import ModelPlan, good_enough, model_plan, next_model
+from ramppost.gateway.models import ModelPlan, good_enough, model_plan, next_model, under_load
 from ramppost.gateway.passing import Passed, pass_stream, pass_whole
 from ramppost.gateway.pick import pick, service_of
 from ramppost.gateway.rollout_duty import judge_answer
@@ -94,7 +94,8 @@
     """The models to ask, by the policy that the session or request falls to."""
     workspace = job.workspace.name if job.workspace is not None else ""
     policy = gw.policies.of(workspace, job.req.session or job.req.attempt_id)
-    plan = model_plan(job.route, policy, job.req.any_model, may_retry)
+    shortage = gw.pressure.shortage(time.monotonic())
+    plan = model_plan(job.route, under_load(policy, shortage), job.req.any_model, may_retry)
     if plan.models[0]:
         job.policy = policy["name"]
     return plan
@@ -128,6 +129,7 @@
         request=job.req.attempt_id,
         confidence=got.head.confidence,
         policy=plan.policy["name"],
+        threshold=round(plan.policy.get("threshold", 0.0), 3),
         next_model=larger,
     )
     return larger
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -22,6 +22,7 @@
 from ramppost.policy.limits import WindowBudget
 from ramppost.policy.pace import Pace
 from ramppost.policy.placement import KeptParts, PrefillRates
+from ramppost.policy.pressure import Pressure
 from ramppost.policy.relays import Peers
 from ramppost.policy.suspicion import Suspicion
 from ramppost.schema.settings import GatewaySettings
@@ -65,6 +66,7 @@
         self.loads = Loads()
         self.kept = KeptParts()
         self.rates = PrefillRates()
+        self.pressure = Pressure()
         self.suspicions: dict[str, Suspicion] = {}
         self.budgets: dict[str, WindowBudget] = {}
         self.paces: dict[tuple[str, str], Pace] = {}
--- a/ramppost/policy/policydoc.py
+++ b/ramppost/policy/policydoc.py
@@ -26,9 +26,10 @@
 SMALLEST: Final = "smallest"
 LARGEST: Final = "largest"
 """Stand for a route's first and last model, so that one policy serves many routes."""
-DEFAULT_POLICY: Final = Policy(name="default", kind="cascade", models=[], threshold=0.6)
-"""A cascade over a route's smallest and largest model.  Gains are flat between thresholds of
-0.5 and 0.7 (trial with one run each)."""
+DEFAULT_POLICY: Final = Policy(name="default", kind="learned", models=[], threshold=0.5)
+"""A cascade over a route's models whose threshold gives way while engines are short.  On calm
+days thresholds of 0.5 and 0.6 are worth the same and 0.4 loses 0.02; on days with trouble lower
+ones are worth more (one run of each day)."""
 READ_PRICE_PART: Final = 0.25
 """What a token read costs, as a part of one that is made (the platform's prices)."""
 ANY_VERSION: Final = "any"
--- a/ramppost/schema/config.py
+++ b/ramppost/schema/config.py
@@ -138,7 +138,7 @@
     """
     kind: Literal["fixed", "cascade", "learned"]
     """
-    `fixed` takes the first model, `cascade` goes up while the score is below the threshold, `learned` finds the cheapest that meets the target.
+    `fixed` takes the first model, `cascade` goes up while the score is below the threshold, `learned` finds the cheapest that meets the target; at a gateway it is a cascade whose threshold falls while engines are short.
     """
     models: list[str]
     """
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -16,6 +16,7 @@
     good_enough,
     model_plan,
     next_model,
+    under_load,
 )
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.policy.guard import Tally, reason_against
@@ -40,6 +41,7 @@
     models_of,
     policy_of,
 )
+from ramppost.policy.pressure import Pressure
 from ramppost.policy.ramp import FIRST_SHARE, STEPS, Pins, on_new, place_of, share_at
 from ramppost.policy.relays import DEAD_S, Peers, ranked_names, relay_count
 from ramppost.policy.suspicion import Suspicion
@@ -622,6 +624,31 @@
     assert {policy_of(known, "toll", f"session-{i}")["name"] for i in range(50)} == {"default"}
 
 
+@pytest.mark.parametrize(
+    ("kind", "shortage", "threshold"),
+    [("learned", 0.0, 0.5), ("learned", 0.5, 0.375), ("learned", 1.0, 0.25), ("cascade", 1.0, 0.5)],
+)
+def test_a_learned_threshold_gives_way_while_engines_are_short(
+    kind: Any, shortage: float, threshold: float
+) -> None:
+    policy = Policy(name="p", kind=kind, models=[], threshold=0.5)
+    assert under_load(policy, shortage).get("threshold") == pytest.approx(threshold)
+
+
+def test_engines_are_short_while_requests_wait_and_soon_no_more() -> None:
+    pressure = Pressure()
+    assert pressure.shortage(NOW) == 0.0
+    for i in range(30):
+        pressure.waited(0.02, NOW + i / 10)
+    assert pressure.shortage(NOW + 3) == 0.0
+    for i in range(30):
+        pressure.waited(1.5, NOW + 3 + i / 30)
+    assert pressure.shortage(NOW + 4) == 1.0
+    for i in range(50):
+        pressure.waited(0.02, NOW + 4 + i / 10)
+    assert pressure.shortage(NOW + 9) == 0.0
+
+
 # --- relays
 
 
