--- a/ramppost/policy/orders.py
+++ b/ramppost/policy/orders.py
@@ -27,7 +27,8 @@
 def orders_due(doc: ConfigDoc, served: set[ModelVersion]) -> list[LoadOrder]:
     """Orders for an upstream that serves these versions.
 
-    >>> orders_due(doc_with_rollout_of_large_v2, {ModelVersion("large", "v1")})
+    >>> rollout = {"model": "large", "stable": "v1", "trial": "v2", "state": "running"}
+    >>> orders_due({"revision": 7, "rollouts": [rollout]}, {ModelVersion("large", "v1")})
     [LoadOrder(fence=7, mv=ModelVersion(model='large', version='v2'))]
     """
     due: list[LoadOrder] = []
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -83,7 +83,7 @@
         """Whom to ask next: the one that helped, else a relay or any other; empty for nobody.
 
         >>> peers = Peers("a")
-        >>> peers.put("b", "10.0.0.2:7340")
+        >>> listed = peers.put("b", "10.0.0.2:7340")
         >>> peers.to_follow("", False, 0.0, random.Random(1))
         'b'
         """
--- a/ramppost/wire/codec.py
+++ b/ramppost/wire/codec.py
@@ -28,8 +28,10 @@
 def decode(data: bytes, kind: type[T]) -> T | BadMessage:
     """Decode and check a message.
 
-    >>> decode(b'{"entry":"e","rev":"x"}', StatusMsg)
-    BadMessage(reason='Expected `int`, got `str` - at `$.rev`')
+    >>> class Line(NamedTuple):
+    ...     rev: int
+    >>> decode(b'["x"]', Line)
+    BadMessage(reason='Expected `int`, got `str` - at `$[0]`')
     """
     try:
         return msgspec.json.decode(data, type=kind)
