Gateway: one copy of the refusal for an old configuration, named constants of the policies' kind

Cause: read once more as a newcomer would: the refusal stood twice, once with a bare 0.5 s, and two constants had neither type nor word of what they are. Change: `admit.stale` serves both. Result: linter, type checker, tests of state and policy pass; the whole suite follows on this commit.

--- a/ramppost/gateway/policies.py
+++ b/ramppost/gateway/policies.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from loguru import logger
 
 from ramppost.gateway.model import RoutingTable
@@ -10,8 +12,9 @@
 from ramppost.schema.config import ConfigDoc, Policy, PolicyDoc
 from ramppost.wire.codec import BadMessage, decode, encode
 
-POLICY_KIND = "policies"
-POLICY_NAME = "main"
+POLICY_KIND: Final = "policies"
+POLICY_NAME: Final = "main"
+"""The one document of this kind; a kind of our own in the store."""
 
 
 class Policies:
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from ramppost.errors import Refusal, error_body, refusal
-from ramppost.gateway.admit import admit
+from ramppost.gateway.admit import admit, stale
 from ramppost.gateway.attempt import Refused, Running, attempt, release
 from ramppost.gateway.counts import Ended
 from ramppost.gateway.inbound import JSON_TYPE, Reply
@@ -144,8 +144,7 @@
     while True:
         now = time.monotonic()
         if job.workspace is not None and not gw.fresh.holds(now):
-            last = refusal("not_ready", "the configuration may not be the newest", 0.5)
-            return _final(job, last)
+            return _final(job, stale())
         chosen = pick(gw, job, service, model, now)
         if chosen is None or not _may_send(gw, job, service):
             return _final(job, last)
