One copy of reading a bearer token; the feed leaves its path to who calls it

Change: `bearer` stands in `wire/server.py` and serves both, so a token without the word Bearer is now unknown at a gateway as it is at an entry; a query that is not understood gets 400 with its reason.

--- a/ramppost/entry/ask.py
+++ b/ramppost/entry/ask.py
@@ -13,7 +13,7 @@
 from ramppost.policy.session import BadToken, Session, read_session
 from ramppost.schema.config import ConfigDoc, WorkClass, Workspace
 from ramppost.wire.codec import BadMessage, decode
-from ramppost.wire.server import Request
+from ramppost.wire.server import Request, bearer
 
 AUTO: Final = "auto"
 KEY_HEADER: Final = "idempotency-key"
@@ -93,12 +93,6 @@
         return hashlib.blake2b(text, digest_size=8).hexdigest()
 
 
-def bearer(req: Request) -> str:
-    """The bearer token of a request, empty where there is none."""
-    kind, _, token = req.headers.get("authorization", "").partition(" ")
-    return token.strip() if kind.lower() == "bearer" else ""
-
-
 def workspace_for(req: Request, doc: ConfigDoc) -> Workspace | Refusal:
     """The workspace of a request's token."""
     ws = workspace_of(doc, bearer(req))
--- a/ramppost/entry/operators.py
+++ b/ramppost/entry/operators.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 from ramppost import ids
-from ramppost.entry.ask import bearer
 from ramppost.entry.changes import Applied, InDoubt, Stale, change, history, line_of
 from ramppost.entry.report import all_reports, status_report
 from ramppost.entry.sink import send_refusal
@@ -18,7 +17,7 @@
 from ramppost.schema.messages import Intent, Plan
 from ramppost.settings import check_config_doc
 from ramppost.wire.codec import BadMessage, decode, encode
-from ramppost.wire.server import Reply, Request
+from ramppost.wire.server import Reply, Request, bearer
 
 PLANS_PREFIX: Final = "plans/"
 RETRY_S: Final = 2.0
--- a/ramppost/gateway/feed.py
+++ b/ramppost/gateway/feed.py
@@ -31,12 +31,12 @@
 
 
 def feed(gw: Gateway) -> Handler:
-    """What other gateways may ask."""
+    """Answers what other gateways ask at `FEED_PATH`."""
 
     async def handle(req: Request, reply: Reply) -> None:
         query = decode(req.body, FeedQuery)
-        if req.path != FEED_PATH or isinstance(query, BadMessage):
-            await reply.send(404, b'{"error":"no such path or query"}')
+        if isinstance(query, BadMessage):
+            await reply.send(400, encode({"error": query.reason}))
             return
         await reply.send(200, encode(await _answer(gw, query)))
 
--- a/ramppost/gateway/operators.py
+++ b/ramppost/gateway/operators.py
@@ -40,7 +40,7 @@
 )
 from ramppost.wire.client import CallFailed, call
 from ramppost.wire.codec import BadMessage, decode, encode
-from ramppost.wire.server import Handler, Reply, Request
+from ramppost.wire.server import Handler, Reply, Request, bearer
 
 PLAN_KIND: Final = "plans"
 STATUS_PATH: Final = "/x/status"
@@ -85,8 +85,7 @@
     role = "confirm" if confirming else ROLES.get(req.path)
     if role is None:
         return refusal("not_found", f"no such path: {req.path}")
-    token = req.headers.get("authorization", "").removeprefix("Bearer ")
-    who = operator_of(gw.policies.config(), token)
+    who = operator_of(gw.policies.config(), bearer(req))
     if who is None:
         return refusal("unauthorized", "operator token missing or unknown")
     if role not in who["roles"]:
--- a/ramppost/policy/limits.py
+++ b/ramppost/policy/limits.py
@@ -98,7 +98,7 @@
 
     def left(self, now: float) -> float:
         """Retries that may follow at once."""
-        # A retry is remembered until all of its slot has passed, a try only as long as that.
+        # Tries and retries of a slot are forgotten together, when its end has left the window.
         while self._slots and self._slots[0][0] <= now - self.window_s:
             self._slots.popleft()
         tries = sum(slot[1] for slot in self._slots)
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -66,6 +66,12 @@
         self.bytes_out = 0
 
 
+def bearer(req: Request) -> str:
+    """The bearer token of a request, empty where there is none."""
+    kind, _, token = req.headers.get("authorization", "").partition(" ")
+    return token.strip() if kind.lower() == "bearer" else ""
+
+
 class Reply:
     """The answer to one request: `send` for a whole one, or `start`, `write`, `end`."""
 
