--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 from typing import Final, NamedTuple
 
@@ -15,10 +16,10 @@
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, Exchange, NotSent, OutgoingRequest, open_exchange
 from ramppost.gateway.load import OwnWork
-from ramppost.gateway.model import Prompt
-from ramppost.gateway.pick import Chosen
+from ramppost.gateway.pick import Chosen, level
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import AnswerHead, Send, upstream_head
+from ramppost.policy.ledger import Reading
 
 PATIENCE_OF_OBJECTIVE: Final = 0.4
 """Part of the objective after which a silent upstream is given up: time for another is left."""
@@ -28,6 +29,12 @@
 """Times the predicted time to a first byte that are waited beside: engines queue in bursts."""
 
 
+KEY_CHARS: Final = 8
+"""Of a request's id, in the name of an attempt that keepers of ledgers are told."""
+
+_numbers = itertools.count(1)
+
+
 class Refused(NamedTuple):
     """The upstream said that it did not run the request."""
 
@@ -57,15 +64,18 @@
     work = gw.loads.own(upstream.id)
     work.requests += 1
     work.pending += 1
-    work.pending_s += chosen.prefill_s
-    if chosen.service.engine is not None:
-        gw.rates.sent(chosen.prefill_s)
+    reading = _reading(gw, job, chosen, model, now)
+    key = f"{job.req.attempt_id[:KEY_CHARS]}-{next(_numbers)}"
+    if reading is not None:
+        gw.rates.sent(reading.read_s)
+        gw.ledgers.sent(upstream, key, reading)
     got: Running | Refused | NotSent | Broken = Broken("cancelled")
     try:
-        got = await _send_and_wait(gw, job, chosen, model, work)
+        got = await _send_and_wait(gw, job, chosen, model, work, reading)
     finally:
         work.pending -= 1
-        work.pending_s -= chosen.prefill_s
+        if reading is not None:
+            gw.ledgers.over(upstream, key, isinstance(got, Running))
         if not isinstance(got, Running):
             work.requests -= 1
         _note(gw, job, chosen, model, got, time.monotonic() - now)
@@ -81,11 +91,23 @@
         await running.exchange.abort()
 
 
+def _reading(gw: Gateway, job: Job, chosen: Chosen, model: str, now: float) -> Reading | None:
+    """What other gateways are told of a prompt that is sent; None where there is none."""
+    prompt = job.req.prompt
+    if chosen.service.engine is None or prompt is None:
+        return None
+    urgency = level(gw, job, chosen.prefill_s)
+    names = tuple(name for name, _ in prompt.parts)
+    return Reading(now, chosen.prefill_s, urgency, model, names)
+
+
 async def _send_and_wait(
-    gw: Gateway, job: Job, chosen: Chosen, model: str, work: OwnWork
+    gw: Gateway, job: Job, chosen: Chosen, model: str, work: OwnWork, reading: Reading | None
 ) -> Running | Refused | NotSent | Broken:
     sent_at = time.monotonic()
-    opened = await open_exchange(gw.links, chosen.upstream, _outgoing(job, chosen, model, sent_at))
+    urgency = reading.level if reading is not None else None
+    outgoing = _outgoing(job, chosen, model, urgency, sent_at)
+    opened = await open_exchange(gw.links, chosen.upstream, outgoing)
     if isinstance(opened, NotSent):
         return opened
     job.attempts += 1
@@ -113,12 +135,14 @@
             await opened.abort()
 
 
-def _outgoing(job: Job, chosen: Chosen, model: str, now: float) -> OutgoingRequest:
+def _outgoing(
+    job: Job, chosen: Chosen, model: str, urgency: int | None, now: float
+) -> OutgoingRequest:
     send = Send(
         chosen.upstream,
         job.left_s(now),
         job.workspace,
-        job.priority if chosen.service.engine is not None else None,
+        urgency,
         model,
         job.last_event_id,
     )
@@ -148,14 +172,13 @@
             since = time.monotonic()
 
 
-def _learn_engine(gw: Gateway, prompt: Prompt, chosen: Chosen, model: str, first_s: float) -> None:
-    """Remember what an engine keeps now, and how fast the model read."""
+def _learn_engine(gw: Gateway, chosen: Chosen, model: str, first_s: float) -> None:
+    """Remember how fast a model read, and how long its prompt waited."""
     now = time.monotonic()
     read = chosen.prefill_s / gw.rates.rate_s(model)
     queued_s = chosen.first_s - chosen.prefill_s
     gw.pressure.waited(first_s - chosen.prefill_s, now)
     gw.rates.saw(model, read, max(0.0, first_s - queued_s))
-    gw.kept.sent(chosen.upstream.id, model, prompt.parts, now)
 
 
 def _note(
@@ -172,7 +195,7 @@
         outcome = f"status {got.head.status}"
         failed = got.head.status >= 500
         if got.head.status < 500 and job.req.prompt is not None:
-            _learn_engine(gw, job.req.prompt, chosen, model, got.first_s)
+            _learn_engine(gw, chosen, model, got.first_s)
         if chosen.service.engine is None:
             gw.suspicion_of(chosen.upstream.id).took(took_s, now)
     elif isinstance(got, Refused):
@@ -202,5 +225,9 @@
         reported=chosen.reported,
         report_age_s=round(min(chosen.report_age_s, 999.0), 3),
         predicted_s=round(chosen.first_s, 4),
+        read_s=round(chosen.prefill_s, 4),
+        ahead_s=round(chosen.ahead_s, 4),
+        kept_tokens=chosen.kept_tokens,
+        keeper_asked=chosen.asked,
         took_s=round(took_s, 4),
     )
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from ramppost.gateway.admit import Admitted
+from ramppost.gateway.ledgers import Told
 from ramppost.gateway.model import CallerRequest
 
-PRIORITIES_A_WORKSPACE = 3
-LOWEST_PRIORITY = 9
+
+class Look(NamedTuple):
+    """What was told of engines for a model, and when (steady clock)."""
+
+    model: str
+    told: dict[str, Told]
+    at: float
 
 
 class Job:
@@ -23,6 +31,8 @@
         self.may_have_run = False
         """Whether an upstream got it and did not say that it had not run it."""
         self.tried: set[str] = set()
+        self.look: Look | None = None
+        """The last look at engines that may take it."""
         self.failed_versions: set[str] = set()
         """Versions of upstreams that answered with a failure which was tried again."""
         self.policy = ""
@@ -41,11 +51,3 @@
     def left_s(self, now: float) -> float:
         """Seconds until it has to be answered."""
         return self.deadline - now
-
-    @property
-    def priority(self) -> int | None:
-        """How urgent it is at an engine: the workspace's priority first, then the route's."""
-        if self.workspace is None:
-            return None
-        level = self.workspace.priority * PRIORITIES_A_WORKSPACE + self.route.priority
-        return min(LOWEST_PRIORITY, level)
--- /dev/null
+++ b/ramppost/gateway/ledgers.py
@@ -0,0 +1,262 @@
+"""Ledgers of engines: tells their keepers what this gateway sends, and asks before it sends.
+
+Each engine's ledger is kept by a gateway in its data hall (`ramppost.policy.keepers`).  Before
+a prompt is placed, the keepers of its candidates are asked what these have ahead of them;
+what is sent, and its first token, is told to the keeper of the engine that was chosen.  All of
+it goes in datagrams on the internal port: a lost one costs a worse prediction, nothing else.
+Whoever does not answer in time is left out for a while, and the next in rank is told and asked.
+
+A gateway notes what it sends itself in its own ledgers, too, so without any keeper it still
+knows its own prompts.
+"""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import time
+from typing import Any, Final, NamedTuple
+
+import curio
+from loguru import logger
+
+from ramppost.gateway.metrics import Metrics
+from ramppost.gateway.model import Upstream
+from ramppost.policy.keepers import keeper_of
+from ramppost.policy.ledger import Ledger, Reading
+from ramppost.policy.relays import Peers
+from ramppost.schema.messages import LedgerAsk, LedgerMsg, LedgerOver, LedgerSent, LedgerView
+from ramppost.wire.codec import BadMessage, decode, encode
+
+ASK_TIMEOUT_S: Final = 0.05
+"""A datagram waits behind a long prompt on a link of 5 Mbit/s for 30 ms; this is a fortieth of
+the tightest objective of a stream."""
+MISSES: Final = 2
+"""Questions in a row that a keeper may leave unanswered: links lose a datagram now and then."""
+SILENT_S: Final = 2.0
+"""How long a keeper that did not answer is left out."""
+MAX_DATAGRAM: Final = 8192
+MAX_ENGINES: Final = 4096
+"""Ledgers that are kept: more than a fleet has engines, should ids be made up."""
+
+
+class Told(NamedTuple):
+    """What is known of an engine's ledger: by its keeper (`asked`), or by own prompts alone."""
+
+    ahead_s: float
+    kept: int
+    asked: bool
+
+
+class Question(NamedTuple):
+    """A prompt that is to be placed: its level, the model that reads it, names of its parts."""
+
+    level: int
+    model: str
+    parts: tuple[str, ...]
+
+
+class _Asked:
+    """A question under way: keepers that have not answered, and what the others told."""
+
+    def __init__(self, engines: dict[int, list[str]]) -> None:
+        self.engines = engines
+        self.views: dict[str, Told] = {}
+        self.answered = curio.Event()
+
+
+class Ledgers:
+    """The ledgers that this gateway keeps for all, and those of its own prompts."""
+
+    def __init__(self, own: str, hall: str, peers: Peers, metrics: Metrics) -> None:
+        self.own = own
+        self.hall = hall
+        self._peers = peers
+        self._metrics = metrics
+        self._ledgers: dict[str, Ledger] = {}
+        self._silent_until: dict[str, float] = {}
+        self._misses: dict[str, int] = {}
+        """Questions that keepers have left unanswered in a row."""
+        self._asked: dict[int, _Asked] = {}
+        self._ids = itertools.count(1)
+        self._sock: Any = None
+
+    async def listen(self, ip: str, port: int) -> None:
+        """Take in datagrams until cancelled."""
+        sock = curio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind((ip, port))
+        self._sock = sock
+        async with sock:
+            while True:
+                data, addr = await sock.recvfrom(MAX_DATAGRAM)
+                await self._take(data, addr)
+
+    # --- what this gateway sends
+
+    async def ask(self, engines: list[Upstream], question: Question) -> dict[str, Told]:
+        """What is known of engines for a prompt that is to be placed on one of them."""
+        now = time.monotonic()
+        told = {engine.id: self.known(engine.id, question, now) for engine in engines}
+        by_keeper: dict[str, list[str]] = {}
+        for engine in engines:
+            keeper = self._keeper(engine.id, engine.hall, now)
+            if keeper not in ("", self.own):
+                by_keeper.setdefault(keeper, []).append(engine.id)
+        if not by_keeper or self._sock is None:
+            return told
+        for name, view in (await self._ask_keepers(by_keeper, question)).items():
+            own = told[name]
+            told[name] = Told(max(own.ahead_s, view.ahead_s), max(own.kept, view.kept), True)
+        return told
+
+    def known(self, engine: str, question: Question, now: float) -> Told:
+        """What the ledger here tells of an engine, without asking anybody."""
+        ledger = self._ledgers.get(engine)
+        if ledger is None:
+            return Told(0.0, 0, False)
+        kept = ledger.kept_parts(question.model, question.parts, now)
+        return Told(ledger.ahead_s(question.level, now), kept, False)
+
+    def sent(self, engine: Upstream, key: str, reading: Reading) -> None:
+        """A prompt is on its way to an engine."""
+        self._ledger(engine.id).sent(key, reading)
+        note = LedgerSent(
+            key=key,
+            engine=engine.id,
+            read_ms=round(reading.read_s * 1000),
+            level=reading.level,
+            model=reading.model,
+            parts=list(reading.parts),
+        )
+        self._tell_keeper(engine, LedgerMsg(sent=note))
+
+    def over(self, engine: Upstream, key: str, began: bool) -> None:
+        """A prompt has its first token, or will never have one there."""
+        self._note_over(engine.id, key, began)
+        note = LedgerOver(key=key, engine=engine.id, began=began)
+        self._tell_keeper(engine, LedgerMsg(over=note))
+
+    def forget(self, engine: str) -> None:
+        """An engine has left."""
+        self._ledgers.pop(engine, None)
+
+    # --- keepers
+
+    def _keeper(self, engine: str, hall: str, now: float) -> str:
+        silent = frozenset(name for name, until in self._silent_until.items() if until > now)
+        return keeper_of(engine, hall, {**self._peers.halls, self.own: self.hall}, silent)
+
+    async def _ask_keepers(
+        self, by_keeper: dict[str, list[str]], question: Question
+    ) -> dict[str, Told]:
+        ids = {next(self._ids): keeper for keeper in by_keeper}
+        asked = _Asked({number: by_keeper[keeper] for number, keeper in ids.items()})
+        for number, keeper in ids.items():
+            self._asked[number] = asked
+            ask = LedgerAsk(
+                id=number,
+                engines=by_keeper[keeper],
+                level=question.level,
+                model=question.model,
+                parts=list(question.parts),
+            )
+            self._send(keeper, LedgerMsg(ask=ask))
+        try:
+            await curio.ignore_after(ASK_TIMEOUT_S, asked.answered.wait)
+        finally:
+            for number in ids:
+                self._asked.pop(number, None)
+        for number, keeper in ids.items():
+            self._heard(keeper, number not in asked.engines)
+        return asked.views
+
+    def _heard(self, keeper: str, answered: bool) -> None:
+        """Whether a keeper has answered a question in time; one that goes on not to is left out."""
+        if answered:
+            self._misses.pop(keeper, None)
+            return
+        self._misses[keeper] = self._misses.get(keeper, 0) + 1
+        if self._misses[keeper] < MISSES:
+            return
+        self._silent_until[keeper] = time.monotonic() + SILENT_S
+        self._metrics.count("ramppost_ledger_silences_total")
+        logger.info("keeper of ledgers does not answer", peer=keeper, left_out_s=SILENT_S)
+
+    def _tell_keeper(self, engine: Upstream, msg: LedgerMsg) -> None:
+        keeper = self._keeper(engine.id, engine.hall, time.monotonic())
+        if keeper not in ("", self.own):
+            self._send(keeper, msg)
+
+    def _send(self, peer: str, msg: LedgerMsg) -> None:
+        host, _, port = self._peers.addrs[peer].rpartition(":")
+        self._send_to((host, int(port)), msg)
+
+    def _send_to(self, addr: tuple[str, int], msg: LedgerMsg) -> None:
+        if self._sock is None:
+            return
+        try:
+            self._sock._socket.sendto(encode(msg), addr)
+        except OSError as exc:
+            logger.debug("datagram not sent: {!r}", exc)
+            self._metrics.count("ramppost_ledger_unsent_total")
+
+    # --- what others send
+
+    async def _take(self, data: bytes, addr: tuple[str, int]) -> None:
+        msg = decode(data, LedgerMsg)
+        if isinstance(msg, BadMessage):
+            logger.warning("datagram not understood: {}", msg.reason, peer=addr[0])
+            return
+        if "ask" in msg:
+            self._send_to(addr, LedgerMsg(view=self._view(msg["ask"])))
+        if "view" in msg:
+            await self._answered(msg["view"])
+        if "sent" in msg:
+            self._note_sent(msg["sent"])
+        if "over" in msg:
+            self._note_over(msg["over"]["engine"], msg["over"]["key"], msg["over"]["began"])
+
+    def _view(self, ask: LedgerAsk) -> LedgerView:
+        now = time.monotonic()
+        question = Question(ask["level"], ask["model"], tuple(ask["parts"]))
+        views = [self.known(engine, question, now) for engine in ask["engines"]]
+        return LedgerView(
+            id=ask["id"],
+            ahead_ms=[round(view.ahead_s * 1000) for view in views],
+            kept=[view.kept for view in views],
+        )
+
+    async def _answered(self, view: LedgerView) -> None:
+        asked = self._asked.get(view["id"])
+        engines = asked.engines.pop(view["id"], None) if asked is not None else None
+        if asked is None or engines is None:
+            return
+        for engine, ahead_ms, kept in zip(engines, view["ahead_ms"], view["kept"], strict=False):
+            asked.views[engine] = Told(ahead_ms / 1000, kept, True)
+        if not asked.engines:
+            await asked.answered.set()
+
+    # --- ledgers
+
+    def _note_sent(self, note: LedgerSent) -> None:
+        reading = Reading(
+            time.monotonic(),
+            note["read_ms"] / 1000,
+            note["level"],
+            note["model"],
+            tuple(note["parts"]),
+        )
+        self._ledger(note["engine"]).sent(note["key"], reading)
+
+    def _note_over(self, engine: str, key: str, began: bool) -> None:
+        ledger = self._ledger(engine)
+        if began:
+            ledger.began(key, time.monotonic())
+        else:
+            ledger.dropped(key, time.monotonic())
+
+    def _ledger(self, engine: str) -> Ledger:
+        ledger = self._ledgers.setdefault(engine, Ledger())
+        while len(self._ledgers) > MAX_ENGINES:
+            del self._ledgers[next(iter(self._ledgers))]
+        return ledger
--- a/ramppost/gateway/load.py
+++ b/ramppost/gateway/load.py
@@ -23,8 +23,6 @@
         self.requests = 0
         self.pending = 0
         """Those of them that have not begun to answer."""
-        self.pending_s = 0.0
-        """Predicted time to read the prompts of those."""
 
 
 class Loads:
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -69,6 +69,7 @@
     await curio.spawn(serve_http, listen(*address(cfg["health"])), _health(gw), daemon=True)
     inner = listen(cfg["ip"], cfg["internal_port"])
     await curio.spawn(serve_http, inner, internal(gw), daemon=True)
+    await curio.spawn(gw.ledgers.listen, cfg["ip"], cfg["internal_port"], daemon=True)
     await curio.spawn(keep_listed, gw, daemon=True)
     await curio.spawn(subscribe, gw, daemon=True)
     metrics = listen(cfg["ip"], cfg["metrics_port"])
--- a/ramppost/gateway/peers.py
+++ b/ramppost/gateway/peers.py
@@ -51,5 +51,5 @@
     if isinstance(entry, BadMessage):
         logger.error("gateway's entry not understood: {}", entry.reason, peer=obj.name)
         return
-    if gw.peers.put(obj.name, entry["addr"]):
+    if gw.peers.put(obj.name, entry["addr"], entry["hall"]):
         logger.info("gateway known", peer=obj.name, addr=entry["addr"])
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -1,31 +1,46 @@
-"""Picks the upstream of an attempt from what the gateway knows now."""
+"""Picks the upstream of an attempt from what the gateway knows now.
+
+`look` asks what the candidates have ahead of them, `pick` chooses among them; a choice that
+was not looked for rests on what this gateway has sent itself.
+"""
 
 from __future__ import annotations
 
-from typing import NamedTuple
+import time
+from typing import Final, NamedTuple
 
-from ramppost.gateway.job import Job
-from ramppost.gateway.model import Service, Upstream
+from ramppost.gateway.job import Job, Look
+from ramppost.gateway.ledgers import Question, Told
+from ramppost.gateway.model import Prompt, Service, Upstream
 from ramppost.gateway.state import Gateway
 from ramppost.policy.placement import (
     EngineView,
     Placed,
     PlainView,
     Work,
+    home_of,
     plain_ranked,
     ranked,
+    tokens_of,
 )
 from ramppost.policy.routing import unit
+from ramppost.policy.urgency import level_of
 
-USUAL_PLAIN_S = 0.03
+USUAL_PLAIN_S: Final = 0.03
 """What a plain upstream's latency is taken for until one has answered."""
+MOST_ASKED: Final = 6
+"""Engines that are asked about for one prompt, where a service has more: the best by what is
+known here, and the home of its shared parts."""
+LOOK_GOOD_S: Final = 0.1
+"""How long what was told of engines is used: a long prompt may be sent there at any moment."""
 
 
 class Chosen(NamedTuple):
     """An upstream, and what decided for it, for the log.
 
     `first_s` is the predicted time to its first byte, `prefill_s` that of reading the
-    prompt, both in seconds.
+    prompt, `ahead_s` that of what is read before it, all in seconds; `asked` tells whether the
+    keeper of its ledger was asked.
     """
 
     upstream: Upstream
@@ -36,6 +51,9 @@
     report_age_s: float
     first_s: float
     prefill_s: float
+    ahead_s: float
+    kept_tokens: int
+    asked: bool
 
 
 def service_of(job: Job) -> str:
@@ -52,63 +70,144 @@
     return targets[-1].service
 
 
-def pick(gw: Gateway, job: Job, service_name: str, model: str, now: float) -> Chosen | None:
-    """The best upstream that was not tried yet; None where there is none.
+async def look(gw: Gateway, job: Job, service_name: str, model: str) -> None:
+    """Ask what the engines that may take a request have ahead of them."""
+    now = time.monotonic()
+    service = gw.table.services.get(service_name) if gw.table is not None else None
+    prompt = job.req.prompt
+    if service is None or service.engine is None or prompt is None:
+        return
+    fit = candidates(gw, job, service_name, now)
+    question = _question(gw, job, model, prompt)
+    if len(fit) > MOST_ASKED:
+        fit = _shortlist(gw, fit, question, prompt, now)
+    job.look = Look(model, await gw.ledgers.ask(fit, question), time.monotonic())
+
+
+def candidates(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
+    """Upstreams that were not tried yet, of the version that the request is to run on.
 
     One of a version that has failed this request is taken only where no other is left: a
     version that is being rolled out may be bad at all its upstreams.
     """
-    assert gw.table is not None
-    service = gw.table.services.get(service_name)
-    if service is None:
-        return None
     usable = gw.members.usable(service_name, now)
     side = gw.rollouts.side(service_name, usable, job.req.attempt_id, job.req.session, now)
     for avoided in (job.failed_versions, set()):
         for group in (side.preferred, side.others):
             fit = [u for u in group if u.id not in job.tried and u.version not in avoided]
             if fit:
-                return _best(gw, job, service, fit, model, now)
-    return None
+                return fit
+    return []
 
 
-def _best(
-    gw: Gateway, job: Job, service: Service, untried: list[Upstream], model: str, now: float
-) -> Chosen:
-    by_id = {upstream.id: upstream for upstream in untried}
+def pick(gw: Gateway, job: Job, service_name: str, model: str, now: float) -> Chosen | None:
+    """The best upstream that was not tried yet; None where there is none."""
+    assert gw.table is not None
+    service = gw.table.services.get(service_name)
+    if service is None:
+        return None
+    fit = candidates(gw, job, service_name, now)
+    if not fit:
+        return None
     prompt = job.req.prompt
     if service.engine is not None and prompt is not None:
-        engines = [_engine_view(gw, upstream, now) for upstream in untried]
-        work = Work(model, prompt.parts, prompt.tokens_in)
-        found = ranked(engines, work, gw.kept, gw.rates, gw.cfg["hall"], now, gw.rng)[0]
-    else:
-        name = plain_ranked(_plain_views(gw, untried, now), gw.cfg["hall"], gw.rng)[0]
-        found = Placed(name, USUAL_PLAIN_S, 0.0)
-    best = by_id[found.id]
+        return _best_engine(gw, job, service, fit, model, prompt, now)
+    name = plain_ranked(_plain_views(gw, fit, now), gw.cfg["hall"], gw.rng)[0]
+    return _chosen(gw, service, fit, Placed(name, USUAL_PLAIN_S, 0.0), Told(0.0, 0, False), 0, now)
+
+
+def level(gw: Gateway, job: Job, read_s: float) -> int:
+    """How urgent a prompt is that takes so long to read."""
+    rank = job.workspace.priority if job.workspace is not None else 0
+    return level_of(rank, job.route.priority, read_s)
+
+
+def _question(gw: Gateway, job: Job, model: str, prompt: Prompt) -> Question:
+    read_s = gw.rates.rate_s(model) * prompt.tokens_in
+    return Question(level(gw, job, read_s), model, tuple(name for name, _ in prompt.parts))
+
+
+def _best_engine(
+    gw: Gateway,
+    job: Job,
+    service: Service,
+    fit: list[Upstream],
+    model: str,
+    prompt: Prompt,
+    now: float,
+) -> Chosen:
+    told = _told(gw, job, fit, model, prompt, now)
+    engines = [_engine_view(gw, u, told[u.id], prompt, now) for u in fit if u.id in told]
+    work = Work(model, prompt.parts, prompt.tokens_in)
+    found = ranked(engines, work, gw.rates, gw.cfg["hall"], now, gw.rng)[0]
+    kept = tokens_of(prompt.parts, told[found.id].kept)
+    return _chosen(gw, service, fit, found, told[found.id], kept, now)
+
+
+def _told(
+    gw: Gateway, job: Job, fit: list[Upstream], model: str, prompt: Prompt, now: float
+) -> dict[str, Told]:
+    """What was told of candidates a moment ago; what is known here where nobody was asked."""
+    look = job.look
+    if look is not None and look.model == model and now - look.at < LOOK_GOOD_S:
+        told = {u.id: look.told[u.id] for u in fit if u.id in look.told}
+        if told:
+            return told
+    question = _question(gw, job, model, prompt)
+    return {u.id: gw.ledgers.known(u.id, question, now) for u in fit}
+
+
+def _shortlist(
+    gw: Gateway, fit: list[Upstream], question: Question, prompt: Prompt, now: float
+) -> list[Upstream]:
+    """The most promising engines by what is known here, with the home of the shared parts."""
+    views = [_engine_view(gw, u, gw.ledgers.known(u.id, question, now), prompt, now) for u in fit]
+    work = Work(question.model, prompt.parts, prompt.tokens_in)
+    best = [placed.id for placed in ranked(views, work, gw.rates, gw.cfg["hall"], now, gw.rng)]
+    names = {home_of(views, work), *best[: MOST_ASKED - 1]}
+    return [upstream for upstream in fit if upstream.id in names]
+
+
+def _chosen(
+    gw: Gateway,
+    service: Service,
+    fit: list[Upstream],
+    placed: Placed,
+    told: Told,
+    kept_tokens: int,
+    now: float,
+) -> Chosen:
+    best = next(upstream for upstream in fit if upstream.id == placed.id)
     report = gw.loads.reported(best.id)
     return Chosen(
-        best,
-        service,
-        len(untried),
-        gw.loads.own(best.id).requests,
-        report.running,
-        now - report.at,
-        found.first_s,
-        found.prefill_s,
+        upstream=best,
+        service=service,
+        candidates=len(fit),
+        own=gw.loads.own(best.id).requests,
+        reported=report.running,
+        report_age_s=now - report.at,
+        first_s=placed.first_s,
+        prefill_s=placed.prefill_s,
+        ahead_s=told.ahead_s,
+        kept_tokens=kept_tokens,
+        asked=told.asked,
     )
 
 
-def _engine_view(gw: Gateway, upstream: Upstream, now: float) -> EngineView:
+def _engine_view(
+    gw: Gateway, upstream: Upstream, told: Told, prompt: Prompt, now: float
+) -> EngineView:
     own = gw.loads.own(upstream.id)
     report = gw.loads.reported(upstream.id)
     return EngineView(
-        upstream.id,
-        upstream.hall,
-        own.pending_s,
-        max(0, report.running - (own.requests - own.pending)),
-        max(0, report.waiting - own.pending),
-        report.at,
-        gw.suspicion_of(upstream.id).failing(now),
+        id=upstream.id,
+        hall=upstream.hall,
+        ahead_s=told.ahead_s,
+        kept_tokens=tokens_of(prompt.parts, told.kept),
+        others_running=max(0, report.running - (own.requests - own.pending)),
+        others_waiting=0 if told.asked else max(0, report.waiting - own.pending),
+        reported_at=report.at,
+        failing=gw.suspicion_of(upstream.id).failing(now),
     )
 
 
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -23,7 +23,7 @@
 from ramppost.gateway.model import CallerRequest
 from ramppost.gateway.models import ModelPlan, good_enough, model_plan, next_model, under_load
 from ramppost.gateway.passing import Passed, pass_stream, pass_whole
-from ramppost.gateway.pick import pick, service_of
+from ramppost.gateway.pick import look, pick, service_of
 from ramppost.gateway.rollout_duty import judge_answer
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers, refusal_headers
@@ -77,7 +77,7 @@
         got = await _running(gw, job, service, model, reply)
         if isinstance(got, Refusal):
             return got
-        larger = "" if reply.started else _larger_model(gw, job, service, plan, got)
+        larger = "" if reply.started else await _larger_model(gw, job, service, plan, got)
         if larger:
             await release(got, False)
             model = larger
@@ -110,7 +110,7 @@
         job.cost += engine.prices.get(running.model, 0.0) * tokens / 1000
 
 
-def _larger_model(gw: Gateway, job: Job, service: str, plan: ModelPlan, got: Running) -> str:
+async def _larger_model(gw: Gateway, job: Job, service: str, plan: ModelPlan, got: Running) -> str:
     """The larger model to ask instead of passing an answer on; empty to pass it on."""
     if got.head.status >= 400 or good_enough(plan, got.model, got.head.confidence):
         return ""
@@ -118,6 +118,8 @@
     if job.attempts >= job.route.attempts or gw.budget_of(service).left(now) < 1:
         return ""
     tried, job.tried = job.tried, set()
+    await look(gw, job, service, plan.models[-1])
+    now = time.monotonic()
 
     def first_s(model: str) -> float | None:
         chosen = pick(gw, job, service, model, now)
@@ -147,6 +149,8 @@
         now = time.monotonic()
         if job.workspace is not None and not gw.fresh.may_start(now):
             return _final(job, stale())
+        await look(gw, job, service, model)
+        now = time.monotonic()
         chosen = pick(gw, job, service, model, now)
         if chosen is None or not _may_send(gw, job, service):
             return _final(job, last)
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -10,6 +10,7 @@
 from ramppost.gateway.follow import Followed, News, Outage
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.inbound import Callers
+from ramppost.gateway.ledgers import Ledgers
 from ramppost.gateway.links import Links
 from ramppost.gateway.load import Loads
 from ramppost.gateway.membership import Members
@@ -21,7 +22,7 @@
 from ramppost.platform.store import StoreClient
 from ramppost.policy.limits import WindowBudget
 from ramppost.policy.pace import Pace
-from ramppost.policy.placement import KeptParts, PrefillRates
+from ramppost.policy.placement import PrefillRates
 from ramppost.policy.pressure import Pressure
 from ramppost.policy.relays import Peers
 from ramppost.policy.suspicion import Suspicion
@@ -74,7 +75,6 @@
         self.store = StoreClient(cfg["store"]["addr"], Pool(cfg["ip"]))
         self.links = Links(cfg["ip"])
         self.loads = Loads()
-        self.kept = KeptParts()
         self.rates = PrefillRates()
         self.pressure = Pressure()
         self.suspicions: dict[str, Suspicion] = {}
@@ -83,6 +83,7 @@
         self.rollouts = Rollouts(cfg["timing"]["session_s"])
         self.callers = Callers()
         self.metrics = Metrics()
+        self.ledgers = Ledgers(cfg["name"], cfg["hall"], self.peers, self.metrics)
         self.counts = Counts()
         self.policies = Policies()
         self.leaving = False
@@ -132,5 +133,6 @@
     def forget(self, upstream_id: str) -> None:
         """Drop what is known of an upstream that has left."""
         self.links.forget(upstream_id)
+        self.ledgers.forget(upstream_id)
         self.loads.forget(upstream_id)
         self.suspicions.pop(upstream_id, None)
--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -1,10 +1,10 @@
 """Which upstream takes a request: the least predicted time to its first byte.
 
-Pure.  For an engine, time is what lies ahead of the first token: what this gateway sent
-that has not begun, what waits there for others, and reading that part of the request's
-own prompt that the engine does not keep for the model.  A shared part is believed to be
-kept where this gateway sent it lately, and with less certainty at the engine that
-rendezvous hashing names its home, so that gateways agree on a home without talking.
+Pure.  For an engine, time is what lies ahead of the first token: what gateways sent there
+before (`ramppost.policy.ledger`), what runs there, and reading that part of the request's
+own prompt that the engine does not keep for the model.  Where no engine keeps any of it,
+the one that rendezvous hashing names the home of its shared parts goes first among equals,
+so that gateways agree on a home without talking.
 
 A prompt that takes long to read holds up everything else on its engine, so such prompts
 share one engine of several, which the others avoid a little: gateways agree on it by the
@@ -25,14 +25,11 @@
 """What the way to another hall adds, there and back, with the price of its bytes."""
 FAILING_S: Final = 3.0
 """What constant failures add: more than any queue, so that only failing upstreams are worse."""
-HOME_BELIEF: Final = 0.8
-"""Probability that a shared part is kept at its home."""
+HOME_BIAS_S: Final = 0.03
+"""What speaks for the home of a prompt's shared parts, where nothing is known to be kept."""
 REPORT_HALF_LIFE_S: Final = 2.0
-KEPT_S: Final = 20.0
-"""How long a part is believed to be kept where it was sent; engines drop the oldest."""
 NOISE: Final = 0.05
 """Relative noise on scores, so that gateways with the same report don't all agree."""
-MAX_PARTS: Final = 8192
 LONG_PREFILL_S: Final = 1.2
 """A prompt that takes so long to read is kept apart; the usual one takes a tenth of it."""
 LONG_BIAS_S: Final = 0.1
@@ -47,14 +44,16 @@
 class EngineView(NamedTuple):
     """What a gateway knows of an engine.
 
-    `pending_s` is the predicted reading time of its own requests that have not begun;
-    `others_running` and `others_waiting` are by the engine's last report.  `failing` is 0
-    for one that answers well, 1 for one that always fails.
+    `ahead_s` is the predicted time to read what goes before the prompt, `kept_tokens` what the
+    engine keeps of the prompt.  `others_running` is by the engine's last report, and so is
+    `others_waiting`, which is 0 where `ahead_s` counts the prompts of all gateways.  `failing`
+    is 0 for one that answers well, 1 for one that always fails.
     """
 
     id: str
     hall: str
-    pending_s: float
+    ahead_s: float
+    kept_tokens: int
     others_running: int
     others_waiting: int
     reported_at: float
@@ -86,33 +85,6 @@
         self.usual_s += RATE_STEP * (seconds - self.usual_s)
 
 
-class KeptParts:
-    """Which parts of prompts were sent to which engine for which model, and when."""
-
-    def __init__(self) -> None:
-        self._sent: dict[tuple[str, str, str], float] = {}
-
-    def sent(self, engine: str, model: str, parts: tuple[tuple[str, int], ...], now: float) -> None:
-        """A prompt with these parts has begun at an engine."""
-        for name, _ in parts:
-            self._sent.pop((engine, model, name), None)
-            self._sent[engine, model, name] = now
-        while len(self._sent) > MAX_PARTS:
-            del self._sent[next(iter(self._sent))]
-
-    def kept_tokens(
-        self, engine: str, model: str, parts: tuple[tuple[str, int], ...], now: float
-    ) -> int:
-        """Tokens of a prompt's first parts that the engine is believed to keep."""
-        total = 0
-        for name, tokens in parts:
-            at = self._sent.get((engine, model, name))
-            if at is None or now - at > KEPT_S:
-                break
-            total += tokens
-        return total
-
-
 class Work(NamedTuple):
     """A prompt to be read by a model."""
 
@@ -129,14 +101,22 @@
     prefill_s: float
 
 
-def home_tokens(engines: list[EngineView], work: Work) -> tuple[str, float]:
-    """The home of a prompt's shared parts, and the tokens that it is believed to keep."""
+def home_of(engines: list[EngineView], work: Work) -> str:
+    """The home of a prompt's shared parts; empty where it has none."""
     shared = work.parts[:-1]
     if not shared or not engines:
-        return "", 0.0
+        return ""
     name = shared[-1][0]
-    home = min(engines, key=lambda engine: unit("home", work.model, name, engine.id))
-    return home.id, HOME_BELIEF * sum(tokens for _, tokens in shared)
+    return min(engines, key=lambda engine: unit("home", work.model, name, engine.id)).id
+
+
+def tokens_of(parts: tuple[tuple[str, int], ...], count: int) -> int:
+    """Tokens of a prompt's first parts.
+
+    >>> tokens_of((("aa", 800), ("bb", 400)), 1)
+    800
+    """
+    return sum(tokens for _, tokens in parts[:count])
 
 
 def long_homes(engines: list[EngineView]) -> set[str]:
@@ -149,31 +129,29 @@
 def ranked(
     engines: list[EngineView],
     work: Work,
-    kept: KeptParts,
     rates: PrefillRates,
     hall: str,
     now: float,
     rng: random.Random,
 ) -> list[Placed]:
     """Engines by predicted time to the first token, best first."""
-    home, believed = home_tokens(engines, work)
+    home = home_of(engines, work)
     rate_s = rates.rate_s(work.model)
     apart = long_homes(engines)
 
     def place(engine: EngineView) -> Placed:
-        known = kept.kept_tokens(engine.id, work.model, work.parts, now)
-        saved = max(known, believed if engine.id == home else 0.0)
-        prefill_s = rate_s * max(0.0, work.tokens_in - saved)
+        prefill_s = rate_s * max(0, work.tokens_in - engine.kept_tokens)
         fresh = math.exp2(-max(0.0, now - engine.reported_at) / REPORT_HALF_LIFE_S)
         others_s = engine.others_running * RUNNING_S + engine.others_waiting * rates.usual_s
-        away_s = 0.0 if engine.hall == hall else OTHER_HALL_S
-        ahead_s = engine.pending_s + fresh * others_s + away_s + prefill_s
-        return Placed(engine.id, ahead_s, prefill_s)
+        return Placed(engine.id, engine.ahead_s + fresh * others_s + prefill_s, prefill_s)
 
-    failing = {engine.id: engine.failing for engine in engines}
+    by_id = {engine.id: engine for engine in engines}
 
     def score(placed: Placed) -> float:
-        cost_s = placed.first_s + _misplaced_s(placed, apart) + failing[placed.id] * FAILING_S
+        engine = by_id[placed.id]
+        cost_s = placed.first_s + _misplaced_s(placed, apart) + engine.failing * FAILING_S
+        cost_s += 0.0 if engine.hall == hall else OTHER_HALL_S
+        cost_s += 0.0 if engine.id == home else HOME_BIAS_S
         return cost_s * rng.uniform(1 - NOISE, 1 + NOISE)
 
     return sorted((place(engine) for engine in engines), key=score)
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -45,13 +45,15 @@
     def __init__(self, own: str) -> None:
         self.own = own
         self.addrs: dict[str, str] = {}
+        self.halls: dict[str, str] = {}
         self._dead_until: dict[str, float] = {}
 
-    def put(self, name: str, addr: str) -> bool:
+    def put(self, name: str, addr: str, hall: str = "") -> bool:
         """A gateway is listed in the store; true if that is new."""
         if name == self.own or self.addrs.get(name) == addr:
             return False
         self.addrs[name] = addr
+        self.halls[name] = hall
         return True
 
     def heard(self, name: str, answered: bool, now: float) -> None:
--- a/ramppost/policy/routing.py
+++ b/ramppost/policy/routing.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import math
 import random
@@ -30,6 +31,8 @@
 MAX_PRICE: Final = 50.0
 MARGIN: Final = 0.005
 DEFAULT_THRESHOLD: Final = 0.7
+UNITS_KEPT: Final = 16384
+"""Numbers of `unit` that are kept: gateways, engines and homes are ranked for each request."""
 
 
 class Mean:
@@ -153,6 +156,7 @@
 }
 
 
+@functools.lru_cache(maxsize=UNITS_KEPT)
 def unit(*parts: str) -> float:
     """A number in [0, 1) that depends on nothing but the parts."""
     digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=8).digest()
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -137,6 +137,102 @@
     """
 
 
+class LedgerAsk(TypedDict, closed=True):
+    """
+    Gateway to keeper: what have these engines ahead of a prompt, and what of it do they keep?
+    """
+
+    id: int
+    """
+    Names the question in its answer.
+    """
+    engines: list[str]
+    """
+    Ids of engines.
+    """
+    level: int
+    """
+    How urgent the prompt is, 0 first.
+    """
+    model: str
+    """
+    The model that is to read it.
+    """
+    parts: list[str]
+    """
+    Names of its parts, in order.
+    """
+
+
+class LedgerView(TypedDict, closed=True):
+    """
+    Keeper to gateway: the answer, one figure for each engine asked about, in the same order.
+    """
+
+    id: int
+    """
+    The question.
+    """
+    ahead_ms: list[int]
+    """
+    Milliseconds of reading that go before it.
+    """
+    kept: list[int]
+    """
+    How many of its first parts are kept.
+    """
+
+
+class LedgerSent(TypedDict, closed=True):
+    """
+    Gateway to keeper: a prompt is on its way to an engine.
+    """
+
+    key: str
+    """
+    Names this attempt until it is over.
+    """
+    engine: str
+    """
+    The engine's id.
+    """
+    read_ms: int
+    """
+    Predicted milliseconds to read what the engine does not keep.
+    """
+    level: int
+    """
+    How urgent the prompt is, 0 first.
+    """
+    model: str
+    """
+    The model that reads it.
+    """
+    parts: list[str]
+    """
+    Names of its parts, in order.
+    """
+
+
+class LedgerOver(TypedDict, closed=True):
+    """
+    Gateway to keeper: a prompt no longer waits at an engine.
+    """
+
+    key: str
+    """
+    The attempt.
+    """
+    engine: str
+    """
+    The engine's id.
+    """
+    began: bool
+    """
+    Whether it has its first token; else it failed or its caller left.
+    """
+
+
 class StatusMsg(TypedDict, closed=True):
     """
     Entry to agent or entry: how are you?
@@ -575,6 +671,17 @@
     changes: list[FeedChange]
 
 
+class LedgerMsg(TypedDict, closed=True):
+    """
+    A datagram between gateways about what engines have ahead of them: one of these.
+    """
+
+    ask: NotRequired[LedgerAsk]
+    view: NotRequired[LedgerView]
+    sent: NotRequired[LedgerSent]
+    over: NotRequired[LedgerOver]
+
+
 class Frame(TypedDict, closed=True):
     """
     Agent to entry: a piece of the answer. The last one has `end` and its number is the count of pieces.
--- /dev/null
+++ b/tests/harness/replay.py
@@ -0,0 +1,203 @@
+"""Replays a load on engines that are modelled, with the decisions that gateways really take.
+
+Each engine reads one prompt at a time, the more urgent first, and keeps what it has read.
+Gateways place prompts by `ramppost.policy.placement` on what they know: the ledgers of all
+(`shared`) or of their own prompts alone.  Time is simulated, draws are seeded.
+
+    load = Load(seed=1, gateways=3, engines=6, rate=12.0, seconds=40.0)
+    play(load, shared=True).late
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from typing import Final, NamedTuple
+
+from ramppost.policy.ledger import Ledger, Reading
+from ramppost.policy.placement import EngineView, PrefillRates, Work, ranked, tokens_of
+from ramppost.policy.urgency import level_of
+
+TOKEN_S: Final = {"small": 8e-6, "large": 8e-5}
+"""Seconds that a model takes to read a token."""
+HALLS: Final = ("north", "south", "west")
+LARGE_SHARE: Final = 0.4
+OBJECTIVE_S: Final = 2.0
+
+
+class Load(NamedTuple):
+    """Prompts a second of all gateways, as long as it lasts; `lost` engines end half-way."""
+
+    seed: int
+    gateways: int = 3
+    engines: int = 6
+    rate: float = 12.0
+    seconds: float = 40.0
+    prefixes: int = 40
+    lost: int = 0
+
+
+class Outcome(NamedTuple):
+    """Parts of the prompts that were late and that went to another hall; median time to a first
+    token by model, seconds; median error of what was predicted."""
+
+    late: float
+    late_small: float
+    away: float
+    median_s: float
+    error_s: float
+
+
+class _Engine:
+    """Reads prompts; `free_at` is when the one that it reads has its first token."""
+
+    def __init__(self, name: str, hall: str) -> None:
+        self.name = name
+        self.hall = hall
+        self.queue: list[tuple[int, int, _Prompt]] = []
+        self.reading: _Prompt | None = None
+        self.kept: set[tuple[str, str]] = set()
+        self.lost = False
+
+
+class _Prompt:
+    def __init__(self, work: Work, gateway: int, hall: str, at: float) -> None:
+        self.work = work
+        self.gateway = gateway
+        self.hall = hall
+        self.at = at
+        self.key = ""
+        self.level = 0
+        self.predicted_s = 0.0
+        self.took_s = 0.0
+        self.away = False
+
+
+class _World:
+    """The state of a replay."""
+
+    def __init__(self, load: Load, shared: bool, by_size: bool) -> None:
+        self.load = load
+        self.shared = shared
+        self.by_size = by_size
+        self.rng = random.Random(load.seed)
+        self.engines = [_Engine(f"e{i}", HALLS[i % len(HALLS)]) for i in range(load.engines)]
+        self.ledgers: dict[tuple[int, str], Ledger] = {}
+        self.rates = PrefillRates()
+        for model, token_s in TOKEN_S.items():
+            for _ in range(200):
+                self.rates.saw(model, 10000, 10000 * token_s)
+        self.numbers = itertools.count()
+        self.events: list[tuple[float, int, str, object]] = []
+        self.done: list[_Prompt] = []
+
+    def at(self, when: float, what: str, of: object) -> None:
+        heapq.heappush(self.events, (when, next(self.numbers), what, of))
+
+    def ledger(self, gateway: int, engine: str) -> Ledger:
+        return self.ledgers.setdefault((0 if self.shared else gateway, engine), Ledger())
+
+    def place(self, prompt: _Prompt, now: float) -> None:
+        names = tuple(name for name, _ in prompt.work.parts)
+        level = self.level(prompt, TOKEN_S[prompt.work.model] * prompt.work.tokens_in)
+        views = []
+        for engine in (e for e in self.engines if not e.lost):
+            ledger = self.ledger(prompt.gateway, engine.name)
+            kept = ledger.kept_parts(prompt.work.model, names, now)
+            kept_tokens = tokens_of(prompt.work.parts, kept)
+            ahead_s = ledger.ahead_s(level, now)
+            views.append(EngineView(engine.name, engine.hall, ahead_s, kept_tokens, 0, 0, now, 0))
+        best = ranked(views, prompt.work, self.rates, prompt.hall, now, self.rng)[0]
+        chosen = next(e for e in self.engines if e.name == best.id)
+        prompt.key = f"{next(self.numbers)}"
+        prompt.level = self.level(prompt, best.prefill_s)
+        prompt.predicted_s = now - prompt.at + best.first_s
+        prompt.away = chosen.hall != prompt.hall
+        reading = Reading(now, best.prefill_s, prompt.level, prompt.work.model, names)
+        self.ledger(prompt.gateway, chosen.name).sent(prompt.key, reading)
+        heapq.heappush(chosen.queue, (prompt.level, next(self.numbers), prompt))
+        self.read_next(chosen, now)
+
+    def level(self, prompt: _Prompt, read_s: float) -> int:
+        return level_of(0, 1, read_s) if self.by_size else 0
+
+    def read_next(self, engine: _Engine, now: float) -> None:
+        if engine.reading is not None or not engine.queue or engine.lost:
+            return
+        _, _, prompt = heapq.heappop(engine.queue)
+        engine.reading = prompt
+        model = prompt.work.model
+        unread = sum(n for name, n in prompt.work.parts if (model, name) not in engine.kept)
+        self.at(now + unread * TOKEN_S[model], "began", (engine, prompt))
+
+    def began(self, engine: _Engine, prompt: _Prompt, now: float) -> None:
+        if engine.lost:
+            return
+        engine.reading = None
+        engine.kept |= {(prompt.work.model, name) for name, _ in prompt.work.parts}
+        self.ledger(prompt.gateway, engine.name).began(prompt.key, now)
+        prompt.took_s = now - prompt.at
+        self.done.append(prompt)
+        self.read_next(engine, now)
+
+    def lose(self, engine: _Engine, now: float) -> None:
+        """An engine ends: what it had is placed again."""
+        engine.lost = True
+        again = [prompt for _, _, prompt in engine.queue]
+        if engine.reading is not None:
+            again.append(engine.reading)
+        for prompt in again:
+            self.ledger(prompt.gateway, engine.name).dropped(prompt.key, now)
+            self.place(prompt, now)
+
+
+def play(load: Load, shared: bool = True, by_size: bool = True) -> Outcome:
+    """Replay a load; what became of its prompts."""
+    world = _World(load, shared, by_size)
+    now = 0.0
+    while now < load.seconds:
+        now += world.rng.expovariate(load.rate)
+        gateway = world.rng.randrange(load.gateways)
+        prefix = world.rng.randrange(load.prefixes)
+        shared_tokens = 2000 + 300 * (prefix % 40)
+        own = int(world.rng.lognormvariate(7.3, 0.8))
+        parts = ((f"p{prefix}", shared_tokens), (f"own{next(world.numbers)}", own))
+        model = "large" if world.rng.random() < LARGE_SHARE else "small"
+        work = Work(model, parts, shared_tokens + own)
+        world.at(now, "came", _Prompt(work, gateway, HALLS[gateway % len(HALLS)], now))
+    for engine in world.engines[: load.lost]:
+        world.at(load.seconds / 2, "lost", engine)
+    _run(world)
+    return _outcome(world.done)
+
+
+def _run(world: _World) -> None:
+    while world.events:
+        now, _, what, of = heapq.heappop(world.events)
+        if what == "came":
+            assert isinstance(of, _Prompt)
+            world.place(of, now)
+        elif what == "lost":
+            assert isinstance(of, _Engine)
+            world.lose(of, now)
+        else:
+            engine, prompt = of  # type: ignore[misc]
+            world.began(engine, prompt, now)
+
+
+def _outcome(done: list[_Prompt]) -> Outcome:
+    small = [p for p in done if p.work.model == "small"]
+    errors = sorted(abs(p.predicted_s - p.took_s) for p in done)
+    times = sorted(p.took_s for p in done)
+    return Outcome(
+        late=_share(done, lambda p: p.took_s > OBJECTIVE_S),
+        late_small=_share(small, lambda p: p.took_s > OBJECTIVE_S / 4),
+        away=_share(done, lambda p: p.away),
+        median_s=times[len(times) // 2],
+        error_s=errors[len(errors) // 2],
+    )
+
+
+def _share(prompts: list[_Prompt], is_so: object) -> float:
+    return sum(map(is_so, prompts)) / max(1, len(prompts))  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/test_gateway_ledgers.py
@@ -0,0 +1,142 @@
+"""Ledgers of engines over real datagrams: gateways that ask, tell, fall silent, come back."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from ramppost.gateway.ledgers import ASK_TIMEOUT_S, MISSES, Ledgers, Question, Told
+from ramppost.gateway.metrics import Metrics
+from ramppost.gateway.model import Upstream
+from ramppost.policy.ledger import Reading
+from ramppost.policy.relays import Peers
+
+NEAR = Upstream("e-near", "127.0.0.1:9", "lm", "north", "v1", 8, False)
+FAR = Upstream("e-far", "127.0.0.1:9", "lm", "south", "v1", 8, False)
+QUESTION = Question(2, "m", ("one", "two"))
+HOST = "127.0.0.1"
+
+
+def free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((HOST, 0))
+        return int(sock.getsockname()[1])
+
+
+class Site:
+    """Gateways north and south, each the keeper of the engine in its hall."""
+
+    def __init__(self) -> None:
+        self.ports = {"north": free_port(), "south": free_port()}
+        self.metrics = Metrics()
+        self.north = self.gateway("north", "south")
+        self.south = self.gateway("south", "north")
+        self.tasks: dict[str, Any] = {}
+
+    def gateway(self, name: str, other: str) -> Ledgers:
+        peers = Peers(name)
+        peers.put(other, f"{HOST}:{self.ports[other]}", other)
+        return Ledgers(name, name, peers, self.metrics)
+
+    async def start(self, name: str) -> None:
+        ledgers = {"north": self.north, "south": self.south}[name]
+        self.tasks[name] = await curio.spawn(ledgers.listen, HOST, self.ports[name], daemon=True)
+        await curio.sleep(0.01)
+
+
+def play(scene: Callable[[Site], Awaitable[Any]]) -> Any:
+    async def run() -> Any:
+        site = Site()
+        await site.start("north")
+        await site.start("south")
+        return await scene(site)
+
+    return curio.run(run)
+
+
+def reading(read_s: float = 0.5) -> Reading:
+    return Reading(time.monotonic(), read_s, 2, "m", ("one", "two"))
+
+
+def test_what_one_gateway_sends_the_other_knows() -> None:
+    async def scene(site: Site) -> None:
+        site.north.sent(FAR, "a", reading())
+        await curio.sleep(0.01)
+        told = await site.south.ask([FAR, NEAR], QUESTION)
+        assert 0.4 < told[FAR.id].ahead_s <= 0.5
+        assert told[FAR.id].kept == 2
+        assert told[NEAR.id] == Told(0.0, 0, True)
+        site.north.over(FAR, "a", began=True)
+        await curio.sleep(0.01)
+        assert (await site.south.ask([FAR], QUESTION))[FAR.id] == Told(0.0, 2, False)
+
+    play(scene)
+
+
+def test_a_gateway_asks_the_keeper_of_each_engine() -> None:
+    async def scene(site: Site) -> None:
+        site.south.sent(FAR, "a", reading(0.5))
+        site.south.sent(NEAR, "b", reading(0.3))
+        await curio.sleep(0.01)
+        told = await site.north.ask([FAR, NEAR], QUESTION)
+        assert 0.4 < told[FAR.id].ahead_s <= 0.5 and told[FAR.id].asked
+        assert 0.2 < told[NEAR.id].ahead_s <= 0.3
+
+    play(scene)
+
+
+def test_a_keeper_that_is_silent_costs_little_and_is_left_out() -> None:
+    async def scene(site: Site) -> None:
+        await site.tasks["south"].cancel()
+        site.north.sent(FAR, "a", reading(0.5))
+        for number in range(MISSES + 1):
+            began = time.monotonic()
+            told = await site.north.ask([FAR, NEAR], QUESTION)
+            took_s = time.monotonic() - began
+            assert took_s < 2 * ASK_TIMEOUT_S if number < MISSES else took_s < ASK_TIMEOUT_S / 2
+            assert 0.3 < told[FAR.id].ahead_s <= 0.5, "what it sent itself it knows"
+            assert not told[FAR.id].asked
+
+    play(scene)
+
+
+def test_a_lost_answer_does_not_leave_a_keeper_out() -> None:
+    async def scene(site: Site) -> None:
+        await site.tasks["south"].cancel()
+        assert not (await site.north.ask([FAR], QUESTION))[FAR.id].asked
+        await site.start("south")
+        for _ in range(2 * MISSES):
+            assert (await site.north.ask([FAR], QUESTION))[FAR.id].asked
+
+    play(scene)
+
+
+def test_an_engine_that_left_is_forgotten() -> None:
+    async def scene(site: Site) -> None:
+        site.south.sent(FAR, "a", reading())
+        site.south.forget(FAR.id)
+        assert (await site.south.ask([FAR], QUESTION))[FAR.id] == Told(0.0, 0, False)
+
+    play(scene)
+
+
+def test_datagrams_that_make_no_sense_are_passed_over() -> None:
+    async def scene(site: Site) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            for data in (
+                b"",
+                b"\xff\xfe",
+                b"[]",
+                b'{"ask":{"id":1}}',
+                b'{"view":{"id":99,"ahead_ms":[1],"kept":[]}}',
+                b'{"over":{"key":"x","engine":"nobody","began":true}}',
+            ):
+                sock.sendto(data, (HOST, site.ports["south"]))
+        await curio.sleep(0.02)
+        assert (await site.north.ask([FAR], QUESTION))[FAR.id].asked
+
+    play(scene)
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -20,15 +20,15 @@
 )
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.policy.guard import Tally, reason_against
+from ramppost.policy.keepers import keeper_of
+from ramppost.policy.ledger import KEPT_S, LONGEST_WAIT_S, OVERDUE_PART, Ledger, Reading
 from ramppost.policy.limits import RetryBudget, WindowBudget
 from ramppost.policy.placement import (
-    KEPT_S,
     EngineView,
-    KeptParts,
     PlainView,
     PrefillRates,
     Work,
-    home_tokens,
+    home_of,
     long_homes,
     plain_ranked,
     ranked,
@@ -52,7 +52,7 @@
 
 
 def engine(name: str, **changes: object) -> EngineView:
-    usual = EngineView(name, "here", 0.0, 0, 0, NOW, 0.0)
+    usual = EngineView(name, "here", 0.0, 0, 0, 0, NOW, 0.0)
     return usual._replace(**changes)  # type: ignore[arg-type]
 
 
@@ -66,9 +66,9 @@
 WORK = Work("m", PARTS, 5000)
 
 
-def order(engines: list[EngineView], work: Work = WORK, kept: KeptParts | None = None) -> list[str]:
+def order(engines: list[EngineView], work: Work = WORK) -> list[str]:
     """Ids of engines as they are ranked for a prompt, seen from one hall."""
-    found = ranked(engines, work, kept or KeptParts(), PrefillRates(), "here", NOW, RNG)
+    found = ranked(engines, work, PrefillRates(), "here", NOW, RNG)
     return [placed.id for placed in found]
 
 
@@ -78,7 +78,7 @@
 @pytest.mark.parametrize(
     ("worse", "why"),
     [
-        ({"pending_s": 1.0}, "own prompts wait there"),
+        ({"ahead_s": 1.0}, "other prompts go before"),
         ({"others_running": 200}, "others run there"),
         ({"others_waiting": 20}, "requests wait there"),
         ({"failing": 1.0}, "it fails"),
@@ -90,42 +90,128 @@
 
 
 def test_a_kept_prompt_draws_its_request() -> None:
-    kept = KeptParts()
-    kept.sent("b", "m", PARTS[:1], NOW - 1)
-    engines = [engine(name) for name in "abcde"]
-    home, _ = home_tokens(engines, WORK)
-    others = [e for e in engines if e.id != home or e.id == "b"]
-    assert order(others, kept=kept)[0] == "b"
+    engines = [engine(name) for name in "acde"] + [engine("b", kept_tokens=4000)]
+    assert order(engines)[0] == "b"
 
 
-def test_a_prompt_kept_for_another_model_draws_nothing() -> None:
-    kept = KeptParts()
-    kept.sent("b", "other", PARTS, NOW - 1)
-    assert kept.kept_tokens("b", "m", PARTS, NOW) == 0
+def test_a_kept_prompt_does_not_draw_to_an_engine_that_is_full() -> None:
+    assert order([engine("a"), engine("b", ahead_s=1.0, kept_tokens=4000)])[0] == "a"
 
 
-def test_a_kept_prompt_does_not_draw_to_an_engine_that_is_full() -> None:
-    kept = KeptParts()
-    kept.sent("b", "m", PARTS[:1], NOW - 1)
-    assert order([engine("a"), engine("b", pending_s=1.0)], kept=kept)[0] == "a"
+def test_the_home_goes_first_among_equals_only() -> None:
+    engines = [engine(name) for name in "abcdef"]
+    home = home_of(engines, WORK)
+    assert order(engines)[0] == home
+    busy = [e._replace(ahead_s=0.3) if e.id == home else e for e in engines]
+    assert order(busy)[0] != home
+
+
+# --- ledgers
+
+
+def reading(read_s: float = 0.4, level: int = 0, at: float = NOW) -> Reading:
+    return Reading(at, read_s, level, "m", ("one", "two"))
+
+
+def test_what_is_sent_is_ahead_until_it_begins() -> None:
+    ledger = Ledger()
+    ledger.sent("a", reading(0.4))
+    ledger.sent("b", reading(0.3))
+    assert ledger.ahead_s(0, NOW + 0.1) == pytest.approx(0.6)
+    ledger.began("a", NOW + 0.4)
+    assert ledger.ahead_s(0, NOW + 0.5) == pytest.approx(0.2)
+    ledger.began("b", NOW + 0.7)
+    assert ledger.ahead_s(0, NOW + 0.7) == 0.0
+
+
+def test_what_is_dropped_is_not_ahead_and_not_kept() -> None:
+    ledger = Ledger()
+    ledger.sent("a", reading())
+    ledger.dropped("a", NOW + 0.1)
+    assert ledger.ahead_s(0, NOW + 0.1) == 0.0
+    assert ledger.kept_parts("m", ("one",), NOW + 0.1) == 0
+
+
+def test_only_what_is_read_goes_before_what_is_more_urgent() -> None:
+    ledger = Ledger()
+    for key in "abc":
+        ledger.sent(key, reading(1.0, level=2))
+    assert ledger.ahead_s(2, NOW) == pytest.approx(3.0)
+    assert ledger.ahead_s(0, NOW) == pytest.approx(1.0)
+
+
+def test_a_prompt_that_is_overdue_still_counts() -> None:
+    ledger = Ledger()
+    ledger.sent("a", reading(1.0))
+    assert ledger.ahead_s(0, NOW + 5) == pytest.approx(OVERDUE_PART)
+
+
+def test_a_prompt_of_a_gateway_that_died_is_forgotten() -> None:
+    ledger = Ledger()
+    ledger.sent("a", reading(1.0))
+    assert ledger.ahead_s(0, NOW + LONGEST_WAIT_S + 1) == 0.0
+
+
+def test_ends_that_are_told_twice_or_of_nothing_change_nothing() -> None:
+    ledger = Ledger()
+    ledger.began("a", NOW)
+    ledger.dropped("a", NOW)
+    ledger.sent("b", reading(1.0))
+    ledger.began("a", NOW + 0.5)
+    assert ledger.ahead_s(0, NOW + 0.5) == pytest.approx(0.5)
+
+
+@pytest.mark.parametrize(
+    ("model", "parts", "after_s", "kept"),
+    [
+        ("m", ("one", "two", "other"), 1.0, 2),
+        ("m", ("one", "other", "two"), 1.0, 1),
+        ("m", ("other", "one"), 1.0, 0),
+        ("other", ("one", "two"), 1.0, 0),
+        ("m", ("one", "two"), KEPT_S + 1, 0),
+    ],
+)
+def test_kept_parts_end_at_the_first_that_is_not_kept(
+    model: str, parts: tuple[str, ...], after_s: float, kept: int
+) -> None:
+    ledger = Ledger()
+    ledger.sent("a", reading())
+    ledger.began("a", NOW)
+    assert ledger.kept_parts(model, parts, NOW + after_s) == kept
+
+
+def test_parts_of_prompts_that_wait_need_not_be_read_twice() -> None:
+    ledger = Ledger()
+    ledger.sent("a", reading())
+    assert ledger.kept_parts("m", ("one", "own"), NOW) == 1
+    assert ledger.kept_parts("other", ("one",), NOW) == 0
+
+
+HALLS = {f"g{i}": ("north", "south", "west")[i % 3] for i in range(9)}
+
+
+def test_a_keeper_stands_in_its_engines_hall() -> None:
+    for number in range(50):
+        assert HALLS[keeper_of(f"e{number}", "south", HALLS, frozenset())] == "south"
 
 
-def test_kept_parts_end_at_the_first_that_is_not_kept() -> None:
-    kept = KeptParts()
-    kept.sent("a", "m", (("one", 10), ("three", 30)), NOW)
-    chain = (("one", 10), ("two", 20), ("three", 30))
-    assert kept.kept_tokens("a", "m", chain, NOW) == 10
+def test_the_engines_of_a_silent_keeper_are_shared_among_others_alone() -> None:
+    silent = frozenset({"g1"})
+    for number in range(50):
+        before = keeper_of(f"e{number}", "south", HALLS, frozenset())
+        after = keeper_of(f"e{number}", "south", HALLS, silent)
+        assert after != "g1"
+        assert after == before or before == "g1"
 
 
-def test_kept_parts_are_forgotten_in_time() -> None:
-    kept = KeptParts()
-    kept.sent("a", "m", PARTS, NOW)
-    assert kept.kept_tokens("a", "m", PARTS, NOW + KEPT_S + 1) == 0
+def test_without_gateways_in_the_hall_another_keeps_and_without_any_nobody() -> None:
+    assert keeper_of("e", "east", HALLS, frozenset()) in HALLS
+    assert keeper_of("e", "south", HALLS, frozenset(HALLS)) == ""
 
 
 def test_all_gateways_agree_on_a_home() -> None:
     engines = [engine(name) for name in "abcdef"]
-    assert home_tokens(engines, WORK) == home_tokens(engines[::-1], WORK)
+    assert home_of(engines, WORK) == home_of(engines[::-1], WORK)
     assert long_homes(engines) == long_homes(engines[::-1])
 
 
@@ -144,7 +230,7 @@
 def test_the_engine_for_long_prompts_is_used_when_others_are_full() -> None:
     engines = [engine(name) for name in "abcdefgh"]
     (apart,) = long_homes(engines)
-    full = [e if e.id == apart else e._replace(pending_s=1.0) for e in engines]
+    full = [e if e.id == apart else e._replace(ahead_s=1.0) for e in engines]
     assert order(full, Work("m", (("own", 900),), 900))[0] == apart
 
 
