Other data halls are charged for by the byte

Cause: two of three prompts went to another hall, and bytes between halls were the largest price on the grown site after models. Change: 10 microseconds a byte of request and answer for an engine of another hall.

--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -31,6 +31,10 @@
 MOST_ASKED: Final = 6
 """Engines that are asked about for one prompt, where a service has more: the best by what is
 known here, and the home of its shared parts."""
+HEAD_BYTES: Final = 700
+"""Of the heads of a request and its answer, measured on streams."""
+EVENT_BYTES: Final = 80
+"""Of a stream's event of a few tokens with its framing."""
 LOOK_GOOD_S: Final = 0.1
 """How long what was told of engines is used: a long prompt may be sent there at any moment."""
 
@@ -122,6 +126,13 @@
     return level_of(rank, job.route.priority, read_s)
 
 
+def _size(job: Job, service: Service, prompt: Prompt) -> int:
+    """Bytes of a request and its answer, as far as they can be known before."""
+    assert service.engine is not None
+    events = prompt.max_tokens_out // max(1, service.engine.tokens_per_event)
+    return len(job.req.body) + HEAD_BYTES + events * EVENT_BYTES
+
+
 def _question(gw: Gateway, job: Job, model: str, prompt: Prompt) -> Question:
     read_s = gw.rates.rate_s(model) * prompt.tokens_in
     return Question(level(gw, job, read_s), model, tuple(name for name, _ in prompt.parts))
@@ -138,7 +149,7 @@
 ) -> Chosen:
     told = _told(gw, job, fit, model, prompt, now)
     engines = [_engine_view(gw, u, told[u.id], prompt, now) for u in fit if u.id in told]
-    work = Work(model, prompt.parts, prompt.tokens_in)
+    work = Work(model, prompt.parts, prompt.tokens_in, _size(job, service, prompt))
     found = ranked(engines, work, gw.rates, gw.cfg["hall"], now, gw.rng)[0]
     kept = tokens_of(prompt.parts, told[found.id].kept)
     return _chosen(gw, service, fit, found, told[found.id], kept, now)
--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -23,6 +23,10 @@
 """What a request that runs for others adds, seconds: it slows each step a little."""
 OTHER_HALL_S: Final = 0.005
 """What the way to another hall adds, there and back, with the price of its bytes."""
+BYTE_S: Final = 10e-6
+"""What a byte to or from another hall costs, seconds: 20 KB are worth waiting 0.2 s for.  Since
+what is ahead of a prompt is known, a wait of tenths of a second makes few answers late, and
+the bytes fell by a third to a half (from 0.053 to 0.032 of worth, where they are dear)."""
 FAILING_S: Final = 3.0
 """What constant failures add: more than any queue, so that only failing upstreams are worse."""
 HOME_BIAS_S: Final = 0.03
@@ -86,11 +90,12 @@
 
 
 class Work(NamedTuple):
-    """A prompt to be read by a model."""
+    """A prompt to be read by a model; `size` is that of request and answer, bytes."""
 
     model: str
     parts: tuple[tuple[str, int], ...]
     tokens_in: int
+    size: int = 0
 
 
 class Placed(NamedTuple):
@@ -150,7 +155,7 @@
     def score(placed: Placed) -> float:
         engine = by_id[placed.id]
         cost_s = placed.first_s + _misplaced_s(placed, apart) + engine.failing * FAILING_S
-        cost_s += 0.0 if engine.hall == hall else OTHER_HALL_S
+        cost_s += 0.0 if engine.hall == hall else OTHER_HALL_S + BYTE_S * work.size
         cost_s += 0.0 if engine.id == home else HOME_BIAS_S
         return cost_s * rng.uniform(1 - NOISE, 1 + NOISE)
 
--- a/tests/harness/replay.py
+++ b/tests/harness/replay.py
@@ -164,7 +164,7 @@
         own = int(world.rng.lognormvariate(7.3, 0.8))
         parts = ((f"p{prefix}", shared_tokens), (f"own{next(world.numbers)}", own))
         model = "large" if world.rng.random() < LARGE_SHARE else "small"
-        work = Work(model, parts, shared_tokens + own)
+        work = Work(model, parts, shared_tokens + own, 20000)
         world.at(now, "came", _Prompt(work, gateway, HALLS[gateway % len(HALLS)], now))
     for engine in world.engines[: load.lost]:
         world.at(load.seconds / 2, "lost", engine)
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -106,6 +106,15 @@
     assert order(busy)[0] != home
 
 
+def test_a_large_request_goes_far_only_for_much() -> None:
+    """20 KB to another hall are worth a wait of two tenths of a second, not of one more."""
+    work = WORK._replace(size=20000)
+    far = engine("far", hall="there")
+    assert order([engine("near", ahead_s=0.1), far], work)[0] == "near"
+    assert order([engine("near", ahead_s=0.1), far], WORK)[0] == "far"
+    assert order([engine("near", ahead_s=1.0), far], work)[0] == "far"
+
+
 # --- ledgers
 
 
