A gateway learns in three answers how fast a model reads, and takes others' word before

Cause: on the grown site a prompt for the largest model on an idle engine was predicted at 1.10 s and took 3.27 s: each of 32 gateways sees few of its answers and moved the rate by 4% each time, so the ledgers summed figures that were too small. Change: the first answers move the rate by a half, a third and so on; keepers tell what they have learned. The replay takes its rates as told, so that its bound on errors does not hang on a learner's last step.

--- a/ramppost/gateway/ledgers.py
+++ b/ramppost/gateway/ledgers.py
@@ -24,6 +24,7 @@
 from ramppost.gateway.model import Upstream
 from ramppost.policy.keepers import keeper_of
 from ramppost.policy.ledger import Ledger, Reading
+from ramppost.policy.placement import PrefillRates
 from ramppost.policy.relays import Peers
 from ramppost.schema.messages import LedgerAsk, LedgerMsg, LedgerOver, LedgerSent, LedgerView
 from ramppost.wire.codec import BadMessage, decode, encode
@@ -59,8 +60,9 @@
 class _Asked:
     """A question under way: keepers that have not answered, and what the others told."""
 
-    def __init__(self, engines: dict[int, list[str]]) -> None:
+    def __init__(self, engines: dict[int, list[str]], model: str) -> None:
         self.engines = engines
+        self.model = model
         self.views: dict[str, Told] = {}
         self.answered = curio.Event()
 
@@ -68,10 +70,13 @@
 class Ledgers:
     """The ledgers that this gateway keeps for all, and those of its own prompts."""
 
-    def __init__(self, own: str, hall: str, peers: Peers, metrics: Metrics) -> None:
+    def __init__(
+        self, own: str, hall: str, peers: Peers, rates: PrefillRates, metrics: Metrics
+    ) -> None:
         self.own = own
         self.hall = hall
         self._peers = peers
+        self._rates = rates
         self._metrics = metrics
         self._ledgers: dict[str, Ledger] = {}
         self._silent_until: dict[str, float] = {}
@@ -150,7 +155,8 @@
         self, by_keeper: dict[str, list[str]], question: Question
     ) -> dict[str, Told]:
         ids = {next(self._ids): keeper for keeper in by_keeper}
-        asked = _Asked({number: by_keeper[keeper] for number, keeper in ids.items()})
+        engines = {number: by_keeper[keeper] for number, keeper in ids.items()}
+        asked = _Asked(engines, question.model)
         for number, keeper in ids.items():
             self._asked[number] = asked
             ask = LedgerAsk(
@@ -224,6 +230,7 @@
             id=ask["id"],
             ahead_ms=[round(view.ahead_s * 1000) for view in views],
             kept=[view.kept for view in views],
+            token_ns=round(self._rates.learned_s(ask["model"]) * 1e9),
         )
 
     async def _answered(self, view: LedgerView) -> None:
@@ -233,6 +240,7 @@
             return
         for engine, ahead_ms, kept in zip(engines, view["ahead_ms"], view["kept"], strict=False):
             asked.views[engine] = Told(ahead_ms / 1000, kept, True)
+        self._rates.heard(asked.model, view["token_ns"] / 1e9)
         if not asked.engines:
             await asked.answered.set()
 
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -83,7 +83,7 @@
         self.rollouts = Rollouts(cfg["timing"]["session_s"])
         self.callers = Callers()
         self.metrics = Metrics()
-        self.ledgers = Ledgers(cfg["name"], cfg["hall"], self.peers, self.metrics)
+        self.ledgers = Ledgers(cfg["name"], cfg["hall"], self.peers, self.rates, self.metrics)
         self.counts = Counts()
         self.policies = Policies()
         self.leaving = False
--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -43,6 +43,8 @@
 """Seconds to read a prompt token until a model's own rate is known."""
 RATE_STEP: Final = 0.04
 LEAST_RATE_TOKENS: Final = 500
+ENOUGH_SEEN: Final = 5
+"""Answers of a model after which the own rate is better than another gateway's word."""
 
 
 class EngineView(NamedTuple):
@@ -65,10 +67,15 @@
 
 
 class PrefillRates:
-    """Seconds that a model takes to read a prompt token: the median of what was seen."""
+    """Seconds that a model takes to read a prompt token: the median of what was seen.
+
+    The first answers move it far, so that a gateway that has just started predicts well after
+    three of them; meanwhile it takes what another has learned (`heard`).
+    """
 
     def __init__(self) -> None:
         self._rates: dict[str, float] = {}
+        self._seen: dict[str, int] = {}
         self.usual_s = 0.05
         """Reading time of a usual request, for those that wait for others."""
 
@@ -76,13 +83,30 @@
         """Seconds a token."""
         return self._rates.get(model, FIRST_RATE_S)
 
+    def learned_s(self, model: str) -> float:
+        """Seconds a token by own answers, 0 where there are too few."""
+        return self.rate_s(model) if self._seen.get(model, 0) >= ENOUGH_SEEN else 0.0
+
     def saw(self, model: str, tokens: float, seconds: float) -> None:
-        """A prompt of which so many tokens were not kept had its first token after that."""
+        """A prompt of which so many tokens were not kept had its first token after that.
+
+        >>> rates = PrefillRates()
+        >>> for _ in range(5): rates.saw("m", 10000, 0.8)
+        >>> 7e-5 < rates.rate_s("m") < 9e-5
+        True
+        """
         if tokens < LEAST_RATE_TOKENS:
             return
+        seen = self._seen[model] = self._seen.get(model, 0) + 1
+        step = max(RATE_STEP, 1 / (1 + seen))
         rate = self.rate_s(model)
         longer = seconds / tokens > rate
-        self._rates[model] = rate * (1 + RATE_STEP if longer else 1 - RATE_STEP)
+        self._rates[model] = rate * (1 + step if longer else 1 / (1 + step))
+
+    def heard(self, model: str, rate_s: float) -> None:
+        """Another gateway has learned this rate; taken until there are own answers enough."""
+        if rate_s > 0 and self._seen.get(model, 0) < ENOUGH_SEEN:
+            self._rates[model] = rate_s
 
     def sent(self, seconds: float) -> None:
         """A request with this predicted reading time was sent."""
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -181,6 +181,10 @@
     """
     How many of its first parts are kept.
     """
+    token_ns: int
+    """
+    Nanoseconds that the model takes to read a token, as the keeper has learned; 0 for not yet.
+    """
 
 
 class LedgerSent(TypedDict, closed=True):
--- a/tests/harness/replay.py
+++ b/tests/harness/replay.py
@@ -86,8 +86,7 @@
         self.ledgers: dict[tuple[int, str], Ledger] = {}
         self.rates = PrefillRates()
         for model, token_s in TOKEN_S.items():
-            for _ in range(200):
-                self.rates.saw(model, 10000, 10000 * token_s)
+            self.rates.heard(model, token_s)
         self.numbers = itertools.count()
         self.events: list[tuple[float, int, str, object]] = []
         self.done: list[_Prompt] = []
--- a/tests/test_gateway_ledgers.py
+++ b/tests/test_gateway_ledgers.py
@@ -8,11 +8,13 @@
 from typing import Any
 
 import curio
+import pytest
 
 from ramppost.gateway.ledgers import ASK_TIMEOUT_S, MISSES, Ledgers, Question, Told
 from ramppost.gateway.metrics import Metrics
 from ramppost.gateway.model import Upstream
 from ramppost.policy.ledger import Reading
+from ramppost.policy.placement import ENOUGH_SEEN, PrefillRates
 from ramppost.policy.relays import Peers
 
 NEAR = Upstream("e-near", "127.0.0.1:9", "lm", "north", "v1", 8, False)
@@ -33,6 +35,7 @@
     def __init__(self) -> None:
         self.ports = {"north": free_port(), "south": free_port()}
         self.metrics = Metrics()
+        self.rates = {"north": PrefillRates(), "south": PrefillRates()}
         self.north = self.gateway("north", "south")
         self.south = self.gateway("south", "north")
         self.tasks: dict[str, Any] = {}
@@ -40,7 +43,7 @@
     def gateway(self, name: str, other: str) -> Ledgers:
         peers = Peers(name)
         peers.put(other, f"{HOST}:{self.ports[other]}", other)
-        return Ledgers(name, name, peers, self.metrics)
+        return Ledgers(name, name, peers, self.rates[name], self.metrics)
 
     async def start(self, name: str) -> None:
         ledgers = {"north": self.north, "south": self.south}[name]
@@ -115,6 +118,22 @@
     play(scene)
 
 
+def test_a_gateway_that_has_just_started_reads_at_the_rate_that_others_learned() -> None:
+    async def scene(site: Site) -> None:
+        for _ in range(ENOUGH_SEEN + 10):
+            site.rates["south"].saw("m", 10000, 0.8)
+        await site.north.ask([FAR], QUESTION)
+        told_s = site.rates["south"].rate_s("m")
+        assert site.rates["north"].rate_s("m") == pytest.approx(told_s, rel=1e-3)
+        for _ in range(ENOUGH_SEEN):
+            site.rates["north"].saw("m", 10000, 0.4)
+        learned_s = site.rates["north"].rate_s("m")
+        await site.north.ask([FAR], QUESTION)
+        assert site.rates["north"].rate_s("m") == learned_s
+
+    play(scene)
+
+
 def test_an_engine_that_left_is_forgotten() -> None:
     async def scene(site: Site) -> None:
         site.south.sent(FAR, "a", reading())
@@ -132,7 +151,7 @@
                 b"\xff\xfe",
                 b"[]",
                 b'{"ask":{"id":1}}',
-                b'{"view":{"id":99,"ahead_ms":[1],"kept":[]}}',
+                b'{"view":{"id":99,"ahead_ms":[1],"kept":[],"token_ns":-1}}',
                 b'{"over":{"key":"x","engine":"nobody","began":true}}',
             ):
                 sock.sendto(data, (HOST, site.ports["south"]))
