Gateways that stop in turn tell callers when the first of them is back

Ruled out: taking streams on for longer (one that outlasts the stop is cut after it was taken), writing it to the store (which may be away). Change: a stopping gateway tells all others by datagram when it will be back; where all known ones are stopping, Retry-After is the time until the first of them is. The socket of datagrams is a module of its own now, beside the ledgers that use it.

--- a/ramppost/gateway/admit.py
+++ b/ramppost/gateway/admit.py
@@ -6,13 +6,12 @@
 from typing import Final, NamedTuple
 
 from ramppost.errors import Refusal, refusal
+from ramppost.gateway.departures import retry_after_s
 from ramppost.gateway.model import CallerRequest, Route, RoutingTable, Workspace
 from ramppost.gateway.state import Gateway
 
 STALE_RETRY_S: Final = 0.5
 """Another gateway may still reach the store, and this one tries twice a second."""
-LEAVING_RETRY_S: Final = 0.05
-"""The balancer already sends new connections elsewhere."""
 
 
 class Admitted(NamedTuple):
@@ -37,7 +36,7 @@
     if route is None:
         return _final(fresh, "not_found", f"no route for {req.target.partition('?')[0]}")
     if gw.refusing == "all" or (gw.refusing == "streams" and route.streams):
-        return refusal("leaving", "this gateway is stopping", LEAVING_RETRY_S)
+        return refusal("leaving", "this gateway is stopping", retry_after_s(gw))
     if table.keys is None:
         return Admitted(route, None)
     workspace = table.keys.get(req.key) if req.key else None
--- /dev/null
+++ b/ramppost/gateway/datagrams.py
@@ -0,0 +1,52 @@
+"""Datagrams between gateways, on the internal port: what may be lost without harm."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+import curio
+from loguru import logger
+
+from ramppost.gateway.metrics import Metrics
+from ramppost.schema.messages import PeerDatagram
+from ramppost.wire.codec import BadMessage, decode, encode
+
+MAX_BYTES: Final = 8192
+
+Address = tuple[str, int]
+Take = Callable[[PeerDatagram, Address], Awaitable[None]]
+"""Takes in what came from an address."""
+
+
+class Datagrams:
+    """The socket of a gateway; nothing is sent before it listens."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._sock: Any = None
+
+    async def listen(self, ip: str, port: int, take: Take) -> None:
+        """Take in datagrams until cancelled."""
+        sock = curio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind((ip, port))
+        self._sock = sock
+        async with sock:
+            while True:
+                data, addr = await sock.recvfrom(MAX_BYTES)
+                msg = decode(data, PeerDatagram)
+                if isinstance(msg, BadMessage):
+                    logger.warning("datagram not understood: {}", msg.reason, peer=addr[0])
+                else:
+                    await take(msg, addr)
+
+    def send(self, addr: Address, msg: PeerDatagram) -> None:
+        """Send without waiting; one that can't be sent is lost."""
+        if self._sock is None:
+            return
+        try:
+            self._sock._socket.sendto(encode(msg), addr)
+        except OSError as exc:
+            logger.debug("datagram not sent: {!r}", exc)
+            self._metrics.count("ramppost_datagrams_unsent_total")
--- /dev/null
+++ b/ramppost/gateway/departures.py
@@ -0,0 +1,44 @@
+"""Tells other gateways of a planned stop, and callers when to come back."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+import curio
+from loguru import logger
+
+from ramppost.gateway.state import Gateway
+from ramppost.policy.departures import come_back_s
+from ramppost.schema.messages import LeavingNote, PeerDatagram
+
+TELL_EVERY_S: Final = 1.0
+"""A datagram may be lost, and a gateway that starts meanwhile has to hear, too."""
+RESTART_S: Final = 1.0
+"""From the end of a process to when it takes callers again, where it is started again: half a
+second until it is started, and as long until it has a configuration."""
+
+
+async def tell_leaving(gw: Gateway) -> None:
+    """Tell all known gateways when this one will be back, until cancelled."""
+    while True:
+        back_s = max(0.0, gw.back_at - time.monotonic())
+        note = LeavingNote(name=gw.cfg["name"], back_ms=round(back_s * 1000))
+        for name in gw.peers.addrs:
+            gw.datagrams.send(gw.peers.datagram_addr(name), PeerDatagram(leaving=note))
+        await curio.sleep(TELL_EVERY_S)
+
+
+def heard_leaving(gw: Gateway, note: LeavingNote) -> None:
+    """Another gateway is stopping."""
+    back_at = time.monotonic() + note["back_ms"] / 1000
+    if not gw.peers.leaving(note["name"], time.monotonic()):
+        logger.info("gateway leaves", peer=note["name"], back_s=note["back_ms"] / 1000)
+    gw.peers.leaves(note["name"], back_at)
+
+
+def retry_after_s(gw: Gateway) -> float:
+    """When a caller that is turned away because of the stop is to come back."""
+    now = time.monotonic()
+    others = {name: gw.peers.back_at(name, now) for name in gw.peers.addrs}
+    return come_back_s(now, gw.back_at, others)
--- a/ramppost/gateway/ledgers.py
+++ b/ramppost/gateway/ledgers.py
@@ -3,8 +3,9 @@
 Each engine's ledger is kept by a gateway in its data hall (`ramppost.policy.keepers`).  Before
 a prompt is placed, the keepers of its candidates are asked what these have ahead of them;
 what is sent, and its first token, is told to the keeper of the engine that was chosen.  All of
-it goes in datagrams on the internal port: a lost one costs a worse prediction, nothing else.
-Whoever does not answer in time is left out for a while, and the next in rank is told and asked.
+it goes in datagrams (`ramppost.gateway.datagrams`): a lost one costs a worse prediction and
+nothing else.  Whoever does not answer in time is left out for a while, and the next in rank is
+told and asked.
 
 A gateway notes what it sends itself in its own ledgers, too, so without any keeper it still
 knows its own prompts.
@@ -13,21 +14,20 @@
 from __future__ import annotations
 
 import itertools
-import socket
 import time
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
 import curio
 from loguru import logger
 
+from ramppost.gateway.datagrams import Address, Datagrams
 from ramppost.gateway.metrics import Metrics
 from ramppost.gateway.model import Upstream
 from ramppost.policy.keepers import keeper_of
 from ramppost.policy.ledger import Ledger, Reading
 from ramppost.policy.placement import PrefillRates
 from ramppost.policy.relays import Peers
-from ramppost.schema.messages import LedgerAsk, LedgerMsg, LedgerOver, LedgerSent, LedgerView
-from ramppost.wire.codec import BadMessage, decode, encode
+from ramppost.schema.messages import LedgerAsk, LedgerOver, LedgerSent, LedgerView, PeerDatagram
 
 ASK_TIMEOUT_S: Final = 0.05
 """A datagram waits behind a long prompt on a link of 5 Mbit/s for 30 ms; this is a fortieth of
@@ -36,7 +36,6 @@
 """Questions in a row that a keeper may leave unanswered: links lose a datagram now and then."""
 SILENT_S: Final = 2.0
 """How long a keeper that did not answer is left out."""
-MAX_DATAGRAM: Final = 8192
 MAX_ENGINES: Final = 4096
 """Ledgers that are kept: more than a fleet has engines, should ids be made up."""
 
@@ -71,12 +70,19 @@
     """The ledgers that this gateway keeps for all, and those of its own prompts."""
 
     def __init__(
-        self, own: str, hall: str, peers: Peers, rates: PrefillRates, metrics: Metrics
+        self,
+        own: str,
+        hall: str,
+        peers: Peers,
+        rates: PrefillRates,
+        datagrams: Datagrams,
+        metrics: Metrics,
     ) -> None:
         self.own = own
         self.hall = hall
         self._peers = peers
         self._rates = rates
+        self._datagrams = datagrams
         self._metrics = metrics
         self._ledgers: dict[str, Ledger] = {}
         self._silent_until: dict[str, float] = {}
@@ -84,17 +90,6 @@
         """Questions that keepers have left unanswered in a row."""
         self._asked: dict[int, _Asked] = {}
         self._ids = itertools.count(1)
-        self._sock: Any = None
-
-    async def listen(self, ip: str, port: int) -> None:
-        """Take in datagrams until cancelled."""
-        sock = curio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.bind((ip, port))
-        self._sock = sock
-        async with sock:
-            while True:
-                data, addr = await sock.recvfrom(MAX_DATAGRAM)
-                await self._take(data, addr)
 
     # --- what this gateway sends
 
@@ -107,7 +102,7 @@
             keeper = self._keeper(engine.id, engine.hall, now)
             if keeper not in ("", self.own):
                 by_keeper.setdefault(keeper, []).append(engine.id)
-        if not by_keeper or self._sock is None:
+        if not by_keeper:
             return told
         for name, view in (await self._ask_keepers(by_keeper, question)).items():
             own = told[name]
@@ -133,13 +128,13 @@
             model=reading.model,
             parts=list(reading.parts),
         )
-        self._tell_keeper(engine, LedgerMsg(sent=note))
+        self._tell_keeper(engine, PeerDatagram(sent=note))
 
     def over(self, engine: Upstream, key: str, began: bool) -> None:
         """A prompt has its first token, or will never have one there."""
         self._note_over(engine.id, key, began)
         note = LedgerOver(key=key, engine=engine.id, began=began)
-        self._tell_keeper(engine, LedgerMsg(over=note))
+        self._tell_keeper(engine, PeerDatagram(over=note))
 
     def forget(self, engine: str) -> None:
         """An engine has left."""
@@ -166,7 +161,7 @@
                 model=question.model,
                 parts=list(question.parts),
             )
-            self._send(keeper, LedgerMsg(ask=ask))
+            self._datagrams.send(self._peers.datagram_addr(keeper), PeerDatagram(ask=ask))
         try:
             await curio.ignore_after(ASK_TIMEOUT_S, asked.answered.wait)
         finally:
@@ -188,33 +183,17 @@
         self._metrics.count("ramppost_ledger_silences_total")
         logger.info("keeper of ledgers does not answer", peer=keeper, left_out_s=SILENT_S)
 
-    def _tell_keeper(self, engine: Upstream, msg: LedgerMsg) -> None:
+    def _tell_keeper(self, engine: Upstream, msg: PeerDatagram) -> None:
         keeper = self._keeper(engine.id, engine.hall, time.monotonic())
         if keeper not in ("", self.own):
-            self._send(keeper, msg)
-
-    def _send(self, peer: str, msg: LedgerMsg) -> None:
-        host, _, port = self._peers.addrs[peer].rpartition(":")
-        self._send_to((host, int(port)), msg)
-
-    def _send_to(self, addr: tuple[str, int], msg: LedgerMsg) -> None:
-        if self._sock is None:
-            return
-        try:
-            self._sock._socket.sendto(encode(msg), addr)
-        except OSError as exc:
-            logger.debug("datagram not sent: {!r}", exc)
-            self._metrics.count("ramppost_ledger_unsent_total")
+            self._datagrams.send(self._peers.datagram_addr(keeper), msg)
 
     # --- what others send
 
-    async def _take(self, data: bytes, addr: tuple[str, int]) -> None:
-        msg = decode(data, LedgerMsg)
-        if isinstance(msg, BadMessage):
-            logger.warning("datagram not understood: {}", msg.reason, peer=addr[0])
-            return
+    async def take(self, msg: PeerDatagram, addr: Address) -> None:
+        """Take in what another gateway asks or tells of engines."""
         if "ask" in msg:
-            self._send_to(addr, LedgerMsg(view=self._view(msg["ask"])))
+            self._datagrams.send(addr, PeerDatagram(view=self._view(msg["ask"])))
         if "view" in msg:
             await self._answered(msg["view"])
         if "sent" in msg:
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -14,6 +14,8 @@
 
 from ramppost import logs
 from ramppost.errors import error_body, refusal
+from ramppost.gateway.datagrams import Address, Take
+from ramppost.gateway.departures import RESTART_S, heard_leaving, tell_leaving
 from ramppost.gateway.early import address
 from ramppost.gateway.inbound import BadRequest, Doorway, accept_callers
 from ramppost.gateway.operators import internal
@@ -24,6 +26,7 @@
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.subscribe import subscribe
 from ramppost.gateway.watchers import start_watchers
+from ramppost.schema.messages import PeerDatagram
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.server import Handler, Reply, Request, listen
 from ramppost.wire.server import serve as serve_http
@@ -69,7 +72,9 @@
     await curio.spawn(serve_http, listen(*address(cfg["health"])), _health(gw), daemon=True)
     inner = listen(cfg["ip"], cfg["internal_port"])
     await curio.spawn(serve_http, inner, internal(gw), daemon=True)
-    await curio.spawn(gw.ledgers.listen, cfg["ip"], cfg["internal_port"], daemon=True)
+    await curio.spawn(
+        gw.datagrams.listen, cfg["ip"], cfg["internal_port"], _datagrams(gw), daemon=True
+    )
     await curio.spawn(keep_listed, gw, daemon=True)
     await curio.spawn(subscribe, gw, daemon=True)
     metrics = listen(cfg["ip"], cfg["metrics_port"])
@@ -131,6 +136,8 @@
     gw.leaving = True
     logger.info("stopping", signal=number, busy=gw.callers.busy)
     until = began + gw.cfg["timing"]["stop_s"] - STOP_MARGIN_S
+    gw.back_at = until + RESTART_S
+    await curio.spawn(tell_leaving, gw, daemon=True)
     await curio.sleep(LEAST_STOP_S)
     gw.refusing = "streams"
     while (now := time.monotonic()) < until and gw.callers.busy:
@@ -141,6 +148,18 @@
     logger.info("stopped", left_busy=gw.callers.busy, after_s=round(now - began, 2))
 
 
+def _datagrams(gw: Gateway) -> Take:
+    """What becomes of datagrams of other gateways."""
+
+    async def take(msg: PeerDatagram, addr: Address) -> None:
+        if "leaving" in msg:
+            heard_leaving(gw, msg["leaving"])
+        else:
+            await gw.ledgers.take(msg, addr)
+
+    return take
+
+
 def _unreadable(bad: BadRequest) -> bytes:
     code = {408: "too_slow", 413: "too_large", 431: "too_large"}.get(bad.status, "bad_request")
     logger.info("request not read: {}", bad.reason, status=bad.status)
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -7,6 +7,7 @@
 from typing import Final, Literal
 
 from ramppost.gateway.counts import Counts
+from ramppost.gateway.datagrams import Datagrams
 from ramppost.gateway.follow import Followed, News, Outage
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.inbound import Callers
@@ -83,11 +84,16 @@
         self.rollouts = Rollouts(cfg["timing"]["session_s"])
         self.callers = Callers()
         self.metrics = Metrics()
-        self.ledgers = Ledgers(cfg["name"], cfg["hall"], self.peers, self.rates, self.metrics)
+        self.datagrams = Datagrams(self.metrics)
+        self.ledgers = Ledgers(
+            cfg["name"], cfg["hall"], self.peers, self.rates, self.datagrams, self.metrics
+        )
         self.counts = Counts()
         self.policies = Policies()
         self.leaving = False
         """A planned stop has begun: not ready, and each answer closes its connection."""
+        self.back_at = float("inf")
+        """When this gateway takes callers again after a planned stop."""
         self.refusing: Refusing = "none"
         """What a planned stop refuses as not run."""
 
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -47,6 +47,8 @@
         self.addrs: dict[str, str] = {}
         self.halls: dict[str, str] = {}
         self._dead_until: dict[str, float] = {}
+        self._back_at: dict[str, float] = {}
+        """When gateways that are stopping will be back."""
 
     def put(self, name: str, addr: str, hall: str = "") -> bool:
         """A gateway is listed in the store; true if that is new."""
@@ -56,6 +58,23 @@
         self.halls[name] = hall
         return True
 
+    def datagram_addr(self, name: str) -> tuple[str, int]:
+        """Where a gateway takes datagrams: the same port as its internal one."""
+        host, _, port = self.addrs[name].rpartition(":")
+        return host, int(port)
+
+    def leaves(self, name: str, back_at: float) -> None:
+        """A gateway is stopping, and will be back at a time."""
+        self._back_at[name] = back_at
+
+    def leaving(self, name: str, now: float) -> bool:
+        """Whether a gateway is stopping or not back yet."""
+        return self._back_at.get(name, float("-inf")) > now
+
+    def back_at(self, name: str, now: float) -> float:
+        """When a gateway will be back; minus infinity for one that is not stopping."""
+        return self._back_at[name] if self.leaving(name, now) else float("-inf")
+
     def heard(self, name: str, answered: bool, now: float) -> None:
         """A gateway was asked; one that answers but lags counts as one that does not answer."""
         if answered:
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -137,6 +137,21 @@
     """
 
 
+class LeavingNote(TypedDict, closed=True):
+    """
+    Gateway to all others: I am stopping as planned.
+    """
+
+    name: str
+    """
+    Name of the gateway that stops.
+    """
+    back_ms: int
+    """
+    Milliseconds until it takes callers again, where it is started again.
+    """
+
+
 class LedgerAsk(TypedDict, closed=True):
     """
     Gateway to keeper: what have these engines ahead of a prompt, and what of it do they keep?
@@ -675,15 +690,16 @@
     changes: list[FeedChange]
 
 
-class LedgerMsg(TypedDict, closed=True):
+class PeerDatagram(TypedDict, closed=True):
     """
-    A datagram between gateways about what engines have ahead of them: one of these.
+    A datagram between gateways: one of these.
     """
 
     ask: NotRequired[LedgerAsk]
     view: NotRequired[LedgerView]
     sent: NotRequired[LedgerSent]
     over: NotRequired[LedgerOver]
+    leaving: NotRequired[LeavingNote]
 
 
 class Frame(TypedDict, closed=True):
--- a/tests/test_gateway_ledgers.py
+++ b/tests/test_gateway_ledgers.py
@@ -10,6 +10,7 @@
 import curio
 import pytest
 
+from ramppost.gateway.datagrams import Datagrams
 from ramppost.gateway.ledgers import ASK_TIMEOUT_S, MISSES, Ledgers, Question, Told
 from ramppost.gateway.metrics import Metrics
 from ramppost.gateway.model import Upstream
@@ -36,6 +37,7 @@
         self.ports = {"north": free_port(), "south": free_port()}
         self.metrics = Metrics()
         self.rates = {"north": PrefillRates(), "south": PrefillRates()}
+        self.datagrams: dict[str, Datagrams] = {}
         self.north = self.gateway("north", "south")
         self.south = self.gateway("south", "north")
         self.tasks: dict[str, Any] = {}
@@ -43,11 +45,18 @@
     def gateway(self, name: str, other: str) -> Ledgers:
         peers = Peers(name)
         peers.put(other, f"{HOST}:{self.ports[other]}", other)
-        return Ledgers(name, name, peers, self.rates[name], self.metrics)
+        self.datagrams[name] = Datagrams(self.metrics)
+        return Ledgers(name, name, peers, self.rates[name], self.datagrams[name], self.metrics)
 
     async def start(self, name: str) -> None:
         ledgers = {"north": self.north, "south": self.south}[name]
-        self.tasks[name] = await curio.spawn(ledgers.listen, HOST, self.ports[name], daemon=True)
+        self.tasks[name] = await curio.spawn(
+            self.datagrams[name].listen,
+            HOST,
+            self.ports[name],
+            ledgers.take,
+            daemon=True,
+        )
         await curio.sleep(0.01)
 
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -9,6 +9,7 @@
 
 from ramppost.errors import Refusal
 from ramppost.gateway.admit import Admitted, admit
+from ramppost.gateway.departures import heard_leaving
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.job import Job
 from ramppost.gateway.model import RolloutOrder
@@ -24,6 +25,8 @@
 from ramppost.platform.documents import LEAVING
 from ramppost.platform.headers import caller_request
 from ramppost.platform.store import Change, Snapshot, StoredObject
+from ramppost.policy.departures import AT_ONCE_S
+from ramppost.schema.messages import LeavingNote
 from ramppost.schema.settings import GatewaySettings
 from tests.harness.gateways import KEYS, ONCE, OPEN, SITE, STREAM, config
 
@@ -146,6 +149,35 @@
             assert (got.code, got.ran, got.retry_after_s > 0) == ("leaving", "no", True)
 
 
+def stopping(gw: Gateway, back_in_s: float) -> Gateway:
+    gw.refusing = "all"
+    gw.back_at = time.monotonic() + back_in_s
+    gw.peers.put("gateway-2", "127.0.0.1:9", "bole")
+    gw.peers.put("gateway-3", "127.0.0.1:9", "bole")
+    return gw
+
+
+def test_a_stopping_gateway_sends_callers_to_the_others_at_once(gw: Gateway) -> None:
+    stopping(gw, 5.0)
+    heard_leaving(gw, LeavingNote(name="gateway-2", back_ms=3000))
+    got = ask(gw, STREAM)
+    assert (got.code, got.retry_after_s) == ("leaving", AT_ONCE_S)
+
+
+def test_where_all_gateways_stop_callers_are_told_when_the_first_is_back(gw: Gateway) -> None:
+    stopping(gw, 5.0)
+    for name, back_ms in (("gateway-2", 3000), ("gateway-3", 4000)):
+        heard_leaving(gw, LeavingNote(name=name, back_ms=back_ms))
+    assert ask(gw, STREAM).retry_after_s == pytest.approx(3.0, abs=0.1)
+
+
+def test_a_gateway_that_should_be_back_is_taken_for_back(gw: Gateway) -> None:
+    stopping(gw, 5.0)
+    heard_leaving(gw, LeavingNote(name="gateway-2", back_ms=0))
+    heard_leaving(gw, LeavingNote(name="gateway-3", back_ms=4000))
+    assert ask(gw, STREAM).retry_after_s == AT_ONCE_S
+
+
 def entry(name: str, state: str = "ready") -> StoredObject:
     spec = {
         "service": "lm",
