Halls with engines enough have homes of their own for shared parts

With other halls charged for by the byte, prompts stay in their hall, but the home of their shared parts was one engine of all halls, and a gateway of 32 does not know where the others had the same parts read, but for the six engines it asks about. Change: where a hall has four engines or more the home is one of them; it is preferred by 0.1 s instead of 0.03.

--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -174,8 +174,9 @@
     """The most promising engines by what is known here, with the home of the shared parts."""
     views = [_engine_view(gw, u, gw.ledgers.known(u.id, question, now), prompt, now) for u in fit]
     work = Work(question.model, prompt.parts, prompt.tokens_in)
-    best = [placed.id for placed in ranked(views, work, gw.rates, gw.cfg["hall"], now, gw.rng)]
-    names = {home_of(views, work), *best[: MOST_ASKED - 1]}
+    hall = gw.cfg["hall"]
+    best = [placed.id for placed in ranked(views, work, gw.rates, hall, now, gw.rng)]
+    names = {home_of(views, work, hall), *best[: MOST_ASKED - 1]}
     return [upstream for upstream in fit if upstream.id in names]
 
 
--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -2,9 +2,9 @@
 
 Pure.  For an engine, time is what lies ahead of the first token: what gateways sent there
 before (`ramppost.policy.ledger`), what runs there, and reading that part of the request's
-own prompt that the engine does not keep for the model.  Where no engine keeps any of it,
-the one that rendezvous hashing names the home of its shared parts goes first among equals,
-so that gateways agree on a home without talking.
+own prompt that the engine does not keep for the model.  The engine that rendezvous hashing
+names the home of its shared parts goes first among equals, so that gateways agree on a home
+without talking; a hall with engines enough has homes of its own.
 
 A prompt that takes long to read holds up everything else on its engine, so such prompts
 share one engine of several, which the others avoid a little: gateways agree on it by the
@@ -29,9 +29,14 @@
 the bytes fell by a third to a half (from 0.053 to 0.032 of worth, where they are dear)."""
 FAILING_S: Final = 3.0
 """What constant failures add: more than any queue, so that only failing upstreams are worse."""
-HOME_BIAS_S: Final = 0.03
-"""What speaks for the home of a prompt's shared parts, where nothing is known to be kept."""
+HOME_BIAS_S: Final = 0.1
+"""What speaks for the home of a prompt's shared parts: half of what a large request to another
+hall is charged.  On a fleet of 32 gateways, of which none knows what the others have sent, the
+price of bytes between halls fell by a quarter with a home in each hall."""
 REPORT_HALF_LIFE_S: Final = 2.0
+HALL_HOMES_FROM: Final = 4
+"""Engines that a hall needs for homes of its own: with two, what is kept gives way too soon, and
+the mean of two days with faults fell from 0.705 to 0.689 (four seeds of each)."""
 NOISE: Final = 0.05
 """Relative noise on scores, so that gateways with the same report don't all agree."""
 LONG_PREFILL_S: Final = 1.2
@@ -130,13 +135,16 @@
     prefill_s: float
 
 
-def home_of(engines: list[EngineView], work: Work) -> str:
-    """The home of a prompt's shared parts; empty where it has none."""
+def home_of(engines: list[EngineView], work: Work, hall: str) -> str:
+    """The home of a prompt's shared parts: in the hall, where that has engines enough, else one
+    for all halls; empty for a prompt that shares nothing."""
     shared = work.parts[:-1]
-    if not shared or not engines:
+    if not shared:
         return ""
     name = shared[-1][0]
-    return min(engines, key=lambda engine: unit("home", work.model, name, engine.id)).id
+    near = [engine.id for engine in engines if engine.hall == hall]
+    ids = near if len(near) >= HALL_HOMES_FROM else [engine.id for engine in engines]
+    return min(ids, key=lambda id: unit("home", work.model, name, id), default="")
 
 
 def tokens_of(parts: tuple[tuple[str, int], ...], count: int) -> int:
@@ -164,7 +172,7 @@
     rng: random.Random,
 ) -> list[Placed]:
     """Engines by predicted time to the first token, best first."""
-    home = home_of(engines, work)
+    home = home_of(engines, work, hall)
     rate_s = rates.rate_s(work.model)
     apart = long_homes(engines)
 
