A key is checked after keepers were asked, right before the send

Cause: found by reading: asking keepers takes some milliseconds between the check of the configuration's age and the send, so a process that is frozen in between would wake and send by a configuration that may have lost the key, which strict deployments rule out at any time. Change: the check follows the question.

--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -146,11 +146,11 @@
     failures = 0
     last = refusal("no_upstream", f"no upstream of {service} can be asked", NO_ROOM_RETRY_S)
     while True:
+        await look(gw, job, service, model)
+        # After all that may take time: a process that was frozen finds its confirmation old here.
         now = time.monotonic()
         if job.workspace is not None and not gw.fresh.may_start(now):
             return _final(job, stale())
-        await look(gw, job, service, model)
-        now = time.monotonic()
         chosen = pick(gw, job, service, model, now)
         if chosen is None or not _may_send(gw, job, service):
             return _final(job, last)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -5,6 +5,7 @@
 import time
 from typing import Any
 
+import curio
 import pytest
 
 from ramppost.errors import Refusal
@@ -14,6 +15,7 @@
 from ramppost.gateway.job import Job
 from ramppost.gateway.model import RolloutOrder
 from ramppost.gateway.pick import pick
+from ramppost.gateway.serve import _running
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import (
     config_listed,
@@ -149,6 +151,26 @@
             assert (got.code, got.ran, got.retry_after_s > 0) == ("leaving", "no", True)
 
 
+def test_a_key_is_checked_after_keepers_were_asked(
+    gw: Gateway, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A process that is frozen while it asks must not send by a configuration that grew old."""
+
+    async def frozen(gw: Gateway, *_: Any) -> None:
+        gw.fresh.bound_s = 0
+
+    monkeypatch.setattr("ramppost.gateway.serve.look", frozen)
+    upstreams_listed(gw, Snapshot([entry("a")], 6))
+    head = ((b"host", SITE.encode()), (names.KEY, KEYS["kitchen"].encode()))
+    req = caller_request("POST", STREAM + "x", head, b"")
+    admitted = admit(gw, req)
+    assert isinstance(admitted, Admitted)
+    job = Job(req, admitted, time.monotonic())
+    got = curio.run(_running, gw, job, "lm", "m", None)
+    assert isinstance(got, Refusal)
+    assert (got.code, got.ran, job.tried) == ("not_ready", "no", set())
+
+
 def stopping(gw: Gateway, back_in_s: float) -> Gateway:
     gw.refusing = "all"
     gw.back_at = time.monotonic() + back_in_s
