One question to keepers serves the choice of a larger model and its first attempt

Cause: read once more, a second stage asked the keepers twice within milliseconds: once to decide whether the larger model can begin in time, and again to place it. Change: a look that is recent, for the same model and before any upstream was tried, is used again; a further try asks anew as before. Result: linter, type checker and the tests of gateway state, backlogs and policy pass, one of them new.

--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import time
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypeGuard
 
 from ramppost.gateway.backlogs import Question, Told
 from ramppost.gateway.job import Job, Look
@@ -76,12 +76,17 @@
 
 
 async def look(gw: Gateway, job: Job, service_name: str, model: str) -> None:
-    """Ask what the engines that may take a request have ahead of them."""
+    """Ask what the engines that may take a request have ahead of them.
+
+    The look that decided for a larger model serves its first attempt, too.
+    """
     now = time.monotonic()
     service = gw.table.services.get(service_name) if gw.table is not None else None
     prompt = job.req.prompt
     if service is None or service.engine is None or prompt is None:
         return
+    if not job.tried and _is_recent(job.look, model, now):
+        return
     fit = candidates(gw, job, service_name, now)
     question = _question(gw, job, model, prompt)
     if len(fit) > MOST_ASKED:
@@ -89,6 +94,11 @@
     job.look = Look(model, await gw.backlogs.ask(fit, question), time.monotonic())
 
 
+def _is_recent(look: Look | None, model: str, now: float) -> TypeGuard[Look]:
+    """Whether a look was for this model, and is recent enough to choose by."""
+    return look is not None and look.model == model and now - look.at < LOOK_GOOD_S
+
+
 def candidates(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
     """Upstreams that were not tried yet, of the version that the request is to run on.
 
@@ -161,7 +171,7 @@
 ) -> dict[str, Told]:
     """What was told of candidates a moment ago; what is known here where nobody was asked."""
     look = job.look
-    if look is not None and look.model == model and now - look.at < LOOK_GOOD_S:
+    if _is_recent(look, model, now):
         told = {u.id: look.told[u.id] for u in fit if u.id in look.told}
         if told:
             return told
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -10,11 +10,12 @@
 
 from ramppost.errors import Refusal
 from ramppost.gateway.admit import Admitted, admit
+from ramppost.gateway.backlogs import Question, Told
 from ramppost.gateway.departures import heard_leaving
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.job import Job
 from ramppost.gateway.model import RolloutOrder
-from ramppost.gateway.pick import pick
+from ramppost.gateway.pick import look, pick
 from ramppost.gateway.serve import _running
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import (
@@ -151,6 +152,31 @@
             assert (got.code, got.ran, got.retry_after_s > 0) == ("leaving", "no", True)
 
 
+def test_one_question_serves_the_choice_of_a_model_and_its_first_attempt(
+    gw: Gateway, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    asked: list[str] = []
+
+    async def ask(engines: list[Any], question: Question) -> dict[str, Told]:
+        asked.append(question.model)
+        return {engine.id: Told(0.0, 0, True) for engine in engines}
+
+    monkeypatch.setattr(gw.backlogs, "ask", ask)
+    upstreams_listed(gw, Snapshot([entry("a"), entry("b")], 6))
+    head = ((b"host", SITE.encode()), (names.KEY, KEYS["kitchen"].encode()))
+    head = (*head, (names.TOKENS, b"100,40"), (names.PROMPT_PARTS, b"aa:60,bb:40"))
+    req = caller_request("POST", STREAM + "x", head, b"")
+    admitted = admit(gw, req)
+    assert isinstance(admitted, Admitted)
+    job = Job(req, admitted, time.monotonic())
+    for model in ("small", "large", "large"):
+        curio.run(look, gw, job, "lm", model)
+    assert asked == ["small", "large"]
+    job.tried.add("a")
+    curio.run(look, gw, job, "lm", "large")
+    assert asked == ["small", "large", "large"], "another try asks again"
+
+
 def test_a_key_is_checked_after_keepers_were_asked(
     gw: Gateway, monkeypatch: pytest.MonkeyPatch
 ) -> None:
