Sight: a given-up call says how much it had read; revisions known and in force are figures

Cause looked for: configurations that are not in force in time. The logs told neither how much of an answer had come when a call was given up, nor that a newer revision was known than the one in force. Behaviour is unchanged. Figures added: ramppost_config_revision_known, ramppost_config_revision, ramppost_inner_bytes_read.

--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -176,6 +176,9 @@
 def _metrics(gw: Gateway) -> Handler:
     async def handle(req: Request, reply: Reply) -> None:
         gw.metrics.gauges["ramppost_store_calls"] = gw.store.calls
+        gw.metrics.gauges["ramppost_inner_bytes_read"] = gw.store.pool.bytes_in
+        gw.metrics.gauges["ramppost_config_revision_known"] = gw.config_seen
+        gw.metrics.gauges["ramppost_config_revision"] = gw.table.revision if gw.table else 0
         gw.metrics.gauges["ramppost_upstream_connections_opened"] = gw.links.opened
         gw.metrics.gauges["ramppost_log_lines_dropped"] = logs.dropped()
         await reply.send(200, gw.metrics.text(), METRICS_TYPE)
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -214,17 +214,18 @@
 ) -> Answer | CallFailed:
     """Send a request and read its whole answer within `timeout_s`."""
     stream: Stream | CallFailed | None = None
+    data = bytearray()
     try:
         async with curio.timeout_after(timeout_s):
             stream = await open_stream(pool, addr, method, path, body, timeout_s, headers)
             if isinstance(stream, CallFailed):
                 return stream
-            data = bytearray()
             while piece := await stream.read_piece():
                 data += piece
             return Answer(stream.status, stream.headers, bytes(data))
     except curio.TaskTimeout:
-        return CallFailed(f"no whole answer from {addr} in {timeout_s:g} s", True)
+        read = _progress(stream, data)
+        return CallFailed(f"no whole answer from {addr} in {timeout_s:g} s{read}", True)
     except OSError as exc:
         return CallFailed(f"{addr}: {exc}", True)
     finally:
@@ -232,6 +233,13 @@
             await stream.close()
 
 
+def _progress(stream: Stream | CallFailed | None, data: bytearray) -> str:
+    """How much of an answer had come, for the reason of a failure; empty before its head."""
+    if not isinstance(stream, Stream):
+        return ""
+    return f", {len(data)} of {stream.headers.get('content-length', '?')} bytes read"
+
+
 async def connect(addr: str, source: tuple[str, int] | None, timeout_s: float) -> Any:
     """A connected socket, or `CallFailed`: nothing can have arrived.
 
