Documents of a stand-in's plan are their own

Cause: config_doc handed out the plan's list of classes itself. A test that appends to it changed every later document, so tests/test_docs.py failed where tests/test_settings.py ran before it (1 failed, 81 passed; by name it runs first). Change: a copy. The test for it fails without (checked) and passes with it; both files pass in that order now.

--- a/ramppost/standin/fleet.py
+++ b/ramppost/standin/fleet.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import copy
 from typing import Final, NamedTuple
 
 from ramppost.policy.permissions import token_hash
@@ -278,7 +279,7 @@
         plan_id="seed",
         changed_by="seed",
         models=models,
-        classes=plan.classes,
+        classes=copy.deepcopy(plan.classes),
         workspaces=[_workspace(plan, name) for name in plan.workspaces],
         policies=policies,
         rollouts=[],
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -108,6 +108,14 @@
 KEYS = st.sampled_from([*build(MESOB).entries["entry-1"], "other"])
 
 
+def test_documents_of_a_plan_are_their_own() -> None:
+    """Whoever changes one changes no later one: tests that ran in another order than by name
+    found the examples of the docs changed by the test above."""
+    doc = build(MESOB).doc
+    doc["classes"].append(doc["classes"][0])
+    assert len(build(MESOB).doc["classes"]) == len(doc["classes"]) - 1
+
+
 @settings(
     max_examples=60,
     deadline=None,
