Failing tests: open connections that go silent, and what is refused for good meanwhile

Lines of one gateway: the relay does not answer, 1.4 s; the store gives no answer, 1.6 s; regained 2.6 s later, since the pool's next idle connection was as silent.

--- a/tests/harness/proxy.py
+++ b/tests/harness/proxy.py
@@ -11,7 +11,7 @@
 import asyncio
 import contextlib
 import threading
-from typing import Literal
+from typing import Any, Literal
 
 Mode = Literal[
     "pass",
@@ -56,6 +56,7 @@
         self.delay_s = 0.0
         self.clients: list[asyncio.StreamWriter] = []
         self.apart: set[str] = set()
+        self.silent: set[asyncio.StreamWriter] = set()
         self.bytes = 0
         self.rate: float | None = None
         self._free_at = 0.0
@@ -73,6 +74,10 @@
         elif before == "refuse":
             self.server = LOOP.call(asyncio.start_server(self._serve, "127.0.0.1", self.port))
 
+    def silence(self) -> None:
+        """Connections that are open now carry nothing more and are not closed; new ones work."""
+        self.silent |= set(self.clients)
+
     def part(self, callers: set[str]) -> None:
         """Cut these callers off from now on; the others, and new ones, are let through."""
         self.apart = callers
@@ -115,7 +120,7 @@
             return
         self.clients.append(writer)
         pumps = [
-            asyncio.create_task(self._ask(reader, up_writer)),
+            asyncio.create_task(self._ask(reader, up_writer, writer)),
             asyncio.create_task(self._reply(up_reader, writer)),
         ]
         await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -143,11 +148,15 @@
         self._free_at = max(now, self._free_at) + size / self.rate
         await asyncio.sleep(self._free_at - now)
 
-    async def _ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    async def _ask(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, client: Any
+    ) -> bool:
         """Pump requests; false when the caller only closed its half."""
         with contextlib.suppress(OSError):
             while data := await reader.read(PIECE):
                 await self._hold()
+                if client in self.silent:
+                    continue
                 self.bytes += len(data)
                 writer.write(data)
                 await writer.drain()
@@ -161,6 +170,8 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(THIN_PIECE if self.rate else PIECE):
                 await self._hold()
+                if writer in self.silent:
+                    continue
                 await self._carry(len(data))
                 self.bytes += len(data)
                 mode = self._strike() if self.mode not in ("pass", "freeze", "delay") else "pass"
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -132,6 +132,24 @@
         assert got.retry_after_s > 0
 
 
+@pytest.mark.parametrize(
+    ("late_s", "code"), [(-0.3, "not_found"), (0.3, "not_ready")], ids=["in time", "late"]
+)
+def test_nothing_is_refused_for_good_by_what_may_have_been_replaced_long_enough_ago(
+    gw: Gateway, late_s: float, code: str
+) -> None:
+    """A gateway that had lost its relay and the store answered 404 for a route that had been
+    confirmed and had to be in force by then: until its keys were too old, 4.7 s after its last
+    word from the store, where routes must be in force after 2 s."""
+    gw.fresh = Freshness(gw.fresh.bound_s)
+    apply_s = gw.cfg["timing"]["config_apply_ms"] / 1000
+    gw.fresh.confirm(time.monotonic() - apply_s - late_s)
+    got = ask(gw, "/nowhere/")
+    assert isinstance(got, Refusal)
+    assert got.code == code
+    assert isinstance(ask(gw, ONCE, KEYS["toll"]), Admitted), "keys have a bound of their own"
+
+
 def test_without_a_configuration_nothing_is_refused_for_good() -> None:
     got = ask(Gateway(SETTINGS), "/nowhere/")
     assert (got.code, got.status) == ("not_ready", 503)
