A connection that went silent speaks for all that were kept; final refusals are bounded by the time of configurations

Cause: open connections may go silent for good while new ones work. A gateway noticed its relay after 1.4 s and the store 1.6 s later, then took the next idle connection, as old and as silent: 4.8 s until a configuration was in force where others needed 1.7 s. Meanwhile it refused unknown routes and keys for good until its keys were too old (4.7 s), though configurations must be in force after 2 s. Change: a call that gets no answer in time closes the idle connections to that address, and a silent relay those to all; a gateway counts as fed 0.05 s longer than its question to the relay may take, so that it asks the store on a new connection. 404 and 401 only with a confirmation younger than config_apply_ms; before that 503 with Retry-After. The watch of configurations waits 0.4 of that time at most, which changes nothing where upstreams must be known as soon. Watches of roll-outs notice silence after 6.8 s still, at relays only.

--- a/ramppost/gateway/admit.py
+++ b/ramppost/gateway/admit.py
@@ -31,7 +31,7 @@
     if table is None or not gw.members_listed:
         return refusal("not_ready", "no configuration yet", STALE_RETRY_S)
     now = time.monotonic()
-    fresh = gw.fresh.holds(now)
+    fresh = _is_in_force(gw, now)
     route = find_route(table, req.host, req.target)
     if route is None:
         return _final(fresh, "not_found", f"no route for {req.target.partition('?')[0]}")
@@ -47,6 +47,16 @@
     return Admitted(route, workspace)
 
 
+def _is_in_force(gw: Gateway, now: float) -> bool:
+    """Whether the configuration here is known to hold all that must be in force by now.
+
+    Without the second bound a route that had to be served after 2 s was refused with 404 for
+    up to 4.7 s by a gateway that had lost its relay and the store.
+    """
+    allowed_s = gw.cfg["timing"]["config_apply_ms"] / 1000
+    return gw.fresh.holds(now) and gw.fresh.age(now) < allowed_s
+
+
 def find_route(table: RoutingTable, host: str, target: str) -> Route | None:
     """The route of a host with the longest prefix of the path."""
     path = target.partition("?")[0]
--- a/ramppost/gateway/subscribe.py
+++ b/ramppost/gateway/subscribe.py
@@ -26,6 +26,9 @@
 
 ANSWER_SLACK_S: Final = 0.2
 """How late an answer may begin after its wait: many times the way there and back."""
+FED_GRACE_S: Final = 0.05
+"""How much longer a gateway counts as fed than the next question may take: one that ends in
+silence has dropped the idle connections by then, and the store is asked on a new one."""
 IDLE_S: Final = 0.25
 """How often a gateway that has nobody to follow looks again."""
 BACKOFF_S: Final = 0.1
@@ -70,6 +73,8 @@
     gw.peers.heard(name, gw.peers_answer, time.monotonic())
     if isinstance(msg, BadMessage):
         logger.info("gateway does not answer: {}", msg.reason, peer=name)
+        # Idle connections to the store and to others may be as silent as this one.
+        gw.store.pool.drop_all()
         return False
     known_at = _urgent_known_at(gw)
     for told in msg["kinds"]:
@@ -87,7 +92,7 @@
         return False
     if not gw.peers.is_relay(now) and _urgent_known_at(gw) > known_at:
         # A relay that is cut off tells what it has heard from us: that confirms nothing.
-        gw.fed_until = now + timeout_s
+        gw.fed_until = now + timeout_s + FED_GRACE_S
     return True
 
 
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -21,6 +21,9 @@
 CONFIG_WAIT_OF_BOUND: Final = 0.2
 """Each answered watch confirms the configuration as of when it was sent, so its wait is how
 old a confirmation usually grows: a fifth of the bound, so that several may fail in a row."""
+CONFIG_WAIT_OF_APPLY: Final = 0.4
+"""Of the time in which a configuration must be in force: a confirmation is up to two waits old
+in calm times, and unknown routes and keys are refused for good only by one that is younger."""
 UPSTREAM_WAIT_OF_BOUND: Final = 0.4
 """Part of the time in which an upstream's leaving must be known.  A relay that lost the store
 or died is noticed within this, `FEED_SLACK_S` and the slack of a call; the rest is for asking
@@ -51,7 +54,12 @@
 
 
 def _config_wait_s(gw: Gateway) -> float:
-    return min(CONFIG_WAIT_OF_BOUND * gw.fresh.bound_s, _upstream_wait_s(gw))
+    apply_s = gw.cfg["timing"]["config_apply_ms"] / 1000
+    return min(
+        CONFIG_WAIT_OF_BOUND * gw.fresh.bound_s,
+        CONFIG_WAIT_OF_APPLY * apply_s,
+        _upstream_wait_s(gw),
+    )
 
 
 def _upstream_wait_s(gw: Gateway) -> float:
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -92,6 +92,20 @@
         links.append(link)
         return True
 
+    def drop(self, addr: str) -> None:
+        """Close the idle connections to an address.
+
+        One that says nothing more without being closed is seldom alone: all that were open may
+        have gone silent at once, and each would cost a call's whole time.
+        """
+        for link in self.idle.pop(addr, []):
+            link.sock._socket.close()
+
+    def drop_all(self) -> None:
+        """Close all idle connections."""
+        for addr in list(self.idle):
+            self.drop(addr)
+
 
 class Stream:
     """An answer being read.  Close it when done, read to the end or not."""
@@ -200,6 +214,7 @@
             await stream.read_head()
     except curio.TaskTimeout:
         await link.sock.close()
+        pool.drop(addr)
         return CallFailed(f"no answer from {addr} in {timeout_s:g} s", True)
     except OSError as exc:
         await link.sock.close()
@@ -221,7 +236,7 @@
 ) -> Answer | CallFailed:
     """Send a request and read its whole answer within `timeout_s`."""
     opening = open_stream(pool, addr, method, path, body, timeout_s, headers)
-    return await _read_whole(addr, opening, timeout_s, None)
+    return await _read_whole(pool, addr, opening, timeout_s, None)
 
 
 async def fetch(
@@ -239,11 +254,15 @@
     0.6 MB/s, a limit of 1 s for the whole gave up each transfer and began it anew for ever.
     """
     opening = open_stream(pool, addr, method, path, body, timeout_s, headers)
-    return await _read_whole(addr, opening, timeout_s + LONGEST_FETCH_S, STALL_S)
+    return await _read_whole(pool, addr, opening, timeout_s + LONGEST_FETCH_S, STALL_S)
 
 
 async def _read_whole(
-    addr: str, opening: Awaitable[Stream | CallFailed], longest_s: float, stall_s: float | None
+    pool: Pool,
+    addr: str,
+    opening: Awaitable[Stream | CallFailed],
+    longest_s: float,
+    stall_s: float | None,
 ) -> Answer | CallFailed:
     """The whole answer of a request that is being sent.
 
@@ -261,6 +280,7 @@
                 data += piece
             return Answer(stream.status, stream.headers, bytes(data))
     except curio.TaskTimeout:
+        pool.drop(addr)
         after_s = time.monotonic() - began
         read = _progress(stream, data)
         return CallFailed(f"no whole answer from {addr} in {after_s:.1f} s{read}", True)
