What is sent may take longer the larger it is

Cause: the same as of the configurations that were not in force: a fixed time for a transfer of any size, here towards the store. An entry that confirms a configuration of a megabyte over a thin link had 2 s for all of it, and its outcome unknown then. Change: fetch adds the body's size at 50 KB/s to the time for the head; the own interface's writes use it. Before: the test (1 MB taken in at 0.5 MB/s, 1 s for the beginning) fails with no answer in 1 s; after: it passes in 2 s. Not changed: calls between entries and agents, which are small and bound by deadlines.

--- a/ramppost/platform/objects.py
+++ b/ramppost/platform/objects.py
@@ -127,7 +127,7 @@
         return OVER_BUDGET
     cond = ("if-none-match", "*") if expect is None else ("if-match", str(expect))
     path = f"/objects/{quote(key)}"
-    got = await call(client.pool, client.addr, "PUT", path, encode(value), CALL_TIMEOUT_S, (cond,))
+    got = await fetch(client.pool, client.addr, "PUT", path, encode(value), CALL_TIMEOUT_S, (cond,))
     if isinstance(got, CallFailed):
         return Unavailable(got.reason, got.sent)
     if got.status == 412:
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -23,8 +23,10 @@
 STALL_S: Final = 1.5
 """Silence in the middle of an answer after which it is given up: longer than a lost packet that
 is sent again twice, and than a process that waits for its processor."""
+SLOWEST_BPS: Final = 50_000.0
+"""Bytes a second that any link has left for one transfer: a twelfth of one of 0.6 MB/s."""
 LONGEST_FETCH_S: Final = 20.0
-"""A megabyte over 0.4 Mbit/s; an answer that trickles for longer is worth beginning anew."""
+"""A megabyte at that rate; an answer that trickles for longer is worth beginning anew."""
 UNSPECIFIED: Final = ("", "0.0.0.0")
 
 
@@ -250,11 +252,13 @@
 ) -> Answer | CallFailed:
     """Send a request, read the head of its answer within `timeout_s` and then the body.
 
-    The body may take as long as bytes keep coming.  Where 0.87 MB went over a link of
-    0.6 MB/s, a limit of 1 s for the whole gave up each transfer and began it anew for ever.
+    The time for the head grows with what is sent, and the body may take as long as bytes keep
+    coming.  Where 0.87 MB went over a link of 0.6 MB/s, a limit of 1 s for the whole gave up
+    each transfer and began it anew for ever.
     """
-    opening = open_stream(pool, addr, method, path, body, timeout_s, headers)
-    return await _read_whole(pool, addr, opening, timeout_s + LONGEST_FETCH_S, STALL_S)
+    head_s = timeout_s + len(body) / SLOWEST_BPS
+    opening = open_stream(pool, addr, method, path, body, head_s, headers)
+    return await _read_whole(pool, addr, opening, head_s + LONGEST_FETCH_S, STALL_S)
 
 
 async def _read_whole(
--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -13,14 +13,19 @@
 from __future__ import annotations
 
 import json
+import socket
 import time
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
+import curio
+import h11
 import pytest
 
 from ramppost.platform import names
 from ramppost.policy.relays import ranked_names
+from ramppost.wire.client import Answer, Pool, fetch
 from tests.harness.gateways import HOST, KEYS, SAFE, Deployment, config, route
 from tests.harness.proxy import Proxy
 
@@ -133,3 +138,33 @@
     pair.site.until(lambda: pair.serves("/second/"), IN_FORCE_S, "the second version")
     time.sleep(SOON_S)
     assert pair.link.bytes - before < 1.5 * len(json.dumps(doc))
+
+
+async def reads_slowly(sock: Any, _: Any) -> None:
+    """Take a request in at half a megabyte a second, and answer it."""
+    conn = h11.Connection(h11.SERVER)
+    async with sock:
+        while (event := conn.next_event()) and not isinstance(event, h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                data = await sock.recv(8192)
+                await curio.sleep(len(data) / RATE)
+                conn.receive_data(data)
+        await sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+
+
+def test_a_large_body_may_take_as_long_to_send_as_the_other_side_takes_it_in() -> None:
+    """Whoever confirms a large configuration over a thin link has to send it whole, too."""
+
+    async def scene() -> None:
+        # A small buffer, so that what is sent waits for what is read.
+        sock = curio.network.tcp_server_socket(HOST, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        addr = f"{HOST}:{sock.getsockname()[1]}"
+        await curio.spawn(curio.network.run_server, sock, reads_slowly, daemon=True)
+        body = b"x" * 1_000_000
+        began = time.monotonic()
+        got = await fetch(Pool(), addr, "PUT", "/", body, timeout_s=1.0)
+        assert isinstance(got, Answer) and got.status == 200
+        assert time.monotonic() - began > 1.5, "longer than the time for the beginning"
+
+    curio.run(scene)
