What nobody gives is asked for less and less often

Cause: the loader asked the store again every 0.1 s where nobody had the object, and every gateway that lacked it did; each call is paid for. Found by reading. Change: the backoff of the other calls to the store, 0.1 s doubling to 0.5 s, with a random part. A test counts the calls of 2 s against a store that refuses: 10 at most.

--- a/ramppost/gateway/loading.py
+++ b/ramppost/gateway/loading.py
@@ -17,7 +17,7 @@
 from loguru import logger
 
 from ramppost.gateway.copies import COPY_PATH, unpack
-from ramppost.gateway.follow import Followed, Lacking
+from ramppost.gateway.follow import FIRST_BACKOFF_S, MAX_BACKOFF_S, Followed, Lacking
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import Missing, StoredObject, Unavailable, read
 from ramppost.wire.client import CallFailed, fetch
@@ -27,8 +27,6 @@
 """Until a gateway's answer begins: one that is busy sending to others is passed over."""
 IDLE_S: Final = 5.0
 """How long to wait for news before looking again all the same."""
-BACKOFF_S: Final = 0.1
-"""Kept between rounds in which nobody had the object."""
 
 
 class Failed(NamedTuple):
@@ -54,14 +52,18 @@
 
 async def load_lacking(gw: Gateway) -> None:
     """Load whatever is lacking, until cancelled."""
+    backoff_s = FIRST_BACKOFF_S
     while True:
         wanted = _all_wanted(gw)
         if not wanted:
             await gw.news.wait(IDLE_S)
             continue
         loaded = [await load_once(gw, one) for one in wanted]
-        if not any(loaded):
-            await curio.sleep(BACKOFF_S)
+        if any(loaded):
+            backoff_s = FIRST_BACKOFF_S
+            continue
+        await curio.sleep(backoff_s * gw.rng.uniform(0.5, 1.0))
+        backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
 
 
 def _all_wanted(gw: Gateway) -> list[Wanted]:
--- a/tests/test_gateway_loading.py
+++ b/tests/test_gateway_loading.py
@@ -162,6 +162,20 @@
     play(scene)
 
 
+def test_a_store_that_refuses_is_not_asked_again_at_once() -> None:
+    """Each call to the store is paid for, by all gateways that lack the object at once."""
+
+    async def scene(pair: Pair) -> None:
+        asked = await store_of(pair, None)
+        await tells_only(pair)
+        await told_of(pair, 6)
+        await curio.spawn(load_lacking, pair.asker, daemon=True)
+        await curio.sleep(2.0)
+        assert 3 <= len(asked) <= 10, "0.1 s between two calls at first, 0.5 s at most"
+
+    play(scene)
+
+
 def test_a_copy_that_is_older_than_what_was_told_of_is_not_given() -> None:
     async def scene(pair: Pair) -> None:
         await store_of(pair, 6)
