Soak: open connections go silent, the configuration grows on a thin link, and a new route must be in force in time

Cause: the soak froze and cut links, but every connection on them alike, its configuration was small, and it did not check when a change is in force. So it could find neither of the two faults. Change: two faults more, and a check after the storm that a new route of a configuration with 1,500 routes is served by every gateway within 2.5 s (1 s promised by the harness).

--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -5,8 +5,10 @@
 Callers ask for streams, calls that may repeat and calls that may run once, each on a
 connection that it keeps until it breaks, while two schedules drawn from the seed, which
 overlap, stop, pause, kill and restart gateways and upstreams, disturb the store, its links
-and those between gateways, take a key away, let upstreams leave and bring a version in.
-What upstreams ran and what callers got is compared at the end.
+and those between gateways, silence what is open on them, take a key away, let the configuration
+grow on a thin link, let upstreams leave and bring a version in.  After the storm a new route has
+to be in force everywhere in time.  What upstreams ran and what callers got is compared at the
+end.
 """
 
 from __future__ import annotations
@@ -25,7 +27,16 @@
 
 import httpx
 
-from tests.harness.gateways import KEYS, ONCE, SAFE, STREAM, Deployment, Given, config
+from tests.harness.gateways import (
+    KEYS,
+    ONCE,
+    SAFE,
+    STREAM,
+    Deployment,
+    Given,
+    config,
+    route,
+)
 from tests.harness.proxy import Proxy
 
 CALLERS = 9
@@ -40,6 +51,14 @@
 """As the harness sets it for gateways: what a leaving upstream may still be given work for."""
 LEAVE_SLACK_S = 0.5
 """For the upstream's own heartbeat, which tells the store, and for a busy machine."""
+GROWN_ROUTES = 1500
+"""Some 0.3 MB: it takes 0.6 s of a thin link."""
+THIN_BPS = 500_000.0
+APPLY_S = 1.0
+"""As the harness sets it for gateways: when a configuration must be in force."""
+APPLY_SLACK_S = 1.5
+"""For a large one on a thin link, and for a busy machine."""
+NEW = "/new/"
 CALM_S = 3.0
 """So long after the last disturbance gateways are held to what they must know in time."""
 
@@ -105,12 +124,15 @@
         self.site.wait_ready(self.site.gateways[0])
         self.peer_link = Proxy(f"127.0.0.1:{self.site.port(self.site.gateways[1]) + 2}")
         self.removed_at: float | None = None
+        self.version = 1
         self.kept_runs: list[dict[str, Any]] = []
         self.left: list[Left] = []
         """Upstreams that left after the last disturbance."""
         self.done: list[str] = []
         self.failed: list[BaseException] = []
-        self._locks = {name: threading.Lock() for name in (*self.site.procs, "store", "link")}
+        self._locks = {
+            name: threading.Lock() for name in (*self.site.procs, "store", "link", "config")
+        }
 
     def play(self, until: float) -> None:
         """Play all schedules until then; a failure of the harness itself is raised."""
@@ -139,6 +161,8 @@
             self.disturb_store,
             self.disturb_link,
             self.disturb_peers,
+            self.silence_links,
+            self.grow_on_thin_link,
             self.leave,
             self.upset_upstream,
             self.replace_upstream,
@@ -227,6 +251,39 @@
             time.sleep(rng.uniform(0.3, 5.0))
             self.store_link.set("pass")
 
+    def silence_links(self, rng: random.Random) -> None:
+        """What is open to the store and to the second gateway carries nothing any more."""
+        with self._locks["link"]:
+            self.store_link.silence()
+            self.peer_link.silence()
+
+    def grow_on_thin_link(self, rng: random.Random) -> None:
+        """Many routes come while one gateway's way to the store is thin."""
+        with self._locks["link"]:
+            self.store_link.rate = THIN_BPS
+            self._configure(GROWN_ROUTES)
+            time.sleep(rng.uniform(0.3, 3.0))
+            self.store_link.rate = None
+
+    def _configure(self, routes: int, *prefixes: str) -> None:
+        """Write a configuration with so many routes more, and with the keys in force."""
+        many = [route(f"many-{i}", f"/many-{i}/", "idempotent", "web") for i in range(routes)]
+        new = [route(prefix, prefix, "idempotent", "web") for prefix in prefixes]
+        with self._locks["config"]:
+            self.version += 1
+            keys = KEYS if self.removed_at is None else {"kitchen": KEYS["kitchen"]}
+            self.site.configure(config(self.version, keys, routes=[*many, *new]))
+
+    def late_for_configuration(self) -> list[str]:
+        """Gateways that a new route is not in force at in time, after the storm."""
+        time.sleep(CALM_S)
+        self._configure(GROWN_ROUTES, NEW)
+        until = time.monotonic() + APPLY_S + APPLY_SLACK_S
+        late = set(self.site.gateways)
+        while late and time.monotonic() < until:
+            late -= {name for name in late if self.site.call(name, NEW).status == 200}
+        return [f"{name}: the new route is not in force" for name in sorted(late)]
+
     def upset_upstream(self, rng: random.Random) -> None:
         how: list[dict[str, Any]] = [
             {"cut_after": 2},
@@ -256,9 +313,11 @@
         self.site.start_upstream(name, "lm" if name in ENGINES else "web", "v1")
 
     def take_key_away(self, rng: random.Random) -> None:
-        if self.removed_at is None:
-            self.site.configure(config(2, {"kitchen": KEYS["kitchen"]}))
-            self.removed_at = time.time()
+        with self._locks["config"]:
+            if self.removed_at is None:
+                self.version += 1
+                self.site.configure(config(self.version, {"kitchen": KEYS["kitchen"]}))
+                self.removed_at = time.time()
 
     def bring_version_in(self, rng: random.Random) -> None:
         self.site.rollout("v2", 4)
@@ -319,9 +378,10 @@
         callers = Callers(played.site)
         played.play(time.monotonic() + duration_s)
         recovered = played.recovers()
+        late = played.late_for_configuration()
         played.leave_in_calm()
         callers.end()
-        found = played.faults_of(callers.asked) + played.late_for_leaving()
+        found = late + played.faults_of(callers.asked) + played.late_for_leaving()
         if not recovered:
             found.append(f"not served again in {RECOVERY_S:g} s")
         served = sum(1 for one in callers.asked if one.got.status == 200)
