--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -6,7 +6,7 @@
 connection that it keeps until it breaks, while two schedules drawn from the seed, which
 overlap, stop, pause, kill and restart gateways and upstreams, disturb the store, its links
 and those between gateways, silence what is open on them, take a key away, let the configuration
-grow on a thin link, let upstreams leave and bring a version in.  After the storm a new route has
+grow on thin links, let upstreams leave and bring a version in.  After the storm a new route has
 to be in force everywhere in time.  What upstreams ran and what callers got is compared at the
 end.
 """
@@ -119,9 +119,13 @@
     def __init__(self, folder: Path, seed: int) -> None:
         self.rngs = [random.Random(f"{seed}/{number}") for number in range(SCHEDULES)]
         self.site = Deployment(folder, gateways=3, engines=len(ENGINES), services=len(SERVICES))
-        self.store_link = Proxy(f"127.0.0.1:{self.site.port('store')}")
-        self.site.restart_gateway(self.site.gateways[0], self.store_link.addr)
-        self.site.wait_ready(self.site.gateways[0])
+        store = f"127.0.0.1:{self.site.port('store')}"
+        self.store_links = {name: Proxy(store) for name in self.site.gateways}
+        self.store_link = self.store_links[self.site.gateways[0]]
+        for name, link in self.store_links.items():
+            self.site.restart_gateway(name, link.addr)
+        for name in self.site.gateways:
+            self.site.wait_ready(name)
         self.peer_link = Proxy(f"127.0.0.1:{self.site.port(self.site.gateways[1]) + 2}")
         self.removed_at: float | None = None
         self.version = 1
@@ -162,7 +166,7 @@
             self.disturb_link,
             self.disturb_peers,
             self.silence_links,
-            self.grow_on_thin_link,
+            self.grow_on_thin_links,
             self.leave,
             self.upset_upstream,
             self.replace_upstream,
@@ -174,8 +178,7 @@
         fault(rng)
 
     def _start(self, name: str) -> None:
-        link = self.store_link.addr if name == self.site.gateways[0] else ""
-        self.site.start_gateway(name, link)
+        self.site.start_gateway(name, self.store_links[name].addr)
 
     def put_proxy_between(self) -> None:
         """Let other gateways reach the second one by a link that can be disturbed."""
@@ -254,16 +257,20 @@
     def silence_links(self, rng: random.Random) -> None:
         """What is open to the store and to the second gateway carries nothing any more."""
         with self._locks["link"]:
-            self.store_link.silence()
-            self.peer_link.silence()
+            for link in (*self.store_links.values(), self.peer_link):
+                link.silence()
 
-    def grow_on_thin_link(self, rng: random.Random) -> None:
-        """Many routes come while one gateway's way to the store is thin."""
+    def grow_on_thin_links(self, rng: random.Random) -> None:
+        """Many routes come while the ways to the store are thin."""
         with self._locks["link"]:
-            self.store_link.rate = THIN_BPS
+            self._set_rate(THIN_BPS)
             self._configure(GROWN_ROUTES)
             time.sleep(rng.uniform(0.3, 3.0))
-            self.store_link.rate = None
+            self._set_rate(None)
+
+    def _set_rate(self, rate: float | None) -> None:
+        for link in self.store_links.values():
+            link.rate = rate
 
     def _configure(self, routes: int, *prefixes: str) -> None:
         """Write a configuration with so many routes more, and with the keys in force."""
@@ -276,16 +283,16 @@
 
     def late_for_configuration(self) -> list[str]:
         """Gateways that a new route is not in force at in time, after the storm, where it comes
-        with many others, one way to the store is thin, and what was open went silent before."""
+        with many others, the ways to the store are thin, and what was open went silent before."""
         self.silence_links(self.rngs[0])
         time.sleep(CALM_S)
-        self.store_link.rate = THIN_BPS
+        self._set_rate(THIN_BPS)
         self._configure(GROWN_ROUTES, NEW)
         until = time.monotonic() + APPLY_S + APPLY_SLACK_S
         late = set(self.site.gateways)
         while late and time.monotonic() < until:
             late -= {name for name in late if self.site.call(name, NEW).status == 200}
-        self.store_link.rate = None
+        self._set_rate(None)
         return [f"{name}: the new route is not in force" for name in sorted(late)]
 
     def upset_upstream(self, rng: random.Random) -> None:
