--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -12,6 +12,8 @@
 FAILED_ONCE = (
     # A follower passed over the relay that had told it of a large object, for it lagged.
     (727, 12.0),
+    # An answer that went silent in the middle ended the task that follows the store.
+    (786, 12.0),
 )
 """Seeds that failed and for how long each ran, seconds, with a line on the cause."""
 DURATION_S = 8.0
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -21,7 +21,7 @@
 import pytest
 
 from ramppost.policy.relays import ranked_names
-from ramppost.wire.client import Answer, CallFailed, Pool, call
+from ramppost.wire.client import STALL_S, Answer, CallFailed, Pool, call, fetch
 from tests.harness.gateways import HOST, KEYS, Deployment, config, route
 from tests.harness.proxy import Proxy
 
@@ -76,6 +76,32 @@
         await curio.sleep(60)
 
 
+async def answers_half(sock: Any, _: Any) -> None:
+    """Send the head of an answer and half of its body, and say nothing more."""
+    async with sock:
+        await sock.recv(10000)
+        await sock.sendall(OK[:-1])
+        await curio.sleep(60)
+
+
+def test_an_answer_that_goes_silent_in_the_middle_is_a_failure_like_others() -> None:
+    """The time for the next bytes ran out inside the time for the whole, which the event loop
+    takes for a mistake: the task that follows the store ended with `Uncaught timeout received`,
+    and its gateway refused keyed requests from then on."""
+
+    async def scene() -> Any:
+        sock = curio.network.tcp_server_socket(HOST, 0)
+        addr = f"{HOST}:{sock.getsockname()[1]}"
+        await curio.spawn(curio.network.run_server, sock, answers_half, daemon=True)
+        return await fetch(Pool(), addr, "GET", "/", timeout_s=1.0)
+
+    began = time.monotonic()
+    got = curio.run(scene)
+    assert isinstance(got, CallFailed)
+    assert got.sent and "1 of 2 bytes read" in got.reason
+    assert STALL_S <= time.monotonic() - began < 2 * STALL_S
+
+
 def test_a_kept_connection_that_is_silent_speaks_for_all_that_were_kept() -> None:
     async def scene() -> None:
         sock = curio.network.tcp_server_socket(HOST, 0)
