An answer that goes silent in the middle is a failure like others

Cause: the timeout for the next bytes left the timeout for the whole answer around it, which curio answers with UncaughtTimeoutError; the task that follows the store ended, and its gateway refused keyed requests from then on. Ruled out: the other timeouts inside timeouts (reading heads and pieces of upstreams' answers), which are caught where they are. Change: the inner one becomes a TimeoutError where it is raised, which ends the call as a failure and closes idle connections.

--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -283,7 +283,7 @@
             while piece := await _next_piece(stream, stall_s):
                 data += piece
             return Answer(stream.status, stream.headers, bytes(data))
-    except curio.TaskTimeout:
+    except (curio.TaskTimeout, TimeoutError):
         pool.drop(addr)
         after_s = time.monotonic() - began
         read = _progress(stream, data)
@@ -296,10 +296,18 @@
 
 
 async def _next_piece(stream: Stream, stall_s: float | None) -> bytes:
+    """The next bytes of the body; raises TimeoutError where none come for `stall_s`.
+
+    A timeout of curio's must not leave the time for the whole around it: that raises
+    UncaughtTimeoutError, which ends the task.
+    """
     if stall_s is None:
         return await stream.read_piece()
-    async with curio.timeout_after(stall_s):
-        return await stream.read_piece()
+    try:
+        async with curio.timeout_after(stall_s):
+            return await stream.read_piece()
+    except curio.TaskTimeout as exc:
+        raise TimeoutError(f"silent for {stall_s:g} s") from exc
 
 
 def _progress(stream: Stream | CallFailed | None, data: bytearray) -> str:
