Each entry of the store is decoded by itself, and each start of an upstream is another one

Cause: a list or watch was decoded as a whole, so that one object without a spec, or with bytes that are no UTF-8, made it unavailable at every gateway for as long as it lay there. An upstream whose entry became unreadable kept what it had said before. Knowledge of an upstream was kept by an id that may start again.

Ruled out: decoding the body with replacement characters (an entry with spoiled bytes would name an upstream of a spoiled version); ordering starts by the time of birth (the time of day may go back between two starts: the store's order of revisions, which follow.Followed keeps, decides).

An upstream's entry must be in range and is dropped at once where it is not. Upstream.key names one start; loads, suspicion, connections, backlogs and what was tried are kept by it. Sessions and progress are decoded where they are read.

An entry without birth is taken in: the store's examples show none yet.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -59,9 +59,9 @@
 ) -> Running | Refused | NotSent | Broken:
     """Send the request; the outcome is logged and counted."""
     upstream = chosen.upstream
-    job.tried.add(upstream.id)
+    job.tried.add(upstream.key)
     now = time.monotonic()
-    work = gw.loads.own(upstream.id)
+    work = gw.loads.own(upstream.key)
     work.requests += 1
     work.pending += 1
     reading = _reading(gw, job, chosen, model, now)
@@ -121,7 +121,7 @@
             return head
         now = time.monotonic()
         if head.running is not None:
-            gw.loads.report(chosen.upstream.id, head.running, head.waiting or 0, now)
+            gw.loads.report(chosen.upstream.key, head.running, head.waiting or 0, now)
         if head.not_run:
             job.may_have_run = ran_before
             await opened.abort()
@@ -164,7 +164,7 @@
             got: AnswerHead | Broken = await curio.timeout_after(patience_s, exchange.head())
             return got
         except curio.TaskTimeout:
-            heard_at = gw.links.heard.get(chosen.upstream.id, float("-inf"))
+            heard_at = gw.links.heard.get(chosen.upstream.key, float("-inf"))
             affordable = gw.budget_of(chosen.service.name).left(time.monotonic()) >= 1
             if heard_at < since and affordable and chosen.candidates > 1:
                 return Broken(f"silent for {patience_s:.2f} s")
@@ -196,7 +196,7 @@
         if got.head.status < 500 and job.req.prompt is not None:
             _learn_engine(gw, chosen, model, got.first_s)
         if chosen.service.engine is None:
-            gw.suspicion_of(chosen.upstream.id).took(took_s, now)
+            gw.suspicion_of(chosen.upstream.key).took(took_s, now)
     elif isinstance(got, Refused):
         outcome = f"refused with {got.status}"
         failed = False
@@ -204,7 +204,7 @@
         outcome = got.reason
         failed = True
     if outcome != "cancelled":
-        gw.suspicion_of(chosen.upstream.id).note(failed, now)
+        gw.suspicion_of(chosen.upstream.key).note(failed, now)
     if job.req.session:
         version = chosen.upstream.version
         gw.rollouts.pins.ran(chosen.service.name, job.req.session, version, now)
--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -108,14 +108,14 @@
     async def ask(self, engines: list[Upstream], question: Question) -> dict[str, Told]:
         """What is known of engines for a prompt that is to be placed on one of them."""
         now = time.monotonic()
-        told = {engine.id: self.known(engine.id, question, now) for engine in engines}
+        told = {engine.key: self.known(engine.key, question, now) for engine in engines}
         by_keeper: dict[str, list[str]] = {}
         for engine in engines:
-            keeper = self._keeper(engine.id, engine.hall, now)
+            keeper = self._keeper(engine.key, engine.hall, now)
             if keeper == self.own:
-                told[engine.id] = told[engine.id]._replace(complete=True)
+                told[engine.key] = told[engine.key]._replace(complete=True)
             elif keeper:
-                by_keeper.setdefault(keeper, []).append(engine.id)
+                by_keeper.setdefault(keeper, []).append(engine.key)
         if not by_keeper:
             return told
         for name, view in (await self._ask_keepers(by_keeper, question)).items():
@@ -133,10 +133,10 @@
 
     def sent(self, engine: Upstream, key: str, reading: Reading) -> None:
         """A prompt is on its way to an engine."""
-        self._backlog(engine.id).sent(key, reading)
+        self._backlog(engine.key).sent(key, reading)
         note = BacklogSent(
             key=key,
-            engine=engine.id,
+            engine=engine.key,
             read_ms=round(reading.read_s * 1000),
             level=reading.level,
             model=reading.model,
@@ -146,8 +146,8 @@
 
     def over(self, engine: Upstream, key: str, began: bool) -> None:
         """A prompt has its first token, or will never have one there."""
-        self._note_over(engine.id, key, began)
-        note = BacklogOver(key=key, engine=engine.id, began=began)
+        self._note_over(engine.key, key, began)
+        note = BacklogOver(key=key, engine=engine.key, began=began)
         self._tell_keeper(engine, PeerDatagram(over=note))
 
     def forget(self, engine: str) -> None:
@@ -208,7 +208,7 @@
         logger.info("keeper of backlogs does not answer", peer=keeper, left_out_s=SILENT_S)
 
     def _tell_keeper(self, engine: Upstream, msg: PeerDatagram) -> None:
-        keeper = self._keeper(engine.id, engine.hall, time.monotonic())
+        keeper = self._keeper(engine.key, engine.hall, time.monotonic())
         if keeper not in ("", self.own):
             self._datagrams.send(address(self._peers.addrs[keeper]), msg)
 
--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -89,7 +89,7 @@
 
     def take(self, upstream: Upstream, now: float) -> Link | None:
         """An idle connection that is fit for use, the latest used first."""
-        links = self.idle.get(upstream.id, [])
+        links = self.idle.get(upstream.key, [])
         while links:
             link = links.pop()
             if now < link.idle_until and not readable(link.sock.fileno()):
@@ -100,7 +100,7 @@
 
     def keep(self, link: Link, keep_alive_s: float | None, now: float) -> bool:
         """Keep a connection for reuse; false where there are enough."""
-        links = self.idle.setdefault(link.upstream.id, [])
+        links = self.idle.setdefault(link.upstream.key, [])
         idle_s = DEFAULT_IDLE_S if keep_alive_s is None else keep_alive_s - IDLE_MARGIN_S
         if len(links) >= MAX_IDLE or idle_s <= 0:
             return False
@@ -109,11 +109,11 @@
         links.append(link)
         return True
 
-    def forget(self, upstream_id: str) -> None:
+    def forget(self, upstream_key: str) -> None:
         """Close what is idle to an upstream that has left."""
-        for link in self.idle.pop(upstream_id, []):
+        for link in self.idle.pop(upstream_key, []):
             link.sock._socket.close()
-        self.heard.pop(upstream_id, None)
+        self.heard.pop(upstream_key, None)
 
     def close_expired(self, now: float) -> None:
         """Close idle connections that must not be used any more."""
@@ -235,7 +235,7 @@
                 except OSError as exc:
                     return Broken(f"connection failed: {exc}")
                 if data:
-                    self._links.heard[self._link.upstream.id] = time.monotonic()
+                    self._links.heard[self._link.upstream.key] = time.monotonic()
                 try:
                     self._link.h11.receive_data(data)
                 except h11.RemoteProtocolError as exc:
--- a/ramppost/gateway/load.py
+++ b/ramppost/gateway/load.py
@@ -26,26 +26,26 @@
 
 
 class Loads:
-    """Load by upstream id."""
+    """Load by upstream, each start by itself."""
 
     def __init__(self) -> None:
         self._own: dict[str, OwnWork] = {}
         self._reported: dict[str, Reported] = {}
 
-    def own(self, upstream_id: str) -> OwnWork:
+    def own(self, upstream_key: str) -> OwnWork:
         """What is under way there."""
-        return self._own.setdefault(upstream_id, OwnWork())
+        return self._own.setdefault(upstream_key, OwnWork())
 
-    def reported(self, upstream_id: str) -> Reported:
+    def reported(self, upstream_key: str) -> Reported:
         """What it last said."""
-        return self._reported.get(upstream_id, NEVER)
+        return self._reported.get(upstream_key, NEVER)
 
-    def report(self, upstream_id: str, running: int, waiting: int, now: float) -> None:
+    def report(self, upstream_key: str, running: int, waiting: int, now: float) -> None:
         """It said this with an answer."""
-        self._reported[upstream_id] = Reported(running, waiting, now)
+        self._reported[upstream_key] = Reported(running, waiting, now)
 
-    def forget(self, upstream_id: str) -> None:
+    def forget(self, upstream_key: str) -> None:
         """It has left; work still under way keeps its own count."""
-        self._reported.pop(upstream_id, None)
-        if upstream_id in self._own and not self._own[upstream_id].requests:
-            del self._own[upstream_id]
+        self._reported.pop(upstream_key, None)
+        if upstream_key in self._own and not self._own[upstream_key].requests:
+            del self._own[upstream_key]
--- a/ramppost/gateway/model.py
+++ b/ramppost/gateway/model.py
@@ -89,7 +89,8 @@
 
 
 class Upstream(NamedTuple):
-    """A running upstream; `id` is new at each of its starts."""
+    """A running upstream.  It may start again under its `id`, and then knows nothing of before;
+    `born` is the time of its start, milliseconds since 1970, or 0 where it does not tell."""
 
     id: str
     addr: str
@@ -98,6 +99,16 @@
     version: str
     slots: int
     leaving: bool
+    born: int = 0
+
+    @property
+    def key(self) -> str:
+        """Names this start of the upstream: what is known of it is kept by this.
+
+        >>> Upstream("i-1", "10.0.0.1:80", "lm", "bole", "v1", 8, False, 7).key
+        'i-1@7'
+        """
+        return f"{self.id}@{self.born}" if self.born else self.id
 
 
 class RolloutOrder(NamedTuple):
--- a/ramppost/gateway/passing.py
+++ b/ramppost/gateway/passing.py
@@ -112,6 +112,6 @@
             got: bytes | End | Broken = await curio.timeout_after(limit_s, running.exchange.piece())
             return got
         except curio.TaskTimeout:
-            upstream_id = running.chosen.upstream.id
-            if gw.links.heard.get(upstream_id, float("-inf")) < since:
+            upstream_key = running.chosen.upstream.key
+            if gw.links.heard.get(upstream_key, float("-inf")) < since:
                 return Broken(f"silent for {limit_s:.1f} s within its stream")
--- a/ramppost/gateway/peers.py
+++ b/ramppost/gateway/peers.py
@@ -11,6 +11,7 @@
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import PATIENCE_S, SLOW_WAIT_S, watch_kind
 from ramppost.platform.store import Snapshot, StoredObject, put
+from ramppost.wire.addr import is_address
 from ramppost.wire.codec import BadMessage, decode, encode
 
 GATEWAY_KIND: Final = "gateways"
@@ -54,7 +55,10 @@
 def _found(gw: Gateway, obj: StoredObject) -> None:
     entry = decode(encode(obj.spec), GatewayEntry)
     if isinstance(entry, BadMessage):
-        logger.error("gateway's entry not understood: {}", entry.reason, peer=obj.name)
+        gw.unreadable.note(GATEWAY_KIND, obj, entry.reason)
+        return
+    if not is_address(entry["addr"]):
+        gw.unreadable.note(GATEWAY_KIND, obj, f"no address: {entry['addr']!r}")
         return
     if gw.peers.put(obj.name, entry["addr"], entry["hall"], entry.get("link_mbps", 0.0)):
         logger.info("gateway known", peer=obj.name, addr=entry["addr"])
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -109,7 +109,7 @@
     side = gw.rollouts.side(service_name, usable, job.req.attempt_id, job.req.session, now)
     for avoided in (job.failed_versions, set()):
         for group in (side.preferred, side.others):
-            fit = [u for u in group if u.id not in job.tried and u.version not in avoided]
+            fit = [u for u in group if u.key not in job.tried and u.version not in avoided]
             if fit:
                 return fit
     return []
@@ -159,7 +159,7 @@
     now: float,
 ) -> Chosen:
     told = _told(gw, job, fit, model, prompt, now)
-    engines = [_engine_view(gw, u, told[u.id], prompt, now) for u in fit if u.id in told]
+    engines = [_engine_view(gw, u, told[u.key], prompt, now) for u in fit if u.key in told]
     work = Work(model, prompt.parts, prompt.tokens_in, _size(job, service, prompt))
     found = ranked(engines, work, gw.rates, gw.cfg["hall"], now, gw.rng)[0]
     kept = tokens_of(prompt.parts, told[found.id].kept)
@@ -172,23 +172,23 @@
     """What was told of candidates a moment ago; what is known here where nobody was asked."""
     look = job.look
     if _is_recent(look, model, now):
-        told = {u.id: look.told[u.id] for u in fit if u.id in look.told}
+        told = {u.key: look.told[u.key] for u in fit if u.key in look.told}
         if told:
             return told
     question = _question(gw, job, model, prompt)
-    return {u.id: gw.backlogs.known(u.id, question, now) for u in fit}
+    return {u.key: gw.backlogs.known(u.key, question, now) for u in fit}
 
 
 def _shortlist(
     gw: Gateway, fit: list[Upstream], question: Question, prompt: Prompt, now: float
 ) -> list[Upstream]:
     """The most promising engines by what is known here, with the home of the shared parts."""
-    views = [_engine_view(gw, u, gw.backlogs.known(u.id, question, now), prompt, now) for u in fit]
+    views = [_engine_view(gw, u, gw.backlogs.known(u.key, question, now), prompt, now) for u in fit]
     work = Work(question.model, prompt.parts, prompt.tokens_in)
     hall = gw.cfg["hall"]
     best = [placed.id for placed in ranked(views, work, gw.rates, hall, now, gw.rng)]
     names = {home_of(views, work, hall), *best[: MOST_ASKED - 1]}
-    return [upstream for upstream in fit if upstream.id in names]
+    return [upstream for upstream in fit if upstream.key in names]
 
 
 def _chosen(
@@ -200,13 +200,13 @@
     kept_tokens: int,
     now: float,
 ) -> Chosen:
-    best = next(upstream for upstream in fit if upstream.id == placed.id)
-    report = gw.loads.reported(best.id)
+    best = next(upstream for upstream in fit if upstream.key == placed.id)
+    report = gw.loads.reported(best.key)
     return Chosen(
         upstream=best,
         service=service,
         candidates=len(fit),
-        own=gw.loads.own(best.id).requests,
+        own=gw.loads.own(best.key).requests,
         reported=report.running,
         report_age_s=now - report.at,
         first_s=placed.first_s,
@@ -220,27 +220,27 @@
 def _engine_view(
     gw: Gateway, upstream: Upstream, told: Told, prompt: Prompt, now: float
 ) -> EngineView:
-    own = gw.loads.own(upstream.id)
-    report = gw.loads.reported(upstream.id)
+    own = gw.loads.own(upstream.key)
+    report = gw.loads.reported(upstream.key)
     return EngineView(
-        id=upstream.id,
+        id=upstream.key,
         hall=upstream.hall,
         ahead_s=told.ahead_s,
         kept_tokens=tokens_of(prompt.parts, told.kept),
         others_running=max(0, report.running - (own.requests - own.pending)),
         others_waiting=0 if told.complete else max(0, report.waiting - own.pending),
         reported_at=report.at,
-        failing=gw.suspicion_of(upstream.id).failing(now),
+        failing=gw.suspicion_of(upstream.key).failing(now),
     )
 
 
 def _plain_views(gw: Gateway, upstreams: list[Upstream], now: float) -> list[PlainView]:
     views = []
     for upstream in upstreams:
-        seen = gw.suspicion_of(upstream.id)
-        load = gw.loads.own(upstream.id).requests / max(1, upstream.slots)
+        seen = gw.suspicion_of(upstream.key)
+        load = gw.loads.own(upstream.key).requests / max(1, upstream.slots)
         view = PlainView(
-            upstream.id, upstream.hall, load, seen.latency_s(USUAL_PLAIN_S, now), seen.failing(now)
+            upstream.key, upstream.hall, load, seen.latency_s(USUAL_PLAIN_S, now), seen.failing(now)
         )
         views.append(view)
     return views
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -187,8 +187,11 @@
         logger.warning("sessions of other gateways not read: {}", got.reason)
         return
     for obj in got.objects:
-        if obj.name.startswith(f"{order.service}.") and obj.spec["version"] == order.version:
-            rollout.held.update(obj.spec["sessions"])
+        told = decode(encode(obj.spec), OldSessions)
+        if isinstance(told, BadMessage):
+            gw.unreadable.note(SESSIONS_KIND, obj, told.reason)
+        elif obj.name.startswith(f"{order.service}.") and told["version"] == order.version:
+            rollout.held.update(told["sessions"])
     logger.info("sessions under way heard", service=order.service, count=len(rollout.held))
 
 
@@ -210,19 +213,26 @@
     found = await read(gw.store, PROGRESS_KIND, order.service)
     if isinstance(found, Missing):
         await create(gw.store, PROGRESS_KIND, order.service, spec)
-    elif isinstance(found, StoredObject) and not _is_further(found, spec):
+    elif isinstance(found, StoredObject) and not _is_further(gw, found, spec):
         await replace(gw.store, PROGRESS_KIND, order.service, found.revision, spec)
 
 
 def progress_seen(gw: Gateway, obj: StoredObject) -> None:
     """Be no further back than the store says that a roll-out is."""
-    progress = decode(encode(obj.spec), Progress)
-    if isinstance(progress, BadMessage):
-        logger.error("roll-out's progress not understood: {}", progress.reason, service=obj.name)
+    progress = _progress(gw, obj)
+    if progress is None:
         return
     gw.rollouts.progress_seen(obj.name, progress["version"], progress["part"], time.monotonic())
 
 
-def _is_further(found: StoredObject, spec: Progress) -> bool:
-    same = found.spec.get("version") == spec["version"]
-    return same and float(found.spec["part"]) >= spec["part"]
+def _is_further(gw: Gateway, found: StoredObject, spec: Progress) -> bool:
+    held = _progress(gw, found)
+    return held is not None and held["version"] == spec["version"] and held["part"] >= spec["part"]
+
+
+def _progress(gw: Gateway, obj: StoredObject) -> Progress | None:
+    progress = decode(encode(obj.spec), Progress)
+    if isinstance(progress, BadMessage):
+        gw.unreadable.note(PROGRESS_KIND, obj, progress.reason)
+        return None
+    return progress
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -129,6 +129,6 @@
         if found is None or found.order.state != "ordered" or found.withdrawn:
             return ""
         trial = upstream.version == found.order.version
-        (found.trial if trial else found.stable).add(upstream.id, bad, slow)
+        (found.trial if trial else found.stable).add(upstream.key, bad, slow)
         found.withdrawn = reason_against(found.stable, found.trial, found.trial_upstreams)
         return found.withdrawn
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -228,7 +228,7 @@
         if engine is not None:
             _charge(job, running, (job.events - events_before) * engine.tokens_per_event)
     if isinstance(got, Broken):
-        gw.suspicion_of(running.chosen.upstream.id).note(True, time.monotonic())
+        gw.suspicion_of(running.chosen.upstream.key).note(True, time.monotonic())
         logger.info(
             "answer broke off: {}",
             got.reason,
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -19,6 +19,7 @@
 from ramppost.gateway.model import CallerLimits, RoutingTable
 from ramppost.gateway.policies import Policies
 from ramppost.gateway.rollouts import Rollouts
+from ramppost.gateway.unreadable import Unreadable
 from ramppost.platform import names
 from ramppost.platform.documents import DEFAULT_LIMITS
 from ramppost.platform.store import StoreClient
@@ -72,6 +73,7 @@
         """Up to when another gateway keeps us up to date (steady clock)."""
         self.members = Members()
         self.members_listed = False
+        self.unreadable = Unreadable()
         self.fresh = Freshness(_bound_s(cfg), _serves_unconfirmed(cfg))
         self.outage = Outage()
         self.store = StoreClient(cfg["store"]["addr"], Pool(cfg["ip"]))
@@ -140,9 +142,9 @@
         self.rollouts.pins.session_s = cfg["timing"]["session_s"]
         self.budgets.clear()
 
-    def suspicion_of(self, upstream_id: str) -> Suspicion:
+    def suspicion_of(self, upstream_key: str) -> Suspicion:
         """What speaks against an upstream."""
-        return self.suspicions.setdefault(upstream_id, Suspicion())
+        return self.suspicions.setdefault(upstream_key, Suspicion())
 
     def budget_of(self, service: str) -> WindowBudget:
         """This gateway's part of a service's retry budget."""
@@ -154,9 +156,9 @@
             self.budgets[service] = found
         return found
 
-    def forget(self, upstream_id: str) -> None:
-        """Drop what is known of an upstream that has left."""
-        self.links.forget(upstream_id)
-        self.backlogs.forget(upstream_id)
-        self.loads.forget(upstream_id)
-        self.suspicions.pop(upstream_id, None)
+    def forget(self, upstream_key: str) -> None:
+        """Drop what is known of an upstream that has left or started again."""
+        self.links.forget(upstream_key)
+        self.backlogs.forget(upstream_key)
+        self.loads.forget(upstream_key)
+        self.suspicions.pop(upstream_key, None)
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -174,30 +174,38 @@
 
 
 def upstreams_listed(gw: Gateway, snapshot: Snapshot) -> None:
-    listed = [up for obj in snapshot.objects if (up := _upstream(obj)) is not None]
     now = time.monotonic()
+    listed = [up for obj in snapshot.objects if (up := _upstream(gw, obj)) is not None]
     gw.members.replace_all(listed, now)
     gw.members_listed = True
+    _forget_gone(gw)
     logger.info("upstreams listed", count=len(listed), revision=snapshot.revision)
 
 
-def _upstream(obj: StoredObject) -> Upstream | None:
+def _upstream(gw: Gateway, obj: StoredObject) -> Upstream | None:
+    """The upstream of an entry; one whose entry names none is not used any more."""
     found = upstream(obj)
     if isinstance(found, BadMessage):
-        logger.error("upstream's entry not understood: {}", found.reason, upstream=obj.name)
+        gw.unreadable.note(names.UPSTREAM_KIND, obj, found.reason)
+        gw.members.drop(obj.name)
         return None
     return found
 
 
+def _forget_gone(gw: Gateway) -> None:
+    """Drop what is known of upstreams that have left or started again."""
+    for gone in gw.members.take_gone():
+        gw.forget(gone.key)
+
+
 def upstream_changed(gw: Gateway, change: Change) -> None:
     now = time.monotonic()
     if change.removed:
         if gw.members.remove(change.obj.name, now):
             logger.info("upstream's entry gone", upstream=change.obj.name)
-        if change.obj.name not in gw.members:
-            gw.forget(change.obj.name)
+        _forget_gone(gw)
         return
-    found = _upstream(change.obj)
+    found = _upstream(gw, change.obj)
     if found is not None and gw.members.put(found):
         logger.info(
             "upstream {}",
@@ -206,9 +214,11 @@
             service=found.service,
             version=found.version,
             addr=found.addr,
+            born=found.born,
         )
     if found is not None and found.leaving:
-        gw.links.forget(found.id)
+        gw.links.forget(found.key)
+    _forget_gone(gw)
 
 
 def _rollouts_listed(gw: Gateway, snapshot: Snapshot) -> None:
@@ -247,7 +257,7 @@
 def _take_rollout(gw: Gateway, obj: StoredObject) -> None:
     order = rollout_order(obj)
     if isinstance(order, BadMessage):
-        logger.error("roll-out not understood: {}", order.reason, service=obj.name)
+        gw.unreadable.note(names.ROLLOUT_KIND, obj, order.reason)
         return
     gw.rollouts.seen(order, time.monotonic())
     logger.info(
@@ -267,5 +277,5 @@
         now = time.monotonic()
         for gone in gw.members.sweep(now):
             logger.info("upstream dropped: its entry did not come back", upstream=gone.id)
-            gw.forget(gone.id)
+        _forget_gone(gw)
         gw.links.close_expired(now)
--- a/ramppost/platform/documents.py
+++ b/ramppost/platform/documents.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Final, NotRequired, TypedDict
+from typing import Annotated, Any, Final, Literal, NotRequired, TypedDict
 
 import msgspec
 
@@ -23,6 +23,7 @@
     Workspace,
 )
 from ramppost.platform.store import StoredObject
+from ramppost.wire.addr import is_address
 from ramppost.wire.codec import BadMessage
 
 STREAMING: Final = "streaming"
@@ -95,13 +96,17 @@
     tenants: NotRequired[list[_Workspace] | None]
 
 
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+
+
 class _Upstream(TypedDict):
-    service: str
+    service: _Name
     addr: str
     zone: str
     version: str
-    slots: int
-    state: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    born: NotRequired[Annotated[int, msgspec.Meta(ge=0)]]  # Its start; the id may be had again.
 
 
 class _Rollout(TypedDict):
@@ -133,10 +138,15 @@
 
 
 def upstream(obj: StoredObject) -> Upstream | BadMessage:
-    """An upstream's own entry in the store; its name there is its id."""
+    """An upstream's own entry in the store; its name there is its id.
+
+    One that is out of range names no upstream: a connection to it could not even be tried.
+    """
     doc: _Upstream | BadMessage = _convert(obj.spec, _Upstream)
     if isinstance(doc, BadMessage):
         return doc
+    if not obj.name or not is_address(doc["addr"]):
+        return BadMessage(f"no upstream: name {obj.name!r}, address {doc['addr']!r}")
     return Upstream(
         obj.name,
         doc["addr"],
@@ -145,6 +155,7 @@
         doc["version"],
         doc["slots"],
         doc["state"] == LEAVING,
+        doc.get("born", 0),
     )
 
 
--- a/ramppost/platform/store.py
+++ b/ramppost/platform/store.py
@@ -14,6 +14,9 @@
 from typing import Any, Final, NamedTuple, NotRequired, TypedDict
 from urllib.parse import quote, urlencode
 
+import msgspec
+from loguru import logger
+
 from ramppost.wire.client import Answer, CallFailed, Pool, fetch
 from ramppost.wire.codec import BadMessage, decode, encode
 
@@ -28,7 +31,8 @@
 class StoredObject(NamedTuple):
     """An object; `spec` and `status` are decoded JSON, `status` None before the first write.
 
-    One that is not `whole` is known by name and revision only.
+    A spec or status that is missing or can't be read is None.  An object that is not `whole` is
+    known by name and revision only.
     """
 
     name: str
@@ -84,19 +88,22 @@
 
 
 class _Object(TypedDict):
+    """An object whose spec and status are decoded by themselves: anybody may have written them."""
+
     metadata: _Metadata
-    spec: Any
-    status: NotRequired[Any]
+    spec: NotRequired[msgspec.Raw]
+    status: NotRequired[msgspec.Raw]
 
 
 class _List(TypedDict):
-    items: list[_Object]
+    items: list[msgspec.Raw]
     truncated: bool
     current_rev: int
 
 
 class _Event(TypedDict):
-    object: _Object
+    # msgspec 0.23 takes raw values in fields of a TypedDict only where these are not required.
+    object: NotRequired[msgspec.Raw]
     tombstone: bool
 
 
@@ -124,12 +131,15 @@
         page = _body(got, _List)
         if isinstance(page, Unavailable):
             return page
-        objects += [_stored(item) for item in page["items"]]
+        found = [obj for item in page["items"] if (obj := _item(kind, item)) is not None]
+        objects += found
         if first_revision is None:
             first_revision = page["current_rev"]
         if not page["truncated"] or not page["items"]:
             return Snapshot(objects, first_revision)
-        after = page["items"][-1]["metadata"]["name"]
+        if not found:
+            return Unavailable(f"no name to go on from in {kind}", False)
+        after = found[-1].name
     return Unavailable(f"more than {MAX_PAGES} pages of {kind}", False)
 
 
@@ -145,7 +155,11 @@
     body = _body(got, _Watch)
     if isinstance(body, Unavailable):
         return body
-    changes = [Change(_stored(event["object"]), event["tombstone"]) for event in body["events"]]
+    changes = [
+        Change(obj, event["tombstone"])
+        for event in body["events"]
+        if (obj := _item(kind, event.get("object"))) is not None
+    ]
     return Changes(changes, body["current_rev"])
 
 
@@ -228,6 +242,23 @@
     return Unavailable(body.reason, False) if isinstance(body, BadMessage) else body
 
 
+def _item(kind: str, raw: msgspec.Raw | None) -> StoredObject | None:
+    """An object of a list or watch; None for one without a name and revision."""
+    item = decode(bytes(raw or b"null"), _Object)
+    if isinstance(item, BadMessage):
+        logger.warning("object without name or revision passed over: {}", item.reason, kind=kind)
+        return None
+    return _stored(item)
+
+
 def _stored(item: _Object) -> StoredObject:
     meta = item["metadata"]
-    return StoredObject(meta["name"], meta["revision"], item["spec"], item.get("status"))
+    return StoredObject(
+        meta["name"], meta["revision"], _value(item.get("spec")), _value(item.get("status"))
+    )
+
+
+def _value(raw: msgspec.Raw | None) -> Any:
+    """A decoded value; None where it is missing or can't be read, which its reader logs."""
+    value = decode(bytes(raw), Any) if raw is not None else None
+    return None if isinstance(value, BadMessage) else value
--- /dev/null
+++ b/ramppost/wire/addr.py
@@ -0,0 +1,27 @@
+"""Addresses as they stand in settings and documents: an IPv4 number and a port."""
+
+from __future__ import annotations
+
+import socket
+from typing import Final
+
+MAX_PORT: Final = 65535
+PORT_DIGITS: Final = 5
+
+
+def is_address(text: str) -> bool:
+    """Whether a connection can be tried to this.
+
+    >>> is_address("10.0.0.1:80")
+    True
+    >>> [is_address(text) for text in ("nowhere", "10.0.0.1:", "10.0.0:80", "10.0.0.1:0")]
+    [False, False, False, False]
+    """
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdecimal() and len(port) <= PORT_DIGITS):
+        return False
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return 0 < int(port) <= MAX_PORT
