The retry slack is shared by the gateways that are known

Cause: a constant of 16 sharers, and two retries at least for each. Change: policy/limits.slack_part gives the part by the size of the fleet as listed, 1 while that is unknown; 0.85 of the slack is shared, the rest is for gateways that the others do not know yet. Small fleets share as before, times 0.85.

--- a/ramppost/gateway/peers.py
+++ b/ramppost/gateway/peers.py
@@ -49,6 +49,7 @@
 def _listed(gw: Gateway, snapshot: Snapshot) -> None:
     for obj in snapshot.objects:
         _found(gw, obj)
+    gw.peers.listed = True
     logger.info("gateways listed", gateways=len(gw.peers.addrs))
 
 
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from typing import Final, Literal
+from typing import Literal
 
 from ramppost.gateway.backlogs import Backlogs
 from ramppost.gateway.counts import Counts
@@ -23,7 +23,7 @@
 from ramppost.platform import names
 from ramppost.platform.documents import DEFAULT_LIMITS
 from ramppost.platform.store import StoreClient
-from ramppost.policy.limits import WindowBudget
+from ramppost.policy.limits import SHARED_PART, WindowBudget, slack_part
 from ramppost.policy.pace import Pace
 from ramppost.policy.placement import PrefillRates
 from ramppost.policy.pressure import Pressure
@@ -32,14 +32,6 @@
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.client import Pool
 
-BUDGET_PART: Final = 0.85
-"""Part of the allowed retry ratio that is used: the rest is for retries counted late."""
-SLACK_SHARERS: Final = 16
-"""Gateways that the slack is shared among: more than there are on a small deployment; on a
-large one the slack counts for little beside the ratio."""
-LEAST_SLACK: Final = 2.0
-"""So that a gateway with few requests can try one again."""
-
 
 def _bound_s(cfg: GatewaySettings) -> float:
     """Seconds after which a key that was taken away must not start work."""
@@ -148,12 +140,12 @@
 
     def budget_of(self, service: str) -> WindowBudget:
         """This gateway's part of a service's retry budget."""
+        retries = self.cfg["retries"]
         found = self.budgets.get(service)
         if found is None:
-            retries = self.cfg["retries"]
-            slack = max(LEAST_SLACK, retries["slack"] / SLACK_SHARERS)
-            found = WindowBudget(retries["ratio"] * BUDGET_PART, retries["window_s"], slack)
+            found = WindowBudget(retries["ratio"] * SHARED_PART, retries["window_s"], 0.0)
             self.budgets[service] = found
+        found.slack = slack_part(retries["slack"], self.peers.fleet_size)
         return found
 
     def forget(self, upstream_key: str) -> None:
--- a/ramppost/policy/limits.py
+++ b/ramppost/policy/limits.py
@@ -13,6 +13,14 @@
 MIN_WAIT_S: Final = 0.5
 SLOT_PART: Final = 0.05
 """Part of a budget's window that is counted as one: so much longer a retry is remembered."""
+SHARED_PART: Final = 0.85
+"""Part of the allowed retries that gateways share: the rest is for retries counted late, and for
+gateways that have come and that the others do not know of yet."""
+LEAST_SHARERS: Final = 16
+"""A small fleet may double within seconds, while each gateway still counts the former ones."""
+UNKNOWN_SLACK: Final = 1.0
+"""Slack of a gateway that does not know its fleet yet: so that it can try one again.  The slack of
+deployments is 1.8 for each of their gateways and some 50, from 4 gateways to 68."""
 
 
 class TokenBucket:
@@ -72,6 +80,20 @@
         return True
 
 
+def slack_part(slack: float, gateways: int) -> float:
+    """A gateway's part of the slack that a service's retries have, in a fleet of so many; 0 for
+    one that is not known yet.
+
+    With a sixteenth for each whatever the size, 68 gateways had 4.3 times the slack.
+
+    >>> slack_part(58, 6), round(slack_part(176, 68), 2), slack_part(176, 0)
+    (3.08125, 2.2, 1.0)
+    """
+    if gateways == 0:
+        return UNKNOWN_SLACK
+    return slack * SHARED_PART / max(LEAST_SHARERS, gateways)
+
+
 class WindowBudget:
     """Retries by what a window of time holds: a share of its first tries, and some slack.
 
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -59,6 +59,8 @@
         """What the links of gateways carry, Mbit/s."""
         self.addrs: dict[str, str] = {}
         self.halls: dict[str, str] = {}
+        self.listed = False
+        """Whether the gateways have been listed once."""
         self.changes = 0
         """How often a gateway was listed that is new or has moved."""
         self._dead_until: dict[str, float] = {}
@@ -77,6 +79,12 @@
         self.changes += 1
         return True
 
+    @property
+    def fleet_size(self) -> int:
+        """Gateways that are known with this one, those that left unseen among them; 0 while
+        the list has not been seen."""
+        return len(self.addrs) + 1 if self.listed or self.addrs else 0
+
     def leaves(self, name: str, back_at: float) -> None:
         """A gateway is stopping, and will be back at a time."""
         self._back_at[name] = back_at
