--- /dev/null
+++ b/tests/test_relays.py
@@ -0,0 +1,111 @@
+"""Who watches the store and who tells whom, in fleets of several data halls.
+
+Relays were one gateway in ten, of any hall, and everybody followed any of them: with 298 gateways
+and 3,000 upstreams the busiest sent 568 KB a second and bytes between halls were the largest
+price.  Each hall now has gateways of its own that tell the rest of it.
+"""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ramppost.policy.relays import (
+    DEAD_S,
+    FLAT_UP_TO,
+    FOLLOWERS,
+    FOLLOWS_A_RELAY,
+    FOLLOWS_ITS_HALL,
+    WATCHES,
+    Peers,
+    relay_count,
+)
+
+NOW = 100.0
+HALLS = ["bole", "kirkos", "yeka", "lideta", "arada", "gulele"]
+SIZES = [2, 4, 6, 20, 23, 32, 68, 298, 410]
+
+
+class Fleet:
+    """The views of all gateways of a fleet, which know each other."""
+
+    def __init__(self, size: int) -> None:
+        self.halls = {f"g{number}": HALLS[number % len(HALLS)] for number in range(size)}
+        self.views: dict[str, Peers] = {}
+        for own, hall in self.halls.items():
+            peers = self.views[own] = Peers(own, 100.0, hall)
+            for name, other_hall in self.halls.items():
+                peers.put(name, f"10.0.0.1:{name[1:]}", other_hall, 100.0)
+
+    def depths(self, now: float = NOW) -> dict[str, int]:
+        return {name: peers.depth(now) for name, peers in self.views.items()}
+
+    def telling(self, name: str, now: float = NOW) -> set[str]:
+        """Whom a gateway may ask first."""
+        return {self.views[name].to_follow("", False, now, random.Random(n)) for n in range(30)}
+
+    def dies(self, dead: str, now: float = NOW) -> None:
+        """A gateway dies, and whoever followed it notices."""
+        for name, peers in self.views.items():
+            if name != dead and dead in self.telling(name, now):
+                peers.heard(dead, False, now)
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_all_agree_on_who_watches_the_store(size: int) -> None:
+    depths = Fleet(size).depths()
+    assert sum(depth == WATCHES for depth in depths.values()) == relay_count(size)
+
+
+@pytest.mark.parametrize("size", [n for n in SIZES if n > FLAT_UP_TO])
+def test_what_goes_between_halls_grows_with_halls_and_not_with_gateways(size: int) -> None:
+    fleet = Fleet(size)
+    for name, depth in fleet.depths().items():
+        halls = {fleet.halls[teller] for teller in fleet.telling(name)}
+        if depth == FOLLOWS_ITS_HALL:
+            assert halls == {fleet.halls[name]}
+    crossing = sum(depth != FOLLOWS_ITS_HALL for depth in fleet.depths().values())
+    assert crossing <= max(len(HALLS), 1.5 * size / FOLLOWERS)
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_news_reach_everybody(size: int) -> None:
+    """Whoever is asked first stands closer to the store than the one who asks."""
+    fleet = Fleet(size)
+    depths = fleet.depths()
+    for name, depth in depths.items():
+        if depth != WATCHES:
+            assert all(depths[teller] < depth for teller in fleet.telling(name))
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_nobody_tells_many(size: int) -> None:
+    fleet = Fleet(size)
+    followers = dict.fromkeys(fleet.halls, 0.0)
+    for name, depth in fleet.depths().items():
+        telling = fleet.telling(name)
+        for teller in telling:
+            followers[teller] += (depth != WATCHES) / len(telling)
+    assert max(followers.values()) <= 2 * FOLLOWERS
+
+
+@pytest.mark.parametrize("size", SIZES[1:])
+def test_who_dies_is_replaced_and_takes_its_part_again(size: int) -> None:
+    fleet = Fleet(size)
+    relay = next(name for name, depth in fleet.depths().items() if depth == WATCHES)
+    fleet.dies(relay)
+    after = {name: depth for name, depth in fleet.depths(NOW + 1).items() if name != relay}
+    assert WATCHES in after.values()
+    assert fleet.depths(NOW + DEAD_S + 1)[relay] == WATCHES
+    if size > FLAT_UP_TO:
+        teller = next(name for name, depth in fleet.depths().items() if depth == FOLLOWS_A_RELAY)
+        fleet.dies(teller, NOW + 20)
+        hall = fleet.halls[teller]
+        near = [name for name in fleet.halls if fleet.halls[name] == hall and name != teller]
+        depths = fleet.depths(NOW + 21)
+        assert any(depths[name] < FOLLOWS_ITS_HALL for name in near)
+
+
+def test_a_small_fleet_follows_its_relay_directly() -> None:
+    assert set(Fleet(6).depths().values()) == {WATCHES, FOLLOWS_A_RELAY}
