A start waits 0.15 s to be told, and longer for what need not be known at once

Change: after 0.15 s a start asks the store for what must be known at once, and after 1.15 s for the rest.

--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -33,6 +33,8 @@
 FIRST_BACKOFF_S: Final = 0.1
 MAX_BACKOFF_S: Final = 0.5
 """Calls to a store that is away are paid for too, and it has to be noticed soon when back."""
+START_PATIENCE_S: Final = 1.0
+"""How much longer a start waits to be told what need not be known at once."""
 SHORT_WAIT_S: Final = 0.005
 """Wait of a watch where the last confirmation is old: its answer is awaited, not the news."""
 MAX_LOG: Final = 4096
@@ -312,9 +314,11 @@
 
 
 async def _while_fed(follower: Follower) -> None:
-    """Wait while others keep us up to date, and `patience_s` longer; a start has no patience."""
+    """Wait while others keep us up to date, and `patience_s` longer, less at the start."""
     while True:
-        patience_s = follower.patience_s if follower.followed.revision is not None else 0.0
+        patience_s = follower.patience_s
+        if follower.followed.revision is None:
+            patience_s = min(patience_s, START_PATIENCE_S)
         left_s = follower.fed_until() + patience_s - time.monotonic()
         if left_s <= 0:
             return
--- a/ramppost/gateway/joining.py
+++ b/ramppost/gateway/joining.py
@@ -31,9 +31,10 @@
 LOOKS: Final = 3
 """Lists that are read until one shows the own entry, and so is as new as that."""
 LOOK_AGAIN_S: Final = 0.2
-FIRST_TOLD_S: Final = 0.4
-"""How long a gateway that has just started waits to be told: as long as callers wait for it to
-know anything (`ramppost.gateway.main`), and many times the way there and back."""
+FIRST_TOLD_S: Final = 0.15
+"""How long a gateway that has just started waits to be told: many times the way there and back.
+With 0.4 s, where all 68 of a fleet were killed, half of them knew nothing for 0.35 s and turned 72
+callers away meanwhile."""
 
 
 async def join(gw: Gateway) -> None:
