One question to a gateway in steps of its own; fed for as long as the next question may take

Cause: after its first question, whose answer is held for 0.3 s at most, a gateway counted as fed for 0.55 s, less than its next question may take, and would ask the store in between.

--- a/ramppost/gateway/subscribe.py
+++ b/ramppost/gateway/subscribe.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import time
-from typing import Final
+from typing import Final, NamedTuple
 
 import curio
 from loguru import logger
@@ -34,6 +34,8 @@
 FIRST_WAIT_S: Final = 0.3
 """Wait of a gateway's first questions: whoever knows everything tells it at once, and one that
 has just started itself may be the wrong one to wait for."""
+ROUNDED_S: Final = 0.002
+"""Waits are told in whole milliseconds, rounded down."""
 REFUSED_WITHIN_S: Final = 0.1
 """A connection that fails so soon was refused: the box is there, and its process is not."""
 IDLE_S: Final = 0.25
@@ -66,45 +68,80 @@
     return behind or not gw.peers.is_relay(now)
 
 
+class _Asking(NamedTuple):
+    """A question to a gateway: when it was sent (steady clock), how long its answer may be held,
+    seconds, and whether nothing that must be known at once is known here yet."""
+
+    name: str
+    sent_at: float
+    wait_s: float
+    starting: bool
+
+
 async def ask_once(gw: Gateway, name: str) -> bool:
     """Ask a gateway once; whether it keeps up with the store."""
-    sent_at = time.monotonic()
     starting = _urgent_known_at(gw) == float("-inf")
     wait_s = FIRST_WAIT_S if starting else feed_wait_s(gw)
-    marks = [_mark(followed, sent_at) for followed in gw.followed.values()]
-    body = encode(FeedQuery(wait_ms=round(wait_s * 1000), kinds=marks))
-    timeout_s = wait_s + ANSWER_SLACK_S
-    addr = gw.peers.addrs[name]
-    got = await fetch(gw.store.pool, addr, "POST", FEED_PATH, body, timeout_s)
+    asking = _Asking(name, time.monotonic(), wait_s, starting)
+    got = await _call(gw, asking)
     msg = BadMessage(got.reason) if isinstance(got, CallFailed) else _message(got)
     gw.peers_answer = not isinstance(msg, BadMessage)
-    now = time.monotonic()
     if isinstance(msg, BadMessage):
         logger.info("gateway does not answer: {}", msg.reason, peer=name)
-        refused = isinstance(got, CallFailed) and not got.sent and now - sent_at < REFUSED_WITHIN_S
-        if not (starting and refused):
-            gw.peers.heard(name, False, now, REFUSED_S if refused else DEAD_S)
-        # Idle connections to the store and to others may be as silent as this one.
-        gw.store.pool.drop_all()
+        _pass_over(gw, asking, isinstance(got, CallFailed) and not got.sent)
         return False
-    gw.peers.heard(name, True, now)
+    gw.peers.heard(name, True, time.monotonic())
     known_at = _urgent_known_at(gw)
+    await _take_all(gw, asking, msg)
+    if _lags(gw, asking, msg):
+        return False
+    now = time.monotonic()
+    if not gw.peers.is_relay(now) and _urgent_known_at(gw) > known_at:
+        # A relay that is cut off tells what it has heard from us: that confirms nothing.
+        gw.fed_until = now + feed_wait_s(gw) + ANSWER_SLACK_S + FED_GRACE_S
+    return True
+
+
+async def _call(gw: Gateway, asking: _Asking) -> Answer | CallFailed:
+    marks = [_mark(followed, asking.sent_at) for followed in gw.followed.values()]
+    body = encode(FeedQuery(wait_ms=round(asking.wait_s * 1000), kinds=marks))
+    timeout_s = asking.wait_s + ANSWER_SLACK_S
+    return await fetch(
+        gw.store.pool, gw.peers.addrs[asking.name], "POST", FEED_PATH, body, timeout_s
+    )
+
+
+def _pass_over(gw: Gateway, asking: _Asking, not_sent: bool) -> None:
+    """A gateway has not answered: ask others for a while, and on new connections."""
+    now = time.monotonic()
+    refused = not_sent and now - asking.sent_at < REFUSED_WITHIN_S
+    if not (asking.starting and refused):
+        gw.peers.heard(asking.name, False, now, REFUSED_S if refused else DEAD_S)
+    # Idle connections to the store and to others may be as silent as this one.
+    gw.store.pool.drop_all()
+
+
+async def _take_all(gw: Gateway, asking: _Asking, msg: FeedMsg) -> None:
     for told in msg["kinds"]:
         if told["kind"] in gw.followed:
-            await _take(gw, told, sent_at + msg["waited_ms"] / 1000, name)
-    now = time.monotonic()
+            await _take(gw, told, asking.sent_at + msg["waited_ms"] / 1000, asking.name)
+
+
+def _lags(gw: Gateway, asking: _Asking, msg: FeedMsg) -> bool:
+    """Whether who has answered does not keep up with the store; others are asked for a while."""
     age_s = _urgent_age_s(gw, msg)
-    if msg["waited_ms"] / 1000 >= wait_s or age_s > oldest_s(gw):
-        logger.info("gateway lags behind the store", peer=name, age_s=round(min(age_s, 999.0), 3))
-        if gw.outage.failing_since is None and not gw.peers.is_relay(now) and not starting:
-            # The store is better off with others: let the next in rank be a relay instead.
-            # A relay that asks is cut off itself and may not have noticed; who followed it
-            # lags as it does, and is the one to ask in a moment.
-            gw.peers.heard(name, False, now)
+    waited_s = msg["waited_ms"] / 1000
+    if waited_s < asking.wait_s - ROUNDED_S and age_s <= oldest_s(gw):
         return False
-    if not gw.peers.is_relay(now) and _urgent_known_at(gw) > known_at:
-        # A relay that is cut off tells what it has heard from us: that confirms nothing.
-        gw.fed_until = now + timeout_s + FED_GRACE_S
+    logger.info(
+        "gateway lags behind the store", peer=asking.name, age_s=round(min(age_s, 999.0), 3)
+    )
+    now = time.monotonic()
+    if gw.outage.failing_since is None and not gw.peers.is_relay(now) and not asking.starting:
+        # The store is better off with others: let the next in rank be a relay instead.
+        # A relay that asks is cut off itself and may not have noticed; who followed it
+        # lags as it does, and is the one to ask in a moment.
+        gw.peers.heard(asking.name, False, now)
     return True
 
 
