Failing test: a list that was never confirmed is told again and again, without a pause

Traced by reading: the gateways' list of a start is dated never; the asker passes over what is dated never, keeps its mark, and is answered at once.

--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -193,6 +193,24 @@
     play(scene)
 
 
+def test_what_was_never_confirmed_is_taken_in_once() -> None:
+    """The list of gateways that a start reads may be old, so it confirms nothing.  Told on, it was
+    passed over for that, asked for again, and told again at once: with 300 upstreams the
+    busiest gateway sent 1 MB a second, and with 3,000 the processes ran out of time."""
+
+    async def scene(pair: Pair) -> None:
+        await pair.list_both(5)
+        await pair.relay.followed[OTHER].listed(Snapshot([obj("b", 7)], 7), float("-inf"))
+        pair.relay.followed[OTHER].confirmed_at = float("-inf")
+        await ask_once(pair.asker, RELAY)
+        assert pair.asker.followed[OTHER].revision == 7
+        began = time.monotonic()
+        await ask_once(pair.asker, RELAY)
+        assert time.monotonic() - began >= 0.5 * feed_wait_s(pair.asker), "answered at once again"
+
+    play(scene)
+
+
 def test_a_gateway_that_knows_nothing_is_told_everything() -> None:
     async def scene(pair: Pair) -> None:
         for followed in pair.relay.followed.values():
