What was never confirmed is taken in when it is told, and questions keep 30 ms between them

Cause: the list that a start reads is dated never, and an asker passed over what is dated never: its mark stayed, and it was answered at once, for up to the 15 s of a relay's own watch. Change: it is taken in and confirms nothing. A pause of 30 ms between two questions bounds what any such fault may cost.

--- a/ramppost/gateway/subscribe.py
+++ b/ramppost/gateway/subscribe.py
@@ -40,6 +40,9 @@
 """A connection that fails so soon was refused: the box is there, and its process is not."""
 IDLE_S: Final = 0.25
 """How often a gateway that has nobody to follow looks again."""
+PAUSE_S: Final = 0.03
+"""Kept between two questions, so that changes that come together cost one, and so that whatever
+is told again for nothing can't fill a link."""
 BACKOFF_S: Final = 0.1
 """Kept between calls that did not help, so that they can't follow each other at once."""
 
@@ -58,8 +61,7 @@
             await curio.sleep(IDLE_S)
             continue
         helped = await ask_once(gw, name)
-        if not helped:
-            await curio.sleep(BACKOFF_S)
+        await curio.sleep(PAUSE_S if helped else BACKOFF_S)
 
 
 def wants_feed(gw: Gateway, now: float) -> bool:
@@ -177,9 +179,8 @@
 async def _take(gw: Gateway, told: FeedKind, answered_at: float, teller: str) -> None:
     """Take in what was told of a kind; `answered_at` is no later than when it was told."""
     followed = gw.followed[told["kind"]]
-    if told["age_ms"] < 0:
-        return
-    at = answered_at - told["age_ms"] / 1000
+    # What was never confirmed there is taken in, and confirms nothing here.
+    at = answered_at - told["age_ms"] / 1000 if told["age_ms"] >= 0 else float("-inf")
     changes = [_change(item) for item in told["changes"]]
     if told["full"]:
         objects = [change.obj for change in changes]
