Tests that start gateways in one process end their tasks before curio does

Seen once beside load: curio shuts down with the error that new tasks were created, since a server takes in a connection of a gateway that is still asking.

--- a/tests/test_hall_feed.py
+++ b/tests/test_hall_feed.py
@@ -24,6 +24,7 @@
 from ramppost.policy.relays import FOLLOWS_A_RELAY, FOLLOWS_ITS_HALL, WATCHES
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.server import Reply, Request, listen, serve
+from tests.harness.tasks import end_all
 from tests.test_gateway_follow import free_port
 from tests.test_gateway_state import SETTINGS
 
@@ -82,7 +83,9 @@
         await relay.followed[KIND].advanced(5, changes, time.monotonic())
         while told.followed[KIND].whole("a") is None and time.monotonic() < began + 3:
             await curio.sleep(0.005)
-        return time.monotonic() - began
+        took_s = time.monotonic() - began
+        await end_all()
+        return took_s
 
     took_s: Any = curio.run(scene)
     assert took_s < 0.3
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -24,6 +24,7 @@
 from ramppost.wire.codec import decode, encode
 from ramppost.wire.server import Reply, Request, listen, serve
 from tests.harness.gateways import config
+from tests.harness.tasks import end_all
 from tests.test_foreign_entries import GOOD
 from tests.test_gateway_follow import free_port
 from tests.test_gateway_state import SETTINGS
@@ -100,7 +101,10 @@
     async def run() -> Any:
         store = Store()
         await curio.spawn(serve, listen("127.0.0.1", store.port), store.handle, daemon=True)
-        return await scene(store)
+        try:
+            return await scene(store)
+        finally:
+            await end_all()
 
     return curio.run(run)
 
