--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -83,11 +83,12 @@
     moments, 268 MB held its link up, calls ran out of time and were made again, and callers
     were served 8.5 s after the kill.
 
-    >>> start_hold_s(6, 0.9), start_hold_s(298, 0.0), round(start_hold_s(298, 0.9), 2)
-    (0.15, 0.15, 1.52)
+    >>> [round(start_hold_s(size, 0.9), 2) for size in (6, 100, 298, 410)]
+    [0.15, 0.15, 1.6, 2.42]
     """
     spread_s = max(0, gateways - AT_ONCE) / STARTS_A_SECOND
-    return FIRST_TOLD_S + place * spread_s
+    # Half of it for all: by then the relays have listed, and those who tell have been told.
+    return FIRST_TOLD_S + (1 + place) / 2 * spread_s
 
 
 class Parts(NamedTuple):
