--- a/ramppost/gateway/joining.py
+++ b/ramppost/gateway/joining.py
@@ -3,8 +3,8 @@
 A gateway that starts finds the others in the store's list, with a read that may be seconds old:
 that is enough to know whom to ask.  One that is listed as it is now writes nothing.  Then it
 waits a moment for the others to tell it everything before it asks the store itself: of 2,125
-calls that a fleet of 68 made on a calm day, 1,461 were of its first seconds, and as many again
-would follow whenever all were killed.
+calls that a fleet of 68 made in 36 s of a calm day, 1,461 were of its first seven, and as many
+again would follow whenever all were killed.
 
 The first start of a whole fleet finds nobody.  Then each enters itself, waits until the others
 have done so, and looks again.
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -24,7 +24,7 @@
 GATEWAYS_A_RELAY: Final = 34
 """Two relays for 68 gateways and twelve for 410.  Each makes two calls a second to the store in
 calm times and four while upstreams change; with one for ten gateways these were 510 of the
-2,125 calls of a calm day of 68 (a line counted for each call)."""
+2,125 calls of 68 in 36 s of a calm day (a line counted for each call)."""
 FLAT_UP_TO: Final = 20
 """Gateways of a fleet in which all follow the relays directly."""
 FOLLOWERS: Final = 10
