One reader for entries that gateways write for each other

Unreadable.decoded serves all of them. joining's check of a list was called _holds like another one of subscribe; it is _shows.

--- a/ramppost/gateway/joining.py
+++ b/ramppost/gateway/joining.py
@@ -38,7 +38,7 @@
     """Find the others, follow what stands in the store, and enter the own name."""
     entry = own_entry(gw)
     seen = await list_kind(gw.store, GATEWAY_KIND, stale_ok=True)
-    entered = _holds(gw, seen, entry)
+    entered = _shows(gw, seen, entry)
     if isinstance(seen, Snapshot) and not seen.objects:
         await _enter(gw, entry)
         entered = True
@@ -60,7 +60,7 @@
     await curio.sleep(TOGETHER_S)
     for _ in range(LOOKS):
         seen = await list_kind(gw.store, GATEWAY_KIND, stale_ok=True)
-        if _holds(gw, seen, entry):
+        if _shows(gw, seen, entry):
             break
         await curio.sleep(LOOK_AGAIN_S)
     return seen
@@ -85,7 +85,7 @@
     logger.info("entered among the gateways", addr=entry["addr"])
 
 
-def _holds(gw: Gateway, seen: Snapshot | Unavailable, entry: GatewayEntry) -> bool:
+def _shows(gw: Gateway, seen: Snapshot | Unavailable, entry: GatewayEntry) -> bool:
     """Whether a list shows the own entry as it is."""
     if isinstance(seen, Unavailable):
         return False
--- a/ramppost/gateway/peers.py
+++ b/ramppost/gateway/peers.py
@@ -9,7 +9,6 @@
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import Snapshot, StoredObject
 from ramppost.wire.addr import is_address
-from ramppost.wire.codec import BadMessage, decode, encode
 
 GATEWAY_KIND: Final = "gateways"
 
@@ -41,9 +40,8 @@
 
 def found(gw: Gateway, obj: StoredObject) -> None:
     """Take in a gateway's entry."""
-    entry = decode(encode(obj.spec), GatewayEntry)
-    if isinstance(entry, BadMessage):
-        gw.unreadable.note(GATEWAY_KIND, obj, entry.reason)
+    entry = gw.unreadable.decoded(GATEWAY_KIND, obj, GatewayEntry)
+    if entry is None:
         return
     if not is_address(entry["addr"]):
         gw.unreadable.note(GATEWAY_KIND, obj, f"no address: {entry['addr']!r}")
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -34,7 +34,7 @@
 from ramppost.policy.pace import Pace, Timing
 from ramppost.policy.ramp import COMPLETE_AT, STEPS, TELL_AT
 from ramppost.policy.routing import unit
-from ramppost.wire.codec import BadMessage, decode, encode
+from ramppost.wire.codec import BadMessage
 
 TICK_S: Final = 0.1
 SPREAD_S: Final = 0.25
@@ -191,10 +191,9 @@
         logger.warning("sessions of other gateways not read: {}", got.reason)
         return
     for obj in got.objects:
-        told = decode(encode(obj.spec), OldSessions)
-        if isinstance(told, BadMessage):
-            gw.unreadable.note(SESSIONS_KIND, obj, told.reason)
-        elif obj.name.startswith(f"{order.service}.") and told["version"] == order.version:
+        told = gw.unreadable.decoded(SESSIONS_KIND, obj, OldSessions)
+        ours = obj.name.startswith(f"{order.service}.")
+        if told is not None and ours and told["version"] == order.version:
             rollout.held.update(told["sessions"])
     logger.info("sessions under way heard", service=order.service, count=len(rollout.held))
 
@@ -223,20 +222,12 @@
 
 def progress_seen(gw: Gateway, obj: StoredObject) -> None:
     """Be no further back than the store says that a roll-out is."""
-    progress = _progress(gw, obj)
+    progress = gw.unreadable.decoded(PROGRESS_KIND, obj, Progress)
     if progress is None:
         return
     gw.rollouts.progress_seen(obj.name, progress["version"], progress["part"], time.monotonic())
 
 
 def _is_further(gw: Gateway, found: StoredObject, spec: Progress) -> bool:
-    held = _progress(gw, found)
+    held = gw.unreadable.decoded(PROGRESS_KIND, found, Progress)
     return held is not None and held["version"] == spec["version"] and held["part"] >= spec["part"]
-
-
-def _progress(gw: Gateway, obj: StoredObject) -> Progress | None:
-    progress = decode(encode(obj.spec), Progress)
-    if isinstance(progress, BadMessage):
-        gw.unreadable.note(PROGRESS_KIND, obj, progress.reason)
-        return None
-    return progress
--- a/ramppost/gateway/unreadable.py
+++ b/ramppost/gateway/unreadable.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Final, TypeVar
 
 from loguru import logger
 
 from ramppost.platform.store import StoredObject
+from ramppost.wire.codec import BadMessage, decode, encode
+
+T = TypeVar("T")
 
 MOST_KEPT: Final = 1024
 """Entries that are remembered as logged; further ones push the oldest out."""
@@ -22,6 +25,14 @@
     def __init__(self) -> None:
         self._logged: dict[tuple[str, str], int] = {}
 
+    def decoded(self, kind: str, obj: StoredObject, wanted: type[T]) -> T | None:
+        """An entry's spec as a type of ours; None, and noted, where it is not of that type."""
+        spec = decode(encode(obj.spec), wanted)
+        if isinstance(spec, BadMessage):
+            self.note(kind, obj, spec.reason)
+            return None
+        return spec
+
     def note(self, kind: str, obj: StoredObject, reason: str) -> None:
         """An entry can't be read."""
         key = (kind, obj.name)
