--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -37,6 +37,8 @@
 """Bytes a second: the configuration takes some 1.8 s, more than a call to the store had."""
 CONFIRMED_AGAIN_S = 0.5
 """The next confirmation is asked for at once; whoever was refused was told to come back then."""
+COPIED_S = 0.8
+"""Half of the time that the store's link takes: a copy of the relay's goes over another."""
 IN_FORCE_S = 6.0
 """Two transfers and a half, for a version that is written while an older one is read."""
 GATEWAY = "gateway-1"
@@ -172,3 +174,24 @@
         assert time.monotonic() - began > 1.5, "longer than the time for the beginning"
 
     curio.run(scene)
+
+
+def test_a_follower_waits_for_a_relay_that_is_reading_a_large_object(pair: Thin) -> None:
+    """Both are behind thin links.
+
+    While the relay read a large configuration it confirmed nothing, so its follower passed it
+    over for 5 s, read all by itself once it was not fed any more, and had it one transfer later
+    than the relay: 2.8 s after it was written where the relay had it after 1.4 s, and later than
+    3.5 s on a slower machine.  What settled it were the follower's line that the relay lags, a
+    store that was never lost, and a transfer that began 1.4 s after the version was written.
+    """
+    relay_link = Proxy(f"{HOST}:{pair.site.port('store')}")
+    relay_link.rate = RATE
+    pair.site.restart_gateway(RELAY, relay_link.addr)
+    pair.site.wait_ready(RELAY)
+    follow_relay(pair)
+    pair.site.configure(large(2, "/second/"))
+    pair.site.until(
+        lambda: pair.site.call(RELAY, "/second/").status == 200, IN_FORCE_S, "at the relay"
+    )
+    pair.site.until(lambda: pair.serves("/second/"), COPIED_S, "at its follower")
