--- a/ramppost/cli/run.py
+++ b/ramppost/cli/run.py
@@ -8,7 +8,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from ramppost.dev import run_dev
+from ramppost.dev import FIRST_PORT, LAST_PORT, run_dev
 from ramppost.gateway.main import main as run_gateway
 from ramppost.programs import run_program
 from ramppost.settings import Bad, check_file, load_settings
@@ -87,10 +87,17 @@
 
     name = "dev"
     description = "Run the whole path in one process on loopback."
+    options: ClassVar = [
+        option("port", None, "Port of the entry; the others follow it.", flag=False, default="8080")
+    ]
 
     def handle(self) -> int:
         """Run it."""
-        run_dev()
+        port = self.option("port")
+        if not port.isdecimal() or not FIRST_PORT <= int(port) <= LAST_PORT:
+            self.line_error(f"--port: {port!r} is no port from {FIRST_PORT} to {LAST_PORT}")
+            return BAD_SETTINGS
+        run_dev(int(port))
         return 0
 
 
--- a/ramppost/dev.py
+++ b/ramppost/dev.py
@@ -11,11 +11,15 @@
 
 from ramppost import logs
 from ramppost.programs import RUNS, run_loop
-from ramppost.standin.fleet import DEV, OPERATOR_TOKEN, build, token_of
+from ramppost.standin.fleet import DEV, ENTRY_PORTS, OPERATOR_TOKEN, build, token_of
 from ramppost.wire.client import Answer, Pool, call
 from ramppost.wire.signals import Signals
 
 READY_POLL_S: Final = 0.1
+FIRST_PORT: Final = 1024 + ENTRY_PORTS
+"""The lowest port of the entry: the ports below 1024 are for root."""
+LAST_PORT: Final = 65535 - 1000
+"""The highest: those of agents and upstreams lie above it."""
 
 BANNER: Final = """
 ramppost is up. Plain, then streamed:
@@ -29,9 +33,10 @@
 """
 
 
-async def dev(signals: Signals) -> None:
-    """Run entry, agents and stand-ins as tasks until a signal."""
-    fleet = build(DEV)
+async def dev(port: int, signals: Signals) -> None:
+    """Run entry, agents and stand-ins as tasks until a signal; the entry listens on `port`, and
+    the others on ports that follow from it."""
+    fleet = build(DEV._replace(base_port=port - ENTRY_PORTS))
     with tempfile.TemporaryDirectory() as folder:
         seed = Path(folder) / "config.json"
         seed.write_text(json.dumps(fleet.doc), encoding="utf-8")
@@ -68,6 +73,6 @@
         await curio.sleep(READY_POLL_S)
 
 
-def run_dev() -> None:
+def run_dev(port: int) -> None:
     """Run until a signal."""
-    run_loop(dev, Signals())
+    run_loop(dev, port, Signals())
--- a/tests/test_dev.py
+++ b/tests/test_dev.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import json
 import os
 import shlex
@@ -18,21 +19,42 @@
 import httpx
 import pytest
 
-from ramppost.standin.fleet import DEV, OPERATOR_TOKEN, READER_TOKEN, UPSTREAM_PORTS
-from tests.harness.cluster import Cluster
+from ramppost.standin.fleet import (
+    DEV,
+    ENTRY_PORTS,
+    OPERATOR_TOKEN,
+    READER_TOKEN,
+    UPSTREAM_PORTS,
+)
+from tests.harness.cluster import Cluster, free_base
 from tests.harness.oracle import whole
 
-ENTRY = "127.0.0.1:8080"
 UP_S = 20.0
 TURNS_S = 40.0
 
 
+@functools.cache
+def base() -> int:
+    """Ports that are free when the first test starts.
+
+    Two runs of this file at once, on the usual ports, failed three tests: one spoke to the other's
+    process.
+    """
+    return free_base()
+
+
+def entry() -> str:
+    """The address of the running entry."""
+    return f"127.0.0.1:{base() + ENTRY_PORTS}"
+
+
 @pytest.fixture(scope="module")
 def banner(tmp_path_factory: pytest.TempPathFactory) -> Iterator[str]:
     """A running `ramppost dev` and what it printed."""
     out = tmp_path_factory.mktemp("dev") / "out.txt"
+    command = [sys.executable, "-m", "ramppost", "dev", "--port", str(base() + ENTRY_PORTS)]
     with open(out, "wb") as log:
-        proc = subprocess.Popen([sys.executable, "-m", "ramppost", "dev"], stdout=log, stderr=log)
+        proc = subprocess.Popen(command, stdout=log, stderr=log)
     deadline = time.monotonic() + UP_S
     while "Stop with Ctrl-C" not in out.read_text():
         assert proc.poll() is None and time.monotonic() < deadline, out.read_text()
@@ -44,7 +66,7 @@
 
 def cli(*args: str, token: str = OPERATOR_TOKEN) -> subprocess.CompletedProcess[str]:
     """Run a command of an operator."""
-    command = [sys.executable, "-m", "ramppost", *args, "--entry", ENTRY]
+    command = [sys.executable, "-m", "ramppost", *args, "--entry", entry()]
     env = {**os.environ, "RAMPPOST_TOKEN": token}
     return subprocess.run(command, capture_output=True, text=True, timeout=60, env=env, check=False)
 
@@ -66,7 +88,7 @@
         while time.monotonic() < deadline:
             for number in range(10):
                 body["messages"] = [{"role": "user", "content": str(number)}]
-                http.post(f"http://{ENTRY}/v1/chat/completions", json=body)
+                http.post(f"http://{entry()}/v1/chat/completions", json=body)
             shown = cli("status").stdout
             if text in shown:
                 return shown
@@ -83,6 +105,13 @@
     assert streamed.stdout.rstrip().endswith("data: [DONE]")
 
 
+def test_what_is_no_port_is_named() -> None:
+    for port in ("80", "65535", "x", "-1"):
+        command = [sys.executable, "-m", "ramppost", "dev", f"--port={port}"]
+        got = subprocess.run(command, capture_output=True, text=True, timeout=20, check=False)
+        assert got.returncode == 2 and f"--port: '{port}'" in got.stderr
+
+
 def test_a_plan_changes_nothing_until_it_is_confirmed(banner: str) -> None:
     before = json.loads(cli("status", "--json").stdout)["revision"]
     shown = cli("plan", "limits", "--workspace", "toll", "--concurrency", "9")
@@ -104,7 +133,7 @@
 def fault_engines(fault: dict[str, Any]) -> None:
     """Put a fault in force at all engines."""
     for number in range(DEV.engines):
-        url = f"http://127.0.0.1:{DEV.base_port + UPSTREAM_PORTS + number}/_fault"
+        url = f"http://127.0.0.1:{base() + UPSTREAM_PORTS + number}/_fault"
         assert httpx.post(url, json=fault).status_code == 200
 
 
@@ -123,7 +152,7 @@
     wait_for("step 2/2 (100%) done")
     head = {"authorization": "Bearer mesob-dev"}
     body = {"model": "large", "messages": [{"role": "user", "content": "x"}]}
-    got = httpx.post(f"http://{ENTRY}/v1/chat/completions", json=body, headers=head)
+    got = httpx.post(f"http://{entry()}/v1/chat/completions", json=body, headers=head)
     assert got.headers["ramppost-model"] == "large@v2"
 
 
