ramppost audit: three promises checked from the gateways' log lines

A first part of the audit. On-call engineers have only logs; three checks of their own go over them once: a process never goes back to an older configuration; a request has one end over all gateways, which says "not run" only where nothing may have run; no attempt goes to an upstream that its gateway knows to leave or to be gone. The soak audits its gateways' lines.

Not yet: what lines lack (a number for each line, start ids, routes' kinds), the other promises, past incidents found by it. Gateways are as before.

--- /dev/null
+++ b/ramppost/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Checks what a deployment promises from the log lines of its gateways."""
--- /dev/null
+++ b/ramppost/audit/events.py
@@ -0,0 +1,150 @@
+"""What log lines tell, as typed events.
+
+This is the one place that knows the words of the lines; a line that tells nothing a check asks
+for gives no event.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from typing import Any, Final, Literal, NamedTuple
+
+from ramppost.audit.lines import Line
+
+Fate = Literal["answered", "refused", "not sent", "cancelled", "unknown"]
+"""What became of an attempt: an answer, a refusal that says it was not run, nothing sent, given up
+here, or nothing heard of it."""
+ATTEMPT: Final = re.compile(r"attempt (\d+): (.*)", re.DOTALL)
+NOT_SENT: Final = "no connection to "
+
+
+class Started(NamedTuple):
+    """A process has started."""
+
+    program: str
+    at: float
+
+
+class ConfigInForce(NamedTuple):
+    """A process has put a configuration in force; `before` is the version until then, None for
+    its first."""
+
+    program: str
+    at: float
+    version: int
+    revision: int
+    before: int | None
+
+
+class UpstreamSeen(NamedTuple):
+    """A process has learned of an upstream's start; `usable` is false once it leaves or is gone."""
+
+    program: str
+    at: float
+    upstream: str
+    usable: bool
+
+
+class Attempted(NamedTuple):
+    """An attempt of a request has ended; `began_at` is when it was begun."""
+
+    program: str
+    at: float
+    request: str
+    number: int
+    upstream: str
+    began_at: float
+    fate: Fate
+
+
+class Ended(NamedTuple):
+    """A request has its end; `ran` is what a refusal said of it, empty for other ends, `attempts`
+    how many it had, None where the line does not tell."""
+
+    program: str
+    at: float
+    request: str
+    outcome: str
+    ran: str
+    attempts: int | None
+
+
+Event = Started | ConfigInForce | UpstreamSeen | Attempted | Ended
+
+
+def event_of(line: Line) -> Event | None:
+    """What a line tells; None where that is nothing, or where it lacks what its kind has."""
+    make = MAKERS.get(line.module)
+    try:
+        return make(line) if make is not None else None
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def _started(line: Line) -> Event | None:
+    return Started(line.program, line.at) if line.message == "starting" else None
+
+
+def _seen(line: Line) -> Event | None:
+    fields = line.fields
+    if line.message == "configuration in force":
+        before = None if fields["before"] is None else int(fields["before"])
+        return ConfigInForce(
+            line.program, line.at, int(fields["version"]), int(fields["revision"]), before
+        )
+    if line.message.startswith("upstream") and "upstream" in fields:
+        usable = line.message == "upstream there"
+        return UpstreamSeen(line.program, line.at, str(fields["upstream"]), usable)
+    return None
+
+
+def _attempted(line: Line) -> Event | None:
+    found = ATTEMPT.fullmatch(line.message)
+    if found is None:
+        return None
+    fields = line.fields
+    began_at = line.at - float(fields["took_s"])
+    return Attempted(
+        line.program,
+        line.at,
+        str(fields["request"]),
+        int(found[1]),
+        str(fields["upstream"]),
+        began_at,
+        _fate(found[2]),
+    )
+
+
+def _fate(outcome: str) -> Fate:
+    if outcome.startswith("status "):
+        return "answered"
+    if outcome.startswith("refused with "):
+        return "refused"
+    if outcome.startswith(NOT_SENT):
+        return "not sent"
+    return "cancelled" if outcome == "cancelled" else "unknown"
+
+
+def _ended(line: Line) -> Event | None:
+    fields: dict[str, Any] = line.fields
+    refused = "ran" in fields and "code" in fields
+    if not refused and "took_s" not in fields:
+        return None
+    return Ended(
+        line.program,
+        line.at,
+        str(fields["request"]),
+        line.message.partition(":")[0],
+        str(fields["ran"]) if refused else "",
+        None if refused else int(fields["attempts"]),
+    )
+
+
+MAKERS: Final[dict[str, Callable[[Line], Event | None]]] = {
+    "main": _started,
+    "watchers": _seen,
+    "attempt": _attempted,
+    "serve": _ended,
+}
+"""By the module that writes the line."""
--- /dev/null
+++ b/ramppost/cli/audit.py
@@ -0,0 +1,97 @@
+"""`ramppost audit`: promises checked from the log lines of gateways."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from typing import Any, ClassVar, Final
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from ramppost.audit.checks import Finding
+from ramppost.audit.lines import Line
+from ramppost.audit.run import Audit, audit, story
+from ramppost.wire.codec import encode
+
+BROKEN: Final = 1
+UNREADABLE: Final = 2
+SHOWN: Final = 10
+"""Findings of a check that are printed without `--json`."""
+COMMON: Final = ("at", "level", "message", "module", "program", "request")
+
+
+class AuditCommand(Command):
+    """`ramppost audit`."""
+
+    name = "audit"
+    description = "Check what is promised from log lines of gateways; 1 where it was broken."
+    arguments: ClassVar = [
+        argument("file", "Files of log lines, plain or gzip; - for standard input.", multiple=True)
+    ]
+    options: ClassVar = [
+        option("json", None, "Print all as JSON."),
+        option("explain", None, "Print the story of one request instead.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Read the files once, and print what was found."""
+        paths = self.argument("file")
+        if self.option("explain"):
+            return self._explain(paths, self.option("explain"))
+        found = audit(paths)
+        if self.option("json"):
+            self.line(encode(as_json(found)).decode())
+        else:
+            self._print(found)
+        for failed in found.unopened:
+            self.line_error(f"{failed.path}: {failed.reason}")
+        if found.unopened or not found.events:
+            return UNREADABLE
+        return BROKEN if any(check.broken for check in found.checks) else 0
+
+    def _explain(self, paths: list[str], request: str) -> int:
+        lines = story(paths, request)
+        for line in lines:
+            self.line(told(line))
+        if not lines:
+            self.line_error(f"no line on request {request}")
+        return 0 if lines else UNREADABLE
+
+    def _print(self, found: Audit) -> None:
+        self.line(f"{found.lines} lines of {found.programs} processes, {found.events} events")
+        if found.unreadable:
+            self.line(f"{found.unreadable} are no log lines, first {found.first_unreadable}")
+        if not found.events:
+            self.line("nothing that could be checked")
+        for check in found.checks:
+            counts = f"{check.broken} broken, {check.undecided} undecided"
+            self.line(f"{check.name:<14} {counts:<28} {check.promise}")
+        for check in found.checks:
+            for finding in sorted(check.findings, key=lambda f: f.verdict)[:SHOWN]:
+                self.line(shown(finding))
+
+
+def shown(finding: Finding) -> str:
+    """A finding as a line."""
+    at = datetime.fromtimestamp(finding.at, UTC).isoformat()
+    request = f" request {finding.request}" if finding.request else ""
+    return f"{finding.verdict}: {finding.check}: {at} {finding.program}{request}: {finding.what}"
+
+
+def told(line: Line) -> str:
+    """A line of a request's story: when, who, what, and what was known."""
+    at = datetime.fromtimestamp(line.at, UTC).isoformat()
+    rest = " ".join(f"{name}={value}" for name, value in line.fields.items() if name not in COMMON)
+    return f"{at} {line.program} {line.message} {rest}".rstrip()
+
+
+def as_json(found: Audit) -> dict[str, Any]:
+    """All that was found, with names."""
+    return {
+        **found._asdict(),
+        "unopened": [failed._asdict() for failed in found.unopened],
+        "checks": [
+            {**check._asdict(), "findings": [finding._asdict() for finding in check.findings]}
+            for check in found.checks
+        ],
+    }
--- a/ramppost/cli/main.py
+++ b/ramppost/cli/main.py
@@ -7,6 +7,7 @@
 from cleo.application import Application
 
 from ramppost import __version__
+from ramppost.cli.audit import AuditCommand
 from ramppost.cli.operate import (
     ConfirmCommand,
     HistoryCommand,
@@ -43,6 +44,7 @@
         PolicyInitCommand,
         PolicyCompareCommand,
         ReportBurnCommand,
+        AuditCommand,
     ):
         app.add(command())
     return app
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -8,7 +8,7 @@
 and those between gateways, silence what is open on them, take a key away, let the configuration
 grow on thin links, let upstreams leave and bring a version in.  After the storm a new route has
 to be in force everywhere in time.  What upstreams ran and what callers got is compared at the
-end.
+end, and the gateways' log lines are audited.
 """
 
 from __future__ import annotations
@@ -27,6 +27,8 @@
 
 import httpx
 
+from ramppost.audit.run import audit
+from ramppost.cli.audit import shown
 from ramppost.platform import names
 from tests.harness.gateways import (
     KEYS,
@@ -439,11 +441,23 @@
             found.append(f"not served again in {RECOVERY_S:g} s")
         served = sum(1 for one in callers.asked if one.got.status == 200)
         print(f"seed {seed}: {served} of {len(callers.asked)} served; {', '.join(played.done)}")
-        return found
+        return found + audited(folder)
     finally:
         played.site.stop()
 
 
+def audited(folder: Path) -> list[str]:
+    """Promises that were broken by the gateways' own log lines."""
+    paths = sorted(str(path) for path in folder.glob("gateway-*.log"))
+    checks = audit(paths).checks
+    return [
+        shown(finding)
+        for check in checks
+        for finding in check.findings
+        if finding.verdict == "broken"
+    ]
+
+
 def main() -> int:
     """Play the seeds that the arguments name, or one drawn now."""
     parser = argparse.ArgumentParser()
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,273 @@
+"""`ramppost audit`: each check on a history that breaks just it, and on sound ones.
+
+Lines are those that gateways write; the last tests let a real gateway write them.
+"""
+
+from __future__ import annotations
+
+import gzip
+import json
+import subprocess
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ramppost.audit.run import Audit, audit
+from tests.harness.gateways import KEYS, SAFE, STREAM, Deployment
+
+NOON = datetime(2026, 3, 1, 12, tzinfo=UTC).timestamp()
+CHECKS = ("configuration", "one end", "departed")
+
+
+def line(module: str, message: str, after_s: float, program: str = "g1", **fields: Any) -> str:
+    at = datetime.fromtimestamp(NOON + after_s, UTC).isoformat()
+    head = {"at": at, "level": "INFO", "message": message, "program": program}
+    return json.dumps({**head, "module": f"ramppost.gateway.{module}", **fields})
+
+
+def starting(after_s: float, program: str = "g1") -> str:
+    return line("main", "starting", after_s, program)
+
+
+def config(version: int, before: int | None, after_s: float, program: str = "g1") -> str:
+    fields = {"version": version, "before": before, "revision": 10 * version}
+    return line("watchers", "configuration in force", after_s, program, **fields)
+
+
+def attempt(request: str, outcome: str, after_s: float, took_s: float = 0.1, **more: Any) -> str:
+    fields = {"request": request, "upstream": "u1", "took_s": took_s} | more
+    return line("attempt", f"attempt 1: {outcome}", after_s, **fields)
+
+
+def served(request: str, after_s: float, attempts: int = 1, program: str = "g1") -> str:
+    fields = {"request": request, "attempts": attempts, "took_s": 0.2}
+    return line("serve", "served", after_s, program, **fields)
+
+
+def refused(request: str, ran: str, after_s: float) -> str:
+    fields = {"request": request, "code": "overloaded", "ran": ran, "held_s": 0.1}
+    return line("serve", "refused: no room", after_s, **fields)
+
+
+def upstream(message: str, after_s: float) -> str:
+    return line("watchers", f"upstream {message}", after_s, upstream="u1")
+
+
+def audited(folder: Path, *lines: str) -> Audit:
+    path = folder / "lines.log"
+    path.write_text("".join(f"{text}\n" for text in lines))
+    return audit([str(path)])
+
+
+def verdicts(found: Audit) -> dict[str, tuple[int, int]]:
+    return {c.name: (c.broken, c.undecided) for c in found.checks if c.broken or c.undecided}
+
+
+BREAKING = {
+    "older configuration": ([config(2, None, 0), config(1, 2, 1)], "configuration"),
+    "same revision again": ([config(2, None, 0), config(2, 2, 1)], "configuration"),
+    "two ends": ([attempt("r", "status 200", 1), served("r", 2), served("r", 3)], "one end"),
+    "two ends at two gateways": (
+        [attempt("r", "status 200", 1), served("r", 2), served("r", 3, 0, "g2")],
+        "one end",
+    ),
+    "not run after an answer": ([attempt("r", "status 500", 1), refused("r", "no", 2)], "one end"),
+    "not run after silence": (
+        [attempt("r", "silent for 0.85 s", 1), refused("r", "no", 2)],
+        "one end",
+    ),
+    "sent to one that leaves": (
+        [
+            upstream("there", 0),
+            upstream("leaving", 1),
+            attempt("r", "status 200", 3),
+            served("r", 3),
+        ],
+        "departed",
+    ),
+    "sent to one that is gone": (
+        [
+            upstream("there", 0),
+            upstream("dropped: its entry did not come back", 1),
+            attempt("r", "status 200", 3),
+            served("r", 3),
+        ],
+        "departed",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BREAKING)
+def test_a_history_that_breaks_one_promise(name: str, tmp_path: Path) -> None:
+    lines, check = BREAKING[name]
+    assert verdicts(audited(tmp_path, *lines)) == {check: (1, 0)}
+
+
+UNDECIDED = {
+    "a version in between": ([config(2, None, 0), config(5, 4, 1)], "configuration"),
+    "killed with a request under way": ([attempt("r", "status 200", 1), starting(2)], "one end"),
+    "the lines stop": ([attempt("r", "status 200", 1)], "one end"),
+    "attempts that are missing": ([served("r", 1, 2)], "one end"),
+    "given up, and told not run": (
+        [attempt("r", "cancelled", 1), refused("r", "no", 2)],
+        "one end",
+    ),
+    "a clock that was set back": (
+        [
+            upstream("there", 9),
+            upstream("leaving", 1),
+            attempt("r", "status 200", 3),
+            served("r", 3),
+        ],
+        "departed",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", UNDECIDED)
+def test_what_can_t_be_decided_is_not_passed(name: str, tmp_path: Path) -> None:
+    lines, check = UNDECIDED[name]
+    assert verdicts(audited(tmp_path, *lines)) == {check: (0, 1)}
+
+
+SOUND = {
+    "an older configuration at a new start": [config(2, None, 0), starting(1), config(1, None, 2)],
+    "a start whose line was lost": [config(2, None, 0), config(1, None, 2)],
+    "not run, and never sent": [attempt("r", "no connection to a:1", 1), refused("r", "no", 2)],
+    "refused by the upstream": [attempt("r", "refused with 429", 1), refused("r", "no", 2)],
+    "whether it ran is unknown": [attempt("r", "silent for 1 s", 1), refused("r", "unknown", 2)],
+    "sent before it left": [
+        upstream("there", 0),
+        upstream("leaving", 2),
+        attempt("r", "status 200", 4, took_s=2.5),
+        served("r", 4),
+    ],
+    "sent to one that is there again": [
+        upstream("leaving", 0),
+        upstream("there", 1),
+        attempt("r", "status 200", 3),
+        served("r", 3),
+    ],
+    "learned by a process before": [
+        upstream("leaving", 0),
+        starting(1),
+        attempt("r", "status 200", 3),
+        served("r", 3),
+    ],
+}
+
+
+@pytest.mark.parametrize("name", SOUND)
+def test_a_sound_history(name: str, tmp_path: Path) -> None:
+    assert verdicts(audited(tmp_path, *SOUND[name])) == {}
+
+
+@st.composite
+def histories(draw: st.DrawFn) -> list[str]:
+    """Sound lines of three gateways, those of each in order."""
+    by_program: list[list[str]] = []
+    for number in range(3):
+        program, lines, now = f"g{number}", [starting(0.0, f"g{number}")], 0.0
+        version: int | None = None
+        for step in range(draw(st.integers(0, 12))):
+            now += draw(st.floats(0.2, 3.0))
+            kind = draw(st.sampled_from(("config", "request", "start", "noise")))
+            if kind == "config":
+                lines.append(config(number + step + 1 + (version or 0), version, now, program))
+                version = number + step + 1 + (version or 0)
+            elif kind == "request":
+                request = f"{program}-{step}"
+                lines.append(attempt(request, "status 200", now, program=program))
+                lines.append(served(request, now, program=program))
+            elif kind == "start":
+                lines.append(starting(now, program))
+                version = None
+            else:
+                lines.append(line("peers", "gateway known", now, program))
+        by_program.append(lines)
+    merged = []
+    while any(by_program):
+        rest = [lines for lines in by_program if lines]
+        merged.append(draw(st.sampled_from(rest)).pop(0))
+    return merged
+
+
+@given(histories())
+def test_sound_histories_in_any_order_of_processes(tmp_path_factory: Any, lines: list[str]) -> None:
+    found = audited(tmp_path_factory.mktemp("sound"), *lines)
+    assert verdicts(found) == {} and found.lines == len(lines) and not found.unreadable
+
+
+# --- files and the command
+
+
+def command(*args: str, given: str = "") -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "ramppost", "audit", *args],
+        capture_output=True,
+        text=True,
+        input=given,
+        timeout=60,
+        check=False,
+    )
+
+
+def test_packed_prefixed_and_cut_lines(tmp_path: Path) -> None:
+    path = tmp_path / "packed.gz"
+    lines = [f"12.5 g1 {config(2, None, 0)}", config(1, 2, 1)[:-9], "no line", config(1, 2, 1)]
+    path.write_bytes(gzip.compress("\n".join(lines).encode() + b"\n\xff\xfe{\n"))
+    found = audit([str(path)])
+    assert (found.lines, found.unreadable, found.first_unreadable) == (5, 3, f"{path}:2")
+    assert verdicts(found) == {"configuration": (1, 0)}
+
+
+def test_the_end_says_what_was_found(tmp_path: Path) -> None:
+    good, bad = tmp_path / "good.log", tmp_path / "bad.log"
+    good.write_text(f"{config(1, None, 0)}\n")
+    bad.write_text(f"{config(2, None, 0)}\n{config(1, 2, 1)}\n")
+    assert command(str(good)).returncode == 0
+    got = command(str(bad))
+    assert got.returncode == 1
+    assert "g1: revision 10 in force after 20" in got.stdout
+    got = command(str(good), str(tmp_path / "none.log"))
+    assert got.returncode == 2 and "none.log" in got.stderr
+    cut = tmp_path / "cut.gz"
+    cut.write_bytes(gzip.compress(bad.read_bytes() * 100)[:-20])
+    got = command(str(cut))
+    assert got.returncode == 2 and "cut.gz: after line" in got.stderr
+    got = command("-", given="nothing\n")
+    assert got.returncode == 2 and "nothing that could be checked" in got.stdout
+    shown = json.loads(command("-", "--json", given=bad.read_text()).stdout)
+    assert [check["name"] for check in shown["checks"]] == list(CHECKS)
+    assert shown["checks"][0]["findings"][0]["verdict"] == "broken"
+
+
+def test_the_story_of_a_request(tmp_path: Path) -> None:
+    path = tmp_path / "lines.log"
+    path.write_text(f"{served('r', 2)}\n{attempt('r', 'status 200', 1)}\n{served('other', 3)}\n")
+    got = command(str(path), "--explain", "r")
+    told = got.stdout.splitlines()
+    assert len(told) == 2 and "attempt 1: status 200 upstream=u1" in told[0]
+    assert "served attempts=1" in told[1]
+    assert command(str(path), "--explain", "none").returncode == 2
+
+
+def test_what_gateways_really_write(tmp_path: Path) -> None:
+    """Each kind of line that a check rests on is found in the lines of real processes."""
+    site = Deployment(tmp_path)
+    try:
+        asked = [site.call("gateway-1", prefix, KEYS["kitchen"]) for prefix in (STREAM, SAFE)]
+        assert [got.status for got in asked] == [200, 200]
+        assert site.call("gateway-1", "/nowhere/").status == 404
+    finally:
+        site.stop()
+    logs = sorted(str(path) for path in tmp_path.glob("gateway-*.log"))
+    found = audit(logs)
+    assert verdicts(found) == {} and not found.unreadable
+    # Of each gateway its start, its configuration and the upstreams; three ends, two attempts.
+    assert found.programs == 2 and found.events >= 2 * (1 + 1) + 3 + 2
