--- a/ramppost/audit/checks.py
+++ b/ramppost/audit/checks.py
@@ -10,11 +10,21 @@
 from collections.abc import Callable, Iterable
 from typing import Final, Literal, NamedTuple
 
-from ramppost.audit.events import Attempted, ConfigInForce, Ended, Event, Started, UpstreamSeen
+from ramppost.audit.events import (
+    Attempted,
+    ConfigInForce,
+    Ended,
+    Event,
+    Started,
+    UpstreamSeen,
+    UpstreamsListed,
+)
 
 GONE_SLACK_S: Final = 0.1
 """An attempt is logged as it ends; that it began is worked out to the millisecond, and its upstream
 was chosen a moment before."""
+ENDED_KEPT: Final = 200_000
+"""Requests that are remembered as ended: some minutes of hundreds of gateways."""
 BACK_S: Final = 0.01
 """A process' lines are in order, so a time that is so much earlier means that its clock was set."""
 
@@ -127,10 +137,6 @@
     return Check(name, promise, take, end)
 
 
-ENDED_KEPT: Final = 200_000
-"""Requests that are remembered as ended: some minutes of hundreds of gateways."""
-
-
 class _Known(NamedTuple):
     """Since when an upstream is known to be usable, or not to be."""
 
@@ -153,7 +159,10 @@
         if event.at < latest.get(event.program, event.at) - BACK_S:
             set_back.add(event.program)
         latest[event.program] = event.at
-        if isinstance(event, UpstreamSeen):
+        if isinstance(event, UpstreamsListed):
+            # The line does not tell which are there again.
+            known.pop(event.program, None)
+        elif isinstance(event, UpstreamSeen):
             seen = known.setdefault(event.program, {})
             before = seen.get(event.upstream)
             # What is said again of one that leaves does not make it leave later.
--- a/ramppost/audit/events.py
+++ b/ramppost/audit/events.py
@@ -46,6 +46,13 @@
     usable: bool
 
 
+class UpstreamsListed(NamedTuple):
+    """A process has read the whole list of upstreams, which may have changed in any way."""
+
+    program: str
+    at: float
+
+
 class Attempted(NamedTuple):
     """An attempt of a request has ended; `began_at` is when it was begun."""
 
@@ -70,7 +77,7 @@
     attempts: int | None
 
 
-Event = Started | ConfigInForce | UpstreamSeen | Attempted | Ended
+Event = Started | ConfigInForce | UpstreamSeen | UpstreamsListed | Attempted | Ended
 
 
 def event_of(line: Line) -> Event | None:
@@ -93,6 +100,8 @@
         return ConfigInForce(
             line.program, line.at, int(fields["version"]), int(fields["revision"]), before
         )
+    if line.message == "upstreams listed":
+        return UpstreamsListed(line.program, line.at)
     if line.message.startswith("upstream") and "upstream" in fields:
         usable = line.message == "upstream there"
         return UpstreamSeen(line.program, line.at, str(fields["upstream"]), usable)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -153,6 +153,12 @@
         attempt("r", "status 200", 3),
         served("r", 3),
     ],
+    "listed anew, with one that left": [
+        upstream("leaving", 0),
+        line("watchers", "upstreams listed", 1, count=4, revision=7),
+        attempt("r", "status 200", 3),
+        served("r", 3),
+    ],
     "learned by a process before": [
         upstream("leaving", 0),
         starting(1),
