One shortage, and one choice of the largest model for a decision

Cause: the shortage was put together of two values in the gateway and once more in its test, and the largest model's engine was chosen twice for each answer that was not good enough. Change: Pressure.shortage takes the wait that was told; the choice made for the reading time is the one whose first token is predicted. The same threshold as before; a draw of chance less. 16 test files on these parts and the doctests pass; formatter, linter, types and duplicates are clean.

--- a/ramppost/gateway/escalation.py
+++ b/ramppost/gateway/escalation.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from typing import NamedTuple
 
 from loguru import logger
 
@@ -12,17 +11,6 @@
 from ramppost.gateway.models import ModelPlan, good_enough, model_plan, next_model, under_load
 from ramppost.gateway.pick import look, pick
 from ramppost.gateway.state import Gateway
-from ramppost.policy.pressure import shortage_of
-
-
-class Load(NamedTuple):
-    """What decides how far the threshold gives way: how short engines are, from 0 to 1, by answers
-    of late or by the least wait that was told (seconds), and what the largest model takes to read
-    the prompt, seconds."""
-
-    shortage: float
-    least_wait_s: float
-    read_s: float
 
 
 def plan_of(gw: Gateway, job: Job, may_retry: bool) -> ModelPlan:
@@ -52,13 +40,17 @@
 def _worth_asking(gw: Gateway, job: Job, service: str, plan: ModelPlan, got: Running) -> str:
     """The larger model that is asked under the load that there is; empty for none."""
     now = time.monotonic()
+    largest = plan.models[-1]
+    at_largest = pick(gw, job, service, largest, now)
 
     def first_s(model: str) -> float | None:
-        chosen = pick(gw, job, service, model, now)
+        chosen = at_largest if model == largest else pick(gw, job, service, model, now)
         return chosen.first_s if chosen is not None else None
 
-    load = _load(gw, job, service, plan.models[-1], now)
-    eased = plan._replace(policy=under_load(plan.policy, load.shortage, load.read_s))
+    read_s = at_largest.prefill_s if at_largest is not None else 0.0
+    least_wait_s = _least_wait_s(job)
+    shortage = gw.pressure.shortage(now, least_wait_s)
+    eased = plan._replace(policy=under_load(plan.policy, shortage, read_s))
     enough = good_enough(eased, got.model, got.head.confidence)
     left_s = job.read_at + job.route.objective_s - now
     larger = "" if enough else next_model(plan, got.model, first_s, left_s)
@@ -70,17 +62,15 @@
         confidence=got.head.confidence,
         policy=plan.policy["name"],
         threshold=round(eased.policy.get("threshold", 0.0), 3),
-        shortage=round(load.shortage, 3),
-        least_wait_s=round(load.least_wait_s, 3),
-        read_s=round(load.read_s, 3),
+        shortage=round(shortage, 3),
+        least_wait_s=round(least_wait_s, 3),
+        read_s=round(read_s, 3),
         next_model=larger,
     )
     return larger
 
 
-def _load(gw: Gateway, job: Job, service: str, largest: str, now: float) -> Load:
+def _least_wait_s(job: Job) -> float:
+    """The least wait that the engines just asked about have told, seconds."""
     told = job.look.told.values() if job.look is not None else ()
-    least_wait_s = min((one.ahead_s for one in told), default=0.0)
-    shortage = max(gw.pressure.shortage(now), shortage_of(least_wait_s))
-    chosen = pick(gw, job, service, largest, now)
-    return Load(shortage, least_wait_s, chosen.prefill_s if chosen is not None else 0.0)
+    return min((one.ahead_s for one in told), default=0.0)
--- a/ramppost/policy/pressure.py
+++ b/ramppost/policy/pressure.py
@@ -5,9 +5,9 @@
 less confident answers of the smallest are taken, first of all where the larger model would read
 for long; as the wait ends, the threshold goes back.
 
-Engines are as short as the wait of late says (`Pressure`), or that at the best engine just asked
-about (`shortage_of`): a gateway of a large fleet has few answers a second, and would notice after
-six seconds by these alone.
+Engines are as short as the wait of late says, or that at the best engine just asked about: a
+gateway of a large fleet has few answers a second, and would notice after six seconds by these
+alone.
 """
 
 from __future__ import annotations
@@ -54,25 +54,20 @@
             return 0.0
         return self._wait_s * math.exp2(-max(0.0, now - self._at) / HALF_LIFE_S)
 
-    def shortage(self, now: float) -> float:
-        """How short engines are: 0 on a calm day, 1 where requests wait long.
+    def shortage(self, now: float, told_wait_s: float = 0.0) -> float:
+        """How short engines are: 0 on a calm day, 1 where requests wait long, of late or by the
+        least wait that was just told.
 
         >>> seen = Pressure()
         >>> for _ in range(100): seen.waited(0.4, 10.0)
         >>> round(seen.shortage(10.0), 2), round(seen.shortage(20.0), 2)
         (1.0, 0.0)
+        >>> Pressure().shortage(10.0, told_wait_s=0.05), Pressure().shortage(10.0, told_wait_s=1.0)
+        (0.0, 1.0)
         """
-        return shortage_of(self.wait_s(now))
-
-
-def shortage_of(wait_s: float) -> float:
-    """How short engines are at which prompts wait so long, from 0 to 1.
-
-    >>> shortage_of(0.05), shortage_of(1.0)
-    (0.0, 1.0)
-    """
-    part = (wait_s - CALM_WAIT_S) / (SHORT_WAIT_S - CALM_WAIT_S)
-    return min(1.0, max(0.0, part))
+        wait_s = max(self.wait_s(now), told_wait_s)
+        part = (wait_s - CALM_WAIT_S) / (SHORT_WAIT_S - CALM_WAIT_S)
+        return min(1.0, max(0.0, part))
 
 
 def threshold_under(threshold: float, shortage: float, read_s: float) -> float:
--- a/tests/test_relief.py
+++ b/tests/test_relief.py
@@ -19,7 +19,7 @@
 
 import pytest
 
-from ramppost.policy.pressure import USUAL_READ_S, Pressure, shortage_of, threshold_under
+from ramppost.policy.pressure import USUAL_READ_S, Pressure, threshold_under
 
 GATEWAYS = 32
 ENGINES = 6
@@ -39,8 +39,7 @@
 
 
 def by_load(pressure: Pressure, least_wait_s: float, read_s: float, now: float) -> float:
-    shortage = max(pressure.shortage(now), shortage_of(least_wait_s))
-    return threshold_under(THRESHOLD, shortage, read_s)
+    return threshold_under(THRESHOLD, pressure.shortage(now, least_wait_s), read_s)
 
 
 def by_own_answers(pressure: Pressure, least_wait_s: float, read_s: float, now: float) -> float:
