Feed: whether all urgent is known, and whether a gateway lags, are asked in one place

Cause: the feed and its followers each worked out whether a gateway has just started; the check whether a gateway lags also decided what follows, and its caller once more; the end of reading was set in two branches. Change: one knows() for both sides, a check without effects with what follows beside it, one line for the end of reading, one default for who need not be told.

--- a/ramppost/gateway/feed.py
+++ b/ramppost/gateway/feed.py
@@ -58,7 +58,7 @@
     """The answer, once there is something to tell or the wait is over."""
     came_at = time.monotonic()
     until = came_at + min(LONGEST_WAIT_S, query["wait_ms"] / 1000)
-    while time.monotonic() < until and not (_knows(gw) and _worth_telling(gw, query, came_at)):
+    while time.monotonic() < until and not (knows(gw) and _worth_telling(gw, query, came_at)):
         await gw.news.wait(until - time.monotonic())
     now = time.monotonic()
     kinds = [
@@ -77,11 +77,15 @@
     )
 
 
-def _knows(gw: Gateway) -> bool:
+def urgent_known_at(gw: Gateway) -> float:
+    """Since when what has to be known at once may have changed unnoticed (steady clock)."""
+    return min((f.confirmed_at for f in gw.followed.values() if f.urgent), default=float("-inf"))
+
+
+def knows(gw: Gateway) -> bool:
     """Whether all that has to be known at once is known here: a gateway that has just started
     tells nothing until then."""
-    urgent = [followed for followed in gw.followed.values() if followed.urgent]
-    return bool(urgent) and all(f.confirmed_at > float("-inf") for f in urgent)
+    return urgent_known_at(gw) > float("-inf")
 
 
 def _worth_telling(gw: Gateway, query: FeedQuery, came_at: float) -> bool:
--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -301,13 +301,12 @@
     got = await watch(
         client, followed.kind, since, _wait_s(follower, sent_at), followed.answer_begun
     )
+    followed.reading = isinstance(got, Changes)
     if isinstance(got, Unavailable):
-        followed.reading = False
         return got
     if isinstance(got, HistoryGone):
         logger.info("history gone before revision {}; listing again", since)
         followed.revision = None
-        followed.reading = False
         return None
     await followed.advanced(since, got, sent_at)
     followed.reading = _is_old(follower, time.monotonic())
--- a/ramppost/gateway/subscribe.py
+++ b/ramppost/gateway/subscribe.py
@@ -15,7 +15,7 @@
 import curio
 from loguru import logger
 
-from ramppost.gateway.feed import FEED_PATH, NEVER_MS, PACKED_TYPE
+from ramppost.gateway.feed import FEED_PATH, NEVER_MS, PACKED_TYPE, knows, urgent_known_at
 from ramppost.gateway.follow import Followed
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import feed_wait_s, oldest_s
@@ -85,7 +85,7 @@
 
 async def ask_once(gw: Gateway, name: str) -> bool:
     """Ask a gateway once; whether it keeps up with the store, or reads what it has answered."""
-    starting = _starting(gw)
+    starting = not knows(gw)
     wait_s = FIRST_WAIT_S if starting else feed_wait_s(gw)
     asking = _Asking(name, time.monotonic(), wait_s, starting)
     got = await _call(gw, asking)
@@ -96,12 +96,12 @@
         _pass_over(gw, asking, isinstance(got, CallFailed) and not got.sent)
         return False
     gw.peers.heard(name, True, time.monotonic())
-    known_at = _urgent_known_at(gw)
+    known_at = urgent_known_at(gw)
     await _take_all(gw, asking, msg)
     if _lags(gw, asking, msg):
-        return msg.get("reading", False)
+        return _heard_late(gw, asking, msg)
     now = time.monotonic()
-    if not gw.peers.is_relay(now) and _urgent_known_at(gw) > known_at:
+    if not gw.peers.is_relay(now) and urgent_known_at(gw) > known_at:
         # A relay that is cut off tells what it has heard from us: that confirms nothing.
         gw.fed_until = now + feed_wait_s(gw) + ANSWER_SLACK_S + FED_GRACE_S
     return True
@@ -137,16 +137,18 @@
 
 
 def _lags(gw: Gateway, asking: _Asking, msg: FeedMsg) -> bool:
-    """Whether who has answered does not keep up with the store; others are asked for a while."""
-    age_s = _urgent_age_s(gw, msg)
+    """Whether who has answered does not keep up with the store."""
     waited_s = msg["waited_ms"] / 1000
-    if waited_s < asking.wait_s - ROUNDED_S and age_s <= oldest_s(gw):
-        return False
+    return waited_s >= asking.wait_s - ROUNDED_S or _urgent_age_s(gw, msg) > oldest_s(gw)
+
+
+def _heard_late(gw: Gateway, asking: _Asking, msg: FeedMsg) -> bool:
+    """A gateway lags: whether it is asked again, for its store answers; else others are asked."""
     reading = msg.get("reading", False)
     logger.info(
         "gateway lags behind the store",
         peer=asking.name,
-        age_s=round(min(age_s, 999.0), 3),
+        age_s=round(min(_urgent_age_s(gw, msg), 999.0), 3),
         reading=reading,
     )
     now = time.monotonic()
@@ -159,7 +161,7 @@
         # A relay that asks is cut off itself and may not have noticed; who followed it
         # lags as it does, and is the one to ask in a moment.
         gw.peers.heard(asking.name, False, now)
-    return True
+    return False
 
 
 def _message(got: Answer) -> FeedMsg | BadMessage:
@@ -169,19 +171,9 @@
     return body if isinstance(body, BadMessage) else decode(body, FeedMsg)
 
 
-def _starting(gw: Gateway) -> bool:
-    """Whether nothing that must be known at once is known here yet."""
-    return _urgent_known_at(gw) == float("-inf")
-
-
 def _holds(gw: Gateway, now: float) -> bool:
     """Whether this gateway has just started, and waits to be told before it asks the store."""
-    return _starting(gw) and now < gw.fed_until
-
-
-def _urgent_known_at(gw: Gateway) -> float:
-    """Since when what has to be known at once may have changed unnoticed (steady clock)."""
-    return min((f.confirmed_at for f in gw.followed.values() if f.urgent), default=float("-inf"))
+    return not knows(gw) and now < gw.fed_until
 
 
 def _urgent_age_s(gw: Gateway, msg: FeedMsg) -> float:
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -238,7 +238,7 @@
 ) -> Answer | CallFailed:
     """Send a request and read its whole answer within `timeout_s`."""
     opening = open_stream(pool, addr, method, path, body, timeout_s, headers)
-    return await _read_whole(pool, addr, opening, timeout_s, None, lambda: None)
+    return await _read_whole(pool, addr, opening, timeout_s, None)
 
 
 async def fetch(
@@ -269,7 +269,7 @@
     opening: Awaitable[Stream | CallFailed],
     longest_s: float,
     stall_s: float | None,
-    begun: Callable[[], None],
+    begun: Callable[[], None] = lambda: None,
 ) -> Answer | CallFailed:
     """The whole answer of a request that is being sent.
 
