Settings check addresses with the check of the store's entries

Cause: wire/addr.py was written beside the check that settings already had. Change: one check serves both.

--- a/ramppost/settings.py
+++ b/ramppost/settings.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import json
-import re
 from functools import cache
 from importlib.resources import files
 from pathlib import Path
@@ -17,7 +16,8 @@
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 
-ADDRESS: Final = re.compile(r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}")
+from ramppost.wire.addr import is_address
+
 PROGRAMS: Final = {
     "entry": "EntrySettings",
     "agent": "AgentSettings",
@@ -107,7 +107,7 @@
     if lines or not isinstance(value, dict):
         return lines
     for path, text, spec in _leaves(whole["$defs"], whole["$defs"][definition], value, "$"):
-        if spec.get("x-address") and not _is_address(text):
+        if spec.get("x-address") and not is_address(text):
             lines.append(f"{path}: {text!r} is not an address; write `ip:port`")
         if spec.get("x-file") and not (folder / text).is_file():
             lines.append(f"{path}: no such file {text!r}; paths are relative to the settings file")
@@ -155,13 +155,6 @@
     return [(path, value, spec)] if isinstance(value, str) else []
 
 
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    if not ADDRESS.fullmatch(text) or not 1 <= int(port) <= 65535:
-        return False
-    return all(int(part) <= 255 for part in host.split("."))
-
-
 def _resolve_files(name: str, definition: str, value: Any, folder: Path) -> Any:
     """The value with its file names made relative to the working folder."""
     whole = schema(name)["$defs"]
