A gateway tells its figures at each scrape

Callers of the metrics address got one answer in the life of a process. Cause: each scrape makes its collectors anew, and aioprometheus enters a collector that is given no registry in that of the process, where a name may stand once. The collectors are now made with the registry of their scrape. Ruled out: two registries of ours (the one of a scrape is new each time). tests/test_metrics.py failed before. The entry's figures are made once in a process and are not affected (by reading).

--- a/ramppost/gateway/metrics.py
+++ b/ramppost/gateway/metrics.py
@@ -57,8 +57,8 @@
 
         def family(kind: type[Counter] | type[Gauge], name: str) -> Counter | Gauge:
             if name not in families:
-                families[name] = kind(name, name.replace("_", " "))
-                registry.register(families[name])
+                # Without a registry of its own it would enter, for good, that of the process.
+                families[name] = kind(name, name.replace("_", " "), registry=registry)
             return families[name]
 
         for (name, labels), value in self.counters.items():
