Sight: log lines name what a request has in common with its other tries

Lines of attempts, ends and answers that broke off carry `fingerprint`, a hash of host, path, workspace and body; those that broke off also tell how long after the head and after how many events of that upstream. No decision uses it yet.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -218,6 +218,7 @@
         job.attempts,
         outcome,
         request=job.req.attempt_id,
+        fingerprint=job.fingerprint,
         upstream=chosen.upstream.id,
         version=chosen.upstream.version,
         model=model,
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -7,6 +7,7 @@
 from ramppost.gateway.admit import Admitted
 from ramppost.gateway.backlogs import Told
 from ramppost.gateway.model import CallerRequest
+from ramppost.policy.fingerprint import fingerprint
 
 
 class Look(NamedTuple):
@@ -24,6 +25,9 @@
         self.req = req
         self.route = admitted.route
         self.workspace = admitted.workspace
+        caller = admitted.workspace.name if admitted.workspace is not None else ""
+        self.fingerprint = fingerprint(req.host, req.target, caller, req.body)
+        """What it has in common with its other tries, at any gateway."""
         self.read_at = read_at
         self.deadline = read_at + min(req.deadline_s, admitted.route.timeout_s)
         self.attempts = 0
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -193,8 +193,11 @@
             "answer broke off: {}",
             got.reason,
             request=job.req.attempt_id,
+            fingerprint=job.fingerprint,
             upstream=running.chosen.upstream.id,
             after_event=job.last_event_id,
+            events_there=job.events - events_before,
+            since_head_s=round(time.monotonic() - running.sent_at - running.first_s, 4),
         )
         return got
     judge_answer(gw, running, bad=running.head.status >= 500, passed=got)
@@ -253,6 +256,7 @@
         "{}",
         outcome,
         request=job.req.attempt_id,
+        fingerprint=job.fingerprint,
         route=job.route.name,
         workspace=job.workspace.name if job.workspace else "",
         status=status,
