Sight: a line where an upstream has ended, and one for each request under which it did

That an answer broke off doesn't tell whether its connection was reset or its upstream ended. Whoever finds an answer cut asks for a connection, once for all that broke off there: a box whose process has ended refuses it. Costs a connection for each cut of an upstream that lives.

--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -45,9 +45,13 @@
 
 
 class Broken(NamedTuple):
-    """The connection failed after sending: the request may have run."""
+    """The connection failed after sending: the request may have run.
+
+    `cut` tells that the other side closed or spoiled it, rather than that we gave it up.
+    """
 
     reason: str
+    cut: bool = False
 
 
 class End(NamedTuple):
@@ -147,7 +151,7 @@
             else:
                 self._sender = await curio.spawn(self._send_beside, data, daemon=True)
         except OSError as exc:
-            return Broken(f"sending failed: {exc}")
+            return Broken(f"sending failed: {exc}", cut=True)
         return None
 
     async def head(self) -> AnswerHead | Broken:
@@ -157,7 +161,7 @@
             if isinstance(event, Broken):
                 return event
             if not isinstance(event, h11.Response):
-                return Broken("connection closed before the answer")
+                return Broken("connection closed before the answer", cut=True)
             head = answer_head(event.status_code, tuple(event.headers))
             if head.attempt_id in ("", self._req.attempt_id):
                 self._framed = _is_framed(tuple(event.headers), event.status_code)
@@ -166,7 +170,7 @@
             skipped = await self._skip_surplus()
             if skipped is not None:
                 return skipped
-        return Broken("too many answers to other requests")
+        return Broken("too many answers to other requests", cut=True)
 
     async def piece(self) -> bytes | End | Broken:
         """The next bytes of the answer's body."""
@@ -180,7 +184,7 @@
         if isinstance(event, h11.EndOfMessage):
             self._ended = True
             return End(self._framed)
-        return Broken("connection closed within the answer")
+        return Broken("connection closed within the answer", cut=True)
 
     async def finish(self) -> None:
         """Keep the connection where the answer was read whole, else close it."""
@@ -214,7 +218,7 @@
             if isinstance(piece, End):
                 break
         if not self._framed:
-            return Broken("connection closed after an answer to another request")
+            return Broken("connection closed after an answer to another request", cut=True)
         rest, _ = self._link.h11.trailing_data
         self._link.h11 = h11.Connection(h11.CLIENT)
         _request_bytes(self._link.h11, self._req)
@@ -228,18 +232,18 @@
             try:
                 event = self._link.h11.next_event()
             except h11.RemoteProtocolError as exc:
-                return Broken(f"not an answer: {exc}")
+                return Broken(f"not an answer: {exc}", cut=True)
             if event is h11.NEED_DATA:
                 try:
                     data = await self._link.sock.recv(READ_SIZE)
                 except OSError as exc:
-                    return Broken(f"connection failed: {exc}")
+                    return Broken(f"connection failed: {exc}", cut=True)
                 if data:
                     self._links.heard[self._link.upstream.key] = time.monotonic()
                 try:
                     self._link.h11.receive_data(data)
                 except h11.RemoteProtocolError as exc:
-                    return Broken(f"not an answer: {exc}")
+                    return Broken(f"not an answer: {exc}", cut=True)
             elif not isinstance(event, h11.InformationalResponse):
                 return event
 
--- a/ramppost/gateway/passing.py
+++ b/ramppost/gateway/passing.py
@@ -65,7 +65,7 @@
             return piece
         if isinstance(piece, End):
             if splitter.rest:
-                return Broken("stream ended within an event")
+                return Broken("stream ended within an event", cut=True)
             break
         events = splitter.feed(piece)
         for event in events:
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -21,7 +21,7 @@
 from ramppost.gateway.inbound import JSON_TYPE, Reply
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, NotSent
-from ramppost.gateway.model import CallerRequest
+from ramppost.gateway.model import CallerRequest, Upstream
 from ramppost.gateway.passing import Passed, pass_stream, pass_whole
 from ramppost.gateway.pick import look, pick, service_of
 from ramppost.gateway.rollout_duty import judge_answer
@@ -133,6 +133,7 @@
             if failures >= MAX_CONNECT_FAILURES:
                 return _final(job, last)
         else:
+            await _after_cut(gw, job, chosen.upstream, got)
             last = refusal("outcome_unknown", got.reason)
             if job.route.repeat == "never":
                 return last
@@ -199,11 +200,23 @@
             events_there=job.events - events_before,
             since_head_s=round(time.monotonic() - running.sent_at - running.first_s, 4),
         )
+        await _after_cut(gw, job, running.chosen.upstream, got)
         return got
     judge_answer(gw, running, bad=running.head.status >= 500, passed=got)
     return None
 
 
+async def _after_cut(gw: Gateway, job: Job, upstream: Upstream, got: Broken) -> None:
+    """An upstream has broken off: find out whether it has ended."""
+    if got.cut and await gw.endings.has_ended(upstream):
+        logger.info(
+            "upstream ended under a request",
+            request=job.req.attempt_id,
+            fingerprint=job.fingerprint,
+            upstream=upstream.id,
+        )
+
+
 def _time_is_up(job: Job) -> Refusal:
     if job.may_have_run:
         return refusal("deadline", "the time limit passed while it was running", ran="unknown")
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -9,6 +9,7 @@
 from ramppost.gateway.backlogs import Backlogs
 from ramppost.gateway.counts import Counts
 from ramppost.gateway.datagrams import Datagrams
+from ramppost.gateway.endings import Endings
 from ramppost.gateway.follow import Followed, Lacking, News, Outage
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.inbound import Callers
@@ -72,6 +73,7 @@
         self.outage = Outage()
         self.store = StoreClient(cfg["store"]["addr"], Pool(cfg["ip"]))
         self.links = Links(cfg["ip"])
+        self.endings = Endings(self.links)
         self.loads = Loads()
         self.rates = PrefillRates()
         self.pressure = Pressure()
@@ -151,6 +153,7 @@
     def forget(self, upstream_key: str) -> None:
         """Drop what is known of an upstream that has left or started again."""
         self.links.forget(upstream_key)
+        self.endings.forget(upstream_key)
         self.backlogs.forget(upstream_key)
         self.loads.forget(upstream_key)
         self.suspicions.pop(upstream_key, None)
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -31,10 +31,14 @@
 
 
 class CallFailed(NamedTuple):
-    """A call without an answer; `sent` is false only if nothing can have arrived."""
+    """A call without an answer; `sent` is false only if nothing can have arrived.
+
+    `refused` is true where the box answered that nobody listens at the address.
+    """
 
     reason: str
     sent: bool
+    refused: bool = False
 
 
 class Answer(NamedTuple):
@@ -339,7 +343,8 @@
         return CallFailed(f"no connection to {addr} in {timeout_s:g} s", False)
     except (OSError, ValueError) as exc:
         await sock.close()
-        return CallFailed(f"no connection to {addr}: {exc}", False)
+        refused = isinstance(exc, ConnectionRefusedError)
+        return CallFailed(f"no connection to {addr}: {exc}", False, refused)
     except curio.CancelledError:
         await sock.close()
         raise
