--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import os
 import secrets
 import time
 from typing import Final, NotRequired, TypedDict
@@ -26,12 +27,15 @@
 DEFAULT_CONFIDENCE: Final = 90
 DEFAULT_EVENTS: Final = 5
 SIGNATURE: Final = "signature"
+END_AFTER_S: Final = 0.05
+"""From the head of an answer to the end of the process, for a request that ends it."""
 
 
 class Behaviour(TypedDict):
     """How it answers from now on: events of a stream, after how many it breaks off, the
     confidence it tells (for all models, or by model), a status instead of an answer, a refusal,
-    silence, an answer lost after the run, or a time to work."""
+    silence, an answer lost after the run, a time to work and between events, or a body whose run
+    ends the process just after its head."""
 
     events: NotRequired[int]
     cut_after: NotRequired[int]
@@ -42,6 +46,8 @@
     hang: NotRequired[bool]
     lose: NotRequired[bool]
     work_ms: NotRequired[int]
+    event_ms: NotRequired[int]
+    ends_on: NotRequired[str]
 
 
 class RunLine(TypedDict):
@@ -174,13 +180,16 @@
     own = up.how.get("confidences", {}).get(model, up.how.get("confidence", DEFAULT_CONFIDENCE))
     confidence = (names.CONFIDENCE.decode(), str(own))
     await reply.start(200, "text/event-stream", (*head, confidence))
+    if up.how.get("ends_on") == req.body.decode("latin-1"):
+        await curio.sleep(END_AFTER_S)
+        os._exit(1)
     begin = int(heads.get(names.LAST_EVENT_ID, "0") or "0")
     for number in range(begin + 1, up.how.get("events", DEFAULT_EVENTS) + 1):
         if number > up.how.get("cut_after", number):
             await reply.write(b"id: %d\ndata: tor" % number)
             raise Gone
         await reply.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
-        await curio.sleep(up.cfg.get("event_ms", 10) / 1000)
+        await curio.sleep(up.how.get("event_ms", up.cfg.get("event_ms", 10)) / 1000)
     await reply.end()
 
 
