A request that ends upstreams is found by all gateways and run by none

Callers: under one request that came again and again, engines ended as fast as they came back; nine in ten of whole seconds were not served.

Cause: a try was all that was remembered. An answer that broke off was retried whatever broke it, a try's id was all that named a request, and no gateway told another what it had seen. Class: a retry whose cost falls on others, with no memory beyond the one who retries. Ruled out: engines that end of load or by themselves, since in all four tries of the record the end comes 0.04 to 0.12 s after that request's head and before any event, and since nothing ended in the pauses between its visits.

Where an upstream is found to have ended, each gateway tells the others which requests it had there and how far they had come (policy/fatal.py, gateway/fatal.py); three ends under a request that had just begun, by the word of all, make it certain. Then no gateway sends it, what still waits at an engine is withdrawn, callers get 502 fatal_request at once, without Retry-After since it would be refused again, and the store keeps it for gateways that start later (gateway/fatal_doc.py). Whoever was beside it counts as a weaker suspect, and as none once answered; all that is kept is bounded.

--- a/ramppost/errors.py
+++ b/ramppost/errors.py
@@ -117,6 +117,12 @@
     "upstream_failed": CodeDoc(
         502, "yes", "The upstream began the request and failed.", "Repeat if it may run twice."
     ),
+    "fatal_request": CodeDoc(
+        502,
+        "no",
+        "Upstreams have ended each time that they began to run this request, so it is not run any more. `ran` is `unknown` where one ended under this very try.",
+        "Don't repeat it; change the request, or mend the upstreams.",
+    ),
     "outcome_unknown": CodeDoc(
         502,
         "unknown",
--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -118,7 +118,8 @@
         return opened
     kept = False
     try:
-        head = await _head_in_time(gw, job, chosen, opened)
+        with gw.fatal.waiting(job.fingerprint, opened):
+            head = await _head_in_time(gw, job, chosen, opened)
         if isinstance(head, Broken):
             return head
         now = time.monotonic()
--- /dev/null
+++ b/ramppost/gateway/fatal.py
@@ -0,0 +1,166 @@
+"""Requests that end the upstreams that run them: found by all gateways, and run by none.
+
+Whoever had a request at an upstream that has ended tells the others in datagrams: all of them in
+a small fleet, in a larger one the first in rank.  Each judges by the same rules
+(`ramppost.policy.fatal`).  What is certain is told to everybody, and to those that start later, by
+one document in the store; until that is read, a gateway goes by its own judgement.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Final
+
+import curio
+from loguru import logger
+
+from ramppost.gateway.datagrams import Datagrams
+from ramppost.gateway.early import address
+from ramppost.gateway.links import Exchange
+from ramppost.gateway.metrics import Metrics
+from ramppost.policy.fatal import MOST_FATAL, Docket
+from ramppost.policy.relays import Peers
+from ramppost.schema.messages import (
+    FatalRequest,
+    HarmlessNote,
+    PeerDatagram,
+    RequestUnder,
+    UpstreamEnded,
+)
+
+GATHER_S: Final = 0.02
+"""What breaks off at one moment is told in one datagram."""
+TELL_AGAIN_S: Final = 0.3
+"""A datagram may be lost."""
+MOST_TOLD: Final = 100
+"""Requests in one datagram: 5 KB."""
+
+
+class FatalRequests:
+    """What this gateway knows of requests that end upstreams."""
+
+    def __init__(self, peers: Peers, datagrams: Datagrams, metrics: Metrics) -> None:
+        self._peers = peers
+        self._datagrams = datagrams
+        self._metrics = metrics
+        self.docket = Docket()
+        self.agreed: dict[str, FatalRequest] = {}
+        """What stands in the document, by fingerprint."""
+        self.unwritten: dict[str, FatalRequest] = {}
+        """What is certain here and not in the document yet."""
+        self.found = curio.Event()
+        """Set as something is added there."""
+        self._waiting: dict[str, set[Exchange]] = {}
+        """Requests that wait for the head of their answer."""
+        self._untold: dict[str, list[RequestUnder]] = {}
+        self._to_tell = curio.Event()
+
+    async def is_fatal(self, fingerprint: str) -> bool:
+        """Whether a request must not be run."""
+        now = time.monotonic()
+        if self.docket.is_harmless(fingerprint, now):
+            return False
+        if fingerprint in self.agreed:
+            return True
+        await self._judge(fingerprint, now)
+        return fingerprint in self.docket.fatal
+
+    async def ended(self, upstream: str, fingerprint: str, sign: int) -> None:
+        """An upstream has ended that had a request of this gateway."""
+        await self._note(upstream, fingerprint, sign)
+        self._untold.setdefault(upstream, []).append(
+            RequestUnder(fingerprint=fingerprint, sign=sign)
+        )
+        await self._to_tell.set()
+
+    def answered(self, fingerprint: str) -> None:
+        """A request was answered whole, so nothing ended of it."""
+        if self.docket.answered(fingerprint, time.monotonic()):
+            self._tell_all(PeerDatagram(harmless=HarmlessNote(fingerprint=fingerprint)))
+
+    @contextmanager
+    def waiting(self, fingerprint: str, exchange: Exchange) -> Iterator[None]:
+        """While inside, the exchange is cut where its request turns out to be fatal: one that
+        still waits at its upstream has not ended it yet."""
+        self._waiting.setdefault(fingerprint, set()).add(exchange)
+        try:
+            yield
+        finally:
+            waiting = self._waiting[fingerprint]
+            waiting.discard(exchange)
+            if not waiting:
+                del self._waiting[fingerprint]
+
+    # --- what others tell
+
+    async def take(self, msg: PeerDatagram) -> None:
+        """Take in what another gateway tells."""
+        if "ended" in msg:
+            for under in msg["ended"]["under"][:MOST_TOLD]:
+                await self._note(msg["ended"]["upstream"], under["fingerprint"], under["sign"])
+        if "harmless" in msg:
+            self.docket.answered(msg["harmless"]["fingerprint"], time.monotonic())
+
+    def release(self) -> None:
+        """All may run again, whatever was seen until now."""
+        self.docket = Docket()
+        self.agreed = {}
+        self.unwritten = {}
+
+    def agree(self, requests: list[FatalRequest]) -> None:
+        """These stand in the document, and no others."""
+        new = [one["fingerprint"] for one in requests if one["fingerprint"] not in self.agreed]
+        self.agreed = {one["fingerprint"]: one for one in requests[-MOST_FATAL:]}
+        for fingerprint in new:
+            logger.info("fatal request known", fingerprint=fingerprint)
+            self.unwritten.pop(fingerprint, None)
+            self._cut(fingerprint)
+
+    # --- telling
+
+    async def tell(self) -> None:
+        """Tell others what ended here, until cancelled."""
+        while True:
+            await self._to_tell.wait()
+            await curio.sleep(GATHER_S)
+            self._to_tell.clear()
+            untold, self._untold = self._untold, {}
+            self._tell_ends(untold)
+            await curio.sleep(TELL_AGAIN_S)
+            self._tell_ends(untold)
+
+    def _tell_ends(self, untold: dict[str, list[RequestUnder]]) -> None:
+        for upstream, under in untold.items():
+            strongest = sorted(under, key=lambda one: -one["sign"])[:MOST_TOLD]
+            self._tell_all(PeerDatagram(ended=UpstreamEnded(upstream=upstream, under=strongest)))
+
+    def _tell_all(self, msg: PeerDatagram) -> None:
+        for name in self._peers.judges(time.monotonic()):
+            self._datagrams.send(address(self._peers.addrs[name]), msg)
+
+    # --- judging
+
+    async def _note(self, upstream: str, fingerprint: str, sign: int) -> None:
+        now = time.monotonic()
+        self.docket.ended(upstream, fingerprint, sign, now)
+        await self._judge(fingerprint, now)
+
+    async def _judge(self, fingerprint: str, now: float) -> None:
+        """Find out whether a request is certain by now to end upstreams."""
+        known = fingerprint in self.docket.fatal
+        if known or not self.docket.is_fatal(fingerprint, now):
+            return
+        upstreams = list(self.docket.fatal[fingerprint])
+        self._metrics.count("ramppost_fatal_requests_found_total")
+        logger.warning("request held to be fatal", fingerprint=fingerprint, upstreams=upstreams)
+        self._cut(fingerprint)
+        if fingerprint not in self.agreed:
+            found = FatalRequest(fingerprint=fingerprint, at=int(time.time()), upstreams=upstreams)
+            self.unwritten[fingerprint] = found
+            await self.found.set()
+
+    def _cut(self, fingerprint: str) -> None:
+        for exchange in self._waiting.get(fingerprint, ()):
+            exchange.cut()
--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -14,6 +14,7 @@
 
 import curio
 import h11
+from loguru import logger
 
 from ramppost.gateway.model import Upstream
 from ramppost.platform.headers import AnswerHead, Headers, answer_head
@@ -202,6 +203,13 @@
             await self._sender.cancel(blocking=False)
         self._link.sock._socket.close()
 
+    def cut(self) -> None:
+        """End the connection under whoever reads from it, who finds it closed."""
+        try:
+            self._link.sock._socket.shutdown(socket.SHUT_RDWR)
+        except OSError as exc:
+            logger.debug("connection gone before it was cut: {!r}", exc)
+
     async def _send_beside(self, data: bytes) -> None:
         try:
             await self._link.sock.sendall(data)
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -17,6 +17,7 @@
 from ramppost.gateway.datagrams import Address, Take
 from ramppost.gateway.departures import RESTART_S, heard_leaving, tell_leaving
 from ramppost.gateway.early import address
+from ramppost.gateway.fatal_doc import keep_document
 from ramppost.gateway.inbound import BadRequest, Doorway, accept_callers
 from ramppost.gateway.joining import join
 from ramppost.gateway.loading import load_lacking
@@ -75,6 +76,8 @@
         gw.datagrams.listen, cfg["ip"], cfg["internal_port"], _datagrams(gw), daemon=True
     )
     await curio.spawn(load_lacking, gw, daemon=True)
+    await curio.spawn(gw.fatal.tell, daemon=True)
+    await curio.spawn(keep_document, gw, daemon=True)
     metrics = listen(cfg["ip"], cfg["metrics_port"])
     await curio.spawn(serve_http, metrics, _metrics(gw), daemon=True)
     doorway = Doorway(
@@ -152,6 +155,8 @@
     async def take(msg: PeerDatagram, addr: Address) -> None:
         if "leaving" in msg:
             heard_leaving(gw, msg["leaving"])
+        elif "ended" in msg or "harmless" in msg:
+            await gw.fatal.take(msg)
         else:
             await gw.backlogs.take(msg, addr)
 
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -13,7 +13,7 @@
 import curio
 from loguru import logger
 
-from ramppost.errors import Refusal, error_body, refusal
+from ramppost.errors import Ran, Refusal, error_body, refusal
 from ramppost.gateway.admit import admit, stale
 from ramppost.gateway.attempt import Refused, Running, attempt, release
 from ramppost.gateway.counts import Ended
@@ -27,6 +27,7 @@
 from ramppost.gateway.rollout_duty import judge_answer
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers, refusal_headers
+from ramppost.policy.fatal import sign_of
 from ramppost.policy.policydoc import READ_PRICE_PART
 from ramppost.wire.server import Gone
 
@@ -106,6 +107,8 @@
     failures = 0
     last = refusal("no_upstream", f"no upstream of {service} can be asked", NO_ROOM_RETRY_S)
     while True:
+        if await gw.fatal.is_fatal(job.fingerprint):
+            return _fatal(job)
         await look(gw, job, service, model)
         # After all that may take time: a process that was frozen finds its confirmation old here.
         now = time.monotonic()
@@ -133,7 +136,7 @@
             if failures >= MAX_CONNECT_FAILURES:
                 return _final(job, last)
         else:
-            await _after_cut(gw, job, chosen.upstream, got)
+            await _after_cut(gw, job, chosen.upstream, got, sign_of(None, 0))
             last = refusal("outcome_unknown", got.reason)
             if job.route.repeat == "never":
                 return last
@@ -189,7 +192,10 @@
         if engine is not None:
             _charge(job, running, (job.events - events_before) * engine.tokens_per_event)
     if isinstance(got, Broken):
-        gw.suspicion_of(running.chosen.upstream.key).note(True, time.monotonic())
+        now = time.monotonic()
+        gw.suspicion_of(running.chosen.upstream.key).note(True, now)
+        since_head_s = now - running.sent_at - running.first_s
+        events_there = job.events - events_before
         logger.info(
             "answer broke off: {}",
             got.reason,
@@ -197,24 +203,36 @@
             fingerprint=job.fingerprint,
             upstream=running.chosen.upstream.id,
             after_event=job.last_event_id,
-            events_there=job.events - events_before,
-            since_head_s=round(time.monotonic() - running.sent_at - running.first_s, 4),
+            events_there=events_there,
+            since_head_s=round(since_head_s, 4),
         )
-        await _after_cut(gw, job, running.chosen.upstream, got)
+        sign = sign_of(since_head_s, events_there)
+        await _after_cut(gw, job, running.chosen.upstream, got, sign)
         return got
+    gw.fatal.answered(job.fingerprint)
     judge_answer(gw, running, bad=running.head.status >= 500, passed=got)
     return None
 
 
-async def _after_cut(gw: Gateway, job: Job, upstream: Upstream, got: Broken) -> None:
-    """An upstream has broken off: find out whether it has ended."""
-    if got.cut and await gw.endings.has_ended(upstream):
-        logger.info(
-            "upstream ended under a request",
-            request=job.req.attempt_id,
-            fingerprint=job.fingerprint,
-            upstream=upstream.id,
-        )
+async def _after_cut(gw: Gateway, job: Job, upstream: Upstream, got: Broken, sign: int) -> None:
+    """An answer has broken off: where its upstream has ended, note that this request was there."""
+    if not got.cut or not await gw.endings.has_ended(upstream):
+        return
+    logger.info(
+        "upstream ended under a request",
+        request=job.req.attempt_id,
+        fingerprint=job.fingerprint,
+        upstream=upstream.id,
+        sign=sign,
+    )
+    await gw.fatal.ended(upstream.key, job.fingerprint, sign)
+
+
+def _fatal(job: Job) -> Refusal:
+    """The refusal of a request that ends upstreams.  There is no time to come back: it would be
+    refused again."""
+    ran: Ran = "unknown" if job.may_have_run else "no"
+    return refusal("fatal_request", "upstreams end when they begin to run it", ran=ran)
 
 
 def _time_is_up(job: Job) -> Refusal:
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -10,6 +10,7 @@
 from ramppost.gateway.counts import Counts
 from ramppost.gateway.datagrams import Datagrams
 from ramppost.gateway.endings import Endings
+from ramppost.gateway.fatal import FatalRequests
 from ramppost.gateway.follow import Followed, Lacking, News, Outage
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.inbound import Callers
@@ -85,6 +86,7 @@
         self.metrics = Metrics()
         self.datagrams = Datagrams(self.metrics)
         self.backlogs = Backlogs(cfg["name"], self.peers, self.rates, self.datagrams, self.metrics)
+        self.fatal = FatalRequests(self.peers, self.datagrams, self.metrics)
         self.counts = Counts()
         self.policies = Policies()
         self.leaving = False
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -8,6 +8,7 @@
 import curio
 from loguru import logger
 
+from ramppost.gateway.fatal_doc import FATAL_KIND, fatal_changed, fatal_listed
 from ramppost.gateway.follow import Followed, Follower, Handlers, follow
 from ramppost.gateway.model import RoutingTable, Upstream
 from ramppost.gateway.policies import POLICY_KIND
@@ -109,6 +110,12 @@
     await watch_kind(gw, names.ROLLOUT_KIND, rollouts, ROLLOUT_WAIT_S, 0.0)
     await watch_kind(gw, PROGRESS_KIND, progress, SLOW_WAIT_S, PATIENCE_S)
     await watch_kind(gw, POLICY_KIND, policies, SLOW_WAIT_S, PATIENCE_S)
+    fatal = Handlers(
+        lambda snapshot: fatal_listed(gw, snapshot),
+        lambda change: fatal_changed(gw, change),
+        _unused,
+    )
+    await watch_kind(gw, FATAL_KIND, fatal, SLOW_WAIT_S, PATIENCE_S)
     await curio.spawn(_sweep, gw, daemon=True)
 
 
--- /dev/null
+++ b/ramppost/policy/fatal.py
@@ -0,0 +1,170 @@
+"""Which request ends the upstreams that run it, and which were only beside it.
+
+Pure.  The load this answers: a request ends each upstream that begins to run it, comes again
+under other ids at any gateway, and takes some twenty others with it each time.  A retry of it
+ends the next upstream, so that a small fleet is gone within a second.
+
+For each end of an upstream it is noted which requests were there and how much speaks against
+each: one that had just begun is the first suspect, then one that has streamed for less than a
+second, then one that still waited.  One that has run on for longer has been begun without harm.
+Only the strongest suspects of an end count as suspects of it, by the word of all gateways that
+had requests there.  Three ends make it certain: a second may be chance, as upstreams end by
+themselves, too, often several at once.  Five do for one that was there and never the strongest,
+since an upstream may end before the head of its answer is out.  An end that is explained by a
+certain request counts against nobody else, and one that was ever answered whole is harmless.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Final
+
+ENDS_CERTAIN: Final = 3
+WEAK_ENDS_CERTAIN: Final = 5
+HARMLESS: Final = 0
+WAITED: Final = 1
+STREAMED: Final = 2
+JUST_BEGUN: Final = 3
+"""How much speaks against a request of an upstream that has ended."""
+LIVED_S: Final = 1.0
+"""An upstream that has run a request for so long does not end of having begun it."""
+SETTLE_S: Final = 0.5
+"""How long the word of others is awaited before a weak suspicion counts."""
+REMEMBERED_S: Final = 600.0
+"""How long ends and whole answers are remembered."""
+MOST_ENDS: Final = 256
+MOST_UNDER: Final = 256
+"""Requests that are noted for one end: several times what an upstream has at once."""
+MOST_HARMLESS: Final = 4096
+MOST_FATAL: Final = 256
+
+
+def sign_of(since_head_s: float | None, events: int) -> int:
+    """How much speaks against a request as its upstream ended; seconds since the head of its
+    answer, None where that had not come, and the events that came after it.
+
+    >>> sign_of(0.08, 0) == JUST_BEGUN, sign_of(None, 0) == WAITED, sign_of(7.0, 90) == HARMLESS
+    (True, True, True)
+    """
+    if since_head_s is None:
+        return WAITED
+    if since_head_s >= LIVED_S:
+        return HARMLESS
+    return STREAMED if events else JUST_BEGUN
+
+
+class _End:
+    """An upstream's end, and what was there by how much speaks against it."""
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.signs: dict[str, int] = {}
+        self.culprit = ""
+
+    def explained(self, fingerprint: str) -> bool:
+        """Whether another request is known to have caused it."""
+        return self.culprit not in ("", fingerprint)
+
+    def settled(self, now: float) -> bool:
+        """Whether the others that had requests there have told of them."""
+        return now - self.at >= SETTLE_S
+
+    def suspects(self, fingerprint: str, now: float) -> bool:
+        """Whether a request is among the strongest suspects."""
+        sign = self.signs[fingerprint]
+        counts = sign == JUST_BEGUN or self.settled(now)
+        return counts and sign == max(self.signs.values())
+
+
+class Docket:
+    """Ends of upstreams, and the requests that are certain to cause them; times in seconds.
+
+    >>> docket = Docket()
+    >>> for number in range(3):
+    ...     docket.ended(f"e{number}", "bad", JUST_BEGUN, 1.0 * number)
+    ...     docket.ended(f"e{number}", f"other{number}", WAITED, 1.0 * number)
+    >>> docket.is_fatal("bad", 2.0), docket.is_fatal("other2", 9.0)
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self.fatal: OrderedDict[str, tuple[str, ...]] = OrderedDict()
+        """Requests that are certain, and the upstreams that ended under each."""
+        self._ends: OrderedDict[str, _End] = OrderedDict()
+        self._under: dict[str, list[str]] = {}
+        """Upstreams that ended under each request that something speaks against."""
+        self._harmless: OrderedDict[str, float] = OrderedDict()
+
+    def ended(self, upstream: str, fingerprint: str, sign: int, now: float) -> None:
+        """An upstream's start is over, and it had this request."""
+        if sign <= HARMLESS or self.is_harmless(fingerprint, now):
+            return
+        self._forget_old(now)
+        end = self._ends.setdefault(upstream, _End(now))
+        if fingerprint not in end.signs:
+            if len(end.signs) >= MOST_UNDER:
+                return
+            self._under.setdefault(fingerprint, []).append(upstream)
+        end.signs[fingerprint] = max(sign, end.signs.get(fingerprint, HARMLESS))
+        while len(self._ends) > MOST_ENDS:
+            self._drop_oldest()
+
+    def answered(self, fingerprint: str, now: float) -> bool:
+        """A request was answered whole; whether anything spoke against it."""
+        self._harmless.pop(fingerprint, None)
+        self._harmless[fingerprint] = now
+        while len(self._harmless) > MOST_HARMLESS:
+            self._harmless.popitem(last=False)
+        self.fatal.pop(fingerprint, None)
+        under = self._under.pop(fingerprint, [])
+        for upstream in under:
+            self._ends[upstream].signs.pop(fingerprint, None)
+        return bool(under)
+
+    def is_harmless(self, fingerprint: str, now: float) -> bool:
+        """Whether a request was answered whole here, not too long ago."""
+        answered_at = self._harmless.get(fingerprint)
+        return answered_at is not None and now - answered_at < REMEMBERED_S
+
+    def is_fatal(self, fingerprint: str, now: float) -> bool:
+        """Whether it is certain that upstreams end under a request."""
+        if fingerprint in self.fatal:
+            return True
+        if fingerprint not in self._under:
+            return False
+        ends = self._ends_certain(fingerprint, now)
+        if not ends:
+            return False
+        self.fatal[fingerprint] = ends
+        while len(self.fatal) > MOST_FATAL:
+            self.fatal.popitem(last=False)
+        for upstream in ends:
+            self._ends[upstream].culprit = fingerprint
+        return True
+
+    def _ends_certain(self, fingerprint: str, now: float) -> tuple[str, ...]:
+        """The upstreams whose ends make it certain; empty where they do not."""
+        self._forget_old(now)
+        under = [
+            up for up in self._under.get(fingerprint, []) if not self._explained(up, fingerprint)
+        ]
+        strong = tuple(up for up in under if self._ends[up].suspects(fingerprint, now))
+        if len(strong) >= ENDS_CERTAIN:
+            return strong
+        settled = tuple(up for up in under if self._ends[up].settled(now))
+        return settled if len(settled) >= WEAK_ENDS_CERTAIN else ()
+
+    def _explained(self, upstream: str, fingerprint: str) -> bool:
+        return self._ends[upstream].explained(fingerprint)
+
+    def _forget_old(self, now: float) -> None:
+        while self._ends and now - next(iter(self._ends.values())).at >= REMEMBERED_S:
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        upstream, end = self._ends.popitem(last=False)
+        for fingerprint in end.signs:
+            under = self._under[fingerprint]
+            under.remove(upstream)
+            if not under:
+                del self._under[fingerprint]
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -33,6 +33,8 @@
 WIDE_MBPS: Final = 100.0
 """A link that carries the largest object that the store takes, a megabyte, in 0.1 s.  From here
 on the hash decides, so that the widest links don't get all the work."""
+JUDGES: Final = 2
+"""One may die, or be cut off, with what it was told."""
 DEAD_S: Final = 5.0
 """How long a gateway that did not answer is passed over."""
 REFUSED_S: Final = 1.0
@@ -174,6 +176,17 @@
         own = self.halls[self.own]
         return [name for name in self.addrs if self._is_flat() or self.halls[name] == own]
 
+    def judges(self, now: float) -> list[str]:
+        """Others that are told what is to be judged by the word of all: everybody in a small fleet,
+        the first in rank of a larger one.
+
+        >>> peers = Peers("a")
+        >>> [peers.put(name, "10.0.0.1:7340") for name in "bc"], sorted(peers.judges(0.0))
+        ([True, True], ['b', 'c'])
+        """
+        others = self.alive(now)
+        return others if self._is_flat() else others[:JUDGES]
+
     def relays(self, now: float) -> list[str]:
         """The relays by what is known here; the own name may be among them.
 
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -156,6 +156,71 @@
     """
 
 
+class RequestUnder(TypedDict, closed=True):
+    """
+    A request that an upstream had as it ended.
+    """
+
+    fingerprint: str
+    """
+    What it has in common with its other tries.
+    """
+    sign: int
+    """
+    How much speaks against it, from 1 (it waited) to 3 (it had just begun).
+    """
+
+
+class UpstreamEnded(TypedDict, closed=True):
+    """
+    Gateway to others: an upstream has ended, and these were my requests there.
+    """
+
+    upstream: str
+    """
+    The start of the upstream that is over.
+    """
+    under: list[RequestUnder]
+
+
+class HarmlessNote(TypedDict, closed=True):
+    """
+    Gateway to others: a request under which upstreams have ended was answered whole.
+    """
+
+    fingerprint: str
+    """
+    What it has in common with its other tries.
+    """
+
+
+class FatalRequest(TypedDict, closed=True):
+    """
+    A request that is not run any more, since upstreams end under it.
+    """
+
+    fingerprint: str
+    """
+    What it has in common with its other tries.
+    """
+    at: int
+    """
+    When that became certain, seconds since 1970.
+    """
+    upstreams: list[str]
+    """
+    The starts that ended under it.
+    """
+
+
+class FatalDoc(TypedDict, closed=True):
+    """
+    Object `fatal-requests/main`: what gateways have agreed not to run.
+    """
+
+    requests: list[FatalRequest]
+
+
 class LeavingNote(TypedDict, closed=True):
     """
     Gateway to all others: I am stopping as planned.
@@ -715,6 +780,8 @@
     sent: NotRequired[BacklogSent]
     over: NotRequired[BacklogOver]
     leaving: NotRequired[LeavingNote]
+    ended: NotRequired[UpstreamEnded]
+    harmless: NotRequired[HarmlessNote]
 
 
 class Frame(TypedDict, closed=True):
--- /dev/null
+++ b/tests/test_fatal_policy.py
@@ -0,0 +1,192 @@
+"""Who is held to end upstreams, by the word of all gateways, where many requests are beside it."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+import pytest
+
+from ramppost.policy.fatal import (
+    ENDS_CERTAIN,
+    HARMLESS,
+    JUST_BEGUN,
+    LIVED_S,
+    MOST_ENDS,
+    MOST_FATAL,
+    MOST_HARMLESS,
+    MOST_UNDER,
+    REMEMBERED_S,
+    SETTLE_S,
+    STREAMED,
+    WAITED,
+    WEAK_ENDS_CERTAIN,
+    Docket,
+    sign_of,
+)
+from ramppost.policy.relays import FLAT_UP_TO, JUDGES, Peers
+
+
+LOST = 0.01
+
+
+class Case(NamedTuple):
+    """What speaks against a request at each end, beside a stronger suspect or not."""
+
+    what: str
+    signs: list[int]
+    beside: list[int]
+    fatal: bool
+
+
+CASES = [
+    Case("twice may be chance", [JUST_BEGUN] * 2, [], False),
+    Case("three times just begun", [JUST_BEGUN] * ENDS_CERTAIN, [], True),
+    Case("three times all waited", [WAITED] * ENDS_CERTAIN, [WAITED], True),
+    Case("three times one had just begun", [WAITED] * ENDS_CERTAIN, [JUST_BEGUN], False),
+    Case("streamed beside one just begun", [STREAMED] * ENDS_CERTAIN, [JUST_BEGUN], False),
+    Case("its head never comes out", [WAITED] * WEAK_ENDS_CERTAIN, [STREAMED], True),
+    Case("it runs on each time", [HARMLESS] * 9, [], False),
+]
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.what)
+def test_what_makes_it_certain(case: Case) -> None:
+    docket = Docket()
+    for number, sign in enumerate(case.signs):
+        docket.ended(f"e{number}", "it", sign, float(number))
+        for beside in case.beside:
+            docket.ended(f"e{number}", f"other-{number}", beside, float(number))
+    assert docket.is_fatal("it", len(case.signs) + SETTLE_S) == case.fatal
+
+
+def test_one_end_told_by_several_counts_once() -> None:
+    docket = Docket()
+    for _ in range(9):
+        docket.ended("e", "it", JUST_BEGUN, 0.0)
+    assert not docket.is_fatal("it", 1.0)
+
+
+def test_a_weak_suspicion_awaits_the_word_of_others() -> None:
+    docket = Docket()
+    for number in range(ENDS_CERTAIN):
+        docket.ended(f"e{number}", "beside", STREAMED, 0.0)
+    assert not docket.is_fatal("beside", 0.1)
+    for number in range(ENDS_CERTAIN):
+        docket.ended(f"e{number}", "it", JUST_BEGUN, 0.2)
+    assert docket.is_fatal("it", 0.2)
+    assert not docket.is_fatal("beside", SETTLE_S)
+
+
+def test_an_end_that_is_explained_counts_against_nobody_else() -> None:
+    docket = Docket()
+    for number in range(ENDS_CERTAIN):
+        docket.ended(f"e{number}", "it", JUST_BEGUN, 0.0)
+    assert docket.is_fatal("it", 0.0)
+    for number in range(ENDS_CERTAIN):
+        docket.ended(f"e{number}", "twin", JUST_BEGUN, 0.1)
+    assert not docket.is_fatal("twin", SETTLE_S)
+
+
+def test_whoever_is_answered_is_harmless() -> None:
+    """A page that many ask for is in flight at every end, and answered all the time."""
+    docket = Docket()
+    for number in range(20):
+        docket.ended(f"e{number}", "page", JUST_BEGUN, float(number))
+        docket.ended(f"f{number}", "page", JUST_BEGUN, float(number))
+        docket.answered("page", number + 0.5)
+    assert not docket.is_fatal("page", 20.0)
+    assert docket.is_harmless("page", 20.0)
+    assert not docket.is_harmless("page", 20.0 + REMEMBERED_S)
+
+
+def test_what_is_kept_is_bounded() -> None:
+    docket = Docket()
+    for number in range(3 * MOST_ENDS):
+        for under in range(MOST_UNDER + 5):
+            docket.ended(f"e{number}", f"r{under}-{number % 7}", WAITED, 0.0)
+        docket.ended(f"e{number}", f"bad{number // ENDS_CERTAIN}", JUST_BEGUN, 0.0)
+    for number in range(2 * MOST_FATAL):
+        for end in range(ENDS_CERTAIN):
+            docket.ended(f"x{number}-{end}", f"bad{number}", JUST_BEGUN, 1.0)
+        assert docket.is_fatal(f"bad{number}", 1.0)
+    for number in range(2 * MOST_HARMLESS):
+        docket.answered(f"fine{number}", 1.0)
+    assert len(docket.fatal) <= MOST_FATAL
+    assert len(docket._ends) <= MOST_ENDS
+    assert len(docket._harmless) <= MOST_HARMLESS
+    assert sum(len(under) for under in docket._under.values()) <= MOST_ENDS * MOST_UNDER
+    docket.ended("late", "r", WAITED, 2 * REMEMBERED_S)
+    assert len(docket._ends) == 1
+
+
+def test_how_far_it_had_come_decides() -> None:
+    assert sign_of(0.1, 0) == JUST_BEGUN
+    assert sign_of(0.1, 3) == STREAMED
+    assert sign_of(LIVED_S, 0) == HARMLESS
+    assert sign_of(None, 0) == WAITED
+
+
+class Storm:
+    """Engines that end one after the other under one request, with others beside it.
+
+    Callers of a fleet of gateways have streams and waiting prompts at each engine.  What breaks
+    off is taken up at the next engine, and may be there as that ends, too.
+    """
+
+    def __init__(self, gateways: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.dockets = [Docket() for _ in range(gateways)]
+        self.judges = range(gateways) if gateways <= FLAT_UP_TO else range(JUDGES)
+        self.beside: list[str] = []
+        self.ends = 0
+
+    def end(self, now: float) -> None:
+        """An engine ends under the request, and each gateway tells of what it had there."""
+        self.ends += 1
+        self.tell("bad", JUST_BEGUN, now)
+        # Two of three that were beside it are there again, taken up or sent again.
+        again = [name for name in self.beside if self.rng.random() < 2 / 3]
+        fresh = [f"other-{self.ends}-{number}" for number in range(20)]
+        self.beside = again + fresh
+        for name in self.beside:
+            began = self.rng.random() < 0.6
+            since_head_s = self.rng.expovariate(1 / 2.0) if began else None
+            events = 0 if began and (since_head_s or 0.0) < 0.06 else 5
+            self.tell(name, sign_of(since_head_s, events), now)
+
+    def tell(self, name: str, sign: int, now: float) -> None:
+        own = self.rng.randrange(len(self.dockets))
+        for number in {own, *self.judges}:
+            # Datagrams are sent twice, and one in a hundred is lost.
+            if number == own or self.rng.random() > LOST**2:
+                self.dockets[number].ended(f"e{self.ends}", name, sign, now)
+
+    def held(self, now: float) -> set[str]:
+        """What any of those who judge holds to be fatal."""
+        found = set()
+        for number in self.judges:
+            docket = self.dockets[number]
+            found |= {name for name in list(docket._under) if docket.is_fatal(name, now)}
+        return found
+
+
+@pytest.mark.parametrize("gateways", [4, 23, 68])
+def test_a_storm_holds_the_one_request_and_nobody_beside_it(gateways: int) -> None:
+    """Fifty storms: the third end makes it certain, and of 3,000 others none is held."""
+    for seed in range(50):
+        storm = Storm(gateways, seed)
+        for number in range(ENDS_CERTAIN):
+            storm.end(0.2 * number)
+        assert storm.held(0.2 * ENDS_CERTAIN) == {"bad"}, seed
+        assert storm.held(0.2 * ENDS_CERTAIN + SETTLE_S) == {"bad"}, seed
+
+
+def test_a_large_fleet_tells_few() -> None:
+    peers = Peers("g0", 100.0, "bole")
+    for number in range(1, 410):
+        peers.put(f"g{number}", f"10.0.0.1:{number}", "bole", 100.0)
+    assert len(peers.judges(0.0)) == JUDGES
+    first = peers.judges(0.0)[0]
+    peers.heard(first, False, 0.0)
+    assert first not in peers.judges(0.1)
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -1,11 +1,12 @@
 """Requests under which upstreams end, over real processes.
 
-Callers saw whole seconds in which nine in ten were not served.  A request ended each engine that began to
-run it; engines are back after some seconds.  It was tried again like any other, three engines a try, and
-came again with another id at any gateway, which knew nothing of what the others had seen: 18 and 26
-engines ended under two such requests, each with the answers of some twenty others.  Four tries of the
-record read alike, two or three engines each: `status 200`, and 0.04 to 0.12 s later `answer broke off`,
-with no event passed on, while what broke off beside them had passed some.
+Callers saw whole seconds in which nine in ten were not served.  A request ended each engine that
+began to run it; engines are back after some seconds.  It was tried again like any other, three
+engines a try, and came again with another id at any gateway, which knew nothing of what the
+others had seen: 18 and 26 engines ended under two such requests, each with the answers of some
+twenty others.  Four tries of the record read alike, two or three engines each: `status 200`, and
+0.04 to 0.12 s later `answer broke off`, with no event passed on, while what broke off beside them
+had passed some.
 """
 
 from __future__ import annotations
