Test: ends of upstreams at the cost of those who ran beside (fails)

From the record of the incident: 58 streams broken off after three attempts, each cut by an engine's end, and 156 requests refused after connections that dead engines had refused.

--- /dev/null
+++ b/tests/test_ended_upstreams.py
@@ -0,0 +1,103 @@
+"""Requests whose upstreams end under them, through no fault of theirs.
+
+In the seconds in which six engines ended and came back, 58 streams of others were broken off for
+good with `no upstream can be asked` after three attempts, each cut by an engine that had ended,
+and 156 requests were refused after four connections that dead engines had refused: an engine's
+entry stays for a second and more after its end.  An attempt that an upstream's end has cut says
+nothing of the request, and an upstream that is known to have ended can't take another.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.harness.gateways import MODELS, STREAM, Deployment, Given, config, route
+
+GATEWAY = "gateway-1"
+ENGINES = ("lm-1", "lm-2", "lm-3", "lm-4", "lm-5")
+LONG = "/stream/x/"
+"""A route of its own for streams that take longer than those of the others may."""
+EVENTS = 30
+EVENT_MS = 200
+LIVES_S = 1.2
+"""What an engine may run the stream before it ends: too long to have ended of its beginning."""
+
+
+@pytest.fixture(params=[len(ENGINES)])
+def site(tmp_path: Path, request: pytest.FixtureRequest) -> Iterator[Deployment]:
+    found = Deployment(tmp_path, gateways=1, engines=request.param, services=1)
+    long = {"sizes": MODELS, "stream_resume": True, "timeout_ms": 20000}
+    found.configure(config(2, routes=[route("long", LONG, "streaming", "lm", **long)]))
+    yield found
+    found.stop()
+
+
+def running(site: Deployment, attempt: str, engines: set[str]) -> str:
+    """The engine of these that runs a request; empty where none does."""
+    for name in engines:
+        runs = [run for run in site.runs(name) if run["attempt_id"] == attempt]
+        if any(run["state"] == "running" for run in runs):
+            return name
+    return ""
+
+
+def end_engine_of(site: Deployment, attempt: str, left: set[str]) -> None:
+    """Kill the engine that runs a request, once it has run it for a while."""
+    site.until(lambda: running(site, attempt, left), 5.0, "a run")
+    time.sleep(LIVES_S)
+    name = running(site, attempt, left)
+    site.procs[name].kill()
+    site.wait_end(name)
+    left.discard(name)
+
+
+def test_ends_of_engines_do_not_use_up_a_request_s_attempts(site: Deployment) -> None:
+    """Its route allows three attempts, and three engines end under it."""
+    for name in ENGINES:
+        site.behave(name, events=EVENTS, event_ms=EVENT_MS)
+    attempt = "0123456789abcdef"
+    given: list[Given] = []
+
+    def call() -> None:
+        given.append(site.call(GATEWAY, STREAM, attempt=attempt, deadline_ms=20000))
+
+    caller = threading.Thread(target=call)
+    caller.start()
+    left = set(ENGINES)
+    for _ in range(3):
+        end_engine_of(site, attempt, left)
+    caller.join()
+    assert given[0].status == 200
+    assert given[0].events == list(range(1, EVENTS + 1))
+
+
+@pytest.mark.parametrize("site", [2], indirect=True)
+def test_an_engine_that_has_ended_is_not_asked_again(site: Deployment) -> None:
+    """Its entry stays, as it does for a while after a crash, and the other has no room."""
+    left = set(ENGINES[:2])
+    for name in left:
+        site.behave(name, events=EVENTS, event_ms=EVENT_MS)
+    attempt = "fedcba9876543210"
+    caller = threading.Thread(
+        target=lambda: site.call(GATEWAY, STREAM, attempt=attempt, deadline_ms=20000)
+    )
+    caller.start()
+    end_engine_of(site, attempt, left)
+    for name in left:
+        site.behave(name, refuse=True)
+    for _ in range(5):
+        got = site.call(GATEWAY, STREAM)
+        assert got.status == 503
+        assert float(got.headers["retry-after"]) > 0
+    caller.join()
+    refused = [
+        line
+        for line in site.lines(GATEWAY)
+        if line["message"].startswith("attempt") and "no connection" in line["message"]
+    ]
+    assert refused == []
--- a/tests/test_fatal_policy.py
+++ b/tests/test_fatal_policy.py
@@ -26,7 +26,6 @@
 )
 from ramppost.policy.relays import FLAT_UP_TO, JUDGES, Peers
 
-
 LOST = 0.01
 
 
