Ends of upstreams: not an attempt of those beside, and not asked again

Callers beside a request that ended engines were broken off after three attempts, each cut by an engine's end (58 in the record), or refused after four connections that dead engines had refused (156), in seconds in which others could have served them.

Cause: an attempt counted the same whatever ended it, and an upstream was used by its entry, which stays for a second and more after its end. Ruled out: the retry budget (these lines say no upstream, and attempts 3).

Change: an attempt that ended with its upstream does not count against the route's (a request that causes the ends is stopped by itself, and the fleet's retry budget bounds all), and an upstream that was found to have ended, here or by the word of another gateway, is not used for 4 s or until it has started again. tests/test_ended_upstreams.py failed before.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -157,7 +157,7 @@
     gw: Gateway, job: Job, chosen: Chosen, exchange: Exchange
 ) -> AnswerHead | Broken:
     """The head; Broken for an upstream that stays silent where another may be asked."""
-    if job.route.repeat == "never" or job.attempts >= job.route.attempts:
+    if job.route.repeat == "never" or job.tries >= job.route.attempts:
         return await exchange.head()
     part_s = PATIENCE_OF_OBJECTIVE * job.route.objective_s
     patience_s = max(LEAST_PATIENCE_S, part_s) + PATIENCE_OF_PREDICTED * chosen.first_s
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -32,6 +32,8 @@
         self.deadline = read_at + min(req.deadline_s, admitted.route.timeout_s)
         self.attempts = 0
         """Upstreams that it was sent to, those that refused it among them."""
+        self.ended = 0
+        """Those of them that ended while they had it."""
         self.may_have_run = False
         """Whether an upstream got it and did not say that it had not run it."""
         self.tried: set[str] = set()
@@ -52,6 +54,12 @@
         self.last_event_id = ""
         """Of the last event passed on, as the upstream gave it."""
 
+    @property
+    def tries(self) -> int:
+        """Attempts that count against the route's: an upstream's end says nothing of a request
+        that ran beside others, and one that ends upstreams is stopped by itself."""
+        return self.attempts - self.ended
+
     def left_s(self, now: float) -> float:
         """Seconds until it has to be answered."""
         return self.deadline - now
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -156,6 +156,8 @@
         if "leaving" in msg:
             heard_leaving(gw, msg["leaving"])
         elif "ended" in msg or "harmless" in msg:
+            if "ended" in msg:
+                gw.members.ended(msg["ended"]["upstream"], time.monotonic())
             await gw.fatal.take(msg)
         else:
             await gw.backlogs.take(msg, addr)
--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -5,6 +5,9 @@
 when it happens.  So an upstream whose entry is gone is used only where its service has
 no other, and dropped after a grace if the entry has not come back.
 
+The entry of an upstream that has ended stays for some seconds.  Where that is found out otherwise,
+it is not used at all meanwhile, since its box refuses every connection.
+
 An upstream may start again under its id.  Then it is another one: `take_gone` gives the start
 that is over, so that nothing known of it is held against the new one.
 """
@@ -20,11 +23,17 @@
 removed for good must get nothing after 2 s: the margin is for the way to it."""
 
 
+ENDED_S: Final = 4.0
+"""The entry of one that has ended goes after three of its heartbeats, 3.6 s at the most so far."""
+
+
 class Member(NamedTuple):
-    """An upstream, and when it is dropped if its entry stays away (steady clock)."""
+    """An upstream, when it is dropped if its entry stays away, and until when it is not used since
+    it was found to have ended (steady clock)."""
 
     upstream: Upstream
     drop_at: float | None
+    ended_until: float = float("-inf")
 
 
 class Members:
@@ -39,9 +48,12 @@
     def put(self, upstream: Upstream) -> bool:
         """An entry was written; true if it is new or differs from what was known."""
         known = self._members.get(upstream.id)
-        if known is not None and known.upstream.key != upstream.key:
+        ended_until = float("-inf")
+        if known is not None and known.upstream.key == upstream.key:
+            ended_until = known.ended_until
+        elif known is not None:
             self._gone.append(known.upstream)
-        self._set(Member(upstream, None))
+        self._set(Member(upstream, None, ended_until))
         return known is None or known.upstream != upstream or known.drop_at is not None
 
     def remove(self, upstream_id: str, now: float) -> bool:
@@ -52,9 +64,15 @@
         if known.upstream.leaving:
             self.drop(upstream_id)
         elif known.drop_at is None:
-            self._set(Member(known.upstream, now + LAPSE_GRACE_S))
+            self._set(known._replace(drop_at=now + LAPSE_GRACE_S))
         return True
 
+    def ended(self, upstream_key: str, now: float) -> None:
+        """The start of an upstream was found to be over, whatever its entry says."""
+        for member in list(self._members.values()):
+            if member.upstream.key == upstream_key:
+                self._set(member._replace(ended_until=now + ENDED_S))
+
     def drop(self, upstream_id: str) -> bool:
         """An upstream must not be used any more.  True if it was known."""
         known = self._members.pop(upstream_id, None)
@@ -78,7 +96,10 @@
             self.put(upstream)
 
     def sweep(self, now: float) -> list[Upstream]:
-        """Drop those whose grace has passed; gives them."""
+        """Drop those whose grace has passed; gives them.  Any that were found to have ended and are
+        listed still are used again in time."""
+        if any(0.0 < m.ended_until <= now for m in self._members.values()):
+            self._use_again(now)
         gone = [m.upstream for m in self._members.values() if m.drop_at and m.drop_at <= now]
         for upstream in gone:
             self.drop(upstream.id)
@@ -93,21 +114,28 @@
         listed = self._listed.get(service)
         if listed is None:
             listed = self._listed[service] = [
-                m.upstream for m in self._working(service) if m.drop_at is None
+                m.upstream for m in self._working(service, now) if m.drop_at is None
             ]
         if listed:
             return listed
-        return [
-            m.upstream for m in self._working(service) if m.drop_at is not None and now < m.drop_at
-        ]
+        working = self._working(service, now)
+        return [m.upstream for m in working if m.drop_at is not None and now < m.drop_at]
 
-    def _working(self, service: str) -> list[Member]:
+    def _working(self, service: str, now: float) -> list[Member]:
         return [
             member
             for member in self._members.values()
-            if member.upstream.service == service and not member.upstream.leaving
+            if member.upstream.service == service
+            and not member.upstream.leaving
+            and member.ended_until <= now
         ]
 
+    def _use_again(self, now: float) -> None:
+        for name, member in self._members.items():
+            if member.ended_until <= now:
+                self._members[name] = member._replace(ended_until=float("-inf"))
+        self._listed.clear()
+
     def _set(self, member: Member) -> None:
         self._members[member.upstream.id] = member
         self._listed.clear()
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -146,7 +146,7 @@
     """Whether one more upstream may be asked, by the route's attempts and the budget."""
     if job.attempts == 0:
         return True
-    if job.attempts >= job.route.attempts:
+    if job.tries >= job.route.attempts:
         return False
     return gw.budget_of(service).take(time.monotonic())
 
@@ -160,7 +160,7 @@
     judge_answer(gw, got, bad=got.head.status >= 500)
     if reply.started:
         return True
-    if job.route.repeat == "never" or job.attempts >= job.route.attempts:
+    if job.route.repeat == "never" or job.tries >= job.route.attempts:
         return False
     now = time.monotonic()
     enough = gw.budget_of(service).left(now) >= 1
@@ -225,6 +225,8 @@
         upstream=upstream.id,
         sign=sign,
     )
+    job.ended += 1
+    gw.members.ended(upstream.key, time.monotonic())
     await gw.fatal.ended(upstream.key, job.fingerprint, sign)
 
 
