--- /dev/null
+++ b/tests/test_suspended.py
@@ -0,0 +1,102 @@
+"""A gateway whose box was suspended for some seconds.
+
+The steady clock does not count the time for which a box is suspended.  A gateway that woke after
+ten seconds took its confirmation for as young as before, and let a key in that had been taken away
+meanwhile; it told other gateways the same age, which dated their confirmations by it, and gave
+upstreams time for requests whose callers had gone.  Ages and deadlines are taken from a clock that
+counts that time.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import curio
+import pytest
+
+import ramppost
+from ramppost.errors import Refusal
+from ramppost.gateway.admit import Admitted
+from ramppost.gateway.feed import _answer
+from ramppost.gateway.follow import Handlers
+from ramppost.gateway.state import Gateway
+from ramppost.gateway.watchers import watch_kind
+from ramppost.platform import names
+from ramppost.platform.store import Snapshot
+from ramppost.schema.messages import FeedMark, FeedQuery
+from tests.harness.gateways import KEYS, OPEN, SAFE
+from tests.test_gateway_state import SETTINGS, ask, take
+
+SUSPENDED_S = 10.0
+Suspend = Callable[[], None]
+
+
+@pytest.fixture
+def suspend(monkeypatch: pytest.MonkeyPatch) -> Suspend:
+    """Lets the box be suspended: the steady clock stands, the others go on."""
+    steady, gettime = time.monotonic(), time.clock_gettime
+    away = {time.CLOCK_BOOTTIME: 0.0, time.CLOCK_REALTIME: 0.0}
+    monkeypatch.setattr(time, "monotonic", lambda: steady)
+    monkeypatch.setattr(time, "clock_gettime", lambda which: gettime(which) + away.get(which, 0.0))
+
+    def begin_and_end() -> None:
+        for which in away:
+            away[which] += SUSPENDED_S
+
+    return begin_and_end
+
+
+@pytest.fixture
+def gw(suspend: Suspend) -> Gateway:
+    """A gateway with a configuration that was confirmed just now."""
+    found = Gateway(SETTINGS)
+    take(found, 5, 1)
+    return found
+
+
+async def know_all(gw: Gateway) -> None:
+    """The gateway has read all that it has to know at once."""
+    for kind in (names.CONFIG_KIND, names.UPSTREAM_KIND):
+        followed = gw.followed[kind]
+        await followed.listed(Snapshot([], 5), time.monotonic())
+
+
+def test_a_key_is_not_let_in_by_a_confirmation_from_before(gw: Gateway, suspend: Suspend) -> None:
+    gw.members_listed = True
+    gw.fresh.confirm(time.monotonic())
+    assert isinstance(ask(gw, SAFE), Admitted)
+    assert gw.ready
+    suspend()
+    got = ask(gw, SAFE)
+    assert isinstance(got, Refusal) and got.code == "not_ready"
+    unknown = ask(gw, SAFE, "unknown")
+    assert isinstance(unknown, Refusal) and unknown.code == "not_ready"
+    assert isinstance(ask(gw, OPEN, KEYS["toll"]), Refusal)
+    assert not gw.ready
+
+
+def test_the_age_told_to_others_counts_the_time(gw: Gateway, suspend: Suspend) -> None:
+    async def scene() -> float:
+        unused = Handlers(lambda snapshot: None, lambda change: None, lambda at: None)
+        for kind in (names.CONFIG_KIND, names.UPSTREAM_KIND):
+            await watch_kind(gw, kind, unused, 1.0, 1e6, urgent=True)
+        await know_all(gw)
+        suspend()
+        marks = [FeedMark(kind=names.CONFIG_KIND, revision=0, age_ms=-1)]
+        msg = await _answer(gw, FeedQuery(wait_ms=0, kinds=marks))
+        return msg["kinds"][0]["age_ms"] / 1000
+
+    assert curio.run(scene) >= SUSPENDED_S
+
+
+def test_no_age_is_taken_from_a_clock_that_stands() -> None:
+    """All of the product reads one clock, so that times of different modules can be compared."""
+    root = Path(ramppost.__file__).parent
+    reading = [
+        str(path.relative_to(root))
+        for path in root.rglob("*.py")
+        if "monotonic" in path.read_text(encoding="utf-8").lower()
+    ]
+    assert reading == ["clock.py"]
