--- a/bench/backlogs.py
+++ b/bench/backlogs.py
@@ -14,6 +14,7 @@
 
 import curio
 
+from ramppost import clock
 from ramppost.gateway.backlogs import Backlogs, Question
 from ramppost.gateway.datagrams import Datagrams
 from ramppost.gateway.metrics import Metrics
@@ -50,7 +51,7 @@
     _print("question and answer", began, _question_bytes())
     began = time.process_time()
     for number in range(TIMES):
-        reading = Reading(time.monotonic(), 0.4, 1, QUESTION.model, PARTS)
+        reading = Reading(clock.now(), 0.4, 1, QUESTION.model, PARTS)
         sides["asker"].sent(ENGINES[0], f"9c41d07b-{number}", reading)
         sides["asker"].over(ENGINES[0], f"9c41d07b-{number}", began=True)
         await curio.sleep(0)
--- a/bench/choosing.py
+++ b/bench/choosing.py
@@ -13,6 +13,7 @@
 import time
 from typing import Final
 
+from ramppost import clock
 from ramppost.gateway.admit import Admitted
 from ramppost.gateway.job import Job
 from ramppost.gateway.model import Prompt, Route, Upstream
@@ -56,7 +57,7 @@
     req = req._replace(prompt=Prompt(parts, 11300, 400), deadline_s=20.0)
     assert gw.table is not None
     route: Route = next(r for r in gw.table.routes[SITE] if r.prefix == STREAM)
-    return Job(req, Admitted(route, None), time.monotonic())
+    return Job(req, Admitted(route, None), clock.now())
 
 
 def micros(engines: int, gateways: int) -> float:
@@ -67,7 +68,7 @@
         jobs = [job_of(gw, rng) for _ in range(REQUESTS)]
         began = time.process_time()
         for job in jobs:
-            now = time.monotonic()
+            now = clock.now()
             for engine in asked_about(gw, job, "lm", MODEL, now):
                 gw.backlogs.keeper(engine, now)
             pick(gw, job, "lm", MODEL, now)
--- a/bench/live.py
+++ b/bench/live.py
@@ -10,11 +10,11 @@
 import copy
 import multiprocessing
 import tempfile
-import time
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from bench.openloop import Flow, Result, percentile, send_all
+from ramppost import clock
 from ramppost.standin.fleet import TOLL_CLASSES, FleetPlan, StandinModel
 from tests.harness.cluster import Cluster
 from tests.harness.operator import change_and_note
@@ -174,7 +174,7 @@
             wish |= {} if guards else {"max_error_share": 1.0, "max_rating_drop": 0.0}
             flow = Flow("agent_reply", CAPACITY * 0.4, 4, TOKENS)
             send(cluster, [flow], seed)
-            assert change_and_note(cluster, time.monotonic() + 10, kind="rollout", **wish)
+            assert change_and_note(cluster, clock.now() + 10, kind="rollout", **wish)
             send(cluster, [flow._replace(seconds=seconds)], seed + 1)
             wait_runs_over(cluster)
             seen = [line["at"] for line in runs(cluster) if line["version"] == "v2"]
--- a/bench/openloop.py
+++ b/bench/openloop.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import random
-import time
 from typing import NamedTuple
 
 import curio
 import msgspec
 
+from ramppost import clock
 from ramppost.wire.client import CallFailed, Pool, open_stream
 
 TIMEOUT_S = 30.0
@@ -55,14 +55,14 @@
 async def _flow(
     pool: Pool, addrs: list[str], flow: Flow, rng: random.Random, results: list[Result]
 ) -> None:
-    due = time.monotonic()
+    due = clock.now()
     end = due + flow.seconds
     async with curio.TaskGroup() as group:
         while True:
             due += rng.expovariate(flow.rate)
             if due > end:
                 return
-            await curio.sleep(max(0.0, due - time.monotonic()))
+            await curio.sleep(max(0.0, due - clock.now()))
             await group.spawn(_one, pool, rng.choice(addrs), flow, rng.random(), due, results)
 
 
@@ -91,14 +91,14 @@
     try:
         while line := await got.read_line():
             if line.startswith(b"data: ") and not first_s:
-                first_s = time.monotonic() - due
+                first_s = clock.now() - due
             ended = ended or line == b"data: [DONE]"
     except OSError:
         ended = False
     await got.close()
     status = got.status if ended or got.status != 200 else 0
     model = got.headers.get("ramppost-model", "")
-    results.append(Result(flow.class_name, status, first_s, time.monotonic() - due, model))
+    results.append(Result(flow.class_name, status, first_s, clock.now() - due, model))
 
 
 def percentile(values: list[float], share: float) -> float:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,6 +21,7 @@
 import httpx
 from loguru import logger
 
+from ramppost import clock
 from ramppost.confsync import ConfState
 from ramppost.policy.choice import Seen, order
 from ramppost.policy.claims import Shard
@@ -72,7 +73,7 @@
 
     def __init__(self, cluster: Cluster) -> None:
         self.cluster = cluster
-        self.at = time.monotonic()
+        self.at = clock.now()
         self.then = self._look()
 
     def _look(self) -> dict[str, Usage]:
@@ -83,8 +84,8 @@
 
     def spent(self) -> dict[str, Spent]:
         """Since the last look."""
-        now, then, seconds = self._look(), self.then, time.monotonic() - self.at
-        self.then, self.at = now, time.monotonic()
+        now, then, seconds = self._look(), self.then, clock.now() - self.at
+        self.then, self.at = now, clock.now()
         return {name: _spent(now[name], then[name], seconds) for name in now}
 
 
--- a/ramppost/agent/attempts.py
+++ b/ramppost/agent/attempts.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final, Literal
 
 import curio
 
+from ramppost import clock
 from ramppost.schema.messages import End, RunMsg
 
 FRAME_OVERHEAD: Final = 60
@@ -33,7 +33,7 @@
         self.size = 0
         self.end: End | None = None
         self.readers = 0
-        self.unread_since = time.monotonic()
+        self.unread_since = clock.now()
         self.over_at = 0.0
         self.turn = curio.Event()
         self.entered = False
@@ -57,13 +57,13 @@
         self.state = "not_run"
         self.reason = reason
         self.retry_after_s = retry_after_s
-        self.over_at = time.monotonic()
+        self.over_at = clock.now()
         await self._wake()
 
     async def finish(self, end: End) -> None:
         """It has ended."""
         self.end = end
-        self.over_at = time.monotonic()
+        self.over_at = clock.now()
         await self._wake()
 
     async def wait_for(self, seen: int) -> None:
--- a/ramppost/agent/door.py
+++ b/ramppost/agent/door.py
@@ -7,10 +7,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import Literal
 
-from ramppost import ids
+from ramppost import clock, ids
 from ramppost.agent.attempts import Attempt
 from ramppost.agent.runner import refusal_now, take_in
 from ramppost.agent.state import Agent
@@ -125,7 +124,7 @@
         await reply.end()
     finally:
         item.readers -= 1
-        item.unread_since = time.monotonic()
+        item.unread_since = clock.now()
 
 
 async def _send_frames(item: Attempt, start: int, reply: Reply) -> None:
--- a/ramppost/agent/main.py
+++ b/ramppost/agent/main.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.agent.door import door
 from ramppost.agent.engine import versions_of
 from ramppost.agent.orders import give_orders
@@ -54,9 +54,9 @@
     """Planned stop: no new work, running answers to their end, bills filed."""
     logger.info("leaving: {} attempts under way", agent.attempts.live)
     agent.leaving = True
-    deadline = time.monotonic() + agent.cfg.get("drain_s", 600.0)
+    deadline = clock.now() + agent.cfg.get("drain_s", 600.0)
     await curio.sleep(agent.cfg.get("linger_s", 3.0))
-    while time.monotonic() < deadline:
+    while clock.now() < deadline:
         readers = sum(item.readers for item in agent.attempts.table.values())
         if not agent.attempts.live and not readers and not agent.witness and agent.filer.empty:
             logger.info("left")
@@ -84,7 +84,7 @@
     orphan_s = agent.cfg.get("orphan_s", 10.0)
     while True:
         await curio.sleep(HOUSEKEEPING_S)
-        now = time.monotonic()
+        now = clock.now()
         for attempt, (since, line) in list(agent.witness.items()):
             if now - since > witness_s or (agent.leaving and now - since > min(2.0, witness_s)):
                 agent.filer.add(line)
--- a/ramppost/agent/orders.py
+++ b/ramppost/agent/orders.py
@@ -13,12 +13,12 @@
 from __future__ import annotations
 
 import random
-import time
 from typing import Final
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.agent.engine import OrderRefused, order_load
 from ramppost.agent.state import Agent
 from ramppost.policy.orders import LoadOrder, orders_due
@@ -37,7 +37,7 @@
     not_before: dict[LoadOrder, float] = {}
     while True:
         await curio.sleep(PERIOD_S)
-        now = time.monotonic()
+        now = clock.now()
         doc = agent.conf.doc
         if doc is None or not agent.up or now - agent.conf.heard_at > FRESH_S:
             continue
--- a/ramppost/agent/runner.py
+++ b/ramppost/agent/runner.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.agent.attempts import Attempt
 from ramppost.agent.engine import Broke, Lost, NotBegun, Ran, cancel_run, run_engine
 from ramppost.agent.plain import Answered, run_service
@@ -26,7 +26,7 @@
     """Times the tokens of a run."""
 
     def __init__(self) -> None:
-        self.began = time.monotonic()
+        self.began = clock.now()
         self.first = self.last = self.began
         self.tokens = 0
 
@@ -55,7 +55,7 @@
 
 async def take_in(agent: Agent, item: Attempt, msg: RunMsg) -> None:
     """Give the attempt a slot or a place in line and start its task, or refuse it."""
-    now = time.monotonic()
+    now = clock.now()
     who = Waiting(item.attempt, msg["priority"], now + msg["deadline_ms"] / 1000)
     got = agent.admission.offer(who, now)
     if isinstance(got, Full):
@@ -82,7 +82,7 @@
 async def _run(agent: Agent, item: Attempt, msg: RunMsg, deadline: float) -> None:
     if not await _wait_turn(agent, item, deadline):
         return
-    started = time.monotonic()
+    started = clock.now()
     try:
         reason = "cancelled" if item.cancelled else refusal_now(agent, msg)
         if reason:
@@ -92,7 +92,7 @@
         else:
             await _run_model(agent, item, msg)
     finally:
-        ran_s = time.monotonic() - started if item.end is not None else None
+        ran_s = clock.now() - started if item.end is not None else None
         follower = agent.admission.leave(ran_s)
         if follower is not None:
             await _enter(agent, follower)
@@ -108,7 +108,7 @@
 
 async def _wait_turn(agent: Agent, item: Attempt, deadline: float) -> bool:
     """Wait for a slot; false if the deadline came first or it was cancelled."""
-    left = max(0.0, deadline - time.monotonic())
+    left = max(0.0, deadline - clock.now())
     try:
         await curio.timeout_after(left, item.turn.wait())
     except curio.TaskTimeout:
@@ -125,10 +125,10 @@
     mv = ModelVersion(msg["model"], msg["version"])
     upstream = agent.cfg["upstream"]
     exact = upstream.get("exact_stream", False)
-    clock = Clock()
+    pace = Clock()
 
     async def add(text: str) -> None:
-        clock.token(time.monotonic())
+        pace.token(clock.now())
         await item.add(text)
 
     out = await run_engine(agent.pool, upstream["addr"], msg, exact, item.admit, add)
@@ -142,7 +142,7 @@
         state = "lost" if isinstance(out, Lost) else "failed"
         await item.finish(_end(state, out.reason, tokens_out=len(item.frames)))
         return
-    agent.count(mv, Counts(ok=1, slow=int(agent.slow(mv, clock.timing()))))
+    agent.count(mv, Counts(ok=1, slow=int(agent.slow(mv, pace.timing()))))
     state = "cancelled" if item.cancelled or out.finish == "cancelled" else "done"
     cost = out.tokens_out * agent.price(msg["model"]) / TOKENS_PER_PRICE
     _witness(agent, item, msg, out.tokens_out, cost)
@@ -175,7 +175,7 @@
         tokens=tokens,
         cost=cost,
     )
-    agent.witness[item.attempt] = (time.monotonic(), line)
+    agent.witness[item.attempt] = (clock.now(), line)
 
 
 def _end(
--- a/ramppost/agent/state.py
+++ b/ramppost/agent/state.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import time
-
-from ramppost import ids
+from ramppost import clock, ids
 from ramppost.agent.attempts import Attempts
 from ramppost.confsync import ConfState
 from ramppost.ledger import Filer
@@ -42,12 +40,12 @@
         self.up = False
         self.leaving = False
         self.meter = Meter()
-        self.started = time.monotonic()
+        self.started = clock.now()
 
     @property
     def epoch(self) -> int:
         """The present epoch of tickets: half of `keep_s` each."""
-        return int((time.monotonic() - self.started) / (self.keep_s / 2))
+        return int((clock.now() - self.started) / (self.keep_s / 2))
 
     @property
     def ticket(self) -> str:
--- a/ramppost/cli/operate.py
+++ b/ramppost/cli/operate.py
@@ -13,6 +13,7 @@
 from cleo.helpers import argument, option
 from cleo.ui.table import Rows, Table
 
+from ramppost import clock
 from ramppost.cli.burn_page import burn_page
 from ramppost.schema.messages import (
     ClassReport,
@@ -170,15 +171,15 @@
         return self._wait(int(done["revision"])) if self.option("wait") else 0
 
     def _wait(self, revision: int) -> int:
-        started = time.monotonic()
+        started = clock.now()
         behind: list[str] = []
-        while time.monotonic() - started < WAIT_S:
+        while clock.now() - started < WAIT_S:
             status = ask(self, "GET", "/v1/status", b"", StatusReport)
             if status is None:
                 return FAILED
             behind = [p["name"] for p in status["processes"] if p["rev"] < revision]
             if not behind:
-                self.line(f"in force everywhere after {time.monotonic() - started:.1f} s")
+                self.line(f"in force everywhere after {clock.now() - started:.1f} s")
                 return 0
             time.sleep(POLL_S)
         self.line_error(f"not in force yet at: {', '.join(behind)}")
--- a/ramppost/confsync.py
+++ b/ramppost/confsync.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 from typing import Final
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.platform.objects import Client, Unavailable, watch
 from ramppost.schema.config import ConfigDoc
 from ramppost.wire.client import CallFailed, Pool
@@ -45,7 +45,7 @@
 
     def heard(self) -> None:
         """The platform or a peer has just told of its revision."""
-        self.heard_at = time.monotonic()
+        self.heard_at = clock.now()
 
     @property
     def rev(self) -> int:
--- a/ramppost/entry/callers.py
+++ b/ramppost/entry/callers.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import time
-
 from loguru import logger
 
+from ramppost import clock
 from ramppost.entry.ask import KEY_HEADER, Ask, read_chat, read_service, workspace_for
 from ramppost.entry.dispatch import Running, resolve
 from ramppost.entry.keyed import key_of
@@ -84,7 +83,7 @@
     name = ws["name"]
     if entry.leaving:
         return refusal("leaving", "this entry is stopping", 1.0)
-    wait_s = entry.bucket(ws).wait_s(time.monotonic())
+    wait_s = entry.bucket(ws).wait_s(clock.now())
     if wait_s > 0:
         return refusal("limited", f"workspace {name} is over its tokens", wait_s)
     if entry.running.get(name, 0) >= ws["concurrency"]:
@@ -142,4 +141,4 @@
     if not isinstance(run, Running):
         return refusal("answer_lost", f"the answer is no longer kept: {run.reason}")
     run.request_id = place["request_id"]
-    return await pass_on(entry, ask, run, sink, time.monotonic())
+    return await pass_on(entry, ask, run, sink, clock.now())
--- a/ramppost/entry/claimhome.py
+++ b/ramppost/entry/claimhome.py
@@ -12,13 +12,12 @@
 
 from __future__ import annotations
 
-import time
 from itertools import islice
 from typing import Final
 
 import curio
 
-from ramppost import ids
+from ramppost import clock, ids
 from ramppost.entry.claimlog import (
     GIVE_UP_S,
     ClaimLog,
@@ -142,7 +141,7 @@
             await curio.sleep(READ_PERIOD_S)
 
     async def _keep_one(self, shard: int) -> None:
-        age_s = time.monotonic() - self.log.read_at.get(shard, -READ_PERIOD_S)
+        age_s = clock.now() - self.log.read_at.get(shard, -READ_PERIOD_S)
         if age_s >= READ_PERIOD_S:
             await self.log.read(shard)
 
--- a/ramppost/entry/claimlog.py
+++ b/ramppost/entry/claimlog.py
@@ -13,13 +13,13 @@
 from __future__ import annotations
 
 import secrets
-import time
 from enum import Enum
 from typing import Final, NamedTuple
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.platform.objects import (
     Client,
     Found,
@@ -85,7 +85,7 @@
 class _Pending:
     def __init__(self, claim: Claim) -> None:
         self.claim = claim
-        self.until = time.monotonic() + GIVE_UP_S
+        self.until = clock.now() + GIVE_UP_S
         self.outcome: Outcome | None = None
         self.decided = curio.Event()
 
@@ -129,7 +129,7 @@
         taken = self.held(claim)
         if taken is not None:
             return taken
-        if time.monotonic() < self.down_until:
+        if clock.now() < self.down_until:
             return self._no_claim(claim, "the platform gave no answer a moment ago")
         pending = _Pending(claim)
         await self._queue(pending)
@@ -146,7 +146,7 @@
     async def peek(self, key: str) -> Taken | Free | NoClaim:
         """Whether a claim of a key stands, by the log as it was a moment ago at most."""
         shard = shard_of(key)
-        if time.monotonic() - self.read_at.get(shard, -FRESH_S) >= FRESH_S:
+        if clock.now() - self.read_at.get(shard, -FRESH_S) >= FRESH_S:
             await self.read(shard)
         state = self.shards.get(shard)
         if state is None:
@@ -187,7 +187,7 @@
 
         Those who are in line again go on waiting, if their time is not up.
         """
-        now = time.monotonic()
+        now = clock.now()
         waiting = set(self.queues[shard])
         lost = [p for p in group if p.outcome is None and p not in waiting]
         late = [p for p in self.queues[shard] if p.until <= now]
@@ -234,9 +234,9 @@
         out = await put(self.client, head_key(shard), segment, version)
         if isinstance(out, Written):
             if full:
-                state.close(head, time.monotonic())
+                state.close(head, clock.now())
             state.take_head(segment, out.version)
-            self.read_at[shard] = time.monotonic()
+            self.read_at[shard] = clock.now()
             return Write.DONE
         if isinstance(out, Unavailable):
             if out.busy:
@@ -272,11 +272,11 @@
                 if not isinstance(closed, Found):
                     self.shards.pop(shard, None)
                     return None
-                state.close(closed.value, time.monotonic())
+                state.close(closed.value, clock.now())
                 nonces.update(closed.value["nonces"])
             state.take_head(got.value, got.version)
             nonces.update(got.value["nonces"])
-        self.read_at[shard] = time.monotonic()
+        self.read_at[shard] = clock.now()
         return nonces
 
     async def _loaded(self, shard: int) -> Shard | None:
@@ -299,7 +299,7 @@
                 if after == head_key(shard):
                     state.take_head(segment, item["version"])
                 else:
-                    state.close(segment, time.monotonic())
+                    state.close(segment, clock.now())
 
     async def expire(self, shard: int) -> int:
         """Delete closed segments that were seen long ago by this process; how many.
@@ -311,7 +311,7 @@
         deleted = 0
         while state and state.closed and deleted < EXPIRE_GROUP:
             oldest = state.closed[0]
-            if oldest.seen_at > time.monotonic() - self.retention_s:
+            if oldest.seen_at > clock.now() - self.retention_s:
                 break
             if isinstance(await delete(self.client, segment_key(shard, oldest.seq)), Unavailable):
                 break
--- a/ramppost/entry/copies.py
+++ b/ramppost/entry/copies.py
@@ -10,12 +10,11 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
 import curio
 
-from ramppost import ids
+from ramppost import clock, ids
 from ramppost.entry.shunned import Shunned
 from ramppost.entry.upstreams import Upstreams
 from ramppost.ledger import Filer
@@ -54,7 +53,7 @@
     def take(self, msg: CopiesMsg) -> None:
         """Keep another entry's lines."""
         for line in msg["lines"]:
-            self.kept[line["attempt"]] = (time.monotonic(), line)
+            self.kept[line["attempt"]] = (clock.now(), line)
 
     def settle(self, attempts: list[str]) -> None:
         """These lines are in the ledger: drop the copies."""
@@ -84,7 +83,7 @@
     def file_kept(self, filer: Filer, older_than_s: float) -> None:
         """File others' lines that were kept so long; all of them where this entry stops."""
         for attempt, (since, line) in list(self.kept.items()):
-            if time.monotonic() - since >= older_than_s:
+            if clock.now() - since >= older_than_s:
                 del self.kept[attempt]
                 filer.add(line)
 
--- a/ramppost/entry/dispatch.py
+++ b/ramppost/entry/dispatch.py
@@ -7,13 +7,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final, NamedTuple
 
 import curio
 from loguru import logger
 
-from ramppost import ids
+from ramppost import clock, ids
 from ramppost.confsync import fetch
 from ramppost.entry.ask import Ask, Trace
 from ramppost.entry.state import Entry
@@ -107,7 +106,7 @@
     up.own += 1
     out = await _send(entry, up, msg)
     if isinstance(out, Unknown):
-        up.health.failed(time.monotonic())
+        up.health.failed(clock.now())
         logger.bind(request=msg["request_id"]).warning("attempt in doubt: {}", out.reason)
         out = await resolve(entry, up.addr, msg["agent"], msg["attempt"], 0, _mv(msg))
     if isinstance(out, Running):
@@ -126,7 +125,7 @@
     if isinstance(stream, CallFailed):
         if stream.sent:
             return Unknown(stream.reason)
-        up.health.failed(time.monotonic())
+        up.health.failed(clock.now())
         return NotRun("unreachable", 0.0)
     return await _read_head(entry, stream, up.addr, msg["attempt"], 0, _mv(msg))
 
--- a/ramppost/entry/keyed.py
+++ b/ramppost/entry/keyed.py
@@ -14,6 +14,7 @@
 
 import curio
 
+from ramppost import clock
 from ramppost.entry.ask import Ask
 from ramppost.entry.claimlog import Granted, NoClaim, Taken
 from ramppost.entry.dispatch import (
@@ -121,7 +122,7 @@
     mv = ModelVersion(claim["model"], claim["version"])
     out: Outcome = NotRun("no_upstream", LEAST_RETRY_S)
     for named, up in zip(claim["candidates"], ups, strict=True):
-        left_s = deadline - time.monotonic()
+        left_s = deadline - clock.now()
         if left_s <= 0:
             out = NotRun("deadline", LEAST_RETRY_S)
             break
@@ -159,8 +160,8 @@
         return NotRun("not_run", 0.0)
     mv = ModelVersion(held["model"], held["version"])
     attempt = attempt_of(held)
-    until = time.monotonic() + JOIN_GRACE_S
-    while time.monotonic() < until:
+    until = clock.now() + JOIN_GRACE_S
+    while clock.now() < until:
         for named in held["candidates"]:
             out = await attach(
                 entry, named["addr"], named["agent"], attempt, 0, mv, tombstone=False
--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
 import curio
 from aioprometheus.renderer import render
 from loguru import logger
 
+from ramppost import clock
 from ramppost.agent.door import send_config
 from ramppost.confsync import CONFIG_PATH, ask_peers, follow_platform
 from ramppost.entry.callers import caller_error, callers
@@ -149,10 +149,10 @@
     """Planned stop: no new work, running answers to their end, bills filed."""
     logger.info("leaving: {} requests under way", entry.busy)
     entry.leaving = True
-    deadline = time.monotonic() + entry.cfg.get("drain_s", 600.0)
+    deadline = clock.now() + entry.cfg.get("drain_s", 600.0)
     await curio.sleep(entry.cfg.get("linger_s", 3.0))
     entry.copies.file_kept(entry.filer, 0.0)
-    while time.monotonic() < deadline:
+    while clock.now() < deadline:
         if not entry.busy and entry.filer.empty and entry.homes.idle:
             logger.info("left")
             return
--- a/ramppost/entry/obtain.py
+++ b/ramppost/entry/obtain.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
+from ramppost import clock
 from ramppost.entry.ask import Ask
 from ramppost.entry.dispatch import NotRun, Outcome, Running, Unknown, run_msg, send_run
 from ramppost.entry.keyed import obtain_keyed
@@ -37,7 +37,7 @@
     for number, up in enumerate(ups[:MAX_TRIES]):
         if number and not _may_retry(entry, out):
             break
-        left_s = deadline - time.monotonic()
+        left_s = deadline - clock.now()
         if left_s <= 0:
             return refusal("deadline", "deadline passed before it was begun", LEAST_RETRY_S)
         attempt = attempt_id(ask.request_id, stage, turn + number)
--- a/ramppost/entry/rollouts.py
+++ b/ramppost/entry/rollouts.py
@@ -7,13 +7,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
 import curio
 from loguru import logger
 
-from ramppost import ids
+from ramppost import clock, ids
 from ramppost.entry.changes import change
 from ramppost.entry.state import Entry
 from ramppost.platform.objects import Unavailable
@@ -60,7 +59,7 @@
     entry: Entry, doc: ConfigDoc, rollout: Rollout, trial: Counted, seen: Watched
 ) -> None:
     stable = ModelVersion(rollout["model"], rollout["stable"])
-    now = time.monotonic()
+    now = clock.now()
     counts = entry.ups.totals(trial.mv, trial.since)
     if seen.step != rollout["step"]:
         seen.step, seen.step_since, seen.step_before = rollout["step"], now, counts
--- a/ramppost/entry/serve.py
+++ b/ramppost/entry/serve.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final, NamedTuple
 
 from loguru import logger
 
+from ramppost import clock
 from ramppost.entry.ask import Ask
 from ramppost.entry.dispatch import Running, finish, read_on
 from ramppost.entry.obtain import obtain
@@ -53,7 +53,7 @@
 
 async def _rounds(entry: Entry, ask: Ask, sink: Sink) -> Refusal | None:
     """Route and try; again where the version changed, or where a repeatable one failed."""
-    started = time.monotonic()
+    started = clock.now()
     deadline = started + ask.deadline_ms / 1000
     out: Refusal | None = None
     for number in range(MAX_REROUTES + 1):
@@ -76,9 +76,9 @@
     doc = entry.conf.doc
     trial = doc is not None and version_state(doc, mv) == "trial"
     bucket = entry.rating_bucket()
-    if bucket.wait_s(time.monotonic()) > 0 or not (trial or bucket.level > bucket.burst / 2):
+    if bucket.wait_s(clock.now()) > 0 or not (trial or bucket.level > bucket.burst / 2):
         return False
-    bucket.charge(1, time.monotonic())
+    bucket.charge(1, clock.now())
     return True
 
 
@@ -167,7 +167,7 @@
 
 async def _pass_whole(entry: Entry, ask: Ask, whole: Whole, sink: Sink, started: float) -> None:
     """Send an answer that was read before."""
-    first_s = time.monotonic() - started
+    first_s = clock.now() - started
     await _begin(entry, ask, whole.run, sink)
     for number, text in enumerate(whole.pieces):
         await sink.piece(number, text)
@@ -188,7 +188,7 @@
                 ref = refusal("outcome_unknown", f"answer lost on its way: {frame.reason}")
                 return await _broke(entry, ask, sink, ref, first_s)
             if first_s is None:
-                first_s = time.monotonic() - started
+                first_s = clock.now() - started
             if "end" not in frame:
                 if not pieces:
                     await _begin(entry, ask, run, sink)
@@ -270,7 +270,7 @@
         cost=end["cost"],
     )
     entry.bill(line, run.addr)
-    entry.bucket(ask.ws).charge(end["tokens_out"], time.monotonic())
+    entry.bucket(ask.ws).charge(end["tokens_out"], clock.now())
     entry.learned.used(ask.cls["name"], end["tokens_out"])
     entry.stats.m_cost.add({"workspace": ask.ws["name"]}, end["cost"])
     entry.stats.m_tokens.add({"model": run.mv.model, "version": run.mv.version}, end["tokens_out"])
--- a/ramppost/entry/shunned.py
+++ b/ramppost/entry/shunned.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
+from ramppost import clock
+
 SHUN_S: Final = 3.0
 
 
@@ -16,7 +17,7 @@
 
     def add(self, addr: str) -> None:
         """It gave no answer just now."""
-        self._until[addr] = time.monotonic() + SHUN_S
+        self._until[addr] = clock.now() + SHUN_S
 
     def __contains__(self, addr: str) -> bool:
-        return time.monotonic() <= self._until.get(addr, 0.0)
+        return clock.now() <= self._until.get(addr, 0.0)
--- a/ramppost/entry/state.py
+++ b/ramppost/entry/state.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import random
-import time
 from typing import Final, NamedTuple
 
-from ramppost import ids
+from ramppost import clock, ids
 from ramppost.confsync import ConfState
 from ramppost.entry.claimhome import ClaimHomes
 from ramppost.entry.claimlog import ClaimLog
@@ -65,14 +64,14 @@
         self.learned = Learned()
         self.ratings: dict[ModelVersion, Ratings] = {}
         self.to_rate: list[Rated] = []
-        self._rating_bucket = TokenBucket(RATED_PER_S, RATED_PER_S, time.monotonic())
+        self._rating_bucket = TokenBucket(RATED_PER_S, RATED_PER_S, clock.now())
         self.paused: set[ModelVersion] = set()
         self.exposed: dict[Counted, Exposed] = {}
         self.retries = RetryBudget()
         self.buckets: dict[str, TokenBucket] = {}
         self.running: dict[str, int] = {}
         self.leaving = False
-        self.started = time.monotonic()
+        self.started = clock.now()
         self.outer = Meter()
         self.inner = Meter()
         self.rev_box = [0]
@@ -107,7 +106,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here: configured, and claims read or not to be had."""
-        claims = self.homes.read_once or time.monotonic() - self.started > CLAIMS_WAIT_S
+        claims = self.homes.read_once or clock.now() - self.started > CLAIMS_WAIT_S
         return self.conf.doc is not None and not self.leaving and claims
 
     def bucket(self, ws: Workspace) -> TokenBucket:
@@ -116,7 +115,7 @@
         rate, burst = ws["tokens_per_s"] * part, ws["burst_tokens"] * part
         held = self.buckets.get(ws["name"])
         if held is None or (held.rate, held.burst) != (rate, burst):
-            fresh = TokenBucket(rate, burst, time.monotonic())
+            fresh = TokenBucket(rate, burst, clock.now())
             if held is not None:
                 fresh.level = min(fresh.level, held.level)
             self.buckets[ws["name"]] = held = fresh
@@ -126,7 +125,7 @@
         """This entry's part of the ratings that the fleet asks for."""
         rate = RATED_PER_S / self.ups.entries()
         if self._rating_bucket.rate != rate:
-            self._rating_bucket = TokenBucket(rate, RATED_BURST_S * rate, time.monotonic())
+            self._rating_bucket = TokenBucket(rate, RATED_BURST_S * rate, clock.now())
         return self._rating_bucket
 
     def bill(self, line: BillLine, agent: str) -> None:
--- a/ramppost/entry/upstreams.py
+++ b/ramppost/entry/upstreams.py
@@ -8,13 +8,12 @@
 from __future__ import annotations
 
 import random
-import time
 from typing import Final
 
 import curio
 from loguru import logger
 
-from ramppost import ids
+from ramppost import clock, ids
 from ramppost.platform.boxes import Boxes, box_list
 from ramppost.policy.choice import Health, Seen, order, subset
 from ramppost.policy.permissions import ModelVersion
@@ -81,7 +80,7 @@
         self.ticket = ticket
         self.reported = load["running"] + load["waiting"]
         self.slots = load["slots"]
-        self.heard_at = time.monotonic()
+        self.heard_at = clock.now()
         self.rev = rev
         self.health.answered()
         for item in counts:
@@ -149,7 +148,7 @@
 
     def candidates(self, mv: ModelVersion, service: str) -> list[Upstream]:
         """Agents that may get a request for a version or a service now."""
-        now = time.monotonic()
+        now = clock.now()
         if service:
             return [u for u in self.table.values() if u.service == service and u.usable(now)]
         return [u for u in self.table.values() if mv.text in u.versions and u.usable(now)]
@@ -157,13 +156,13 @@
     def choose(self, mv: ModelVersion, service: str, prefix: str) -> list[Upstream]:
         """Agents to try, best first."""
         found = self.candidates(mv, service)
-        now = time.monotonic()
+        now = clock.now()
         addrs = order([u.seen() for u in found], now, self.hall, prefix, self.rng)
         return [self.table[addr] for addr in addrs]
 
     def listing(self) -> list[UpstreamLine]:
         """All agents of the subset, for people and checks."""
-        now = time.monotonic()
+        now = clock.now()
         return [
             UpstreamLine(
                 addr=up.addr,
@@ -211,7 +210,7 @@
         or were never heard, come first, so that they are back in use soon.
         """
         while True:
-            now = time.monotonic()
+            now = clock.now()
             lost, idle = self._silent(now)
             for up in (*lost[:LOST_POLLS], *idle[:IDLE_POLLS]):
                 up.polling, up.polled_at = True, now
@@ -232,7 +231,7 @@
         up.polling = False
         status = BadMessage("") if isinstance(got, CallFailed) else decode(got.body, AgentStatus)
         if isinstance(status, BadMessage):
-            up.health.failed(time.monotonic())
+            up.health.failed(clock.now())
             if up.alive and isinstance(got, CallFailed) and not got.sent:
                 logger.info("agent {} does not answer", up.addr)
                 up.alive = False
--- a/ramppost/gateway/admit.py
+++ b/ramppost/gateway/admit.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final, NamedTuple
 
+from ramppost import clock
 from ramppost.errors import Refusal, refusal
 from ramppost.gateway.departures import retry_after_s
 from ramppost.gateway.model import CallerRequest, Route, RoutingTable, Workspace
@@ -30,7 +30,7 @@
     table = gw.table
     if table is None or not gw.members_listed:
         return refusal("not_ready", "no configuration yet", STALE_RETRY_S)
-    now = time.monotonic()
+    now = clock.now()
     fresh = _is_in_force(gw, now)
     route = find_route(table, req.host, req.target)
     if route is None:
--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import itertools
-import time
 from typing import Final, NamedTuple
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, Exchange, NotSent, OutgoingRequest, open_exchange
 from ramppost.gateway.load import OwnWork
@@ -62,7 +62,7 @@
     """Send the request; the outcome is logged and counted."""
     upstream = chosen.upstream
     job.tried.add(upstream.key)
-    now = time.monotonic()
+    now = clock.now()
     work = gw.loads.own(upstream.key)
     work.requests += 1
     work.pending += 1
@@ -80,7 +80,7 @@
             gw.backlogs.over(upstream, key, isinstance(got, Running))
         if not isinstance(got, Running):
             work.requests -= 1
-        _note(gw, job, chosen, model, got, time.monotonic() - now)
+        _note(gw, job, chosen, model, got, clock.now() - now)
     return got
 
 
@@ -105,7 +105,7 @@
 async def _send_and_wait(
     gw: Gateway, job: Job, chosen: Chosen, model: str, work: OwnWork, reading: Reading | None
 ) -> Running | Refused | NotSent | Broken:
-    sent_at = time.monotonic()
+    sent_at = clock.now()
     urgency = reading.level if reading is not None else None
     outgoing = _outgoing(job, chosen, model, urgency, sent_at)
     opened = await open_exchange(gw.links, chosen.upstream, outgoing)
@@ -122,7 +122,7 @@
             head = await _head_in_time(gw, job, chosen, opened)
         if isinstance(head, Broken):
             return head
-        now = time.monotonic()
+        now = clock.now()
         if head.running is not None:
             gw.loads.report(chosen.upstream.key, head.running, head.waiting or 0, now)
         if head.not_run:
@@ -168,15 +168,15 @@
             return got
         except curio.TaskTimeout:
             heard_at = gw.links.heard.get(chosen.upstream.key, float("-inf"))
-            affordable = gw.budget_of(chosen.service.name).left(time.monotonic()) >= 1
+            affordable = gw.budget_of(chosen.service.name).left(clock.now()) >= 1
             if heard_at < since and affordable and chosen.candidates > 1:
                 return Broken(f"silent for {patience_s:.2f} s")
-            since = time.monotonic()
+            since = clock.now()
 
 
 def _learn_engine(gw: Gateway, chosen: Chosen, model: str, first_s: float) -> None:
     """Remember how fast a model read, and how long its prompt waited."""
-    now = time.monotonic()
+    now = clock.now()
     read = chosen.prefill_s / gw.rates.rate_s(model)
     queued_s = chosen.first_s - chosen.prefill_s
     gw.pressure.waited(first_s - chosen.prefill_s, now)
@@ -192,7 +192,7 @@
     took_s: float,
 ) -> None:
     """Log and count an attempt, and remember what it says of the upstream."""
-    now = time.monotonic()
+    now = clock.now()
     if isinstance(got, Running):
         outcome = f"status {got.head.status}"
         failed = got.head.status >= 500
--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -14,12 +14,12 @@
 from __future__ import annotations
 
 import itertools
-import time
 from typing import Final, NamedTuple
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.datagrams import Address, Datagrams
 from ramppost.gateway.early import address
 from ramppost.gateway.metrics import Metrics
@@ -105,7 +105,7 @@
 
     async def ask(self, engines: list[Upstream], question: Question) -> dict[str, Told]:
         """What is known of engines for a prompt that is to be placed on one of them."""
-        now = time.monotonic()
+        now = clock.now()
         told = {engine.key: self.known(engine.key, question, now) for engine in engines}
         by_keeper: dict[str, list[str]] = {}
         for engine in engines:
@@ -201,12 +201,12 @@
         self._misses[keeper] = self._misses.get(keeper, 0) + 1
         if self._misses[keeper] < MISSES:
             return
-        self._silent_until[keeper] = time.monotonic() + SILENT_S
+        self._silent_until[keeper] = clock.now() + SILENT_S
         self._metrics.count("ramppost_backlog_silences_total")
         logger.info("keeper of backlogs does not answer", peer=keeper, left_out_s=SILENT_S)
 
     def _tell_keeper(self, engine: Upstream, msg: PeerDatagram) -> None:
-        keeper = self.keeper(engine, time.monotonic())
+        keeper = self.keeper(engine, clock.now())
         if keeper not in ("", self.own):
             self._datagrams.send(address(self._peers.addrs[keeper]), msg)
 
@@ -224,7 +224,7 @@
             self._note_over(msg["over"]["engine"], msg["over"]["key"], msg["over"]["began"])
 
     def _view(self, ask: BacklogAsk) -> BacklogView:
-        now = time.monotonic()
+        now = clock.now()
         question = Question(ask["level"], ask["model"], tuple(ask["parts"]))
         views = [self.known(engine, question, now) for engine in ask["engines"]]
         return BacklogView(
@@ -249,7 +249,7 @@
 
     def _note_sent(self, note: BacklogSent) -> None:
         reading = Reading(
-            time.monotonic(),
+            clock.now(),
             note["read_ms"] / 1000,
             note["level"],
             note["model"],
@@ -260,9 +260,9 @@
     def _note_over(self, engine: str, key: str, began: bool) -> None:
         backlog = self._backlog(engine)
         if began:
-            backlog.began(key, time.monotonic())
+            backlog.began(key, clock.now())
         else:
-            backlog.dropped(key, time.monotonic())
+            backlog.dropped(key, clock.now())
 
     def _backlog(self, engine: str) -> Backlog:
         backlog = self._backlogs.setdefault(engine, Backlog())
--- a/ramppost/gateway/copies.py
+++ b/ramppost/gateway/copies.py
@@ -9,9 +9,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final, NamedTuple
 
+from ramppost import clock
 from ramppost.gateway.follow import Followed
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import StoredObject
@@ -55,8 +55,8 @@
 
 async def _had(gw: Gateway, followed: Followed, name: str) -> StoredObject | None:
     """The object, also where it is here in a moment."""
-    until = time.monotonic() + WAIT_S
-    while name in followed.lacking and (left_s := until - time.monotonic()) > 0:
+    until = clock.now() + WAIT_S
+    while name in followed.lacking and (left_s := until - clock.now()) > 0:
         await gw.news.wait(left_s)
     return followed.whole(name)
 
--- a/ramppost/gateway/departures.py
+++ b/ramppost/gateway/departures.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.early import address
 from ramppost.gateway.state import Gateway
 from ramppost.policy.departures import come_back_s
@@ -27,7 +27,7 @@
 async def tell_leaving(gw: Gateway) -> None:
     """Tell the gateways that its callers may come to when this one is back, until cancelled."""
     while True:
-        back_s = max(0.0, gw.back_at - time.monotonic())
+        back_s = max(0.0, gw.back_at - clock.now())
         note = LeavingNote(name=gw.cfg["name"], back_ms=round(back_s * 1000))
         for name in gw.peers.near():
             gw.datagrams.send(address(gw.peers.addrs[name]), PeerDatagram(leaving=note))
@@ -36,7 +36,7 @@
 
 def heard_leaving(gw: Gateway, note: LeavingNote) -> None:
     """Another gateway is stopping."""
-    now = time.monotonic()
+    now = clock.now()
     back_s = note["back_ms"] / 1000
     if not gw.peers.leaving(note["name"], now):
         logger.info("gateway leaves", peer=note["name"], back_s=back_s)
@@ -45,6 +45,6 @@
 
 def retry_after_s(gw: Gateway) -> float:
     """When a caller that is turned away because of the stop is to come back."""
-    now = time.monotonic()
+    now = clock.now()
     others = {name: gw.peers.back_at(name, now) for name in gw.peers.near()}
     return come_back_s(now, gw.back_at, others)
--- a/ramppost/gateway/endings.py
+++ b/ramppost/gateway/endings.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.links import Links
 from ramppost.gateway.model import Upstream
 from ramppost.wire.client import CallFailed, connect
@@ -43,7 +43,7 @@
 
     async def has_ended(self, upstream: Upstream) -> bool:
         """Whether nobody listens any more where this upstream did."""
-        now = time.monotonic()
+        now = clock.now()
         asked = self._asked.get(upstream.key)
         if asked is not None and (asked.ended or now - asked.at < ALIVE_GOOD_S):
             await asked.answered.wait()
--- a/ramppost/gateway/escalation.py
+++ b/ramppost/gateway/escalation.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import time
-
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.attempt import Running
 from ramppost.gateway.job import Job
 from ramppost.gateway.models import ModelPlan, good_enough, model_plan, next_model, under_load
@@ -27,7 +26,7 @@
     """The larger model to ask instead of passing an answer on; empty to pass it on."""
     if got.head.status >= 400 or good_enough(plan, got.model, got.head.confidence):
         return ""
-    now = time.monotonic()
+    now = clock.now()
     if job.attempts >= job.route.attempts or gw.budget_of(service).left(now) < 1:
         return ""
     tried, job.tried = job.tried, set()
@@ -39,7 +38,7 @@
 
 def _worth_asking(gw: Gateway, job: Job, service: str, plan: ModelPlan, got: Running) -> str:
     """The larger model that is asked under the load that there is; empty for none."""
-    now = time.monotonic()
+    now = clock.now()
     largest = plan.models[-1]
     at_largest = pick(gw, job, service, largest, now)
 
--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -16,6 +16,7 @@
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.datagrams import Datagrams
 from ramppost.gateway.early import address
 from ramppost.gateway.links import Exchange
@@ -59,7 +60,7 @@
 
     async def is_fatal(self, fingerprint: str) -> bool:
         """Whether a request must not be run."""
-        now = time.monotonic()
+        now = clock.now()
         if self.docket.is_harmless(fingerprint, now):
             return False
         if fingerprint in self.agreed:
@@ -77,7 +78,7 @@
 
     def answered(self, fingerprint: str) -> None:
         """A request was answered whole, so nothing ended of it."""
-        if self.docket.answered(fingerprint, time.monotonic()):
+        if self.docket.answered(fingerprint, clock.now()):
             self._tell_all(PeerDatagram(harmless=HarmlessNote(fingerprint=fingerprint)))
 
     @contextmanager
@@ -101,7 +102,7 @@
             for under in msg["ended"]["under"][:MOST_TOLD]:
                 await self._note(msg["ended"]["upstream"], under["fingerprint"], under["sign"])
         if "harmless" in msg:
-            self.docket.answered(msg["harmless"]["fingerprint"], time.monotonic())
+            self.docket.answered(msg["harmless"]["fingerprint"], clock.now())
 
     def release(self) -> None:
         """All may run again, whatever was seen until now."""
@@ -137,13 +138,13 @@
             self._tell_all(PeerDatagram(ended=UpstreamEnded(upstream=upstream, under=strongest)))
 
     def _tell_all(self, msg: PeerDatagram) -> None:
-        for name in self._peers.judges(time.monotonic()):
+        for name in self._peers.judges(clock.now()):
             self._datagrams.send(address(self._peers.addrs[name]), msg)
 
     # --- judging
 
     async def _note(self, upstream: str, fingerprint: str, sign: int) -> None:
-        now = time.monotonic()
+        now = clock.now()
         self.docket.ended(upstream, fingerprint, sign, now)
         await self._judge(fingerprint, now)
 
--- a/ramppost/gateway/fatal_doc.py
+++ b/ramppost/gateway/fatal_doc.py
@@ -13,6 +13,7 @@
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import (
     Change,
@@ -63,7 +64,7 @@
         await gw.fatal.found.wait()
         gw.fatal.found.clear()
         delay_s = SPREAD_S * unit("fatal", gw.cfg["name"])
-        delay_s += 0.0 if gw.peers.is_relay(time.monotonic()) else RELAYS_FIRST_S
+        delay_s += 0.0 if gw.peers.is_relay(clock.now()) else RELAYS_FIRST_S
         await curio.sleep(delay_s)
         while gw.fatal.unwritten and not await _write(gw):
             await curio.sleep(RETRY_S)
--- a/ramppost/gateway/feed.py
+++ b/ramppost/gateway/feed.py
@@ -10,9 +10,9 @@
 from __future__ import annotations
 
 import math
-import time
 from typing import Final
 
+from ramppost import clock
 from ramppost.gateway.follow import Followed
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import Change
@@ -56,11 +56,11 @@
 
 async def _answer(gw: Gateway, query: FeedQuery) -> FeedMsg:
     """The answer, once there is something to tell or the wait is over."""
-    came_at = time.monotonic()
+    came_at = clock.now()
     until = came_at + min(LONGEST_WAIT_S, query["wait_ms"] / 1000)
-    while time.monotonic() < until and not (knows(gw) and _worth_telling(gw, query, came_at)):
-        await gw.news.wait(until - time.monotonic())
-    now = time.monotonic()
+    while clock.now() < until and not (knows(gw) and _worth_telling(gw, query, came_at)):
+        await gw.news.wait(until - clock.now())
+    now = clock.now()
     kinds = [
         told
         for mark in query["kinds"]
--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -10,13 +10,13 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.platform.store import (
     Change,
     Changes,
@@ -199,7 +199,7 @@
             self._lack(obj, told_by, before)
 
     def _lack(self, obj: StoredObject, told_by: str, before: Lacking | None) -> None:
-        since = before.since if before is not None else time.monotonic()
+        since = before.since if before is not None else clock.now()
         self.lacking[obj.name] = Lacking(obj.revision, told_by, since)
 
     def _hold(self, obj: StoredObject) -> None:
@@ -256,14 +256,14 @@
     def failed(self, kind: str, reason: str) -> None:
         """A call had no usable answer."""
         if self.failing_since is None:
-            self.failing_since = time.monotonic()
+            self.failing_since = clock.now()
             logger.warning("store lost: {}", reason, kind=kind)
 
     def answered(self, kind: str) -> None:
         """A call was answered."""
         if self.failing_since is None:
             return
-        away_s = time.monotonic() - self.failing_since
+        away_s = clock.now() - self.failing_since
         self.failing_since = None
         logger.info("store regained after {:.1f} s", away_s, kind=kind)
 
@@ -291,7 +291,7 @@
     """One call to the store, and what follows from its answer; gives why there was none."""
     followed = follower.followed
     since = followed.revision
-    sent_at = time.monotonic()
+    sent_at = clock.now()
     if since is None:
         listed = await list_kind(client, followed.kind)
         if isinstance(listed, Unavailable):
@@ -309,7 +309,7 @@
         followed.revision = None
         return None
     await followed.advanced(since, got, sent_at)
-    followed.reading = _is_old(follower, time.monotonic())
+    followed.reading = _is_old(follower, clock.now())
     return None
 
 
@@ -334,7 +334,7 @@
         patience_s = follower.patience_s
         if follower.followed.revision is None:
             patience_s = min(patience_s, START_PATIENCE_S)
-        left_s = follower.fed_until() + patience_s - time.monotonic()
+        left_s = follower.fed_until() + patience_s - clock.now()
         if left_s <= 0:
             return
         await curio.sleep(left_s)
@@ -342,5 +342,5 @@
 
 async def _outage_over(follower: Follower, outage: Outage) -> None:
     """Wait until the store has answered somebody, or a relay helps."""
-    while outage.failing_since is not None and follower.fed_until() < time.monotonic():
+    while outage.failing_since is not None and follower.fed_until() < clock.now():
         await curio.sleep(FIRST_BACKOFF_S)
--- a/ramppost/gateway/inbound.py
+++ b/ramppost/gateway/inbound.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import socket
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, NamedTuple
 
@@ -16,6 +15,7 @@
 import h11
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.links import set_probes
 from ramppost.gateway.model import CallerLimits, CallerRequest
 from ramppost.platform.headers import Headers, caller_request
@@ -251,7 +251,7 @@
     sock: Any, conn: h11.Connection, req: CallerRequest, reply: Reply, serve: Serve
 ) -> None:
     """Serve a request; cancel the work where the caller closes its connection."""
-    read_at = time.monotonic()
+    read_at = clock.now()
     async with curio.TaskGroup(wait=any) as group:
         work = await group.spawn(_served, serve, req, reply, read_at)
         await group.spawn(_until_gone, sock, conn)
--- a/ramppost/gateway/joining.py
+++ b/ramppost/gateway/joining.py
@@ -12,12 +12,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.follow import Handlers
 from ramppost.gateway.peers import GATEWAY_KIND, GatewayEntry, found, listed, own_entry
 from ramppost.gateway.state import Gateway
@@ -45,7 +45,7 @@
         seen = await _together(gw, entry)
     if isinstance(seen, Snapshot):
         listed(gw, seen)
-    now = time.monotonic()
+    now = clock.now()
     if not gw.peers.is_relay(now):
         gw.fed_until = now + start_hold_s(gw.peers.fleet_size, gw.rng.random())
     await start_watchers(gw)
--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import socket
-import time
 from typing import Any, Final, NamedTuple
 
 import curio
 import h11
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.model import Upstream
 from ramppost.platform.headers import AnswerHead, Headers, answer_head
 from ramppost.wire.client import CallFailed, connect, readable
@@ -141,7 +141,7 @@
         self._ended = False
         self._framed = True
         self._keep_alive_s: float | None = None
-        self.sent_at = time.monotonic()
+        self.sent_at = clock.now()
 
     async def send(self) -> Broken | None:
         """Send the request; a large body goes out beside reading the answer."""
@@ -193,7 +193,7 @@
         whole = conn.our_state is h11.DONE and conn.their_state is h11.DONE
         sent = self._sender is None or self._sender.terminated
         clean = whole and sent and conn.trailing_data[0] == b""
-        now = time.monotonic()
+        now = clock.now()
         if not (clean and self._links.keep(self._link, self._keep_alive_s, now)):
             await self.abort()
 
@@ -247,7 +247,7 @@
                 except OSError as exc:
                     return Broken(f"connection failed: {exc}", cut=True)
                 if data:
-                    self._links.heard[self._link.upstream.key] = time.monotonic()
+                    self._links.heard[self._link.upstream.key] = clock.now()
                 try:
                     self._link.h11.receive_data(data)
                 except h11.RemoteProtocolError as exc:
@@ -260,7 +260,7 @@
     links: Links, upstream: Upstream, req: OutgoingRequest
 ) -> Exchange | NotSent | Broken:
     """Send a request to an upstream, on a kept connection or a new one."""
-    link = links.take(upstream, time.monotonic())
+    link = links.take(upstream, clock.now())
     if link is None:
         links.opened += 1
         sock = await connect(upstream.addr, (links.source, 0), CONNECT_TIMEOUT_S)
--- a/ramppost/gateway/loading.py
+++ b/ramppost/gateway/loading.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 from urllib.parse import urlencode
@@ -16,6 +15,7 @@
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.copies import COPY_PATH, unpack
 from ramppost.gateway.follow import FIRST_BACKOFF_S, MAX_BACKOFF_S, Followed, Lacking
 from ramppost.gateway.state import Gateway
@@ -77,9 +77,9 @@
 async def load_once(gw: Gateway, wanted: Wanted) -> bool:
     """Ask one source after the other; whether one of them gave the object."""
     for source in _sources(gw, wanted):
-        began = time.monotonic()
+        began = clock.now()
         got = await source.ask()
-        now = time.monotonic()
+        now = clock.now()
         result = "failed" if isinstance(got, Failed) else "loaded"
         gw.metrics.count("ramppost_large_objects_total", result=result)
         logger.info(
@@ -105,7 +105,7 @@
     and reading that from the store took 2.2 s of a link of 0.5 MB/s.
     """
     told_by = wanted.lacking.told_by
-    others = [name for name in gw.peers.alive(time.monotonic()) if name != told_by]
+    others = [name for name in gw.peers.alive(clock.now()) if name != told_by]
     teller = [_peer(gw, wanted, told_by)] if told_by in gw.peers.addrs else []
     other = [_peer(gw, wanted, gw.rng.choice(others))] if others else []
     store = [Source("store", lambda: _from_store(gw, wanted))]
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -6,13 +6,12 @@
 import signal
 import socket
 import sys
-import time
 from typing import Final
 
 import curio
 from loguru import logger
 
-from ramppost import logs
+from ramppost import clock, logs
 from ramppost.errors import error_body, refusal
 from ramppost.gateway.datagrams import Address, Take
 from ramppost.gateway.departures import RESTART_S, heard_leaving, tell_leaving
@@ -97,8 +96,8 @@
 
 async def _first_state(gw: Gateway) -> None:
     """Wait for a configuration and upstreams, so that the first callers are not refused."""
-    until = time.monotonic() + FIRST_STATE_S
-    while time.monotonic() < until and (gw.table is None or not gw.members_listed):
+    until = clock.now() + FIRST_STATE_S
+    while clock.now() < until and (gw.table is None or not gw.members_listed):
         await curio.sleep(FIRST_STATE_POLL_S)
 
 
@@ -133,7 +132,7 @@
 
 async def _stop(gw: Gateway, number: int) -> None:
     """Planned stop: not ready at once, new work taken until callers have gone, none cut."""
-    began = time.monotonic()
+    began = clock.now()
     gw.leaving = True
     logger.info("stopping", signal=number, busy=gw.callers.busy)
     until = began + gw.cfg["timing"]["stop_s"] - STOP_MARGIN_S
@@ -141,7 +140,7 @@
     await curio.spawn(tell_leaving, gw, daemon=True)
     await curio.sleep(LEAST_STOP_S)
     gw.refusing = "streams"
-    while (now := time.monotonic()) < until and gw.callers.busy:
+    while (now := clock.now()) < until and gw.callers.busy:
         if now > until - LONGEST_CALL_S:
             gw.refusing = "all"
         gw.callers.close_idle()
@@ -157,7 +156,7 @@
             heard_leaving(gw, msg["leaving"])
         elif "ended" in msg or "harmless" in msg:
             if "ended" in msg:
-                gw.members.ended(msg["ended"]["upstream"], time.monotonic())
+                gw.members.ended(msg["ended"]["upstream"], clock.now())
             await gw.fatal.take(msg)
         else:
             await gw.backlogs.take(msg, addr)
--- a/ramppost/gateway/passing.py
+++ b/ramppost/gateway/passing.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final, NamedTuple
 
 import curio
 
+from ramppost import clock
 from ramppost.gateway.attempt import Running
 from ramppost.gateway.events import Event, EventSplitter
 from ramppost.gateway.inbound import Reply
@@ -52,7 +52,7 @@
         await reply.end()
     else:
         await reply.send(running.head.status, running.head.headers, bytes(body))
-    return Passed(running.first_s, time.monotonic() - running.sent_at, 0)
+    return Passed(running.first_s, clock.now() - running.sent_at, 0)
 
 
 async def pass_stream(gw: Gateway, job: Job, running: Running, reply: Reply) -> Passed | Broken:
@@ -81,7 +81,7 @@
         await reply.send(running.head.status, running.head.headers, b"")
     else:
         await reply.end()
-    return Passed(running.first_s, time.monotonic() - running.sent_at, passed)
+    return Passed(running.first_s, clock.now() - running.sent_at, passed)
 
 
 async def _write_events(running: Running, reply: Reply, data: bytes) -> None:
@@ -107,7 +107,7 @@
     """The next bytes; Broken where the upstream has gone silent altogether."""
     limit_s = STALL_GAPS * job.route.gap_objective_s
     while True:
-        since = time.monotonic()
+        since = clock.now()
         try:
             got: bytes | End | Broken = await curio.timeout_after(limit_s, running.exchange.piece())
             return got
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final, NamedTuple, TypeGuard
 
+from ramppost import clock
 from ramppost.gateway.backlogs import NOTHING_KNOWN, Question, Told
 from ramppost.gateway.job import Job, Look
 from ramppost.gateway.model import Prompt, Service, Upstream
@@ -83,7 +83,7 @@
 
     The look that decided for a larger model serves its first attempt, too.
     """
-    now = time.monotonic()
+    now = clock.now()
     service = gw.table.services.get(service_name) if gw.table is not None else None
     prompt = job.req.prompt
     if service is None or service.engine is None or prompt is None:
@@ -92,7 +92,7 @@
         return
     engines = asked_about(gw, job, service_name, model, now)
     question = _question(gw, job, model, prompt)
-    job.look = Look(model, await gw.backlogs.ask(engines, question), time.monotonic())
+    job.look = Look(model, await gw.backlogs.ask(engines, question), clock.now())
 
 
 def asked_about(gw: Gateway, job: Job, service_name: str, model: str, now: float) -> list[Upstream]:
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final, TypedDict
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.attempt import Running
 from ramppost.gateway.model import RolloutOrder
 from ramppost.gateway.passing import Passed
@@ -102,7 +102,7 @@
         for rollout in gw.rollouts.all():
             if rollout.order.state != "ordered":
                 continue
-            now = time.monotonic()
+            now = clock.now()
             delay_s = SPREAD_S * unit("duty", gw.cfg["name"], rollout.order.service)
             delay_s += 0.0 if gw.peers.is_relay(now) else RELAYS_FIRST_S
             part = rollout.part(now - delay_s)
@@ -136,7 +136,7 @@
     )
     seen = rollout_order(got)
     if not isinstance(seen, BadMessage):
-        gw.rollouts.seen(seen, time.monotonic())
+        gw.rollouts.seen(seen, clock.now())
 
 
 async def _read_back(gw: Gateway, order: RolloutOrder) -> None:
@@ -145,7 +145,7 @@
     if isinstance(got, StoredObject):
         seen = rollout_order(got)
         if not isinstance(seen, BadMessage):
-            gw.rollouts.seen(seen, time.monotonic())
+            gw.rollouts.seen(seen, clock.now())
             return
     logger.info("roll-out changed meanwhile", service=order.service, found=type(got).__name__)
     if isinstance(got, Missing):
@@ -225,7 +225,7 @@
     progress = gw.unreadable.decoded(PROGRESS_KIND, obj, Progress)
     if progress is None:
         return
-    gw.rollouts.progress_seen(obj.name, progress["version"], progress["part"], time.monotonic())
+    gw.rollouts.progress_seen(obj.name, progress["version"], progress["part"], clock.now())
 
 
 def _is_further(gw: Gateway, found: StoredObject, spec: Progress) -> bool:
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.errors import Ran, Refusal, error_body, refusal
 from ramppost.gateway.admit import admit, stale
 from ramppost.gateway.attempt import Refused, Running, attempt, release
@@ -49,14 +49,14 @@
         gw.metrics.count("ramppost_requests_on_unconfirmed_keys_total")
     failed: Refusal | None = None
     try:
-        async with curio.timeout_after(max(LEAST_LEFT_S, job.left_s(time.monotonic()))):
+        async with curio.timeout_after(max(LEAST_LEFT_S, job.left_s(clock.now()))):
             failed = await _answer(gw, job, reply)
     except curio.TaskTimeout:
         failed = _time_is_up(job)
     except (Gone, curio.CancelledError):
         _note_end(gw, job, "caller left", reply.status, read_at)
         raise
-    gw.counts.ended(_ended(job, failed is None, time.monotonic()))
+    gw.counts.ended(_ended(job, failed is None, clock.now()))
     if failed is None:
         _note_end(gw, job, "served", reply.status, read_at)
     elif reply.started:
@@ -70,7 +70,7 @@
     """Find who answers and pass it on; a refusal where nobody did."""
     service = service_of(job)
     budget = gw.budget_of(service)
-    began_at = time.monotonic()
+    began_at = clock.now()
     budget.tried(began_at)
     plan = plan_of(gw, job, budget.left(began_at) >= 1)
     model = plan.models[0]
@@ -111,7 +111,7 @@
             return _fatal(job)
         await look(gw, job, service, model)
         # After all that may take time: a process that was frozen finds its confirmation old here.
-        now = time.monotonic()
+        now = clock.now()
         if job.workspace is not None and not gw.fresh.may_start(now):
             return _final(job, stale())
         chosen = pick(gw, job, service, model, now)
@@ -148,7 +148,7 @@
         return True
     if job.tries >= job.route.attempts:
         return False
-    return gw.budget_of(service).take(time.monotonic())
+    return gw.budget_of(service).take(clock.now())
 
 
 def _worth_another(gw: Gateway, job: Job, service: str, got: Running, reply: Reply) -> bool:
@@ -162,7 +162,7 @@
         return True
     if job.route.repeat == "never" or job.tries >= job.route.attempts:
         return False
-    now = time.monotonic()
+    now = clock.now()
     enough = gw.budget_of(service).left(now) >= 1
     return enough and pick(gw, job, service, got.model, now) is not None
 
@@ -192,7 +192,7 @@
         if engine is not None:
             _charge(job, running, (job.events - events_before) * engine.tokens_per_event)
     if isinstance(got, Broken):
-        now = time.monotonic()
+        now = clock.now()
         gw.suspicion_of(running.chosen.upstream.key).note(True, now)
         since_head_s = now - running.sent_at - running.first_s
         events_there = job.events - events_before
@@ -226,7 +226,7 @@
         sign=sign,
     )
     job.ended += 1
-    gw.members.ended(upstream.key, time.monotonic())
+    gw.members.ended(upstream.key, clock.now())
     await gw.fatal.ended(upstream.key, job.fingerprint, sign)
 
 
@@ -250,7 +250,7 @@
     headers: Headers = (JSON_TYPE, *refusal_headers(req.attempt_id))
     if ref.retry_after_s and ref.ran == "no":
         headers = (*headers, (b"retry-after", f"{ref.retry_after_s:.2f}".encode()))
-    held_s = time.monotonic() - read_at
+    held_s = clock.now() - read_at
     gw.metrics.count("ramppost_refusals_total", code=ref.code)
     logger.info(
         "refused: {}",
@@ -281,7 +281,7 @@
 
 
 def _note_end(gw: Gateway, job: Job, outcome: str, status: int, read_at: float) -> None:
-    took_s = time.monotonic() - read_at
+    took_s = clock.now() - read_at
     result = outcome.partition(":")[0]
     gw.metrics.count("ramppost_requests_total", route=job.route.name, outcome=result)
     gw.metrics.observe("ramppost_request_seconds", took_s, route=job.route.name)
@@ -304,4 +304,4 @@
 
 def _config_age_s(gw: Gateway) -> float:
     """For the log: how long ago the configuration was known to be the newest, 999 at most."""
-    return round(min(gw.fresh.age(time.monotonic()), 999.0), 3)
+    return round(min(gw.fresh.age(clock.now()), 999.0), 3)
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import random
-import time
 from typing import Literal
 
+from ramppost import clock
 from ramppost.gateway.backlogs import Backlogs
 from ramppost.gateway.counts import Counts
 from ramppost.gateway.datagrams import Datagrams
@@ -109,7 +109,7 @@
         newer one: then none is better off.  One that was told of a newer configuration and
         has not had it for as long as it may take to be in force is worse off than they.
         """
-        now = time.monotonic()
+        now = clock.now()
         known = self.table is not None and self.members_listed
         as_good = self.fresh.may_start(now) or self.peers_answer
         return known and not self.leaving and as_good and not self._behind(now)
--- a/ramppost/gateway/subscribe.py
+++ b/ramppost/gateway/subscribe.py
@@ -9,12 +9,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final, NamedTuple
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.feed import FEED_PATH, NEVER_MS, PACKED_TYPE, knows, urgent_known_at
 from ramppost.gateway.follow import Followed
 from ramppost.gateway.state import Gateway
@@ -51,7 +51,7 @@
     """Follow whoever helps, until cancelled."""
     name, helped = "", False
     while True:
-        now = time.monotonic()
+        now = clock.now()
         if not wants_feed(gw, now):
             name, helped = "", False
             await curio.sleep(IDLE_S)
@@ -87,7 +87,7 @@
     """Ask a gateway once; whether it keeps up with the store, or reads what it has answered."""
     starting = not knows(gw)
     wait_s = FIRST_WAIT_S if starting else feed_wait_s(gw)
-    asking = _Asking(name, time.monotonic(), wait_s, starting)
+    asking = _Asking(name, clock.now(), wait_s, starting)
     got = await _call(gw, asking)
     msg = BadMessage(got.reason) if isinstance(got, CallFailed) else _message(got)
     gw.peers_answer = not isinstance(msg, BadMessage)
@@ -95,12 +95,12 @@
         logger.info("gateway does not answer: {}", msg.reason, peer=name)
         _pass_over(gw, asking, isinstance(got, CallFailed) and not got.sent)
         return False
-    gw.peers.heard(name, True, time.monotonic())
+    gw.peers.heard(name, True, clock.now())
     known_at = urgent_known_at(gw)
     await _take_all(gw, asking, msg)
     if _lags(gw, asking, msg):
         return _heard_late(gw, asking, msg)
-    now = time.monotonic()
+    now = clock.now()
     if not gw.peers.is_relay(now) and urgent_known_at(gw) > known_at:
         # A relay that is cut off tells what it has heard from us: that confirms nothing.
         gw.fed_until = now + feed_wait_s(gw) + ANSWER_SLACK_S + FED_GRACE_S
@@ -122,7 +122,7 @@
     A start that may still be told goes on asking those who tell: where all start at once they
     are busy first of all.
     """
-    now = time.monotonic()
+    now = clock.now()
     refused = not_sent and now - asking.sent_at < REFUSED_WITHIN_S
     if not _holds(gw, now):
         gw.peers.heard(asking.name, False, now, REFUSED_S if refused else DEAD_S)
@@ -151,7 +151,7 @@
         age_s=round(min(_urgent_age_s(gw, msg), 999.0), 3),
         reading=reading,
     )
-    now = time.monotonic()
+    now = clock.now()
     if reading:
         # It has the newest as soon as that is whole, and tells it over another link: passed over,
         # its followers had a configuration one transfer of a thin link later, 1.4 s.
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.fatal_doc import FATAL_KIND, fatal_changed, fatal_listed
 from ramppost.gateway.follow import Followed, Follower, Handlers, follow
 from ramppost.gateway.model import RoutingTable, Upstream
@@ -60,7 +60,7 @@
 
 
 def _depth_slack_s(gw: Gateway) -> float:
-    behind_hall = gw.peers.depth(time.monotonic()) == FOLLOWS_ITS_HALL
+    behind_hall = gw.peers.depth(clock.now()) == FOLLOWS_ITS_HALL
     leave_s = gw.cfg["timing"]["upstream_leave_ms"] / 1000
     return DEPTH_SLACK_OF_BOUND * leave_s if behind_hall else 0.0
 
@@ -192,7 +192,7 @@
 
 
 def upstreams_listed(gw: Gateway, snapshot: Snapshot) -> None:
-    now = time.monotonic()
+    now = clock.now()
     listed = [up for obj in snapshot.objects if (up := _upstream(gw, obj)) is not None]
     gw.members.replace_all(listed, now)
     gw.members_listed = True
@@ -217,7 +217,7 @@
 
 
 def upstream_changed(gw: Gateway, change: Change) -> None:
-    now = time.monotonic()
+    now = clock.now()
     if change.removed:
         if gw.members.remove(change.obj.name, now):
             logger.info("upstream's entry gone", upstream=change.obj.name)
@@ -277,7 +277,7 @@
     if isinstance(order, BadMessage):
         gw.unreadable.note(names.ROLLOUT_KIND, obj, order.reason)
         return
-    gw.rollouts.seen(order, time.monotonic())
+    gw.rollouts.seen(order, clock.now())
     logger.info(
         "roll-out {}",
         order.state,
@@ -292,7 +292,7 @@
     """Drop what has not come back, close idle connections."""
     while True:
         await curio.sleep(SWEEP_S)
-        now = time.monotonic()
+        now = clock.now()
         for gone in gw.members.sweep(now):
             logger.info("upstream dropped: its entry did not come back", upstream=gone.id)
         _forget_gone(gw)
--- a/ramppost/logs.py
+++ b/ramppost/logs.py
@@ -14,11 +14,11 @@
 import os
 import select
 import sys
-import time
 from typing import TYPE_CHECKING, Final
 
 from loguru import logger
 
+from ramppost import clock
 from ramppost.schema.settings import Log
 
 if TYPE_CHECKING:
@@ -52,13 +52,13 @@
     def __init__(self) -> None:
         self.dropped = 0
         self._left = BURST_LINES
-        self._at = time.monotonic()
+        self._at = clock.now()
         self._poller = select.poll()
         self._poller.register(sys.stdout.fileno(), select.POLLOUT)
 
     def write(self, line: str) -> None:
         """Write a line if there is room for it now."""
-        now = time.monotonic()
+        now = clock.now()
         self._left = min(BURST_LINES, self._left + (now - self._at) * LINES_PER_S)
         self._at = now
         if self._left < 1 or not self._poller.poll(0):
--- a/ramppost/platform/objects.py
+++ b/ramppost/platform/objects.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
-import time
 from typing import Any, Final, Generic, NamedTuple, TypedDict, TypeVar
 from urllib.parse import quote, urlencode
 
+from ramppost import clock
 from ramppost.wire.client import CallFailed, Pool, call, fetch
 from ramppost.wire.codec import BadMessage, decode, encode
 
@@ -82,11 +82,11 @@
         self.pool = pool
         self.calls = 0
         self._left = BURST_CALLS
-        self._at = time.monotonic()
+        self._at = clock.now()
 
     def allowed(self) -> bool:
         """Take a call from this process's budget."""
-        now = time.monotonic()
+        now = clock.now()
         self._left = min(BURST_CALLS, self._left + (now - self._at) * CALLS_PER_S)
         self._at = now
         if self._left < 1:
--- a/ramppost/standin/platform.py
+++ b/ramppost/standin/platform.py
@@ -18,6 +18,7 @@
 import msgspec
 from loguru import logger
 
+from ramppost import clock
 from ramppost.schema.config import ConfigDoc
 from ramppost.schema.messages import Rating
 from ramppost.schema.settings import Box, PlatformStandinSettings
@@ -65,11 +66,11 @@
     def __init__(self, rate: float) -> None:
         self._rate = rate
         self._left = rate
-        self._at = time.monotonic()
+        self._at = clock.now()
 
     def take(self) -> bool:
         """Take one token if there is one."""
-        now = time.monotonic()
+        now = clock.now()
         self._left = min(self._rate, self._left + (now - self._at) * self._rate)
         self._at = now
         if self._left < 1:
@@ -195,9 +196,9 @@
     prefix = req.query.get("prefix", "")
     since = int(req.query.get("since", "0"))
     wait_s = min(MAX_WATCH_S, float(req.query.get("wait_s", MAX_WATCH_S)))
-    deadline = time.monotonic() + wait_s
+    deadline = clock.now() + wait_s
     while not (items := store.listing(prefix, "", since)):
-        left = deadline - time.monotonic()
+        left = deadline - clock.now()
         if left <= 0:
             break
         async with curio.ignore_after(left), store.changed:
@@ -206,7 +207,7 @@
 
 
 async def _ratings(store: Store, delay_s: float, req: Request, reply: Reply) -> None:
-    now = time.monotonic()
+    now = clock.now()
     if req.method == "GET":
         after = int(req.query.get("after", "0"))
         ready = [r for due, r in store.ratings[after:] if due <= now]
--- a/ramppost/standin/store.py
+++ b/ramppost/standin/store.py
@@ -15,6 +15,7 @@
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.platform import names
 from ramppost.schema.settings import StoreStandinSettings
 from ramppost.standin.faults import Faults, with_faults
@@ -146,9 +147,9 @@
 async def _watch(objects: Objects, kind: str, req: Request, reply: Reply) -> None:
     since = int(req.query["watch"])
     wait_s = min(MAX_WAIT_S, int(req.query.get("wait_ms", "0")) / 1000)
-    deadline = time.monotonic() + wait_s
+    deadline = clock.now() + wait_s
     while (found := objects.since(kind, since)) == []:
-        left = deadline - time.monotonic()
+        left = deadline - clock.now()
         if left <= 0:
             break
         async with curio.ignore_after(left), objects.changed:
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -9,13 +9,14 @@
 
 import select
 import socket
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, NamedTuple
 
 import curio
 import h11
 
+from ramppost import clock
+
 READ_SIZE: Final = 65536
 MAX_IDLE: Final = 32
 MAX_LINE: Final = 8 * 1024 * 1024
@@ -281,7 +282,7 @@
     """
     stream: Stream | CallFailed | None = None
     data = bytearray()
-    began = time.monotonic()
+    began = clock.now()
     try:
         async with curio.timeout_after(longest_s):
             stream = await opening
@@ -293,7 +294,7 @@
             return Answer(stream.status, stream.headers, bytes(data))
     except (curio.TaskTimeout, TimeoutError):
         pool.drop(addr)
-        after_s = time.monotonic() - began
+        after_s = clock.now() - began
         read = _progress(stream, data)
         return CallFailed(f"no whole answer from {addr} in {after_s:.1f} s{read}", True)
     except OSError as exc:
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -11,6 +11,7 @@
 
 import httpx
 
+from ramppost import clock
 from ramppost.entry.keyed import PLATFORM_RETRY_S
 from tests.harness.cluster import Cluster
 from tests.harness.operator import carried_out
@@ -54,8 +55,8 @@
 
 def wait_runs(cluster: Cluster, key: str) -> None:
     """Wait until an engine runs the key."""
-    deadline = time.monotonic() + 5
-    while not runs_of(cluster, key) and time.monotonic() < deadline:
+    deadline = clock.now() + 5
+    while not runs_of(cluster, key) and clock.now() < deadline:
         time.sleep(0.02)
 
 
--- a/tests/harness/balanced.py
+++ b/tests/harness/balanced.py
@@ -9,6 +9,7 @@
 
 import httpx
 
+from ramppost import clock
 from tests.harness.cluster import Cluster
 from tests.harness.oracle import runs, told, wait_bills, wait_runs_over, whole
 
@@ -54,7 +55,7 @@
                 self.served += 1
                 if key:
                     self.keys[key] = word.request_id
-                    self.through[word.request_id] = (entry, time.monotonic())
+                    self.through[word.request_id] = (entry, clock.now())
                 return
             last = f"{word.code} ran={word.ran}"
             if "retry-after" not in got.headers:
--- a/tests/harness/chaos.py
+++ b/tests/harness/chaos.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from ramppost import clock
 from ramppost.standin.fleet import MESOB, TOLL, FleetPlan
 from tests.harness.cluster import Cluster
 from tests.harness.load import BARRED, Load, Sent
@@ -139,7 +140,7 @@
 
     def go(self) -> list[Sent]:
         """Faults and load, then quiet; what was sent."""
-        end = time.monotonic() + self.duration_s
+        end = clock.now() + self.duration_s
         load = Load(self.cluster, CALLERS, self.seed, PAUSE_S)
         lanes = [threading.Thread(target=self._lane, args=(n, end)) for n in range(2)]
         for lane in lanes:
@@ -155,7 +156,7 @@
     def _lane(self, number: int, end: float) -> None:
         """One fault after the other; two lanes make two at a time."""
         rng = random.Random(self.seed * 10 + number)
-        while time.monotonic() < end:
+        while clock.now() < end:
             spell = rng.choice(SPELLS)
             with self.lock:
                 finish = spell.begin(self.cluster, rng)
--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -14,7 +14,7 @@
 
 import httpx
 
-from ramppost import ids
+from ramppost import clock, ids
 from ramppost.policy.permissions import token_hash
 from ramppost.standin.fleet import AGENT_PORTS, ENTRY_PORTS, HOST, UPSTREAM_PORTS, FleetPlan, build
 from tests.harness.proxy import Proxy
@@ -187,10 +187,10 @@
 
     def wait_ready(self, entries: list[str] | None = None) -> None:
         """Wait until each entry serves each engine's model and service."""
-        deadline = time.monotonic() + READY_S
+        deadline = clock.now() + READY_S
         for name in entries or self.entry_names:
             while not self._serves(name):
-                if time.monotonic() > deadline:
+                if clock.now() > deadline:
                     raise TimeoutError(f"{name} does not serve; see {self.folder}")
                 time.sleep(POLL_S)
 
@@ -310,8 +310,8 @@
         self.wait_ready()
 
     def _until_up(self, name: str) -> None:
-        deadline = time.monotonic() + READY_S
-        while time.monotonic() < deadline:
+        deadline = clock.now() + READY_S
+        while clock.now() < deadline:
             try:
                 self.http.get(self.internal(name) + "/_log", timeout=5)
                 return
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -13,6 +13,7 @@
 
 import httpx
 
+from ramppost import clock
 from ramppost.platform import names
 from tests.harness.cluster import free_base
 
@@ -284,8 +285,8 @@
             return False
 
     def _wait_until(self, true: Any, what: str, within_s: float = READY_S) -> None:
-        deadline = time.monotonic() + within_s
-        while time.monotonic() < deadline:
+        deadline = clock.now() + within_s
+        while clock.now() < deadline:
             if true():
                 return
             time.sleep(POLL_S)
--- a/tests/harness/operator.py
+++ b/tests/harness/operator.py
@@ -7,6 +7,7 @@
 
 import httpx
 
+from ramppost import clock
 from ramppost.standin.fleet import OPERATOR_TOKEN
 from tests.harness.cluster import Cluster
 
@@ -40,7 +41,7 @@
 def change_and_note(cluster: Cluster, until: float, **wish: Any) -> float:
     """Carry out a wish however often it takes; when it was accepted, 0 if never."""
     turn = 0
-    while time.monotonic() < until:
+    while clock.now() < until:
         entry = cluster.entry_names[turn % len(cluster.entry_names)]
         turn += 1
         try:
@@ -68,12 +69,12 @@
     cluster: Cluster, rev: int, timeout: float = 20, hall: str | None = None
 ) -> list[str]:
     """Processes, all or of a hall, without a revision once they have it or the time is up."""
-    deadline = time.monotonic() + timeout
+    deadline = clock.now() + timeout
     halls = [hall] if hall else cluster.plan.halls
     names = [n for h in halls for n in cluster.in_hall(h) if n in cluster.procs]
     while True:
         behind = [name for name in names if revision(cluster, name) < rev]
-        if not behind or time.monotonic() > deadline:
+        if not behind or clock.now() > deadline:
             return behind
         time.sleep(0.05)
 
--- a/tests/harness/oracle.py
+++ b/tests/harness/oracle.py
@@ -8,6 +8,7 @@
 
 import httpx
 
+from ramppost import clock
 from ramppost.policy.bills import bill_of
 from tests.harness.cluster import Cluster
 
@@ -94,18 +95,18 @@
 
 def wait_bills(cluster: Cluster, request_ids: set[str]) -> dict[str, dict[str, Any]]:
     """The ledger once it has these requests, or after a while as it is."""
-    deadline = time.monotonic() + SETTLE_S
+    deadline = clock.now() + SETTLE_S
     while True:
         bills = ledger(cluster)
-        if request_ids <= set(bills) or time.monotonic() > deadline:
+        if request_ids <= set(bills) or clock.now() > deadline:
             return bills
         time.sleep(0.1)
 
 
 def wait_runs_over(cluster: Cluster) -> None:
     """Wait until no upstream runs anything."""
-    deadline = time.monotonic() + SETTLE_S
-    while time.monotonic() < deadline:
+    deadline = clock.now() + SETTLE_S
+    while clock.now() < deadline:
         if all(line["state"] != "running" for line in runs(cluster)):
             return
         time.sleep(0.1)
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -27,6 +27,7 @@
 
 import httpx
 
+from ramppost import clock
 from ramppost.audit.run import audit
 from ramppost.cli.audit import shown
 from ramppost.platform import names
@@ -174,7 +175,7 @@
         self, rng: random.Random, until: float, step: Callable[[random.Random], None]
     ) -> None:
         try:
-            while time.monotonic() < until:
+            while clock.now() < until:
                 step(rng)
                 time.sleep(rng.uniform(0.0, 0.5))
         except (AssertionError, OSError, httpx.HTTPError) as exc:
@@ -331,9 +332,9 @@
         time.sleep(CALM_S)
         self._set_rate(THIN_BPS)
         self._configure(GROWN_ROUTES, NEW)
-        until = time.monotonic() + APPLY_S + APPLY_SLACK_S
+        until = clock.now() + APPLY_S + APPLY_SLACK_S
         late = set(self.site.gateways)
-        while late and time.monotonic() < until:
+        while late and clock.now() < until:
             late -= {name for name in late if self.site.call(name, NEW).status == 200}
         self._set_rate(None)
         return [f"{name}: the new route is not in force" for name in sorted(late)]
@@ -417,10 +418,10 @@
 
     def recovers(self) -> bool:
         """Whether every gateway serves again."""
-        deadline = time.monotonic() + RECOVERY_S
+        deadline = clock.now() + RECOVERY_S
         for name in self.site.gateways:
             while self.site.call(name, STREAM).status != 200:
-                if time.monotonic() > deadline:
+                if clock.now() > deadline:
                     return False
                 time.sleep(0.1)
         return True
@@ -431,7 +432,7 @@
     played = Soak(folder, seed, entries)
     try:
         callers = Callers(played.site)
-        played.play(time.monotonic() + duration_s)
+        played.play(clock.now() + duration_s)
         recovered = played.recovers()
         late = played.late_for_configuration()
         played.leave_in_calm()
--- a/tests/test_choice_size.py
+++ b/tests/test_choice_size.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import random
-import time
 from collections import Counter
 from typing import Any
 
 import pytest
 
 from bench.choosing import fleet, job_of
+from ramppost import clock
 from ramppost.gateway.pick import MOST_ASKED, asked_about, pick
 from ramppost.gateway.state import Gateway
 from ramppost.policy import placement
@@ -45,8 +45,8 @@
             seen.clear()
         job = job_of(gw, rng)
         job.req = job.req._replace(prompt=prompt_of(job.req.prompt, number))
-        asked_about(gw, job, "lm", MODEL, time.monotonic())
-        pick(gw, job, "lm", MODEL, time.monotonic())
+        asked_about(gw, job, "lm", MODEL, clock.now())
+        pick(gw, job, "lm", MODEL, clock.now())
     return seen
 
 
@@ -71,12 +71,12 @@
         job = job_of(gw, rng)
         prompt = job.req.prompt
         assert prompt is not None
-        usable = gw.members.usable("lm", time.monotonic())
+        usable = gw.members.usable("lm", clock.now())
         pool = pool_of({up.key: up.hall for up in usable})
         work = placement.Work(MODEL, prompt.parts, prompt.tokens_in)
         home = home_of(pool, work, gw.cfg["hall"])
         assert home in narrowed(pool, gw.cfg["hall"], home, rng)
-        asked = [up.key for up in asked_about(gw, job, "lm", MODEL, time.monotonic())]
+        asked = [up.key for up in asked_about(gw, job, "lm", MODEL, clock.now())]
         assert home in asked
         assert len(asked) <= MOST_ASKED
 
@@ -84,15 +84,15 @@
 def chosen(gw: Gateway, requests: int) -> set[str]:
     """Ids of the upstreams that so many requests are placed on."""
     rng = random.Random(4)
-    found = [pick(gw, job_of(gw, rng), "lm", MODEL, time.monotonic()) for _ in range(requests)]
+    found = [pick(gw, job_of(gw, rng), "lm", MODEL, clock.now()) for _ in range(requests)]
     return {choice.upstream.id for choice in found if choice is not None}
 
 
 def test_every_engine_of_the_hall_is_chosen_and_others_where_it_is_full() -> None:
     """Nobody is left without work because the list is long."""
     gw = fleet(150, 20)
-    near = [up for up in gw.members.usable("lm", time.monotonic()) if up.hall == gw.cfg["hall"]]
+    near = [up for up in gw.members.usable("lm", clock.now()) if up.hall == gw.cfg["hall"]]
     assert chosen(gw, 2000) == {up.id for up in near}
     for up in near:
-        gw.backlogs.sent(up, "k", Reading(time.monotonic(), 9.0, 0, MODEL, ()))
+        gw.backlogs.sent(up, "k", Reading(clock.now(), 9.0, 0, MODEL, ()))
     assert len(chosen(gw, 2000) - {up.id for up in near}) > 100
--- a/tests/test_dev.py
+++ b/tests/test_dev.py
@@ -19,6 +19,7 @@
 import httpx
 import pytest
 
+from ramppost import clock
 from ramppost.standin.fleet import (
     DEV,
     ENTRY_PORTS,
@@ -55,9 +56,9 @@
     command = [sys.executable, "-m", "ramppost", "dev", "--port", str(base() + ENTRY_PORTS)]
     with open(out, "wb") as log:
         proc = subprocess.Popen(command, stdout=log, stderr=log)
-    deadline = time.monotonic() + UP_S
+    deadline = clock.now() + UP_S
     while "Stop with Ctrl-C" not in out.read_text():
-        assert proc.poll() is None and time.monotonic() < deadline, out.read_text()
+        assert proc.poll() is None and clock.now() < deadline, out.read_text()
         time.sleep(0.1)
     yield out.read_text()
     proc.send_signal(signal.SIGINT)
@@ -81,11 +82,11 @@
 
 def wait_for(text: str) -> str:
     """Ask for the status, under a little load, until it shows a text."""
-    deadline = time.monotonic() + TURNS_S
+    deadline = clock.now() + TURNS_S
     head = {"authorization": "Bearer mesob-dev"}
     body = {"model": "large", "max_tokens": 3, "messages": [{"role": "user", "content": "x"}]}
     with httpx.Client(headers=head) as http:
-        while time.monotonic() < deadline:
+        while clock.now() < deadline:
             for number in range(10):
                 body["messages"] = [{"role": "user", "content": str(number)}]
                 http.post(f"http://{entry()}/v1/chat/completions", json=body)
@@ -204,9 +205,9 @@
     url = cluster.url("entry-2").replace("http:", "https:") + "/v1/models"
     head = {"authorization": "Bearer mesob-dev"}
     ctx = ssl.create_default_context(cafile=str(cert))
-    deadline = time.monotonic() + UP_S
+    deadline = clock.now() + UP_S
     while True:
-        assert time.monotonic() < deadline
+        assert clock.now() < deadline
         with contextlib.suppress(httpx.HTTPError):
             got = httpx.get(url, headers=head, verify=ctx, timeout=5)
             if got.status_code != 503:
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from ramppost import clock
 from ramppost.platform import names
 from tests.harness.gateways import STREAM, Deployment, Given
 
@@ -60,7 +61,7 @@
         ended: dict[str, float] = {}
         lapsed: set[str] = set()
         while not self._ending.is_set():
-            now = time.monotonic()
+            now = clock.now()
             for name in ENGINES:
                 if name not in ended and self.site.procs[name].poll() is not None:
                     ended[name] = now
@@ -117,8 +118,8 @@
     ended = len(engines.ends)
     given = []
     for gateway in site.gateways * 2:
-        began = time.monotonic()
-        given.append((fatal(site, gateway), time.monotonic() - began))
+        began = clock.now()
+        given.append((fatal(site, gateway), clock.now() - began))
         time.sleep(0.2)
     settle(engines)
     assert len(engines.ends) == ended
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -21,6 +20,7 @@
 from hypothesis import strategies as st
 
 from bench.choosing import job_of
+from ramppost import clock
 from ramppost.gateway.attempt import Refused, _note
 from ramppost.gateway.peers import found
 from ramppost.gateway.pick import pick
@@ -88,7 +88,7 @@
 
 
 def usable(gw: Gateway) -> list[str]:
-    return [found.id for found in gw.members.usable("lm", time.monotonic())]
+    return [found.id for found in gw.members.usable("lm", clock.now())]
 
 
 # --- lists and watches
@@ -206,14 +206,14 @@
 
 def test_an_upstream_that_starts_again_under_its_id_is_another_one(gw: Gateway) -> None:
     upstreams_listed(gw, Snapshot([entry(born=1000)], 1))
-    before = gw.members.usable("lm", time.monotonic())[0]
-    gw.suspicion_of(before.key).note(True, time.monotonic())
-    gw.loads.report(before.key, 20, 7, time.monotonic())
-    gw.links.heard[before.key] = time.monotonic()
+    before = gw.members.usable("lm", clock.now())[0]
+    gw.suspicion_of(before.key).note(True, clock.now())
+    gw.loads.report(before.key, 20, 7, clock.now())
+    gw.links.heard[before.key] = clock.now()
     upstream_changed(gw, Change(entry(revision=2, born=2000), False))
-    after = gw.members.usable("lm", time.monotonic())[0]
+    after = gw.members.usable("lm", clock.now())[0]
     assert (after.id, after.key != before.key) == (before.id, True)
-    assert gw.suspicion_of(after.key).failing(time.monotonic()) == 0.0
+    assert gw.suspicion_of(after.key).failing(clock.now()) == 0.0
     assert gw.loads.reported(after.key).waiting == 0
     assert before.key not in gw.suspicions
     assert before.key not in gw.links.heard
@@ -223,16 +223,16 @@
 def test_a_list_tells_of_new_starts_whatever_the_clock_said(gw: Gateway, born: int) -> None:
     """The time of day may have gone back between two starts."""
     upstreams_listed(gw, Snapshot([entry(born=1000)], 1))
-    before = gw.members.usable("lm", time.monotonic())[0]
+    before = gw.members.usable("lm", clock.now())[0]
     upstreams_listed(gw, Snapshot([entry(revision=2, born=born)], 2))
-    after = gw.members.usable("lm", time.monotonic())[0]
+    after = gw.members.usable("lm", clock.now())[0]
     assert after.key != before.key
 
 
 def test_the_same_news_twice_change_nothing(gw: Gateway) -> None:
     upstreams_listed(gw, Snapshot([entry(born=1000)], 1))
-    before = gw.members.usable("lm", time.monotonic())[0]
-    gw.loads.report(before.key, 20, 7, time.monotonic())
+    before = gw.members.usable("lm", clock.now())[0]
+    gw.loads.report(before.key, 20, 7, clock.now())
     upstream_changed(gw, Change(entry(born=1000), False))
     upstreams_listed(gw, Snapshot([entry(born=1000)], 1))
     assert gw.loads.reported(before.key).waiting == 7
@@ -267,7 +267,7 @@
         StoredObject("lm", 1, {"service": "lm", "target_version": "v2", "duration_s": 10.0}, None)
     )
     assert not isinstance(order, BadMessage)
-    return Running(order, time.monotonic())
+    return Running(order, clock.now())
 
 
 @pytest.mark.parametrize("spec", [b"null", b'"x"', b"{}", b'{"version":"v2"}', b'{"version":7}'])
@@ -336,7 +336,7 @@
     progress_seen(gw, obj)
     gw.policies.seen(obj)
     found(gw, obj)
-    for up in gw.members.usable("lm", time.monotonic()):
+    for up in gw.members.usable("lm", clock.now()):
         assert up.slots > 0
     if name != "good":
         assert "good" in usable(gw)
@@ -355,10 +355,10 @@
     take_config(gw, StoredObject(names.CONFIG_NAME, 1, config(1), None))
     upstreams_listed(gw, Snapshot([entry("ghost"), entry("there")], 1))
     job = job_of(gw, random.Random(1))
-    ghost = next(up for up in gw.members.usable("lm", time.monotonic()) if up.id == "ghost")
-    chosen = pick(gw, job, "lm", "small", time.monotonic())
+    ghost = next(up for up in gw.members.usable("lm", clock.now()) if up.id == "ghost")
+    chosen = pick(gw, job, "lm", "small", clock.now())
     assert chosen is not None
     refused = Refused(status, 0.0, wrong_upstream=status == 421)
     _note(gw, job, chosen._replace(upstream=ghost), "small", refused, 0.01)
-    failing = gw.suspicion_of(ghost.key).failing(time.monotonic())
+    failing = gw.suspicion_of(ghost.key).failing(clock.now())
     assert (failing > 0) == avoided
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from ramppost import clock
 from ramppost.platform import names
 from tests.harness.gateways import KEYS, ONCE, OPEN, SAFE, STREAM, Deployment, Given, config, route
 from tests.harness.proxy import Proxy
@@ -50,9 +51,9 @@
 
     def ask(self, prefix: str, **more: Any) -> None:
         """Make a request and keep its answer."""
-        began = time.monotonic()
+        began = clock.now()
         self.answers.append(self.site.call(GATEWAY, prefix, **more))
-        self.took_s = time.monotonic() - began
+        self.took_s = clock.now() - began
 
 
 @given("a deployment", target_fixture="seen")
--- a/tests/test_gateway_backlogs.py
+++ b/tests/test_gateway_backlogs.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import socket
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
 import pytest
 
+from ramppost import clock
 from ramppost.gateway.backlogs import ASK_TIMEOUT_S, MISSES, Backlogs, Question, Told
 from ramppost.gateway.datagrams import Datagrams
 from ramppost.gateway.metrics import Metrics
@@ -68,7 +68,7 @@
 
 
 def reading(read_s: float = 0.5) -> Reading:
-    return Reading(time.monotonic(), read_s, 2, "m", ("one", "two"))
+    return Reading(clock.now(), read_s, 2, "m", ("one", "two"))
 
 
 def test_what_one_gateway_sends_the_other_knows() -> None:
@@ -103,9 +103,9 @@
         await site.tasks["south"].cancel()
         site.north.sent(FAR, "a", reading(0.5))
         for number in range(MISSES + 1):
-            began = time.monotonic()
+            began = clock.now()
             told = await site.north.ask([FAR, NEAR], QUESTION)
-            took_s = time.monotonic() - began
+            took_s = clock.now() - began
             assert took_s < 2 * ASK_TIMEOUT_S if number < MISSES else took_s < ASK_TIMEOUT_S / 2
             assert 0.3 < told[FAR.id].ahead_s <= 0.5, "what it sent itself it knows"
             assert told[FAR.id].complete == (number >= MISSES), "then it is the keeper itself"
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
 import pytest
 
+from ramppost import clock
 from ramppost.gateway.feed import feed
 from ramppost.gateway.follow import Followed, Handlers
 from ramppost.gateway.operators import internal
@@ -43,7 +43,7 @@
         await curio.spawn(serve, listen("127.0.0.1", self.port), inner, daemon=True)
 
     async def list_both(self, revision: int, age_s: float = 0.0) -> None:
-        at = time.monotonic() - age_s
+        at = clock.now() - age_s
         for gw in (self.relay, self.asker):
             for followed in gw.followed.values():
                 await followed.listed(Snapshot([obj("a", revision)], revision), at)
@@ -52,7 +52,7 @@
         followed = self.relay.followed[kind]
         since = followed.revision or 0
         changes = Changes([Change(obj(name, since + 1), removed)], since + 1)
-        await followed.advanced(since, changes, time.monotonic())
+        await followed.advanced(since, changes, clock.now())
 
 
 def noting(taken: list[str]) -> Handlers:
@@ -85,12 +85,12 @@
     async def scene(pair: Pair) -> None:
         await pair.list_both(5)
         pair.taken.clear()
-        began = time.monotonic()
+        began = clock.now()
         asking = await curio.spawn(ask_once, pair.asker, RELAY)
         await curio.sleep(0.1)
         await pair.change(OTHER, "b", removed=True)
         await asking.join()
-        assert time.monotonic() - began < 0.1 + 0.5 * feed_wait_s(pair.asker)
+        assert clock.now() - began < 0.1 + 0.5 * feed_wait_s(pair.asker)
         assert pair.taken == ["b gone"]
         assert pair.asker.followed[OTHER].revision == 6
 
@@ -102,9 +102,9 @@
         await pair.list_both(5)
         asking = await curio.spawn(ask_once, pair.asker, RELAY)
         await curio.sleep(0.2)
-        await pair.relay.followed[URGENT].advanced(5, Changes([], 5), time.monotonic())
+        await pair.relay.followed[URGENT].advanced(5, Changes([], 5), clock.now())
         assert await asking.join()
-        assert pair.asker.fed_until > time.monotonic()
+        assert pair.asker.fed_until > clock.now()
 
     play(scene)
 
@@ -112,7 +112,7 @@
 def test_a_confirmation_is_never_taken_for_younger_than_it_is() -> None:
     async def scene(pair: Pair) -> None:
         await pair.list_both(5, age_s=1.0)
-        confirmed_at = time.monotonic() - 0.3
+        confirmed_at = clock.now() - 0.3
         await pair.relay.followed[URGENT].advanced(5, Changes([], 5), confirmed_at)
         await ask_once(pair.asker, RELAY)
         taken_at = pair.asker.followed[URGENT].confirmed_at
@@ -126,7 +126,7 @@
         await pair.list_both(5, age_s=oldest_s(pair.asker) + 1)
         await pair.change(OTHER, "b")
         assert not await ask_once(pair.asker, RELAY)
-        assert pair.asker.fed_until < time.monotonic()
+        assert pair.asker.fed_until < clock.now()
         assert pair.taken[-1] == "b", "what it tells is taken all the same"
 
     play(scene)
@@ -135,10 +135,10 @@
 def test_a_relay_without_a_later_confirmation_does_not_feed() -> None:
     async def scene(pair: Pair) -> None:
         await pair.list_both(5)
-        began = time.monotonic()
+        began = clock.now()
         assert not await ask_once(pair.asker, RELAY)
-        assert time.monotonic() - began >= feed_wait_s(pair.asker)
-        assert pair.asker.peers.alive(time.monotonic()) == []
+        assert clock.now() - began >= feed_wait_s(pair.asker)
+        assert pair.asker.peers.alive(clock.now()) == []
 
     play(scene)
 
@@ -152,10 +152,10 @@
         await curio.spawn(serve, listen("127.0.0.1", port), feed(pair.asker), daemon=True)
         pair.relay.peers.put(ASKER, f"127.0.0.1:{port}")
         assert not await ask_once(pair.relay, ASKER)
-        assert pair.relay.peers.alive(time.monotonic()) == [ASKER]
-        await pair.asker.followed[URGENT].advanced(5, Changes([], 5), time.monotonic())
+        assert pair.relay.peers.alive(clock.now()) == [ASKER]
+        await pair.asker.followed[URGENT].advanced(5, Changes([], 5), clock.now())
         await ask_once(pair.relay, ASKER)
-        assert time.monotonic() - pair.relay.followed[URGENT].confirmed_at < oldest_s(pair.relay)
+        assert clock.now() - pair.relay.followed[URGENT].confirmed_at < oldest_s(pair.relay)
 
     play(scene)
 
@@ -167,7 +167,7 @@
         await pair.list_both(5, age_s=0.5)
         await pair.change(OTHER, "b")
         assert await ask_once(pair.asker, RELAY)
-        assert pair.asker.fed_until < time.monotonic()
+        assert pair.asker.fed_until < clock.now()
 
     play(scene)
 
@@ -175,7 +175,7 @@
 def test_a_relay_that_knows_less_tells_nothing() -> None:
     async def scene(pair: Pair) -> None:
         await pair.list_both(5)
-        now = time.monotonic()
+        now = clock.now()
         await pair.asker.followed[URGENT].listed(Snapshot([], 9), now)
         await pair.relay.followed[URGENT].advanced(5, Changes([], 7), now + 5)
         await ask_once(pair.asker, RELAY)
@@ -204,9 +204,9 @@
         pair.relay.followed[OTHER].confirmed_at = float("-inf")
         await ask_once(pair.asker, RELAY)
         assert pair.asker.followed[OTHER].revision == 7
-        began = time.monotonic()
+        began = clock.now()
         await ask_once(pair.asker, RELAY)
-        assert time.monotonic() - began >= 0.5 * feed_wait_s(pair.asker), "answered at once again"
+        assert clock.now() - began >= 0.5 * feed_wait_s(pair.asker), "answered at once again"
 
     play(scene)
 
@@ -214,7 +214,7 @@
 def test_a_gateway_that_knows_nothing_is_told_everything() -> None:
     async def scene(pair: Pair) -> None:
         for followed in pair.relay.followed.values():
-            await followed.listed(Snapshot([obj("a", 4), obj("b", 5)], 5), time.monotonic())
+            await followed.listed(Snapshot([obj("a", 4), obj("b", 5)], 5), clock.now())
         assert await ask_once(pair.asker, RELAY)
         assert pair.taken == ["all 2", "all 2"]
 
@@ -229,7 +229,7 @@
             pair.asker.peers.put(RELAY, f"127.0.0.1:{free_port()}")
         await pair.change(URGENT, "b")
         assert await ask_once(pair.asker, RELAY) == answers
-        assert pair.asker.peers.alive(time.monotonic()) == ([RELAY] if answers else [])
+        assert pair.asker.peers.alive(clock.now()) == ([RELAY] if answers else [])
         assert pair.asker.peers_answer == answers
 
     play(scene)
@@ -250,7 +250,7 @@
     gw = gateway(name)
     for other in (RELAY, ASKER):
         gw.peers.put(other, "127.0.0.1:1")
-    now = time.monotonic()
+    now = clock.now()
     gw.fresh.confirm(now - age_s)
     gw.outage.failing_since = now if failing else None
     assert wants_feed(gw, now) == wants
--- a/tests/test_gateway_follow.py
+++ b/tests/test_gateway_follow.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import socket
-import time
 from typing import Any, NamedTuple
 
 import curio
 import pytest
 
+from ramppost import clock
 from ramppost.gateway.follow import (
     START_PATIENCE_S,
     Followed,
@@ -182,10 +182,10 @@
 ) -> Played:
     store, port, seen = Store(cuts), free_port(), Seen()
     await curio.spawn(serve, listen("127.0.0.1", port), store.handle, daemon=True)
-    fed_until = time.monotonic() + fed_for_s
+    fed_until = clock.now() + fed_for_s
     followed = Followed("kind", seen.handlers(), News(), True)
     if known:
-        await followed.listed(Snapshot([], 5), time.monotonic())
+        await followed.listed(Snapshot([], 5), clock.now())
     follower = Follower(followed, 20.0, 0.0, patience_s, lambda: fed_until, True)
     client = StoreClient(f"127.0.0.1:{port}", Pool())
     task = await curio.spawn(follow, client, follower, Outage(), daemon=True)
--- a/tests/test_gateway_loading.py
+++ b/tests/test_gateway_loading.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 import zlib
 from typing import Any
 
 import curio
 import pytest
 
+from ramppost import clock
 from ramppost.gateway.copies import pack, unpack
 from ramppost.gateway.feed import LARGE_BYTES, feed
 from ramppost.gateway.follow import Followed, Handlers
@@ -35,7 +35,7 @@
     """The relay sees the large object change, as the newest change of all."""
     followed = pair.relay.followed[URGENT]
     changes = Changes([Change(large(revision), False)], revision)
-    await followed.advanced(followed.revision or 0, changes, time.monotonic())
+    await followed.advanced(followed.revision or 0, changes, clock.now())
 
 
 async def told_of(pair: Pair, revision: int) -> None:
@@ -126,7 +126,7 @@
     async def scene(pair: Pair) -> None:
         asked = await store_of(pair, 6)
         await told_of(pair, 6)
-        pair.asker.peers.heard(RELAY, False, time.monotonic())
+        pair.asker.peers.heard(RELAY, False, clock.now())
         await loaded(pair, 6)
         assert asked == []
 
@@ -151,7 +151,7 @@
         await tells_only(pair)
         await told_of(pair, 6)
         await third_gateway(pair, 6)
-        pair.asker.outage.failing_since = time.monotonic() if failing else None
+        pair.asker.outage.failing_since = clock.now() if failing else None
         await loaded(pair, 6)
         assert len(asked) == (0 if failing else 1)
 
@@ -166,7 +166,7 @@
         await pair.list_both(5, age_s=0.5)
         stub = StoredObject(NAME, 6, None, None, whole=False)
         followed = pair.relay.followed[URGENT]
-        await followed.advanced(5, Changes([Change(stub, False)], 6), time.monotonic())
+        await followed.advanced(5, Changes([Change(stub, False)], 6), clock.now())
         await ask_once(pair.asker, RELAY)
         loading = await curio.spawn(loaded, pair, 6)
         await curio.sleep(0.1)
@@ -206,9 +206,9 @@
     async def scene(pair: Pair) -> None:
         await told_of(pair, 6)
         await pair.change(OTHER, "b")
-        began = time.monotonic()
+        began = clock.now()
         await ask_once(pair.asker, RELAY)
-        assert time.monotonic() - began < 0.2
+        assert clock.now() - began < 0.2
         assert pair.taken[-1] == "b"
         assert NAME in pair.asker.followed[URGENT].lacking
 
@@ -239,7 +239,7 @@
         await loaded(pair, 6)
         assert [c.obj.whole for c in followed.told(5).changes] == [True]
         stub = StoredObject(NAME, 6, None, None, whole=False)
-        await followed.listed(Snapshot([stub], 7), time.monotonic())
+        await followed.listed(Snapshot([stub], 7), clock.now())
         assert not followed.lacking
         assert followed.whole(NAME) == large(6)
 
@@ -268,7 +268,7 @@
         gw = gateway(ASKER)
         gw.members_listed = True
         gw.table = object()  # type: ignore[assignment]
-        now = time.monotonic()
+        now = clock.now()
         gw.fresh.confirm(now)
         followed = Followed(
             names.CONFIG_KIND, Handlers(lambda s: None, lambda c: None, print), gw.news, True
--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -12,6 +12,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from ramppost import clock
 from ramppost.platform import names
 from tests.harness.gateways import STREAM, Deployment, Given
 
@@ -78,8 +79,8 @@
     if hasattr(site, "bad_version"):
         for name in NEW:
             site.behave(name, status=500)
-    deadline = time.monotonic() + n
-    while time.monotonic() < deadline and not site.rollout_status():
+    deadline = clock.now() + n
+    while clock.now() < deadline and not site.rollout_status():
         time.sleep(0.1)
     time.sleep(0.5)
     load.end()
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Any
 
 import curio
 import pytest
 
+from ramppost import clock
 from ramppost.errors import Refusal
 from ramppost.gateway.admit import Admitted, admit
 from ramppost.gateway.backlogs import Question, Told
@@ -62,7 +62,7 @@
     found = Gateway(SETTINGS)
     take(found, 5, 1)
     upstreams_listed(found, Snapshot([], 5))
-    found.fresh.confirm(time.monotonic())
+    found.fresh.confirm(clock.now())
     return found
 
 
@@ -143,7 +143,7 @@
     word from the store, where routes must be in force after 2 s."""
     gw.fresh = Freshness(gw.fresh.bound_s)
     apply_s = gw.cfg["timing"]["config_apply_ms"] / 1000
-    gw.fresh.confirm(time.monotonic() - apply_s - late_s)
+    gw.fresh.confirm(clock.now() - apply_s - late_s)
     got = ask(gw, "/nowhere/")
     assert isinstance(got, Refusal)
     assert got.code == code
@@ -186,7 +186,7 @@
     req = caller_request("POST", STREAM + "x", head, b"")
     admitted = admit(gw, req)
     assert isinstance(admitted, Admitted)
-    job = Job(req, admitted, time.monotonic())
+    job = Job(req, admitted, clock.now())
     for model in ("small", "large", "large"):
         curio.run(look, gw, job, "lm", model)
     assert asked == ["small", "large"]
@@ -209,7 +209,7 @@
     req = caller_request("POST", STREAM + "x", head, b"")
     admitted = admit(gw, req)
     assert isinstance(admitted, Admitted)
-    job = Job(req, admitted, time.monotonic())
+    job = Job(req, admitted, clock.now())
     got = curio.run(_running, gw, job, "lm", "m", None)
     assert isinstance(got, Refusal)
     assert (got.code, got.ran, job.tried) == ("not_ready", "no", set())
@@ -217,7 +217,7 @@
 
 def stopping(gw: Gateway, back_in_s: float) -> Gateway:
     gw.refusing = "all"
-    gw.back_at = time.monotonic() + back_in_s
+    gw.back_at = clock.now() + back_in_s
     gw.peers.put("gateway-2", "127.0.0.1:9", "bole")
     gw.peers.put("gateway-3", "127.0.0.1:9", "bole")
     return gw
@@ -257,7 +257,7 @@
 
 
 def usable(gw: Gateway) -> set[str]:
-    return {u.id for u in gw.members.usable("lm", time.monotonic())}
+    return {u.id for u in gw.members.usable("lm", clock.now())}
 
 
 def test_removals_of_all_may_be_lapses(gw: Gateway) -> None:
@@ -278,11 +278,11 @@
 
 def test_a_configuration_that_is_not_understood_is_not_confirmed(gw: Gateway) -> None:
     gw.fresh = Freshness(5.0)
-    confirmed(gw, time.monotonic())
+    confirmed(gw, clock.now())
     assert gw.fresh.known
     gw.fresh = Freshness(5.0)
     config_listed(gw, Snapshot([StoredObject(names.CONFIG_NAME, 9, {"version": "x"}, None)], 9))
-    confirmed(gw, time.monotonic())
+    confirmed(gw, clock.now())
     assert not gw.fresh.known
 
 
@@ -300,11 +300,11 @@
 ) -> None:
     listed = [versioned("old", "v1"), versioned("new-1", "v2"), versioned("new-2", "v2")]
     upstreams_listed(gw, Snapshot(listed, 6))
-    gw.rollouts.seen(RolloutOrder("lm", "v2", 10.0, "ordered", 6), time.monotonic() - 8)
+    gw.rollouts.seen(RolloutOrder("lm", "v2", 10.0, "ordered", 6), clock.now() - 8)
     admitted = ask(gw, STREAM)
     assert isinstance(admitted, Admitted)
-    job = Job(caller_request("POST", STREAM, (), b""), admitted, time.monotonic())
+    job = Job(caller_request("POST", STREAM, (), b""), admitted, clock.now())
     job.failed_versions = failed
     job.tried = {"new-1"} if failed else set()
-    found = pick(gw, job, "lm", "", time.monotonic())
+    found = pick(gw, job, "lm", "", clock.now())
     assert found is not None and found.upstream.id in chosen
--- a/tests/test_hall_feed.py
+++ b/tests/test_hall_feed.py
@@ -9,12 +9,12 @@
 
 from __future__ import annotations
 
-import time
 from typing import Any
 
 import curio
 import pytest
 
+from ramppost import clock
 from ramppost.gateway.follow import Followed, Handlers
 from ramppost.gateway.operators import internal
 from ramppost.gateway.state import Gateway
@@ -53,12 +53,12 @@
         gw = gateway(name, leave_ms)
         for other in names:
             gw.peers.put(other, f"127.0.0.1:{ports[other]}", SETTINGS["hall"])
-        by_depth.setdefault(gw.peers.depth(time.monotonic()), gw)
+        by_depth.setdefault(gw.peers.depth(clock.now()), gw)
     found = [by_depth[depth] for depth in (WATCHES, FOLLOWS_A_RELAY, FOLLOWS_ITS_HALL)]
     for gw in found:
         for other in names:
             if other not in [one.cfg["name"] for one in found]:
-                gw.peers.heard(other, False, time.monotonic(), 60.0)
+                gw.peers.heard(other, False, clock.now(), 60.0)
     return found
 
 
@@ -73,17 +73,17 @@
         await listening(relay, told)
         await listening(teller, told)
         for gw in (relay, teller, told):
-            await gw.followed[KIND].listed(Snapshot([], 5), time.monotonic())
+            await gw.followed[KIND].listed(Snapshot([], 5), clock.now())
         for gw in (teller, told):
             await curio.spawn(subscribe, gw, daemon=True)
         await curio.sleep(0.3)
         obj = StoredObject("a", 6, {}, None)
-        began = time.monotonic()
+        began = clock.now()
         changes = Changes([Change(obj, False)], 6)
-        await relay.followed[KIND].advanced(5, changes, time.monotonic())
-        while told.followed[KIND].whole("a") is None and time.monotonic() < began + 3:
+        await relay.followed[KIND].advanced(5, changes, clock.now())
+        while told.followed[KIND].whole("a") is None and clock.now() < began + 3:
             await curio.sleep(0.005)
-        took_s = time.monotonic() - began
+        took_s = clock.now() - began
         await end_all()
         return took_s
 
@@ -114,12 +114,12 @@
             await curio.sleep(60)
 
         await curio.spawn(serve, listen("127.0.0.1", port), silent, daemon=True)
-        await told.followed[KIND].listed(Snapshot([], 5), time.monotonic())
-        began = time.monotonic()
+        await told.followed[KIND].listed(Snapshot([], 5), clock.now())
+        began = clock.now()
         assert not await ask_once(told, teller.cfg["name"])
-        assert teller.cfg["name"] not in told.peers.alive(time.monotonic())
+        assert teller.cfg["name"] not in told.peers.alive(clock.now())
         assert told.store.pool.idle == {}, "what is open may be as silent"
-        return time.monotonic() - began
+        return clock.now() - began
 
     took_s: Any = curio.run(scene)
     assert took_s < SETTINGS["timing"]["upstream_leave_ms"] / 1000 - STORE_S
--- a/tests/test_halls.py
+++ b/tests/test_halls.py
@@ -10,6 +10,7 @@
 
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from ramppost import clock
 from tests.conftest import SMALL
 from tests.faults import Caller
 from tests.harness.balanced import Load
@@ -76,9 +77,9 @@
 @then(parsers.parse("every one of them is billed once within {seconds:d} seconds"))
 def billed_once(seldom: Cluster, served: set[str], seconds: int) -> None:
     assert served
-    deadline = time.monotonic() + seconds
+    deadline = clock.now() + seconds
     while not served <= set(bills := ledger(seldom)):
-        assert time.monotonic() < deadline, len(served - set(bills))
+        assert clock.now() < deadline, len(served - set(bills))
         time.sleep(0.2)
     assert {charged(bills, request_id) for request_id in served} == {1}
 
@@ -92,7 +93,7 @@
 def away(cluster: Cluster, load: Load, hall: str, away: str, seconds: int) -> None:
     if away.startswith("lost"):
         load.lost = cluster.in_hall(hall)
-        load.lost_at = time.monotonic()
+        load.lost_at = clock.now()
         lose(cluster, hall)
     else:
         part(cluster, hall, platform=away.endswith("platform"))
@@ -125,11 +126,11 @@
     )
 )
 def again(cluster: Cluster, seconds: int) -> None:
-    deadline = time.monotonic() + seconds
+    deadline = clock.now() + seconds
     for name in cluster.entry_names:
         for key in ("", f"key-{uuid.uuid4()}"):
             while (word := Caller(cluster, name, key, 3).heard()[0]) and not word.served:
-                assert time.monotonic() < deadline, word
+                assert clock.now() < deadline, word
                 time.sleep(0.2)
 
 
@@ -143,9 +144,9 @@
         if name.startswith("agent"):
             cluster.agent_proxy[name].set("refuse")
     entry = cluster.entry_in(here)
-    deadline = time.monotonic() + 5
+    deadline = clock.now() + 5
     while not Caller(cluster, entry, key, 5).heard()[0].served:
-        assert time.monotonic() < deadline
+        assert clock.now() < deadline
         time.sleep(0.2)
     part(cluster, far, platform=True)
     return key
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -15,6 +14,7 @@
 import curio
 import pytest
 
+from ramppost import clock
 from ramppost.gateway.joining import join
 from ramppost.gateway.operators import internal
 from ramppost.gateway.peers import GATEWAY_KIND, own_entry
@@ -89,12 +89,12 @@
     """Start a gateway's part that follows the store; seconds until it may serve."""
     inner = listen("127.0.0.1", gw.cfg["internal_port"])
     await curio.spawn(serve, inner, internal(gw), daemon=True)
-    began = time.monotonic()
+    began = clock.now()
     await curio.spawn(join, gw, daemon=True)
-    while not (gw.ready and gw.fresh.may_start(time.monotonic())):
+    while not (gw.ready and gw.fresh.may_start(clock.now())):
         await curio.sleep(0.005)
-        assert time.monotonic() - began < 5, "never ready"
-    return time.monotonic() - began
+        assert clock.now() - began < 5, "never ready"
+    return clock.now() - began
 
 
 def play(scene: Callable[[Store], Awaitable[Any]]) -> Any:
@@ -115,7 +115,7 @@
     for gw in gws:
         for other in gws:
             gw.peers.put(other.cfg["name"], own_entry(other)["addr"], other.cfg["hall"])
-    now = time.monotonic()
+    now = clock.now()
     gws.sort(key=lambda gw: not gw.peers.is_relay(now))
     return gws
 
@@ -210,8 +210,8 @@
         while not other.peers.addrs:
             await curio.sleep(0.005)
         store.answers = False
-        until = time.monotonic() + 2
-        while not other.members_listed and time.monotonic() < until:
+        until = clock.now() + 2
+        while not other.members_listed and clock.now() < until:
             await curio.sleep(0.01)
         assert other.members_listed and other.table is not None
         await listed.cancel()
--- a/tests/test_large_config.py
+++ b/tests/test_large_config.py
@@ -23,6 +23,7 @@
 import h11
 import pytest
 
+from ramppost import clock
 from ramppost.platform import names
 from ramppost.policy.relays import ranked_names
 from ramppost.wire.client import Answer, Pool, fetch
@@ -168,10 +169,10 @@
         addr = f"{HOST}:{sock.getsockname()[1]}"
         await curio.spawn(curio.network.run_server, sock, reads_slowly, daemon=True)
         body = b"x" * 1_000_000
-        began = time.monotonic()
+        began = clock.now()
         got = await fetch(Pool(), addr, "PUT", "/", body, timeout_s=1.0)
         assert isinstance(got, Answer) and got.status == 200
-        assert time.monotonic() - began > 1.5, "longer than the time for the beginning"
+        assert clock.now() - began > 1.5, "longer than the time for the beginning"
 
     curio.run(scene)
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,6 +10,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from ramppost import clock
 from ramppost.agent.orders import AGAIN_S
 from ramppost.policy.orders import LoadOrder, orders_due
 from ramppost.policy.permissions import ModelVersion
@@ -68,9 +69,9 @@
         cluster.kill(name)
         cluster.spawn(name)
     cluster.heal()
-    deadline = time.monotonic() + 10
+    deadline = clock.now() + 10
     while any(TRIAL_NAME in line["versions"] for line in agents(cluster)):
-        assert time.monotonic() < deadline
+        assert clock.now() < deadline
         time.sleep(0.1)
 
 
@@ -112,9 +113,9 @@
     )
 )
 def loaded(cluster: Cluster, revision: int, seconds: int) -> None:
-    deadline = time.monotonic() + seconds
+    deadline = clock.now() + seconds
     while not all(TRIAL_NAME in line["versions"] for line in agents(cluster)):
-        assert time.monotonic() < deadline
+        assert clock.now() < deadline
         time.sleep(0.1)
     for engine in cluster.fleet.engines:
         taken = [o for o in orders(cluster, engine) if o["status"] == 200]
@@ -123,9 +124,9 @@
 
 @then("requests reach it")
 def reached(cluster: Cluster) -> None:
-    deadline = time.monotonic() + 10
+    deadline = clock.now() + 10
     while not any(line["version"] == "v2" for line in runs(cluster)):
-        assert time.monotonic() < deadline
+        assert clock.now() < deadline
         cluster.chat("entry-1", tokens=2)
 
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -11,6 +11,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from ramppost import clock
 from tests.harness.cluster import Cluster
 from tests.harness.operator import carried_out, document, reset
 from tests.harness.oracle import runs, wait_runs_over
@@ -53,9 +54,9 @@
     def wait(self, count: int) -> None:
         """Until so many more were answered."""
         wanted = len(self.statuses) + count
-        deadline = time.monotonic() + 30
+        deadline = clock.now() + 30
         while len(self.statuses) < wanted:
-            assert time.monotonic() < deadline
+            assert clock.now() < deadline
             time.sleep(0.02)
 
     def stop(self) -> None:
@@ -77,9 +78,9 @@
 
 def ended(cluster: Cluster, state: str, seconds: float) -> dict[str, Any]:
     """The last roll-out, once it has a state."""
-    deadline = time.monotonic() + seconds
+    deadline = clock.now() + seconds
     while (found := last_rollout(cluster))["state"] != state:
-        assert time.monotonic() < deadline, (found["state"], found.get("note"))
+        assert clock.now() < deadline, (found["state"], found.get("note"))
         time.sleep(0.1)
     return found
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterator
 from typing import Any
 
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from ramppost import clock
 from tests.harness.cluster import Cluster
 from tests.harness.operator import confirm
 from tests.harness.oracle import Told, told, wait_runs_over
@@ -43,9 +43,9 @@
 def roll_out(cluster: Cluster) -> None:
     wish = {"steps": [0.5, 1.0], "step_s": 0.3, "min_requests": 0}
     change(cluster, kind="rollout", model="large", version="v2", **wish)
-    deadline = time.monotonic() + 20
+    deadline = clock.now() + 20
     while cluster.chat("entry-1").headers.get("ramppost-model") != "large@v2":
-        assert time.monotonic() < deadline
+        assert clock.now() < deadline
     rev = revision(cluster, "entry-1")
     wait_revision(cluster, rev)
 
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -20,6 +20,7 @@
 import curio
 import pytest
 
+from ramppost import clock
 from ramppost.policy.relays import ranked_names
 from ramppost.wire.client import STALL_S, Answer, CallFailed, Pool, call, fetch
 from tests.harness.gateways import HOST, KEYS, Deployment, config, route
@@ -95,11 +96,11 @@
         await curio.spawn(curio.network.run_server, sock, answers_half, daemon=True)
         return await fetch(Pool(), addr, "GET", "/", timeout_s=1.0)
 
-    began = time.monotonic()
+    began = clock.now()
     got = curio.run(scene)
     assert isinstance(got, CallFailed)
     assert got.sent and "1 of 2 bytes read" in got.reason
-    assert STALL_S <= time.monotonic() - began < 2 * STALL_S
+    assert STALL_S <= clock.now() - began < 2 * STALL_S
 
 
 def test_a_kept_connection_that_is_silent_speaks_for_all_that_were_kept() -> None:
--- a/tests/test_suspended.py
+++ b/tests/test_suspended.py
@@ -17,6 +17,7 @@
 import pytest
 
 import ramppost
+from ramppost import clock
 from ramppost.errors import Refusal
 from ramppost.gateway.admit import Admitted
 from ramppost.gateway.feed import _answer
@@ -60,12 +61,12 @@
     """The gateway has read all that it has to know at once."""
     for kind in (names.CONFIG_KIND, names.UPSTREAM_KIND):
         followed = gw.followed[kind]
-        await followed.listed(Snapshot([], 5), time.monotonic())
+        await followed.listed(Snapshot([], 5), clock.now())
 
 
 def test_a_key_is_not_let_in_by_a_confirmation_from_before(gw: Gateway, suspend: Suspend) -> None:
     gw.members_listed = True
-    gw.fresh.confirm(time.monotonic())
+    gw.fresh.confirm(clock.now())
     assert isinstance(ask(gw, SAFE), Admitted)
     assert gw.ready
     suspend()
