Test: a request whose gateway slept while it connected is sent (fails)

By reading: between the check of a key and the sending lies the way to the upstream, up to 0.4 s and any time for which the box is suspended or the process frozen.

--- a/tests/test_suspended.py
+++ b/tests/test_suspended.py
@@ -22,13 +22,16 @@
 from ramppost.gateway.admit import Admitted
 from ramppost.gateway.feed import _answer
 from ramppost.gateway.follow import Handlers
+from ramppost.gateway.job import Job
+from ramppost.gateway.serve import _running
 from ramppost.gateway.state import Gateway
-from ramppost.gateway.watchers import watch_kind
+from ramppost.gateway.watchers import upstreams_listed, watch_kind
 from ramppost.platform import names
+from ramppost.platform.headers import caller_request
 from ramppost.platform.store import Snapshot
 from ramppost.schema.messages import FeedMark, FeedQuery
-from tests.harness.gateways import KEYS, OPEN, SAFE
-from tests.test_gateway_state import SETTINGS, ask, take
+from tests.harness.gateways import KEYS, OPEN, SAFE, SITE, STREAM
+from tests.test_gateway_state import SETTINGS, ask, entry, take
 
 SUSPENDED_S = 10.0
 Suspend = Callable[[], None]
@@ -101,3 +104,49 @@
         if "monotonic" in path.read_text(encoding="utf-8").lower()
     ]
     assert reading == ["clock.py"]
+
+
+class Upstream:
+    """The socket of an upstream that takes whatever comes."""
+
+    def __init__(self) -> None:
+        self.got: list[bytes] = []
+        self._socket = self
+
+    async def sendall(self, data: bytes) -> None:
+        self.got.append(data)
+
+    async def recv(self, size: int) -> bytes:
+        return b""
+
+    def setsockopt(self, *option: int) -> None:
+        """Options change nothing here."""
+
+    def shutdown(self, how: int) -> None:
+        """Closing changes nothing here."""
+
+    def close(self) -> None:
+        """Closing changes nothing here."""
+
+
+def test_what_slept_on_the_way_to_its_upstream_is_not_sent(
+    gw: Gateway, suspend: Suspend, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The box was suspended after the key was checked, while the connection was made."""
+    upstream = Upstream()
+
+    async def connect(addr: str, source: tuple[str, int], timeout_s: float) -> Upstream:
+        suspend()
+        return upstream
+
+    monkeypatch.setattr("ramppost.gateway.links.connect", connect)
+    upstreams_listed(gw, Snapshot([entry("a")], 6))
+    gw.fresh.confirm(clock.now())
+    admitted = ask(gw, STREAM)
+    assert isinstance(admitted, Admitted)
+    head = ((b"host", SITE.encode()),)
+    job = Job(caller_request("POST", STREAM, head, b""), admitted, clock.now())
+    got = curio.run(_running, gw, job, "lm", "m", None)
+    assert upstream.got == []
+    assert isinstance(got, Refusal)
+    assert (got.status, got.ran) == (503, "no")
