What is sent to an upstream is checked and dated once the connection is there

What could happen to callers: a key that was taken away runs, and an upstream is given time that has passed, where the box is suspended or the process frozen while a connection is made.

Cause: the key was checked and the time left told before connecting, which takes up to 0.4 s and any time asleep. Left: between the last check and the kernel's taking of the bytes lies no wait, but a box may be suspended anywhere.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -105,10 +105,13 @@
 async def _send_and_wait(
     gw: Gateway, job: Job, chosen: Chosen, model: str, work: OwnWork, reading: Reading | None
 ) -> Running | Refused | NotSent | Broken:
-    sent_at = clock.now()
     urgency = reading.level if reading is not None else None
-    outgoing = _outgoing(job, chosen, model, urgency, sent_at)
-    opened = await open_exchange(gw.links, chosen.upstream, outgoing)
+
+    def compose() -> OutgoingRequest | NotSent:
+        return _outgoing(gw, job, chosen, model, urgency)
+
+    sent_at = clock.now()
+    opened = await open_exchange(gw.links, chosen.upstream, compose)
     if isinstance(opened, NotSent):
         return opened
     job.attempts += 1
@@ -138,8 +141,15 @@
 
 
 def _outgoing(
-    job: Job, chosen: Chosen, model: str, urgency: int | None, now: float
-) -> OutgoingRequest:
+    gw: Gateway, job: Job, chosen: Chosen, model: str, urgency: int | None
+) -> OutgoingRequest | NotSent:
+    """What is sent, with the time that is left now: a box may have been suspended, or a process
+    frozen, while the connection was made."""
+    now = clock.now()
+    if job.workspace is not None and not gw.fresh.may_start(now):
+        return NotSent("the confirmation of its key grew old on the way", withheld=True)
+    if job.left_s(now) <= 0:
+        return NotSent("its time passed on the way", withheld=True)
     send = Send(
         chosen.upstream,
         job.left_s(now),
@@ -207,7 +217,7 @@
         failed = got.wrong_upstream
     else:
         outcome = got.reason
-        failed = True
+        failed = not (isinstance(got, NotSent) and got.withheld)
     if outcome != "cancelled":
         gw.suspicion_of(chosen.upstream.key).note(failed, now)
     if job.req.session:
--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
 import curio
@@ -40,9 +41,10 @@
 
 
 class NotSent(NamedTuple):
-    """The request did not leave: nothing can have run."""
+    """The request did not leave: nothing can have run.  `withheld` tells that it was not to."""
 
     reason: str
+    withheld: bool = False
 
 
 class Broken(NamedTuple):
@@ -71,6 +73,10 @@
     attempt_id: str
 
 
+Compose = Callable[[], OutgoingRequest | NotSent]
+"""Gives what is to be sent once there is a connection, or why it must not be sent any more."""
+
+
 class Link:
     """A connection to an upstream."""
 
@@ -257,7 +263,7 @@
 
 
 async def open_exchange(
-    links: Links, upstream: Upstream, req: OutgoingRequest
+    links: Links, upstream: Upstream, compose: Compose
 ) -> Exchange | NotSent | Broken:
     """Send a request to an upstream, on a kept connection or a new one."""
     link = links.take(upstream, clock.now())
@@ -268,6 +274,10 @@
             return NotSent(sock.reason)
         set_probes(sock)
         link = Link(sock, upstream)
+    req = compose()
+    if isinstance(req, NotSent):
+        link.sock._socket.close()
+        return req
     exchange = Exchange(links, link, req)
     failed = await exchange.send()
     if failed is not None:
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -105,7 +105,7 @@
 
 async def whole(links: Links, addr: str, attempt: str, body: bytes = b"") -> Any:
     """Body of an answer, or the failure."""
-    opened = await open_exchange(links, upstream(addr), request(attempt, body))
+    opened = await open_exchange(links, upstream(addr), lambda: request(attempt, body))
     if not isinstance(opened, Exchange):
         return opened
     head = await opened.head()
