Tests: what was seen outlives all gateways; only a good end clears a request (fail)

By reading the mend: two ends are forgotten where all gateways are killed before the third, and an engine's 504, which comes whole after a wait in its queue, shows nothing of what a run would do. A third test holds what already is: a copy that waits at an engine is withdrawn as its request turns out to be fatal. In tests of this file an engine that is started again counts as up only once it behaves as the test wants: one run in two failed on that.

--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -20,7 +20,7 @@
 
 from ramppost import clock
 from ramppost.platform import names
-from tests.harness.gateways import STREAM, Deployment, Given
+from tests.harness.gateways import MODELS, STREAM, Deployment, Given, config, route
 
 FATAL = b"ends whoever runs it"
 ENGINES = ("lm-1", "lm-2", "lm-3", "lm-4", "lm-5", "lm-6")
@@ -41,6 +41,8 @@
     def __init__(self, site: Deployment) -> None:
         self.site = site
         self.ends: list[float] = []
+        self._down: dict[str, float] = {}
+        """Engines that have ended and are not back, and when they ended."""
         self._ending = threading.Event()
         for name in ENGINES:
             self._arm(name)
@@ -52,13 +54,15 @@
         self._thread.join()
 
     def all_up(self) -> bool:
-        return all(self.site.procs[name].poll() is None for name in ENGINES)
+        """Whether all run as they are to."""
+        running = all(self.site.procs[name].poll() is None for name in ENGINES)
+        return running and not self._down
 
     def _arm(self, name: str) -> None:
         self.site.behave(name, ends_on=FATAL.decode(), events=20, event_ms=40)
 
     def _watch(self) -> None:
-        ended: dict[str, float] = {}
+        ended = self._down
         lapsed: set[str] = set()
         while not self._ending.is_set():
             now = clock.now()
@@ -101,6 +105,13 @@
     time.sleep(0.5)
 
 
+def try_all_engines(site: Deployment) -> None:
+    """Let requests go on to the next engine until one has room."""
+    wide = {"sizes": MODELS, "stream_resume": True, "max_attempts": 10, "target_latency_ms": 9000}
+    site.configure(config(2, routes=[route("wide", "/stream/x/", "streaming", "lm", **wide)]))
+    time.sleep(KNOWN_WITHIN_S)
+
+
 def come_again_until_certain(engines: Engines) -> None:
     """The request comes at one gateway after the other, as callers do, until it is certain."""
     for gateway in engines.site.gateways:
@@ -171,3 +182,57 @@
         assert given[number].status == 200, number
         assert given[number].events == list(range(1, 21))
     assert fatal(site, site.gateways[0]).status == 502
+
+
+def test_a_copy_that_still_waits_is_withdrawn(engines: Engines) -> None:
+    """It waits at an engine while three others end: it is given up, and that one goes on."""
+    site = engines.site
+    try_all_engines(site)
+    site.behave(ENGINES[0], ends_on=FATAL.decode(), work_ms=4000)
+    for name in ENGINES[1:]:
+        site.behave(name, refuse=True)
+    given: list[tuple[Given, float]] = []
+
+    def wait() -> None:
+        given.append((site.call(site.gateways[3], STREAM, body=FATAL), time.monotonic()))
+
+    waiting = threading.Thread(target=wait)
+    waiting.start()
+    time.sleep(0.5)
+    site.behave(ENGINES[0], refuse=True)
+    for name in ENGINES[1:]:
+        site.behave(name, ends_on=FATAL.decode())
+    fatal(site, site.gateways[0])
+    known_at = time.monotonic()
+    waiting.join()
+    got, given_at = given[0]
+    assert b'"fatal_request"' in got.body
+    assert given_at - known_at < KNOWN_WITHIN_S
+    assert len(engines.ends) == MOST_ENDS
+    assert site.procs[ENGINES[0]].poll() is None
+
+
+def test_what_was_seen_outlives_all_gateways(engines: Engines) -> None:
+    """Two engines end, all gateways are killed, and one more end makes it certain."""
+    site = engines.site
+    try_all_engines(site)
+    for name in ENGINES[2:]:
+        site.behave(name, refuse=True)
+    fatal(site, site.gateways[0])
+    time.sleep(KNOWN_WITHIN_S)
+    assert len(engines.ends) == 2
+    for name in site.gateways:
+        site.procs[name].kill()
+        site.wait_end(name)
+    for name in site.gateways:
+        site.start_gateway(name)
+    for name in site.gateways:
+        site.wait_ready(name)
+    for name in ENGINES[2:]:
+        site.behave(name, ends_on=FATAL.decode())
+    settle(engines)
+    for name in site.gateways:
+        fatal(site, name)
+        time.sleep(0.2)
+    settle(engines)
+    assert len(engines.ends) == MOST_ENDS
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -29,6 +29,7 @@
 from ramppost.platform.headers import caller_request
 from ramppost.platform.store import Change, Snapshot, StoredObject
 from ramppost.policy.departures import AT_ONCE_S
+from ramppost.policy.fatal import ENDS_CERTAIN, JUST_BEGUN
 from ramppost.schema.messages import LeavingNote
 from ramppost.schema.settings import GatewaySettings
 from tests.harness.gateways import KEYS, ONCE, OPEN, SITE, STREAM, config
@@ -308,3 +309,13 @@
     job.tried = {"new-1"} if failed else set()
     found = pick(gw, job, "lm", "", clock.now())
     assert found is not None and found.upstream.id in chosen
+
+
+def test_only_a_run_to_a_good_end_shows_that_a_request_is_harmless(gw: Gateway) -> None:
+    """An engine's 504 after its time in the queue came whole, and cleared what ended engines."""
+    for number in range(ENDS_CERTAIN):
+        curio.run(gw.fatal.ended, f"e{number}", "it", JUST_BEGUN)
+    for status in (504, 500, 400, 200):
+        assert curio.run(gw.fatal.is_fatal, "it"), status
+        gw.fatal.answered("it", status)
+    assert not curio.run(gw.fatal.is_fatal, "it")
