Two ends of upstreams are kept where all gateways may be gone; a good end alone clears a request

And a request that ends engines was taken for harmless once its engine answered 504 after a wait in its queue.

Cause: only what was certain lay in the store; any whole answer counted as a run to a good end. Change: a request with two strong ends stands in the document, too, marked as not certain, and counts at whoever reads it; it is taken out again by whoever answers it with success. A document that is full keeps what is certain first.

--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -21,7 +21,7 @@
 from ramppost.gateway.early import address
 from ramppost.gateway.links import Exchange
 from ramppost.gateway.metrics import Metrics
-from ramppost.policy.fatal import MOST_FATAL, Docket
+from ramppost.policy.fatal import ENDS_CERTAIN, ENDS_KEPT, JUST_BEGUN, MOST_FATAL, Docket
 from ramppost.policy.relays import Peers
 from ramppost.schema.messages import (
     FatalRequest,
@@ -35,6 +35,8 @@
 """What breaks off at one moment is told in one datagram."""
 TELL_AGAIN_S: Final = 0.3
 """A datagram may be lost."""
+LEAST_FAILURE: Final = 400
+"""The least status that is none of a success."""
 MOST_TOLD: Final = 100
 """Requests in one datagram: 5 KB."""
 
@@ -50,36 +52,41 @@
         self.agreed: dict[str, FatalRequest] = {}
         """What stands in the document, by fingerprint."""
         self.unwritten: dict[str, FatalRequest] = {}
-        """What is certain here and not in the document yet."""
-        self.found = curio.Event()
-        """Set as something is added there."""
+        """What was found here and is not in the document yet."""
+        self.cleared: set[str] = set()
+        """What stands in the document and was answered well here."""
         self._waiting: dict[str, set[Exchange]] = {}
         """Requests that wait for the head of their answer."""
         self._untold: dict[str, list[RequestUnder]] = {}
         self._to_tell = curio.Event()
 
-    async def is_fatal(self, fingerprint: str) -> bool:
+    def is_fatal(self, fingerprint: str) -> bool:
         """Whether a request must not be run."""
         now = clock.now()
         if self.docket.is_harmless(fingerprint, now):
             return False
-        if fingerprint in self.agreed:
+        if fingerprint in self.agreed and self.agreed[fingerprint]["certain"]:
             return True
-        await self._judge(fingerprint, now)
+        self._judge(fingerprint, now)
         return fingerprint in self.docket.fatal
 
     async def ended(self, upstream: str, fingerprint: str, sign: int) -> None:
         """An upstream has ended that had a request of this gateway."""
-        await self._note(upstream, fingerprint, sign)
+        self._note(upstream, fingerprint, sign)
         self._untold.setdefault(upstream, []).append(
             RequestUnder(fingerprint=fingerprint, sign=sign)
         )
         await self._to_tell.set()
 
-    def answered(self, fingerprint: str) -> None:
-        """A request was answered whole, so nothing ended of it."""
+    def answered(self, fingerprint: str, status: int) -> None:
+        """A request was answered whole; with success, it was run and nothing ended of it."""
+        if status >= LEAST_FAILURE:
+            return
         if self.docket.answered(fingerprint, clock.now()):
             self._tell_all(PeerDatagram(harmless=HarmlessNote(fingerprint=fingerprint)))
+        self.unwritten.pop(fingerprint, None)
+        if fingerprint in self.agreed:
+            self.cleared.add(fingerprint)
 
     @contextmanager
     def waiting(self, fingerprint: str, exchange: Exchange) -> Iterator[None]:
@@ -96,11 +103,11 @@
 
     # --- what others tell
 
-    async def take(self, msg: PeerDatagram) -> None:
+    def take(self, msg: PeerDatagram) -> None:
         """Take in what another gateway tells."""
         if "ended" in msg:
             for under in msg["ended"]["under"][:MOST_TOLD]:
-                await self._note(msg["ended"]["upstream"], under["fingerprint"], under["sign"])
+                self._note(msg["ended"]["upstream"], under["fingerprint"], under["sign"])
         if "harmless" in msg:
             self.docket.answered(msg["harmless"]["fingerprint"], clock.now())
 
@@ -109,15 +116,35 @@
         self.docket = Docket()
         self.agreed = {}
         self.unwritten = {}
+        self.cleared = set()
 
     def agree(self, requests: list[FatalRequest]) -> None:
         """These stand in the document, and no others."""
-        new = [one["fingerprint"] for one in requests if one["fingerprint"] not in self.agreed]
-        self.agreed = {one["fingerprint"]: one for one in requests[-MOST_FATAL:]}
-        for fingerprint in new:
-            logger.info("fatal request known", fingerprint=fingerprint)
-            self.unwritten.pop(fingerprint, None)
-            self._cut(fingerprint)
+        before, self.agreed = self.agreed, {}
+        for one in requests[-MOST_FATAL:]:
+            self.agreed[one["fingerprint"]] = one
+        self.cleared &= set(self.agreed)
+        for fingerprint, one in self.agreed.items():
+            if one == before.get(fingerprint):
+                continue
+            logger.info("fatal request known", fingerprint=fingerprint, certain=one["certain"])
+            if fingerprint in self.unwritten and not _adds(self.unwritten[fingerprint], one):
+                del self.unwritten[fingerprint]
+            if one["certain"]:
+                self._cut(fingerprint)
+            else:
+                self._take_over(one)
+
+    def written(self, requests: dict[str, FatalRequest]) -> None:
+        """These were written, also if a full document has no place for them."""
+        for fingerprint, one in requests.items():
+            if self.unwritten.get(fingerprint) is one:
+                del self.unwritten[fingerprint]
+
+    def _take_over(self, one: FatalRequest) -> None:
+        """Count what other gateways saw, which may be gone since."""
+        for upstream in one["upstreams"][:ENDS_CERTAIN]:
+            self._note(upstream, one["fingerprint"], JUST_BEGUN)
 
     # --- telling
 
@@ -143,25 +170,40 @@
 
     # --- judging
 
-    async def _note(self, upstream: str, fingerprint: str, sign: int) -> None:
+    def _note(self, upstream: str, fingerprint: str, sign: int) -> None:
         now = clock.now()
         self.docket.ended(upstream, fingerprint, sign, now)
-        await self._judge(fingerprint, now)
+        self._judge(fingerprint, now)
 
-    async def _judge(self, fingerprint: str, now: float) -> None:
-        """Find out whether a request is certain by now to end upstreams."""
-        known = fingerprint in self.docket.fatal
-        if known or not self.docket.is_fatal(fingerprint, now):
+    def _judge(self, fingerprint: str, now: float) -> None:
+        """Find out whether a request is certain by now to end upstreams, or close to it."""
+        if fingerprint in self.docket.fatal:
+            return
+        if not self.docket.is_fatal(fingerprint, now):
+            ends = self.docket.strong_ends(fingerprint, now)
+            if len(ends) >= ENDS_KEPT:
+                self._keep(fingerprint, ends, certain=False)
             return
-        upstreams = list(self.docket.fatal[fingerprint])
+        ends = self.docket.fatal[fingerprint]
         self._metrics.count("ramppost_fatal_requests_found_total")
-        logger.warning("request held to be fatal", fingerprint=fingerprint, upstreams=upstreams)
+        logger.warning("request held to be fatal", fingerprint=fingerprint, upstreams=list(ends))
         self._cut(fingerprint)
-        if fingerprint not in self.agreed:
-            found = FatalRequest(fingerprint=fingerprint, at=int(time.time()), upstreams=upstreams)
+        self._keep(fingerprint, ends, certain=True)
+
+    def _keep(self, fingerprint: str, ends: tuple[str, ...], certain: bool) -> None:
+        """Have it written to the document, unless that says as much."""
+        found = FatalRequest(
+            fingerprint=fingerprint, at=int(time.time()), certain=certain, upstreams=list(ends)
+        )
+        held = self.unwritten.get(fingerprint) or self.agreed.get(fingerprint)
+        if held is None or _adds(found, held):
             self.unwritten[fingerprint] = found
-            await self.found.set()
 
     def _cut(self, fingerprint: str) -> None:
         for exchange in self._waiting.get(fingerprint, ()):
             exchange.cut()
+
+
+def _adds(found: FatalRequest, held: FatalRequest) -> bool:
+    """Whether what was found says more than what is held."""
+    return found["certain"] and not held["certain"]
--- a/ramppost/gateway/fatal_doc.py
+++ b/ramppost/gateway/fatal_doc.py
@@ -1,8 +1,9 @@
 """The document of requests that no gateway runs any more, in the store.
 
-Whoever finds a request to be fatal adds it, by a conditional write; all gateways follow the
-document as they follow policies.  It is bounded in length, and what has stood there for a day
-goes with the next write.  An operator who deletes it lets all of them run again.
+Whoever finds a request to be fatal adds it, by a conditional write, and one that lacks a single
+end, too, since all gateways may be killed before that.  Whoever answers one well takes it out.  All
+gateways follow the document as they follow policies.  It is bounded in length, and what has
+stood there for a day goes with the next write.  An operator who deletes it lets all run again.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 from loguru import logger
 
 from ramppost import clock
+from ramppost.gateway.fatal import FatalRequests
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import (
     Change,
@@ -28,7 +30,7 @@
 )
 from ramppost.policy.fatal import MOST_FATAL
 from ramppost.policy.routing import unit
-from ramppost.schema.messages import FatalDoc, FatalRequest
+from ramppost.schema.messages import FatalDoc
 
 FATAL_KIND: Final = "fatal-requests"
 FATAL_NAME: Final = "main"
@@ -37,6 +39,8 @@
 """Gateways write within this of each other, so that the first one's write spares the others'."""
 RELAYS_FIRST_S: Final = 0.2
 RETRY_S: Final = 0.3
+LOOK_S: Final = 0.2
+"""How often to look whether there is something to write."""
 KEPT_S: Final = 86_400
 """Each time that a request is forgotten it ends some upstreams before it is found again."""
 
@@ -59,17 +63,21 @@
 
 
 async def keep_document(gw: Gateway) -> None:
-    """Write what is found here, until cancelled."""
+    """Write what is found here, and take out what was answered well, until cancelled."""
+    delay_s = SPREAD_S * unit("fatal", gw.cfg["name"])
     while True:
-        await gw.fatal.found.wait()
-        gw.fatal.found.clear()
-        delay_s = SPREAD_S * unit("fatal", gw.cfg["name"])
-        delay_s += 0.0 if gw.peers.is_relay(clock.now()) else RELAYS_FIRST_S
-        await curio.sleep(delay_s)
-        while gw.fatal.unwritten and not await _write(gw):
+        await curio.sleep(LOOK_S)
+        if not _differs(gw):
+            continue
+        await curio.sleep(delay_s + (0.0 if gw.peers.is_relay(clock.now()) else RELAYS_FIRST_S))
+        while _differs(gw) and not await _write(gw):
             await curio.sleep(RETRY_S)
 
 
+def _differs(gw: Gateway) -> bool:
+    return bool(gw.fatal.unwritten or gw.fatal.cleared)
+
+
 def _seen(gw: Gateway, obj: StoredObject) -> None:
     doc = gw.unreadable.decoded(FATAL_KIND, obj, FatalDoc)
     if doc is not None and obj.name == FATAL_NAME:
@@ -77,30 +85,41 @@
 
 
 async def _write(gw: Gateway) -> bool:
-    """Add to the document what it lacks; whether that is done."""
+    """Bring the document up to date; whether that is done."""
     held = await read(gw.store, FATAL_KIND, FATAL_NAME)
     if isinstance(held, Unavailable):
         logger.warning("fatal requests not written yet: {}", held.reason)
         return False
+    if isinstance(held, StoredObject):
+        _seen(gw, held)
+        if not _differs(gw):
+            return True
+    else:
+        gw.fatal.agree([])
+    doc, written = _joined(gw.fatal), dict(gw.fatal.unwritten)
     got: StoredObject | Conflict | Unavailable
     if isinstance(held, Missing):
-        got = await create(gw.store, FATAL_KIND, FATAL_NAME, _joined([], gw.fatal.unwritten))
+        got = await create(gw.store, FATAL_KIND, FATAL_NAME, doc)
     else:
-        _seen(gw, held)
-        if not gw.fatal.unwritten:
-            return True
-        doc = _joined(list(gw.fatal.agreed.values()), gw.fatal.unwritten)
         got = await replace(gw.store, FATAL_KIND, FATAL_NAME, held.revision, doc)
     if not isinstance(got, StoredObject):
         logger.info("fatal requests not written yet", outcome=type(got).__name__)
         return False
-    logger.info("fatal requests written", count=len(gw.fatal.unwritten), revision=got.revision)
+    logger.info("fatal requests written", count=len(doc["requests"]), revision=got.revision)
     _seen(gw, got)
+    gw.fatal.written(written)
     return True
 
 
-def _joined(held: list[FatalRequest], found: dict[str, FatalRequest]) -> FatalDoc:
-    """The document with what was found, the newest of both."""
+def _joined(fatal: FatalRequests) -> FatalDoc:
+    """The document with what was found and without what was cleared or is old; where it would
+    be too long, those that are certain stay before the others, and the newest of each."""
     now = int(time.time())
-    young = [one for one in held if now - one["at"] < KEPT_S]
-    return FatalDoc(requests=[*young, *found.values()][-MOST_FATAL:])
+    young = {
+        fingerprint: one
+        for fingerprint, one in fatal.agreed.items()
+        if now - one["at"] < KEPT_S and fingerprint not in fatal.cleared
+    }
+    together = [*(young | fatal.unwritten).values()]
+    newest = sorted(together, key=lambda one: (one["certain"], one["at"]))[-MOST_FATAL:]
+    return FatalDoc(requests=newest)
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -157,7 +157,7 @@
         elif "ended" in msg or "harmless" in msg:
             if "ended" in msg:
                 gw.members.ended(msg["ended"]["upstream"], clock.now())
-            await gw.fatal.take(msg)
+            gw.fatal.take(msg)
         else:
             await gw.backlogs.take(msg, addr)
 
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -107,7 +107,7 @@
     failures = 0
     last = refusal("no_upstream", f"no upstream of {service} can be asked", NO_ROOM_RETRY_S)
     while True:
-        if await gw.fatal.is_fatal(job.fingerprint):
+        if gw.fatal.is_fatal(job.fingerprint):
             return _fatal(job)
         await look(gw, job, service, model)
         # After all that may take time: a process that was frozen finds its confirmation old here.
@@ -209,7 +209,7 @@
         sign = sign_of(since_head_s, events_there)
         await _after_cut(gw, job, running.chosen.upstream, got, sign)
         return got
-    gw.fatal.answered(job.fingerprint)
+    gw.fatal.answered(job.fingerprint, running.head.status)
     judge_answer(gw, running, bad=running.head.status >= 500, passed=got)
     return None
 
--- a/ramppost/policy/fatal.py
+++ b/ramppost/policy/fatal.py
@@ -20,6 +20,8 @@
 from typing import Final
 
 ENDS_CERTAIN: Final = 3
+ENDS_KEPT: Final = 2
+"""So many are worth keeping where all gateways may be gone before the next."""
 WEAK_ENDS_CERTAIN: Final = 5
 HARMLESS: Final = 0
 WAITED: Final = 1
@@ -142,20 +144,25 @@
             self._ends[upstream].culprit = fingerprint
         return True
 
+    def strong_ends(self, fingerprint: str, now: float) -> tuple[str, ...]:
+        """The upstreams for whose end a request is among the strongest suspects."""
+        return tuple(
+            up for up in self._open_ends(fingerprint) if self._ends[up].suspects(fingerprint, now)
+        )
+
     def _ends_certain(self, fingerprint: str, now: float) -> tuple[str, ...]:
         """The upstreams whose ends make it certain; empty where they do not."""
         self._forget_old(now)
-        under = [
-            up for up in self._under.get(fingerprint, []) if not self._explained(up, fingerprint)
-        ]
-        strong = tuple(up for up in under if self._ends[up].suspects(fingerprint, now))
+        strong = self.strong_ends(fingerprint, now)
         if len(strong) >= ENDS_CERTAIN:
             return strong
-        settled = tuple(up for up in under if self._ends[up].settled(now))
-        return settled if len(settled) >= WEAK_ENDS_CERTAIN else ()
+        settled = [up for up in self._open_ends(fingerprint) if self._ends[up].settled(now)]
+        return tuple(settled) if len(settled) >= WEAK_ENDS_CERTAIN else ()
 
-    def _explained(self, upstream: str, fingerprint: str) -> bool:
-        return self._ends[upstream].explained(fingerprint)
+    def _open_ends(self, fingerprint: str) -> list[str]:
+        """The upstreams that ended under a request and, as far as is known, of no other."""
+        under = self._under.get(fingerprint, [])
+        return [up for up in under if not self._ends[up].explained(fingerprint)]
 
     def _forget_old(self, now: float) -> None:
         while self._ends and now - next(iter(self._ends.values())).at >= REMEMBERED_S:
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -196,7 +196,7 @@
 
 class FatalRequest(TypedDict, closed=True):
     """
-    A request that is not run any more, since upstreams end under it.
+    A request under which upstreams have ended.
     """
 
     fingerprint: str
@@ -205,7 +205,11 @@
     """
     at: int
     """
-    When that became certain, seconds since 1970.
+    When this was written, seconds since 1970.
+    """
+    certain: bool
+    """
+    Whether it is not run any more; else the next end may make it certain.
     """
     upstreams: list[str]
     """
@@ -215,7 +219,7 @@
 
 class FatalDoc(TypedDict, closed=True):
     """
-    Object `fatal-requests/main`: what gateways have agreed not to run.
+    Object `fatal-requests/main`: what gateways do not run, and what may come to that.
     """
 
     requests: list[FatalRequest]
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import curio
@@ -12,6 +13,7 @@
 from ramppost.gateway.admit import Admitted, admit
 from ramppost.gateway.backlogs import Question, Told
 from ramppost.gateway.departures import heard_leaving
+from ramppost.gateway.fatal_doc import FATAL_NAME, fatal_changed, fatal_listed
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.job import Job
 from ramppost.gateway.model import RolloutOrder
@@ -29,7 +31,7 @@
 from ramppost.platform.headers import caller_request
 from ramppost.platform.store import Change, Snapshot, StoredObject
 from ramppost.policy.departures import AT_ONCE_S
-from ramppost.policy.fatal import ENDS_CERTAIN, JUST_BEGUN
+from ramppost.policy.fatal import ENDS_CERTAIN, JUST_BEGUN, MOST_FATAL
 from ramppost.schema.messages import LeavingNote
 from ramppost.schema.settings import GatewaySettings
 from tests.harness.gateways import KEYS, ONCE, OPEN, SITE, STREAM, config
@@ -316,6 +318,56 @@
     for number in range(ENDS_CERTAIN):
         curio.run(gw.fatal.ended, f"e{number}", "it", JUST_BEGUN)
     for status in (504, 500, 400, 200):
-        assert curio.run(gw.fatal.is_fatal, "it"), status
+        assert gw.fatal.is_fatal("it"), status
         gw.fatal.answered("it", status)
-    assert not curio.run(gw.fatal.is_fatal, "it")
+    assert not gw.fatal.is_fatal("it")
+
+
+def stored_fatal(count: int, certain: bool) -> StoredObject:
+    requests = [
+        {"fingerprint": f"r{number}", "at": int(time.time()), "certain": certain, "upstreams": []}
+        for number in range(count)
+    ]
+    return StoredObject(FATAL_NAME, 7, {"requests": requests}, None)
+
+
+def test_a_document_of_fatal_requests_is_taken_in_up_to_its_bound(gw: Gateway) -> None:
+    fatal_listed(gw, Snapshot([stored_fatal(3 * MOST_FATAL, True)], 7))
+    assert len(gw.fatal.agreed) == MOST_FATAL
+    assert gw.fatal.is_fatal(f"r{3 * MOST_FATAL - 1}")
+
+
+def test_a_document_that_is_not_understood_changes_nothing(gw: Gateway) -> None:
+    fatal_listed(gw, Snapshot([stored_fatal(1, True)], 7))
+    fatal_changed(gw, Change(StoredObject(FATAL_NAME, 8, {"requests": "junk"}, None), False))
+    assert gw.fatal.is_fatal("r0")
+
+
+def test_an_operator_lets_all_run_again_by_removing_the_document(gw: Gateway) -> None:
+    fatal_listed(gw, Snapshot([stored_fatal(1, True)], 7))
+    for number in range(ENDS_CERTAIN):
+        curio.run(gw.fatal.ended, f"e{number}", "it", JUST_BEGUN)
+    assert gw.fatal.is_fatal("r0") and gw.fatal.is_fatal("it")
+    fatal_changed(gw, Change(stored_fatal(1, True), True))
+    assert not gw.fatal.is_fatal("r0")
+    assert not gw.fatal.is_fatal("it")
+
+
+def test_one_end_more_makes_certain_what_others_have_seen(gw: Gateway) -> None:
+    obj = stored_fatal(1, False)
+    obj.spec["requests"][0]["upstreams"] = ["e1", "e2"]
+    fatal_listed(gw, Snapshot([obj], 7))
+    assert not gw.fatal.is_fatal("r0")
+    curio.run(gw.fatal.ended, "e3", "r0", JUST_BEGUN)
+    assert gw.fatal.is_fatal("r0")
+    assert gw.fatal.unwritten["r0"]["certain"]
+
+
+def test_what_is_answered_well_leaves_the_document(gw: Gateway) -> None:
+    obj = stored_fatal(1, False)
+    obj.spec["requests"][0]["upstreams"] = ["e1", "e2"]
+    fatal_listed(gw, Snapshot([obj], 7))
+    gw.fatal.answered("r0", 200)
+    curio.run(gw.fatal.ended, "e3", "r0", JUST_BEGUN)
+    assert not gw.fatal.is_fatal("r0")
+    assert gw.fatal.cleared == {"r0"}
