Who an upstream has run for seconds has not ended it, and weaker suspicions need more ends

Cause: where nothing ends upstreams, the strongest suspect of each end is somebody innocent; three ends of any kind made it certain, and a long run only failed to count against a request. Ruled out: a lost datagram (all four gateways judged the same).

Change: three ends suffice only where the request had just begun each time, as the one of the record had; four are needed for the strongest suspect of another kind, five for whoever was there (all within what may follow the third). A run of three seconds is proof, as an answer is. Only ends of the first kind are kept in the store before it is certain.

--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -180,7 +180,7 @@
         if fingerprint in self.docket.fatal:
             return
         if not self.docket.is_fatal(fingerprint, now):
-            ends = self.docket.strong_ends(fingerprint, now)
+            ends = self.docket.begun_ends(fingerprint, now)
             if len(ends) >= ENDS_KEPT:
                 self._keep(fingerprint, ends, certain=False)
             return
--- a/ramppost/policy/fatal.py
+++ b/ramppost/policy/fatal.py
@@ -6,12 +6,13 @@
 
 For each end of an upstream it is noted which requests were there and how much speaks against
 each: one that had just begun is the first suspect, then one that has streamed for less than a
-second, then one that still waited.  One that has run on for longer has been begun without harm.
-Only the strongest suspects of an end count as suspects of it, by the word of all gateways that
-had requests there.  Three ends make it certain: a second may be chance, as upstreams end by
-themselves, too, often several at once.  Five do for one that was there and never the strongest,
-since an upstream may end before the head of its answer is out.  An end that is explained by a
-certain request counts against nobody else, and one that was ever answered whole is harmless.
+second, then one that still waited, then one that ran for up to three seconds.  Three ends under
+a request that had just begun, and nobody else more so, make it certain: two may be chance, as
+upstreams end by themselves, too, often several at once.  Four do for the strongest suspect of any
+kind, by the word of all gateways that had requests there, and five for one that was there each
+time, since an upstream may end before the head of its answer is out.  An end that is explained by
+a certain request counts against nobody else.  One that was answered whole, or that an upstream has
+run for longer, is harmless.
 """
 
 from __future__ import annotations
@@ -20,15 +21,20 @@
 from typing import Final
 
 ENDS_CERTAIN: Final = 3
+STRONGEST_ENDS_CERTAIN: Final = 4
 ENDS_KEPT: Final = 2
 """So many are worth keeping where all gateways may be gone before the next."""
 WEAK_ENDS_CERTAIN: Final = 5
 HARMLESS: Final = 0
-WAITED: Final = 1
-STREAMED: Final = 2
-JUST_BEGUN: Final = 3
+RAN: Final = 1
+WAITED: Final = 2
+STREAMED: Final = 3
+JUST_BEGUN: Final = 4
 """How much speaks against a request of an upstream that has ended."""
 LIVED_S: Final = 1.0
+"""Beginning a request ends an upstream within a tenth of a second; so late there is hardly any
+doubt that something else did."""
+PROVEN_S: Final = 3.0
 """An upstream that has run a request for so long does not end of having begun it."""
 SETTLE_S: Final = 0.5
 """How long the word of others is awaited before a weak suspicion counts."""
@@ -50,8 +56,10 @@
     """
     if since_head_s is None:
         return WAITED
-    if since_head_s >= LIVED_S:
+    if since_head_s >= PROVEN_S:
         return HARMLESS
+    if since_head_s >= LIVED_S:
+        return RAN
     return STREAMED if events else JUST_BEGUN
 
 
@@ -98,8 +106,11 @@
         self._harmless: OrderedDict[str, float] = OrderedDict()
 
     def ended(self, upstream: str, fingerprint: str, sign: int, now: float) -> None:
-        """An upstream's start is over, and it had this request."""
-        if sign <= HARMLESS or self.is_harmless(fingerprint, now):
+        """An upstream's start is over, and it had this request; one that it has run without harm
+        counts as answered."""
+        if sign <= HARMLESS:
+            self.answered(fingerprint, now)
+        if self.is_harmless(fingerprint, now):
             return
         self._forget_old(now)
         end = self._ends.setdefault(upstream, _End(now))
@@ -144,18 +155,25 @@
             self._ends[upstream].culprit = fingerprint
         return True
 
-    def strong_ends(self, fingerprint: str, now: float) -> tuple[str, ...]:
+    def begun_ends(self, fingerprint: str, now: float) -> tuple[str, ...]:
+        """The upstreams that ended as they had just begun a request."""
+        strongest = self._strongest_ends(fingerprint, now)
+        return tuple(up for up in strongest if self._ends[up].signs[fingerprint] == JUST_BEGUN)
+
+    def _strongest_ends(self, fingerprint: str, now: float) -> tuple[str, ...]:
         """The upstreams for whose end a request is among the strongest suspects."""
-        return tuple(
-            up for up in self._open_ends(fingerprint) if self._ends[up].suspects(fingerprint, now)
-        )
+        ends = self._open_ends(fingerprint)
+        return tuple(up for up in ends if self._ends[up].suspects(fingerprint, now))
 
     def _ends_certain(self, fingerprint: str, now: float) -> tuple[str, ...]:
         """The upstreams whose ends make it certain; empty where they do not."""
         self._forget_old(now)
-        strong = self.strong_ends(fingerprint, now)
-        if len(strong) >= ENDS_CERTAIN:
-            return strong
+        begun = self.begun_ends(fingerprint, now)
+        if len(begun) >= ENDS_CERTAIN:
+            return begun
+        strongest = self._strongest_ends(fingerprint, now)
+        if len(strongest) >= STRONGEST_ENDS_CERTAIN:
+            return strongest
         settled = [up for up in self._open_ends(fingerprint) if self._ends[up].settled(now)]
         return tuple(settled) if len(settled) >= WEAK_ENDS_CERTAIN else ()
 
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -167,7 +167,7 @@
     """
     sign: int
     """
-    How much speaks against it, from 1 (it waited) to 3 (it had just begun).
+    How much speaks against it, from 0 (it has run for long) to 4 (it had just begun).
     """
 
 
