Soak and audit: requests that end upstreams

The soak lets a request that ends engines come again at gateways that are killed, paused and stopped meanwhile (six ends at most: three make it certain, three more may follow); the audit checks that no gateway sends what it knows to be fatal.

--- a/ramppost/audit/checks.py
+++ b/ramppost/audit/checks.py
@@ -15,6 +15,7 @@
     ConfigInForce,
     Ended,
     Event,
+    FatalKnown,
     Started,
     UpstreamSeen,
     UpstreamsListed,
@@ -187,6 +188,40 @@
     return Check(name, promise, take, lambda: ())
 
 
+def fatal_check() -> Check:
+    """No attempt is made of a request that its gateway knows to end upstreams."""
+    name = "fatal"
+    known: dict[str, dict[str, float]] = {}
+
+    def take(event: Event) -> Findings:
+        if isinstance(event, Started):
+            known.pop(event.program, None)
+        elif isinstance(event, FatalKnown):
+            learn(event)
+        elif isinstance(event, Attempted):
+            yield from attempt(event)
+
+    def learn(event: FatalKnown) -> None:
+        held = known.setdefault(event.program, {})
+        if event.fatal:
+            held.setdefault(event.fingerprint, event.at)
+        elif event.fingerprint:
+            held.pop(event.fingerprint, None)
+        else:
+            held.clear()
+
+    def attempt(event: Attempted) -> Findings:
+        since = known.get(event.program, {}).get(event.fingerprint)
+        if since is None or event.began_at <= since + GONE_SLACK_S:
+            return
+        since_s = event.began_at - since
+        what = f"sent to {event.upstream} {since_s:.2f} s after it was known to be fatal"
+        yield Finding(name, "broken", event.program, event.at, event.request, what)
+
+    promise = "no attempt is made of a request that is known to end upstreams"
+    return Check(name, promise, take, lambda: ())
+
+
 def all_checks() -> list[Check]:
     """Each check, new."""
-    return [config_check(), end_check(), gone_check()]
+    return [config_check(), end_check(), gone_check(), fatal_check()]
--- a/ramppost/audit/events.py
+++ b/ramppost/audit/events.py
@@ -16,7 +16,7 @@
 """What became of an attempt: an answer, a refusal that says it was not run, nothing sent, given up
 here, or nothing heard of it."""
 ATTEMPT: Final = re.compile(r"attempt \d+: (.*)", re.DOTALL)
-NOT_SENT: Final = "no connection to "
+NOT_SENT: Final = ("no connection to ", "not sent: ")
 
 
 class Started(NamedTuple):
@@ -54,11 +54,13 @@
 
 
 class Attempted(NamedTuple):
-    """An attempt of a request has ended; `began_at` is when it was begun."""
+    """An attempt of a request has ended; `began_at` is when it was begun, `fingerprint` what the
+    request has in common with its other tries, empty where the line does not tell."""
 
     program: str
     at: float
     request: str
+    fingerprint: str
     upstream: str
     began_at: float
     fate: Fate
@@ -75,7 +77,17 @@
     attempts: int | None
 
 
-Event = Started | ConfigInForce | UpstreamSeen | UpstreamsListed | Attempted | Ended
+class FatalKnown(NamedTuple):
+    """A process has learned whether a request is fatal to upstreams; an empty `fingerprint` that
+    none is any more."""
+
+    program: str
+    at: float
+    fingerprint: str
+    fatal: bool
+
+
+Event = Started | ConfigInForce | UpstreamSeen | UpstreamsListed | Attempted | Ended | FatalKnown
 
 
 def event_of(line: Line) -> Event | None:
@@ -116,6 +128,7 @@
         line.program,
         line.at,
         str(fields["request"]),
+        str(fields.get("fingerprint", "")),
         str(fields["upstream"]),
         began_at,
         _fate(found[1]),
@@ -146,10 +159,24 @@
     )
 
 
+def _fatal(line: Line) -> Event | None:
+    fields = line.fields
+    if line.message.startswith("fatal requests removed"):
+        return FatalKnown(line.program, line.at, "", False)
+    fatal = {"request held to be fatal": True, "request cleared": False}.get(line.message)
+    if line.message == "fatal request known" and fields["certain"]:
+        fatal = True
+    if fatal is None:
+        return None
+    return FatalKnown(line.program, line.at, str(fields["fingerprint"]), fatal)
+
+
 MAKERS: Final[dict[str, Callable[[Line], Event | None]]] = {
     "main": _started,
     "watchers": _seen,
     "attempt": _attempted,
+    "fatal": _fatal,
+    "fatal_doc": _fatal,
     "serve": _ended,
 }
 """By the module that writes the line."""
--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -82,7 +82,7 @@
         """A request was answered whole; with success, it was run and nothing ended of it."""
         if status >= LEAST_FAILURE:
             return
-        if self.docket.answered(fingerprint, clock.now()):
+        if self._clear(fingerprint):
             self._tell_all(PeerDatagram(harmless=HarmlessNote(fingerprint=fingerprint)))
         self.unwritten.pop(fingerprint, None)
         if fingerprint in self.agreed:
@@ -109,7 +109,7 @@
             for under in msg["ended"]["under"][:MOST_TOLD]:
                 self._note(msg["ended"]["upstream"], under["fingerprint"], under["sign"])
         if "harmless" in msg:
-            self.docket.answered(msg["harmless"]["fingerprint"], clock.now())
+            self._clear(msg["harmless"]["fingerprint"])
 
     def release(self) -> None:
         """All may run again, whatever was seen until now."""
@@ -146,6 +146,13 @@
         for upstream in one["upstreams"][:ENDS_CERTAIN]:
             self._note(upstream, one["fingerprint"], JUST_BEGUN)
 
+    def _clear(self, fingerprint: str) -> bool:
+        """Nothing speaks against a request any more; whether something did."""
+        if not self.docket.answered(fingerprint, clock.now()):
+            return False
+        logger.info("request cleared", fingerprint=fingerprint)
+        return True
+
     # --- telling
 
     async def tell(self) -> None:
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -620,6 +620,10 @@
     """
     Time between events of a stream, milliseconds.
     """
+    ends_on: NotRequired[str]
+    """
+    Body of a request that ends the process as it begins to run it; none ends it where this is not given.
+    """
     log: Log
     """
     Logging.
--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -180,7 +180,7 @@
     own = up.how.get("confidences", {}).get(model, up.how.get("confidence", DEFAULT_CONFIDENCE))
     confidence = (names.CONFIDENCE.decode(), str(own))
     await reply.start(200, "text/event-stream", (*head, confidence))
-    if up.how.get("ends_on") == req.body.decode("latin-1"):
+    if up.how.get("ends_on", up.cfg.get("ends_on")) == req.body.decode("latin-1"):
         await curio.sleep(END_AFTER_S)
         os._exit(1)
     begin = int(heads.get(names.LAST_EVENT_ID, "0") or "0")
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -101,6 +101,8 @@
         (folder / "seed.json").write_text(json.dumps(config(1)))
         self.gateways = [f"gateway-{i + 1}" for i in range(gateways)]
         self.starts = 0
+        self.ends_on = ""
+        """Body of a request that ends upstreams that are started from now on; empty for none."""
         self.ids: dict[str, str] = {}
         """Ids of the upstreams' last incarnations."""
         self._start_store()
@@ -167,7 +169,7 @@
             "slots": 8,
             "work_ms": 5,
             "log": {"form": "human", "level": "WARNING"},
-        }
+        } | ({"ends_on": self.ends_on} if self.ends_on else {})
         self._start(name, cfg, ["-m", "ramppost", "standin", "upstream", "--settings"])
         self._wait_until(lambda: self._answers(f"{self.url(name)}/_log"), name)
         return upstream_id
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -4,11 +4,12 @@
 
 Callers ask for streams, calls that may repeat and calls that may run once, each on a
 connection that it keeps until it breaks, while two schedules drawn from the seed, which
-overlap, stop, pause, kill and restart gateways and upstreams, disturb the store, its links
-and those between gateways, silence what is open on them, take a key away, let the configuration
-grow on thin links, let upstreams leave and bring a version in.  After the storm a new route has
-to be in force everywhere in time.  What upstreams ran and what callers got is compared at the
-end, and the gateways' log lines are audited.
+overlap, stop, pause, kill and restart gateways and upstreams, disturb the store, its links and
+those between gateways, silence what is open on them, take a key away, let the configuration
+grow on thin links, let upstreams leave and bring a version in.  After the storm a new route
+has to be in force everywhere in time, and a request that ends engines is not to be run for
+ever, though gateways are killed, paused and stopped as it comes again.  What upstreams ran and
+what callers got is compared at the end, and the gateways' log lines are audited.
 """
 
 from __future__ import annotations
@@ -63,6 +64,10 @@
 APPLY_SLACK_S = 2.5
 """For the time on a thin link, and for a busy machine."""
 NEW = "/new/"
+FATAL = b"ends whoever runs it"
+FATAL_CALLS = 12
+MOST_FATAL_ENDS = 6
+"""Three ends make it certain, and after those it may be tried three times more."""
 JUNK: list[Any] = [
     {},
     "text",
@@ -339,6 +344,37 @@
         self._set_rate(None)
         return [f"{name}: the new route is not in force" for name in sorted(late)]
 
+    def run_fatal_requests(self) -> list[str]:
+        """After the storm, a request that ends engines comes again and again at gateways that are
+        killed, paused and stopped meanwhile; gives what went wrong."""
+        rng = self.rngs[0]
+        self.site.ends_on = FATAL.decode()
+        for name in ENGINES:
+            self._replace(name)
+        ends = 0
+        for number in range(FATAL_CALLS):
+            if number % 3 == 1:
+                rng.choice((self.kill_gateway, self.pause_gateway, self.stop_gateway))(rng)
+            self.site.call(rng.choice(self.site.gateways), STREAM, body=FATAL, deadline_ms=2500)
+            time.sleep(rng.uniform(0.1, 0.6))
+            ends += self._start_ended_engines()
+        if ends > MOST_FATAL_ENDS:
+            return [f"{ends} engines ended under one request"]
+        given = {
+            name: self.site.call(name, STREAM, body=FATAL).status for name in self.site.gateways
+        }
+        return [
+            f"{name}: told {given[name]} of a fatal request" for name in given if given[name] != 502
+        ]
+
+    def _start_ended_engines(self) -> int:
+        """Start engines that have ended, once their entries are gone; gives how many."""
+        ended = [name for name in ENGINES if self.site.procs[name].poll() is not None]
+        for name in ended:
+            self.site.http.delete(f"{self.site.store}/objects/servers/{self.site.ids[name]}")
+            self.site.start_upstream(name, "lm", "v1")
+        return len(ended)
+
     def upset_upstream(self, rng: random.Random) -> None:
         how: list[dict[str, Any]] = [
             {"cut_after": 2},
@@ -436,8 +472,9 @@
         recovered = played.recovers()
         late = played.late_for_configuration()
         played.leave_in_calm()
+        fatal = played.run_fatal_requests() if entries else []
         callers.end()
-        found = late + played.faults_of(callers.asked) + played.late_for_leaving()
+        found = late + fatal + played.faults_of(callers.asked) + played.late_for_leaving()
         if not recovered:
             found.append(f"not served again in {RECOVERY_S:g} s")
         served = sum(1 for one in callers.asked if one.got.status == 200)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -21,7 +21,7 @@
 from tests.harness.gateways import KEYS, SAFE, STREAM, Deployment
 
 NOON = datetime(2026, 3, 1, 12, tzinfo=UTC).timestamp()
-CHECKS = ("configuration", "one end", "departed")
+CHECKS = ("configuration", "one end", "departed", "fatal")
 
 
 def line(module: str, message: str, after_s: float, program: str = "g1", **fields: Any) -> str:
@@ -40,7 +40,7 @@
 
 
 def attempt(request: str, outcome: str, after_s: float, took_s: float = 0.1, **more: Any) -> str:
-    fields = {"request": request, "upstream": "u1", "took_s": took_s} | more
+    fields = {"request": request, "upstream": "u1", "fingerprint": "f", "took_s": took_s} | more
     return line("attempt", f"attempt 1: {outcome}", after_s, **fields)
 
 
@@ -54,6 +54,10 @@
     return line("serve", "refused: no room", after_s, **fields)
 
 
+def fatal(message: str, after_s: float, **fields: Any) -> str:
+    return line("fatal", message, after_s, fingerprint="f", **fields)
+
+
 def upstream(message: str, after_s: float) -> str:
     return line("watchers", f"upstream {message}", after_s, upstream="u1")
 
@@ -99,6 +103,18 @@
         ],
         "departed",
     ),
+    "sent though it is known to be fatal": (
+        [fatal("request held to be fatal", 1), attempt("r", "status 200", 3), served("r", 3)],
+        "fatal",
+    ),
+    "sent though all gateways know that it is fatal": (
+        [
+            fatal("fatal request known", 1, certain=True),
+            attempt("r", "status 200", 3),
+            served("r", 3),
+        ],
+        "fatal",
+    ),
 }
 
 
@@ -139,6 +155,10 @@
     "an older configuration at a new start": [config(2, None, 0), starting(1), config(1, None, 2)],
     "a start whose line was lost": [config(2, None, 0), config(1, None, 2)],
     "not run, and never sent": [attempt("r", "no connection to a:1", 1), refused("r", "no", 2)],
+    "not run, and withheld at the last moment": [
+        attempt("r", "not sent: its time passed on the way", 1),
+        refused("r", "no", 2),
+    ],
     "refused by the upstream": [attempt("r", "refused with 429", 1), refused("r", "no", 2)],
     "whether it ran is unknown": [attempt("r", "silent for 1 s", 1), refused("r", "unknown", 2)],
     "sent before it left": [
@@ -159,6 +179,23 @@
         attempt("r", "status 200", 3),
         served("r", 3),
     ],
+    "a request that may be fatal": [
+        fatal("fatal request known", 1, certain=False),
+        attempt("r", "status 200", 3),
+        served("r", 3),
+    ],
+    "a request that was cleared": [
+        fatal("request held to be fatal", 1),
+        fatal("request cleared", 2),
+        attempt("r", "status 200", 3),
+        served("r", 3),
+    ],
+    "known to a process before": [
+        fatal("request held to be fatal", 1),
+        starting(2),
+        attempt("r", "status 200", 3),
+        served("r", 3),
+    ],
     "learned by a process before": [
         upstream("leaving", 0),
         starting(1),
