Test: a request under which boxes go dark is not noted (fails)

By reading: an upstream's end was concluded only from a refused connection; a box that closes its connections and then says nothing more ends as well.

--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,71 @@
+"""What is concluded where an answer breaks off, by how the box takes the next connection."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import curio
+import pytest
+
+from ramppost import clock
+from ramppost.gateway.admit import Admitted
+from ramppost.gateway.job import Job
+from ramppost.gateway.links import Broken
+from ramppost.gateway.serve import _after_cut
+from ramppost.gateway.state import Gateway
+from ramppost.gateway.watchers import upstreams_listed
+from ramppost.platform.headers import caller_request
+from ramppost.platform.store import Snapshot
+from ramppost.policy.fatal import ENDS_CERTAIN, JUST_BEGUN
+from ramppost.wire.client import CallFailed
+from tests.harness.gateways import STREAM
+from tests.test_gateway_state import SETTINGS, ask, entry, take
+
+
+class Open:
+    """A connection that was taken."""
+
+    async def close(self) -> None:
+        """Nothing is kept of it."""
+
+
+class Case(NamedTuple):
+    """How the box answers, whether the request's part is noted, and whether the upstream is used
+    on."""
+
+    what: str
+    answer: Any
+    noted: bool
+    used: bool
+
+
+CASES = [
+    Case("nobody listens", CallFailed("refused", False, True), True, False),
+    # A box that is cut off closes nothing: one that closed and is silent now has gone dark, or the
+    # way to it was lost just then, and may be back at any moment.
+    Case("no answer", CallFailed("no connection in 0.25 s", False), True, True),
+    Case("it is there", Open(), False, True),
+]
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.what)
+def test_a_cut_answer(case: Case, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A request that darkens its engines was not noted, since nobody refused the connection."""
+
+    async def connect(addr: str, source: tuple[str, int], timeout_s: float) -> Any:
+        return case.answer
+
+    monkeypatch.setattr("ramppost.gateway.endings.connect", connect)
+    gw = Gateway(SETTINGS)
+    take(gw, 5, 1)
+    gw.fresh.confirm(clock.now())
+    upstreams_listed(gw, Snapshot([entry(f"e{number}") for number in range(ENDS_CERTAIN)], 5))
+    admitted = ask(gw, STREAM)
+    assert isinstance(admitted, Admitted)
+    job = Job(caller_request("POST", STREAM, (), b""), admitted, clock.now())
+    job.attempts = ENDS_CERTAIN
+    for upstream in gw.members.usable("lm", clock.now()):
+        curio.run(_after_cut, gw, job, upstream, Broken("closed", cut=True), JUST_BEGUN)
+    assert gw.fatal.is_fatal(job.fingerprint) == case.noted
+    assert job.tries == (0 if case.noted else ENDS_CERTAIN)
+    assert bool(gw.members.usable("lm", clock.now())) == case.used
