A request under which boxes go dark is noted, too

Callers could see engines go dark under one request for ever: an end was concluded only from a refused connection. Now a box that has closed a connection and does not take the next one counts as well; it is not left out of choices, since only the way to it may be cut, and others are told so. tests/test_endings.py failed before. Once, beside load, tests/test_ended_upstreams.py failed (the ended engine was asked again): being traced.

--- a/ramppost/gateway/endings.py
+++ b/ramppost/gateway/endings.py
@@ -1,13 +1,13 @@
 """Tells an upstream that has ended from one that only closed a connection.
 
 An answer that breaks off says little: connections are reset, answers spoiled.  Where an upstream's
-process has ended, its box refuses the next connection.  So whoever finds an answer broken off asks
-for one, once for all that broke off there at that moment.
+process has ended, its box refuses the next connection; one that has gone dark does not answer.  So
+whoever finds an answer broken off asks for one, once for all that broke off there at that moment.
 """
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Final, Literal
 
 import curio
 from loguru import logger
@@ -19,19 +19,23 @@
 
 ASK_TIMEOUT_S: Final = 0.25
 """A box that is up answers within the way there and back; a dark one never does."""
-ALIVE_GOOD_S: Final = 0.25
-"""How long an upstream that was found alive is taken for that: it may end at any moment."""
+GOOD_S: Final = 0.5
+"""How long what was found is good, but for an end: longer than it takes to ask."""
 MAX_KEPT: Final = 1024
 """Starts of upstreams whose answers are remembered."""
 
 
+Fate = Literal["alive", "silent", "ended"]
+"""What an upstream's box does with a connection: takes it, says nothing, or refuses it."""
+
+
 class _Question:
-    """Whether an upstream has ended: asked, and perhaps answered."""
+    """What has become of an upstream: asked, and perhaps answered."""
 
     def __init__(self, at: float) -> None:
         self.at = at
         self.answered = curio.Event()
-        self.ended = False
+        self.fate: Fate = "alive"
 
 
 class Endings:
@@ -41,26 +45,26 @@
         self._links = links
         self._asked: dict[str, _Question] = {}
 
-    async def has_ended(self, upstream: Upstream) -> bool:
-        """Whether nobody listens any more where this upstream did."""
+    async def fate_of(self, upstream: Upstream) -> Fate:
+        """What has become of an upstream that broke an answer off."""
         now = clock.now()
         asked = self._asked.get(upstream.key)
-        if asked is not None and (asked.ended or now - asked.at < ALIVE_GOOD_S):
+        if asked is not None and (asked.fate == "ended" or now - asked.at < GOOD_S):
             await asked.answered.wait()
-            return asked.ended
+            return asked.fate
         asked = self._remember(upstream.key, _Question(now))
         try:
-            asked.ended = await self._refuses(upstream)
+            asked.fate = await self._ask(upstream)
         finally:
             await asked.answered.set()
-        if asked.ended:
+        if asked.fate != "alive":
             logger.info(
-                "upstream has ended",
+                "upstream has ended" if asked.fate == "ended" else "upstream went silent",
                 upstream=upstream.id,
                 service=upstream.service,
                 addr=upstream.addr,
             )
-        return asked.ended
+        return asked.fate
 
     def forget(self, upstream_key: str) -> None:
         """An upstream is gone, or has started again."""
@@ -73,9 +77,9 @@
             del self._asked[next(iter(self._asked))]
         return asked
 
-    async def _refuses(self, upstream: Upstream) -> bool:
+    async def _ask(self, upstream: Upstream) -> Fate:
         sock = await connect(upstream.addr, (self._links.source, 0), ASK_TIMEOUT_S)
         if isinstance(sock, CallFailed):
-            return sock.refused
+            return "ended" if sock.refused else "silent"
         await sock.close()
-        return False
+        return "alive"
--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -57,7 +57,7 @@
         """What stands in the document and was answered well here."""
         self._waiting: dict[str, set[Exchange]] = {}
         """Requests that wait for the head of their answer."""
-        self._untold: dict[str, list[RequestUnder]] = {}
+        self._untold: dict[tuple[str, bool], list[RequestUnder]] = {}
         self._to_tell = curio.Event()
 
     def is_fatal(self, fingerprint: str) -> bool:
@@ -70,12 +70,12 @@
         self._judge(fingerprint, now)
         return fingerprint in self.docket.fatal
 
-    async def ended(self, upstream: str, fingerprint: str, sign: int) -> None:
-        """An upstream has ended that had a request of this gateway."""
+    async def ended(self, upstream: str, fingerprint: str, sign: int, gone: bool = True) -> None:
+        """An upstream has ended that had a request of this gateway; `gone` unless its box is silent
+        and so may be back at any moment."""
         self._note(upstream, fingerprint, sign)
-        self._untold.setdefault(upstream, []).append(
-            RequestUnder(fingerprint=fingerprint, sign=sign)
-        )
+        under = RequestUnder(fingerprint=fingerprint, sign=sign)
+        self._untold.setdefault((upstream, gone), []).append(under)
         await self._to_tell.set()
 
     def answered(self, fingerprint: str, status: int) -> None:
@@ -166,10 +166,11 @@
             await curio.sleep(TELL_AGAIN_S)
             self._tell_ends(untold)
 
-    def _tell_ends(self, untold: dict[str, list[RequestUnder]]) -> None:
-        for upstream, under in untold.items():
+    def _tell_ends(self, untold: dict[tuple[str, bool], list[RequestUnder]]) -> None:
+        for (upstream, gone), under in untold.items():
             strongest = sorted(under, key=lambda one: -one["sign"])[:MOST_TOLD]
-            self._tell_all(PeerDatagram(ended=UpstreamEnded(upstream=upstream, under=strongest)))
+            note = UpstreamEnded(upstream=upstream, gone=gone, under=strongest)
+            self._tell_all(PeerDatagram(ended=note))
 
     def _tell_all(self, msg: PeerDatagram) -> None:
         for name in self._peers.judges(clock.now()):
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -155,7 +155,7 @@
         if "leaving" in msg:
             heard_leaving(gw, msg["leaving"])
         elif "ended" in msg or "harmless" in msg:
-            if "ended" in msg:
+            if "ended" in msg and msg["ended"]["gone"]:
                 gw.members.ended(msg["ended"]["upstream"], clock.now())
             gw.fatal.take(msg)
         else:
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -216,7 +216,10 @@
 
 async def _after_cut(gw: Gateway, job: Job, upstream: Upstream, got: Broken, sign: int) -> None:
     """An answer has broken off: where its upstream has ended, note that this request was there."""
-    if not got.cut or not await gw.endings.has_ended(upstream):
+    if not got.cut:
+        return
+    fate = await gw.endings.fate_of(upstream)
+    if fate == "alive":
         return
     logger.info(
         "upstream ended under a request",
@@ -226,8 +229,10 @@
         sign=sign,
     )
     job.ended += 1
-    gw.members.ended(upstream.key, clock.now())
-    await gw.fatal.ended(upstream.key, job.fingerprint, sign)
+    if fate == "ended":
+        # One that is silent may be back at any moment: only its way may be cut.
+        gw.members.ended(upstream.key, clock.now())
+    await gw.fatal.ended(upstream.key, job.fingerprint, sign, gone=fate == "ended")
 
 
 def _fatal(job: Job) -> Refusal:
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -176,6 +176,10 @@
     Gateway to others: an upstream has ended, and these were my requests there.
     """
 
+    gone: bool
+    """
+    Whether its box refuses connections; else it is silent.
+    """
     upstream: str
     """
     The start of the upstream that is over.
