An upstream that is just ending is asked again a moment later

Callers: requests went on to an engine that was being killed, and under one that ends engines an end was not noted now and then. Cause: a process that ends closes its connections one by one; the one where it listens may be last, so a connection that is asked for 1 ms after an answer broke off is taken. Change: where the upstream is found alive it is asked again 0.1 s later, beside whoever goes on elsewhere; and a refused connection leaves an upstream out for 1 s by itself.

--- /dev/null
+++ b/ramppost/gateway/aftermath.py
@@ -0,0 +1,58 @@
+"""What is done where an answer has broken off: find out whether its upstream has ended.
+
+Then the attempt does not count against the request's own, the upstream is left out of choices, and
+it is noted that the request was there (`ramppost.gateway.fatal`).
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import curio
+from loguru import logger
+
+from ramppost import clock
+from ramppost.gateway.endings import Fate
+from ramppost.gateway.job import Job
+from ramppost.gateway.links import Broken
+from ramppost.gateway.model import Upstream
+from ramppost.gateway.state import Gateway
+
+LOOK_AGAIN_S: Final = 0.1
+"""A process that ends closes its connections one by one, and may take a new one meanwhile."""
+
+
+async def after_cut(gw: Gateway, job: Job, upstream: Upstream, got: Broken, sign: int) -> None:
+    """An answer has broken off; `sign` tells how much speaks against its request, should the
+    upstream have ended."""
+    if not got.cut:
+        return
+    fate = await gw.endings.fate_of(upstream)
+    if fate == "alive":
+        # Whoever goes on elsewhere is not kept waiting for that.
+        await curio.spawn(_look_again, gw, job, upstream, sign, daemon=True)
+    else:
+        await _note_end(gw, job, upstream, fate, sign)
+
+
+async def _look_again(gw: Gateway, job: Job, upstream: Upstream, sign: int) -> None:
+    await curio.sleep(LOOK_AGAIN_S)
+    fate = await gw.endings.fate_of(upstream)
+    if fate != "alive":
+        await _note_end(gw, job, upstream, fate, sign)
+
+
+async def _note_end(gw: Gateway, job: Job, upstream: Upstream, fate: Fate, sign: int) -> None:
+    logger.info(
+        "upstream ended under a request",
+        request=job.req.attempt_id,
+        fingerprint=job.fingerprint,
+        upstream=upstream.id,
+        fate=fate,
+        sign=sign,
+    )
+    job.ended += 1
+    if fate == "ended":
+        # One that is silent may be back at any moment: only its way may be cut.
+        gw.members.ended(upstream.key, clock.now())
+    await gw.fatal.ended(upstream.key, job.fingerprint, sign, gone=fate == "ended")
--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -147,9 +147,9 @@
     frozen, while the connection was made."""
     now = clock.now()
     if job.workspace is not None and not gw.fresh.may_start(now):
-        return NotSent("not sent: the confirmation of its key grew old on the way", True)
+        return NotSent("not sent: the confirmation of its key grew old on the way", withheld=True)
     if job.left_s(now) <= 0:
-        return NotSent("not sent: its time passed on the way", True)
+        return NotSent("not sent: its time passed on the way", withheld=True)
     send = Send(
         chosen.upstream,
         job.left_s(now),
--- a/ramppost/gateway/endings.py
+++ b/ramppost/gateway/endings.py
@@ -17,18 +17,18 @@
 from ramppost.gateway.model import Upstream
 from ramppost.wire.client import CallFailed, connect
 
+Fate = Literal["alive", "silent", "ended"]
+"""What an upstream's box does with a connection: takes it, says nothing, or refuses it."""
+
 ASK_TIMEOUT_S: Final = 0.25
 """A box that is up answers within the way there and back; a dark one never does."""
-GOOD_S: Final = 0.5
-"""How long what was found is good, but for an end: longer than it takes to ask."""
+GOOD_S: Final[dict[Fate, float]] = {"alive": 0.05, "silent": 0.5, "ended": float("inf")}
+"""How long what was found is good: for all whose answers broke off at one moment, and for a silent
+one longer than it takes to ask."""
 MAX_KEPT: Final = 1024
 """Starts of upstreams whose answers are remembered."""
 
 
-Fate = Literal["alive", "silent", "ended"]
-"""What an upstream's box does with a connection: takes it, says nothing, or refuses it."""
-
-
 class _Question:
     """What has become of an upstream: asked, and perhaps answered."""
 
@@ -49,7 +49,7 @@
         """What has become of an upstream that broke an answer off."""
         now = clock.now()
         asked = self._asked.get(upstream.key)
-        if asked is not None and (asked.fate == "ended" or now - asked.at < GOOD_S):
+        if asked is not None and now - asked.at < GOOD_S[asked.fate]:
             await asked.answered.wait()
             return asked.fate
         asked = self._remember(upstream.key, _Question(now))
--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -41,10 +41,12 @@
 
 
 class NotSent(NamedTuple):
-    """The request did not leave: nothing can have run.  `withheld` tells that it was not to."""
+    """The request did not leave: nothing can have run.  `withheld` tells that it was not to,
+    `refused` that nobody listens at the upstream's address."""
 
     reason: str
     withheld: bool = False
+    refused: bool = False
 
 
 class Broken(NamedTuple):
@@ -271,7 +273,7 @@
         links.opened += 1
         sock = await connect(upstream.addr, (links.source, 0), CONNECT_TIMEOUT_S)
         if isinstance(sock, CallFailed):
-            return NotSent(sock.reason)
+            return NotSent(sock.reason, refused=sock.refused)
         set_probes(sock)
         link = Link(sock, upstream)
     req = compose()
--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -67,11 +67,12 @@
             self._set(known._replace(drop_at=now + LAPSE_GRACE_S))
         return True
 
-    def ended(self, upstream_key: str, now: float) -> None:
+    def ended(self, upstream_key: str, now: float, for_s: float = ENDED_S) -> None:
         """The start of an upstream was found to be over, whatever its entry says."""
         for member in list(self._members.values()):
             if member.upstream.key == upstream_key:
-                self._set(member._replace(ended_until=now + ENDED_S))
+                until = max(member.ended_until, now + for_s)
+                self._set(member._replace(ended_until=until))
 
     def drop(self, upstream_id: str) -> bool:
         """An upstream must not be used any more.  True if it was known."""
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -15,13 +15,14 @@
 from ramppost import clock
 from ramppost.errors import Ran, Refusal, error_body, refusal
 from ramppost.gateway.admit import admit, stale
+from ramppost.gateway.aftermath import after_cut
 from ramppost.gateway.attempt import Refused, Running, attempt, release
 from ramppost.gateway.counts import Ended
 from ramppost.gateway.escalation import larger_model, plan_of
 from ramppost.gateway.inbound import JSON_TYPE, Reply
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, NotSent
-from ramppost.gateway.model import CallerRequest, Upstream
+from ramppost.gateway.model import CallerRequest
 from ramppost.gateway.passing import Passed, pass_stream, pass_whole
 from ramppost.gateway.pick import look, pick, service_of
 from ramppost.gateway.rollout_duty import judge_answer
@@ -33,6 +34,9 @@
 
 MAX_CONNECT_FAILURES: Final = 4
 """Upstreams that can't be reached cost no retry, but time."""
+REFUSED_S: Final = 1.0
+"""How long an upstream is left out whose box refuses connections: until its entry goes, if it has
+ended, and not for long, if it only had too many."""
 NO_ROOM_RETRY_S: Final = 0.4
 """When to come back to a service that refused: some answers have ended by then."""
 LEAST_LEFT_S: Final = 0.01
@@ -132,11 +136,13 @@
             )
         elif isinstance(got, NotSent):
             failures += 1
+            if got.refused:
+                gw.members.ended(chosen.upstream.key, clock.now(), REFUSED_S)
             last = refusal("no_upstream", got.reason, NO_ROOM_RETRY_S)
             if failures >= MAX_CONNECT_FAILURES:
                 return _final(job, last)
         else:
-            await _after_cut(gw, job, chosen.upstream, got, sign_of(None, 0))
+            await after_cut(gw, job, chosen.upstream, got, sign_of(None, 0))
             last = refusal("outcome_unknown", got.reason)
             if job.route.repeat == "never":
                 return last
@@ -207,34 +213,13 @@
             since_head_s=round(since_head_s, 4),
         )
         sign = sign_of(since_head_s, events_there)
-        await _after_cut(gw, job, running.chosen.upstream, got, sign)
+        await after_cut(gw, job, running.chosen.upstream, got, sign)
         return got
     gw.fatal.answered(job.fingerprint, running.head.status)
     judge_answer(gw, running, bad=running.head.status >= 500, passed=got)
     return None
 
 
-async def _after_cut(gw: Gateway, job: Job, upstream: Upstream, got: Broken, sign: int) -> None:
-    """An answer has broken off: where its upstream has ended, note that this request was there."""
-    if not got.cut:
-        return
-    fate = await gw.endings.fate_of(upstream)
-    if fate == "alive":
-        return
-    logger.info(
-        "upstream ended under a request",
-        request=job.req.attempt_id,
-        fingerprint=job.fingerprint,
-        upstream=upstream.id,
-        sign=sign,
-    )
-    job.ended += 1
-    if fate == "ended":
-        # One that is silent may be back at any moment: only its way may be cut.
-        gw.members.ended(upstream.key, clock.now())
-    await gw.fatal.ended(upstream.key, job.fingerprint, sign, gone=fate == "ended")
-
-
 def _fatal(job: Job) -> Refusal:
     """The refusal of a request that ends upstreams.  There is no time to come back: it would be
     refused again."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -9,9 +9,9 @@
 
 from ramppost import clock
 from ramppost.gateway.admit import Admitted
+from ramppost.gateway.aftermath import after_cut
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken
-from ramppost.gateway.serve import _after_cut
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import upstreams_listed
 from ramppost.platform.headers import caller_request
@@ -21,7 +21,6 @@
 from tests.harness.gateways import STREAM
 from tests.test_gateway_state import SETTINGS, ask, entry, take
 
-
 ENDING_S = 0.03
 """How long the box still takes connections."""
 KNOWN_S = 0.4
@@ -80,7 +79,7 @@
 
     async def cut() -> None:
         for upstream in gw.members.usable("lm", clock.now()):
-            await _after_cut(gw, job, upstream, Broken("closed", cut=True), JUST_BEGUN)
+            await after_cut(gw, job, upstream, Broken("closed", cut=True), JUST_BEGUN)
         await curio.sleep(KNOWN_S)
 
     curio.run(cut)
