--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -67,7 +67,7 @@
         _note_end(gw, job, f"broken off: {failed.message}", reply.status, read_at)
         raise Gone
     else:
-        await _refuse(gw, req, reply, failed, read_at)
+        await _refuse(gw, req, reply, failed, read_at, job.fingerprint)
 
 
 async def _answer(gw: Gateway, job: Job, reply: Reply) -> Refusal | None:
@@ -234,9 +234,14 @@
 
 
 async def _refuse(
-    gw: Gateway, req: CallerRequest, reply: Reply, ref: Refusal, read_at: float
+    gw: Gateway,
+    req: CallerRequest,
+    reply: Reply,
+    ref: Refusal,
+    read_at: float,
+    fingerprint: str = "",
 ) -> None:
-    """Send a final answer of our own."""
+    """Send a final answer of our own; `fingerprint` is empty where the request was not let in."""
     headers: Headers = (JSON_TYPE, *refusal_headers(req.attempt_id))
     if ref.retry_after_s and ref.ran == "no":
         headers = (*headers, (b"retry-after", f"{ref.retry_after_s:.2f}".encode()))
@@ -246,6 +251,7 @@
         "refused: {}",
         ref.message,
         request=req.attempt_id,
+        fingerprint=fingerprint,
         code=ref.code,
         status=ref.status,
         ran=ref.ran,
