--- a/tests/test_fatal_policy.py
+++ b/tests/test_fatal_policy.py
@@ -188,6 +188,36 @@
         assert storm.held(0.2 * ENDS_CERTAIN + SETTLE_S) == {"bad"}, seed
 
 
+def test_whoever_does_not_hear_all_goes_by_strong_suspicions_only() -> None:
+    """In a large fleet most gateways know only what they had there themselves: a request of theirs
+    that waited at each engine that ended seemed the strongest suspect of all."""
+    docket = Docket()
+    for number in range(STRONGEST_ENDS_CERTAIN + 1):
+        docket.ended(f"e{number}", "waited", WAITED, float(number))
+    assert docket.is_fatal("waited", 9.0, hears_all=True)
+    docket = Docket()
+    for number in range(STRONGEST_ENDS_CERTAIN + 1):
+        docket.ended(f"e{number}", "waited", WAITED, float(number))
+        docket.ended(f"e{number}", "it", JUST_BEGUN, float(number))
+    for number in range(STRONGEST_ENDS_CERTAIN + 1):
+        docket.ended(f"f{number}", "waited", WAITED, float(number))
+    assert docket.is_fatal("it", 9.0, hears_all=False)
+    assert not docket.is_fatal("waited", 9.0, hears_all=False)
+
+
+def test_those_who_are_told_hear_all() -> None:
+    small, first, last = Peers("g1", 100.0, "bole"), Peers("g0", 100.0, "bole"), Peers("g0")
+    small.put("g2", "10.0.0.1:2", "bole", 100.0)
+    assert small.hears_all(0.0)
+    names = [f"g{number}" for number in range(1, 68)]
+    for name in names:
+        last.put(name, "10.0.0.1:1", "bole", 100.0)
+    assert not last.hears_all(0.0)
+    for name in names:
+        first.put(name, "10.0.0.1:1", "bole", 10.0)
+    assert first.hears_all(0.0)
+
+
 def test_a_large_fleet_tells_few() -> None:
     peers = Peers("g0", 100.0, "bole")
     for number in range(1, 410):
