In large fleets only those who hear all go by weak suspicions

What could happen to callers: in a fleet of more than 20, a request that waited at four engines which ended was refused everywhere, though who had just begun there was known elsewhere. Cause: evidence goes to two gateways of a large fleet, and each of the others judged by its own alone, by all tiers. Change: they go by three ends of a request that had just begun; the other tiers are for those who are told.

--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -185,9 +185,9 @@
 
     def _judge(self, fingerprint: str, now: float) -> None:
         """Find out whether a request is certain by now to end upstreams, or close to it."""
-        if fingerprint in self.docket.fatal:
+        if fingerprint in self.docket.fatal or not self.docket.is_suspect(fingerprint):
             return
-        if not self.docket.is_fatal(fingerprint, now):
+        if not self.docket.is_fatal(fingerprint, now, self._peers.hears_all(now)):
             ends = self.docket.begun_ends(fingerprint, now)
             if len(ends) >= ENDS_KEPT:
                 self._keep(fingerprint, ends, certain=False)
--- a/ramppost/policy/fatal.py
+++ b/ramppost/policy/fatal.py
@@ -139,13 +139,21 @@
         answered_at = self._harmless.get(fingerprint)
         return answered_at is not None and now - answered_at < REMEMBERED_S
 
-    def is_fatal(self, fingerprint: str, now: float) -> bool:
-        """Whether it is certain that upstreams end under a request."""
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether anything speaks against a request."""
+        return fingerprint in self._under
+
+    def is_fatal(self, fingerprint: str, now: float, hears_all: bool = True) -> bool:
+        """Whether it is certain that upstreams end under a request.
+
+        One that does not hear of all that others had there goes by strong suspicions only: what
+        waited seems the strongest suspect where nothing else is known.
+        """
         if fingerprint in self.fatal:
             return True
-        if fingerprint not in self._under:
+        if not self.is_suspect(fingerprint):
             return False
-        ends = self._ends_certain(fingerprint, now)
+        ends = self._ends_certain(fingerprint, now, hears_all)
         if not ends:
             return False
         self.fatal[fingerprint] = ends
@@ -165,12 +173,14 @@
         ends = self._open_ends(fingerprint)
         return tuple(up for up in ends if self._ends[up].suspects(fingerprint, now))
 
-    def _ends_certain(self, fingerprint: str, now: float) -> tuple[str, ...]:
+    def _ends_certain(self, fingerprint: str, now: float, hears_all: bool) -> tuple[str, ...]:
         """The upstreams whose ends make it certain; empty where they do not."""
         self._forget_old(now)
         begun = self.begun_ends(fingerprint, now)
         if len(begun) >= ENDS_CERTAIN:
             return begun
+        if not hears_all:
+            return ()
         strongest = self._strongest_ends(fingerprint, now)
         if len(strongest) >= STRONGEST_ENDS_CERTAIN:
             return strongest
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -187,6 +187,14 @@
         others = self.alive(now)
         return others if self._is_flat() else others[:JUDGES]
 
+    def hears_all(self, now: float) -> bool:
+        """Whether the others tell this gateway what is to be judged by the word of all.
+
+        >>> Peers("a").hears_all(0.0)
+        True
+        """
+        return self._is_flat() or self.own in self._there(now)[:JUDGES]
+
     def relays(self, now: float) -> list[str]:
         """The relays by what is known here; the own name may be among them.
 
