--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -371,3 +371,13 @@
     curio.run(gw.fatal.ended, "e3", "r0", JUST_BEGUN)
     assert not gw.fatal.is_fatal("r0")
     assert gw.fatal.cleared == {"r0"}
+
+
+def test_a_list_without_the_document_lets_all_run_again(gw: Gateway) -> None:
+    """A gateway that was away as the document was removed reads a list and no removal."""
+    fatal_listed(gw, Snapshot([stored_fatal(1, True)], 7))
+    for number in range(ENDS_CERTAIN):
+        curio.run(gw.fatal.ended, f"e{number}", "it", JUST_BEGUN)
+    fatal_listed(gw, Snapshot([], 9))
+    assert not gw.fatal.is_fatal("r0")
+    assert not gw.fatal.is_fatal("it")
