A list without the document of fatal requests lets all run again

Callers of a gateway that was away as an operator removed the document were refused on. Cause: only the removal itself released what the gateway remembers. Now a list that lacks a document which was known does, too.

--- a/ramppost/gateway/fatal_doc.py
+++ b/ramppost/gateway/fatal_doc.py
@@ -47,8 +47,9 @@
 
 def fatal_listed(gw: Gateway, snapshot: Snapshot) -> None:
     """The kind was listed."""
-    if not any(obj.name == FATAL_NAME for obj in snapshot.objects):
-        gw.fatal.agree([])
+    there = any(obj.name == FATAL_NAME for obj in snapshot.objects)
+    if gw.fatal.agreed and not there:
+        _removed(gw)
     for obj in snapshot.objects:
         _seen(gw, obj)
 
@@ -58,8 +59,7 @@
     if not change.removed:
         _seen(gw, change.obj)
     elif change.obj.name == FATAL_NAME:
-        logger.info("fatal requests removed from the store; all may run again")
-        gw.fatal.release()
+        _removed(gw)
 
 
 async def keep_document(gw: Gateway) -> None:
@@ -78,6 +78,11 @@
     return bool(gw.fatal.unwritten or gw.fatal.cleared)
 
 
+def _removed(gw: Gateway) -> None:
+    logger.info("fatal requests removed from the store; all may run again")
+    gw.fatal.release()
+
+
 def _seen(gw: Gateway, obj: StoredObject) -> None:
     doc = gw.unreadable.decoded(FATAL_KIND, obj, FatalDoc)
     if doc is not None and obj.name == FATAL_NAME:
