A gateway that stood still takes nothing for a long run

What could happen: a gateway is frozen or suspended just after the head of an answer and finds it broken off four seconds later; the request that had ended its engine was then held to be harmless at all gateways (sign_of(4.0, 0) was HARMLESS before), and ran on. Found by reading. Cause: the time since the head was taken for a run. Besides, what ends next is told at once, not only after the last was told again.

--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -162,9 +162,13 @@
             await curio.sleep(GATHER_S)
             self._to_tell.clear()
             untold, self._untold = self._untold, {}
-            self._tell_ends(untold)
-            await curio.sleep(TELL_AGAIN_S)
-            self._tell_ends(untold)
+            # What ends next is not kept waiting until this is told again.
+            await curio.spawn(self._tell_twice, untold, daemon=True)
+
+    async def _tell_twice(self, untold: dict[tuple[str, bool], list[RequestUnder]]) -> None:
+        self._tell_ends(untold)
+        await curio.sleep(TELL_AGAIN_S)
+        self._tell_ends(untold)
 
     def _tell_ends(self, untold: dict[tuple[str, bool], list[RequestUnder]]) -> None:
         for (upstream, gone), under in untold.items():
--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -24,7 +24,7 @@
 
 
 ENDED_S: Final = 4.0
-"""The entry of one that has ended goes after three of its heartbeats, 3.6 s at the most so far."""
+"""The entry of one that has ended goes after three of its heartbeats, of 1.2 s and less."""
 
 
 class Member(NamedTuple):
--- a/ramppost/gateway/passing.py
+++ b/ramppost/gateway/passing.py
@@ -18,6 +18,7 @@
 from ramppost.gateway.links import Broken, End
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers
+from ramppost.policy.fatal import Course
 
 HELD_BYTES: Final = 262144
 """A whole answer up to this size is read before it is passed on."""
@@ -55,8 +56,11 @@
     return Passed(running.first_s, clock.now() - running.sent_at, 0)
 
 
-async def pass_stream(gw: Gateway, job: Job, running: Running, reply: Reply) -> Passed | Broken:
-    """Pass on a stream's events; Broken where it stops before its end."""
+async def pass_stream(
+    gw: Gateway, job: Job, running: Running, reply: Reply, course: Course
+) -> Passed | Broken:
+    """Pass on a stream's events; Broken where it stops before its end.  `course` is told of each
+    piece that comes."""
     splitter = EventSplitter()
     passed = 0
     while True:
@@ -67,6 +71,7 @@
             if splitter.rest:
                 return Broken("stream ended within an event", cut=True)
             break
+        course.heard(clock.now())
         events = splitter.feed(piece)
         for event in events:
             if not _follows(job, event):
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -28,7 +28,7 @@
 from ramppost.gateway.rollout_duty import judge_answer
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers, refusal_headers
-from ramppost.policy.fatal import sign_of
+from ramppost.policy.fatal import Course, sign_of
 from ramppost.policy.policydoc import READ_PRICE_PART
 from ramppost.wire.server import Gone
 
@@ -184,11 +184,13 @@
     """Pass an answer on; gives why it broke off."""
     whole = False
     job.confidence = running.head.confidence
-    job.first_at = job.first_at or running.sent_at + running.first_s
+    head_at = running.sent_at + running.first_s
+    job.first_at = job.first_at or head_at
     events_before = job.events
+    course = Course(head_at)
     try:
         if job.route.streams and running.head.status < 400:
-            got = await pass_stream(gw, job, running, reply)
+            got = await pass_stream(gw, job, running, reply, course)
         else:
             got = await pass_whole(running, reply)
         whole = isinstance(got, Passed)
@@ -200,7 +202,6 @@
     if isinstance(got, Broken):
         now = clock.now()
         gw.suspicion_of(running.chosen.upstream.key).note(True, now)
-        since_head_s = now - running.sent_at - running.first_s
         events_there = job.events - events_before
         logger.info(
             "answer broke off: {}",
@@ -210,9 +211,10 @@
             upstream=running.chosen.upstream.id,
             after_event=job.last_event_id,
             events_there=events_there,
-            since_head_s=round(since_head_s, 4),
+            since_head_s=round(now - head_at, 4),
+            lived_s=round(course.lived_s, 4),
         )
-        sign = sign_of(since_head_s, events_there)
+        sign = sign_of(course.lived_s, events_there)
         await after_cut(gw, job, running.chosen.upstream, got, sign)
         return got
     gw.fatal.answered(job.fingerprint, running.head.status)
--- a/ramppost/policy/fatal.py
+++ b/ramppost/policy/fatal.py
@@ -47,18 +47,46 @@
 MOST_FATAL: Final = 256
 
 
-def sign_of(since_head_s: float | None, events: int) -> int:
-    """How much speaks against a request as its upstream ended; seconds since the head of its
-    answer, None where that had not come, and the events that came after it.
+class Course:
+    """For how long an upstream was seen to run a request, from the head of its answer on.
 
-    >>> sign_of(0.08, 0) == JUST_BEGUN, sign_of(None, 0) == WAITED, sign_of(7.0, 90) == HARMLESS
+    Its longest silence does not count: a gateway that was frozen finds an answer broken off as it
+    wakes, however early that was.
+
+    >>> course = Course(10.0)
+    >>> for at in (10.5, 11.0, 15.0): course.heard(at)
+    >>> course.lived_s
+    1.0
+    """
+
+    def __init__(self, head_at: float) -> None:
+        self._head_at = head_at
+        self._heard_at = head_at
+        self._silence_s = 0.0
+
+    def heard(self, now: float) -> None:
+        """A piece of the answer has come."""
+        self._silence_s = max(self._silence_s, now - self._heard_at)
+        self._heard_at = now
+
+    @property
+    def lived_s(self) -> float:
+        """Seconds until the last piece, without the longest silence."""
+        return self._heard_at - self._head_at - self._silence_s
+
+
+def sign_of(lived_s: float | None, events: int) -> int:
+    """How much speaks against a request as its upstream ended: by the seconds for which it was
+    seen to run, None where the head of its answer had not come, and the events that came.
+
+    >>> sign_of(0.0, 0) == JUST_BEGUN, sign_of(None, 0) == WAITED, sign_of(7.0, 90) == HARMLESS
     (True, True, True)
     """
-    if since_head_s is None:
+    if lived_s is None:
         return WAITED
-    if since_head_s >= PROVEN_S:
+    if lived_s >= PROVEN_S:
         return HARMLESS
-    if since_head_s >= LIVED_S:
+    if lived_s >= LIVED_S:
         return RAN
     return STREAMED if events else JUST_BEGUN
 
