--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -167,6 +167,14 @@
         attempt("r", "status 200", 4, took_s=2.5),
         served("r", 4),
     ],
+    # All engines of a service had ended: one whose entry was gone was tried as the last resort, and
+    # its box refused the connection, so that nothing went there.
+    "not sent to one whose entry is gone": [
+        upstream("there", 0),
+        line("watchers", "upstream's entry gone", 1, upstream="u1"),
+        attempt("r", "no connection to a:1", 3),
+        refused("r", "no", 3),
+    ],
     "sent to one that is there again": [
         upstream("leaving", 0),
         upstream("there", 1),
