--- a/tests/test_ended_upstreams.py
+++ b/tests/test_ended_upstreams.py
@@ -24,6 +24,11 @@
 """A route of its own for streams that take longer than those of the others may."""
 EVENTS = 30
 EVENT_MS = 200
+PATIENT_MS = 9000
+"""An objective by which an engine that is silent is waited for."""
+DEADLINE_MS = 20000
+KNOWN_WITHIN_S = 1.0
+"""From the writing of a configuration until it is in force."""
 LIVES_S = 1.2
 """What an engine may run the stream before it ends: too long to have ended of its beginning."""
 
@@ -64,7 +69,7 @@
     given: list[Given] = []
 
     def call() -> None:
-        given.append(site.call(GATEWAY, STREAM, attempt=attempt, deadline_ms=20000))
+        given.append(site.call(GATEWAY, STREAM, attempt=attempt, deadline_ms=DEADLINE_MS))
 
     caller = threading.Thread(target=call)
     caller.start()
@@ -84,7 +89,7 @@
         site.behave(name, events=EVENTS, event_ms=EVENT_MS)
     attempt = "fedcba9876543210"
     caller = threading.Thread(
-        target=lambda: site.call(GATEWAY, STREAM, attempt=attempt, deadline_ms=20000)
+        target=lambda: site.call(GATEWAY, STREAM, attempt=attempt, deadline_ms=DEADLINE_MS)
     )
     caller.start()
     end_engine_of(site, attempt, left)
@@ -101,3 +106,36 @@
         if line["message"].startswith("attempt") and "no connection" in line["message"]
     ]
     assert refused == []
+
+
+@pytest.mark.parametrize("site", [3], indirect=True)
+def test_ends_of_engines_leave_room_for_a_larger_model(site: Deployment) -> None:
+    """Two of three engines end before they answer, and the third's small model is not sure.
+
+    The ends were counted as attempts where it was decided whether a larger model may be asked, so
+    the poor answer was passed on.
+    """
+    long = {"sizes": MODELS, "stream_resume": True, "target_latency_ms": PATIENT_MS}
+    site.configure(config(3, routes=[route("long", LONG, "streaming", "lm", **long)]))
+    time.sleep(KNOWN_WITHIN_S)
+    left = set(ENGINES[:3])
+    for name in left:
+        site.behave(name, work_ms=DEADLINE_MS)
+    attempt = "00112233aabbccdd"
+    given: list[Given] = []
+
+    def call() -> None:
+        given.append(site.call(GATEWAY, STREAM, attempt=attempt, deadline_ms=DEADLINE_MS))
+
+    caller = threading.Thread(target=call)
+    caller.start()
+    end_engine_of(site, attempt, left)
+    site.until(lambda: running(site, attempt, left), 5.0, "a run")
+    (last,) = left - {running(site, attempt, left)}
+    site.behave(last, confidences={"small": 10, "middle": 99, "large": 99})
+    end_engine_of(site, attempt, left)
+    caller.join()
+    models = [run["model"] for run in site.runs(last) if run["attempt_id"] == attempt]
+    assert given[0].status == 200
+    assert models[0] == "small"
+    assert len(models) == 2
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -53,6 +53,9 @@
             self._script(conn, number)
 
     def close(self) -> None:
+        """Refuse connections from now on; closed alone, the socket is kept by who accepts."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
 
 
--- /dev/null
+++ b/tests/test_unframed_ends.py
@@ -0,0 +1,100 @@
+"""An upstream that ends within an answer whose length nothing tells.
+
+Such an answer ends as its connection is closed, and an upstream's end closes it: read so, a cut
+answer was whole, was taken for a sign that its request is harmless, and upstream after upstream
+ended under the request at all gateways.  Whether the upstream is still there settles it.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from ramppost.platform import names
+from tests.harness.gateways import KEYS, Deployment, config, route
+from tests.test_gateway_links import Peer, read_request, start
+
+__all__ = ["start"]
+
+RAW = "/raw/"
+HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+KNOWN_WITHIN_S = 1.0
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Deployment]:
+    found = Deployment(tmp_path, gateways=2, engines=1, services=1)
+    routes = [route("raw", RAW, "idempotent", "raw", max_attempts=1)]
+    doc = config(2, routes=routes)
+    doc["services"].append({"name": "raw", "max_conns": 100})
+    found.configure(doc)
+    yield found
+    found.stop()
+
+
+def put(site: Deployment, number: int, peer: Peer) -> None:
+    """Write the entry of an upstream."""
+    entry = {
+        "service": "raw",
+        "addr": peer.addr,
+        "zone": "bole",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+    }
+    site.put(names.UPSTREAM_KIND, f"i-raw-{number}", entry)
+
+
+def asked(site: Deployment, gateway: str) -> bytes:
+    """What the caller of the request gets."""
+    return site.call(gateway, RAW, KEYS["kitchen"], body=b"ends whoever runs it").body
+
+
+def test_an_end_within_an_answer_without_a_length_is_seen(site: Deployment) -> None:
+    """Three upstreams, each the only one, end within their answers; a fourth is spared."""
+    ran: list[int] = []
+
+    def ends(conn: socket.socket, number: int) -> None:
+        if not read_request(conn):
+            return
+        ran.append(number)
+        peer.close()
+        conn.sendall(HEAD + b"begun")
+        conn.close()
+
+    for number in range(4):
+        peer = Peer(ends)
+        put(site, number, peer)
+        time.sleep(KNOWN_WITHIN_S)
+        got = asked(site, site.gateways[number % 2])
+        time.sleep(KNOWN_WITHIN_S)
+        site.http.delete(f"{site.store}/objects/{names.UPSTREAM_KIND}/i-raw-{number}")
+    peer.close()
+    assert b'"fatal_request"' in got
+    assert len(ran) == 3
+
+
+def test_a_whole_answer_without_a_length_ends_nothing(site: Deployment) -> None:
+    """The upstream closes each connection as it must, and goes on."""
+
+    def serves(conn: socket.socket, _: int) -> None:
+        if read_request(conn):
+            conn.sendall(HEAD + b"whole")
+        conn.close()
+
+    peer = Peer(serves)
+    put(site, 0, peer)
+    time.sleep(KNOWN_WITHIN_S)
+    for number in range(8):
+        assert asked(site, site.gateways[number % 2]) == b"whole"
+    assert not [
+        line
+        for name in site.gateways
+        for line in site.lines(name)
+        if line["message"] == "upstream ended under a request"
+    ]
+    peer.close()
