An answer without a length clears its request only while its upstream is there

What callers saw: under a request whose answers carry no length, one upstream after the other ended. Cause: such an answer ends as its connection is closed, which an end does, too; it was taken for whole and for proof that the request is harmless. Change: the end of such an answer says that it is not framed, and whether its upstream still takes connections settles it, a moment later, beside the caller's answer; an end counts as for any other. Ruled out: to refuse such answers, for they are valid; to count them never, which leaves the fault.

--- a/ramppost/gateway/aftermath.py
+++ b/ramppost/gateway/aftermath.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from ramppost import clock
+from ramppost.gateway.attempt import Running
 from ramppost.gateway.endings import Fate
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken
@@ -38,6 +39,18 @@
         await curio.spawn(_look_again, gw, job, upstream, sign, daemon=True)
 
 
+async def after_close(gw: Gateway, job: Job, running: Running, sign: int) -> None:
+    """An answer that only the close of its connection ended was passed on.  It clears its request
+    where its upstream is still there, for an end would have closed the connection, too."""
+    upstream = running.chosen.upstream
+    await curio.sleep(LOOK_AGAIN_S)
+    fate = await gw.endings.fate_of(upstream)
+    if fate == "alive":
+        gw.fatal.answered(job.fingerprint, running.head.status)
+    else:
+        await _note_end(gw, job, upstream, fate, sign)
+
+
 async def _look_again(gw: Gateway, job: Job, upstream: Upstream, sign: int) -> None:
     await curio.sleep(LOOK_AGAIN_S)
     fate = await gw.endings.fate_of(upstream)
--- a/ramppost/gateway/passing.py
+++ b/ramppost/gateway/passing.py
@@ -27,11 +27,15 @@
 
 
 class Passed(NamedTuple):
-    """The answer was passed on whole; seconds from sending to its first and last byte."""
+    """The answer was passed on whole; seconds from sending to its first and last byte.
+
+    Where it is not `framed`, an upstream that ended within it would have looked the same.
+    """
 
     first_s: float
     last_s: float
     events: int
+    framed: bool
 
 
 async def pass_whole(running: Running, reply: Reply) -> Passed | Broken:
@@ -53,7 +57,7 @@
         await reply.end()
     else:
         await reply.send(running.head.status, running.head.headers, bytes(body))
-    return Passed(running.first_s, clock.now() - running.sent_at, 0)
+    return Passed(running.first_s, clock.now() - running.sent_at, 0, piece.framed)
 
 
 async def pass_stream(
@@ -86,7 +90,7 @@
         await reply.send(running.head.status, running.head.headers, b"")
     else:
         await reply.end()
-    return Passed(running.first_s, clock.now() - running.sent_at, passed)
+    return Passed(running.first_s, clock.now() - running.sent_at, passed, piece.framed)
 
 
 async def _write_events(running: Running, reply: Reply, data: bytes) -> None:
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -15,7 +15,7 @@
 from ramppost import clock
 from ramppost.errors import Ran, Refusal, error_body, refusal
 from ramppost.gateway.admit import admit, stale
-from ramppost.gateway.aftermath import after_cut
+from ramppost.gateway.aftermath import after_close, after_cut
 from ramppost.gateway.attempt import Refused, Running, attempt, release
 from ramppost.gateway.counts import Ended
 from ramppost.gateway.escalation import larger_model, plan_of
@@ -217,7 +217,11 @@
         sign = sign_of(course.lived_s, events_there)
         await after_cut(gw, job, running.chosen.upstream, got, sign)
         return got
-    gw.fatal.answered(job.fingerprint, running.head.status)
+    if got.framed:
+        gw.fatal.answered(job.fingerprint, running.head.status)
+    else:
+        sign = sign_of(course.lived_s, got.events)
+        await curio.spawn(after_close, gw, job, running, sign, daemon=True)
     judge_answer(gw, running, bad=running.head.status >= 500, passed=got)
     return None
 
