--- a/tests/test_unframed_ends.py
+++ b/tests/test_unframed_ends.py
@@ -22,7 +22,10 @@
 
 RAW = "/raw/"
 HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+FRAMED = b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"
 KNOWN_WITHIN_S = 1.0
+PIECES = 16
+PIECE_S = 0.2
 
 
 @pytest.fixture
@@ -98,3 +101,35 @@
         if line["message"] == "upstream ended under a request"
     ]
     peer.close()
+
+
+@pytest.mark.parametrize("head", [HEAD, FRAMED], ids=["unframed", "framed"])
+def test_what_ran_for_long_before_an_end_is_innocent(site: Deployment, head: bytes) -> None:
+    """Three upstreams end well after they began to answer, of something else.
+
+    How long they had run the request was measured on streams alone, so that each seemed to have
+    ended as it began.
+    """
+    ran: list[int] = []
+
+    def ends(conn: socket.socket, number: int) -> None:
+        if not read_request(conn):
+            return
+        ran.append(number)
+        conn.sendall(head)
+        for _ in range(PIECES):
+            conn.sendall(b"piece")
+            time.sleep(PIECE_S)
+        peer.close()
+        conn.close()
+
+    for number in range(4):
+        peer = Peer(ends)
+        put(site, number, peer)
+        time.sleep(KNOWN_WITHIN_S)
+        got = asked(site, site.gateways[number % 2])
+        time.sleep(KNOWN_WITHIN_S)
+        site.http.delete(f"{site.store}/objects/{names.UPSTREAM_KIND}/i-raw-{number}")
+    peer.close()
+    assert b'"fatal_request"' not in got
+    assert len(ran) == 4
