How long a plain answer came counts as a stream's does

What callers saw: a request under which upstreams ended well after they had begun to answer was refused as fatal. Cause: the measure of a run was told of the pieces of streams only, so that of a plain answer read as if its upstream had ended at once. Change: the pieces of plain answers are told, too. The test held it to be fatal after three ends, framed and unframed; after the change a fourth upstream is asked.

--- a/ramppost/gateway/passing.py
+++ b/ramppost/gateway/passing.py
@@ -38,8 +38,8 @@
     framed: bool
 
 
-async def pass_whole(running: Running, reply: Reply) -> Passed | Broken:
-    """Pass on an answer that is not a stream."""
+async def pass_whole(running: Running, reply: Reply, course: Course) -> Passed | Broken:
+    """Pass on an answer that is not a stream.  `course` is told of each piece that comes."""
     body = bytearray()
     while True:
         piece = await running.exchange.piece()
@@ -47,6 +47,7 @@
             return piece
         if isinstance(piece, End):
             break
+        course.heard(clock.now())
         if reply.started:
             await reply.write(piece)
             continue
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -192,7 +192,7 @@
         if job.route.streams and running.head.status < 400:
             got = await pass_stream(gw, job, running, reply, course)
         else:
-            got = await pass_whole(running, reply)
+            got = await pass_whole(running, reply, course)
         whole = isinstance(got, Passed)
     finally:
         await release(running, whole)
