--- a/ramppost/audit/events.py
+++ b/ramppost/audit/events.py
@@ -15,7 +15,14 @@
 Fate = Literal["answered", "refused", "not sent", "cancelled", "unknown"]
 """What became of an attempt: an answer, a refusal that says it was not run, nothing sent, given up
 here, or nothing heard of it."""
+Presence = Literal["there", "no entry", "out"]
+"""Of an upstream at a gateway: it takes work, its entry is gone, which an outage of the store's may
+be, or it leaves or is gone."""
 ATTEMPT: Final = re.compile(r"attempt \d+: (.*)", re.DOTALL)
+PRESENCES: Final[dict[str, Presence]] = {
+    "upstream there": "there",
+    "upstream's entry gone": "no entry",
+}
 NOT_SENT: Final = ("no connection to ", "not sent: ")
 
 
@@ -38,12 +45,13 @@
 
 
 class UpstreamSeen(NamedTuple):
-    """A process has learned of an upstream's start; `usable` is false once it leaves or is gone."""
+    """A process has learned of an upstream; `service` is empty where the line does not tell."""
 
     program: str
     at: float
     upstream: str
-    usable: bool
+    service: str
+    presence: Presence
 
 
 class UpstreamsListed(NamedTuple):
@@ -55,7 +63,8 @@
 
 class Attempted(NamedTuple):
     """An attempt of a request has ended; `began_at` is when it was begun, `fingerprint` what the
-    request has in common with its other tries, empty where the line does not tell."""
+    request has in common with its other tries, empty where the line does not tell, `candidates`
+    how many upstreams it was chosen from, None where the line does not tell."""
 
     program: str
     at: float
@@ -64,6 +73,7 @@
     upstream: str
     began_at: float
     fate: Fate
+    candidates: int | None
 
 
 class Ended(NamedTuple):
@@ -113,8 +123,9 @@
     if line.message == "upstreams listed":
         return UpstreamsListed(line.program, line.at)
     if line.message.startswith("upstream") and "upstream" in fields:
-        usable = line.message == "upstream there"
-        return UpstreamSeen(line.program, line.at, str(fields["upstream"]), usable)
+        presence = PRESENCES.get(line.message, "out")
+        service = str(fields.get("service", ""))
+        return UpstreamSeen(line.program, line.at, str(fields["upstream"]), service, presence)
     return None
 
 
@@ -132,6 +143,7 @@
         str(fields["upstream"]),
         began_at,
         _fate(found[1]),
+        int(fields["candidates"]) if "candidates" in fields else None,
     )
 
 
