--- a/ramppost/audit/run.py
+++ b/ramppost/audit/run.py
@@ -5,8 +5,9 @@
 from collections import Counter
 from typing import Final, NamedTuple
 
-from ramppost.audit.checks import Check, Finding, all_checks
+from ramppost.audit.checks import all_checks
 from ramppost.audit.events import event_of
+from ramppost.audit.findings import Check, Finding
 from ramppost.audit.lines import CantOpen, Line, Unreadable, read_lines
 
 MAX_SHOWN: Final = 1000
--- a/ramppost/cli/audit.py
+++ b/ramppost/cli/audit.py
@@ -8,7 +8,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from ramppost.audit.checks import Finding
+from ramppost.audit.findings import Finding
 from ramppost.audit.lines import Line
 from ramppost.audit.run import Audit, audit, story
 from ramppost.wire.codec import encode
