Tests: a run locks its block of ports

A run locks a file for its block until its process has ended; the lock goes with the process, however that ends. Ruled out: to keep sockets bound, for the processes have to bind them themselves.

--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import os
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from pathlib import Path
 from typing import Any
@@ -27,16 +29,35 @@
 PORT_BLOCKS = 25
 
 
+_blocks_held: set[int] = set()
+"""Base ports of blocks for which this process holds a lock, until it ends."""
+
+
 def free_base() -> int:
-    """A base port whose block is free."""
+    """A base port whose block is free, and is no other run's until this process has ended."""
     blocks = [(os.getpid() + i) % PORT_BLOCKS for i in range(PORT_BLOCKS)]
     for base in (FIRST_PORT + block * PORT_BLOCK for block in blocks):
         probes = (base, base + ENTRY_PORTS, base + AGENT_PORTS, base + UPSTREAM_PORTS)
-        if all(_free(port) for port in probes):
+        if _hold(base) and all(_free(port) for port in probes):
             return base
     raise RuntimeError("no free block of ports")
 
 
+def _hold(base: int) -> bool:
+    """Keep a block of ports from other runs, which may choose before anything listens there."""
+    if base in _blocks_held:
+        return True
+    path = Path(tempfile.gettempdir(), f"ramppost-ports-{base}.lock")
+    lock = os.open(path, os.O_CREAT | os.O_RDWR)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(lock)
+        return False
+    _blocks_held.add(base)
+    return True
+
+
 def _free(port: int) -> bool:
     with socket.socket() as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
