Audit: no gateway takes a configuration for the newest after a newer one was in force

Every line of an end tells how old the confirmation was, so lines of all gateways tell it: what one had in force before another asked must have shown there. Clocks of boxes may be 5 s apart (`--clocks`), and what is nearer is undecided. The latest confirmation of a process and a configuration is kept, not each. The soak, whose clocks agree, checks it with 0 s.

--- a/ramppost/audit/checks.py
+++ b/ramppost/audit/checks.py
@@ -9,6 +9,7 @@
 
 from typing import Final, NamedTuple
 
+from ramppost.audit.confirmed import confirmed_check
 from ramppost.audit.departed import GONE_SLACK_S, gone_check
 from ramppost.audit.events import (
     Attempted,
@@ -143,6 +144,6 @@
     return Check(name, promise, take, lambda: ())
 
 
-def all_checks() -> list[Check]:
-    """Each check, new."""
-    return [config_check(), end_check(), gone_check(), fatal_check()]
+def all_checks(clocks_s: float) -> list[Check]:
+    """Each check, new; `clocks_s` is how far the clocks of boxes may be apart."""
+    return [config_check(), confirmed_check(clocks_s), end_check(), gone_check(), fatal_check()]
--- a/ramppost/audit/events.py
+++ b/ramppost/audit/events.py
@@ -23,6 +23,8 @@
     "upstream there": "there",
     "upstream's entry gone": "no entry",
 }
+OLDEST_S: Final = 999.0
+"""An age that a line tells so is this or more."""
 NOT_SENT: Final = ("no connection to ", "not sent: ")
 
 
@@ -78,13 +80,15 @@
 
 class Ended(NamedTuple):
     """A request has its end; `ran` is what a refusal said of it, empty for other ends, `attempts`
-    how many it had, None where the line does not tell."""
+    how many it had, `confirmed_at` when the configuration in force was known to be the newest; None
+    where the line does not tell."""
 
     program: str
     at: float
     request: str
     ran: str
     attempts: int | None
+    confirmed_at: float | None
 
 
 class FatalKnown(NamedTuple):
@@ -168,9 +172,15 @@
         str(fields["request"]),
         str(fields["ran"]) if refused else "",
         None if refused else int(fields["attempts"]),
+        _confirmed_at(line),
     )
 
 
+def _confirmed_at(line: Line) -> float | None:
+    age_s = float(line.fields.get("config_age_s", OLDEST_S))
+    return line.at - age_s if age_s < OLDEST_S else None
+
+
 def _fatal(line: Line) -> Event | None:
     fields = line.fields
     if line.message.startswith("fatal requests removed"):
--- a/ramppost/audit/run.py
+++ b/ramppost/audit/run.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple
 
 from ramppost.audit.checks import all_checks
+from ramppost.audit.confirmed import CLOCKS_S
 from ramppost.audit.events import event_of
 from ramppost.audit.findings import Check, Finding
 from ramppost.audit.lines import CantOpen, Line, Unreadable, read_lines
@@ -55,10 +56,10 @@
         return CheckResult(self.check.name, self.check.promise, broken, undecided, self.findings)
 
 
-def audit(paths: list[str]) -> Audit:
+def audit(paths: list[str], clocks_s: float = CLOCKS_S) -> Audit:
     """Check the promises over files of lines; those of a process stand in one file, or in several
-    that are given in their order."""
-    tallies = [_Tally(check) for check in all_checks()]
+    that are given in their order.  `clocks_s` is how far the clocks of boxes may be apart."""
+    tallies = [_Tally(check) for check in all_checks(clocks_s)]
     lines = events = unreadable = 0
     first_unreadable = ""
     unopened: list[CantOpen] = []
--- a/ramppost/cli/audit.py
+++ b/ramppost/cli/audit.py
@@ -8,6 +8,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
+from ramppost.audit.confirmed import CLOCKS_S
 from ramppost.audit.findings import Finding
 from ramppost.audit.lines import Line
 from ramppost.audit.run import Audit, audit, story
@@ -15,6 +16,7 @@
 
 BROKEN: Final = 1
 UNREADABLE: Final = 2
+CLOCKS_HELP: Final = "How many seconds the clocks of boxes may be apart, usually"
 SHOWN: Final = 10
 """Findings of a check that are printed without `--json`."""
 COMMON: Final = ("at", "level", "message", "module", "program", "request")
@@ -30,6 +32,7 @@
     ]
     options: ClassVar = [
         option("json", None, "Print all as JSON."),
+        option("clocks", None, f"{CLOCKS_HELP} {CLOCKS_S:g}.", flag=False),
         option("explain", None, "Print the story of one request instead.", flag=False),
     ]
 
@@ -38,7 +41,11 @@
         paths = self.argument("file")
         if self.option("explain"):
             return self._explain(paths, self.option("explain"))
-        found = audit(paths)
+        clocks_s = seconds(self.option("clocks") or str(CLOCKS_S))
+        if clocks_s is None:
+            self.line_error(f"--clocks: {self.option('clocks')!r} is no number of seconds")
+            return UNREADABLE
+        found = audit(paths, clocks_s)
         if self.option("json"):
             self.line(encode(as_json(found)).decode())
         else:
@@ -71,6 +78,19 @@
                 self.line(shown(finding))
 
 
+def seconds(text: str) -> float | None:
+    """A number of seconds, 0 or more, from its text; None where that is none.
+
+    >>> seconds("0.5"), seconds("-1"), seconds("nan"), seconds("soon")
+    (0.5, None, None, None)
+    """
+    try:
+        found = float(text)
+    except ValueError:
+        return None
+    return found if 0.0 <= found < float("inf") else None
+
+
 def shown(finding: Finding) -> str:
     """A finding as a line."""
     at = datetime.fromtimestamp(finding.at, UTC).isoformat()
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -498,7 +498,7 @@
 def audited(folder: Path) -> list[str]:
     """Promises that were broken by the gateways' own log lines."""
     paths = sorted(str(path) for path in folder.glob("gateway-*.log"))
-    checks = audit(paths).checks
+    checks = audit(paths, clocks_s=0.0).checks
     return [
         shown(finding)
         for check in checks
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -21,7 +21,7 @@
 from tests.harness.gateways import KEYS, SAFE, STREAM, Deployment
 
 NOON = datetime(2026, 3, 1, 12, tzinfo=UTC).timestamp()
-CHECKS = ("configuration", "one end", "departed", "fatal")
+CHECKS = ("configuration", "confirmed", "one end", "departed", "fatal")
 
 
 def line(module: str, message: str, after_s: float, program: str = "g1", **fields: Any) -> str:
@@ -44,8 +44,10 @@
     return line("attempt", f"attempt 1: {outcome}", after_s, **fields)
 
 
-def served(request: str, after_s: float, attempts: int = 1, program: str = "g1") -> str:
-    fields = {"request": request, "attempts": attempts, "took_s": 0.2}
+def served(
+    request: str, after_s: float, attempts: int = 1, program: str = "g1", age_s: float = 999.0
+) -> str:
+    fields = {"request": request, "attempts": attempts, "took_s": 0.2, "config_age_s": age_s}
     return line("serve", "served", after_s, program, **fields)
 
 
@@ -136,6 +138,28 @@
         ],
         "departed",
     ),
+    # A gateway took the word of another for a confirmation while the configuration it had put in
+    # force was the one before, and served by that for as long as it was told so.
+    "confirmed, and not in force": (
+        [
+            config(1, None, 0),
+            config(1, None, 0, "g2"),
+            config(2, 1, 10, "g2"),
+            served("r", 16, 0, age_s=0.4),
+        ],
+        "confirmed",
+    ),
+    "confirmed, and not in force, told last": (
+        [
+            config(1, None, 0),
+            served("r", 16, 0, age_s=0.4),
+            served("s", 17, 0, age_s=1.4),
+            config(1, None, 0, "g2"),
+            config(2, 1, 10, "g2"),
+            config(3, 2, 16, "g2"),
+        ],
+        "confirmed",
+    ),
     "sent though it is known to be fatal": (
         [fatal("request held to be fatal", 1), attempt("r", "status 200", 3), served("r", 3)],
         "fatal",
@@ -177,6 +201,15 @@
         ],
         "departed",
     ),
+    "confirmed, and not in force, by clocks that may differ": (
+        [
+            config(1, None, 0),
+            config(1, None, 0, "g2"),
+            config(2, 1, 10, "g2"),
+            served("r", 12, 0, age_s=0.4),
+        ],
+        "confirmed",
+    ),
     "a clock that was set back": (
         [
             upstream("there", 9),
@@ -236,6 +269,27 @@
         attempt("r", "status 200", 3),
         served("r", 3),
     ],
+    "confirmed before a newer one": [
+        config(1, None, 0),
+        config(2, 1, 10, "g2"),
+        served("r", 20, 0, age_s=10.5),
+        served("s", 20, 0, age_s=999.0),
+    ],
+    "confirmed and in force": [
+        config(2, 1, 10, "g2"),
+        config(1, None, 0),
+        config(2, 1, 11),
+        served("r", 20, 0, age_s=0.4),
+        config(3, 2, 19.9, "g2"),
+        served("s", 30, 0, age_s=10.2),
+    ],
+    "confirmed by a process before": [
+        config(2, None, 0),
+        served("r", 20, 0, age_s=0.4),
+        starting(21),
+        config(1, None, 22),
+        served("s", 23, 0, age_s=999.0),
+    ],
     "listed anew, with one that left": [
         upstream("leaving", 0),
         line("watchers", "upstreams listed", 1, count=4, revision=7),
@@ -273,6 +327,13 @@
     assert verdicts(audited(tmp_path, *SOUND[name])) == {}
 
 
+def test_clocks_that_agree_decide_more(tmp_path: Path) -> None:
+    lines, check = UNDECIDED["confirmed, and not in force, by clocks that may differ"]
+    path = tmp_path / "lines.log"
+    path.write_text("".join(f"{text}\n" for text in lines))
+    assert verdicts(audit([str(path)], clocks_s=1.0)) == {check: (1, 0)}
+
+
 @st.composite
 def histories(draw: st.DrawFn) -> list[str]:
     """Sound lines of three gateways, those of each in order."""
@@ -346,6 +407,9 @@
     cut.write_bytes(gzip.compress(bad.read_bytes() * 100)[:-20])
     got = command(str(cut))
     assert got.returncode == 2 and "cut.gz: after line" in got.stderr
+    got = command(str(good), "--clocks", "soon")
+    assert got.returncode == 2 and "--clocks: 'soon'" in got.stderr
+    assert command(str(good), "--clocks", "0.1").returncode == 0
     got = command("-", given="nothing\n")
     assert got.returncode == 2 and "nothing that could be checked" in got.stdout
     shown = json.loads(command("-", "--json", given=bad.read_text()).stdout)
