--- a/tests/harness/cluster.py
+++ b/tests/harness/cluster.py
@@ -185,10 +185,15 @@
         return f"{listen['host']}:{listen['port']}"
 
     def start(self) -> Cluster:
-        """Start all processes and wait until requests are served through each entry."""
-        for name in self.settings:
-            self.spawn(name)
-        self.wait_ready()
+        """Start all processes and wait until requests are served through each entry; where that
+        takes too long, end them."""
+        try:
+            for name in self.settings:
+                self.spawn(name)
+            self.wait_ready()
+        except BaseException:
+            self.stop()
+            raise
         return self
 
     def spawn(self, name: str) -> None:
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -105,6 +105,18 @@
         """Body of a request that ends upstreams that are started from now on; empty for none."""
         self.ids: dict[str, str] = {}
         """Ids of the upstreams' last incarnations."""
+        try:
+            self._start_all(engines, services)
+        except BaseException:
+            self._end_all()
+            raise
+
+    def stop(self) -> None:
+        """End every process this deployment started."""
+        self._end_all()
+        self._check_logs()
+
+    def _start_all(self, engines: int, services: int) -> None:
         self._start_store()
         for i in range(engines):
             self.start_upstream(f"lm-{i + 1}", "lm", "v1")
@@ -116,15 +128,13 @@
             self.wait_ready(name)
         self.wait_members()
 
-    def stop(self) -> None:
-        """End every process this deployment started."""
+    def _end_all(self) -> None:
         for proc in self.procs.values():
             if proc.poll() is None:
                 proc.send_signal(signal.SIGCONT)
                 proc.kill()
             proc.wait()
         self.http.close()
-        self._check_logs()
 
     def _check_logs(self) -> None:
         """No gateway has crashed a task or forgotten to wait for one."""
