One way to ask whether an upstream is still there after a cut

after_cut, after_close and the second look each asked for the fate of an upstream and noted its end; now all three call one function. Behaviour as before.

--- a/ramppost/gateway/aftermath.py
+++ b/ramppost/gateway/aftermath.py
@@ -29,10 +29,9 @@
     upstream have ended."""
     if not got.cut:
         return
-    fate = await gw.endings.fate_of(upstream)
-    if fate != "alive":
-        await _note_end(gw, job, upstream, fate, sign)
-    elif sign == JUST_BEGUN:
+    if not await _is_there(gw, job, upstream, sign):
+        return
+    if sign == JUST_BEGUN:
         # It may be what ends its upstream: sent on at once, it would end the next one.
         await _look_again(gw, job, upstream, sign)
     else:
@@ -42,20 +41,21 @@
 async def after_close(gw: Gateway, job: Job, running: Running, sign: int) -> None:
     """An answer that only the close of its connection ended was passed on.  It clears its request
     where its upstream is still there, for an end would have closed the connection, too."""
-    upstream = running.chosen.upstream
-    await curio.sleep(LOOK_AGAIN_S)
-    fate = await gw.endings.fate_of(upstream)
-    if fate == "alive":
+    if await _look_again(gw, job, running.chosen.upstream, sign):
         gw.fatal.answered(job.fingerprint, running.head.status)
-    else:
-        await _note_end(gw, job, upstream, fate, sign)
 
 
-async def _look_again(gw: Gateway, job: Job, upstream: Upstream, sign: int) -> None:
+async def _look_again(gw: Gateway, job: Job, upstream: Upstream, sign: int) -> bool:
     await curio.sleep(LOOK_AGAIN_S)
+    return await _is_there(gw, job, upstream, sign)
+
+
+async def _is_there(gw: Gateway, job: Job, upstream: Upstream, sign: int) -> bool:
+    """Whether an upstream still takes connections; what its end means is noted."""
     fate = await gw.endings.fate_of(upstream)
     if fate != "alive":
         await _note_end(gw, job, upstream, fate, sign)
+    return fate == "alive"
 
 
 async def _note_end(gw: Gateway, job: Job, upstream: Upstream, fate: Fate, sign: int) -> None:
