One rule for writes that any gateway may make: relays first, the others after them

The document of fatal requests had copied the hold of roll-outs, with constants of its own, of which one always equalled the other. Peers, who know who is a relay, work it out for both; the seconds are those of before (0.25 and 0.2).

--- a/ramppost/gateway/fatal_doc.py
+++ b/ramppost/gateway/fatal_doc.py
@@ -36,8 +36,7 @@
 FATAL_NAME: Final = "main"
 """The one document of this kind; a kind of our own in the store."""
 SPREAD_S: Final = 0.2
-"""Gateways write within this of each other, so that the first one's write spares the others'."""
-RELAYS_FIRST_S: Final = 0.2
+"""Relays write within this of each other, and so do the others after them."""
 RETRY_S: Final = 0.3
 LOOK_S: Final = 0.2
 """How often to look whether there is something to write."""
@@ -64,12 +63,12 @@
 
 async def keep_document(gw: Gateway) -> None:
     """Write what is found here, and take out what was answered well, until cancelled."""
-    delay_s = SPREAD_S * unit("fatal", gw.cfg["name"])
+    place = unit("fatal", gw.cfg["name"])
     while True:
         await curio.sleep(LOOK_S)
         if not _differs(gw):
             continue
-        await curio.sleep(delay_s + (0.0 if gw.peers.is_relay(clock.now()) else RELAYS_FIRST_S))
+        await curio.sleep(gw.peers.write_after_s(SPREAD_S, place, clock.now()))
         while _differs(gw) and not await _write(gw):
             await curio.sleep(RETRY_S)
 
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -38,10 +38,7 @@
 
 TICK_S: Final = 0.1
 SPREAD_S: Final = 0.25
-"""Gateways act within this of each other, so that the first one's write spares the others'."""
-RELAYS_FIRST_S: Final = 0.25
-"""Relays act so much before the others, whom their writes then have reached.  With all 68 gateways
-of a fleet in one spread of 0.5 s, 63 of them read and wrote the progress of one roll-out."""
+"""Relays act within this of each other, and so do the others after them."""
 RETRY_S: Final = 0.3
 HEAR_EARLY: Final = 0.02
 """Part of a roll-out's time by which the sessions of others are read before any moves."""
@@ -103,9 +100,8 @@
             if rollout.order.state != "ordered":
                 continue
             now = clock.now()
-            delay_s = SPREAD_S * unit("duty", gw.cfg["name"], rollout.order.service)
-            delay_s += 0.0 if gw.peers.is_relay(now) else RELAYS_FIRST_S
-            part = rollout.part(now - delay_s)
+            place = unit("duty", gw.cfg["name"], rollout.order.service)
+            part = rollout.part(now - gw.peers.write_after_s(SPREAD_S, place, now))
             if rollout.withdrawn:
                 await _end(gw, rollout, completed=False)
             elif part >= COMPLETE_AT:
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -215,6 +215,20 @@
         """Whether this gateway watches the store."""
         return self.own in self.relays(now)
 
+    def write_after_s(self, spread_s: float, place: float, now: float) -> float:
+        """How long this gateway holds back a write that any may make, so that the first one's
+        spares the others': `place` in [0, 1) spreads the relays over `spread_s`, and the others,
+        whom those writes then have reached, over as long after it.
+
+        With all 68 gateways of a fleet in one spread of 0.5 s, 63 of them read and wrote the
+        progress of one roll-out.
+
+        >>> peers = Peers("a")
+        >>> peers.write_after_s(0.25, 0.5, 0.0)
+        0.125
+        """
+        return spread_s * place + (0.0 if self.is_relay(now) else spread_s)
+
     def depth(self, now: float) -> int:
         """How many gateways the news of the store pass before this one."""
         if self.is_relay(now):
