--- a/ramppost/audit/confirmed.py
+++ b/ramppost/audit/confirmed.py
@@ -65,10 +65,10 @@
 
     def end() -> Findings:
         newer = _earliest_newer(first)
-        for claim in claims.values():
-            found = newer.get(claim.by.revision)
-            if found is not None and claim.confirmed_at > found.at + ROUNDED_S:
-                yield _finding(name, claim, found, clocks_s)
+        for latest in claims.values():
+            found = newer.get(latest.by.revision)
+            if found is not None and latest.confirmed_at > found.at + ROUNDED_S:
+                yield _finding(name, latest, found, clocks_s)
 
     promise = "no process knows a configuration to be the newest after a newer one was in force"
     return Check(name, promise, take, end)
