Tests: one way to enter an upstream that is no process, to begin a call, to read when a line was written

Three entries were written out by hand, a loop over four upstreams and a caller's thread stood twice and three times, and a line's time was read in two places. The assertions are as they were.

--- a/bench/starting.py
+++ b/bench/starting.py
@@ -17,13 +17,11 @@
 import tempfile
 import time
 from collections.abc import Iterable
-from datetime import datetime
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
 from ramppost import clock
-from ramppost.platform import names
-from tests.harness.gateways import Deployment
+from tests.harness.gateways import Deployment, written_at
 
 STEPS: Final = ("starting", "configuration in force", "upstreams listed")
 """Lines that a gateway writes as it starts, in the order in which they are asked for here."""
@@ -45,15 +43,7 @@
 def fill(site: Deployment, upstreams: int) -> None:
     """Enter upstreams of a service that nobody asks for."""
     for number in range(upstreams):
-        entry = {
-            "service": "idle",
-            "addr": f"127.0.0.1:{number + 1}",
-            "zone": "bole",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-        }
-        site.put(names.UPSTREAM_KIND, f"i-idle-{number}", entry)
+        site.put_entry(f"idle-{number}", "idle", f"127.0.0.1:{number + 1}")
 
 
 def start_all(site: Deployment) -> float:
@@ -72,7 +62,7 @@
     """When each step was first taken by the process that started last; seconds from `began_at`."""
     found: dict[str, float] = {}
     for line in lines:
-        after_s = datetime.fromisoformat(line["at"]).timestamp() - began_at
+        after_s = written_at(line) - began_at
         if after_s > 0 and line["message"] in STEPS:
             found.setdefault(line["message"], after_s)
     return found
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from datetime import datetime
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -41,6 +42,11 @@
         return [int(line.partition("id: ")[2].partition("\n")[0]) for line in lines]
 
 
+def written_at(line: dict[str, Any]) -> float:
+    """When a log line was written (time of day)."""
+    return datetime.fromisoformat(line["at"]).timestamp()
+
+
 def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
     usual = {
         "name": name,
@@ -318,6 +324,19 @@
         """Put a fault in force at the store."""
         self.http.post(f"{self.url(name)}/_fault", json=fault).raise_for_status()
 
+    def put_entry(self, name: str, service: str, addr: str) -> None:
+        """Enter an upstream that is no process of this deployment."""
+        self.ids[name] = f"i-{name}"
+        entry = {
+            "service": service,
+            "addr": addr,
+            "zone": "bole",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+        }
+        self.put(names.UPSTREAM_KIND, self.ids[name], entry)
+
     def remove_entry(self, name: str) -> None:
         """Let the entry of an upstream's last incarnation go, as the store does after its end."""
         url = f"{self.store}/objects/{names.UPSTREAM_KIND}/{self.ids[name]}"
--- a/tests/test_ended_upstreams.py
+++ b/tests/test_ended_upstreams.py
@@ -12,13 +12,19 @@
 import threading
 import time
 from collections.abc import Iterator
-from datetime import datetime
 from pathlib import Path
-from typing import Any
 
 import pytest
 
-from tests.harness.gateways import MODELS, STREAM, Deployment, Given, config, route
+from tests.harness.gateways import (
+    MODELS,
+    STREAM,
+    Deployment,
+    Given,
+    config,
+    route,
+    written_at,
+)
 
 GATEWAY = "gateway-1"
 ENGINES = ("lm-1", "lm-2", "lm-3", "lm-4", "lm-5")
@@ -49,6 +55,25 @@
     found.stop()
 
 
+class Caller:
+    """A caller whose stream is under way; `given` waits for what it gets."""
+
+    def __init__(self, site: Deployment, attempt: str) -> None:
+        self._site = site
+        self._attempt = attempt
+        self._given: list[Given] = []
+        self._thread = threading.Thread(target=self._call)
+        self._thread.start()
+
+    def given(self) -> Given:
+        self._thread.join()
+        return self._given[0]
+
+    def _call(self) -> None:
+        got = self._site.call(GATEWAY, STREAM, attempt=self._attempt, deadline_ms=DEADLINE_MS)
+        self._given.append(got)
+
+
 def running(site: Deployment, attempt: str, engines: set[str]) -> str:
     """The engine of these that runs a request; empty where none does."""
     for name in engines:
@@ -73,19 +98,13 @@
     for name in ENGINES:
         site.behave(name, events=EVENTS, event_ms=EVENT_MS)
     attempt = "0123456789abcdef"
-    given: list[Given] = []
-
-    def call() -> None:
-        given.append(site.call(GATEWAY, STREAM, attempt=attempt, deadline_ms=DEADLINE_MS))
-
-    caller = threading.Thread(target=call)
-    caller.start()
+    caller = Caller(site, attempt)
     left = set(ENGINES)
     for _ in range(3):
         end_engine_of(site, attempt, left)
-    caller.join()
-    assert given[0].status == 200
-    assert given[0].events == list(range(1, EVENTS + 1))
+    given = caller.given()
+    assert given.status == 200
+    assert given.events == list(range(1, EVENTS + 1))
 
 
 @pytest.mark.parametrize("site", [2], indirect=True)
@@ -100,10 +119,7 @@
     for name in left:
         site.behave(name, events=EVENTS, event_ms=EVENT_MS)
     attempt = "fedcba9876543210"
-    caller = threading.Thread(
-        target=lambda: site.call(GATEWAY, STREAM, attempt=attempt, deadline_ms=DEADLINE_MS)
-    )
-    caller.start()
+    caller = Caller(site, attempt)
     end_engine_of(site, attempt, left)
     for name in left:
         site.behave(name, refuse=True)
@@ -113,22 +129,19 @@
         assert float(got.headers["retry-after"]) > 0
         if number >= CALLS_AT_ONCE:
             time.sleep(CALL_EVERY_S)
-    caller.join()
+    caller.given()
     refused = [
         line
         for line in site.lines(GATEWAY)
         if line["message"].startswith("attempt") and "no connection" in line["message"]
     ]
     cut_at = next(
-        at(line) for line in site.lines(GATEWAY) if line["message"].startswith("answer broke off")
+        written_at(line)
+        for line in site.lines(GATEWAY)
+        if line["message"].startswith("answer broke off")
     )
     assert len(refused) <= 1
-    assert all(at(line) - cut_at < FOUND_OUT_S for line in refused)
-
-
-def at(line: dict[str, Any]) -> float:
-    """When a line was written."""
-    return datetime.fromisoformat(line["at"]).timestamp()
+    assert all(written_at(line) - cut_at < FOUND_OUT_S for line in refused)
 
 
 @pytest.mark.parametrize("site", [3], indirect=True)
@@ -145,20 +158,14 @@
     for name in left:
         site.behave(name, work_ms=DEADLINE_MS)
     attempt = "00112233aabbccdd"
-    given: list[Given] = []
-
-    def call() -> None:
-        given.append(site.call(GATEWAY, STREAM, attempt=attempt, deadline_ms=DEADLINE_MS))
-
-    caller = threading.Thread(target=call)
-    caller.start()
+    caller = Caller(site, attempt)
     end_engine_of(site, attempt, left)
     site.until(lambda: running(site, attempt, left), 5.0, "a run")
     (last,) = left - {running(site, attempt, left)}
     site.behave(last, confidences={"small": 10, "middle": 99, "large": 99})
     end_engine_of(site, attempt, left)
-    caller.join()
+    given = caller.given()
     models = [run["model"] for run in site.runs(last) if run["attempt_id"] == attempt]
-    assert given[0].status == 200
+    assert given.status == 200
     assert models[0] == "small"
     assert len(models) == 2
--- a/tests/test_unframed_ends.py
+++ b/tests/test_unframed_ends.py
@@ -9,17 +9,18 @@
 
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 
 from ramppost import clock
-from ramppost.platform import names
 from tests.harness.gateways import KEYS, Deployment, config, route
 from tests.harness.scripted import Peer, read_request
 
 RAW = "/raw/"
+End = Callable[[Peer, socket.socket], None]
+"""What an upstream does with the connection on which it got the request."""
 HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 FRAMED = b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"
 KNOWN_WITHIN_S = 1.0
@@ -39,19 +40,6 @@
     found.stop()
 
 
-def put(site: Deployment, number: int, peer: Peer) -> None:
-    """Write the entry of an upstream."""
-    entry = {
-        "service": "raw",
-        "addr": peer.addr,
-        "zone": "bole",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-    }
-    site.put(names.UPSTREAM_KIND, f"i-raw-{number}", entry)
-
-
 def asked(site: Deployment, gateway: str) -> bytes:
     """What the caller of the request gets, once its gateway knows again what is in force: after a
     stall of this machine of 2.8 s it said so, and nothing of the request."""
@@ -63,26 +51,41 @@
         time.sleep(0.1)
 
 
+def asked_of_one(site: Deployment, number: int, ran: list[int], end: End) -> bytes:
+    """The request comes to an upstream that is the only one and ends under it; what the caller
+    gets.  `ran` takes the number if it was run."""
+
+    def play(conn: socket.socket, _: int) -> None:
+        if read_request(conn):
+            ran.append(number)
+            end(peer, conn)
+
+    name = f"raw-{number}"
+    peer = Peer(play)
+    site.put_entry(name, "raw", peer.addr)
+    time.sleep(KNOWN_WITHIN_S)
+    got = asked(site, site.gateways[number % 2])
+    time.sleep(KNOWN_WITHIN_S)
+    site.remove_entry(name)
+    peer.close()
+    return got
+
+
+def asked_of_each(site: Deployment, ran: list[int], end: End) -> bytes:
+    """The request comes to four upstreams, one after the other; what the last caller gets."""
+    return [asked_of_one(site, number, ran, end) for number in range(4)][-1]
+
+
 def test_an_end_within_an_answer_without_a_length_is_seen(site: Deployment) -> None:
     """Three upstreams, each the only one, end within their answers; a fourth is spared."""
     ran: list[int] = []
 
-    def ends(conn: socket.socket, number: int) -> None:
-        if not read_request(conn):
-            return
-        ran.append(number)
+    def end(peer: Peer, conn: socket.socket) -> None:
         peer.close()
         conn.sendall(HEAD + b"begun")
         conn.close()
 
-    for number in range(4):
-        peer = Peer(ends)
-        put(site, number, peer)
-        time.sleep(KNOWN_WITHIN_S)
-        got = asked(site, site.gateways[number % 2])
-        time.sleep(KNOWN_WITHIN_S)
-        site.http.delete(f"{site.store}/objects/{names.UPSTREAM_KIND}/i-raw-{number}")
-    peer.close()
+    got = asked_of_each(site, ran, end)
     assert b'"fatal_request"' in got
     assert len(ran) == 3
 
@@ -96,7 +99,7 @@
         conn.close()
 
     peer = Peer(serves)
-    put(site, 0, peer)
+    site.put_entry("raw-0", "raw", peer.addr)
     time.sleep(KNOWN_WITHIN_S)
     for number in range(8):
         assert asked(site, site.gateways[number % 2]) == b"whole"
@@ -118,10 +121,7 @@
     """
     ran: list[int] = []
 
-    def ends(conn: socket.socket, number: int) -> None:
-        if not read_request(conn):
-            return
-        ran.append(number)
+    def end(peer: Peer, conn: socket.socket) -> None:
         conn.sendall(head)
         for _ in range(PIECES):
             conn.sendall(b"piece")
@@ -129,13 +129,6 @@
         peer.close()
         conn.close()
 
-    for number in range(4):
-        peer = Peer(ends)
-        put(site, number, peer)
-        time.sleep(KNOWN_WITHIN_S)
-        got = asked(site, site.gateways[number % 2])
-        time.sleep(KNOWN_WITHIN_S)
-        site.http.delete(f"{site.store}/objects/{names.UPSTREAM_KIND}/i-raw-{number}")
-    peer.close()
+    got = asked_of_each(site, ran, end)
     assert b'"fatal_request"' not in got
     assert len(ran) == 4
