Limit requests to upstreams that are warming up across all gateways

Crashed engines returned idle, so each gateway predicted the shortest time there. Gateways read neither the remaining warm-up time of an upstream nor the request rate that it can handle during warm-up.

Each gateway now has a fixed share of that rate, based on the gateways listed in the store: the rate is divided evenly, and the remainder goes to the gateways ranked first for the upstream by rendezvous hashing. This needs no calls and also limits gateways that are partitioned. Requests sent before the warm-up is known count, and the limit is checked again when a request is composed. An upstream is also assumed to be warming up after the evacuation of its data hall has ended and after it could not be reached.

Requests beyond the share go to other upstreams. If all suitable upstreams are warming up, requests wait for up to a tenth of their objective, or are refused immediately as not run, with a retry time. A session does not change its version because of the limit.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -152,6 +152,9 @@
         return NotSent("not sent: its time passed on the way", withheld=True)
     if gw.members.is_evacuated(chosen.upstream):
         return NotSent("not sent: its data hall was evacuated on the way", withheld=True)
+    if gw.warmups.wait_s(chosen.service, chosen.upstream, now) > 0:
+        return NotSent("not sent: warming up, and sent enough meanwhile", withheld=True)
+    gw.warmups.sent(chosen.service, chosen.upstream, now)
     send = Send(
         chosen.upstream,
         job.left_s(now),
@@ -220,6 +223,8 @@
     else:
         outcome = got.reason
         failed = not (isinstance(got, NotSent) and got.withheld)
+        if failed and outcome != "cancelled":
+            gw.assume_warming_up(chosen.upstream, now)
     if outcome != "cancelled":
         gw.suspicion_of(chosen.upstream.key).note(failed, now)
     if job.req.session:
--- a/ramppost/gateway/evacuations.py
+++ b/ramppost/gateway/evacuations.py
@@ -61,7 +61,11 @@
     if since is None:
         return
     _update_members(gw)
-    logger.info("data hall evacuation ended", hall=hall, evacuated_s=round(clock.now() - since, 3))
+    now = clock.now()
+    for upstream in gw.members.all():
+        if upstream.hall == hall:
+            gw.assume_warming_up(upstream, now)
+    logger.info("data hall evacuation ended", hall=hall, evacuated_s=round(now - since, 3))
 
 
 def _update_members(gw: Gateway) -> None:
--- a/ramppost/gateway/model.py
+++ b/ramppost/gateway/model.py
@@ -51,11 +51,17 @@
 
 
 class Service(NamedTuple):
-    """A pool of upstreams; `engine` is None for a plain service."""
+    """A pool of upstreams; `engine` is None for a plain service.
+
+    After a start or an idle period, an upstream warms up for about `warmup_s` seconds, during which
+    it can handle `warmup_per_s` requests per second; 0 means that there is no such limit.
+    """
 
     name: str
     max_connections: int
     engine: Engine | None
+    warmup_per_s: float = 0.0
+    warmup_s: float = 0.0
 
 
 class Workspace(NamedTuple):
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -125,10 +125,30 @@
 
 
 def candidates(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
+    """Suitable upstreams, except those for which this gateway has used up its warm-up share."""
+    fit = _suitable(gw, job, service_name, now)
+    service = gw.table.services.get(service_name) if gw.table is not None else None
+    return fit if service is None else gw.warmups.within_limit(service, fit, now)
+
+
+def warmup_wait_s(gw: Gateway, job: Job, service_name: str, now: float) -> float | None:
+    """Seconds until a suitable upstream may be sent a request under the warm-up limit.
+
+    Infinite if this gateway has no share of any of them, None if no upstream is suitable.
+    """
+    fit = _suitable(gw, job, service_name, now)
+    service = gw.table.services.get(service_name) if gw.table is not None else None
+    if service is None or not fit:
+        return None
+    return gw.warmups.least_wait_s(service, fit, now)
+
+
+def _suitable(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
     """Upstreams that were not tried yet, of the version that the request is to run on.
 
     One of a version that has failed this request is taken only where no other is left: a
-    version that is being rolled out may be bad at all its upstreams.
+    version that is being rolled out may be bad at all its upstreams.  Warm-up limits are not
+    considered here: falling back to another version would change a session's version.
     """
     usable = gw.members.usable(service_name, now)
     side = gw.rollouts.side(service_name, usable, job.req.attempt_id, job.req.session, now)
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -24,7 +24,7 @@
 from ramppost.gateway.links import Broken, NotSent
 from ramppost.gateway.model import CallerRequest
 from ramppost.gateway.passing import Passed, pass_stream, pass_whole
-from ramppost.gateway.pick import look, pick, service_of
+from ramppost.gateway.pick import look, pick, service_of, warmup_wait_s
 from ramppost.gateway.rollout_duty import judge_answer
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers, refusal_headers
@@ -40,6 +40,9 @@
 NO_ROOM_RETRY_S: Final = 0.4
 """When to come back to a service that refused: some answers have ended by then."""
 LEAST_LEFT_S: Final = 0.01
+WARMUP_WAIT_OF_OBJECTIVE: Final = 0.1
+"""Fraction of its objective for which a request may wait when all suitable upstreams are warming
+up.  The remainder is left for serving the request."""
 
 
 async def serve(gw: Gateway, req: CallerRequest, reply: Reply, read_at: float) -> None:
@@ -119,6 +122,12 @@
         if job.workspace is not None and not gw.fresh.may_start(now):
             return _final(job, stale())
         chosen = pick(gw, job, service, model, now)
+        wait_s = warmup_wait_s(gw, job, service, now) if chosen is None else None
+        if wait_s:
+            if now + wait_s < job.read_at + WARMUP_WAIT_OF_OBJECTIVE * job.route.objective_s:
+                await curio.sleep(wait_s)
+                continue
+            return _final(job, _warming_up_refusal(gw, wait_s))
         if chosen is None or not _may_send(gw, job, service):
             return _final(job, last)
         got = await attempt(gw, job, chosen, model)
@@ -148,6 +157,16 @@
                 return last
 
 
+def _warming_up_refusal(gw: Gateway, wait_s: float) -> Refusal:
+    """Refusal for when the warm-up limit of every suitable upstream is reached.
+
+    Callers are told to retry once this gateway may send again, or earlier at a randomized time, as
+    another gateway may have capacity left.
+    """
+    spread_s = NO_ROOM_RETRY_S + gw.rng.random()
+    return refusal("overloaded", "upstreams are warming up", min(wait_s, spread_s))
+
+
 def _may_send(gw: Gateway, job: Job, service: str) -> bool:
     """Whether one more upstream may be asked, by the route's attempts and the budget."""
     if job.attempts == 0:
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -18,11 +18,12 @@
 from ramppost.gateway.load import Loads
 from ramppost.gateway.membership import Members
 from ramppost.gateway.metrics import Metrics
-from ramppost.gateway.model import CallerLimits, RoutingTable
+from ramppost.gateway.model import CallerLimits, RoutingTable, Upstream
 from ramppost.gateway.policies import Policies
 from ramppost.gateway.pools import Pools
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.gateway.unreadable import Unreadable
+from ramppost.gateway.warmup import WarmUps
 from ramppost.platform import names
 from ramppost.platform.documents import DEFAULT_LIMITS
 from ramppost.platform.store import StoreClient
@@ -59,6 +60,7 @@
         self.config_seen = 0
         """Revision of the newest configuration seen, understood or not."""
         self.peers = Peers(cfg["name"], cfg.get("link_mbps", 0.0), cfg["hall"])
+        self.warmups = WarmUps(self.peers)
         self.peers_answer = False
         """Whether another answered when last asked, fresh or not."""
         self.news = News()
@@ -156,10 +158,17 @@
         found.slack = slack_part(retries["slack"], self.peers.fleet_size)
         return found
 
+    def assume_warming_up(self, upstream: Upstream, now: float) -> None:
+        """Treat an upstream as warming up before its entry reports it."""
+        service = self.table.services.get(upstream.service) if self.table is not None else None
+        if service is not None:
+            self.warmups.assume_warming_up(upstream, service.warmup_s, now)
+
     def forget(self, upstream_key: str) -> None:
         """Drop what is known of an upstream that has left or started again."""
         self.links.forget(upstream_key)
         self.endings.forget(upstream_key)
         self.backlogs.forget(upstream_key)
         self.loads.forget(upstream_key)
+        self.warmups.forget(upstream_key)
         self.suspicions.pop(upstream_key, None)
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -20,7 +20,7 @@
 from ramppost.gateway.rollout_duty import PROGRESS_KIND, progress_seen
 from ramppost.gateway.state import Gateway
 from ramppost.platform import names
-from ramppost.platform.documents import rollout_order, routing_table, upstream
+from ramppost.platform.documents import rollout_order, routing_table, upstream, warmup_left_s
 from ramppost.platform.store import Change, Snapshot, StoredObject
 from ramppost.policy.relays import FOLLOWS_ITS_HALL
 from ramppost.wire.codec import BadMessage
@@ -226,6 +226,7 @@
         gw.unreadable.note(names.UPSTREAM_KIND, obj, found.reason)
         gw.members.drop(obj.name)
         return None
+    gw.warmups.note_entry(found, warmup_left_s(obj), clock.now())
     return found
 
 
--- a/ramppost/platform/documents.py
+++ b/ramppost/platform/documents.py
@@ -73,6 +73,8 @@
     name: str
     max_conns: int
     engine: NotRequired[_Engine | None]
+    cold_per_s: NotRequired[float]  # Requests per second that it can handle during warm-up.
+    cold_start_s: NotRequired[float]  # Warm-up duration after a start.
 
 
 class _Workspace(TypedDict):
@@ -107,6 +109,7 @@
     slots: Annotated[int, msgspec.Meta(ge=1)]
     state: Literal["ready", "draining"]
     born: NotRequired[Annotated[int, msgspec.Meta(ge=0)]]  # Its start; the id may be had again.
+    cold_left_ms: NotRequired[Annotated[float, msgspec.Meta(ge=0)]]  # Remaining warm-up time.
 
 
 class _Rollout(TypedDict):
@@ -159,6 +162,12 @@
     )
 
 
+def warmup_left_s(obj: StoredObject) -> float:
+    """Remaining warm-up time that an upstream's entry reports; 0 if the entry is invalid."""
+    doc: _Upstream | BadMessage = _convert(obj.spec, _Upstream)
+    return 0.0 if isinstance(doc, BadMessage) else doc.get("cold_left_ms", 0.0) / 1000
+
+
 def rollout_order(obj: StoredObject) -> RolloutOrder | BadMessage:
     """An order to roll a version out, with its state so far.
 
@@ -222,11 +231,12 @@
 
 def _service(item: _Service) -> Service:
     engine = item.get("engine")
+    warmup = (item.get("cold_per_s", 0.0), item.get("cold_start_s", 0.0))
     if engine is None:
-        return Service(item["name"], item["max_conns"], None)
+        return Service(item["name"], item["max_conns"], None, *warmup)
     prices = {model["name"]: model["cost"] for model in engine.get("models", [])}
     common = Engine(engine["slots"], engine["kv_capacity"], engine.get("stride", 1), prices)
-    return Service(item["name"], item["max_conns"], common)
+    return Service(item["name"], item["max_conns"], common, *warmup)
 
 
 def _limits(item: _Limits) -> CallerLimits:
--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -15,6 +15,7 @@
 import curio
 from loguru import logger
 
+from ramppost import clock
 from ramppost.platform import names
 from ramppost.platform.documents import LEAVING
 from ramppost.platform.store import StoreClient, put
@@ -34,8 +35,9 @@
 class Behaviour(TypedDict):
     """How it answers from now on: events of a stream, after how many it breaks off, the
     confidence it tells (for all models, or by model), a status instead of an answer, a refusal,
-    silence, an answer lost after the run, a time to work and between events, or a body whose run
-    ends the process just after its head."""
+    silence, an answer lost after the run, a time to work and between events, a body whose run
+    ends the process just after its head, or a warm-up time from now on and the number of requests
+    per second that ends the process during it."""
 
     events: NotRequired[int]
     cut_after: NotRequired[int]
@@ -48,6 +50,8 @@
     work_ms: NotRequired[int]
     event_ms: NotRequired[int]
     ends_on: NotRequired[str]
+    warmup_ms: NotRequired[int]
+    too_many: NotRequired[int]
 
 
 class RunLine(TypedDict):
@@ -74,6 +78,8 @@
         self.runs: list[RunLine] = []
         self.running = 0
         self.leaving = False
+        self.warmup_until = 0.0
+        """End of the warm-up (steady clock)."""
         self.born = int(time.time() * 1000)
 
 
@@ -103,6 +109,7 @@
         "slots": cfg["slots"],
         "state": LEAVING if up.leaving else "ready",
         "born": up.born,
+        "cold_left_ms": max(0, round((up.warmup_until - clock.now()) * 1000)),
     }
 
 
@@ -130,6 +137,7 @@
         return
     line = _run_line(up.cfg["id"], req, heads, attempt_id)
     up.runs.append(line)
+    _end_if_overloaded(up)
     up.running += 1
     try:
         await _run(up, req, reply, heads, common)
@@ -141,6 +149,15 @@
         up.running -= 1
 
 
+def _end_if_overloaded(up: _Upstream) -> None:
+    too_many = up.how.get("too_many", 0)
+    if not too_many or clock.now() >= up.warmup_until:
+        return
+    last_second = [line for line in up.runs[-too_many:] if line["at"] > time.time() - 1]
+    if len(last_second) >= too_many:
+        os._exit(1)
+
+
 def _run_line(upstream_id: str, req: Request, heads: dict[bytes, str], attempt_id: str) -> RunLine:
     return RunLine(
         upstream=upstream_id,
@@ -201,6 +218,8 @@
             await reply.send(400, encode({"error": how.reason}))
             return
         up.how = how
+        if "warmup_ms" in how:
+            up.warmup_until = clock.now() + how["warmup_ms"] / 1000
     elif req.path == "/_leave":
         up.leaving = True
     await reply.send(200, encode(up.runs))
