Audit: check that no attempt goes to a data hall its gateway knows to be evacuated

Whether evacuations are respected could be verified only at the upstreams, while on-call engineers have only the logs. The log line of an attempt now names the upstream's data hall, and `ramppost audit` checks each attempt against the evacuations that its process had logged. An attempt that began more than 0.1 s after an evacuation is reported as broken, or as undecided if the process' clock was set back. Attempts that were not sent are ignored.

--- a/ramppost/audit/checks.py
+++ b/ramppost/audit/checks.py
@@ -11,6 +11,7 @@
 
 from ramppost.audit.confirmed import confirmed_check
 from ramppost.audit.departed import GONE_SLACK_S, gone_check
+from ramppost.audit.evacuated import evacuation_check
 from ramppost.audit.events import (
     Attempted,
     ConfigInForce,
@@ -146,4 +147,11 @@
 
 def all_checks(clocks_s: float) -> list[Check]:
     """Each check, new; `clocks_s` is how far the clocks of boxes may be apart."""
-    return [config_check(), confirmed_check(clocks_s), end_check(), gone_check(), fatal_check()]
+    return [
+        config_check(),
+        confirmed_check(clocks_s),
+        end_check(),
+        gone_check(),
+        evacuation_check(),
+        fatal_check(),
+    ]
--- a/ramppost/audit/events.py
+++ b/ramppost/audit/events.py
@@ -23,6 +23,10 @@
     "upstream there": "there",
     "upstream's entry gone": "no entry",
 }
+EVACUATIONS: Final = {
+    "data hall evacuation started": True,
+    "data hall evacuation ended": False,
+}
 OLDEST_S: Final = 999.0
 """An age that a line tells so is this or more."""
 NOT_SENT: Final = ("no connection to ", "not sent: ")
@@ -66,7 +70,8 @@
 class Attempted(NamedTuple):
     """An attempt of a request has ended; `began_at` is when it was begun, `fingerprint` what the
     request has in common with its other tries, empty where the line does not tell, `candidates`
-    how many upstreams it was chosen from, None where the line does not tell."""
+    how many upstreams it was chosen from, None where the line does not tell, `hall` the upstream's
+    data hall, empty where the line does not tell."""
 
     program: str
     at: float
@@ -76,6 +81,16 @@
     began_at: float
     fate: Fate
     candidates: int | None
+    hall: str = ""
+
+
+class HallEvacuation(NamedTuple):
+    """A process has logged the start or end of the evacuation of a data hall."""
+
+    program: str
+    at: float
+    hall: str
+    evacuated: bool
 
 
 class Ended(NamedTuple):
@@ -101,7 +116,16 @@
     fatal: bool
 
 
-Event = Started | ConfigInForce | UpstreamSeen | UpstreamsListed | Attempted | Ended | FatalKnown
+Event = (
+    Started
+    | ConfigInForce
+    | UpstreamSeen
+    | UpstreamsListed
+    | Attempted
+    | HallEvacuation
+    | Ended
+    | FatalKnown
+)
 
 
 def event_of(line: Line) -> Event | None:
@@ -148,9 +172,17 @@
         began_at,
         _fate(found[1]),
         int(fields["candidates"]) if "candidates" in fields else None,
+        str(fields.get("hall", "")),
     )
 
 
+def _evacuation(line: Line) -> Event | None:
+    evacuated = EVACUATIONS.get(line.message)
+    if evacuated is None:
+        return None
+    return HallEvacuation(line.program, line.at, str(line.fields["hall"]), evacuated)
+
+
 def _fate(outcome: str) -> Fate:
     if outcome.startswith("status "):
         return "answered"
@@ -197,6 +229,7 @@
     "main": _started,
     "watchers": _seen,
     "attempt": _attempted,
+    "evacuations": _evacuation,
     "fatal": _fatal,
     "fatal_doc": _fatal,
     "serve": _ended,
--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -238,6 +238,7 @@
         request=job.req.attempt_id,
         fingerprint=job.fingerprint,
         upstream=chosen.upstream.id,
+        hall=chosen.upstream.hall,
         version=chosen.upstream.version,
         model=model,
         confidence=got.head.confidence if isinstance(got, Running) else None,
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -21,7 +21,7 @@
 from tests.harness.gateways import KEYS, SAFE, STREAM, Deployment
 
 NOON = datetime(2026, 3, 1, 12, tzinfo=UTC).timestamp()
-CHECKS = ("configuration", "confirmed", "one end", "departed", "fatal")
+CHECKS = ("configuration", "confirmed", "one end", "departed", "evacuated", "fatal")
 
 
 def line(module: str, message: str, after_s: float, program: str = "g1", **fields: Any) -> str:
@@ -60,6 +60,10 @@
     return line("fatal", message, after_s, fingerprint="f", **fields)
 
 
+def evacuation(change: str, after_s: float, program: str = "g1", hall: str = "bole") -> str:
+    return line("evacuations", f"data hall evacuation {change}", after_s, program, hall=hall)
+
+
 def upstream(message: str, after_s: float, name: str = "u1") -> str:
     return line("watchers", f"upstream {message}", after_s, upstream=name, service="lm")
 
@@ -79,6 +83,24 @@
 
 
 BREAKING = {
+    "sent to an evacuated hall": (
+        [
+            evacuation("started", 1),
+            attempt("r", "status 200", 3, hall="bole"),
+            served("r", 3),
+        ],
+        "evacuated",
+    ),
+    "sent to an evacuated hall after the evacuation of another ended": (
+        [
+            evacuation("started", 1),
+            evacuation("started", 1, hall="kirkos"),
+            evacuation("ended", 2),
+            attempt("r", "status 200", 3, hall="kirkos"),
+            served("r", 3),
+        ],
+        "evacuated",
+    ),
     "older configuration": ([config(2, None, 0), config(1, 2, 1)], "configuration"),
     "same revision again": ([config(2, None, 0), config(2, 2, 1)], "configuration"),
     "two ends": ([attempt("r", "status 200", 1), served("r", 2), served("r", 3)], "one end"),
@@ -182,6 +204,15 @@
 
 
 UNDECIDED = {
+    "sent to an evacuated hall after the clock was set back": (
+        [
+            config(2, None, 4),
+            evacuation("started", 1),
+            attempt("r", "status 200", 3, hall="bole"),
+            served("r", 3),
+        ],
+        "evacuated",
+    ),
     "a version in between": ([config(2, None, 0), config(5, 4, 1)], "configuration"),
     "killed with a request under way": ([attempt("r", "status 200", 1), starting(2)], "one end"),
     "the lines stop": ([attempt("r", "status 200", 1)], "one end"),
@@ -229,6 +260,30 @@
 
 
 SOUND = {
+    "sent before an evacuation, within the slack, and after its end": [
+        attempt("a", "status 200", 1, hall="bole"),
+        served("a", 1),
+        evacuation("started", 1.2),
+        attempt("b", "status 200", 1.25, hall="bole"),
+        served("b", 1.3),
+        evacuation("ended", 3),
+        attempt("c", "status 200", 4, hall="bole"),
+        served("c", 4),
+    ],
+    "an evacuation known to another gateway only, and an attempt not sent": [
+        evacuation("started", 1, "g2"),
+        evacuation("started", 1, hall="kirkos"),
+        attempt("a", "status 200", 3, hall="bole"),
+        served("a", 3),
+        attempt("b", "not sent: its data hall was evacuated on the way", 3, hall="kirkos"),
+        refused("b", "no", 3),
+    ],
+    "an evacuation logged before a restart of the process": [
+        evacuation("started", 1),
+        starting(2),
+        attempt("a", "status 200", 4, hall="bole"),
+        served("a", 4),
+    ],
     "an older configuration at a new start": [config(2, None, 0), starting(1), config(1, None, 2)],
     "a start whose line was lost": [config(2, None, 0), config(1, None, 2)],
     "not run, and never sent": [attempt("r", "no connection to a:1", 1), refused("r", "no", 2)],
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -12,6 +12,7 @@
 
 from bench.choosing import job_of
 from ramppost import clock
+from ramppost.audit.run import audit
 from ramppost.errors import Refusal
 from ramppost.gateway.admit import admit
 from ramppost.gateway.attempt import _outgoing
@@ -197,6 +198,9 @@
     finally:
         calls.stop()
     assert calls.failed == []
+    found = audit([str(site.folder / f"{name}.log") for name in site.gateways])
+    assert found.programs == len(site.gateways)
+    assert not any(check.broken for check in found.checks)
 
 
 def test_an_evacuation_persists_through_a_restart_and_a_store_outage(site: Deployment) -> None:
