Keep requests in the home regions of their route and workspace

A route or a workspace may name the regions in which its requests may run. Gateways did not read these fields, so in a deployment with more than one region a request could run on any upstream.

Routes and workspaces now carry their home regions, and the settings map each data hall to its region. The suitable upstreams for a request are filtered to those in a home region of both its route and its workspace, where these name any, before version, warm-up and placement are considered. A hall whose region is unknown is in no home region. The filter applies to every choice of an upstream: retries, larger models, resumed streams and the last resort. If no upstream is left, the request is refused as not run. Gateways send request bodies only to upstreams, so no body passes through a gateway in another region.

With them, on real processes, a stream that breaks off is not resumed in another region, and a request is refused once its region has no upstream.

--- a/ramppost/gateway/model.py
+++ b/ramppost/gateway/model.py
@@ -39,6 +39,8 @@
     anonymous: bool
     models: tuple[str, ...]
     targets: tuple[Target, ...]
+    home_regions: tuple[str, ...] = ()
+    """Regions in which its requests may run; empty means any region."""
 
 
 class Engine(NamedTuple):
@@ -69,6 +71,8 @@
 
     name: str
     priority: int
+    home_regions: tuple[str, ...] = ()
+    """Regions in which its requests may run; empty means any region."""
 
 
 class CallerLimits(NamedTuple):
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -150,7 +150,9 @@
     version that is being rolled out may be bad at all its upstreams.  Warm-up limits are not
     considered here: falling back to another version would change a session's version.
     """
-    usable = gw.members.usable(service_name, now)
+    listed = gw.members.usable(service_name, now)
+    workspace_regions = job.workspace.home_regions if job.workspace is not None else ()
+    usable = gw.regions.filter_upstreams(listed, job.route.home_regions, workspace_regions)
     side = gw.rollouts.side(service_name, usable, job.req.attempt_id, job.req.session, now)
     for avoided in (job.failed_versions, set()):
         for group in (side.preferred, side.others):
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -21,6 +21,7 @@
 from ramppost.gateway.model import CallerLimits, RoutingTable, Upstream
 from ramppost.gateway.policies import Policies
 from ramppost.gateway.pools import Pools
+from ramppost.gateway.regions import Regions
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.gateway.unreadable import Unreadable
 from ramppost.gateway.warmup import WarmUps
@@ -75,6 +76,7 @@
         self.evacuations_known = cfg["timing"].get("evacuate_ms", 0) <= 0
         """Whether evacuations have been listed; always true if the settings disable them."""
         self.unreadable = Unreadable()
+        self.regions = Regions(cfg.get("regions", {}))
         self.pools = Pools()
         self.fresh = Freshness(_bound_s(cfg), _serves_unconfirmed(cfg))
         self.outage = Outage()
--- a/ramppost/platform/documents.py
+++ b/ramppost/platform/documents.py
@@ -55,6 +55,7 @@
     sizes: NotRequired[list[str]]  # Models that may answer, the smallest first.
     service: NotRequired[str]
     traffic_split: NotRequired[list[_Split]]
+    allowed_regions: NotRequired[list[str] | None]
 
 
 class _Model(TypedDict):
@@ -81,6 +82,7 @@
     name: str
     api_keys: list[str]
     priority: NotRequired[int]
+    allowed_regions: NotRequired[list[str] | None]
 
 
 class _Limits(TypedDict):
@@ -226,6 +228,7 @@
         anonymous=item.get("allow_anonymous", False),
         models=tuple(item.get("sizes") or ()),
         targets=tuple(Target(part["service"], part["weight"]) for part in split),
+        home_regions=tuple(item.get("allowed_regions") or ()),
     )
 
 
@@ -254,7 +257,9 @@
     if found is None:
         return None
     return {
-        key: Workspace(item["name"], item.get("priority", 0))
+        key: Workspace(
+            item["name"], item.get("priority", 0), tuple(item.get("allowed_regions") or ())
+        )
         for item in found
         for key in item["api_keys"]
     }
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -402,6 +402,10 @@
     """
     What this box's link carries, Mbit/s; 0 for unknown. Gateways on wide links watch the store for the others.
     """
+    regions: NotRequired[dict[str, str]]
+    """
+    Maps the name of each data hall to its region. Requests whose route or workspace names home regions are sent only to upstreams in those regions; a hall that is not listed belongs to no region. Read at startup.
+    """
     store: StoreAddress
     """
     The platform's object store.
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -96,11 +96,18 @@
     """Processes by name: store, lm-1, web-1, gateway-1 and so on."""
 
     def __init__(
-        self, folder: Path, gateways: int = 2, engines: int = 2, services: int = 2, **timing: Any
+        self,
+        folder: Path,
+        gateways: int = 2,
+        engines: int = 2,
+        services: int = 2,
+        regions: dict[str, str] | None = None,
+        **timing: Any,
     ) -> None:
         self.folder = folder
         self.base = free_base()
         self.timing = timing
+        self.regions = regions or {}
         self.procs: dict[str, subprocess.Popen[bytes]] = {}
         self.ports: dict[str, int] = {"store": self.base}
         self.http = httpx.Client(timeout=10, limits=httpx.Limits(max_keepalive_connections=0))
@@ -211,6 +218,7 @@
             "listen": f"{HOST}:{port}",
             "health": f"{HOST}:{port + 1}",
             "internal_port": port + 2,
+            "regions": self.regions,
             "metrics_port": port + 3,
             "store": {
                 "addr": store or f"{HOST}:{self.port('store')}",
