Revert "Reduce store retries from gateways that peers notify of its recovery"

By reading: a gateway that has just started counts as notified as soon as another that has just started answers it, though neither knows anything; where many starts overload the store, both then wait up to 2 s between their calls. A condition that the gateway knows everything was not tried.

--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -33,8 +33,6 @@
 FIRST_BACKOFF_S: Final = 0.1
 MAX_BACKOFF_S: Final = 0.5
 """Calls to a store that is away are paid for too, and it has to be noticed soon when back."""
-MAX_NOTIFIED_BACKOFF_S: Final = 2.0
-"""Maximum backoff while other gateways report when the store recovers."""
 START_PATIENCE_S: Final = 1.0
 """How much longer a start waits to be told what need not be known at once."""
 SHORT_WAIT_S: Final = 0.005
@@ -239,7 +237,6 @@
     that come together cost one call.  `fed_until` gives the time (steady clock) up to which
     others keep us up to date; the store is asked `patience_s` after that.  One that `probes`
     goes on calling a store that does not answer; the others wait until it is answered.
-    `is_notified` returns whether another gateway also retries the store and reports its recovery.
     """
 
     followed: Followed
@@ -248,7 +245,6 @@
     patience_s: float
     fed_until: Callable[[], float]
     probes: bool
-    is_notified: Callable[[], bool] = lambda: False
 
 
 class Outage:
@@ -286,8 +282,7 @@
             continue
         outage.failed(followed.kind, failed.reason)
         await curio.sleep(backoff_s * random.uniform(0.5, 1.0))
-        max_backoff_s = MAX_NOTIFIED_BACKOFF_S if follower.is_notified() else MAX_BACKOFF_S
-        backoff_s = min(max_backoff_s, backoff_s * 2)
+        backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
         if not follower.probes:
             await _outage_over(follower, outage)
 
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -156,16 +156,10 @@
         patience_s,
         lambda: gw.fed_until,
         probes=kind == names.CONFIG_KIND,
-        is_notified=lambda: _is_notified(gw),
     )
     await curio.spawn(follow, gw.store, follower, gw.outage, daemon=True)
 
 
-def _is_notified(gw: Gateway) -> bool:
-    """Whether another gateway responds and retries the store at the regular rate."""
-    return gw.peers_answer and not gw.peers.is_relay(clock.now())
-
-
 def _unused(at: float) -> None:
     """Nothing depends on how old this kind's confirmation is."""
 
