Log the request rate that an upstream names, and what is sent to it meanwhile

The log of an attempt did not tell whether a gateway knew that an upstream limits its rate, so the hypotheses on the limit that was not kept could not be told apart. A number that is not finite is no number. Nothing is limited yet.

A response without a limit ends it only if its request was sent after the limit was last named, since responses on different connections may overtake each other.

--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -82,6 +82,14 @@
 ComposeRequest = Callable[[], OutgoingRequest | NotSent]
 """Returns the request to send once connected, or the reason why it must not be sent any more."""
 
+HeadObserver = Callable[[Upstream, AnswerHead, float], None]
+"""Called with each response head of an upstream, and when the request that it answers was sent:
+minus infinity if that is not known, as for a response to an earlier request."""
+
+
+def _ignore_head(upstream: Upstream, head: AnswerHead, sent_at: float) -> None:
+    """Observe nothing."""
+
 
 class PooledConnection:
     """A connection to an upstream."""
@@ -96,8 +104,9 @@
 class ConnectionPool:
     """Idle connections by upstream, with counts of opened and reused connections."""
 
-    def __init__(self, source_host: str) -> None:
+    def __init__(self, source_host: str, observe_head: HeadObserver = _ignore_head) -> None:
         self.source_host = source_host
+        self.observe_head = observe_head
         self.idle_connections: dict[str, list[PooledConnection]] = {}
         self.opened = 0
         self.reused = 0
@@ -182,7 +191,10 @@
             if not isinstance(event, h11.Response):
                 return Broken("connection closed before the answer", by_peer=True)
             head = answer_head(event.status_code, tuple(event.headers))
-            if head.attempt_id in ("", self._req.attempt_id):
+            is_ours = head.attempt_id in ("", self._req.attempt_id)
+            upstream = self._connection.upstream
+            self._pool.observe_head(upstream, head, self.sent_at if is_ours else float("-inf"))
+            if is_ours:
                 self._framed = _is_framed(tuple(event.headers), event.status_code)
                 self._keep_alive_s = head.keep_alive_s
                 return head
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -21,12 +21,14 @@
 from ramppost.gateway.model import CallerLimits, RoutingTable, Upstream
 from ramppost.gateway.policies import Policies
 from ramppost.gateway.pools import Pools
+from ramppost.gateway.rate_limits import RateLimits
 from ramppost.gateway.regions import Regions
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.gateway.unreadable import UnreadableEntries
 from ramppost.gateway.warmup import WarmUps
 from ramppost.platform import names
 from ramppost.platform.documents import DEFAULT_LIMITS
+from ramppost.platform.headers import AnswerHead
 from ramppost.platform.store import StoreClient
 from ramppost.policy.limits import SHARED_FRACTION, WindowBudget, slack_per_gateway
 from ramppost.policy.pace import TimingBaseline
@@ -81,7 +83,8 @@
         self.freshness = Freshness(_withdrawal_bound_s(cfg), _serves_unconfirmed(cfg))
         self.store_outage = StoreOutage()
         self.store = StoreClient(cfg["store"]["addr"], Pool(cfg["ip"]))
-        self.connections = ConnectionPool(cfg["ip"])
+        self.rate_limits = RateLimits()
+        self.connections = ConnectionPool(cfg["ip"], self._observe_head)
         self.upstream_probes = UpstreamProbes(self.connections)
         self.loads = Loads()
         self.prefill_rates = PrefillRates()
@@ -149,6 +152,15 @@
         self.rollouts.pins.session_s = cfg["timing"]["session_s"]
         self.retry_budgets.clear()
 
+    def _observe_head(self, upstream: Upstream, head: AnswerHead, sent_at: float) -> None:
+        """Record what a response tells about its upstream rather than about its request.
+
+        A response from another upstream that was given the same address tells nothing.
+        """
+        if not head.wrong_upstream:
+            now = clock.now()
+            self.rate_limits.record_response(upstream, head.rate_limit_per_s, sent_at, now)
+
     def suspicion_of(self, upstream_key: str) -> UpstreamHealth:
         """The failure evidence against an upstream."""
         return self.suspicions.setdefault(upstream_key, UpstreamHealth())
--- a/ramppost/platform/headers.py
+++ b/ramppost/platform/headers.py
@@ -51,7 +51,11 @@
 
 
 class AnswerHead(NamedTuple):
-    """A decoded response head; `headers` are those that are forwarded to the caller."""
+    """A decoded response head; `headers` are those that are forwarded to the caller.
+
+    `rate_limit_per_s` is the rate that the upstream accepts from all gateways together, None if it
+    names none.
+    """
 
     status: int
     headers: Headers
@@ -64,6 +68,7 @@
     confidence: float | None
     keep_alive_s: float | None
     retry_after_s: float | None
+    rate_limit_per_s: float | None = None
 
 
 def caller_request(method: str, target: str, headers: Headers, body: bytes) -> CallerRequest:
@@ -127,6 +132,7 @@
         confidence=_parse_number(_text(values, names.CONFIDENCE)),
         keep_alive_s=_parse_keep_alive(_text(values, b"keep-alive")),
         retry_after_s=_parse_number(_text(values, b"retry-after")),
+        rate_limit_per_s=_parse_number(_text(values, names.RATE_LIMIT)),
     )
 
 
@@ -150,7 +156,7 @@
         value = float(text)
     except ValueError:
         return None
-    return value if value >= 0 else None
+    return value if 0 <= value < float("inf") else None
 
 
 def _parse_prompt(parts: str, tokens: str) -> Prompt | None:
--- a/ramppost/platform/names.py
+++ b/ramppost/platform/names.py
@@ -26,6 +26,8 @@
 NOT_RUN: Final = b"x-not-executed"
 LOAD: Final = b"x-runner-load"
 CONFIDENCE: Final = b"x-confidence"
+RATE_LIMIT: Final = b"server-limit"
+"""Requests per second that an upstream accepts from all gateways together, while it says so."""
 
 INSTANCE_ID: Final = b"x-instance-id"
 
