Failing tests: gateways send an upstream more than the rate that it names

The stand-in of an upstream names a limit in all its answers when told to (limit_per_s of its behaviour) and lists each request that arrived with the gateway it came from; gateways of the harness have an address each. tests/harness/upstream_rules.py checks the users' rule on these lists: in any 4 s no more than 1.5 times what the limit allows and 5, from gateways that were told half a second before, without the 3 s that the users grant from the first naming.

--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -1,8 +1,8 @@
 """Stand-in for an upstream of the users' platform: keeps its entry, runs, streams.
 
 A request that tells tokens is answered with a stream of events, any other with a small
-body.  `GET /_log` tells its runs, `POST /_behave` sets a `Behaviour`, and `POST /_leave`
-makes it say that it is leaving.
+body.  `GET /_log` tells its runs and `GET /_arrivals` all requests that arrived, `POST /_behave`
+sets a `Behaviour`, and `POST /_leave` makes it say that it is leaving.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import os
 import secrets
 import time
+from collections.abc import Callable
 from typing import Final, NotRequired, TypedDict
 
 import curio
@@ -36,8 +37,9 @@
     """How it answers from now on: events of a stream, after how many it breaks off, the
     confidence it tells (for all models, or by model), a status instead of an answer, a refusal,
     silence, an answer lost after the run, a time to work and between events, a body whose run
-    ends the process just after its head, or a warm-up time from now on and the number of requests
-    per second that ends the process during it."""
+    ends the process just after its head, a warm-up time from now on and the number of requests
+    per second that ends the process during it, or the requests per second that it names in all
+    its answers as accepted from all gateways together."""
 
     events: NotRequired[int]
     cut_after: NotRequired[int]
@@ -52,6 +54,24 @@
     ends_on: NotRequired[str]
     warmup_ms: NotRequired[int]
     too_many: NotRequired[int]
+    limit_per_s: NotRequired[float]
+
+
+class Arrival(TypedDict):
+    """A request that arrived, as `/_arrivals` tells it.
+
+    Times of day; `answered_at` is 0 while it has no answer.  `limited` tells whether a limit was in
+    force as it arrived, which `limit_per_s` was, and `told_limit` whether its answer named one.
+    """
+
+    upstream: str
+    gateway: str
+    attempt_id: str
+    at: float
+    answered_at: float
+    limited: bool
+    limit_per_s: float
+    told_limit: bool
 
 
 class RunLine(TypedDict):
@@ -76,6 +96,7 @@
         self.cfg = cfg
         self.how = Behaviour()
         self.runs: list[RunLine] = []
+        self.arrivals: list[Arrival] = []
         self.running = 0
         self.leaving = False
         self.warmup_until = 0.0
@@ -121,26 +142,55 @@
         await curio.sleep(HEARTBEAT_S)
 
 
+HeadersNow = Callable[[], tuple[tuple[str, str], ...]]
+"""The headers that every answer has, by the state as it is sent."""
+
+
+def _arrive(up: _Upstream, attempt_id: str, gateway: str) -> HeadersNow:
+    """Log the arrival of a request; gives what to call as its answer is sent."""
+    arrival = Arrival(
+        upstream=up.cfg["id"],
+        gateway=gateway,
+        attempt_id=attempt_id,
+        at=time.time(),
+        answered_at=0.0,
+        limited="limit_per_s" in up.how,
+        limit_per_s=up.how.get("limit_per_s", 0.0),
+        told_limit=False,
+    )
+    up.arrivals.append(arrival)
+
+    def headers_now() -> tuple[tuple[str, str], ...]:
+        arrival["answered_at"] = time.time()
+        found = [
+            (names.ATTEMPT_ID.decode(), attempt_id),
+            (names.LOAD.decode(), f"{up.running},0,{up.cfg['slots']}"),
+        ]
+        if "limit_per_s" in up.how:
+            arrival["told_limit"] = True
+            found.append((names.RATE_LIMIT.decode(), str(up.how["limit_per_s"])))
+        return tuple(found)
+
+    return headers_now
+
+
 async def _answer(up: _Upstream, req: Request, reply: Reply) -> None:
     heads = {name.encode(): value for name, value in req.headers.items()}
     attempt_id = heads.get(names.ATTEMPT_ID, "")
-    common = (
-        (names.ATTEMPT_ID.decode(), attempt_id),
-        (names.LOAD.decode(), f"{up.running},0,{up.cfg['slots']}"),
-    )
+    headers_now = _arrive(up, attempt_id, reply.peer_host)
     if heads.get(names.EXPECTED_UPSTREAM, up.cfg["id"]) != up.cfg["id"]:
         own = (names.INSTANCE_ID.decode(), up.cfg["id"])
-        await reply.send(names.STATUS_WRONG_UPSTREAM, b"", headers=(*common, own))
+        await reply.send(names.STATUS_WRONG_UPSTREAM, b"", headers=(*headers_now(), own))
         return
     if up.how.get("refuse") or up.running >= up.cfg["slots"]:
-        await reply.send(503, b"", headers=(*common, (names.NOT_RUN.decode(), "1")))
+        await reply.send(503, b"", headers=(*headers_now(), (names.NOT_RUN.decode(), "1")))
         return
     line = _run_line(up.cfg["id"], req, heads, attempt_id)
     up.runs.append(line)
     _end_if_overloaded(up)
     up.running += 1
     try:
-        await _run(up, req, reply, heads, common)
+        await _run(up, req, reply, heads, headers_now)
         line["state"] = "done"
     except (ClientDisconnected, curio.CancelledError):
         line["state"] = "cut"
@@ -180,14 +230,14 @@
     req: Request,
     reply: Reply,
     heads: dict[bytes, str],
-    common: tuple[tuple[str, str], ...],
+    headers_now: HeadersNow,
 ) -> None:
     if up.how.get("hang"):
         await curio.sleep(float("inf"))
     await curio.sleep(up.how.get("work_ms", up.cfg["work_ms"]) / 1000)
     if up.how.get("lose"):
         raise ClientDisconnected
-    head = (*common, (names.SIGNATURE.decode(), f"{SIGNATURE}.{up.cfg['id']}"))
+    head = (*headers_now(), (names.SIGNATURE.decode(), f"{SIGNATURE}.{up.cfg['id']}"))
     status = up.how.get("status", 200)
     if names.TOKEN_COUNTS not in heads or status != 200:
         body = {"upstream": up.cfg["id"], "nonce": secrets.token_hex(4), "echo": req.path}
@@ -222,4 +272,4 @@
             up.warmup_until = clock.now() + how["warmup_ms"] / 1000
     elif req.path == "/_leave":
         up.leaving = True
-    await reply.send(200, encode(up.runs))
+    await reply.send(200, encode(up.arrivals if req.path == "/_arrivals" else up.runs))
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -81,6 +81,11 @@
         self._meter = meter
         self.started = False
 
+    @property
+    def peer_host(self) -> str:
+        """IP address of the client."""
+        return str(self._sock.getpeername()[0])
+
     async def send(
         self,
         status: int,
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -19,6 +19,8 @@
 from tests.harness.cluster import free_base
 
 HOST = "127.0.0.1"
+FIRST_GATEWAY_IP = 10
+"""Last part of the address of the first gateway."""
 READY_S = 15.0
 POLL_S = 0.03
 KEYS = {"kitchen": "key-kitchen", "toll": "key-toll"}
@@ -110,6 +112,7 @@
         self.regions = regions or {}
         self.procs: dict[str, subprocess.Popen[bytes]] = {}
         self.ports: dict[str, int] = {"store": self.base}
+        self._ips: dict[str, str] = {}
         self.http = httpx.Client(timeout=10, limits=httpx.Limits(max_keepalive_connections=0))
         (folder / "seed.json").write_text(json.dumps(config(1)))
         self.gateways = [f"gateway-{i + 1}" for i in range(gateways)]
@@ -164,6 +167,19 @@
             self.ports[name] = self.base + 8 * len(self.ports)
         return self.ports[name]
 
+    def ip(self, gateway: str) -> str:
+        """The address that a gateway sends from, by which an upstream knows it, and that its
+        internal port and its metrics are at."""
+        return self._ips.setdefault(gateway, f"127.0.0.{FIRST_GATEWAY_IP + len(self._ips)}")
+
+    def internal_addr(self, gateway: str) -> str:
+        """Where other gateways reach a gateway."""
+        return f"{self.ip(gateway)}:{self.port(gateway) + 2}"
+
+    def metrics_url(self, gateway: str) -> str:
+        """Where a gateway's metrics are."""
+        return f"http://{self.ip(gateway)}:{self.port(gateway) + 3}/metrics"
+
     def _start_store(self) -> None:
         cfg = {
             "program": "standin-store",
@@ -201,7 +217,7 @@
 
     def start_gateway(self, name: str, store: str = "") -> None:
         """Start a gateway, perhaps by another way to the store."""
-        port = self.port(name)
+        port, ip = self.port(name), self.ip(name)
         timing = {
             "withdrawal_ms": 2000,
             "config_apply_ms": 1000,
@@ -214,7 +230,7 @@
             "program": "gateway",
             "name": name,
             "hall": "bole",
-            "ip": HOST,
+            "ip": ip,
             "listen": f"{HOST}:{port}",
             "health": f"{HOST}:{port + 1}",
             "internal_port": port + 2,
@@ -306,6 +322,13 @@
             found += self.http.get(f"{self.url(name)}/_log").json()
         return found
 
+    def arrivals(self, *upstreams: str) -> list[dict[str, Any]]:
+        """Requests that arrived at upstreams, in order of time."""
+        found: list[dict[str, Any]] = []
+        for name in upstreams:
+            found += self.http.get(f"{self.url(name)}/_arrivals").json()
+        return sorted(found, key=lambda arrival: float(arrival["at"]))
+
     def _answers(self, url: str) -> bool:
         try:
             return self.http.get(url).status_code == 200
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -148,7 +148,7 @@
             self.site.restart_gateway(name, link.addr)
         for name in self.site.gateways:
             self.site.wait_ready(name)
-        self.peer_link = Proxy(f"127.0.0.1:{self.site.port(self.site.gateways[1]) + 2}")
+        self.peer_link = Proxy(self.site.internal_addr(self.site.gateways[1]))
         self.removed_at: float | None = None
         self.version = 1
         self.kept_runs: list[dict[str, Any]] = []
--- /dev/null
+++ b/tests/harness/upstream_rules.py
@@ -0,0 +1,89 @@
+"""What gateways owe to an upstream that tells them of itself, checked from what arrived there."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any, Final, NamedTuple
+
+Arrivals = list[dict[str, Any]]
+"""As the stand-in tells them at `/_arrivals`."""
+
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_FACTOR: Final = 1.5
+LIMIT_EXTRA: Final = 5
+PASSING_S: Final = 0.5
+"""From an answer that tells a gateway something until it must act on it."""
+
+
+class Excuse(NamedTuple):
+    """A gateway that was killed, stopped, suspended or cut off, by its address; times of day."""
+
+    gateway: str
+    since: float
+    until: float
+
+
+def over_limit(arrivals: Arrivals, excuses: Iterable[Excuse] = ()) -> list[str]:
+    """Spans of 4 s in which an upstream got more than 1.5 times what its limit allows, and 5, from
+    gateways that it had told by half a second before.
+
+    Where the limit changes within such a span, the highest counts.  A gateway counts again after an
+    excuse once it was told anew.
+    """
+    found = []
+    by_upstream: dict[str, Arrivals] = {}
+    for arrival in arrivals:
+        by_upstream.setdefault(arrival["upstream"], []).append(arrival)
+    for upstream, here in by_upstream.items():
+        counted = _from_told_gateways(sorted(here, key=lambda a: float(a["at"])), list(excuses))
+        most = max((_excess(counted, i) for i in range(len(counted))), default=(0.0, 0, 0.0))
+        if most[0] > 0:
+            found.append(
+                f"{upstream}: {most[1]} requests in {LIMIT_WINDOW_S:g} s, limit {most[2]:g}/s"
+            )
+    return found
+
+
+def _excess(counted: Arrivals, first: int) -> tuple[float, int, float]:
+    """What arrived beyond what is allowed in the span that begins with an arrival, how many
+    requests arrived, and the limit."""
+    began = counted[first]["at"]
+    span = [a for a in counted[first:] if a["at"] < began + LIMIT_WINDOW_S]
+    limit = max(a["limit_per_s"] for a in span)
+    allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit + LIMIT_EXTRA
+    return len(span) - allowed, len(span), limit
+
+
+def _from_told_gateways(here: Arrivals, excuses: list[Excuse]) -> Arrivals:
+    """Arrivals under a limit from gateways that were told of a limit in force without a break
+    since."""
+    counted = []
+    for i, arrival in enumerate(here):
+        if not arrival["limited"]:
+            continue
+        episode = _episode(here, i)
+        if any(_told(before, arrival, excuses) for before in episode):
+            counted.append(arrival)
+    return counted
+
+
+def _episode(here: Arrivals, i: int) -> Arrivals:
+    """The arrivals before one, back to where the upstream began to limit its rate."""
+    begin = i
+    while begin > 0 and here[begin - 1]["limited"]:
+        begin -= 1
+    return here[begin:i]
+
+
+def _told(before: dict[str, Any], arrival: dict[str, Any], excuses: list[Excuse]) -> bool:
+    told_at = before["answered_at"]
+    if before["gateway"] != arrival["gateway"] or not before["told_limit"] or not told_at:
+        return False
+    if told_at > arrival["at"] - PASSING_S:
+        return False
+    return not any(
+        excuse.gateway == arrival["gateway"]
+        and excuse.since <= arrival["at"]
+        and excuse.until >= told_at
+        for excuse in excuses
+    )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -178,7 +178,7 @@
 def tells_age(seen: Seen) -> None:
     line = [line for line in seen.site.lines(GATEWAY) if line["message"] == "served"][-1]
     assert line["config_age_s"] > 2
-    url = f"http://127.0.0.1:{seen.site.port(GATEWAY) + 3}/metrics"
+    url = seen.site.metrics_url(GATEWAY)
     assert "ramppost_requests_on_unconfirmed_keys_total 2" in seen.site.http.get(url).text
 
 
@@ -450,7 +450,7 @@
 
 @then("the metrics count it")
 def counted(seen: Seen) -> None:
-    url = f"http://127.0.0.1:{seen.site.port(GATEWAY) + 3}/metrics"
+    url = seen.site.metrics_url(GATEWAY)
     text = seen.site.http.get(url).text
     assert 'ramppost_requests_total{outcome="served",route="once"} 1' in text
     assert "ramppost_request_seconds_bucket" in text
--- a/tests/test_gateway_policies.py
+++ b/tests/test_gateway_policies.py
@@ -41,7 +41,7 @@
 
     def cli(self, *args: str, token: str = TOKEN) -> subprocess.CompletedProcess[str]:
         """Run a command against the first gateway."""
-        entry = f"{HOST}:{self.site.port(GATEWAYS[0]) + 2}"
+        entry = self.site.internal_addr(GATEWAYS[0])
         command = [sys.executable, "-m", "ramppost", *args, "--entry", entry]
         return self._run(command, token)
 
--- /dev/null
+++ b/tests/test_rate_limit.py
@@ -0,0 +1,195 @@
+"""All gateways together keep to the request rate that an upstream names in its answers.
+
+Guards against upstreams that were sent whatever gateways liked, though they had named a limit.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from bench.choosing import job_of
+from ramppost import clock
+from ramppost.gateway.attempt import _compose_request
+from ramppost.gateway.links import OutgoingRequest
+from ramppost.gateway.model import Upstream
+from ramppost.gateway.pick import pick
+from ramppost.gateway.state import Gateway
+from ramppost.platform import names
+from ramppost.platform.headers import answer_head
+from tests.harness.gateways import SAFE, STREAM, Deployment, Given
+from tests.harness.upstream_rules import Arrivals, over_limit
+from tests.test_warmup import gateway
+
+ENGINE = Upstream("i-1", "10.0.0.1:80", "lm", "bole", "v1", 64, False, 7)
+ANSWER_S = 0.05
+SIZES = (1, 4, 6, 68, 400)
+LIMITS_PER_S = (0.0, 0.4, 1.0, 2.1, 14.0)
+
+
+def fleet_of(size: int) -> list[Gateway]:
+    """Gateways that know each other and one engine."""
+    fleet = [gateway(f"g-{number}", size, 0.0) for number in range(size)]
+    for gw in fleet:
+        gw.members.put(ENGINE)
+    return fleet
+
+
+class Wire:
+    """Simulated time in which gateways send to one engine that limits its rate."""
+
+    def __init__(self, fleet: list[Gateway], monkeypatch: pytest.MonkeyPatch) -> None:
+        self.fleet = fleet
+        self.now = 1000.0
+        self.limit_per_s: float | None = None
+        self.arrivals: Arrivals = []
+        self.rng = random.Random(7)
+        self._answers: list[tuple[float, int, Gateway, float]] = []
+        monkeypatch.setattr(clock, "now", lambda: self.now)
+
+    def offer(self, per_s: float, seconds: float) -> int:
+        """Offer requests to gateways drawn at random; gives how many were sent."""
+        before, until = len(self.arrivals), self.now + seconds
+        while self.now < until:
+            self._advance(self.now + self.rng.expovariate(per_s))
+            self._offer_one(self.rng.choice(self.fleet))
+        return len(self.arrivals) - before
+
+    def offer_all(self) -> int:
+        """Offer each gateway a request at the same moment; gives how many were sent."""
+        before = len(self.arrivals)
+        for gw in self.fleet:
+            self._offer_one(gw)
+        self._advance(self.now + 2 * ANSWER_S)
+        return len(self.arrivals) - before
+
+    def wait(self, seconds: float) -> None:
+        self._advance(self.now + seconds)
+
+    def _advance(self, until: float) -> None:
+        while self._answers and self._answers[0][0] <= until:
+            at, number, gw, sent_at = heapq.heappop(self._answers)
+            self.now = max(self.now, at)
+            limit = self.limit_per_s
+            headers = () if limit is None else ((names.RATE_LIMIT, str(limit).encode()),)
+            gw.connections.observe_head(ENGINE, answer_head(200, headers), sent_at)
+            self.arrivals[number] |= {"answered_at": self.now, "told_limit": limit is not None}
+        self.now = max(self.now, until)
+
+    def _offer_one(self, gw: Gateway) -> None:
+        job = job_of(gw, self.rng)
+        chosen = pick(gw, job, "lm", "small", self.now)
+        if chosen is None:
+            return
+        req = _compose_request(gw, job, chosen, "small", None)
+        if not isinstance(req, OutgoingRequest):
+            return
+        limit = self.limit_per_s
+        arrival = {
+            "upstream": ENGINE.id,
+            "gateway": gw.cfg["name"],
+            "at": self.now,
+            "answered_at": 0.0,
+            "limited": limit is not None,
+            "limit_per_s": limit or 0.0,
+            "told_limit": False,
+        }
+        heapq.heappush(self._answers, (self.now + ANSWER_S, len(self.arrivals), gw, self.now))
+        self.arrivals.append(arrival)
+
+
+def play_limit(size: int, limit_per_s: float, monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Offer a limited upstream far too much, also after a pause; gives the spans over its limit."""
+    wire = Wire(fleet_of(size), monkeypatch)
+    wire.limit_per_s = limit_per_s
+    wire.offer_all()
+    wire.offer(60.0, 12.0)
+    wire.wait(60.0)
+    wire.offer(2000.0, 0.5)
+    wire.offer(60.0, 6.0)
+    return over_limit(wire.arrivals)
+
+
+def test_limited_upstream_got_more_than_it_named_from_fleets_of_all_sizes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    played = {
+        (size, limit_per_s): play_limit(size, limit_per_s, monkeypatch)
+        for size in SIZES
+        for limit_per_s in LIMITS_PER_S
+    }
+    assert {case: found for case, found in played.items() if found} == {}
+
+
+def test_limited_upstream_got_more_after_its_limit_changed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    wire = Wire(fleet_of(4), monkeypatch)
+    for limit_per_s in (20.0, 1.0, 3.0, 0.5):
+        wire.limit_per_s = limit_per_s
+        wire.offer(60.0, 8.0)
+        settled = [a for a in wire.arrivals if a["at"] > wire.now - 4.0]
+        assert over_limit(settled) == []
+        assert len(settled) <= 1.5 * 4 * limit_per_s + 5
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Deployment]:
+    found = Deployment(tmp_path, gateways=4, engines=2, services=2)
+    try:
+        yield found
+    finally:
+        found.stop()
+
+
+def call_all(site: Deployment, prefix: str, seconds: float) -> list[Given]:
+    """Call each gateway again and again, all at once."""
+    until, got = clock.now() + seconds, []
+
+    def call(gateway: str) -> None:
+        rng = random.Random(gateway)
+        while clock.now() < until:
+            parts = {names.PROMPT_PARTS.decode(): f"{rng.randrange(100)}:60,own:40"}
+            got.append(site.call(gateway, prefix, headers=parts if prefix == STREAM else {}))
+            time.sleep(0.02)
+
+    threads = [threading.Thread(target=call, args=(name,)) for name in site.gateways]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return got
+
+
+def behave_all(site: Deployment, upstreams: tuple[str, ...], **how: Any) -> None:
+    for name in upstreams:
+        site.behave(name, **how)
+
+
+def test_gateways_sent_a_limited_upstream_more_than_it_named(site: Deployment) -> None:
+    site.behave("lm-1", events=1, event_ms=0, limit_per_s=2.0)
+    site.behave("lm-2", events=1, event_ms=0)
+    got = call_all(site, STREAM, 6.0)
+    assert over_limit(site.arrivals("lm-1")) == []
+    assert {given.status for given in got} == {200}
+
+
+@pytest.mark.parametrize("prefix", [STREAM, SAFE])
+def test_gateways_sent_upstreams_that_all_limit_their_rate_more_than_they_named(
+    site: Deployment, prefix: str
+) -> None:
+    upstreams = ("lm-1", "lm-2") if prefix == STREAM else ("web-1", "web-2")
+    behave_all(site, upstreams, events=1, event_ms=0, limit_per_s=2.0)
+    got = call_all(site, prefix, 8.0)
+    assert over_limit(site.arrivals(*upstreams)) == []
+    refused = [given for given in got if given.status == 503]
+    assert refused and all(float(given.headers["retry-after"]) > 0 for given in refused)
+    assert sum(given.status == 200 for given in got) >= 2 * 8 * 2.0 * 0.5
+    assert {given.status for given in got} == {200, 503}
