Keep to the request rate that an upstream names, all gateways together

What callers saw: nothing at first; what the upstream saw: 14 requests in 4 s where its limit of 1 a second allows 11. Cause: a gateway read from an answer only what concerns its request and the upstream's load; what the upstream says of itself, the limit, was dropped, and every gateway went on choosing by predicted time. The class of fault: advice of an upstream that no code takes in.

The change: each gateway keeps to a share of the named rate that follows from the gateways listed in the store alone, as for warm-ups: at low rates whole bursts go to those that rendezvous hashing ranks first, the rest send nothing there. It is checked where requests are chosen and again where they are composed, the only place that sends to upstreams, so retries, resumed streams and later stages count too (ramppost/gateway/send_limits.py, together with the warm-up limit). A request that no upstream may be sent now waits a tenth of its objective at most, a stream under way as long as its events may pause; else it is refused at once with the time until this gateway may send again.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from ramppost import clock
+from ramppost.gateway import send_limits
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, Exchange, NotSent, OutgoingRequest, open_exchange
 from ramppost.gateway.load import InFlight
@@ -162,9 +163,9 @@
         return NotSent("not sent: its time passed on the way", withheld=True)
     if gw.members.is_evacuated(chosen.upstream):
         return NotSent("not sent: its data hall was evacuated on the way", withheld=True)
-    if gw.warmups.wait_s(chosen.service, chosen.upstream, now) > 0:
-        return NotSent("not sent: warming up, and sent enough meanwhile", withheld=True)
-    gw.warmups.record_sent(chosen.service, chosen.upstream, now)
+    if send_limits.wait_s(gw, chosen.service, chosen.upstream, now) > 0:
+        return NotSent("not sent: the upstream was sent enough meanwhile", withheld=True)
+    send_limits.record_sent(gw, chosen.service, chosen.upstream, now)
     routing = SendOptions(
         chosen.upstream,
         job.left_s(now),
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -13,6 +13,7 @@
 from ramppost.gateway.job import BacklogSnapshot, Job
 from ramppost.gateway.model import Prompt, Service, Upstream
 from ramppost.gateway.pools import Candidates
+from ramppost.gateway.send_limits import least_wait_s, within_limits
 from ramppost.gateway.state import Gateway
 from ramppost.policy.placement import (
     EngineView,
@@ -147,14 +148,14 @@
 
 
 def candidates(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
-    """Suitable upstreams, except those for which this gateway has used up its warm-up share."""
+    """Suitable upstreams, except those that may not be sent more requests now."""
     suitable = _suitable(gw, job, service_name, now)
     service = gw.table.services.get(service_name) if gw.table is not None else None
-    return suitable if service is None else gw.warmups.within_limit(service, suitable, now)
+    return suitable if service is None else within_limits(gw, service, suitable, now)
 
 
-def warmup_wait_s(gw: Gateway, job: Job, service_name: str, now: float) -> float | None:
-    """Seconds until a suitable upstream may be sent a request under the warm-up limit.
+def send_wait_s(gw: Gateway, job: Job, service_name: str, now: float) -> float | None:
+    """Seconds until a suitable upstream may be sent a request under the limits that apply to it.
 
     Infinite if this gateway has no share of any of them, None if no upstream is suitable.
     """
@@ -162,14 +163,14 @@
     service = gw.table.services.get(service_name) if gw.table is not None else None
     if service is None or not suitable:
         return None
-    return gw.warmups.least_wait_s(service, suitable, now)
+    return least_wait_s(gw, service, suitable, now)
 
 
 def _suitable(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
     """Untried upstreams of the version that the request is to run on.
 
     Upstreams of a version that has failed this request are used only if no others are left, because
-    a version that is being rolled out may fail on all its upstreams.  Warm-up limits are not
+    a version that is being rolled out may fail on all its upstreams.  Limits on requests are not
     considered here: falling back to another version would change a session's version.
     """
     listed = gw.members.usable(service_name, now)
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -24,7 +24,7 @@
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, NotSent
 from ramppost.gateway.model import CallerRequest
-from ramppost.gateway.pick import pick, query_backlogs, select_service, warmup_wait_s
+from ramppost.gateway.pick import pick, query_backlogs, select_service, send_wait_s
 from ramppost.gateway.rollout_duty import evaluate_answer
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers, refusal_headers
@@ -40,9 +40,11 @@
 OVERLOAD_RETRY_S: Final = 0.4
 """Retry delay after a service refused a request; some of its responses have ended by then."""
 MIN_TIMEOUT_S: Final = 0.01
-MAX_WARMUP_WAIT_RATIO: Final = 0.1
-"""Fraction of its objective for which a request may wait when all suitable upstreams are warming
-up.  The remainder is left for serving the request."""
+MAX_SEND_WAIT_RATIO: Final = 0.1
+"""Fraction of its objective for which a request may wait when no suitable upstream may be sent more
+requests now.  The remainder is left for serving the request."""
+MAX_RETRY_SPREAD_S: Final = 0.25
+"""Callers that are refused at the same moment retry spread over this time."""
 
 
 async def serve(gw: Gateway, req: CallerRequest, reply: Reply, read_at: float) -> None:
@@ -128,12 +130,12 @@
         if job.workspace is not None and not gw.freshness.may_start(now):
             return _final_refusal(job, stale_refusal())
         chosen = pick(gw, job, service, model, now)
-        wait_s = warmup_wait_s(gw, job, service, now) if chosen is None else None
+        wait_s = send_wait_s(gw, job, service, now) if chosen is None else None
         if wait_s:
-            if now + wait_s < job.read_at + MAX_WARMUP_WAIT_RATIO * job.route.objective_s:
+            if now + wait_s < _latest_send_at(job, reply, now):
                 await curio.sleep(wait_s)
                 continue
-            return _final_refusal(job, _warming_up_refusal(gw, wait_s))
+            return _final_refusal(job, _send_limit_refusal(gw, wait_s))
         if chosen is None or not _may_attempt(gw, job, service):
             return _final_refusal(job, last_refusal)
         result = await attempt(gw, job, chosen, model)
@@ -151,6 +153,9 @@
             )
         elif isinstance(result, NotSent):
             connect_failures += 1
+            if result.withheld:
+                # It may be tried again as soon as what spoke against it no longer does.
+                job.tried_upstreams.discard(chosen.upstream.key)
             if result.refused:
                 gw.members.mark_ended(chosen.upstream.key, clock.now(), REFUSED_EXCLUSION_S)
             last_refusal = refusal("no_upstream", result.reason, OVERLOAD_RETRY_S)
@@ -163,14 +168,28 @@
                 return last_refusal
 
 
-def _warming_up_refusal(gw: Gateway, wait_s: float) -> Refusal:
-    """The refusal of a request when every suitable upstream has reached its warm-up limit.
+def _latest_send_at(job: Job, reply: Reply, now: float) -> float:
+    """Until when a request may wait for an upstream that may be sent one more.
 
-    Callers are told to retry once this gateway may send again, or earlier at a randomized time, as
-    another gateway may have capacity left.
+    A stream under way may wait as long as its events may pause.
     """
-    spread_s = OVERLOAD_RETRY_S + gw.rng.random()
-    return refusal("overloaded", "upstreams are warming up", min(wait_s, spread_s))
+    if reply.started:
+        return now + job.route.gap_objective_s
+    return job.read_at + MAX_SEND_WAIT_RATIO * job.route.objective_s
+
+
+def _send_limit_refusal(gw: Gateway, wait_s: float) -> Refusal:
+    """The refusal of a request when no suitable upstream may be sent more requests now.
+
+    Callers are told to retry once this gateway may send again.  If it has no share of any upstream,
+    they retry at a randomized time, as another gateway may have one.
+    """
+    spread_s = gw.rng.random()
+    if wait_s == float("inf"):
+        retry_s = OVERLOAD_RETRY_S + spread_s
+    else:
+        retry_s = wait_s + MAX_RETRY_SPREAD_S * spread_s
+    return refusal("overloaded", "upstreams accept no more requests now", retry_s)
 
 
 def _may_attempt(gw: Gateway, job: Job, service: str) -> bool:
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -83,7 +83,7 @@
         self.freshness = Freshness(_withdrawal_bound_s(cfg), _serves_unconfirmed(cfg))
         self.store_outage = StoreOutage()
         self.store = StoreClient(cfg["store"]["addr"], Pool(cfg["ip"]))
-        self.rate_limits = RateLimits()
+        self.rate_limits = RateLimits(self.peers)
         self.connections = ConnectionPool(cfg["ip"], self._observe_head)
         self.upstream_probes = UpstreamProbes(self.connections)
         self.loads = Loads()
--- a/ramppost/gateway/warmup.py
+++ b/ramppost/gateway/warmup.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 from loguru import logger
 
 from ramppost.gateway.model import Service, Upstream
@@ -54,25 +52,15 @@
         share = self._share(upstream, service.warmup_per_s)
         return (window or SentWindow()).wait_s(share, now)
 
-    def within_limit(
-        self, service: Service, upstreams: list[Upstream], now: float
-    ) -> list[Upstream]:
-        """Upstreams that may be sent a request now; the same list object if that is all of them."""
-        if service.warmup_per_s <= 0 or not self._any_warming_up(now):
-            return upstreams
-        free = [upstream for upstream in upstreams if self.wait_s(service, upstream, now) <= 0]
-        return upstreams if len(free) == len(upstreams) else free
+    def any_limited(self, service: Service, now: float) -> bool:
+        """Whether the warm-up limit of a service may apply to any upstream now."""
+        return service.warmup_per_s > 0 and self._any_warming_up(now)
 
     def record_sent(self, service: Service, upstream: Upstream, now: float) -> None:
         """Count a request, including before the upstream is known to be warming up."""
         if service.warmup_per_s > 0:
             self._windows.setdefault(upstream.key, SentWindow()).sent(now)
 
-    def least_wait_s(self, service: Service, upstreams: Iterable[Upstream], now: float) -> float:
-        """Seconds until a request may be sent to any of the upstreams."""
-        waits = (self.wait_s(service, upstream, now) for upstream in upstreams)
-        return min(waits, default=float("inf"))
-
     def forget(self, upstream_key: str) -> None:
         """Drop the state of an upstream that has left or restarted."""
         self._until.pop(upstream_key, None)
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -22,7 +22,7 @@
 from ramppost.gateway.evacuations import evacuations_listed
 from ramppost.gateway.links import NotSent, OutgoingRequest
 from ramppost.gateway.model import Upstream
-from ramppost.gateway.pick import candidates, pick, warmup_wait_s
+from ramppost.gateway.pick import candidates, pick, send_wait_s
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import apply_config, apply_upstream_change
 from ramppost.platform import names
@@ -210,10 +210,10 @@
     for _ in range(2):
         send(single_gateway, "i-1")
     assert candidates(single_gateway, job, "lm", clock.now()) == []
-    wait_s = warmup_wait_s(single_gateway, job, "lm", clock.now())
+    wait_s = send_wait_s(single_gateway, job, "lm", clock.now())
     assert wait_s is not None and 0 < wait_s <= WINDOW_S
     job.tried_upstreams = {"i-0@7", "i-1@7"}
-    assert warmup_wait_s(single_gateway, job, "lm", clock.now()) is None
+    assert send_wait_s(single_gateway, job, "lm", clock.now()) is None
 
 
 def test_requests_sent_before_the_warm_up_is_known_count(single_gateway: Gateway) -> None:
@@ -241,7 +241,7 @@
     apply_upstream_change(gw, Change(entry(1, 3000.0), removed=False))
     job = job_of(gw, random.Random(1))
     assert candidates(gw, job, "lm", clock.now()) == []
-    assert warmup_wait_s(gw, job, "lm", clock.now()) == float("inf")
+    assert send_wait_s(gw, job, "lm", clock.now()) == float("inf")
 
 
 @pytest.mark.parametrize("left", ["soon", -1, [3]])
