Tell other gateways of the rate limits of upstreams

A gateway without a share of an upstream's rate sends nothing there, so it never learned that a limit had ended: of fleets of 6, 68 and 400 gateways four used the upstream again. And each gateway that had not been told yet sent what it liked: 27 requests in 4 s from 68 gateways at a limit of 1 a second, where 11 are allowed from all.

Whoever is told by an upstream that its limit has come, changed or ended now tells all others in a datagram, once; a gateway that an upstream has told nothing for a second asks one that has a share, 20 upstreams a second at most. News is dated by when the request was sent whose answer told it, so what is older than what is known changes nothing.

--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -81,6 +81,7 @@
     )
     await curio.spawn(load_pending, gw, daemon=True)
     await curio.spawn(gw.fatal.send_ends, daemon=True)
+    await curio.spawn(gw.limit_news.ask_others, daemon=True)
     await curio.spawn(sync_document, gw, daemon=True)
     metrics_socket = listen(cfg["ip"], cfg["metrics_port"])
     await curio.spawn(serve_http, metrics_socket, _metrics_handler(gw), daemon=True)
@@ -171,6 +172,8 @@
             if "ended" in message and message["ended"]["gone"]:
                 gw.members.mark_ended(message["ended"]["upstream"], clock.now())
             gw.fatal.handle_datagram(message)
+        elif "limit" in message or "limit_ask" in message:
+            gw.limit_news.handle_datagram(message, addr)
         else:
             await gw.backlogs.handle_datagram(message, addr)
 
--- a/ramppost/gateway/rate_limits.py
+++ b/ramppost/gateway/rate_limits.py
@@ -10,7 +10,8 @@
 
 from __future__ import annotations
 
-from typing import Final
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
 
 from loguru import logger
 
@@ -18,11 +19,24 @@
 from ramppost.policy.rate_limit import NO_SHARE, RateBucket, RateShare, share_of_rate
 from ramppost.policy.relays import Peers
 
-MAX_LIMITS: Final = 4096
-"""Maximum number of upstream incarnations whose limits are kept.  A limit outlives the entry of its
+MAX_UPSTREAMS: Final = 4096
+"""Maximum number of upstream incarnations that are remembered.  A limit outlives the entry of its
 upstream, which may only have expired while the store was unavailable."""
 
 
+NEWS_MARGIN_S: Final = 0.2
+"""How much later than a limit was named here a request must have been sent for news of its response
+to end the limit: covers the transit time of the news."""
+
+
+class Told(NamedTuple):
+    """What an upstream told last: its limit, None for none, and when the request was sent whose
+    response told so (steady clock)."""
+
+    per_s: float | None
+    asked_at: float
+
+
 class _RateLimit:
     """A limit that an upstream has named; times on the steady clock.
 
@@ -40,12 +54,20 @@
         anew."""
 
 
+def _ignore_change(upstream_key: str) -> None:
+    """Tell nobody."""
+
+
 class RateLimits:
     """The limits that upstreams have named, by incarnation."""
 
     def __init__(self, peers: Peers) -> None:
         self._peers = peers
         self._limits: dict[str, _RateLimit] = {}
+        self._unlimited_asked_at: dict[str, float] = {}
+        """When the latest request was sent whose response named no limit."""
+        self.on_change: Callable[[str], None] = _ignore_change
+        """Called when a response, and not another gateway's news, has changed a limit."""
 
     def __len__(self) -> int:
         return len(self._limits)
@@ -73,22 +95,71 @@
         self, upstream: Upstream, per_s: float | None, sent_at: float, now: float
     ) -> None:
         """Record the rate that a response names, None if it names none."""
-        limit = self._limits.get(upstream.key)
+        key = upstream.key
+        if per_s is None:
+            self._record_unlimited(key, sent_at)
+            changed = self._end(key, sent_at)
+        else:
+            changed = self._name(key, per_s, sent_at, now)
+        if changed:
+            self.on_change(key)
+
+    def record_news(self, key: str, per_s: float | None, asked_at: float, now: float) -> None:
+        """Record what an upstream has told another gateway."""
         if per_s is None:
-            if limit is not None and sent_at > limit.named_at:
-                del self._limits[upstream.key]
-                logger.info("upstream limits its rate no more", upstream=upstream.id)
+            self._record_unlimited(key, asked_at - NEWS_MARGIN_S)
+            self._end(key, asked_at - NEWS_MARGIN_S)
             return
-        if limit is None:
-            self._add(upstream.key, _RateLimit(per_s, sent_at, now))
-            logger.info("upstream limits its rate", upstream=upstream.id, per_s=per_s)
+        if per_s < 0:
             return
-        limit.named_at = now
-        if sent_at >= limit.asked_at and per_s != limit.per_s:
-            logger.info("upstream limits its rate", upstream=upstream.id, per_s=per_s)
+        limit = self._limits.get(key)
+        known_at = self._unlimited_asked_at.get(key, float("-inf"))
+        if asked_at > (known_at if limit is None else limit.asked_at):
+            self._name(key, per_s, asked_at, now)
+
+    def last_told(self, key: str) -> Told | None:
+        """What an upstream told last; None if it has told nothing, or it is not known when."""
+        limit = self._limits.get(key)
+        if limit is not None:
+            told = Told(limit.per_s, limit.asked_at)
+        else:
+            told = Told(None, self._unlimited_asked_at.get(key, float("-inf")))
+        return told if told.asked_at > float("-inf") else None
+
+    def not_heard_of_since(self, since: float) -> list[tuple[str, float]]:
+        """Keys and limits of the upstreams that have told nothing since then."""
+        return [(key, limit.per_s) for key, limit in self._limits.items() if limit.named_at < since]
+
+    def _name(self, key: str, per_s: float, asked_at: float, now: float) -> bool:
+        """Put a limit in force that an upstream has named; returns whether that changes it."""
+        limit = self._limits.get(key)
+        if limit is None:
+            limit = self._limits[key] = _RateLimit(per_s, asked_at, now)
+            _drop_oldest(self._limits)
+            changed = True
+        else:
+            changed = asked_at >= limit.asked_at and per_s != limit.per_s
+        if changed:
+            logger.info("upstream limits its rate", upstream=_id(key), per_s=per_s)
             limit.per_s = per_s
             limit.shared_by = -1
-        limit.asked_at = max(limit.asked_at, sent_at)
+        limit.asked_at = max(limit.asked_at, asked_at)
+        limit.named_at = now
+        return changed
+
+    def _end(self, key: str, asked_at: float) -> bool:
+        """End a limit if a request sent then was answered without it; returns whether it has."""
+        limit = self._limits.get(key)
+        if limit is None or asked_at <= limit.named_at:
+            return False
+        del self._limits[key]
+        logger.info("upstream limits its rate no more", upstream=_id(key))
+        return True
+
+    def _record_unlimited(self, key: str, sent_at: float) -> None:
+        latest = max(sent_at, self._unlimited_asked_at.pop(key, float("-inf")))
+        self._unlimited_asked_at[key] = latest
+        _drop_oldest(self._unlimited_asked_at)
 
     def _update_share(self, key: str, limit: _RateLimit, now: float) -> None:
         if limit.shared_by == self._peers.changes and self._peers.fleet_size:
@@ -102,7 +173,12 @@
         gateways = [self._peers.own, *self._peers.addrs]
         return share_of_rate(self._peers.own, key, gateways, per_s)
 
-    def _add(self, key: str, limit: _RateLimit) -> None:
-        self._limits[key] = limit
-        while len(self._limits) > MAX_LIMITS:
-            del self._limits[next(iter(self._limits))]
+
+def _id(key: str) -> str:
+    """The id of an upstream, as logs have it."""
+    return key.partition("@")[0]
+
+
+def _drop_oldest(by_upstream: dict[str, Any]) -> None:
+    while len(by_upstream) > MAX_UPSTREAMS:
+        del by_upstream[next(iter(by_upstream))]
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -14,6 +14,7 @@
 from ramppost.gateway.follow import KindReplica, PendingObject, StoreOutage, UpdateNotifier
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.inbound import CallerConnections
+from ramppost.gateway.limit_news import LimitNews
 from ramppost.gateway.links import ConnectionPool
 from ramppost.gateway.load import Loads
 from ramppost.gateway.membership import Members
@@ -99,6 +100,7 @@
         self.backlogs = Backlogs(
             cfg["name"], self.peers, self.prefill_rates, self.datagrams, self.metrics
         )
+        self.limit_news = LimitNews(self.peers, self.datagrams, self.rate_limits)
         self.fatal = FatalRequests(self.peers, self.datagrams, self.metrics)
         self.counts = Counts()
         self.policies = Policies()
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -229,6 +229,36 @@
     requests: list[FatalRequest]
 
 
+class LimitNote(TypedDict, closed=True):
+    """
+    Gateway to others: the request rate that an upstream has named, or that it names none any more.
+    """
+
+    upstream: str
+    """
+    Id and start of the upstream.
+    """
+    per_s: NotRequired[float]
+    """
+    Requests per second that it accepts from all gateways; missing if it names no limit.
+    """
+    asked_ms: float
+    """
+    Milliseconds since the request was sent whose answer told so.
+    """
+
+
+class LimitAsk(TypedDict, closed=True):
+    """
+    Gateway to gateway: which request rates do these upstreams accept?
+    """
+
+    upstreams: list[str]
+    """
+    Ids and starts of upstreams.
+    """
+
+
 class LeavingNote(TypedDict, closed=True):
     """
     Gateway to all others: I am stopping as planned.
@@ -790,6 +820,8 @@
     leaving: NotRequired[LeavingNote]
     ended: NotRequired[UpstreamEnded]
     harmless: NotRequired[HarmlessNote]
+    limit: NotRequired[LimitNote]
+    limit_ask: NotRequired[LimitAsk]
 
 
 class Frame(TypedDict, closed=True):
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -10,6 +10,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -18,12 +19,14 @@
 from bench.choosing import job_of
 from ramppost import clock
 from ramppost.gateway.attempt import _compose_request
+from ramppost.gateway.datagrams import Address
 from ramppost.gateway.links import OutgoingRequest
 from ramppost.gateway.model import Upstream
 from ramppost.gateway.pick import pick
 from ramppost.gateway.state import Gateway
 from ramppost.platform import names
 from ramppost.platform.headers import answer_head
+from ramppost.schema.messages import PeerDatagram
 from tests.harness.gateways import SAFE, STREAM, Deployment, Given
 from tests.harness.upstream_rules import Arrivals, over_limit
 from tests.test_warmup import gateway
@@ -43,16 +46,32 @@
 
 
 class Wire:
-    """Simulated time in which gateways send to one engine that limits its rate."""
+    """Simulated time in which gateways send to one engine that limits its rate, and datagrams to
+    each other, of which some are lost."""
 
-    def __init__(self, fleet: list[Gateway], monkeypatch: pytest.MonkeyPatch) -> None:
+    def __init__(
+        self, fleet: list[Gateway], monkeypatch: pytest.MonkeyPatch, lost: float = 1.0
+    ) -> None:
         self.fleet = fleet
+        self.lost = lost
         self.now = 1000.0
         self.limit_per_s: float | None = None
         self.arrivals: Arrivals = []
         self.rng = random.Random(7)
         self._answers: list[tuple[float, int, Gateway, float]] = []
         monkeypatch.setattr(clock, "now", lambda: self.now)
+        for number, gw in enumerate(fleet):
+            own = ("10.0.1.1", number + 1)
+            monkeypatch.setattr(gw.datagrams, "send", partial(self._deliver, own))
+
+    def _deliver(self, sender: Address, receiver: Address, msg: PeerDatagram) -> None:
+        if self.rng.random() >= self.lost:
+            self.fleet[receiver[1] - 1].limit_news.handle_datagram(msg, sender)
+
+    def ask(self) -> None:
+        """Let each gateway ask others once about limits that it has not heard of for a while."""
+        for gw in self.fleet:
+            gw.limit_news.ask_once()
 
     def offer(self, per_s: float, seconds: float) -> int:
         """Offer requests to gateways drawn at random; gives how many were sent."""
@@ -140,6 +159,45 @@
         assert len(settled) <= 1.5 * 4 * limit_per_s + 5
 
 
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("lost", [0.0, 0.1])
+def test_upstream_was_not_used_again_after_its_limit_had_ended(
+    size: int, lost: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    wire = Wire(fleet_of(size), monkeypatch, lost)
+    wire.limit_per_s = 1.0
+    wire.offer_all()
+    wire.limit_per_s = None
+    for _ in range(15):
+        wire.offer(2.0 * size, 1.0)
+        wire.ask()
+    assert wire.offer_all() == size
+
+
+def test_gateways_that_were_told_nothing_kept_no_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    wire = Wire(fleet_of(68), monkeypatch, lost=0.0)
+    wire.limit_per_s = 1.0
+    wire.offer(20.0, 4.0)
+    before = len(wire.arrivals)
+    wire.offer(200.0, 4.0)
+    assert len(wire.arrivals) - before <= 1.5 * 4 * 1.0 + 5
+
+
+def test_late_news_ended_a_limit_that_was_named_since(monkeypatch: pytest.MonkeyPatch) -> None:
+    wire = Wire(fleet_of(4), monkeypatch)
+    limits = wire.fleet[0].rate_limits
+    limits.record_response(ENGINE, 1.0, sent_at=1000.0, now=1000.1)
+    limits.record_news(ENGINE.key, None, asked_at=999.0, now=1001.0)
+    assert limits.per_s(ENGINE) == 1.0
+    limits.record_news(ENGINE.key, 5.0, asked_at=999.0, now=1001.0)
+    assert limits.per_s(ENGINE) == 1.0
+    limits.record_news(ENGINE.key, None, asked_at=1000.5, now=1001.0)
+    assert limits.per_s(ENGINE) is None
+    limits.record_response(ENGINE, None, sent_at=1002.0, now=1002.1)
+    limits.record_news(ENGINE.key, 1.0, asked_at=1001.0, now=1003.0)
+    assert limits.per_s(ENGINE) is None
+
+
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[Deployment]:
     found = Deployment(tmp_path, gateways=4, engines=2, services=2)
