Soak: upstreams name limits in their answers

What a stand-in tells of itself (POST /_notices) is apart from how it behaves, so that both overlap.

--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -2,7 +2,8 @@
 
 A request that tells tokens is answered with a stream of events, any other with a small
 body.  `GET /_log` tells its runs and `GET /_arrivals` all requests that arrived, `POST /_behave`
-sets a `Behaviour`, and `POST /_leave` makes it say that it is leaving.
+sets a `Behaviour`, `POST /_notices` its `Notices`, and `POST /_leave` makes its entry say that it
+is leaving.
 """
 
 from __future__ import annotations
@@ -37,9 +38,8 @@
     """How it answers from now on: events of a stream, after how many it breaks off, the
     confidence it tells (for all models, or by model), a status instead of an answer, a refusal,
     silence, an answer lost after the run, a time to work and between events, a body whose run
-    ends the process just after its head, a warm-up time from now on and the number of requests
-    per second that ends the process during it, or the requests per second that it names in all
-    its answers as accepted from all gateways together."""
+    ends the process just after its head, or a warm-up time from now on and the number of requests
+    per second that ends the process during it."""
 
     events: NotRequired[int]
     cut_after: NotRequired[int]
@@ -54,17 +54,25 @@
     ends_on: NotRequired[str]
     warmup_ms: NotRequired[int]
     too_many: NotRequired[int]
+
+
+class Notices(TypedDict):
+    """What it tells of itself in all its answers, however it behaves: the requests per second that
+    it accepts from all gateways together."""
+
     limit_per_s: NotRequired[float]
 
 
 class Arrival(TypedDict):
     """A request that arrived, as `/_arrivals` tells it.
 
-    Times of day; `answered_at` is 0 while it has no answer.  `limited` tells whether a limit was in
+    Times of day, and `born`, the start of the upstream, in milliseconds since 1970.  `answered_at`
+    is 0 while it has no answer.  `limited` tells whether a limit was in
     force as it arrived, which `limit_per_s` was, and `told_limit` whether its answer named one.
     """
 
     upstream: str
+    born: int
     gateway: str
     attempt_id: str
     at: float
@@ -95,6 +103,7 @@
     def __init__(self, cfg: UpstreamStandinSettings) -> None:
         self.cfg = cfg
         self.how = Behaviour()
+        self.notices = Notices()
         self.runs: list[RunLine] = []
         self.arrivals: list[Arrival] = []
         self.running = 0
@@ -150,12 +159,13 @@
     """Log the arrival of a request; gives what to call as its answer is sent."""
     arrival = Arrival(
         upstream=up.cfg["id"],
+        born=up.born,
         gateway=gateway,
         attempt_id=attempt_id,
         at=time.time(),
         answered_at=0.0,
-        limited="limit_per_s" in up.how,
-        limit_per_s=up.how.get("limit_per_s", 0.0),
+        limited="limit_per_s" in up.notices,
+        limit_per_s=up.notices.get("limit_per_s", 0.0),
         told_limit=False,
     )
     up.arrivals.append(arrival)
@@ -166,9 +176,9 @@
             (names.ATTEMPT_ID.decode(), attempt_id),
             (names.LOAD.decode(), f"{up.running},0,{up.cfg['slots']}"),
         ]
-        if "limit_per_s" in up.how:
+        if "limit_per_s" in up.notices:
             arrival["told_limit"] = True
-            found.append((names.RATE_LIMIT.decode(), str(up.how["limit_per_s"])))
+            found.append((names.RATE_LIMIT.decode(), str(up.notices["limit_per_s"])))
         return tuple(found)
 
     return headers_now
@@ -270,6 +280,12 @@
         up.how = how
         if "warmup_ms" in how:
             up.warmup_until = clock.now() + how["warmup_ms"] / 1000
+    elif req.path == "/_notices":
+        notices = decode(req.body, Notices)
+        if isinstance(notices, BadMessage):
+            await reply.send(400, encode({"error": notices.reason}))
+            return
+        up.notices = notices
     elif req.path == "/_leave":
         up.leaving = True
     await reply.send(200, encode(up.arrivals if req.path == "/_arrivals" else up.runs))
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -353,6 +353,10 @@
         """Tell an upstream how to answer from now on."""
         self.http.post(f"{self.url(name)}/_behave", json=how).raise_for_status()
 
+    def notices(self, name: str, **told: Any) -> None:
+        """What an upstream tells of itself in its answers from now on."""
+        self.http.post(f"{self.url(name)}/_notices", json=told).raise_for_status()
+
     def fault(self, name: str, **fault: Any) -> None:
         """Put a fault in force at the store."""
         self.http.post(f"{self.url(name)}/_fault", json=fault).raise_for_status()
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -6,15 +6,18 @@
 connection that it keeps until it breaks, while two schedules drawn from the seed, which
 overlap, stop, pause, kill and restart gateways and upstreams, disturb the store, its links and
 those between gateways, silence what is open on them, take a key away, let the configuration
-grow on thin links, let upstreams leave and bring a version in.  After the storm a new route
-has to be in force everywhere in time, and a request that ends engines is not to be run for
-ever, though gateways are killed, paused and stopped as it comes again.  What upstreams ran and
-what callers got is compared at the end, and the gateways' log lines are audited.
+grow on thin links, let upstreams leave and bring a version in.  Two more schedules spoil entries
+and start upstreams under their ids, and let upstreams name limits in their answers.  After the
+storm a new route has to be in force everywhere in time, and a request that ends engines is not to
+be run for ever, though gateways are killed, paused and stopped as it comes again.  What upstreams
+ran, what they told and were sent, and what callers got, is compared at the end, and the gateways' log lines are
+audited.
 """
 
 from __future__ import annotations
 
 import argparse
+import json
 import os
 import random
 import signal
@@ -43,6 +46,7 @@
     route,
 )
 from tests.harness.proxy import Proxy
+from tests.harness.upstream_rules import Excuse, over_limit
 
 CALLERS = 9
 ENGINES = ("lm-1", "lm-2", "lm-3")
@@ -77,6 +81,9 @@
     {"addr": "127.0.0.1:x", "hall": "bole", "version": "v2", "part": "half", "sessions": 3},
 ]
 """Entries that other writers may leave."""
+LIMITS_PER_S = (0.0, 0.5, 1.0, 2.0, 5.0, 20.0)
+ALL_OF_SERVICE = 0.3
+"""How often all upstreams of a service tell the same of themselves."""
 JUNK_KINDS = ("servers", "gateways", "rollout-progress", "rollout-sessions", "policies")
 CALM_S = 3.0
 """So long after the last disturbance gateways are held to what they must know in time."""
@@ -135,11 +142,15 @@
 class Soak:
     """A deployment under faults drawn from a seed."""
 
-    def __init__(self, folder: Path, seed: int, entries: bool = True) -> None:
+    def __init__(self, folder: Path, seed: int, entries: bool = True, notices: bool = True) -> None:
         self.rngs = [random.Random(f"{seed}/{number}") for number in range(SCHEDULES)]
         self.entries_rng = random.Random(f"{seed}/entries") if entries else None
         """Of a further schedule, which spoils entries and starts upstreams under their ids; it
         draws from its own, so that seeds of before play as they did."""
+        self.notices_rng = random.Random(f"{seed}/notices") if notices else None
+        """Of a further schedule, by which upstreams tell of themselves in their answers."""
+        self.kept_arrivals: list[dict[str, Any]] = []
+        self.excuses: list[Excuse] = []
         self.site = Deployment(folder, gateways=3, engines=len(ENGINES), services=len(SERVICES))
         store = f"127.0.0.1:{self.site.port('store')}"
         self.store_links = {name: Proxy(store) for name in self.site.gateways}
@@ -169,6 +180,9 @@
         if self.entries_rng is not None:
             args = (self.entries_rng, until, self.step_of_entries)
             threads.append(threading.Thread(target=self._schedule, args=args))
+        if self.notices_rng is not None:
+            args = (self.notices_rng, until, self.step_of_notices)
+            threads.append(threading.Thread(target=self._schedule, args=args))
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -213,6 +227,30 @@
         self.done.append(fault.__name__)
         fault(rng)
 
+    def step_of_notices(self, rng: random.Random) -> None:
+        """One or all upstreams of a service tell something of themselves, whatever else happens to
+        them meanwhile."""
+        service = rng.choice((ENGINES, SERVICES))
+        names_there = service if rng.random() < ALL_OF_SERVICE else (rng.choice(service),)
+        self.done.append("limit_rate")
+        self.limit_rate(rng, names_there)
+
+    def limit_rate(self, rng: random.Random, upstreams: tuple[str, ...]) -> None:
+        """Upstreams name a limit, which changes once, and then none any more."""
+        for limit_per_s in (rng.choice(LIMITS_PER_S), rng.choice(LIMITS_PER_S)):
+            for name in upstreams:
+                self._tell(name, limit_per_s=limit_per_s)
+            time.sleep(rng.uniform(0.5, 5.0))
+        for name in upstreams:
+            self._tell(name)
+
+    def _tell(self, name: str, **told: Any) -> None:
+        """Let an upstream tell something; one that is being replaced tells nothing."""
+        try:
+            self.site.notices(name, **told)
+        except httpx.TransportError:
+            self.done.append(f"{name} was away")
+
     def leave_junk(self, rng: random.Random) -> None:
         self.site.put(rng.choice(JUNK_KINDS), f"junk-{rng.randrange(3)}", rng.choice(JUNK))
 
@@ -239,6 +277,7 @@
         with self._locks[name]:
             self.site.signal(name, signal.SIGKILL)
             self.site.wait_end(name)
+            self._excuse(name, time.time())
             self._start(name)
 
     def stop_gateway(self, rng: random.Random) -> None:
@@ -246,14 +285,22 @@
         with self._locks[name]:
             self.site.signal(name, signal.SIGTERM)
             self.site.wait_end(name, 12)
+            self._excuse(name, time.time())
             self._start(name)
 
     def pause_gateway(self, rng: random.Random) -> None:
         name = rng.choice(self.site.gateways)
         with self._locks[name]:
+            since = time.time()
             self.site.signal(name, signal.SIGSTOP)
             time.sleep(rng.uniform(0.2, 3.0))
             self.site.signal(name, signal.SIGCONT)
+            self._excuse(name, since)
+
+    def _excuse(self, gateway: str, since: float) -> None:
+        """A gateway ended or was suspended then, and goes on now: what it was told before does not
+        count."""
+        self.excuses.append(Excuse(self.site.ip(gateway), since, time.time()))
 
     def disturb_peers(self, rng: random.Random) -> None:
         """Disturb the way of other gateways to the second one, which may be a relay."""
@@ -411,6 +458,7 @@
         """Kill an upstream and start another in its place, `again` under its id; its runs are
         read first."""
         self.kept_runs += self.site.runs(name)
+        self.kept_arrivals += self.site.arrivals(name)
         self.site.signal(name, signal.SIGKILL)
         self.site.wait_end(name)
         self.site.start_upstream(name, "lm" if name in ENGINES else "web", "v1", again)
@@ -435,6 +483,14 @@
                 found.append(f"{left.upstream}: given work {last - left.at:.2f} s after leaving")
         return found
 
+    def owed_to_upstreams(self) -> list[str]:
+        """What upstreams told of themselves that gateways did not keep to."""
+        arrivals = self.kept_arrivals + self.site.arrivals(*ENGINES, *SERVICES)
+        found = over_limit(arrivals, self.excuses)
+        if found:
+            (self.site.folder / "arrivals.json").write_text(json.dumps(arrivals))
+        return found
+
     def faults_of(self, asked: list[Asked]) -> list[str]:
         """Promises that were broken."""
         runs = self.kept_runs + self.site.runs(*ENGINES, *SERVICES)
@@ -474,9 +530,11 @@
         return True
 
 
-def soak(folder: Path, seed: int, duration_s: float, entries: bool = True) -> list[str]:
+def soak(
+    folder: Path, seed: int, duration_s: float, entries: bool = True, notices: bool = True
+) -> list[str]:
     """Play a seed; gives the promises that were broken."""
-    played = Soak(folder, seed, entries)
+    played = Soak(folder, seed, entries, notices)
     try:
         callers = Callers(played.site)
         played.play(clock.now() + duration_s)
@@ -486,6 +544,7 @@
         fatal = played.run_fatal_requests() if entries else []
         callers.end()
         found = late + fatal + played.faults_of(callers.asked) + played.late_for_leaving()
+        found += played.owed_to_upstreams()
         if not recovered:
             found.append(f"not served again in {RECOVERY_S:g} s")
         served = sum(1 for one in callers.asked if one.got.status == 200)
--- a/tests/harness/upstream_rules.py
+++ b/tests/harness/upstream_rules.py
@@ -31,10 +31,10 @@
     excuse once it was told anew.
     """
     found = []
-    by_upstream: dict[str, Arrivals] = {}
+    by_start: dict[tuple[str, int], Arrivals] = {}
     for arrival in arrivals:
-        by_upstream.setdefault(arrival["upstream"], []).append(arrival)
-    for upstream, here in by_upstream.items():
+        by_start.setdefault((arrival["upstream"], arrival["born"]), []).append(arrival)
+    for (upstream, _), here in by_start.items():
         counted = _from_told_gateways(sorted(here, key=lambda a: float(a["at"])), list(excuses))
         most = max((_excess(counted, i) for i in range(len(counted))), default=(0.0, 0, 0.0))
         if most[0] > 0:
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -113,6 +113,7 @@
         limit = self.limit_per_s
         arrival = {
             "upstream": ENGINE.id,
+            "born": ENGINE.started_ms,
             "gateway": gw.cfg["name"],
             "at": self.now,
             "answered_at": 0.0,
@@ -232,8 +233,8 @@
 
 
 def test_gateways_sent_a_limited_upstream_more_than_it_named(site: Deployment) -> None:
-    site.behave("lm-1", events=1, event_ms=0, limit_per_s=2.0)
-    site.behave("lm-2", events=1, event_ms=0)
+    behave_all(site, ("lm-1", "lm-2"), events=1, event_ms=0)
+    site.notices("lm-1", limit_per_s=2.0)
     got = call_all(site, STREAM, 6.0)
     assert over_limit(site.arrivals("lm-1")) == []
     assert {given.status for given in got} == {200}
@@ -244,7 +245,9 @@
     site: Deployment, prefix: str
 ) -> None:
     upstreams = ("lm-1", "lm-2") if prefix == STREAM else ("web-1", "web-2")
-    behave_all(site, upstreams, events=1, event_ms=0, limit_per_s=2.0)
+    behave_all(site, upstreams, events=1, event_ms=0)
+    for name in upstreams:
+        site.notices(name, limit_per_s=2.0)
     got = call_all(site, prefix, 8.0)
     assert over_limit(site.arrivals(*upstreams)) == []
     refused = [given for given in got if given.status == 503]
