Keep a rate limit by address, as what arrives there counts

The class is that of the limit itself: advice that is not taken in. Limits and news of them are now kept by address, and each answer of an address tells of it.

--- a/ramppost/gateway/limit_news.py
+++ b/ramppost/gateway/limit_news.py
@@ -38,9 +38,9 @@
         self._rng = random.Random()
         limits.on_change = self.announce
 
-    def announce(self, upstream_key: str) -> None:
+    def announce(self, upstream: str) -> None:
         """Tell all other gateways what an upstream has just told this one."""
-        note = self._note(upstream_key, clock.now())
+        note = self._note(upstream, clock.now())
         if note is None:
             return
         for addr in self._peers.addrs.values():
@@ -54,8 +54,8 @@
 
     def ask_once(self) -> None:
         """Ask other gateways about limits that were not heard of for a while."""
-        for peer, upstream_keys in self._questions(clock.now()).items():
-            ask = PeerDatagram(limit_ask=LimitAsk(upstreams=upstream_keys))
+        for peer, upstreams in self._questions(clock.now()).items():
+            ask = PeerDatagram(limit_ask=LimitAsk(upstreams=upstreams))
             self._datagrams.send(parse_address(self._peers.addrs[peer]), ask)
 
     def handle_datagram(self, msg: PeerDatagram, addr: Address) -> None:
@@ -66,17 +66,17 @@
             asked_at = now - note["asked_ms"] / 1000
             self._limits.record_news(note["upstream"], note.get("per_s"), asked_at, now)
         if "limit_ask" in msg:
-            for upstream_key in msg["limit_ask"]["upstreams"][:MAX_ASKED]:
-                answer = self._note(upstream_key, now)
+            for upstream in msg["limit_ask"]["upstreams"][:MAX_ASKED]:
+                answer = self._note(upstream, now)
                 if answer is not None:
                     self._datagrams.send(addr, PeerDatagram(limit=answer))
 
-    def _note(self, upstream_key: str, now: float) -> LimitNote | None:
+    def _note(self, upstream: str, now: float) -> LimitNote | None:
         """What is known of an upstream's limit; None if it has told nothing."""
-        known = self._limits.last_told(upstream_key)
+        known = self._limits.last_told(upstream)
         if known is None:
             return None
-        note = LimitNote(upstream=upstream_key, asked_ms=max(0.0, (now - known.asked_at) * 1000))
+        note = LimitNote(upstream=upstream, asked_ms=max(0.0, (now - known.asked_at) * 1000))
         if known.per_s is not None:
             note["per_s"] = known.per_s
         return note
@@ -85,10 +85,10 @@
         """Which upstreams to ask which gateway about."""
         unheard = self._limits.not_heard_of_since(now - ASK_AFTER_S)
         questions: dict[str, list[str]] = {}
-        for upstream_key, per_s in self._rng.sample(unheard, min(MAX_ASKED, len(unheard))):
+        for upstream, per_s in self._rng.sample(unheard, min(MAX_ASKED, len(unheard))):
             gateways = [self._peers.own, *self._peers.addrs]
-            others = set(holders(upstream_key, gateways, per_s)) - {self._peers.own}
+            others = set(holders(upstream, gateways, per_s)) - {self._peers.own}
             if others:
                 peer = self._rng.choice(sorted(others))
-                questions.setdefault(peer, []).append(upstream_key)
+                questions.setdefault(peer, []).append(upstream)
         return questions
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -155,13 +155,8 @@
         self.retry_budgets.clear()
 
     def _observe_head(self, upstream: Upstream, head: AnswerHead, sent_at: float) -> None:
-        """Record what a response tells about its upstream rather than about its request.
-
-        A response from another upstream that was given the same address tells nothing.
-        """
-        if not head.wrong_upstream:
-            now = clock.now()
-            self.rate_limits.record_response(upstream, head.rate_limit_per_s, sent_at, now)
+        """Record what a response tells about its upstream rather than about its request."""
+        self.rate_limits.record_response(upstream, head.rate_limit_per_s, sent_at, clock.now())
 
     def suspicion_of(self, upstream_key: str) -> UpstreamHealth:
         """The failure evidence against an upstream."""
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -236,7 +236,7 @@
 
     upstream: str
     """
-    Id and start of the upstream.
+    Address of the upstream, `ip:port`.
     """
     per_s: NotRequired[float]
     """
@@ -255,7 +255,7 @@
 
     upstreams: list[str]
     """
-    Ids and starts of upstreams.
+    Addresses of upstreams, `ip:port`.
     """
 
 
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -17,6 +17,9 @@
     # The audit counted an attempt, withheld because its key confirmation had expired, as one that
     # may have run.
     (2002, 8.0, True, False),
+    # Requests to an earlier upstream at an address went past the limit of the one that had it now.
+    (3904, 12.0, True, True),
+    (3908, 12.0, True, True),
 )
 """Seeds that have failed, each with its cause, the duration of each run in seconds, and whether it
 included the schedules of malformed entries and fatal requests, and of upstreams that tell of
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -188,17 +188,32 @@
     wire = Wire(fleet_of(4), monkeypatch)
     limits = wire.fleet[0].rate_limits
     limits.record_response(ENGINE, 1.0, sent_at=1000.0, now=1000.1)
-    limits.record_news(ENGINE.key, None, asked_at=999.0, now=1001.0)
+    limits.record_news(ENGINE.addr, None, asked_at=999.0, now=1001.0)
     assert limits.per_s(ENGINE) == 1.0
-    limits.record_news(ENGINE.key, 5.0, asked_at=999.0, now=1001.0)
+    limits.record_news(ENGINE.addr, 5.0, asked_at=999.0, now=1001.0)
     assert limits.per_s(ENGINE) == 1.0
-    limits.record_news(ENGINE.key, None, asked_at=1000.5, now=1001.0)
+    limits.record_news(ENGINE.addr, None, asked_at=1000.5, now=1001.0)
     assert limits.per_s(ENGINE) is None
     limits.record_response(ENGINE, None, sent_at=1002.0, now=1002.1)
-    limits.record_news(ENGINE.key, 1.0, asked_at=1001.0, now=1003.0)
+    limits.record_news(ENGINE.addr, 1.0, asked_at=1001.0, now=1003.0)
     assert limits.per_s(ENGINE) is None
 
 
+def test_requests_to_an_earlier_upstream_at_the_address_went_past_the_limit() -> None:
+    gw = gateway("g-0", 1, 0.0)
+    earlier, now = ENGINE._replace(id="i-0", started_ms=5), clock.now()
+    gw.connections.observe_head(ENGINE, answer_head(200, ((names.RATE_LIMIT, b"1"),)), now)
+    assert gw.rate_limits.wait_s(earlier, clock.now()) > 0
+
+
+def test_limit_in_an_answer_to_a_request_for_an_earlier_upstream_was_not_kept() -> None:
+    gw = gateway("g-0", 1, 0.0)
+    earlier, now = ENGINE._replace(id="i-0", started_ms=5), clock.now()
+    wrong = names.STATUS_WRONG_UPSTREAM
+    gw.connections.observe_head(earlier, answer_head(wrong, ((names.RATE_LIMIT, b"1"),)), now)
+    assert gw.rate_limits.wait_s(ENGINE, clock.now()) > 0
+
+
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[Deployment]:
     found = Deployment(tmp_path, gateways=4, engines=2, services=2)
