--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -10,8 +10,8 @@
 and start upstreams under their ids, and let upstreams name limits in their answers.  After the
 storm a new route has to be in force everywhere in time, and a request that ends engines is not to
 be run for ever, though gateways are killed, paused and stopped as it comes again.  What upstreams
-ran, what they told and were sent, and what callers got, is compared at the end, and the gateways' log lines are
-audited.
+ran, told and were sent, and what callers got, is compared at the end, and the gateways' log lines
+are audited.
 """
 
 from __future__ import annotations
