Log that an upstream's answer says that it is leaving

The log did not tell whether a gateway knew from an answer that an upstream leaves, so it could not be told whether this is not read, or lost later. Members now remembers such starts of upstreams, and each attempt logs whether its upstream is one. Nothing is decided by it yet.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -267,6 +267,7 @@
         ahead_s=round(chosen.ahead_s, 4),
         kept_tokens=chosen.kept_tokens,
         all_known=chosen.complete,
+        leaving=gw.members.is_leaving(chosen.upstream),
         limit_per_s=gw.rate_limits.per_s(chosen.upstream),
         took_s=round(took_s, 4),
     )
--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -18,6 +18,8 @@
 
 from typing import Final, NamedTuple
 
+from loguru import logger
+
 from ramppost.gateway.model import Upstream
 
 EXPIRY_GRACE_S: Final = 1.6
@@ -30,6 +32,10 @@
 """The entry of an ended upstream expires after three heartbeats, which are at most 1.2 s apart."""
 
 
+MAX_LEAVING: Final = 4096
+"""Maximum number of incarnations that are remembered as leaving."""
+
+
 class Member(NamedTuple):
     """An upstream and its state; times on the steady clock.
 
@@ -49,6 +55,8 @@
         self._members: dict[str, Member] = {}
         self._ended_incarnations: list[Upstream] = []
         self._evacuated_halls: frozenset[str] = frozenset()
+        self._leaving: dict[str, None] = {}
+        """Incarnations whose own responses say that they are leaving, the oldest first."""
         self._usable_cache: dict[str, list[Upstream]] = {}
         """Upstreams with entries that accept new requests, by service; cleared on every change."""
 
@@ -90,6 +98,19 @@
         """Whether the upstream is in an evacuated data hall."""
         return upstream.hall in self._evacuated_halls
 
+    def mark_leaving(self, upstream: Upstream) -> None:
+        """Record that an upstream's own response says that it is leaving."""
+        if upstream.key in self._leaving:
+            return
+        self._leaving[upstream.key] = None
+        while len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        logger.info("upstream says that it is leaving", upstream=upstream.id)
+
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Whether a response of the upstream has said that it is leaving."""
+        return upstream.key in self._leaving
+
     def drop(self, upstream_id: str) -> bool:
         """Stop using an upstream; returns whether it was known."""
         known = self._members.pop(upstream_id, None)
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -157,6 +157,8 @@
     def _observe_head(self, upstream: Upstream, head: AnswerHead, sent_at: float) -> None:
         """Record what a response tells about its upstream rather than about its request."""
         self.rate_limits.record_response(upstream, head.rate_limit_per_s, sent_at, clock.now())
+        if head.leaving and not head.wrong_upstream:
+            self.members.mark_leaving(upstream)
 
     def suspicion_of(self, upstream_key: str) -> UpstreamHealth:
         """The failure evidence against an upstream."""
--- a/ramppost/platform/headers.py
+++ b/ramppost/platform/headers.py
@@ -54,7 +54,7 @@
     """A decoded response head; `headers` are those that are forwarded to the caller.
 
     `rate_limit_per_s` is the rate that the upstream accepts from all gateways together, None if it
-    names none.
+    names none, and `leaving` whether it says that it will end.
     """
 
     status: int
@@ -69,6 +69,7 @@
     keep_alive_s: float | None
     retry_after_s: float | None
     rate_limit_per_s: float | None = None
+    leaving: bool = False
 
 
 def caller_request(method: str, target: str, headers: Headers, body: bytes) -> CallerRequest:
@@ -132,6 +133,7 @@
         confidence=_parse_number(_text(values, names.CONFIDENCE)),
         keep_alive_s=_parse_keep_alive(_text(values, b"keep-alive")),
         retry_after_s=_parse_number(_text(values, b"retry-after")),
+        leaving=_text(values, names.LEAVING).strip() == "1",
         rate_limit_per_s=_parse_number(_text(values, names.RATE_LIMIT)),
     )
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -244,6 +244,8 @@
         ((b"keep-alive", b"timeout=9"), "keep_alive_s", 9.0),
         ((b"keep-alive", b"9"), "keep_alive_s", 9.0),
         ((b"x-attempt-id", b"9c41"), "attempt_id", "9c41"),
+        ((b"server-leaving", b"1"), "leaving", True),
+        ((b"server-leaving", b"0"), "leaving", False),
         ((b"server-limit", b"2.1"), "rate_limit_per_s", 2.1),
         ((b"server-limit", b"0"), "rate_limit_per_s", 0.0),
         ((b"server-limit", b"inf"), "rate_limit_per_s", None),
