Failing tests: an upstream that says that it is leaving is sent requests

The stand-in of an upstream says so in all its answers when told to, while its entry cannot follow as the store is down.

--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -58,9 +58,10 @@
 
 class Notices(TypedDict):
     """What it tells of itself in all its answers, however it behaves: the requests per second that
-    it accepts from all gateways together."""
+    it accepts from all gateways together, or that it is leaving."""
 
     limit_per_s: NotRequired[float]
+    leaving: NotRequired[bool]
 
 
 class Arrival(TypedDict):
@@ -68,7 +69,9 @@
 
     Times of day, and `born`, the start of the upstream, in milliseconds since 1970.  `answered_at`
     is 0 while it has no answer.  `limited` tells whether a limit was in
-    force as it arrived, which `limit_per_s` was, and `told_limit` whether its answer named one.
+    force as it arrived, which `limit_per_s` was, and `told_limit` whether its answer named one;
+    `told_leaving` whether its answer said that the upstream is leaving, and `mistaken` whether it
+    was meant for another upstream.
     """
 
     upstream: str
@@ -80,6 +83,8 @@
     limited: bool
     limit_per_s: float
     told_limit: bool
+    told_leaving: bool
+    mistaken: bool
 
 
 class RunLine(TypedDict):
@@ -155,7 +160,7 @@
 """The headers that every answer has, by the state as it is sent."""
 
 
-def _arrive(up: _Upstream, attempt_id: str, gateway: str) -> HeadersNow:
+def _arrive(up: _Upstream, attempt_id: str, gateway: str, mistaken: bool) -> HeadersNow:
     """Log the arrival of a request; gives what to call as its answer is sent."""
     arrival = Arrival(
         upstream=up.cfg["id"],
@@ -167,6 +172,8 @@
         limited="limit_per_s" in up.notices,
         limit_per_s=up.notices.get("limit_per_s", 0.0),
         told_limit=False,
+        told_leaving=False,
+        mistaken=mistaken,
     )
     up.arrivals.append(arrival)
 
@@ -179,6 +186,9 @@
         if "limit_per_s" in up.notices:
             arrival["told_limit"] = True
             found.append((names.RATE_LIMIT.decode(), str(up.notices["limit_per_s"])))
+        if up.notices.get("leaving"):
+            arrival["told_leaving"] = True
+            found.append((names.LEAVING.decode(), "1"))
         return tuple(found)
 
     return headers_now
@@ -187,8 +197,9 @@
 async def _answer(up: _Upstream, req: Request, reply: Reply) -> None:
     heads = {name.encode(): value for name, value in req.headers.items()}
     attempt_id = heads.get(names.ATTEMPT_ID, "")
-    headers_now = _arrive(up, attempt_id, reply.peer_host)
-    if heads.get(names.EXPECTED_UPSTREAM, up.cfg["id"]) != up.cfg["id"]:
+    mistaken = heads.get(names.EXPECTED_UPSTREAM, up.cfg["id"]) != up.cfg["id"]
+    headers_now = _arrive(up, attempt_id, reply.peer_host, mistaken)
+    if mistaken:
         own = (names.INSTANCE_ID.decode(), up.cfg["id"])
         await reply.send(names.STATUS_WRONG_UPSTREAM, b"", headers=(*headers_now(), own))
         return
--- a/tests/harness/upstream_rules.py
+++ b/tests/harness/upstream_rules.py
@@ -44,6 +44,25 @@
     return found
 
 
+def after_leaving(arrivals: Arrivals, leave_s: float, excuses: Iterable[Excuse] = ()) -> list[str]:
+    """Requests that an upstream got from a gateway more than `leave_s`, and half a second, after it
+    had answered that gateway that it is leaving."""
+    found = []
+    for arrival in arrivals:
+        told = [
+            before
+            for before in arrivals
+            if before["told_leaving"]
+            and before["answered_at"]
+            and (before["upstream"], before["born"]) == (arrival["upstream"], arrival["born"])
+            and _holds(before, arrival, leave_s + PASSING_S, list(excuses))
+        ]
+        if told and not arrival["mistaken"]:
+            late_s = arrival["at"] - min(before["answered_at"] for before in told)
+            found.append(f"{arrival['upstream']}: sent {arrival['attempt_id']} {late_s:.2f} s late")
+    return found
+
+
 def _excess(counted: Arrivals, first: int) -> tuple[float, int, float]:
     """What arrived beyond what is allowed in the span that begins with an arrival, how many
     requests arrived, and the limit."""
@@ -76,10 +95,18 @@
 
 
 def _told(before: dict[str, Any], arrival: dict[str, Any], excuses: list[Excuse]) -> bool:
-    told_at = before["answered_at"]
-    if before["gateway"] != arrival["gateway"] or not before["told_limit"] or not told_at:
+    if not before["told_limit"] or not before["answered_at"]:
         return False
-    if told_at > arrival["at"] - PASSING_S:
+    return _holds(before, arrival, PASSING_S, excuses)
+
+
+def _holds(
+    before: dict[str, Any], arrival: dict[str, Any], after_s: float, excuses: list[Excuse]
+) -> bool:
+    """Whether an answer had told the gateway of an arrival something so long before, and nothing
+    excuses the gateway since."""
+    told_at = before["answered_at"]
+    if before["gateway"] != arrival["gateway"] or told_at > arrival["at"] - after_s:
         return False
     return not any(
         excuse.gateway == arrival["gateway"]
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -223,15 +223,15 @@
         found.stop()
 
 
-def call_all(site: Deployment, prefix: str, seconds: float) -> list[Given]:
-    """Call each gateway again and again, all at once."""
+def call_all(site: Deployment, prefix: str, seconds: float, **how: Any) -> list[Given]:
+    """Call each gateway again and again, all at once; `how` goes to each call."""
     until, got = clock.now() + seconds, []
 
     def call(gateway: str) -> None:
         rng = random.Random(gateway)
         while clock.now() < until:
             parts = {names.PROMPT_PARTS.decode(): f"{rng.randrange(100)}:60,own:40"}
-            got.append(site.call(gateway, prefix, headers=parts if prefix == STREAM else {}))
+            got.append(site.call(gateway, prefix, headers=parts if prefix == STREAM else {}, **how))
             time.sleep(0.02)
 
     threads = [threading.Thread(target=call, args=(name,)) for name in site.gateways]
