Log that an upstream asks for rest

The time in Retry-After of a refusing upstream stood in no log line, so it could not be told whether it is kept anywhere or fades too soon. Rests now remembers it and each attempt logs what is left of it. Nothing is decided by it yet.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -268,6 +268,7 @@
         kept_tokens=chosen.kept_tokens,
         all_known=chosen.complete,
         leaving=gw.members.is_leaving(chosen.upstream),
+        rest_left_s=round(gw.rests.wait_s(chosen.upstream, now), 3),
         limit_per_s=gw.rate_limits.per_s(chosen.upstream),
         took_s=round(took_s, 4),
     )
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -24,6 +24,7 @@
 from ramppost.gateway.pools import Pools
 from ramppost.gateway.rate_limits import RateLimits
 from ramppost.gateway.regions import Regions
+from ramppost.gateway.rests import Rests
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.gateway.unreadable import UnreadableEntries
 from ramppost.gateway.warmup import WarmUps
@@ -84,6 +85,7 @@
         self.freshness = Freshness(_withdrawal_bound_s(cfg), _serves_unconfirmed(cfg))
         self.store_outage = StoreOutage()
         self.store = StoreClient(cfg["store"]["addr"], Pool(cfg["ip"]))
+        self.rests = Rests()
         self.rate_limits = RateLimits(self.peers)
         self.connections = ConnectionPool(cfg["ip"], self._observe_head)
         self.upstream_probes = UpstreamProbes(self.connections)
@@ -157,6 +159,8 @@
     def _observe_head(self, upstream: Upstream, head: AnswerHead, sent_at: float) -> None:
         """Record what a response tells about its upstream rather than about its request."""
         self.rate_limits.record_response(upstream, head.rate_limit_per_s, sent_at, clock.now())
+        if head.rest_s:
+            self.rests.record_refusal(upstream, head.rest_s, clock.now())
         if head.leaving and not head.wrong_upstream:
             self.members.mark_leaving(upstream)
 
--- a/ramppost/platform/headers.py
+++ b/ramppost/platform/headers.py
@@ -54,7 +54,8 @@
     """A decoded response head; `headers` are those that are forwarded to the caller.
 
     `rate_limit_per_s` is the rate that the upstream accepts from all gateways together, None if it
-    names none, and `leaving` whether it says that it will end.
+    names none, and `leaving` whether it says that it will end.  `rest_s` is for how long it wants no
+    more requests from this gateway, None if it does not refuse the request or says nothing of it.
     """
 
     status: int
@@ -70,6 +71,7 @@
     retry_after_s: float | None
     rate_limit_per_s: float | None = None
     leaving: bool = False
+    rest_s: float | None = None
 
 
 def caller_request(method: str, target: str, headers: Headers, body: bytes) -> CallerRequest:
@@ -120,6 +122,7 @@
     """Decodes the head of an upstream's response."""
     values = dict(headers)
     dropped = HOP_BY_HOP | _connection_headers(values)
+    retry_after_s = _parse_number(_text(values, b"retry-after"))
     running, waiting = _parse_load(_text(values, names.LOAD))
     return AnswerHead(
         status=status,
@@ -132,8 +135,9 @@
         waiting=waiting,
         confidence=_parse_number(_text(values, names.CONFIDENCE)),
         keep_alive_s=_parse_keep_alive(_text(values, b"keep-alive")),
-        retry_after_s=_parse_number(_text(values, b"retry-after")),
+        retry_after_s=retry_after_s,
         leaving=_text(values, names.LEAVING).strip() == "1",
+        rest_s=retry_after_s if status in names.REFUSAL_STATUSES else None,
         rate_limit_per_s=_parse_number(_text(values, names.RATE_LIMIT)),
     )
 
--- a/ramppost/platform/names.py
+++ b/ramppost/platform/names.py
@@ -34,6 +34,8 @@
 
 ANY_MODEL: Final = "*"
 STATUS_WRONG_UPSTREAM: Final = 421
+REFUSAL_STATUSES: Final = frozenset({429, 503})
+"""With `Retry-After`, the upstream wants nothing from this gateway for so long."""
 
 RESERVED: Final = frozenset(
     {
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -246,6 +246,7 @@
         ((b"x-attempt-id", b"9c41"), "attempt_id", "9c41"),
         ((b"server-leaving", b"1"), "leaving", True),
         ((b"server-leaving", b"0"), "leaving", False),
+        ((b"retry-after", b"3"), "rest_s", None),
         ((b"server-limit", b"2.1"), "rate_limit_per_s", 2.1),
         ((b"server-limit", b"0"), "rate_limit_per_s", 0.0),
         ((b"server-limit", b"inf"), "rate_limit_per_s", None),
