Failing tests: an upstream that asks for rest is sent requests

The stand-in of an upstream turns away each request with 503 and Retry-After when told to. On this code a gateway sends up to 10 requests in the 1.5 s that count of 2 s of rest (two are allowed), to one of two engines, and where both engines or both services rest. The logs show `rest_left_s` above 0 on these attempts, first ones too: the first hypothesis, the time was used for the caller's answer only.

--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -58,10 +58,12 @@
 
 class Notices(TypedDict):
     """What it tells of itself in all its answers, however it behaves: the requests per second that
-    it accepts from all gateways together, or that it is leaving."""
+    it accepts from all gateways together, that it is leaving, or the seconds of rest that it asks
+    of each gateway that it turns away, which it does with every request."""
 
     limit_per_s: NotRequired[float]
     leaving: NotRequired[bool]
+    rest_s: NotRequired[float]
 
 
 class Arrival(TypedDict):
@@ -70,7 +72,7 @@
     Times of day, and `born`, the start of the upstream, in milliseconds since 1970.  `answered_at`
     is 0 while it has no answer.  `limited` tells whether a limit was in
     force as it arrived, which `limit_per_s` was, and `told_limit` whether its answer named one;
-    `told_leaving` whether its answer said that the upstream is leaving, and `mistaken` whether it
+    `told_rest_s` is the rest that its answer asked for, 0 for none, `told_leaving` tells whether its answer said that the upstream is leaving, and `mistaken` whether it
     was meant for another upstream.
     """
 
@@ -84,6 +86,7 @@
     limit_per_s: float
     told_limit: bool
     told_leaving: bool
+    told_rest_s: float
     mistaken: bool
 
 
@@ -173,6 +176,7 @@
         limit_per_s=up.notices.get("limit_per_s", 0.0),
         told_limit=False,
         told_leaving=False,
+        told_rest_s=0.0,
         mistaken=mistaken,
     )
     up.arrivals.append(arrival)
@@ -189,6 +193,9 @@
         if up.notices.get("leaving"):
             arrival["told_leaving"] = True
             found.append((names.LEAVING.decode(), "1"))
+        if "rest_s" in up.notices:
+            arrival["told_rest_s"] = up.notices["rest_s"]
+            found.append(("Retry-After", str(up.notices["rest_s"])))
         return tuple(found)
 
     return headers_now
@@ -203,7 +210,7 @@
         own = (names.INSTANCE_ID.decode(), up.cfg["id"])
         await reply.send(names.STATUS_WRONG_UPSTREAM, b"", headers=(*headers_now(), own))
         return
-    if up.how.get("refuse") or up.running >= up.cfg["slots"]:
+    if up.how.get("refuse") or "rest_s" in up.notices or up.running >= up.cfg["slots"]:
         await reply.send(503, b"", headers=(*headers_now(), (names.NOT_RUN.decode(), "1")))
         return
     line = _run_line(up.cfg["id"], req, heads, attempt_id)
--- a/tests/harness/upstream_rules.py
+++ b/tests/harness/upstream_rules.py
@@ -11,6 +11,7 @@
 LIMIT_WINDOW_S: Final = 4.0
 LIMIT_FACTOR: Final = 1.5
 LIMIT_EXTRA: Final = 5
+MAX_DURING_REST: Final = 2
 PASSING_S: Final = 0.5
 """From an answer that tells a gateway something until it must act on it."""
 
@@ -63,6 +64,26 @@
     return found
 
 
+def during_rest(arrivals: Arrivals, excuses: Iterable[Excuse] = ()) -> list[str]:
+    """Gateways that sent an upstream more than two requests between half a second after it had
+    asked them for rest and the end of that time."""
+    found = []
+    for before in arrivals:
+        if not before["told_rest_s"] or not before["answered_at"]:
+            continue
+        ends_at = before["answered_at"] + before["told_rest_s"]
+        sent = [
+            arrival
+            for arrival in arrivals
+            if arrival["at"] < ends_at
+            and (before["upstream"], before["born"]) == (arrival["upstream"], arrival["born"])
+            and _holds(before, arrival, PASSING_S, list(excuses))
+        ]
+        if len(sent) > MAX_DURING_REST:
+            found.append(f"{before['upstream']}: {len(sent)} requests from {before['gateway']}")
+    return sorted(set(found))
+
+
 def _excess(counted: Arrivals, first: int) -> tuple[float, int, float]:
     """What arrived beyond what is allowed in the span that begins with an arrival, how many
     requests arrived, and the limit."""
