--- a/ramppost/gateway/rests.py
+++ b/ramppost/gateway/rests.py
@@ -2,8 +2,8 @@
 
 An upstream that refuses a request may say for how long it wants no more from this gateway.  Later
 responses, also to requests sent before, don't shorten that time.  A rest applies to an address,
-since requests to an earlier upstream there arrive at the one that has the address now, and ends when
-another upstream takes the address over.
+since requests to an earlier upstream there arrive at the one that has the address now, and ends
+when another upstream takes the address over.
 """
 
 from __future__ import annotations
--- a/ramppost/platform/headers.py
+++ b/ramppost/platform/headers.py
@@ -54,8 +54,8 @@
     """A decoded response head; `headers` are those that are forwarded to the caller.
 
     `rate_limit_per_s` is the rate that the upstream accepts from all gateways together, None if it
-    names none, and `leaving` whether it says that it will end.  `rest_s` is for how long it wants no
-    more requests from this gateway, None if it does not refuse the request or says nothing of it.
+    names none, and `leaving` whether it says that it will end.  `rest_s` is for how long it wants
+    no more requests from this gateway, None unless it refuses the request and says so.
     """
 
     status: int
@@ -137,7 +137,7 @@
         keep_alive_s=_parse_keep_alive(_text(values, b"keep-alive")),
         retry_after_s=retry_after_s,
         leaving=_text(values, names.LEAVING).strip() == "1",
-        rest_s=retry_after_s if status in names.REFUSAL_STATUSES else None,
+        rest_s=retry_after_s if status == names.STATUS_OVERLOADED else None,
         rate_limit_per_s=_parse_number(_text(values, names.RATE_LIMIT)),
     )
 
--- a/ramppost/platform/names.py
+++ b/ramppost/platform/names.py
@@ -34,7 +34,7 @@
 
 ANY_MODEL: Final = "*"
 STATUS_WRONG_UPSTREAM: Final = 421
-REFUSAL_STATUSES: Final = frozenset({429, 503})
+STATUS_OVERLOADED: Final = 503
 """With `Retry-After`, the upstream wants nothing from this gateway for so long."""
 
 RESERVED: Final = frozenset(
--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -70,10 +70,10 @@
     """A request that arrived, as `/_arrivals` tells it.
 
     Times of day, and `born`, the start of the upstream, in milliseconds since 1970.  `answered_at`
-    is 0 while it has no answer.  `limited` tells whether a limit was in
-    force as it arrived, which `limit_per_s` was, and `told_limit` whether its answer named one;
-    `told_rest_s` is the rest that its answer asked for, 0 for none, `told_leaving` tells whether its answer said that the upstream is leaving, and `mistaken` whether it
-    was meant for another upstream.
+    is 0 while it has no answer.  `limited` tells whether a limit was in force as it arrived, which
+    `limit_per_s` was.  The answer named a limit (`told_limit`), said that the upstream is leaving
+    (`told_leaving`) and asked for so much rest (`told_rest_s`, 0 for none).  A request that is
+    `mistaken` was meant for another upstream.
     """
 
     upstream: str
