Use no upstream whose own answer says that it is leaving

What callers saw: streams that broke off as their upstream ended; what the upstream saw: requests 2 s and more, up to 12 s, after it had said in an answer that it leaves. Cause: only its entry in the store counted, which could not follow while the store was down; nothing read the answer.

An answer that says so now takes that start of the upstream out of all choices of its gateway at once, whatever its entry says, also if the entry disappears and returns. Where a service has no other it is used for half of the time in which it must have been given up, and then no more, which is checked again as a request is composed; then callers are refused at once. A new start is used at once, and an answer that says that another upstream was meant does not speak for it.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -163,6 +163,8 @@
         return NotSent("not sent: its time passed on the way", withheld=True)
     if gw.members.is_evacuated(chosen.upstream):
         return NotSent("not sent: its data hall was evacuated on the way", withheld=True)
+    if gw.members.has_left(chosen.upstream, now):
+        return NotSent("not sent: the upstream said meanwhile that it is leaving", withheld=True)
     if send_limits.wait_s(gw, chosen.service, chosen.upstream, now) > 0:
         return NotSent("not sent: the upstream was sent enough meanwhile", withheld=True)
     send_limits.record_sent(gw, chosen.service, chosen.upstream, now)
--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -12,6 +12,10 @@
 An upstream may restart under the same id and is then a new incarnation.
 `take_ended_incarnations` returns the previous one, so that the caller can discard its state and
 the new incarnation is not affected by it.
+
+A response of an upstream may say that it is leaving before its entry does, which is late while the
+store is unavailable.  That holds for the incarnation whatever its entry says, also when the entry
+disappears and returns.
 """
 
 from __future__ import annotations
@@ -55,8 +59,8 @@
         self._members: dict[str, Member] = {}
         self._ended_incarnations: list[Upstream] = []
         self._evacuated_halls: frozenset[str] = frozenset()
-        self._leaving: dict[str, None] = {}
-        """Incarnations whose own responses say that they are leaving, the oldest first."""
+        self._leaving: dict[str, float] = {}
+        """Until when incarnations that say that they are leaving may be used as a last resort."""
         self._usable_cache: dict[str, list[Upstream]] = {}
         """Upstreams with entries that accept new requests, by service; cleared on every change."""
 
@@ -98,19 +102,27 @@
         """Whether the upstream is in an evacuated data hall."""
         return upstream.hall in self._evacuated_halls
 
-    def mark_leaving(self, upstream: Upstream) -> None:
-        """Record that an upstream's own response says that it is leaving."""
+    def mark_leaving(self, upstream: Upstream, last_use_at: float) -> None:
+        """Record that an upstream's own response says that it is leaving.
+
+        It is used until `last_use_at` only if its service has no other upstream, and then no more.
+        """
         if upstream.key in self._leaving:
             return
-        self._leaving[upstream.key] = None
+        self._leaving[upstream.key] = last_use_at
         while len(self._leaving) > MAX_LEAVING:
             del self._leaving[next(iter(self._leaving))]
+        self._usable_cache.clear()
         logger.info("upstream says that it is leaving", upstream=upstream.id)
 
     def is_leaving(self, upstream: Upstream) -> bool:
         """Whether a response of the upstream has said that it is leaving."""
         return upstream.key in self._leaving
 
+    def has_left(self, upstream: Upstream, now: float) -> bool:
+        """Whether an upstream that is leaving must not be used any more, even as a last resort."""
+        return self._leaving.get(upstream.key, float("inf")) <= now
+
     def drop(self, upstream_id: str) -> bool:
         """Stop using an upstream; returns whether it was known."""
         known = self._members.pop(upstream_id, None)
@@ -151,16 +163,22 @@
         return [member.upstream for member in self._members.values()]
 
     def usable(self, service: str, now: float) -> list[Upstream]:
-        """Upstreams that accept new requests; those without an entry only as a last resort."""
+        """Upstreams that accept new requests; those that are leaving or have no entry only as a
+        last resort."""
         listed = self._usable_cache.get(service)
         if listed is None:
             listed = self._usable_cache[service] = [
-                m.upstream for m in self._available(service, now) if m.drop_at is None
+                m.upstream
+                for m in self._available(service, now)
+                if m.drop_at is None and not self.is_leaving(m.upstream)
             ]
         if listed:
             return listed
-        available = self._available(service, now)
-        return [m.upstream for m in available if m.drop_at is not None and now < m.drop_at]
+        return [
+            m.upstream
+            for m in self._available(service, now)
+            if (m.drop_at is None or now < m.drop_at) and not self.has_left(m.upstream, now)
+        ]
 
     def _available(self, service: str, now: float) -> list[Member]:
         return [
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import Literal
+from typing import Final, Literal
 
 from ramppost import clock
 from ramppost.gateway.backlogs import Backlogs
@@ -52,6 +52,10 @@
     return cfg["timing"].get("unconfirmed_keys") == "serve"
 
 
+LEAVING_USE_RATIO: Final = 0.5
+"""Part of the time in which an upstream that is leaving must have been given up, during which it is
+used if its service has no other.  The rest covers the transit of requests."""
+
 RefusalScope = Literal["none", "streams", "all"]
 
 
@@ -158,11 +162,13 @@
 
     def _observe_head(self, upstream: Upstream, head: AnswerHead, sent_at: float) -> None:
         """Record what a response tells about its upstream rather than about its request."""
-        self.rate_limits.record_response(upstream, head.rate_limit_per_s, sent_at, clock.now())
+        now = clock.now()
+        self.rate_limits.record_response(upstream, head.rate_limit_per_s, sent_at, now)
         if head.rest_s:
-            self.rests.record_refusal(upstream, head.rest_s, clock.now())
+            self.rests.record_refusal(upstream, head.rest_s, now)
         if head.leaving and not head.wrong_upstream:
-            self.members.mark_leaving(upstream)
+            leave_s = self.cfg["timing"]["upstream_leave_ms"] / 1000
+            self.members.mark_leaving(upstream, now + LEAVING_USE_RATIO * leave_s)
 
     def suspicion_of(self, upstream_key: str) -> UpstreamHealth:
         """The failure evidence against an upstream."""
