Send nothing to an upstream while it rests

What callers saw: requests refused by one upstream after the other before a third ran them, and 503 where tries ran out; what the upstream saw: up to 17 requests of one gateway in 3 s of rest, of which two are allowed. Cause: the time in Retry-After was used for the caller's answer only; a refusal does not count as a failure, and an upstream that refuses at once looks idle, so that it attracted more.

A refusal with 503 and Retry-After now keeps its upstream out of all choices of that gateway for so long (ramppost/gateway/rests.py), together with the other limits on requests, and it is looked at again as a request is composed. Later answers don't shorten it, and its entry may go and return; it applies to the address, and ends when another start takes that over. Where all upstreams rest, callers are refused at once with the time until the first may be asked again; where tries ran out with the time until any may.

--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -58,6 +58,7 @@
     def __init__(self) -> None:
         self._members: dict[str, Member] = {}
         self._ended_incarnations: list[Upstream] = []
+        self._new_incarnations: list[Upstream] = []
         self._evacuated_halls: frozenset[str] = frozenset()
         self._leaving: dict[str, float] = {}
         """Until when incarnations that say that they are leaving may be used as a last resort."""
@@ -72,6 +73,8 @@
             excluded_until = known.excluded_until
         elif known is not None:
             self._ended_incarnations.append(known.upstream)
+        if known is None or known.upstream.key != upstream.key:
+            self._new_incarnations.append(upstream)
         self._set(Member(upstream, None, excluded_until))
         return known is None or known.upstream != upstream or known.drop_at is not None
 
@@ -137,6 +140,11 @@
         ended, self._ended_incarnations = self._ended_incarnations, []
         return ended
 
+    def take_new_incarnations(self) -> list[Upstream]:
+        """Return the incarnations that have become known since the previous call."""
+        new, self._new_incarnations = self._new_incarnations, []
+        return new
+
     def replace_all(self, listed: list[Upstream], now: float) -> None:
         """Replace all entries with the listed ones."""
         listed_ids = {upstream.id for upstream in listed}
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -166,6 +166,21 @@
     return least_wait_s(gw, service, suitable, now)
 
 
+def any_send_wait_s(gw: Gateway, job: Job, service_name: str, now: float) -> float:
+    """Seconds until any upstream of a service, tried or not, may be sent a request of this job."""
+    service = gw.table.services.get(service_name) if gw.table is not None else None
+    if service is None:
+        return float("inf")
+    return least_wait_s(gw, service, _allowed(gw, job, service_name, now), now)
+
+
+def _allowed(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
+    """Usable upstreams in the regions in which the request may run."""
+    listed = gw.members.usable(service_name, now)
+    workspace_regions = job.workspace.home_regions if job.workspace is not None else ()
+    return gw.regions.filter_upstreams(listed, job.route.home_regions, workspace_regions)
+
+
 def _suitable(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
     """Untried upstreams of the version that the request is to run on.
 
@@ -173,9 +188,7 @@
     a version that is being rolled out may fail on all its upstreams.  Limits on requests are not
     considered here: falling back to another version would change a session's version.
     """
-    listed = gw.members.usable(service_name, now)
-    workspace_regions = job.workspace.home_regions if job.workspace is not None else ()
-    usable = gw.regions.filter_upstreams(listed, job.route.home_regions, workspace_regions)
+    usable = _allowed(gw, job, service_name, now)
     side = gw.rollouts.eligible_upstreams(
         service_name, usable, job.req.attempt_id, job.req.session, now
     )
--- a/ramppost/gateway/rests.py
+++ b/ramppost/gateway/rests.py
@@ -31,10 +31,18 @@
     def __init__(self) -> None:
         self._rests: dict[str, _Rest] = {}
 
+    def __len__(self) -> int:
+        return len(self._rests)
+
     def wait_s(self, upstream: Upstream, now: float) -> float:
         """Seconds of rest left."""
         rest = self._rests.get(upstream.addr)
-        return 0.0 if rest is None else max(0.0, rest.until - now)
+        if rest is None:
+            return 0.0
+        if rest.until <= now:
+            del self._rests[upstream.addr]
+            return 0.0
+        return rest.until - now
 
     def record_refusal(self, upstream: Upstream, rest_s: float, now: float) -> None:
         """Record that an upstream has refused a request and asks for rest."""
@@ -45,3 +53,9 @@
         self._rests[upstream.addr] = _Rest(upstream.key, until)
         while len(self._rests) > MAX_RESTS:
             del self._rests[next(iter(self._rests))]
+
+    def record_start(self, upstream: Upstream) -> None:
+        """End the rest at the address of an incarnation that was not known before."""
+        rest = self._rests.get(upstream.addr)
+        if rest is not None and rest.upstream_key != upstream.key:
+            del self._rests[upstream.addr]
--- a/ramppost/gateway/send_limits.py
+++ b/ramppost/gateway/send_limits.py
@@ -1,5 +1,5 @@
-"""Whether an upstream may be sent a request now, by all limits that apply to it: while it warms up,
-and the rate that it names itself."""
+"""Whether an upstream may be sent a request now, by all that limits it: its warm-up, the rate that
+it names and the rest that it asks for."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
     return max(
         gw.warmups.wait_s(service, upstream, now),
         gw.rate_limits.wait_s(upstream, now),
+        gw.rests.wait_s(upstream, now),
     )
 
 
@@ -21,7 +22,7 @@
     gw: Gateway, service: Service, upstreams: list[Upstream], now: float
 ) -> list[Upstream]:
     """Upstreams that may be sent a request now; the same list object if that is all of them."""
-    if not gw.warmups.any_limited(service, now) and not gw.rate_limits:
+    if not (gw.warmups.any_limited(service, now) or gw.rate_limits or gw.rests):
         return upstreams
     free = [upstream for upstream in upstreams if wait_s(gw, service, upstream, now) <= 0]
     return upstreams if len(free) == len(upstreams) else free
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -24,7 +24,7 @@
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, NotSent
 from ramppost.gateway.model import CallerRequest
-from ramppost.gateway.pick import pick, query_backlogs, select_service, send_wait_s
+from ramppost.gateway.pick import any_send_wait_s, pick, query_backlogs, select_service, send_wait_s
 from ramppost.gateway.rollout_duty import evaluate_answer
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers, refusal_headers
@@ -148,9 +148,7 @@
             job.failed_versions.add(result.chosen.upstream.version)
             last_refusal = refusal("upstream_failed", f"upstream answered {result.head.status}")
         elif isinstance(result, Refused):
-            last_refusal = refusal(
-                "overloaded", "upstreams have no room", result.retry_after_s or OVERLOAD_RETRY_S
-            )
+            last_refusal = _overload_refusal(gw, job, service)
         elif isinstance(result, NotSent):
             connect_failures += 1
             if result.withheld:
@@ -168,6 +166,16 @@
                 return last_refusal
 
 
+def _overload_refusal(gw: Gateway, job: Job, service: str) -> Refusal:
+    """The refusal of a request that upstreams have refused.
+
+    Callers are told to retry as soon as any upstream may be asked again.
+    """
+    wait_s = any_send_wait_s(gw, job, service, clock.now())
+    retry_s = wait_s if 0 < wait_s < float("inf") else OVERLOAD_RETRY_S
+    return refusal("overloaded", "upstreams have no room", retry_s)
+
+
 def _latest_send_at(job: Job, reply: Reply, now: float) -> float:
     """Until when a request may wait for an upstream that may be sent one more.
 
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -241,6 +241,8 @@
     """Drop the state kept for upstreams that have left or restarted."""
     for removed in gw.members.take_ended_incarnations():
         gw.forget_upstream(removed.key)
+    for started in gw.members.take_new_incarnations():
+        gw.rests.record_start(started)
 
 
 def apply_upstream_change(gw: Gateway, change: Change) -> None:
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -5,14 +5,28 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
+from bench.choosing import job_of
+from ramppost import clock
+from ramppost.gateway.attempt import _compose_request
+from ramppost.gateway.links import NotSent
+from ramppost.gateway.pick import candidates, pick, send_wait_s
+from ramppost.gateway.state import Gateway
+from ramppost.gateway.watchers import apply_upstream_change
+from ramppost.platform.headers import Headers, answer_head
+from ramppost.platform.store import Change
 from tests.harness.gateways import SAFE, STREAM, Deployment
 from tests.harness.upstream_rules import during_rest
-from tests.test_rate_limit import call_all
+from tests.test_leaving import OTHER
+from tests.test_rate_limit import ENGINE, call_all
+from tests.test_warmup import entry, gateway, ids_of
+
+REST: Headers = ((b"retry-after", b"3"),)
 
 
 @pytest.fixture
@@ -48,3 +62,61 @@
     for name in upstreams:
         site.notices(name)
     site.until(lambda: site.call(site.gateways[0], prefix).status == 200, 3.0)
+
+
+@pytest.fixture
+def gw(monkeypatch: pytest.MonkeyPatch) -> Gateway:
+    monkeypatch.setattr(clock, "now", lambda: 1000.0)
+    found = gateway("g-0", 1, 0.0)
+    for upstream in (ENGINE, OTHER):
+        found.members.put(upstream)
+    return found
+
+
+def free_ids(gw: Gateway, at: float) -> list[str]:
+    """Ids of the engines that may be sent a request at a time."""
+    return ids_of(candidates(gw, job_of(gw, random.Random(1)), "lm", at))
+
+
+def test_resting_upstream_was_chosen_before_its_time(gw: Gateway) -> None:
+    gw.connections.observe_head(ENGINE, answer_head(503, REST), 1000.0)
+    assert free_ids(gw, 1002.9) == [OTHER.id]
+    assert free_ids(gw, 1003.0) == [ENGINE.id, OTHER.id]
+
+
+def test_later_answer_shortened_a_rest(gw: Gateway) -> None:
+    gw.connections.observe_head(ENGINE, answer_head(503, REST), 1000.0)
+    gw.connections.observe_head(ENGINE, answer_head(503, ((b"retry-after", b"1"),)), 1000.0)
+    gw.connections.observe_head(ENGINE, answer_head(200, ()), 1000.0)
+    assert free_ids(gw, 1002.9) == [OTHER.id]
+
+
+def test_resting_upstream_was_used_again_as_its_entry_returned(gw: Gateway) -> None:
+    gw.connections.observe_head(ENGINE, answer_head(503, REST), 1000.0)
+    gw.members.drop(ENGINE.id)
+    gw.members.put(ENGINE)
+    gw.forget_upstream(ENGINE.key)
+    assert free_ids(gw, 1002.9) == [OTHER.id]
+
+
+def test_rest_of_an_upstream_was_taken_for_that_of_the_next_at_its_address(gw: Gateway) -> None:
+    gw.connections.observe_head(ENGINE, answer_head(503, REST), 1000.0)
+    apply_upstream_change(gw, Change(entry(3, 0.0, ENGINE.addr), removed=False))
+    assert "i-3" in free_ids(gw, 1000.1)
+
+
+def test_rest_is_checked_again_before_sending(gw: Gateway) -> None:
+    job = job_of(gw, random.Random(1))
+    job.tried_upstreams = {OTHER.key}
+    chosen = pick(gw, job, "lm", "small", 1000.0)
+    assert chosen is not None
+    gw.connections.observe_head(ENGINE, answer_head(503, REST), 1000.0)
+    got = _compose_request(gw, job, chosen, "small", None)
+    assert isinstance(got, NotSent) and got.withheld
+
+
+def test_wait_when_all_upstreams_rest_is_until_the_first_returns(gw: Gateway) -> None:
+    gw.connections.observe_head(ENGINE, answer_head(503, REST), 1000.0)
+    gw.connections.observe_head(OTHER, answer_head(503, ((b"retry-after", b"1.5"),)), 1000.0)
+    job = job_of(gw, random.Random(1))
+    assert send_wait_s(gw, job, "lm", 1000.5) == pytest.approx(1.0)
