Soak: upstreams ask for rest and leave by their answers alone

One more schedule of its own random numbers lets one or all upstreams of a service turn gateways away and ask for rest, or say in their answers that they are leaving, with no word in their entries, and replaces them later. Every seed is checked with the users' rules on both. What an upstream tells can be changed one at a time, so that limits and rests overlap. Regression seeds name the schedules that they failed with and play as before.

--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -59,11 +59,11 @@
 class Notices(TypedDict):
     """What it tells of itself in all its answers, however it behaves: the requests per second that
     it accepts from all gateways together, that it is leaving, or the seconds of rest that it asks
-    of each gateway that it turns away, which it does with every request."""
+    of each gateway that it turns away, which it does with every request; None ends one of them."""
 
-    limit_per_s: NotRequired[float]
-    leaving: NotRequired[bool]
-    rest_s: NotRequired[float]
+    limit_per_s: NotRequired[float | None]
+    leaving: NotRequired[bool | None]
+    rest_s: NotRequired[float | None]
 
 
 class Arrival(TypedDict):
@@ -173,7 +173,7 @@
         at=time.time(),
         answered_at=0.0,
         limited="limit_per_s" in up.notices,
-        limit_per_s=up.notices.get("limit_per_s", 0.0),
+        limit_per_s=up.notices.get("limit_per_s") or 0.0,
         told_limit=False,
         told_leaving=False,
         told_rest_s=0.0,
@@ -187,15 +187,16 @@
             (names.ATTEMPT_ID.decode(), attempt_id),
             (names.LOAD.decode(), f"{up.running},0,{up.cfg['slots']}"),
         ]
-        if "limit_per_s" in up.notices:
+        limit_per_s, rest_s = up.notices.get("limit_per_s"), up.notices.get("rest_s")
+        if limit_per_s is not None:
             arrival["told_limit"] = True
-            found.append((names.RATE_LIMIT.decode(), str(up.notices["limit_per_s"])))
+            found.append((names.RATE_LIMIT.decode(), str(limit_per_s)))
         if up.notices.get("leaving"):
             arrival["told_leaving"] = True
             found.append((names.LEAVING.decode(), "1"))
-        if "rest_s" in up.notices:
-            arrival["told_rest_s"] = up.notices["rest_s"]
-            found.append(("Retry-After", str(up.notices["rest_s"])))
+        if rest_s is not None:
+            arrival["told_rest_s"] = rest_s
+            found.append(("Retry-After", str(rest_s)))
         return tuple(found)
 
     return headers_now
@@ -288,6 +289,16 @@
     await reply.end()
 
 
+def _without_ended(told: Notices, change: Notices) -> Notices:
+    """What it tells after a change."""
+    found = Notices(**{**told, **change})
+    if found.get("limit_per_s") is None:
+        found.pop("limit_per_s", None)
+    if found.get("rest_s") is None:
+        found.pop("rest_s", None)
+    return found
+
+
 async def _inspect(up: _Upstream, req: Request, reply: Reply) -> None:
     """Calls of tests and trials."""
     if req.path == "/_behave":
@@ -303,7 +314,7 @@
         if isinstance(notices, BadMessage):
             await reply.send(400, encode({"error": notices.reason}))
             return
-        up.notices = notices
+        up.notices = _without_ended(up.notices, notices)
     elif req.path == "/_leave":
         up.leaving = True
     await reply.send(200, encode(up.arrivals if req.path == "/_arrivals" else up.runs))
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -354,7 +354,7 @@
         self.http.post(f"{self.url(name)}/_behave", json=how).raise_for_status()
 
     def notices(self, name: str, **told: Any) -> None:
-        """What an upstream tells of itself in its answers from now on."""
+        """Change what an upstream tells of itself in its answers; None ends one of them."""
         self.http.post(f"{self.url(name)}/_notices", json=told).raise_for_status()
 
     def fault(self, name: str, **fault: Any) -> None:
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -6,12 +6,12 @@
 connection that it keeps until it breaks, while two schedules drawn from the seed, which
 overlap, stop, pause, kill and restart gateways and upstreams, disturb the store, its links and
 those between gateways, silence what is open on them, take a key away, let the configuration
-grow on thin links, let upstreams leave and bring a version in.  Two more schedules spoil entries
-and start upstreams under their ids, and let upstreams name limits in their answers.  After the
-storm a new route has to be in force everywhere in time, and a request that ends engines is not to
-be run for ever, though gateways are killed, paused and stopped as it comes again.  What upstreams
-ran, told and were sent, and what callers got, is compared at the end, and the gateways' log lines
-are audited.
+grow on thin links, let upstreams leave and bring a version in.  Further schedules spoil entries
+and start upstreams under their ids, and let upstreams name limits, ask for rest and leave by their
+answers alone.  After the storm a new route has to be in force everywhere in time, and a request
+that ends engines is not to be run for ever, though gateways are killed, paused and stopped as it
+comes again.  What upstreams ran, told and were sent, and what callers got, is compared at the end,
+and the gateways' log lines are audited.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -46,7 +46,7 @@
     route,
 )
 from tests.harness.proxy import Proxy
-from tests.harness.upstream_rules import Excuse, over_limit
+from tests.harness.upstream_rules import Excuse, after_leaving, during_rest, over_limit
 
 CALLERS = 9
 ENGINES = ("lm-1", "lm-2", "lm-3")
@@ -81,6 +81,9 @@
     {"addr": "127.0.0.1:x", "hall": "bole", "version": "v2", "part": "half", "sessions": 3},
 ]
 """Entries that other writers may leave."""
+FURTHER = ("entries", "notices", "rests")
+"""Schedules beside the first ones; regression seeds are played with those that they failed with."""
+RESTS_S = (0.6, 1.0, 2.0, 3.0)
 LIMITS_PER_S = (0.0, 0.5, 1.0, 2.0, 5.0, 20.0)
 ALL_OF_SERVICE = 0.3
 """How often all upstreams of a service tell the same of themselves."""
@@ -142,13 +145,11 @@
 class Soak:
     """A deployment under faults drawn from a seed."""
 
-    def __init__(self, folder: Path, seed: int, entries: bool = True, notices: bool = True) -> None:
+    def __init__(self, folder: Path, seed: int, further: Collection[str] = FURTHER) -> None:
         self.rngs = [random.Random(f"{seed}/{number}") for number in range(SCHEDULES)]
-        self.entries_rng = random.Random(f"{seed}/entries") if entries else None
-        """Of a further schedule, which spoils entries and starts upstreams under their ids; it
-        draws from its own, so that seeds of before play as they did."""
-        self.notices_rng = random.Random(f"{seed}/notices") if notices else None
-        """Of a further schedule, by which upstreams tell of themselves in their answers."""
+        self.further_rngs = {name: random.Random(f"{seed}/{name}") for name in further}
+        """Of further schedules; each draws from its own, so that seeds that were played without
+        them play as they did."""
         self.kept_arrivals: list[dict[str, Any]] = []
         self.excuses: list[Excuse] = []
         self.site = Deployment(folder, gateways=3, engines=len(ENGINES), services=len(SERVICES))
@@ -173,16 +174,14 @@
 
     def play(self, until: float) -> None:
         """Play all schedules until then; a failure of the harness itself is raised."""
-        threads = [
-            threading.Thread(target=self._schedule, args=(rng, until, self.step))
-            for rng in self.rngs
-        ]
-        if self.entries_rng is not None:
-            args = (self.entries_rng, until, self.step_of_entries)
-            threads.append(threading.Thread(target=self._schedule, args=args))
-        if self.notices_rng is not None:
-            args = (self.notices_rng, until, self.step_of_notices)
-            threads.append(threading.Thread(target=self._schedule, args=args))
+        further = {
+            "entries": self.step_of_entries,
+            "notices": self.step_of_limits,
+            "rests": self.step_of_rests,
+        }
+        schedules = [(rng, until, self.step) for rng in self.rngs]
+        schedules += [(rng, until, further[name]) for name, rng in self.further_rngs.items()]
+        threads = [threading.Thread(target=self._schedule, args=args) for args in schedules]
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -227,22 +226,47 @@
         self.done.append(fault.__name__)
         fault(rng)
 
-    def step_of_notices(self, rng: random.Random) -> None:
-        """One or all upstreams of a service tell something of themselves, whatever else happens to
-        them meanwhile."""
-        service = rng.choice((ENGINES, SERVICES))
-        names_there = service if rng.random() < ALL_OF_SERVICE else (rng.choice(service),)
+    def step_of_limits(self, rng: random.Random) -> None:
+        """One or all upstreams of a service name a limit, which changes once, and then none,
+        whatever else happens to them meanwhile."""
+        upstreams = self._some_of_service(rng)
         self.done.append("limit_rate")
-        self.limit_rate(rng, names_there)
-
-    def limit_rate(self, rng: random.Random, upstreams: tuple[str, ...]) -> None:
-        """Upstreams name a limit, which changes once, and then none any more."""
         for limit_per_s in (rng.choice(LIMITS_PER_S), rng.choice(LIMITS_PER_S)):
             for name in upstreams:
                 self._tell(name, limit_per_s=limit_per_s)
             time.sleep(rng.uniform(0.5, 5.0))
         for name in upstreams:
-            self._tell(name)
+            self._tell(name, limit_per_s=None)
+
+    def step_of_rests(self, rng: random.Random) -> None:
+        """One or all upstreams of a service ask for rest, or say in their answers alone that they
+        are leaving and are replaced some time later."""
+        fault = rng.choice((self.ask_for_rest, self.leave_by_answers))
+        self.done.append(fault.__name__)
+        fault(rng)
+
+    def ask_for_rest(self, rng: random.Random) -> None:
+        upstreams = self._some_of_service(rng)
+        rest_s = rng.choice(RESTS_S)
+        for name in upstreams:
+            self._tell(name, rest_s=rest_s)
+        time.sleep(rng.uniform(0.2, 4.0))
+        for name in upstreams:
+            self._tell(name, rest_s=None)
+
+    def leave_by_answers(self, rng: random.Random) -> None:
+        upstreams = self._some_of_service(rng)
+        for name in upstreams:
+            self._tell(name, leaving=True)
+        time.sleep(rng.uniform(0.5, 4.0))
+        for name in upstreams:
+            with self._locks[name]:
+                self._replace(name)
+
+    def _some_of_service(self, rng: random.Random) -> tuple[str, ...]:
+        """One or all upstreams of a service."""
+        service = rng.choice((ENGINES, SERVICES))
+        return service if rng.random() < ALL_OF_SERVICE else (rng.choice(service),)
 
     def _tell(self, name: str, **told: Any) -> None:
         """Let an upstream tell something; one that is being replaced tells nothing."""
@@ -487,6 +511,8 @@
         """What upstreams told of themselves that gateways did not keep to."""
         arrivals = self.kept_arrivals + self.site.arrivals(*ENGINES, *SERVICES)
         found = over_limit(arrivals, self.excuses)
+        found += during_rest(arrivals, self.excuses)
+        found += after_leaving(arrivals, LEAVE_S, self.excuses)
         if found:
             (self.site.folder / "arrivals.json").write_text(json.dumps(arrivals))
         return found
@@ -531,17 +557,17 @@
 
 
 def soak(
-    folder: Path, seed: int, duration_s: float, entries: bool = True, notices: bool = True
+    folder: Path, seed: int, duration_s: float, further: Collection[str] = FURTHER
 ) -> list[str]:
     """Play a seed; gives the promises that were broken."""
-    played = Soak(folder, seed, entries, notices)
+    played = Soak(folder, seed, further)
     try:
         callers = Callers(played.site)
         played.play(clock.now() + duration_s)
         recovered = played.recovers()
         late = played.late_for_configuration()
         played.leave_in_calm()
-        fatal = played.run_fatal_requests() if entries else []
+        fatal = played.run_fatal_requests() if "entries" in further else []
         callers.end()
         found = late + fatal + played.faults_of(callers.asked) + played.late_for_leaving()
         found += played.owed_to_upstreams()
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -60,7 +60,7 @@
     assert {given.status for given in got} == {503}
     assert all(0 < float(given.headers["retry-after"]) < 3.0 for given in got)
     for name in upstreams:
-        site.notices(name)
+        site.notices(name, rest_s=None)
     site.until(lambda: site.call(site.gateways[0], prefix).status == 200, 3.0)
 
 
