--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -160,6 +160,26 @@
         assert len(settled) <= 1.5 * 4 * limit_per_s + 5
 
 
+@pytest.mark.parametrize(("size", "added"), [(4, 4), (6, 1), (6, 6), (68, 4)])
+@pytest.mark.parametrize("limit_per_s", LIMITS_PER_S)
+def test_limited_upstream_got_more_while_gateways_were_added(
+    size: int, added: int, limit_per_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The new ones know all at once; each of the others learns of them at another time."""
+    old, new = fleet_of(size), fleet_of(size + added)[size:]
+    wire = Wire(old + new, monkeypatch)
+    wire.limit_per_s = limit_per_s
+    wire.fleet = old
+    wire.offer(60.0, 10.0)
+    wire.fleet = old + new
+    for gw in wire.rng.sample(old, len(old)):
+        wire.offer(60.0, 3.0 / size)
+        for number in range(size, size + added):
+            gw.peers.put(f"g-{number}", f"10.0.1.1:{number + 1}", "bole")
+    wire.offer(60.0, 8.0)
+    assert over_limit(wire.arrivals) == []
+
+
 @pytest.mark.parametrize("size", SIZES)
 @pytest.mark.parametrize("lost", [0.0, 0.1])
 def test_upstream_was_not_used_again_after_its_limit_had_ended(
