Don't call an applied plan stale because the history can't be read

An operator who repeats a confirmation after later changes was told that the plan is stale, though it had been applied, where the platform did not answer the read of the history.

--- a/ramppost/entry/changes.py
+++ b/ramppost/entry/changes.py
@@ -61,6 +61,9 @@
             reason = current.reason
             continue
         earlier = await _earlier_outcome(entry, current.value, base, plan_id)
+        if isinstance(earlier, Unavailable):
+            reason = earlier.reason
+            continue
         if earlier is not None:
             return earlier
         written_history = await _write_history(entry, current.value)
@@ -78,18 +81,22 @@
 
 async def _earlier_outcome(
     entry: Entry, current: ConfigDoc, base: int, plan_id: str
-) -> Applied | Stale | None:
-    """Outcome if the plan was already applied or is stale; None if it can be written."""
+) -> Applied | Stale | Unavailable | None:
+    """Outcome if the plan was already applied or is stale; None if it can be written.
+
+    Unavailable if the history can't be read, as it may name the plan.
+    """
     if current["plan_id"] == plan_id:
         entry.conf.adopt(current, "platform")
         return Applied(current["revision"])
     if current["revision"] == base:
         return None
     former = await read_history(entry)
-    if not isinstance(former, Unavailable):
-        for line in former:
-            if line["plan_id"] == plan_id:
-                return Applied(line["revision"])
+    if isinstance(former, Unavailable):
+        return former
+    for line in former:
+        if line["plan_id"] == plan_id:
+            return Applied(line["revision"])
     entry.conf.adopt(current, "platform")
     return Stale(current)
 
