--- a/ramppost/audit/checks.py
+++ b/ramppost/audit/checks.py
@@ -21,6 +21,7 @@
     RequestEnded,
 )
 from ramppost.audit.findings import Check, Finding, Findings
+from ramppost.bounded import drop_oldest
 
 MAX_ENDED_REQUESTS: Final = 200_000
 """Ended requests that are remembered, to detect a second end: some minutes of hundreds of
@@ -88,8 +89,7 @@
             yield Finding(name, "broken", *origin, f"already ended at {ended[event.request]}")
             return
         ended[event.request] = event.program
-        if len(ended) > MAX_ENDED_REQUESTS:
-            del ended[next(iter(ended))]
+        drop_oldest(ended, MAX_ENDED_REQUESTS)
         if event.attempts is not None and event.attempts > len(outcomes):
             what = f"{len(outcomes)} of {event.attempts} attempts are in the logs"
             yield Finding(name, "undecided", *origin, what)
--- a/ramppost/entry/copies.py
+++ b/ramppost/entry/copies.py
@@ -15,6 +15,7 @@
 import curio
 
 from ramppost import clock, ids
+from ramppost.bounded import drop_oldest
 from ramppost.entry.unresponsive import UnresponsiveEntries
 from ramppost.entry.upstreams import Upstreams
 from ramppost.ledger import LedgerWriter
@@ -47,8 +48,7 @@
     def add(self, line: BillLine) -> None:
         """Queue a line of this entry for copying; above `MAX_UNSENT`, the oldest is not copied."""
         self.unsent[line["attempt"]] = line
-        if len(self.unsent) > MAX_UNSENT:
-            del self.unsent[next(iter(self.unsent))]
+        drop_oldest(self.unsent, MAX_UNSENT)
 
     def add_received(self, msg: CopiesMsg) -> None:
         """Store the copies of another entry's lines."""
--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -20,6 +20,7 @@
 from loguru import logger
 
 from ramppost import clock
+from ramppost.bounded import drop_oldest
 from ramppost.gateway.datagrams import Address, Datagrams
 from ramppost.gateway.early import parse_address
 from ramppost.gateway.metrics import Metrics
@@ -278,6 +279,5 @@
 
     def _backlog(self, engine: str) -> Backlog:
         backlog = self._backlogs.setdefault(engine, Backlog())
-        while len(self._backlogs) > MAX_ENGINES:
-            del self._backlogs[next(iter(self._backlogs))]
+        drop_oldest(self._backlogs, MAX_ENGINES)
         return backlog
--- a/ramppost/gateway/endings.py
+++ b/ramppost/gateway/endings.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from ramppost import clock
+from ramppost.bounded import drop_oldest
 from ramppost.gateway.links import ConnectionPool
 from ramppost.gateway.model import Upstream
 from ramppost.wire.client import CallFailed, connect
@@ -78,8 +79,7 @@
     def _remember(self, upstream_key: str, probe: _Probe) -> _Probe:
         self._probes.pop(upstream_key, None)
         self._probes[upstream_key] = probe
-        while len(self._probes) > MAX_RESULTS:
-            del self._probes[next(iter(self._probes))]
+        drop_oldest(self._probes, MAX_RESULTS)
         return probe
 
     async def _connect(self, upstream: Upstream) -> ProbeResult:
--- a/ramppost/gateway/limit_news.py
+++ b/ramppost/gateway/limit_news.py
@@ -14,6 +14,7 @@
 import curio
 
 from ramppost import clock
+from ramppost.bounded import drop_oldest
 from ramppost.gateway.datagrams import Address, Datagrams
 from ramppost.gateway.early import parse_address
 from ramppost.gateway.rate_limits import MAX_ADDRESSES, RateLimits
@@ -21,6 +22,7 @@
 from ramppost.policy.relays import Peers
 from ramppost.schema.messages import LimitAsk, LimitNote, PeerDatagram
 
+ANNOUNCE_INTERVAL_S: Final = 1.0
 ASK_INTERVAL_S: Final = 1.0
 ASK_AFTER_S: Final = 1.0
 """A limit is asked about when its upstream has told this gateway nothing for so long."""
@@ -39,19 +41,19 @@
         self._announced_at: dict[str, float] = {}
         limits.on_change = self.announce
 
-    def announce(self, upstream: str) -> None:
+    def announce(self, upstream_addr: str) -> None:
         """Tell all other gateways what an upstream has just told this one.
 
         An upstream whose limit comes and goes is not announced each time: those that were not told
         ask.
         """
         now = clock.now()
-        note = self._note(upstream, now)
-        if note is None or now < self._announced_at.get(upstream, float("-inf")) + ASK_INTERVAL_S:
+        note = self._note(upstream_addr, now)
+        last = self._announced_at.get(upstream_addr, float("-inf"))
+        if note is None or now < last + ANNOUNCE_INTERVAL_S:
             return
-        self._announced_at[upstream] = now
-        while len(self._announced_at) > MAX_ADDRESSES:
-            del self._announced_at[next(iter(self._announced_at))]
+        self._announced_at[upstream_addr] = now
+        drop_oldest(self._announced_at, MAX_ADDRESSES)
         for addr in self._peers.addrs.values():
             self._datagrams.send(parse_address(addr), PeerDatagram(limit=note))
 
@@ -75,29 +77,29 @@
             asked_at = now - note["asked_ms"] / 1000
             self._limits.record_news(note["upstream"], note.get("per_s"), asked_at, now)
         if "limit_ask" in msg:
-            for upstream in msg["limit_ask"]["upstreams"][:MAX_ASKED]:
-                answer = self._note(upstream, now)
+            for upstream_addr in msg["limit_ask"]["upstreams"][:MAX_ASKED]:
+                answer = self._note(upstream_addr, now)
                 if answer is not None:
                     self._datagrams.send(addr, PeerDatagram(limit=answer))
 
-    def _note(self, upstream: str, now: float) -> LimitNote | None:
+    def _note(self, upstream_addr: str, now: float) -> LimitNote | None:
         """What is known of an upstream's limit; None if it has told nothing."""
-        known = self._limits.last_told(upstream)
+        known = self._limits.last_told(upstream_addr)
         if known is None:
             return None
-        note = LimitNote(upstream=upstream, asked_ms=max(0.0, (now - known.asked_at) * 1000))
+        note = LimitNote(upstream=upstream_addr, asked_ms=max(0.0, (now - known.asked_at) * 1000))
         if known.per_s is not None:
             note["per_s"] = known.per_s
         return note
 
     def _questions(self, now: float) -> dict[str, list[str]]:
-        """Which upstreams to ask which gateway about."""
+        """The addresses of upstreams to ask about, by the name of the gateway to ask."""
         unheard = self._limits.not_heard_of_since(now - ASK_AFTER_S)
         questions: dict[str, list[str]] = {}
-        for upstream, per_s in self._rng.sample(unheard, min(MAX_ASKED, len(unheard))):
+        for upstream_addr, per_s in self._rng.sample(unheard, min(MAX_ASKED, len(unheard))):
             gateways = [self._peers.own, *self._peers.addrs]
-            others = set(holders(upstream, gateways, per_s)) - {self._peers.own}
+            others = set(holders(upstream_addr, gateways, per_s)) - {self._peers.own}
             if others:
                 peer = self._rng.choice(sorted(others))
-                questions.setdefault(peer, []).append(upstream)
+                questions.setdefault(peer, []).append(upstream_addr)
         return questions
--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -24,6 +24,7 @@
 
 from loguru import logger
 
+from ramppost.bounded import drop_oldest
 from ramppost.gateway.model import Upstream
 
 EXPIRY_GRACE_S: Final = 1.6
@@ -113,8 +114,7 @@
         if upstream.key in self._leaving:
             return
         self._leaving[upstream.key] = last_use_at
-        while len(self._leaving) > MAX_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
+        drop_oldest(self._leaving, MAX_LEAVING)
         self._usable_cache.clear()
         logger.info("upstream says that it is leaving", upstream=upstream.id)
 
--- a/ramppost/gateway/rate_limits.py
+++ b/ramppost/gateway/rate_limits.py
@@ -12,10 +12,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
 from loguru import logger
 
+from ramppost.bounded import drop_oldest
 from ramppost.gateway.model import Upstream
 from ramppost.policy.rate_limit import NO_SHARE, RateBucket, RateShare, share_of_rate
 from ramppost.policy.relays import Peers
@@ -136,7 +137,7 @@
         limit = self._limits.get(addr)
         if limit is None:
             limit = self._limits[addr] = _RateLimit(per_s, asked_at, now)
-            _drop_oldest(self._limits)
+            drop_oldest(self._limits, MAX_ADDRESSES)
             changed = True
         else:
             changed = asked_at >= limit.asked_at and per_s != limit.per_s
@@ -160,7 +161,7 @@
     def _record_unlimited(self, addr: str, sent_at: float) -> None:
         latest = max(sent_at, self._unlimited_asked_at.pop(addr, float("-inf")))
         self._unlimited_asked_at[addr] = latest
-        _drop_oldest(self._unlimited_asked_at)
+        drop_oldest(self._unlimited_asked_at, MAX_ADDRESSES)
 
     def _update_share(self, addr: str, limit: _RateLimit, now: float) -> None:
         if limit.shared_by == self._peers.changes and self._peers.fleet_size:
@@ -173,8 +174,3 @@
             return NO_SHARE
         gateways = [self._peers.own, *self._peers.addrs]
         return share_of_rate(self._peers.own, addr, gateways, per_s)
-
-
-def _drop_oldest(by_addr: dict[str, Any]) -> None:
-    while len(by_addr) > MAX_ADDRESSES:
-        del by_addr[next(iter(by_addr))]
--- a/ramppost/gateway/rests.py
+++ b/ramppost/gateway/rests.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from ramppost.bounded import drop_oldest
 from ramppost.gateway.model import Upstream
 
 MAX_RESTS: Final = 4096
@@ -51,8 +52,7 @@
         until = now + max(rest_s, self.wait_s(upstream, now))
         self._rests.pop(upstream.addr, None)
         self._rests[upstream.addr] = _Rest(upstream.key, until)
-        while len(self._rests) > MAX_RESTS:
-            del self._rests[next(iter(self._rests))]
+        drop_oldest(self._rests, MAX_RESTS)
 
     def record_start(self, upstream: Upstream) -> None:
         """End the rest at the address of an incarnation that was not known before."""
--- a/ramppost/gateway/unreadable.py
+++ b/ramppost/gateway/unreadable.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from ramppost.bounded import drop_oldest
 from ramppost.platform.store import StoredObject
 from ramppost.wire.codec import BadMessage, decode, encode
 
@@ -41,8 +42,7 @@
             return
         self._logged.pop(key, None)
         self._logged[key] = obj.revision
-        while len(self._logged) > MAX_LOGGED_ENTRIES:
-            del self._logged[next(iter(self._logged))]
+        drop_oldest(self._logged, MAX_LOGGED_ENTRIES)
         logger.warning(
             "invalid store entry: {}", reason, kind=kind, name=obj.name, revision=obj.revision
         )
--- a/ramppost/policy/backlog.py
+++ b/ramppost/policy/backlog.py
@@ -18,6 +18,8 @@
 
 from typing import Final, NamedTuple
 
+from ramppost.bounded import drop_oldest
+
 OVERDUE_SHARE: Final = 0.2
 """Share of the predicted prefill time that an overdue prompt is assumed to need still: inaccurate
 predictions are off by a fifth."""
@@ -64,8 +66,7 @@
         if not self._pending:
             self._head_started_at = prompt.sent_at
         self._pending[key] = prompt
-        if len(self._pending) > MAX_PENDING:
-            del self._pending[next(iter(self._pending))]
+        drop_oldest(self._pending, MAX_PENDING)
 
     def record_first_token(self, key: str, now: float) -> None:
         """Record a prompt's first token: its parts are now cached, and the next prefill starts."""
@@ -76,8 +77,7 @@
         for name in prompt.parts:
             self._cached_at.pop((prompt.model, name), None)
             self._cached_at[prompt.model, name] = now
-        while len(self._cached_at) > MAX_PARTS:
-            del self._cached_at[next(iter(self._cached_at))]
+        drop_oldest(self._cached_at, MAX_PARTS)
 
     def remove(self, key: str, now: float) -> None:
         """Remove a prompt that was not sent, that failed, or whose caller disconnected."""
--- a/ramppost/policy/ramp.py
+++ b/ramppost/policy/ramp.py
@@ -15,6 +15,7 @@
 
 from typing import Final, NamedTuple
 
+from ramppost.bounded import drop_oldest
 from ramppost.policy.routing import hash_fraction
 
 
@@ -76,8 +77,7 @@
             return
         self._pins.pop((service, session), None)
         self._pins[service, session] = SessionPin(version, now)
-        if len(self._pins) > MAX_PINS:
-            del self._pins[next(iter(self._pins))]
+        drop_oldest(self._pins, MAX_PINS)
 
     def pinned_version(self, service: str, session: str, now: float) -> str:
         """The version that a session in progress ran on; empty if the session is not known."""
--- a/tests/test_choice_size.py
+++ b/tests/test_choice_size.py
@@ -92,8 +92,7 @@
     """Bounding the candidates leaves no engine idle when the list is long."""
     gw = fleet(150, 20)
     local_engines = [up for up in gw.members.usable("lm", clock.now()) if up.hall == gw.cfg["hall"]]
-    # The engines for long prompts get about 5 of 2,000 requests each, so that one of them got none
-    # in 8 of 120 plays.
+    # The engines for long prompts get few requests each while nothing waits.
     assert chosen_upstreams(gw, 6000) == {up.id for up in local_engines}
     for up in local_engines:
         gw.backlogs.record_sent(up, "k", PendingPrompt(clock.now(), 9.0, 0, MODEL, ()))
