Ask an upstream that accepts hardly any requests again sooner

All together asked 0.2 times a second, a fifteenth each, and all began to count at the same moment, as they were told together. They ask 0.5 times a second now, each from a random moment on; 4 s hold three such requests at most, where 5 are allowed at a limit of 0.

--- a/ramppost/gateway/rate_limits.py
+++ b/ramppost/gateway/rate_limits.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -44,11 +45,11 @@
     response that named a limit arrived.
     """
 
-    def __init__(self, per_s: float, asked_at: float, now: float) -> None:
+    def __init__(self, per_s: float, asked_at: float, now: float, start: float) -> None:
         self.per_s = per_s
         self.asked_at = asked_at
         self.named_at = now
-        self.bucket = RateBucket(now)
+        self.bucket = RateBucket(now, start)
         self.shared_by = -1
         """Version of the gateway list by which the share was computed; -1 if it is to be computed
         anew."""
@@ -63,6 +64,7 @@
 
     def __init__(self, peers: Peers) -> None:
         self._peers = peers
+        self._rng = random.Random()
         self._limits: dict[str, _RateLimit] = {}
         self._unlimited_asked_at: dict[str, float] = {}
         """When the latest request was sent whose response named no limit."""
@@ -136,7 +138,7 @@
         """Put a limit in force that an upstream has named; returns whether that changes it."""
         limit = self._limits.get(addr)
         if limit is None:
-            limit = self._limits[addr] = _RateLimit(per_s, asked_at, now)
+            limit = self._limits[addr] = _RateLimit(per_s, asked_at, now, self._rng.random())
             drop_oldest(self._limits, MAX_ADDRESSES)
             changed = True
         else:
--- a/ramppost/policy/rate_limit.py
+++ b/ramppost/policy/rate_limit.py
@@ -15,7 +15,7 @@
 
 from ramppost.policy.routing import hash_fraction
 
-MIN_RATE_PER_S: Final = 0.2
+MIN_RATE_PER_S: Final = 0.5
 """Rate at which all gateways together still ask an upstream that accepts fewer or none, because
 only its responses tell when the limit ends."""
 BASE_BURSTS: Final = 3
@@ -74,12 +74,15 @@
 class RateBucket:
     """Token bucket of the requests to an upstream (seconds on any steady clock).
 
-    It starts empty: a gateway that gains a share does not know what its last holder has sent.
+    It starts without a whole request: a gateway that gains a share does not know what its last
+    holder has sent.  `start`, in [0, 1), is the part of a request that it starts with.  Drawn at
+    random, it spreads the first requests of the gateways that were told of a limit together, so
+    that one of them soon learns of its end.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, start: float = 0.0) -> None:
         self._share = NO_SHARE
-        self._tokens = 0.0
+        self._tokens = start
         self._refilled_at = now
 
     def set_share(self, share: RateShare, now: float) -> None:
@@ -109,6 +112,7 @@
         self._tokens = max(0.0, self._tokens - 1.0)
 
     def _refill(self, now: float) -> None:
-        gained = max(0.0, now - self._refilled_at) * self._share.per_s
-        self._tokens = min(float(self._share.burst), self._tokens + gained)
+        if self._share.burst > 0:
+            gained = max(0.0, now - self._refilled_at) * self._share.per_s
+            self._tokens = min(float(self._share.burst), self._tokens + gained)
         self._refilled_at = now
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -20,6 +20,8 @@
     # Requests to an earlier upstream at an address went past the limit of the one that had it now.
     (3904, 12.0, ("entries", "notices")),
     (3908, 12.0, ("entries", "notices")),
+    # Upstreams that accepted no requests were asked again 15 s after their limit had ended.
+    (5016, 12.0, ("entries", "notices", "rests")),
 )
 """Seeds that have failed, each with its cause, the duration of each run in seconds, and the further
 schedules that it was played with."""
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -195,6 +195,21 @@
     assert wire.offer_all() == size
 
 
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("limit_per_s", [0.0, 0.2, 0.5])
+def test_upstream_that_accepted_hardly_any_was_used_again_late(
+    size: int, limit_per_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    wire = Wire(fleet_of(size), monkeypatch, lost=0.0)
+    wire.limit_per_s = limit_per_s
+    wire.offer_all()
+    wire.limit_per_s = None
+    for _ in range(8):
+        wire.offer(4.0 * size, 1.0)
+        wire.ask()
+    assert wire.offer_all() == size
+
+
 def test_gateways_that_were_told_nothing_kept_no_limit(monkeypatch: pytest.MonkeyPatch) -> None:
     wire = Wire(fleet_of(68), monkeypatch, lost=0.0)
     wire.limit_per_s = 1.0
