Tell callers again the time that a refusing upstream gives for their request

Found by reading the whole change. A time that is a rest (503) still holds for the upstream and not for the caller; any other is passed on as it was. The new test's case of 429 failed before (0.4 for 7.0).

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -37,7 +37,9 @@
 class Refused(NamedTuple):
     """The upstream reported that it did not run the request.
 
-    `wrong_upstream` is true if it is not the upstream or version that its entry names.
+    `retry_after_s` is when it says that this request may be tried again; 0 if it says nothing of
+    it, or asks for rest.  `wrong_upstream` is true if it is not the upstream or version that its
+    entry names.
     """
 
     status: int
@@ -140,7 +142,8 @@
             job.may_have_run = ran_before
             await exchange.abort()
             handled = True
-            return Refused(head.status, head.retry_after_s or 0.0, head.wrong_upstream)
+            retry_after_s = 0.0 if head.rest_s else head.retry_after_s or 0.0
+            return Refused(head.status, retry_after_s, head.wrong_upstream)
         handled = True
         return Running(chosen, model, exchange, head, work, sent_at, now - sent_at)
     finally:
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -148,7 +148,7 @@
             job.failed_versions.add(result.chosen.upstream.version)
             last_refusal = refusal("upstream_failed", f"upstream answered {result.head.status}")
         elif isinstance(result, Refused):
-            last_refusal = _overload_refusal(gw, job, service)
+            last_refusal = _overload_refusal(gw, job, service, result)
         elif isinstance(result, NotSent):
             connect_failures += 1
             if result.withheld:
@@ -166,13 +166,16 @@
                 return last_refusal
 
 
-def _overload_refusal(gw: Gateway, job: Job, service: str) -> Refusal:
+def _overload_refusal(gw: Gateway, job: Job, service: str, refused: Refused) -> Refusal:
     """The refusal of a request that upstreams have refused.
 
-    Callers are told to retry as soon as any upstream may be asked again.
+    Callers are told to retry as soon as any upstream may be asked again, or when the last one has
+    said for this request.
     """
     wait_s = any_send_wait_s(gw, job, service, clock.now())
-    retry_s = wait_s if 0 < wait_s < float("inf") else OVERLOAD_RETRY_S
+    retry_s = refused.retry_after_s or OVERLOAD_RETRY_S
+    if 0 < wait_s < float("inf"):
+        retry_s = wait_s
     return refusal("overloaded", "upstreams have no room", retry_s)
 
 
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -13,9 +13,11 @@
 
 from bench.choosing import job_of
 from ramppost import clock
-from ramppost.gateway.attempt import _compose_request
+from ramppost.gateway.attempt import Refused, _compose_request
 from ramppost.gateway.links import NotSent
+from ramppost.gateway.model import Upstream
 from ramppost.gateway.pick import candidates, pick, send_wait_s
+from ramppost.gateway.serve import OVERLOAD_RETRY_S, _overload_refusal
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import apply_upstream_change
 from ramppost.platform.headers import Headers, answer_head
@@ -84,6 +86,25 @@
     assert free_ids(gw, 1003.0) == [ENGINE.id, OTHER.id]
 
 
+@pytest.mark.parametrize(
+    ("refused", "resting", "retry_s"),
+    [
+        (Refused(429, 7.0), (), 7.0),
+        (Refused(429, 0.0), (), OVERLOAD_RETRY_S),
+        (Refused(503, 0.0), (), OVERLOAD_RETRY_S),
+        (Refused(503, 0.0), (ENGINE,), OVERLOAD_RETRY_S),
+        (Refused(503, 0.0), (ENGINE, OTHER), 3.0),
+    ],
+)
+def test_caller_was_not_told_the_time_that_an_upstream_gave_for_its_request(
+    gw: Gateway, refused: Refused, resting: tuple[Upstream, ...], retry_s: float
+) -> None:
+    for upstream in resting:
+        gw.connections.observe_head(upstream, answer_head(503, REST), 1000.0)
+    found = _overload_refusal(gw, job_of(gw, random.Random(1)), "lm", refused)
+    assert found.retry_after_s == pytest.approx(retry_s)
+
+
 def test_later_answer_shortened_a_rest(gw: Gateway) -> None:
     gw.connections.observe_head(ENGINE, answer_head(503, REST), 1000.0)
     gw.connections.observe_head(ENGINE, answer_head(503, ((b"retry-after", b"1"),)), 1000.0)
