Divide limits among gateways in one place

The share of a rate limit repeated how warm-up limits are divided: an even part, and the remainder by rendezvous hashing. Both use part_of of ramppost/policy/shares.py now, each with its own key; the names of all gateways are one property of Peers, and built once for the questions about limits instead of once for each upstream.

--- a/ramppost/gateway/limit_news.py
+++ b/ramppost/gateway/limit_news.py
@@ -95,9 +95,9 @@
     def _questions(self, now: float) -> dict[str, list[str]]:
         """The addresses of upstreams to ask about, by the name of the gateway to ask."""
         unheard = self._limits.not_heard_of_since(now - ASK_AFTER_S)
+        gateways = self._peers.names
         questions: dict[str, list[str]] = {}
         for upstream_addr, per_s in self._rng.sample(unheard, min(MAX_ASKED, len(unheard))):
-            gateways = [self._peers.own, *self._peers.addrs]
             others = set(holders(upstream_addr, gateways, per_s)) - {self._peers.own}
             if others:
                 peer = self._rng.choice(sorted(others))
--- a/ramppost/gateway/rate_limits.py
+++ b/ramppost/gateway/rate_limits.py
@@ -174,5 +174,4 @@
     def _share(self, addr: str, per_s: float) -> RateShare:
         if not self._peers.fleet_size:
             return NO_SHARE
-        gateways = [self._peers.own, *self._peers.addrs]
-        return share_of_rate(self._peers.own, addr, gateways, per_s)
+        return share_of_rate(self._peers.own, addr, self._peers.names, per_s)
--- a/ramppost/gateway/warmup.py
+++ b/ramppost/gateway/warmup.py
@@ -79,7 +79,6 @@
             self._shares_key = (self._peers.changes, per_s)
             self._shares.clear()
         if upstream.key not in self._shares:
-            gateways = [self._peers.own, *self._peers.addrs]
-            share = share_of(self._peers.own, upstream.key, gateways, per_s)
+            share = share_of(self._peers.own, upstream.key, self._peers.names, per_s)
             self._shares[upstream.key] = share
         return self._shares[upstream.key]
--- a/ramppost/policy/rate_limit.py
+++ b/ramppost/policy/rate_limit.py
@@ -13,8 +13,9 @@
 from collections.abc import Collection
 from typing import Final, NamedTuple
 
-from ramppost.policy.routing import hash_fraction
+from ramppost.policy.shares import part_of, ranked
 
+SHARE_KEY: Final = "rate-limit"
 MIN_RATE_PER_S: Final = 0.5
 """Rate at which all gateways together still ask an upstream that accepts fewer or none, because
 only its responses tell when the limit ends."""
@@ -40,14 +41,9 @@
     return BASE_BURSTS + int(BURSTS_PER_RATE * limit_per_s)
 
 
-def ranked_gateways(upstream: str, gateways: Collection[str]) -> list[str]:
-    """The gateways in the order in which they get bursts."""
-    return sorted(gateways, key=lambda name: hash_fraction("rate-limit", upstream, name))
-
-
 def holders(upstream: str, gateways: Collection[str], limit_per_s: float) -> list[str]:
     """The gateways that may send to an upstream with this limit."""
-    return ranked_gateways(upstream, gateways)[: fleet_bursts(limit_per_s)]
+    return ranked(gateways, SHARE_KEY, upstream)[: fleet_bursts(limit_per_s)]
 
 
 def share_of_rate(
@@ -62,12 +58,8 @@
     >>> share_of_rate("g1", "u", ["g1"], 2.0)
     RateShare(per_s=2.0, burst=6)
     """
-    ranked = ranked_gateways(upstream, gateways)
-    if gateway not in ranked:
-        return NO_SHARE
     bursts = fleet_bursts(limit_per_s)
-    whole, remainder = divmod(bursts, len(ranked))
-    burst = whole + (ranked.index(gateway) < remainder)
+    burst = part_of(bursts, gateway, gateways, SHARE_KEY, upstream)
     return RateShare(max(MIN_RATE_PER_S, limit_per_s) * burst / bursts, burst)
 
 
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -140,6 +140,11 @@
         self.changes += 1
         return previous[0] != addr
 
+    @property
+    def names(self) -> list[str]:
+        """Names of all known gateways including this one."""
+        return [self.own, *self.addrs]
+
     @property
     def fleet_size(self) -> int:
         """Number of known gateways including this one and any that have silently gone; 0 until the
@@ -272,7 +277,7 @@
         """All gateways that are not skipped, including this one, by rank."""
         if self._ranked_at != self.changes:
             self._ranked_at = self.changes
-            self._ranked = rank_gateways([self.own, *self.addrs], self.links)
+            self._ranked = rank_gateways(self.names, self.links)
         return [name for name in self._ranked if self._skip_until.get(name, 0.0) <= now]
 
     def _current_roles(self, now: float) -> Roles:
--- a/ramppost/policy/warmup.py
+++ b/ramppost/policy/warmup.py
@@ -14,7 +14,7 @@
 from collections.abc import Collection
 from typing import Final
 
-from ramppost.policy.routing import hash_fraction
+from ramppost.policy.shares import part_of
 
 WINDOW_S: Final = 1.1
 """Longer than a second, because requests sent a second apart may arrive closer together."""
@@ -29,13 +29,7 @@
     >>> share_of("g1", "u", ["g1", "g2"], 14.0), share_of("g3", "u", ["g1", "g2"], 14.0)
     (7, 0)
     """
-    if gateway not in gateways:
-        return 0
-    whole, remainder = divmod(max(1, int(limit_per_s)), len(gateways))
-    if remainder == 0:
-        return whole
-    ranked = sorted(gateways, key=lambda name: hash_fraction("warm-up", upstream, name))
-    return whole + (ranked.index(gateway) < remainder)
+    return part_of(max(1, int(limit_per_s)), gateway, gateways, "warm-up", upstream)
 
 
 class SentWindow:
