Drop rests that have ended, also of upstreams that are gone

A rest was dropped only when its own address was looked at again, so one of an upstream that had left stayed for good, and each choice of that gateway looked at every upstream three times because of it. Rests are now dropped as warm-ups are, when a choice asks whether there are any. Which upstreams may be sent a request is as before. The same of rate limits can't be told apart from an entry that lapsed in an outage; it is among the open findings.

--- a/ramppost/gateway/rests.py
+++ b/ramppost/gateway/rests.py
@@ -32,18 +32,16 @@
     def __init__(self) -> None:
         self._rests: dict[str, _Rest] = {}
 
-    def __len__(self) -> int:
-        return len(self._rests)
+    def any_resting(self, now: float) -> bool:
+        """Whether any upstream rests now; drops the rests that have ended."""
+        for addr in [addr for addr, rest in self._rests.items() if rest.until <= now]:
+            del self._rests[addr]
+        return bool(self._rests)
 
     def wait_s(self, upstream: Upstream, now: float) -> float:
         """Seconds of rest left."""
         rest = self._rests.get(upstream.addr)
-        if rest is None:
-            return 0.0
-        if rest.until <= now:
-            del self._rests[upstream.addr]
-            return 0.0
-        return rest.until - now
+        return 0.0 if rest is None else max(0.0, rest.until - now)
 
     def record_refusal(self, upstream: Upstream, rest_s: float, now: float) -> None:
         """Record that an upstream has refused a request and asks for rest."""
--- a/ramppost/gateway/send_limits.py
+++ b/ramppost/gateway/send_limits.py
@@ -22,7 +22,8 @@
     gw: Gateway, service: Service, upstreams: list[Upstream], now: float
 ) -> list[Upstream]:
     """Upstreams that may be sent a request now; the same list object if that is all of them."""
-    if not (gw.warmups.any_limited(service, now) or gw.rate_limits or gw.rests):
+    any_resting = gw.rests.any_resting(now)
+    if not (any_resting or gw.warmups.any_limited(service, now) or gw.rate_limits):
         return upstreams
     free = [upstream for upstream in upstreams if wait_s(gw, service, upstream, now) <= 0]
     return upstreams if len(free) == len(upstreams) else free
