Test that ended rests are dropped; say once which upstreams serve a kind of call

Two tests chose the upstreams of a kind of call by the same expression and told them the same in a loop each; a table and a method of the harness serve both, and the test of leaving.

--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Collection
 from datetime import datetime
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -30,6 +31,10 @@
 STREAM, ONCE, SAFE, OPEN = "/stream/", "/once/", "/safe/", "/open/"
 
 
+UPSTREAMS = {STREAM: ("lm-1", "lm-2"), SAFE: ("web-1", "web-2")}
+"""The upstreams of a deployment of two of each, by the kind of call that they serve."""
+
+
 class Given(NamedTuple):
     """What a caller got."""
 
@@ -353,6 +358,11 @@
         """Tell an upstream how to answer from now on."""
         self.http.post(f"{self.url(name)}/_behave", json=how).raise_for_status()
 
+    def notices_of_all(self, upstreams: Collection[str], **told: Any) -> None:
+        """Change what several upstreams tell of themselves."""
+        for name in upstreams:
+            self.notices(name, **told)
+
     def notices(self, name: str, **told: Any) -> None:
         """Change what an upstream tells of itself in its answers; None ends one of them."""
         self.http.post(f"{self.url(name)}/_notices", json=told).raise_for_status()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -55,8 +55,7 @@
     site: Deployment,
 ) -> None:
     site.fault("store", mode="down")
-    for name in ("web-1", "web-2"):
-        site.notices(name, leaving=True)
+    site.notices_of_all(("web-1", "web-2"), leaving=True)
     got = call_all(site, OPEN, 4.0, key="")
     assert after_leaving(site.arrivals("web-1", "web-2"), LEAVE_S) == []
     refused = [given for given in got if given.status == 503]
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -27,7 +27,7 @@
 from ramppost.platform import names
 from ramppost.platform.headers import answer_head
 from ramppost.schema.messages import PeerDatagram
-from tests.harness.gateways import SAFE, STREAM, Deployment, Given
+from tests.harness.gateways import SAFE, STREAM, UPSTREAMS, Deployment, Given
 from tests.harness.upstream_rules import Arrivals, over_limit
 from tests.test_warmup import gateway
 
@@ -305,10 +305,9 @@
 def test_gateways_sent_upstreams_that_all_limit_their_rate_more_than_they_named(
     site: Deployment, prefix: str
 ) -> None:
-    upstreams = ("lm-1", "lm-2") if prefix == STREAM else ("web-1", "web-2")
+    upstreams = UPSTREAMS[prefix]
     behave_all(site, upstreams, events=1, event_ms=0)
-    for name in upstreams:
-        site.notices(name, limit_per_s=2.0)
+    site.notices_of_all(upstreams, limit_per_s=2.0)
     got = call_all(site, prefix, 8.0)
     assert over_limit(site.arrivals(*upstreams)) == []
     refused = [given for given in got if given.status == 503]
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -22,7 +22,7 @@
 from ramppost.gateway.watchers import apply_upstream_change
 from ramppost.platform.headers import Headers, answer_head
 from ramppost.platform.store import Change
-from tests.harness.gateways import SAFE, STREAM, Deployment
+from tests.harness.gateways import SAFE, STREAM, UPSTREAMS, Deployment
 from tests.harness.upstream_rules import during_rest
 from tests.test_leaving import OTHER
 from tests.test_rate_limit import ENGINE, call_all
@@ -54,15 +54,13 @@
 def test_upstreams_that_all_asked_for_rest_were_sent_requests(
     site: Deployment, prefix: str
 ) -> None:
-    upstreams = ("lm-1", "lm-2") if prefix == STREAM else ("web-1", "web-2")
-    for name in upstreams:
-        site.notices(name, rest_s=2.0)
+    upstreams = UPSTREAMS[prefix]
+    site.notices_of_all(upstreams, rest_s=2.0)
     got = call_all(site, prefix, 4.0)
     assert during_rest(site.arrivals(*upstreams)) == []
     assert {given.status for given in got} == {503}
     assert all(0 < float(given.headers["retry-after"]) < 3.0 for given in got)
-    for name in upstreams:
-        site.notices(name, rest_s=None)
+    site.notices_of_all(upstreams, rest_s=None)
     site.until(lambda: site.call(site.gateways[0], prefix).status == 200, 3.0)
 
 
@@ -126,6 +124,13 @@
     assert "i-3" in free_ids(gw, 1000.1)
 
 
+def test_ended_rest_of_an_upstream_that_is_gone_slowed_every_choice(gw: Gateway) -> None:
+    gw.connections.observe_head(ENGINE, answer_head(503, REST), 1000.0)
+    gw.members.drop(ENGINE.id)
+    assert gw.rests.any_resting(1002.9)
+    assert not gw.rests.any_resting(1003.0)
+
+
 def test_rest_is_checked_again_before_sending(gw: Gateway) -> None:
     job = job_of(gw, random.Random(1))
     job.tried_upstreams = {OTHER.key}
