Log the store's returns and configurations that are passed over

Added, without any change of logic: - `store came back from an older copy` and the gauge ramppost_store_era; - `configuration passed over` with both versions and revisions; - `listed` with kind and revision for each whole list from the store.

--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -306,6 +306,7 @@
         snapshot = await list_kind(client, replica.kind)
         if isinstance(snapshot, Unavailable):
             return snapshot
+        logger.info("listed", kind=replica.kind, revision=snapshot.revision)
         await replica.apply_snapshot(snapshot, sent_at)
         return None
     result = await watch(
@@ -315,7 +316,11 @@
     if isinstance(result, Unavailable):
         return result
     if isinstance(result, HistoryExpired):
-        logger.info("the store no longer has the changes since revision {}; listing again", since)
+        logger.info(
+            "the store no longer has the changes since revision {}; listing again",
+            since,
+            kind=replica.kind,
+        )
         replica.revision = None
         return None
     await replica.apply_changes(since, result, sent_at)
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -26,6 +26,7 @@
 from ramppost.gateway.regions import Regions
 from ramppost.gateway.rests import Rests
 from ramppost.gateway.rollouts import Rollouts
+from ramppost.gateway.store_returns import StoreReturns
 from ramppost.gateway.unreadable import UnreadableEntries
 from ramppost.gateway.warmup import WarmUps
 from ramppost.platform import names
@@ -88,7 +89,9 @@
         self.pools = Pools()
         self.freshness = Freshness(_withdrawal_bound_s(cfg), _serves_unconfirmed(cfg))
         self.store_outage = StoreOutage()
-        self.store = StoreClient(cfg["store"]["addr"], Pool(cfg["ip"]))
+        self.metrics = Metrics()
+        self.store_returns = StoreReturns(self.metrics)
+        self.store = StoreClient(cfg["store"]["addr"], Pool(cfg["ip"]), self.store_returns.note_era)
         self.rests = Rests()
         self.rate_limits = RateLimits(self.peers)
         self.connections = ConnectionPool(cfg["ip"], self._observe_head)
@@ -101,7 +104,6 @@
         self.timing_baselines: dict[tuple[str, str], TimingBaseline] = {}
         self.rollouts = Rollouts(cfg["timing"]["session_s"])
         self.callers = CallerConnections()
-        self.metrics = Metrics()
         self.datagrams = Datagrams(self.metrics)
         self.backlogs = Backlogs(
             cfg["name"], self.peers, self.prefill_rates, self.datagrams, self.metrics
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -192,6 +192,14 @@
         logger.error("invalid configuration: {}", table.reason, revision=obj.revision)
         return
     if gw.table is not None and table.revision <= gw.table.revision:
+        if table.version != gw.table.version:
+            logger.info(
+                "configuration passed over",
+                version=table.version,
+                revision=table.revision,
+                in_force=gw.table.version,
+                in_force_revision=gw.table.revision,
+            )
         return
     _log_config(gw.table, table)
     gw.table = table
--- a/ramppost/platform/names.py
+++ b/ramppost/platform/names.py
@@ -54,6 +54,9 @@
 )
 """Headers that only the gateway may set; they are removed from a caller's request."""
 
+STORE_ERA: Final = "store-era"
+"""In all answers of the store: rises by one each time it comes back from an older copy."""
+
 # Kinds of objects in the store.
 CONFIG_KIND: Final = "config"
 CONFIG_NAME: Final = "main"
--- a/ramppost/platform/store.py
+++ b/ramppost/platform/store.py
@@ -18,6 +18,7 @@
 import msgspec
 from loguru import logger
 
+from ramppost.platform import names
 from ramppost.wire.client import CallFailed, Pool, Response, fetch
 from ramppost.wire.codec import BadMessage, decode, encode
 
@@ -119,12 +120,18 @@
 
 
 class StoreClient:
-    """The address of the store, the connection pool, and the number of calls made."""
+    """The address of the store, the connection pool, and the number of calls made.
 
-    def __init__(self, addr: str, pool: Pool) -> None:
+    `on_era` is called with the era that each answer of the store names.
+    """
+
+    def __init__(
+        self, addr: str, pool: Pool, on_era: Callable[[int], None] = lambda era: None
+    ) -> None:
         self.addr = addr
         self.pool = pool
         self.calls = 0
+        self.on_era = on_era
 
 
 async def list_kind(
@@ -250,9 +257,18 @@
 ) -> Response | CallFailed:
     client.calls += 1
     headers = (("content-type", "application/json"),) if body else ()
-    return await fetch(
+    response = await fetch(
         client.pool, client.addr, method, path, body, timeout_s, headers, on_response_start
     )
+    if isinstance(response, Response):
+        client.on_era(_era(response))
+    return response
+
+
+def _era(response: Response) -> int:
+    """The era that an answer names; 0 for a store that names none."""
+    text = response.headers.get(names.STORE_ERA, "")
+    return int(text) if text.isdecimal() else 0
 
 
 def _write_result(response: Response | CallFailed) -> StoredObject | Conflict | Unavailable:
