Failing tests: the store comes back from an older copy

The stand-in store learns it (/_return): what was written since the copy is gone, revisions go on from there, watches are cut, a watch from a revision that it doesn't have gets 410, and the era in all answers rises.

--- a/ramppost/standin/store.py
+++ b/ramppost/standin/store.py
@@ -2,7 +2,9 @@
 
 It speaks what `ramppost.platform.store` does, and takes faults by `POST /_fault`.
 `POST /_put/KIND/NAME` writes a spec without a condition, as the operator does; `GET
-/_log` tells all changes; `POST /_forget` drops the history.
+/_log` tells all changes; `POST /_forget` drops the history.  `POST /_return?to=REVISION` or
+`?age_s=SECONDS` lets it come back from the copy that it held then: what was written since is gone,
+revisions go on from there, and the era in the header of all its answers rises by one.
 """
 
 from __future__ import annotations
@@ -21,7 +23,14 @@
 from ramppost.standin.faults import Faults, with_faults
 from ramppost.standin.platform import Bucket
 from ramppost.wire.codec import encode
-from ramppost.wire.server import Reply, Request, listen, serve
+from ramppost.wire.server import (
+    JSON_TYPE,
+    ClientDisconnected,
+    Reply,
+    Request,
+    listen,
+    serve,
+)
 
 PAGE: Final = 500
 MAX_WAIT_S: Final = 30.0
@@ -31,13 +40,14 @@
 
 
 class Happened(NamedTuple):
-    """A change: when, of what kind, at which revision, and whether it was a removal."""
+    """A change: when, of what kind, at which revision and era, and whether it was a removal."""
 
     at: float
     kind: str
     revision: int
     obj: dict[str, Any]
     removed: bool
+    era: int
 
 
 class Objects:
@@ -45,6 +55,7 @@
 
     def __init__(self, history_s: float) -> None:
         self.history_s = history_s
+        self.era = 0
         self.revision = 0
         self.forgotten = 0
         self.by_kind: dict[str, dict[str, dict[str, Any]]] = {}
@@ -83,12 +94,34 @@
             await self._record(kind, held, True)
 
     async def _record(self, kind: str, obj: dict[str, Any], removed: bool) -> None:
-        self.history.append(Happened(time.time(), kind, self.revision, obj, removed))
+        self.history.append(Happened(time.time(), kind, self.revision, obj, removed, self.era))
         async with self.changed:
             await self.changed.notify_all()
 
+    async def come_back(self, revision: int) -> None:
+        """Go back to the state at a revision, in a new era."""
+        self.history = [h for h in self.history if h.revision <= revision]
+        self.by_kind = {}
+        for happened in self.history:
+            name = happened.obj["metadata"]["name"]
+            if happened.removed:
+                self.kind(happened.kind).pop(name, None)
+            else:
+                self.kind(happened.kind)[name] = happened.obj
+        self.revision = revision
+        self.forgotten = min(self.forgotten, revision)
+        self.era += 1
+        async with self.changed:
+            await self.changed.notify_all()
+
+    def revision_at(self, at: float) -> int:
+        """The revision that it had at a time of day; at least that of its first object."""
+        return max([1, *(h.revision for h in self.history if h.at <= at)])
+
     def since(self, kind: str, revision: int) -> list[Happened] | None:
         """Changes of a kind after a revision; None where that history is gone."""
+        if revision > self.revision:
+            return None
         oldest = time.time() - self.history_s
         gone = [h.revision for h in self.history if h.at < oldest]
         if revision < max([self.forgotten, *gone[-1:]]):
@@ -112,9 +145,32 @@
         else:
             await _objects(objects, req, reply)
 
+    async def handle_with_era(req: Request, reply: Reply) -> None:
+        await handle(req, _NamingEra(reply, objects))
+
     where = cfg["listen"]
     logger.info("store stand-in on {}:{}", where["host"], where["port"])
-    await serve(listen(where["host"], where["port"]), with_faults(Faults(), handle))
+    await serve(listen(where["host"], where["port"]), with_faults(Faults(), handle_with_era))
+
+
+class _NamingEra(Reply):
+    """An answer that names the era of the store as it is sent."""
+
+    def __init__(self, reply: Reply, objects: Objects) -> None:
+        self._reply = reply
+        self._objects = objects
+        self.started = False
+
+    async def send(
+        self,
+        status: int,
+        body: bytes,
+        content_type: str = JSON_TYPE,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        self.started = True
+        era = (names.STORE_ERA.title(), str(self._objects.era))
+        await self._reply.send(status, body, content_type, (*headers, era))
 
 
 async def _objects(objects: Objects, req: Request, reply: Reply) -> None:
@@ -145,7 +201,7 @@
 
 
 async def _watch(objects: Objects, kind: str, req: Request, reply: Reply) -> None:
-    since = int(req.query["watch"])
+    since, era = int(req.query["watch"]), objects.era
     wait_s = min(MAX_WAIT_S, int(req.query.get("wait_ms", "0")) / 1000)
     deadline = clock.now() + wait_s
     while (found := objects.since(kind, since)) == []:
@@ -154,6 +210,8 @@
             break
         async with curio.ignore_after(left), objects.changed:
             await objects.changed.wait()
+        if objects.era != era:
+            raise ClientDisconnected
     if found is None:
         await reply.send(410, b'{"error":"history is gone"}')
         return
@@ -194,6 +252,12 @@
     elif parts[0] == "_forget":
         objects.forgotten = objects.revision
         await reply.send(200, b"{}")
+    elif parts[0] == "_return":
+        age_s = float(req.query.get("age_s", "0"))
+        await objects.come_back(
+            int(req.query.get("to", "0")) or objects.revision_at(time.time() - age_s)
+        )
+        await reply.send(200, encode({"revision": objects.revision}))
     elif parts[0] == "_log":
         await reply.send(200, encode(objects.history))
     else:
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -371,6 +371,24 @@
         """Put a fault in force at the store."""
         self.http.post(f"{self.url(name)}/_fault", json=fault).raise_for_status()
 
+    def come_back(self, to: int = 0, age_s: float = 0.0) -> int:
+        """Let the store come back from the copy that it held at a revision, or some seconds ago;
+        gives its revision then."""
+        query = f"to={to}" if to else f"age_s={age_s}"
+        got = self.http.post(f"{self.store}/_return?{query}")
+        got.raise_for_status()
+        return int(got.json()["revision"])
+
+    def revision(self) -> int:
+        """The store's revision."""
+        got = self.http.get(f"{self.store}/objects/{names.CONFIG_KIND}")
+        return int(got.json()["current_rev"])
+
+    def stored(self, kind: str, name: str) -> dict[str, Any] | None:
+        """An object as the store holds it; None where it doesn't."""
+        got = self.http.get(f"{self.store}/objects/{kind}/{name}")
+        return dict(got.json()) if got.status_code == 200 else None
+
     def put_entry(self, name: str, service: str, addr: str) -> None:
         """Enter an upstream that is no process of this deployment."""
         self.ids[name] = f"i-{name}"
