--- a/ramppost/gateway/copies.py
+++ b/ramppost/gateway/copies.py
@@ -13,7 +13,7 @@
 from typing import Final, NamedTuple
 
 from ramppost import clock
-from ramppost.gateway.follow import KindReplica
+from ramppost.gateway.replica import KindReplica
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import StoredObject
 from ramppost.schema.messages import ObjectCopy
--- a/ramppost/gateway/feed.py
+++ b/ramppost/gateway/feed.py
@@ -14,7 +14,7 @@
 from typing import Final
 
 from ramppost import clock
-from ramppost.gateway.follow import KindReplica
+from ramppost.gateway.replica import KindReplica
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import Change
 from ramppost.schema.messages import FeedChange, FeedKind, FeedMsg, FeedQuery
--- a/ramppost/gateway/joining.py
+++ b/ramppost/gateway/joining.py
@@ -18,7 +18,6 @@
 from loguru import logger
 
 from ramppost import clock
-from ramppost.gateway.follow import Handlers
 from ramppost.gateway.peers import (
     GATEWAY_KIND,
     GatewayEntry,
@@ -26,6 +25,7 @@
     apply_gateway_snapshot,
     own_entry,
 )
+from ramppost.gateway.replica import Handlers
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.subscribe import subscribe
 from ramppost.gateway.watchers import (
--- a/ramppost/gateway/loading.py
+++ b/ramppost/gateway/loading.py
@@ -17,7 +17,8 @@
 
 from ramppost import clock
 from ramppost.gateway.copies import COPY_PATH, decode_copy
-from ramppost.gateway.follow import FIRST_BACKOFF_S, MAX_BACKOFF_S, KindReplica, PendingObject
+from ramppost.gateway.follow import FIRST_BACKOFF_S, MAX_BACKOFF_S
+from ramppost.gateway.replica import KindReplica, PendingObject
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import Missing, StoredObject, Unavailable, read
 from ramppost.wire.client import CallFailed, fetch
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -11,7 +11,7 @@
 from ramppost.gateway.datagrams import Datagrams
 from ramppost.gateway.endings import UpstreamProbes
 from ramppost.gateway.fatal import FatalRequests
-from ramppost.gateway.follow import KindReplica, PendingObject, StoreOutage, UpdateNotifier
+from ramppost.gateway.follow import StoreOutage
 from ramppost.gateway.freshness import Freshness
 from ramppost.gateway.inbound import CallerConnections
 from ramppost.gateway.limit_news import LimitNews
@@ -24,6 +24,7 @@
 from ramppost.gateway.pools import Pools
 from ramppost.gateway.rate_limits import RateLimits
 from ramppost.gateway.regions import Regions
+from ramppost.gateway.replica import KindReplica, PendingObject, UpdateNotifier
 from ramppost.gateway.rests import Rests
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.gateway.store_returns import StoreReturns
--- a/ramppost/gateway/subscribe.py
+++ b/ramppost/gateway/subscribe.py
@@ -22,7 +22,7 @@
     urgent_confirmed_at,
     urgent_kinds_known,
 )
-from ramppost.gateway.follow import KindReplica
+from ramppost.gateway.replica import KindReplica
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import feed_wait_s, stale_after_s
 from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -14,9 +14,10 @@
     evacuations_listed,
 )
 from ramppost.gateway.fatal_doc import FATAL_KIND, fatal_changed, fatal_listed
-from ramppost.gateway.follow import FollowConfig, Handlers, KindReplica, follow
+from ramppost.gateway.follow import FollowConfig, follow
 from ramppost.gateway.model import RoutingTable, Upstream
 from ramppost.gateway.policies import POLICY_KIND
+from ramppost.gateway.replica import Handlers, KindReplica
 from ramppost.gateway.rollout_duty import PROGRESS_KIND, progress_changed
 from ramppost.gateway.state import Gateway
 from ramppost.platform import names
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -10,8 +10,8 @@
 
 from ramppost import clock
 from ramppost.gateway.feed import feed_handler
-from ramppost.gateway.follow import Handlers, KindReplica
 from ramppost.gateway.operators import internal_handler
+from ramppost.gateway.replica import Handlers, KindReplica
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.subscribe import needs_feed, poll_once
 from ramppost.gateway.watchers import feed_wait_s, stale_after_s
--- a/tests/test_gateway_follow.py
+++ b/tests/test_gateway_follow.py
@@ -9,15 +9,8 @@
 import pytest
 
 from ramppost import clock
-from ramppost.gateway.follow import (
-    START_FALLBACK_DELAY_S,
-    FollowConfig,
-    Handlers,
-    KindReplica,
-    StoreOutage,
-    UpdateNotifier,
-    follow,
-)
+from ramppost.gateway.follow import START_FALLBACK_DELAY_S, FollowConfig, StoreOutage, follow
+from ramppost.gateway.replica import Handlers, KindReplica, UpdateNotifier
 from ramppost.platform.store import Change, Changes, Snapshot, StoreClient, StoredObject
 from ramppost.wire.client import Pool
 from ramppost.wire.server import Reply, Request, listen, serve
@@ -138,7 +131,7 @@
 def test_revision_before_change_log_gets_full_snapshot(
     kind: FollowedKind, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("ramppost.gateway.follow.MAX_CHANGE_LOG", 2)
+    monkeypatch.setattr("ramppost.gateway.replica.MAX_CHANGE_LOG", 2)
     apply_list(kind, 5)
     for at, name in enumerate("abc"):
         apply_changes_to(kind, 5 + at, 6 + at, name)
--- a/tests/test_gateway_loading.py
+++ b/tests/test_gateway_loading.py
@@ -11,9 +11,9 @@
 from ramppost import clock
 from ramppost.gateway.copies import decode_copy, encode_copy
 from ramppost.gateway.feed import LARGE_OBJECT_BYTES, feed_handler
-from ramppost.gateway.follow import Handlers, KindReplica
 from ramppost.gateway.loading import load_pending
 from ramppost.gateway.operators import internal_handler
+from ramppost.gateway.replica import Handlers, KindReplica
 from ramppost.gateway.subscribe import poll_once
 from ramppost.platform import names
 from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
--- a/tests/test_hall_feed.py
+++ b/tests/test_hall_feed.py
@@ -15,8 +15,8 @@
 import pytest
 
 from ramppost import clock
-from ramppost.gateway.follow import Handlers, KindReplica
 from ramppost.gateway.operators import internal_handler
+from ramppost.gateway.replica import Handlers, KindReplica
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.subscribe import ANSWER_SLACK_S, FEED_GRACE_S, poll_once, subscribe
 from ramppost.gateway.watchers import feed_wait_s, stale_after_s
--- a/tests/test_suspended.py
+++ b/tests/test_suspended.py
@@ -21,8 +21,8 @@
 from ramppost.errors import Refusal
 from ramppost.gateway.admit import Admitted
 from ramppost.gateway.feed import _answer
-from ramppost.gateway.follow import Handlers
 from ramppost.gateway.job import Job
+from ramppost.gateway.replica import Handlers
 from ramppost.gateway.serve import _try_upstreams
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import apply_upstream_snapshot, watch_kind
