--- a/ramppost/audit/checks.py
+++ b/ramppost/audit/checks.py
@@ -29,7 +29,11 @@
 
 
 def config_check() -> Check:
-    """Returns the check that a process never goes back to an older configuration."""
+    """Returns the check that a process never goes back to an older configuration.
+
+    Its version orders it.  The same version may be in force again at a newer state of the store,
+    which has come back from an older copy and been given it once more.
+    """
     name = "configuration"
     in_force: dict[str, ConfigInForce] = {}
 
@@ -44,8 +48,8 @@
         if last is None or event.previous_version is None:
             return
         origin = (event.program, event.at, "")
-        if event.revision <= last.revision:
-            what = f"revision {event.revision} in force after {last.revision}"
+        if (event.version, event.position) <= (last.version, last.position):
+            what = f"{_describe(event)} in force after {_describe(last)}"
             yield Finding(name, "broken", *origin, what)
         elif event.previous_version != last.version:
             what = f"version {event.previous_version} was in force in between: lines are missing"
@@ -55,6 +59,11 @@
     return Check(name, promise, handle_event, lambda: ())
 
 
+def _describe(config: ConfigInForce) -> str:
+    at = config.position
+    return f"version {config.version} (era {at.era}, revision {at.revision})"
+
+
 class _OpenRequest(NamedTuple):
     """A request that has not ended, with the outcomes of its attempts."""
 
--- a/ramppost/audit/confirmed.py
+++ b/ramppost/audit/confirmed.py
@@ -50,8 +50,8 @@
             in_force.pop(event.program, None)
         elif isinstance(event, ConfigInForce):
             in_force[event.program] = event
-            if event.revision not in first_uses or event.at < first_uses[event.revision].at:
-                first_uses[event.revision] = _FirstUse(event.at, event)
+            if event.version not in first_uses or event.at < first_uses[event.version].at:
+                first_uses[event.version] = _FirstUse(event.at, event)
         elif isinstance(event, RequestEnded):
             record_confirmation(event)
         return ()
@@ -60,14 +60,14 @@
         config = in_force.get(event.program)
         if config is None or event.confirmed_at is None:
             return
-        key = (event.program, config.revision)
+        key = (event.program, config.version)
         if key not in confirmations or event.confirmed_at > confirmations[key].confirmed_at:
             confirmations[key] = _Confirmation(event.confirmed_at, config, event)
 
     def finish() -> Findings:
         newer_uses = _earliest_newer_uses(first_uses)
         for latest in confirmations.values():
-            newer = newer_uses.get(latest.confirmed_config.revision)
+            newer = newer_uses.get(latest.confirmed_config.version)
             if newer is not None and latest.confirmed_at > newer.at + LOG_PRECISION_S:
                 yield _finding(name, latest, newer, max_clock_skew_s)
 
@@ -76,14 +76,14 @@
 
 
 def _earliest_newer_uses(first_uses: dict[int, _FirstUse]) -> dict[int, _FirstUse]:
-    """Maps each revision to the earliest use of any newer one."""
+    """Maps each version to the earliest use of any newer one."""
     newer_uses: dict[int, _FirstUse] = {}
     earliest: _FirstUse | None = None
-    for revision in sorted(first_uses, reverse=True):
+    for version in sorted(first_uses, reverse=True):
         if earliest is not None:
-            newer_uses[revision] = earliest
-        if earliest is None or first_uses[revision].at < earliest.at:
-            earliest = first_uses[revision]
+            newer_uses[version] = earliest
+        if earliest is None or first_uses[version].at < earliest.at:
+            earliest = first_uses[version]
     return newer_uses
 
 
--- a/ramppost/audit/events.py
+++ b/ramppost/audit/events.py
@@ -11,6 +11,7 @@
 from typing import Any, Final, Literal, NamedTuple
 
 from ramppost.audit.lines import Line
+from ramppost.policy.position import Position
 
 Outcome = Literal["answered", "refused", "not sent", "cancelled", "unknown"]
 """Outcome of an attempt: a response, a refusal that says it was not run, not sent at all, cancelled
@@ -40,7 +41,7 @@
 
 
 class ConfigInForce(NamedTuple):
-    """A process has put a configuration in force.
+    """A process has put a configuration in force, read at a state of the store.
 
     `previous_version` is the version it replaced, None for the first of a process.
     """
@@ -48,7 +49,7 @@
     program: str
     at: float
     version: int
-    revision: int
+    position: Position
     previous_version: int | None
 
 
@@ -154,8 +155,9 @@
     fields = line.fields
     if line.message == "configuration in force":
         previous_version = None if fields["before"] is None else int(fields["before"])
+        position = Position(int(fields.get("era", 0)), True, int(fields["revision"]))
         return ConfigInForce(
-            line.program, line.at, int(fields["version"]), int(fields["revision"]), previous_version
+            line.program, line.at, int(fields["version"]), position, previous_version
         )
     if line.message == "upstreams listed":
         return UpstreamsListed(line.program, line.at)
--- a/ramppost/gateway/copies.py
+++ b/ramppost/gateway/copies.py
@@ -5,7 +5,7 @@
 gateway that has the complete object serves it, and only the relays read it from the store.  The
 client side is `ramppost.gateway.loading`.
 
-    GET /x/copy?kind=config&name=main&revision=80
+    GET /x/copy?kind=config&name=main&era=1&revision=80
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 from ramppost.gateway.replica import KindReplica
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import StoredObject
+from ramppost.policy.position import Position
 from ramppost.schema.messages import ObjectCopy
 from ramppost.wire import packing
 from ramppost.wire.codec import BadMessage, decode, encode
@@ -29,26 +30,27 @@
 
 
 class PackedCopy(NamedTuple):
-    """An encoded copy and the revision that it contains."""
+    """An encoded copy and the state of the object that it contains."""
 
-    revision: int
+    position: Position
     data: bytes
 
 
 def copy_handler(gw: Gateway) -> Handler:
-    """A handler for `COPY_PATH`; answers 404 if it lacks the object at that revision or later."""
+    """A handler for `COPY_PATH`; answers 404 if it lacks the object in that or a later state."""
     cache: dict[tuple[str, str], PackedCopy] = {}
 
     async def handle(req: Request, reply: Reply) -> None:
         kind, name = req.query.get("kind", ""), req.query.get("name", "")
         replica = gw.replicas.get(kind)
         obj = await _wait_for_object(gw, replica, name) if replica is not None else None
-        if obj is None or obj.revision < _requested_revision(req):
+        requested = _requested_position(req)
+        if obj is None or requested is None or obj.position < requested:
             await reply.send(404, encode({"error": "not here, or not as new"}))
             return
         cached = cache.get((kind, name))
-        if cached is None or cached.revision != obj.revision:
-            cached = cache[kind, name] = PackedCopy(obj.revision, encode_copy(obj))
+        if cached is None or cached.position != obj.position:
+            cached = cache[kind, name] = PackedCopy(obj.position, encode_copy(obj))
         await reply.send(200, cached.data, COPY_TYPE)
 
     return handle
@@ -62,15 +64,16 @@
     return replica.complete_object(name)
 
 
-def _requested_revision(req: Request) -> float:
-    """The requested revision; infinite if it is not a number."""
-    text = req.query.get("revision", "")
-    return int(text) if text.isdecimal() else float("inf")
+def _requested_position(req: Request) -> Position | None:
+    """The requested state; None if the query has no valid one."""
+    revision, era = req.query.get("revision", ""), req.query.get("era", "0")
+    valid = revision.isdecimal() and era.isdecimal()
+    return Position(int(era), True, int(revision)) if valid else None
 
 
 def encode_copy(obj: StoredObject) -> bytes:
     """Encode and compress an object for sending."""
-    copy = ObjectCopy(revision=obj.revision, spec=obj.spec, status=obj.status)
+    copy = ObjectCopy(revision=obj.revision, era=obj.era, spec=obj.spec, status=obj.status)
     return packing.pack(encode(copy))
 
 
@@ -78,7 +81,7 @@
     """Decompress and decode a received object.
 
     >>> decode_copy("main", encode_copy(StoredObject("main", 7, {"version": 1}, None)))
-    StoredObject(name='main', revision=7, spec={'version': 1}, status=None, whole=True)
+    StoredObject(name='main', revision=7, spec={'version': 1}, status=None, whole=True, era=0)
     >>> decode_copy("main", b"no copy")  # doctest: +ELLIPSIS
     BadMessage(reason='decompression failed: Error -3 ... incorrect header check')
     """
@@ -88,4 +91,6 @@
     copy = decode(body, ObjectCopy)
     if isinstance(copy, BadMessage):
         return copy
-    return StoredObject(name, copy["revision"], copy["spec"], copy["status"])
+    return StoredObject(
+        name, copy["revision"], copy["spec"], copy["status"], era=copy.get("era", 0)
+    )
--- a/ramppost/gateway/fatal_doc.py
+++ b/ramppost/gateway/fatal_doc.py
@@ -108,7 +108,7 @@
     if isinstance(current, Missing):
         got = await create(gw.store, FATAL_KIND, FATAL_NAME, doc)
     else:
-        got = await replace(gw.store, FATAL_KIND, FATAL_NAME, current.revision, doc)
+        got = await replace(gw.store, FATAL_KIND, FATAL_NAME, current.position, doc)
     if not isinstance(got, StoredObject):
         logger.info("fatal requests not written yet", outcome=type(got).__name__)
         return False
--- a/ramppost/gateway/feed.py
+++ b/ramppost/gateway/feed.py
@@ -1,6 +1,6 @@
 """Serves a feed of the store's changes to other gateways, so that they need not query the store.
 
-A feed request (a long poll) holds the revision that the requester has of each kind of object.  It
+A feed request (a long poll) holds the position that the requester has of each kind of object.  It
 is answered as soon as there is a change or a later confirmation, or when its wait time is over.
 The response holds the latest change of each object since that revision, and how long ago the
 state was known to be the newest.  Every gateway answers; the ages show how fresh its answer is.
@@ -17,7 +17,8 @@
 from ramppost.gateway.replica import KindReplica
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import Change
-from ramppost.schema.messages import FeedChange, FeedKind, FeedMsg, FeedQuery
+from ramppost.policy.position import Position
+from ramppost.schema.messages import FeedChange, FeedKind, FeedMark, FeedMsg, FeedQuery
 from ramppost.wire.codec import BadMessage, decode, encode
 from ramppost.wire.packing import pack
 from ramppost.wire.server import Handler, Reply, Request
@@ -67,8 +68,8 @@
     kinds = [
         kind_msg
         for mark in query["kinds"]
-        if (replica := gw.replicas.get(mark["kind"])) and replica.revision is not None
-        for kind_msg in [_encode_kind(replica, mark["revision"], now)]
+        if (replica := gw.replicas.get(mark["kind"])) and replica.position is not None
+        for kind_msg in [_encode_kind(replica, replica.position, mark, now)]
         if replica.urgent or kind_msg["full"] or kind_msg["changes"]
     ]
     # Times are rounded so that no confirmation seems younger than it is.
@@ -78,6 +79,7 @@
         reading=any(
             replica.awaiting_response for replica in gw.replicas.values() if replica.urgent
         ),
+        held_back=any(replica.held_back for replica in gw.replicas.values() if replica.urgent),
         kinds=kinds,
     )
 
@@ -98,9 +100,9 @@
     """Whether there is a change, or a later confirmation of an urgent kind."""
     for mark in query["kinds"]:
         replica = gw.replicas.get(mark["kind"])
-        if replica is None or (replica.revision or -1) < mark["revision"]:
+        if replica is None or replica.position is None or replica.position < mark_position(mark):
             continue
-        delta = replica.changes_since(mark["revision"])
+        delta = replica.changes_after(mark_position(mark))
         if delta.full or delta.changes:
             return True
         age_s = mark["age_ms"] / 1000 if mark["age_ms"] >= 0 else float("inf")
@@ -110,14 +112,22 @@
     return False
 
 
-def _encode_kind(replica: KindReplica, since: int, now: float) -> FeedKind:
-    """The feed's part for a kind, with the changes after revision `since`."""
-    delta = replica.changes_since(since)
+def mark_position(mark: FeedMark | FeedKind) -> Position:
+    """The state of the store that a message names; the era is missing where a gateway knows none
+    of eras."""
+    return Position(mark.get("era", 0), mark.get("settled", True), mark["revision"])
+
+
+def _encode_kind(replica: KindReplica, position: Position, mark: FeedMark, now: float) -> FeedKind:
+    """The feed's part for a kind, with the changes after the mark."""
+    delta = replica.changes_after(mark_position(mark))
     age_s = now - replica.confirmed_at
     return FeedKind(
         kind=replica.kind,
-        since=since,
-        revision=replica.revision or 0,
+        since=mark["revision"],
+        revision=position.revision,
+        era=position.era,
+        settled=position.settled,
         age_ms=math.ceil(age_s * 1000) if replica.confirmed_at > float("-inf") else UNKNOWN_AGE_MS,
         full=delta.full,
         changes=[_encode_change(replica, change) for change in delta.changes],
@@ -130,6 +140,7 @@
     message = FeedChange(
         name=obj.name,
         revision=obj.revision,
+        era=obj.era,
         removed=change.removed,
         whole=small or change.removed,
     )
--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -1,7 +1,8 @@
 """Replicates a kind of object from the store: list once, then watch.
 
-`follow` runs until cancelled.  It lists again if the store no longer has the history, backs off
-while the store is unavailable, and logs once when the store is lost and once when it is back.
+`follow` runs until cancelled.  It lists again if the store no longer has the history or has come
+back from an older copy, backs off while the store is unavailable, and logs once when the store is
+lost and once when it is back.
 While a relay feeds this gateway (`ramppost.gateway.subscribe`), the store is not queried.
 """
 
@@ -28,6 +29,9 @@
 FIRST_BACKOFF_S: Final = 0.1
 MAX_BACKOFF_S: Final = 0.5
 """Calls to an unavailable store are billed too, and its return must be noticed soon."""
+HELD_BACK_WATCH_TIMEOUT_S: Final = 0.1
+"""Watch timeout while answers confirm nothing yet, since the store has just come back from an older
+copy: what is needed is a later answer."""
 START_FALLBACK_DELAY_S: Final = 1.0
 """Upper limit on the fallback delay of a kind that has not been listed yet, so that startup does
 not wait longer for a feed."""
@@ -43,7 +47,8 @@
     so that changes close together cost one call.  `feed_valid_until` returns the time (steady
     clock) until which another gateway keeps this one up to date; the store is queried
     `fallback_delay_s` after that.  A kind with `probes_store` keeps calling an unavailable store;
-    the others wait until one of its calls is answered.
+    the others wait until one of its calls is answered.  `is_settled` returns whether those who had
+    written what an older copy of the store lacks have had the time to write it again.
     """
 
     replica: KindReplica
@@ -52,6 +57,7 @@
     fallback_delay_s: float
     feed_valid_until: Callable[[], float]
     probes_store: bool
+    is_settled: Callable[[], bool] = lambda: True
 
 
 class StoreOutage:
@@ -96,18 +102,50 @@
 
 async def _ask_store(client: StoreClient, config: FollowConfig) -> Unavailable | None:
     """Call the store once and apply the response; returns the failure if there was none."""
+    if _needs_list(config, client.era):
+        return await _list(client, config)
+    return await _watch(client, config)
+
+
+def _needs_list(config: FollowConfig, era: int) -> bool:
+    """Whether a whole list is needed instead of the changes since the replica's position."""
+    replica = config.replica
+    if replica.needs_list or replica.position is None or replica.position.era < era:
+        return True
+    return not replica.position.settled and config.is_settled()
+
+
+async def _list(client: StoreClient, config: FollowConfig) -> Unavailable | None:
     replica = config.replica
-    since = replica.revision
     sent_at = clock.now()
-    if since is None:
-        snapshot = await list_kind(client, replica.kind)
-        if isinstance(snapshot, Unavailable):
-            return snapshot
-        logger.info("listed", kind=replica.kind, revision=snapshot.revision)
-        await replica.apply_snapshot(snapshot, sent_at)
-        return None
+    snapshot = await list_kind(client, replica.kind)
+    if isinstance(snapshot, Unavailable):
+        return snapshot
+    snapshot = snapshot._replace(settled=config.is_settled())
+    logger.info(
+        "listed",
+        kind=replica.kind,
+        revision=snapshot.revision,
+        era=snapshot.era,
+        settled=snapshot.settled,
+    )
+    await replica.apply_snapshot(snapshot, sent_at)
+    if replica.needs_list:
+        return Unavailable(f"the store has an older state of {replica.kind} than this box", True)
+    return None
+
+
+async def _watch(client: StoreClient, config: FollowConfig) -> Unavailable | None:
+    replica = config.replica
+    since = replica.position
+    assert since is not None
+    sent_at = clock.now()
     result = await watch(
-        client, replica.kind, since, _watch_timeout_s(config, sent_at), replica.response_started
+        client,
+        replica.kind,
+        since.revision,
+        _watch_timeout_s(config, sent_at),
+        replica.response_started,
     )
     replica.awaiting_response = isinstance(result, Changes)
     if isinstance(result, Unavailable):
@@ -115,12 +153,14 @@
     if isinstance(result, HistoryExpired):
         logger.info(
             "the store no longer has the changes since revision {}; listing again",
-            since,
+            since.revision,
             kind=replica.kind,
         )
-        replica.revision = None
+        replica.needs_list = True
         return None
-    await replica.apply_changes(since, result, sent_at)
+    if result.era == since.era:
+        result = result._replace(settled=since.settled)
+        await replica.apply_changes(since.revision, result, sent_at)
     replica.awaiting_response = _is_confirmation_old(config, clock.now())
     return None
 
@@ -131,11 +171,10 @@
     It is short if the last confirmation of an urgent kind is stale: a gateway that has lost its
     relay, or the store for a while, can't serve callers until the next confirmation.
     """
-    return (
-        min(SHORT_WATCH_TIMEOUT_S, config.watch_timeout_s)
-        if _is_confirmation_old(config, now)
-        else config.watch_timeout_s
-    )
+    if not _is_confirmation_old(config, now):
+        return config.watch_timeout_s
+    short_s = HELD_BACK_WATCH_TIMEOUT_S if config.replica.held_back else SHORT_WATCH_TIMEOUT_S
+    return min(short_s, config.watch_timeout_s)
 
 
 def _is_confirmation_old(config: FollowConfig, now: float) -> bool:
@@ -148,7 +187,7 @@
     """Wait while the feed is valid and `fallback_delay_s` longer; less before the first list."""
     while True:
         fallback_delay_s = config.fallback_delay_s
-        if config.replica.revision is None:
+        if config.replica.position is None:
             fallback_delay_s = min(fallback_delay_s, START_FALLBACK_DELAY_S)
         left_s = config.feed_valid_until() + fallback_delay_s - clock.now()
         if left_s <= 0:
--- a/ramppost/gateway/loading.py
+++ b/ramppost/gateway/loading.py
@@ -44,7 +44,7 @@
 
 
 class LoadTask(NamedTuple):
-    """An object to load: the replica of its kind, its name and its announced revision."""
+    """An object to load: the replica of its kind, its name and its announced state."""
 
     replica: KindReplica
     name: str
@@ -88,7 +88,7 @@
             f"not loaded: {loaded.reason}" if isinstance(loaded, LoadFailed) else "loaded",
             kind=task.replica.kind,
             name=task.name,
-            revision=task.pending.revision,
+            revision=task.pending.position.revision,
             source=source.name,
             took_s=round(now - started_at, 3),
             lacking_s=round(now - task.pending.since, 3),
@@ -120,11 +120,12 @@
 
 
 async def _read_from_peer(gw: Gateway, task: LoadTask, peer: str) -> StoredObject | LoadFailed:
-    """Request another gateway's copy, if that is at least as new as the announced revision."""
+    """Request another gateway's copy, if that is at least as new as announced."""
     query = {
         "kind": task.replica.kind,
         "name": task.name,
-        "revision": task.pending.revision,
+        "era": task.pending.position.era,
+        "revision": task.pending.position.revision,
     }
     path = f"{COPY_PATH}?{urlencode(query)}"
     addr = gw.peers.addrs[peer]
--- a/ramppost/gateway/model.py
+++ b/ramppost/gateway/model.py
@@ -9,6 +9,8 @@
 
 from typing import Literal, NamedTuple
 
+from ramppost.policy.position import Position
+
 RetryMode = Literal["any", "never"]
 """Whether a request may be retried once an upstream may have started to run it."""
 
@@ -96,6 +98,13 @@
     services: dict[str, Service]
     keys: dict[str, Workspace] | None
     limits: CallerLimits
+    era: int = 0
+    """The era of the store in which it was read."""
+
+    @property
+    def position(self) -> Position:
+        """The state of the object that it was decoded from."""
+        return Position(self.era, True, self.revision)
 
 
 class Upstream(NamedTuple):
@@ -131,6 +140,13 @@
     duration_s: float
     state: RolloutState
     revision: int
+    era: int = 0
+    """The era of the store in which it was read."""
+
+    @property
+    def position(self) -> Position:
+        """The state of the object that it was decoded from."""
+        return Position(self.era, True, self.revision)
 
 
 class Prompt(NamedTuple):
--- a/ramppost/gateway/operators.py
+++ b/ramppost/gateway/operators.py
@@ -36,6 +36,7 @@
 )
 from ramppost.policy.permissions import operator_by_token
 from ramppost.policy.policydoc import from_config
+from ramppost.policy.position import Position
 from ramppost.schema.config import Operator, PolicyDoc
 from ramppost.schema.messages import (
     EntryStatus,
@@ -124,6 +125,7 @@
     plan = Plan(
         plan_id=plan_id,
         revision=gw.policies.revision,
+        era=gw.policies.position.era,
         made_by=operator["name"],
         wish=req.body.decode(),
         difference=config_diff(config, changed),
@@ -157,7 +159,8 @@
 
     A repeated confirmation, or one after a lost response, finds the document already stored.
     """
-    written = await replace(gw.store, POLICY_KIND, POLICY_NAME, plan["revision"], doc)
+    made_for = Position(plan.get("era", 0), True, plan["revision"])
+    written = await replace(gw.store, POLICY_KIND, POLICY_NAME, made_for, doc)
     if not isinstance(written, StoredObject):
         stored = await read(gw.store, POLICY_KIND, POLICY_NAME)
         if isinstance(stored, Unavailable):
--- a/ramppost/gateway/policies.py
+++ b/ramppost/gateway/policies.py
@@ -15,6 +15,7 @@
     empty_doc,
     to_config,
 )
+from ramppost.policy.position import Position
 from ramppost.schema.config import ConfigDoc, Policy, PolicyDoc
 from ramppost.wire.codec import BadMessage, decode, encode
 
@@ -28,22 +29,28 @@
 
     def __init__(self) -> None:
         self.doc: PolicyDoc = empty_doc([])
-        self.revision = 0
+        self.position = Position(0, False, 0)
         self._config: ConfigDoc | None = None
         self._known = PlatformCatalog({}, [])
 
+    @property
+    def revision(self) -> int:
+        """Revision of the document; 0 before the first one."""
+        return self.position.revision
+
     def update(self, obj: StoredObject) -> None:
         """Apply a document from the store; an older or invalid one is ignored."""
         doc = decode(encode(obj.spec), PolicyDoc)
         if isinstance(doc, BadMessage):
             logger.error("invalid policy document: {}", doc.reason, revision=obj.revision)
             return
-        if obj.name != POLICY_NAME or obj.revision <= self.revision:
+        if obj.name != POLICY_NAME or obj.position <= self.position:
             return
-        self.doc, self.revision, self._config = doc, obj.revision, None
+        self.doc, self.position, self._config = doc, obj.position, None
         logger.info(
             "policies in force",
             revision=obj.revision,
+            era=obj.era,
             plan=doc["plan_id"],
             by=doc["changed_by"],
             policies=[policy["name"] for policy in doc["policies"]],
--- a/ramppost/gateway/replica.py
+++ b/ramppost/gateway/replica.py
@@ -2,7 +2,9 @@
 
 Two paths update a replica: `ramppost.gateway.follow`, which asks the store, and
 `ramppost.gateway.subscribe`, which polls another gateway.  It ignores data older than its own.
-Large objects are announced by name and revision only; `ramppost.gateway.loading` reads them.
+Where the store has come back from an older copy, it keeps what `ramppost.gateway.retention` says,
+and gives other gateways what it keeps.  Large objects are announced by name and position only;
+`ramppost.gateway.loading` reads them.
 """
 
 from __future__ import annotations
@@ -13,7 +15,10 @@
 import curio
 
 from ramppost import clock
+from ramppost.bounded import drop_oldest
+from ramppost.gateway.retention import KEEP_NOTHING, Retention
 from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
+from ramppost.policy.position import Position
 from ramppost.wire.codec import encode
 
 MAX_CHANGE_LOG: Final = 4096
@@ -25,12 +30,14 @@
 class Handlers(NamedTuple):
     """Callbacks for a full snapshot, for a change, and for each confirmation.
 
-    `on_confirmed` gets the time (steady clock) at which the state was known to be the newest.
+    `on_confirmed` gets the time (steady clock) at which the state was known to be the newest, if
+    `may_confirm` holds for that time.
     """
 
     on_snapshot: Callable[[Snapshot], None]
     on_change: Callable[[Change], None]
     on_confirmed: Callable[[float], None]
+    may_confirm: Callable[[float], bool] = lambda confirmed_at: True
 
 
 class Delta(NamedTuple):
@@ -41,15 +48,16 @@
 
 
 class PendingObject(NamedTuple):
-    """An object known by name and revision only, to be loaded.
+    """An object known by name and position only, to be loaded.
 
     `source` is the gateway that announced it, `since` the time (steady clock) of the first
-    announcement of a revision that has not been loaded.
+    announcement of a revision that has not been loaded, and `known` the object as it was before.
     """
 
-    revision: int
+    position: Position
     source: str
     since: float
+    known: StoredObject | None = None
 
 
 class UpdateNotifier:
@@ -76,27 +84,48 @@
     """
 
     def __init__(
-        self, kind: str, handlers: Handlers, notifier: UpdateNotifier, urgent: bool
+        self,
+        kind: str,
+        handlers: Handlers,
+        notifier: UpdateNotifier,
+        urgent: bool,
+        retention: Retention = KEEP_NOTHING,
     ) -> None:
         self.kind = kind
         self.urgent = urgent
-        self.revision: int | None = None
-        """The store revision of this replica; None if the kind has to be listed."""
+        self.position: Position | None = None
+        """The state of the store that this replica is of; None before the first list."""
+        self.needs_list = True
+        """Whether the store has to be asked for a whole list, because the changes since `position`
+        can't be had."""
         self.confirmed_at = float("-inf")
-        """When that revision was known to be the newest (steady clock)."""
+        """When that state was known to be the newest (steady clock)."""
+        self.held_back = False
+        """Whether the last answer of the store confirmed nothing, because the store may hold less
+        than it has acknowledged."""
         self.awaiting_response = False
         """Whether the store's response has begun, or was complete so late that its confirmation is
         already stale; in both cases a later confirmation is about to arrive."""
         self.pending: dict[str, PendingObject] = {}
-        """Objects known by name and revision only.  While there are any, confirmations are not
+        """Objects known by name and position only.  While there are any, confirmations are not
         passed to the handlers, since the state they have applied is not the newest."""
+        self.retained: dict[str, StoredObject | None] = {}
+        """Objects that are kept although the store lacks them (None) or holds an older one."""
         self._notifier = notifier
         self._handlers = handlers
+        self._retention = retention
         self._objects: dict[str, StoredObject] = {}
+        self._removed: dict[str, int] = {}
+        """Names of removed objects, with the era of the removal."""
         self._latest_changes: dict[str, tuple[int, Change]] = {}
         self._sizes: dict[str, int] = {}
         self._change_log_start = 0
 
+    @property
+    def revision(self) -> int | None:
+        """The revision of `position`, which orders states of one era only."""
+        return self.position.revision if self.position is not None else None
+
     def response_started(self) -> None:
         """Record that the store has begun to send its response."""
         self.awaiting_response = True
@@ -105,42 +134,47 @@
         self, snapshot: Snapshot, confirmed_at: float, source: str = ""
     ) -> None:
         """Apply a full snapshot of the state at time `confirmed_at` or later."""
-        if self.revision is not None and snapshot.revision < self.revision:
+        if self.position is not None and snapshot.position < self.position:
             return
-        objects = [self._newest_known(obj) for obj in snapshot.objects]
-        self._objects = {obj.name: obj for obj in objects}
         previous, self.pending = self.pending, {}
-        for obj in objects:
+        known, self._objects = self._objects, self._merge(snapshot)
+        for obj in self._objects.values():
             if not obj.whole:
-                self._mark_pending(obj, source, previous.get(obj.name))
+                self._mark_pending(obj, source, previous.get(obj.name), known.get(obj.name))
+        for name in set(known) - set(self._objects):
+            self._record_removal(name, snapshot.era)
         self._latest_changes.clear()
         self._sizes.clear()
-        self._change_log_start = self.revision = snapshot.revision
-        whole = [obj for obj in objects if obj.whole]
-        self._handlers.on_snapshot(Snapshot(whole, snapshot.revision))
+        self.position, self.needs_list = snapshot.position, False
+        self._change_log_start = snapshot.revision
+        whole = [obj for obj in self._objects.values() if obj.whole]
+        self._handlers.on_snapshot(snapshot._replace(objects=whole))
         await self._confirm(confirmed_at)
 
     async def apply_changes(
         self, since: int, changes: Changes, confirmed_at: float, source: str = ""
     ) -> None:
         """Apply all changes between revision `since` and time `confirmed_at`."""
-        if self.revision != since or changes.revision < since:
+        started_from = changes.position._replace(revision=since)
+        if self.position != started_from or changes.position < started_from:
             return
         for change in changes.changes:
             self._apply_change(change, changes.revision, source)
-        self.revision = changes.revision
+        self.position = changes.position
         await self._confirm(confirmed_at)
 
     async def apply_object(self, obj: StoredObject) -> None:
         """Apply an object that was pending and has been loaded.
 
-        An older revision than the announced one is applied as well, but the object stays pending.
+        An older state than the announced one is applied as well, but the object stays pending.
         """
         current = self._objects.get(obj.name)
-        if current is None or (current.whole and current.revision >= obj.revision):
+        if current is None or (current.whole and current.position >= obj.position):
             return
         pending = self.pending.get(obj.name)
-        if pending is None or obj.revision >= pending.revision:
+        if pending is not None:
+            obj = self._choose(pending.known, obj, obj.era)
+        if pending is None or obj.position >= pending.position or obj is pending.known:
             self._replace_pending(obj)
         self._handlers.on_change(Change(obj, False))
         await self._confirm(self.confirmed_at)
@@ -150,8 +184,14 @@
         obj = self._objects.get(name)
         return obj if obj is not None and obj.whole else None
 
+    def changes_after(self, position: Position) -> Delta:
+        """The update for a gateway whose replica is at `position`."""
+        if self.position is None or position[:2] != self.position[:2]:
+            return Delta(True, [Change(obj, False) for obj in self._objects.values()])
+        return self.changes_since(position.revision)
+
     def changes_since(self, revision: int) -> Delta:
-        """The update for a gateway whose replica is at `revision`."""
+        """The update for a gateway whose replica is at `revision` of the same era."""
         if revision < self._change_log_start:
             return Delta(True, [Change(obj, False) for obj in self._objects.values()])
         changes = []
@@ -168,25 +208,81 @@
             self._sizes[name] = len(encode(obj.spec)) if obj is not None else 0
         return self._sizes[name]
 
-    def _newest_known(self, obj: StoredObject) -> StoredObject:
-        """The local copy if it is complete, `obj` is not, and it is at least as new; else `obj`."""
-        current = self.complete_object(obj.name)
-        if obj.whole or current is None or current.revision < obj.revision:
-            return obj
-        return current
+    def _merge(self, snapshot: Snapshot) -> dict[str, StoredObject]:
+        """The objects of a snapshot, and those that outlive it."""
+        known = self._objects
+        self.retained = {}
+        merged = {
+            obj.name: self._choose(known.get(obj.name), obj, snapshot.era)
+            for obj in snapshot.objects
+            if not self._is_back(obj, snapshot)
+        }
+        listed = {obj.name for obj in snapshot.objects}
+        for name, obj in known.items():
+            if name not in listed and self._outlives(obj, snapshot):
+                merged[name] = obj
+                self.retained[name] = None
+        return merged
+
+    def _choose(self, known: StoredObject | None, found: StoredObject, era: int) -> StoredObject:
+        """The known object or the one found in a state of an era, whichever is newer."""
+        if known is None or not known.whole:
+            return found
+        if not found.whole:
+            return known if known.position >= found.position else found
+        if known.era < era and self._retention.keeps(known, found):
+            self.retained[found.name] = found
+            return known
+        return found
+
+    def _outlives(self, known: StoredObject, snapshot: Snapshot) -> bool:
+        """Whether an object is kept that a snapshot lacks."""
+        if known.era >= snapshot.era:
+            return False
+        lasting = self._retention.missing
+        return lasting == "always" or (lasting == "until settled" and not snapshot.settled)
+
+    def _is_back(self, obj: StoredObject, snapshot: Snapshot) -> bool:
+        """Whether an object is there only because the store came back: it had been removed."""
+        return (
+            self._retention.missing == "until settled"
+            and not snapshot.settled
+            and obj.name not in self._objects
+            and self._removed.get(obj.name, snapshot.era) < snapshot.era
+        )
 
     def _apply_change(self, change: Change, revision: int, source: str) -> None:
-        obj = change.obj if change.removed else self._newest_known(change.obj)
+        name = change.obj.name
+        known = self._objects.get(name)
+        self.retained.pop(name, None)
+        obj = change.obj
+        if not change.removed:
+            obj = self._choose(known, obj, obj.era)
+        previous = self.pending.pop(name, None)
+        if obj is known and name in self.retained:
+            return
         self._record_change(Change(obj, change.removed), revision)
-        previous = self.pending.pop(obj.name, None)
         if obj.whole or change.removed:
             self._handlers.on_change(Change(obj, change.removed))
         else:
-            self._mark_pending(obj, source, previous)
-
-    def _mark_pending(self, obj: StoredObject, source: str, previous: PendingObject | None) -> None:
+            self._mark_pending(obj, source, previous, known)
+
+    def _mark_pending(
+        self,
+        obj: StoredObject,
+        source: str,
+        previous: PendingObject | None,
+        known: StoredObject | None,
+    ) -> None:
         since = previous.since if previous is not None else clock.now()
-        self.pending[obj.name] = PendingObject(obj.revision, source, since)
+        if previous is not None and (known is None or not known.whole):
+            known = previous.known
+        self.pending[obj.name] = PendingObject(obj.position, source, since, known)
+
+    def _record_removal(self, name: str, era: int) -> None:
+        self._removed.pop(name, None)
+        self._removed[name] = era
+        drop_oldest(self._removed, MAX_CHANGE_LOG)
 
     def _replace_pending(self, obj: StoredObject) -> None:
         """Replace an object known by name only with the complete one."""
@@ -204,13 +300,17 @@
         self._latest_changes[name] = (revision, change)
         if change.removed:
             self._objects.pop(name, None)
+            self._record_removal(name, change.obj.era)
         else:
             self._objects[name] = change.obj
+            self._removed.pop(name, None)
         while len(self._latest_changes) > MAX_CHANGE_LOG:
             self._change_log_start, _ = self._latest_changes.pop(next(iter(self._latest_changes)))
 
     async def _confirm(self, confirmed_at: float) -> None:
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        if not self.pending:
-            self._handlers.on_confirmed(confirmed_at)
+        self.held_back = not self._handlers.may_confirm(confirmed_at)
+        if not self.held_back:
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+            if not self.pending:
+                self._handlers.on_confirmed(confirmed_at)
         await self._notifier.notify()
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -119,7 +119,7 @@
     """Write the status that ends a roll-out, unless it already has one."""
     order = rollout.order
     status = rollout_status(order, completed)
-    got = await set_status(gw.store, names.ROLLOUT_KIND, order.service, order.revision, status)
+    got = await set_status(gw.store, names.ROLLOUT_KIND, order.service, order.position, status)
     if isinstance(got, Unavailable):
         logger.warning(
             "failed to write the end of the roll-out: {}", got.reason, service=order.service
@@ -227,7 +227,7 @@
     if isinstance(found, Missing):
         await create(gw.store, PROGRESS_KIND, order.service, spec)
     elif isinstance(found, StoredObject) and not _is_ahead(gw, found, spec):
-        await replace(gw.store, PROGRESS_KIND, order.service, found.revision, spec)
+        await replace(gw.store, PROGRESS_KIND, order.service, found.position, spec)
 
 
 def progress_changed(gw: Gateway, obj: StoredObject) -> None:
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -37,8 +37,9 @@
 from ramppost.policy.limits import SHARED_FRACTION, WindowBudget, slack_per_gateway
 from ramppost.policy.pace import TimingBaseline
 from ramppost.policy.placement import PrefillRates
+from ramppost.policy.position import Position
 from ramppost.policy.pressure import Pressure
-from ramppost.policy.relays import Peers
+from ramppost.policy.relays import Peers, start_hold_s
 from ramppost.policy.suspicion import UpstreamHealth
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.client import Pool
@@ -68,8 +69,8 @@
         self.cfg = cfg
         self.rng = random.Random()
         self.table: RoutingTable | None = None
-        self.config_revision_seen = 0
-        """Revision of the newest configuration received, valid or not."""
+        self.config_seen = Position(0, False, 0)
+        """State of the newest configuration received, valid or not."""
         self.peers = Peers(cfg["name"], cfg.get("link_mbps", 0.0), cfg["hall"])
         self.warmups = WarmUps(self.peers)
         self.peers_reachable = False
@@ -143,7 +144,20 @@
     def config_revision_known(self) -> int:
         """Revision of the newest configuration known to exist, received or not."""
         pending = self._pending_config()
-        return max(self.config_revision_seen, pending.revision if pending is not None else 0)
+        known = max(self.config_seen, pending.position) if pending is not None else self.config_seen
+        return known.revision
+
+    def note_era(self, era: int) -> None:
+        """Record an era of the store that an answer or another gateway names."""
+        self.store.era = max(self.store.era, era)
+        self.store_returns.note_era(era)
+
+    def _await_feed_after_return(self) -> None:
+        """Let a gateway that is no relay wait for a feed before it lists everything itself."""
+        now = clock.now()
+        if not self.peers.is_relay(now):
+            hold_s = start_hold_s(self.peers.fleet_size, self.rng.random())
+            self.feed_valid_until = max(self.feed_valid_until, now + hold_s)
 
     def _config_overdue(self, now: float) -> bool:
         pending = self._pending_config()
--- a/ramppost/gateway/store_returns.py
+++ b/ramppost/gateway/store_returns.py
@@ -1,29 +1,62 @@
 """Notices that the store has come back from an older copy of its contents.
 
 The store then has lost what it acknowledged after that copy was made, and gives the same revisions
-out again.  It counts its returns: every answer names its era, which rises by one each time.
+out again.  It counts its returns: every answer names its era, which rises by one each time.  The
+operator and the upstreams write again what they had written, which takes a moment.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Final
+
 from loguru import logger
 
+from ramppost import clock
 from ramppost.gateway.metrics import Metrics
 
+REWRITE_S: Final = 0.5
+"""Within this after its return was seen, the operator has written the newest configuration again.
+What the store answers before that does not show that there is no newer one."""
+SETTLE_S: Final = 10.0
+"""Within this everybody has written everything again, so that what is not there was removed."""
+
 
 class StoreReturns:
-    """The newest era of the store that this gateway knows of."""
+    """The newest era of the store that this gateway knows of, and when it learned of it.
+
+    `on_return` is called when a later one is seen.
+    """
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
+        self.on_return: Callable[[], None] = lambda: None
         self.era: int | None = None
         """None before the first answer of the store."""
+        self.seen_at = float("-inf")
+        """When its first answer was seen (steady clock)."""
+        self._is_return = False
 
     def note_era(self, era: int) -> None:
-        """Record the era that an answer of the store names."""
+        """Record the era that an answer of the store, or another gateway, names."""
         if self.era is not None and era <= self.era:
             return
-        if self.era is not None:
-            logger.warning("store came back from an older copy", era=era, before=self.era)
-        self.era = era
+        self._is_return = self.era is not None
+        previous, self.era = self.era, era
+        self.seen_at = clock.now()
         self._metrics.gauges["ramppost_store_era"] = era
+        if self._is_return:
+            logger.warning("store came back from an older copy", era=era, before=previous)
+            self.on_return()
+
+    def confirms(self, at: float) -> bool:
+        """Whether an answer of the store that was asked for at a time shows all that it has
+        acknowledged."""
+        return not self._is_return or at >= self.seen_at + REWRITE_S
+
+    def is_settled(self) -> bool:
+        """Whether everybody has had the time to write again what an older copy lacked.
+
+        A gateway that has just started can't know when the store came back last.
+        """
+        return not self.era or clock.now() >= self.seen_at + SETTLE_S
--- a/ramppost/gateway/subscribe.py
+++ b/ramppost/gateway/subscribe.py
@@ -19,6 +19,7 @@
     COMPRESSED_TYPE,
     FEED_PATH,
     UNKNOWN_AGE_MS,
+    mark_position,
     urgent_confirmed_at,
     urgent_kinds_known,
 )
@@ -26,6 +27,7 @@
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import feed_wait_s, stale_after_s
 from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
+from ramppost.policy.position import Position
 from ramppost.policy.relays import REFUSED_SKIP_S, UNREACHABLE_SKIP_S
 from ramppost.schema.messages import FeedChange, FeedKind, FeedMark, FeedMsg, FeedQuery
 from ramppost.wire.client import CallFailed, Response, fetch
@@ -110,7 +112,8 @@
     if _is_behind(gw, query, msg):
         return _handle_behind(gw, query, msg)
     now = clock.now()
-    if not gw.peers.is_relay(now) and urgent_confirmed_at(gw) > previously_confirmed_at:
+    confirmed = urgent_confirmed_at(gw) > previously_confirmed_at
+    if not gw.peers.is_relay(now) and (confirmed or msg.get("held_back", False)):
         # A relay that is cut off may return what it has got from this gateway, which confirms
         # nothing.
         gw.feed_valid_until = now + feed_wait_s(gw) + ANSWER_SLACK_S + FEED_GRACE_S
@@ -118,7 +121,7 @@
 
 
 async def _send_query(gw: Gateway, query: _Query) -> Response | CallFailed:
-    marks = [_known_revision(replica, query.sent_at) for replica in gw.replicas.values()]
+    marks = [_mark(replica, query.sent_at) for replica in gw.replicas.values()]
     body = encode(FeedQuery(wait_ms=round(query.wait_s * 1000), kinds=marks))
     timeout_s = query.wait_s + ANSWER_SLACK_S
     return await fetch(
@@ -149,7 +152,12 @@
 
 
 def _is_behind(gw: Gateway, query: _Query, msg: FeedMsg) -> bool:
-    """Whether the gateway that has answered does not keep up with the store."""
+    """Whether the gateway that has answered does not keep up with the store.
+
+    One that the store answers without confirming anything, after its return, does as well as any.
+    """
+    if msg.get("held_back", False):
+        return False
     waited_s = msg["waited_ms"] / 1000
     return waited_s >= query.wait_s - WAIT_ROUNDING_S or _urgent_age_s(gw, msg) > stale_after_s(gw)
 
@@ -196,12 +204,16 @@
     return max(age_ms / 1000 if age_ms >= 0 else float("inf") for age_ms in urgent)
 
 
-def _known_revision(replica: KindReplica, now: float) -> FeedMark:
+def _mark(replica: KindReplica, now: float) -> FeedMark:
+    """What is known here of a kind."""
     age_s = now - replica.confirmed_at
     known = replica.confirmed_at > float("-inf")
+    position = replica.position or Position(0, False, 0)
     return FeedMark(
         kind=replica.kind,
-        revision=replica.revision or 0,
+        revision=position.revision,
+        era=position.era,
+        settled=position.settled,
         age_ms=round(age_s * 1000) if known else UNKNOWN_AGE_MS,
     )
 
@@ -209,6 +221,8 @@
 async def _apply_kind(gw: Gateway, kind_msg: FeedKind, answered_at: float, source: str) -> None:
     """Apply a kind's part of a response; `answered_at` is no later than when it was sent."""
     replica = gw.replicas[kind_msg["kind"]]
+    position = mark_position(kind_msg)
+    gw.note_era(position.era)
     # Data that was never confirmed there is applied, but confirms nothing here.
     confirmed_at = (
         answered_at - kind_msg["age_ms"] / 1000 if kind_msg["age_ms"] >= 0 else float("-inf")
@@ -216,15 +230,20 @@
     changes = [_decode_change(item) for item in kind_msg["changes"]]
     if kind_msg["full"]:
         objects = [change.obj for change in changes]
-        await replica.apply_snapshot(Snapshot(objects, kind_msg["revision"]), confirmed_at, source)
+        snapshot = Snapshot(objects, position.revision, position.era, position.settled)
+        await replica.apply_snapshot(snapshot, confirmed_at, source)
     else:
-        await replica.apply_changes(
-            kind_msg["since"], Changes(changes, kind_msg["revision"]), confirmed_at, source
-        )
+        delta = Changes(changes, position.revision, position.era, position.settled)
+        await replica.apply_changes(kind_msg["since"], delta, confirmed_at, source)
 
 
 def _decode_change(item: FeedChange) -> Change:
     obj = StoredObject(
-        item["name"], item["revision"], item.get("spec"), item.get("status"), item["whole"]
+        item["name"],
+        item["revision"],
+        item.get("spec"),
+        item.get("status"),
+        item["whole"],
+        item.get("era", 0),
     )
     return Change(obj, item["removed"])
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -18,10 +18,17 @@
 from ramppost.gateway.model import RoutingTable, Upstream
 from ramppost.gateway.policies import POLICY_KIND
 from ramppost.gateway.replica import Handlers, KindReplica
+from ramppost.gateway.retention import KEEP_NOTHING, Retention
 from ramppost.gateway.rollout_duty import PROGRESS_KIND, progress_changed
 from ramppost.gateway.state import Gateway
 from ramppost.platform import names
-from ramppost.platform.documents import rollout_order, routing_table, upstream, warmup_left_s
+from ramppost.platform.documents import (
+    configuration_version,
+    rollout_order,
+    routing_table,
+    upstream,
+    warmup_left_s,
+)
 from ramppost.platform.store import Change, Snapshot, StoredObject
 from ramppost.policy.relays import FOLLOWS_HALL_DEPTH
 from ramppost.wire.codec import BadMessage
@@ -100,6 +107,7 @@
         lambda snapshot: apply_config_snapshot(gw, snapshot),
         lambda change: _apply_config_change(gw, change),
         lambda at: confirm_config(gw, at),
+        lambda at: _may_confirm_config(gw, at),
     )
     upstreams = Handlers(
         lambda snapshot: apply_upstream_snapshot(gw, snapshot),
@@ -121,7 +129,15 @@
         lambda change: _apply_policy_change(gw, change),
         _ignore_confirmation,
     )
-    await watch_kind(gw, names.CONFIG_KIND, config, _config_watch_timeout_s(gw), 0.0, urgent=True)
+    await watch_kind(
+        gw,
+        names.CONFIG_KIND,
+        config,
+        _config_watch_timeout_s(gw),
+        0.0,
+        urgent=True,
+        retention=Retention(_has_newer_version, "always"),
+    )
     await watch_kind(
         gw, names.UPSTREAM_KIND, upstreams, _upstream_watch_timeout_s(gw), 0.0, urgent=True
     )
@@ -153,9 +169,10 @@
     watch_timeout_s: float,
     fallback_delay_s: float,
     urgent: bool = False,
+    retention: Retention = KEEP_NOTHING,
 ) -> None:
     """Start to replicate a kind."""
-    replica = KindReplica(kind, handlers, gw.updates, urgent)
+    replica = KindReplica(kind, handlers, gw.updates, urgent, retention)
     gw.replicas[kind] = replica
     follow_config = FollowConfig(
         replica,
@@ -164,6 +181,7 @@
         fallback_delay_s,
         lambda: gw.feed_valid_until,
         probes_store=kind == names.CONFIG_KIND,
+        is_settled=_always if retention.missing != "until settled" else gw.store_returns.is_settled,
     )
     await curio.spawn(follow, gw.store, follow_config, gw.store_outage, daemon=True)
 
@@ -177,37 +195,72 @@
         apply_config(gw, obj)
 
 
+def _may_confirm_config(gw: Gateway, asked_at: float) -> bool:
+    """Whether what the store was asked for then can show a configuration to be the newest.
+
+    After its return it may hold an older one than it has acknowledged, until the operator has
+    written the newest again.
+    """
+    return gw.store_returns.confirms(asked_at) and not gw.replicas[names.CONFIG_KIND].retained
+
+
+def _has_newer_version(known: StoredObject, found: StoredObject) -> bool:
+    """Whether the known configuration is newer than one found in a later era of the store."""
+    known_version, found_version = configuration_version(known), configuration_version(found)
+    return known_version is not None and (found_version or 0) < known_version
+
+
+def _always() -> bool:
+    return True
+
+
 def confirm_config(gw: Gateway, sent_at: float) -> None:
     """Confirm the configuration as of `sent_at` if the newest one received is in force."""
-    if gw.table is not None and gw.table.revision >= gw.config_revision_seen:
+    if gw.table is not None and gw.table.position >= gw.config_seen:
         gw.freshness.confirm(sent_at)
 
 
 def apply_config(gw: Gateway, obj: StoredObject) -> None:
-    """Put a configuration in force unless the current one is as new."""
+    """Put a configuration in force unless the current one is as new.
+
+    Its version orders it: the store may come back from an older copy, with an older configuration
+    at a state that is newer.
+    """
     if obj.name != names.CONFIG_NAME:
         return
-    gw.config_revision_seen = max(gw.config_revision_seen, obj.revision)
     table = routing_table(obj)
     if isinstance(table, BadMessage):
-        logger.error("invalid configuration: {}", table.reason, revision=obj.revision)
+        gw.config_seen = max(gw.config_seen, obj.position)
+        logger.error("invalid configuration: {}", table.reason, revision=obj.revision, era=obj.era)
         return
-    if gw.table is not None and table.revision <= gw.table.revision:
+    if gw.table is not None and not _replaces(table, gw.table):
         if table.version != gw.table.version:
-            logger.info(
-                "configuration passed over",
-                version=table.version,
-                revision=table.revision,
-                in_force=gw.table.version,
-                in_force_revision=gw.table.revision,
-            )
+            _log_passed_over(table, gw.table)
         return
+    gw.config_seen = max(gw.config_seen, obj.position)
     _log_config(gw.table, table)
     gw.table = table
     gw.policies.set_table(table)
     gw.metrics.gauges["ramppost_config_version"] = table.version
 
 
+def _replaces(found: RoutingTable, current: RoutingTable) -> bool:
+    """Whether a configuration is newer than the one in force, or the same at a newer state."""
+    return (found.version, found.position) > (current.version, current.position)
+
+
+def _log_passed_over(found: RoutingTable, current: RoutingTable) -> None:
+    logger.info(
+        "configuration passed over",
+        version=found.version,
+        revision=found.revision,
+        era=found.era,
+        in_force=current.version,
+        in_force_revision=current.revision,
+        in_force_era=current.era,
+    )
+
+
 def _apply_config_change(gw: Gateway, change: Change) -> None:
     if change.removed:
         logger.error("configuration was removed from the store; the last one stays in force")
@@ -221,6 +274,7 @@
         version=current.version,
         before=previous.version if previous else None,
         revision=current.revision,
+        era=current.era,
         routes=sum(len(routes) for routes in current.routes.values()),
         keys=len(current.keys) if current.keys is not None else None,
     )
--- a/ramppost/platform/documents.py
+++ b/ramppost/platform/documents.py
@@ -140,10 +140,22 @@
     services = {item["name"]: _decode_service(item) for item in doc["services"]}
     limits = _decode_limits(doc["limits"]) if "limits" in doc else DEFAULT_LIMITS
     return RoutingTable(
-        doc["version"], obj.revision, routes, services, _workspaces_by_key(doc), limits
+        doc["version"],
+        obj.revision,
+        routes,
+        services,
+        _workspaces_by_key(doc),
+        limits,
+        obj.era,
     )
 
 
+def configuration_version(obj: StoredObject) -> int | None:
+    """Returns the version of a configuration, of which nothing else is checked; None if invalid."""
+    version = obj.spec.get("version") if isinstance(obj.spec, dict) else None
+    return version if isinstance(version, int) else None
+
+
 def upstream(obj: StoredObject) -> Upstream | BadMessage:
     """Decodes the entry that an upstream keeps in the store; the name of the entry is its id.
 
@@ -193,7 +205,7 @@
     elif status["state"] == ROLLED_BACK:
         state = "rolled_back"
     return RolloutOrder(
-        doc["service"], doc["target_version"], doc["duration_s"], state, obj.revision
+        doc["service"], doc["target_version"], doc["duration_s"], state, obj.revision, obj.era
     )
 
 
--- a/ramppost/platform/store.py
+++ b/ramppost/platform/store.py
@@ -19,6 +19,7 @@
 from loguru import logger
 
 from ramppost.platform import names
+from ramppost.policy.position import Position
 from ramppost.wire.client import CallFailed, Pool, Response, fetch
 from ramppost.wire.codec import BadMessage, decode, encode
 
@@ -35,7 +36,7 @@
     """An object of the store, with its `spec` and `status` as decoded JSON.
 
     A spec or status that is missing or can't be decoded is None; a status is missing before it is
-    first written.  Only the name and revision are known of an object that is not `whole`.
+    first written.  Only the name and position are known of an object that is not `whole`.
     """
 
     name: str
@@ -43,13 +44,27 @@
     spec: Any
     status: Any
     whole: bool = True
+    era: int = 0
+    """The era of the store in which it was read."""
+
+    @property
+    def position(self) -> Position:
+        """The state of the object."""
+        return Position(self.era, True, self.revision)
 
 
 class Snapshot(NamedTuple):
-    """All objects of a kind, and the revision of the store when they were listed."""
+    """All objects of a kind, and the state of the store when they were listed."""
 
     objects: list[StoredObject]
     revision: int
+    era: int = 0
+    settled: bool = True
+
+    @property
+    def position(self) -> Position:
+        """The state of the store."""
+        return Position(self.era, self.settled, self.revision)
 
 
 class Change(NamedTuple):
@@ -60,10 +75,17 @@
 
 
 class Changes(NamedTuple):
-    """The changes since a revision, and the revision to continue from."""
+    """The changes since a revision of the same era, and the state to continue from."""
 
     changes: list[Change]
     revision: int
+    era: int = 0
+    settled: bool = True
+
+    @property
+    def position(self) -> Position:
+        """The state of the store after the changes."""
+        return Position(self.era, self.settled, self.revision)
 
 
 class HistoryExpired(NamedTuple):
@@ -120,9 +142,8 @@
 
 
 class StoreClient:
-    """The address of the store, the connection pool, and the number of calls made.
-
-    `on_era` is called with the era that each answer of the store names.
+    """The address of the store, the connection pool, the number of calls made, and the newest era
+    that an answer has named; `on_era` is called with the era of each answer.
     """
 
     def __init__(
@@ -131,6 +152,7 @@
         self.addr = addr
         self.pool = pool
         self.calls = 0
+        self.era = 0
         self.on_era = on_era
 
 
@@ -139,11 +161,13 @@
 ) -> Snapshot | Unavailable:
     """Lists all objects of a kind, page by page; the revision is that of the first page.
 
+    All pages are of one era.
+
     With `stale_ok` the list may be seconds old; such a call costs a tenth and does not count
     towards the store's rate limits.
     """
     objects: list[StoredObject] = []
-    after, first_revision = "", None
+    after, first_revision, first_era = "", None, 0
     for _ in range(MAX_PAGES):
         query = {"after": after} if after else {}
         if stale_ok:
@@ -153,14 +177,19 @@
         page = _decode_body(response, _List)
         if isinstance(page, Unavailable):
             return page
+        era = _era(response)
         page_objects = [
-            obj for item in page["items"] if (obj := _decode_item(kind, item)) is not None
+            obj for item in page["items"] if (obj := _decode_item(kind, item, era)) is not None
         ]
         objects += page_objects
         if first_revision is None:
-            first_revision = page["current_rev"]
+            first_revision, first_era = page["current_rev"], era
+        if era != first_era:
+            return Unavailable(
+                f"the store came back from an older copy while {kind} was read", True
+            )
         if not page["truncated"] or not page["items"]:
-            return Snapshot(objects, first_revision)
+            return Snapshot(objects, first_revision, first_era)
         if not page_objects:
             return Unavailable(f"no name to go on from in {kind}", False)
         after = page_objects[-1].name
@@ -176,6 +205,7 @@
 ) -> Changes | HistoryExpired | Unavailable:
     """Returns the changes of a kind after a revision; waits up to `wait_s` seconds for the first.
 
+    They are of use only if they are of the era of that revision.
     `on_response_start` is called at the start of the response; reading the rest has no fixed time
     limit, because it depends on the size.
     """
@@ -189,12 +219,13 @@
     body = _decode_body(response, _Watch)
     if isinstance(body, Unavailable):
         return body
+    era = _era(response)
     changes = [
         Change(obj, event["tombstone"])
         for event in body["events"]
-        if (obj := _decode_item(kind, event.get("object"))) is not None
+        if (obj := _decode_item(kind, event.get("object"), era)) is not None
     ]
-    return Changes(changes, body["current_rev"])
+    return Changes(changes, body["current_rev"], era)
 
 
 async def read(client: StoreClient, kind: str, name: str) -> StoredObject | Missing | Unavailable:
@@ -203,7 +234,7 @@
     if isinstance(response, Response) and response.status == 404:
         return Missing()
     body = _decode_body(response, _Object)
-    return body if isinstance(body, Unavailable) else _stored_object(body)
+    return body if isinstance(body, Unavailable) else _stored_object(body, _era(response))
 
 
 async def create(
@@ -215,11 +246,11 @@
 
 
 async def replace(
-    client: StoreClient, kind: str, name: str, revision: int, spec: Any
+    client: StoreClient, kind: str, name: str, found: Position, spec: Any
 ) -> StoredObject | Conflict | Unavailable:
-    """Replaces the spec of an object if the object has this revision."""
-    body = encode({"metadata": {"name": name, "revision": revision}, "spec": spec})
-    return _write_result(await _call(client, "PUT", f"/objects/{quote(kind)}/{quote(name)}", body))
+    """Replaces the spec of an object if that is still in the state in which it was found."""
+    body = encode({"metadata": {"name": name, "revision": found.revision}, "spec": spec})
+    return await _write(client, f"/objects/{quote(kind)}/{quote(name)}", body, found)
 
 
 async def put(
@@ -235,16 +266,31 @@
         return created
     if isinstance(existing, Unavailable) or existing.spec == spec:
         return existing
-    return await replace(client, kind, name, existing.revision, spec)
+    return await replace(client, kind, name, existing.position, spec)
 
 
 async def set_status(
-    client: StoreClient, kind: str, name: str, revision: int, status: Any
+    client: StoreClient, kind: str, name: str, found: Position, status: Any
+) -> StoredObject | Conflict | Unavailable:
+    """Replaces the status of an object if that is still in the state in which it was found."""
+    body = encode({"metadata": {"name": name, "revision": found.revision}, "status": status})
+    return await _write(client, f"/objects/{quote(kind)}/{quote(name)}/status", body, found)
+
+
+async def _write(
+    client: StoreClient, path: str, body: bytes, found: Position
 ) -> StoredObject | Conflict | Unavailable:
-    """Replaces the status of an object if the object has this revision."""
-    body = encode({"metadata": {"name": name, "revision": revision}, "status": status})
-    path = f"/objects/{quote(kind)}/{quote(name)}/status"
-    return _write_result(await _call(client, "PUT", path, body))
+    """Write under the condition in the body, which is worth something in its era only.
+
+    A store that has come back since gives the revision out again.  A write that has met such a
+    return under way gives `Conflict` as well: the caller has to look what is there.
+    """
+    if found.era < client.era:
+        return Conflict()
+    response = await _call(client, "PUT", path, body)
+    if isinstance(response, Response) and _era(response) > found.era:
+        return Conflict()
+    return _write_result(response)
 
 
 async def _call(
@@ -260,14 +306,15 @@
     response = await fetch(
         client.pool, client.addr, method, path, body, timeout_s, headers, on_response_start
     )
-    if isinstance(response, Response):
+    if isinstance(response, Response) and names.STORE_ERA in response.headers:
+        client.era = max(client.era, _era(response))
         client.on_era(_era(response))
     return response
 
 
-def _era(response: Response) -> int:
+def _era(response: Response | CallFailed) -> int:
     """The era that an answer names; 0 for a store that names none."""
-    text = response.headers.get(names.STORE_ERA, "")
+    text = response.headers.get(names.STORE_ERA, "") if isinstance(response, Response) else ""
     return int(text) if text.isdecimal() else 0
 
 
@@ -275,7 +322,7 @@
     if isinstance(response, Response) and response.status in (404, 409):
         return Conflict()
     body = _decode_body(response, _Object)
-    return body if isinstance(body, Unavailable) else _stored_object(body)
+    return body if isinstance(body, Unavailable) else _stored_object(body, _era(response))
 
 
 def _decode_body(response: Response | CallFailed, kind: type[Any]) -> Any:
@@ -288,22 +335,23 @@
     return Unavailable(body.reason, False) if isinstance(body, BadMessage) else body
 
 
-def _decode_item(kind: str, raw: msgspec.Raw | None) -> StoredObject | None:
+def _decode_item(kind: str, raw: msgspec.Raw | None, era: int) -> StoredObject | None:
     """Decodes an object of a list or watch; None if it lacks a name or revision."""
     item = decode(bytes(raw or b"null"), _Object)
     if isinstance(item, BadMessage):
         logger.warning("object without name or revision passed over: {}", item.reason, kind=kind)
         return None
-    return _stored_object(item)
+    return _stored_object(item, era)
 
 
-def _stored_object(item: _Object) -> StoredObject:
+def _stored_object(item: _Object, era: int) -> StoredObject:
     meta = item["metadata"]
     return StoredObject(
         meta["name"],
         meta["revision"],
         _decode_value(item.get("spec")),
         _decode_value(item.get("status")),
+        era=era,
     )
 
 
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -100,6 +100,14 @@
     """
     The store's revision up to which its changes are known.
     """
+    era: NotRequired[int]
+    """
+    The store's era that this revision is of.
+    """
+    settled: NotRequired[bool]
+    """
+    Whether all has been written again that an older copy of the store lacked.
+    """
     age_ms: float
     """
     Milliseconds since that was known to be the newest; -1 for never.
@@ -119,6 +127,10 @@
     """
     Its own revision in the store.
     """
+    era: NotRequired[int]
+    """
+    The store's era in which it was read.
+    """
     removed: bool
     """
     Whether it was removed.
@@ -146,6 +158,10 @@
     """
     Its own revision in the store.
     """
+    era: NotRequired[int]
+    """
+    The store's era in which it was read.
+    """
     spec: Any
     """
     Its spec.
@@ -611,6 +627,10 @@
     """
     Revision it was made for.
     """
+    era: NotRequired[int]
+    """
+    The store's era that this revision is of.
+    """
     made_by: str
     wish: str
     difference: list[str]
@@ -797,6 +817,14 @@
     """
     The store's revision up to which the changes go.
     """
+    era: NotRequired[int]
+    """
+    The store's era that this revision is of.
+    """
+    settled: NotRequired[bool]
+    """
+    Whether all has been written again that an older copy of the store lacked.
+    """
     age_ms: float
     """
     Milliseconds, at the time of the answer, since nothing later was known to exist; -1 for never.
@@ -904,4 +932,8 @@
     """
     Whether the store answers here and a later confirmation is on its way: a large answer is being read, or was whole so late that what it confirms is old already.
     """
+    held_back: NotRequired[bool]
+    """
+    Whether the store answers here and may hold less than it has acknowledged, so that it confirms nothing for now.
+    """
     kinds: list[FeedKind]
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -34,8 +34,10 @@
     return log_line("main", "starting", after_s, program)
 
 
-def config(version: int, before: int | None, after_s: float, program: str = "g1") -> str:
-    fields = {"version": version, "before": before, "revision": 10 * version}
+def config(
+    version: int, before: int | None, after_s: float, program: str = "g1", **more: Any
+) -> str:
+    fields = {"version": version, "before": before, "revision": 10 * version} | more
     return log_line("watchers", "configuration in force", after_s, program, **fields)
 
 
@@ -103,6 +105,14 @@
     ),
     "older configuration": ([config(2, None, 0), config(1, 2, 1)], "configuration"),
     "same revision again": ([config(2, None, 0), config(2, 2, 1)], "configuration"),
+    "older version in a later era": (
+        [config(2, None, 0), config(1, 2, 1, revision=30, era=1)],
+        "configuration",
+    ),
+    "same version in an earlier era": (
+        [config(2, None, 0, era=1), config(2, 2, 1, revision=30)],
+        "configuration",
+    ),
     "two ends": ([attempt("r", "status 200", 1), served("r", 2), served("r", 3)], "one end"),
     "two ends at two gateways": (
         [attempt("r", "status 200", 1), served("r", 2), served("r", 3, 0, "g2")],
@@ -455,7 +465,8 @@
     assert command(str(good)).returncode == 0
     got = command(str(bad))
     assert got.returncode == 1
-    assert "g1: revision 10 in force after 20" in got.stdout
+    lost = "version 1 (era 0, revision 10) in force after version 2 (era 0, revision 20)"
+    assert f"g1: {lost}" in got.stdout
     got = command(str(good), str(tmp_path / "none.log"))
     assert got.returncode == 2 and "none.log" in got.stderr
     cut = tmp_path / "cut.gz"
@@ -496,3 +507,12 @@
     assert verdict_counts(found) == {} and not found.unreadable
     # The start and the configuration of each gateway, and three request ends and two attempts.
     assert found.programs == 2 and found.events >= 2 * (1 + 1) + 3 + 2
+
+
+def test_configurations_after_the_stores_return_are_ordered_by_version(tmp_path: Path) -> None:
+    lines = [
+        config(5, None, 0, revision=27),
+        config(5, 5, 1, revision=24, era=1),
+        config(6, 5, 2, revision=25, era=1),
+    ]
+    assert verdict_counts(audit_lines(tmp_path, *lines)) == {}
--- a/tests/test_gateway_loading.py
+++ b/tests/test_gateway_loading.py
@@ -98,7 +98,7 @@
         replica._handlers = Handlers(lambda s: None, on_change, confirmed.append)
         await send_stub(pair, 6)
         assert replica.revision == 6
-        assert replica.pending[NAME].revision == 6
+        assert replica.pending[NAME].position.revision == 6
         assert len(confirmed) == 1, "only the list before the stub is confirmed"
         await load_until(pair, 6)
         assert not replica.pending
@@ -224,7 +224,7 @@
         since = replica.pending[NAME].since
         await replica.apply_object(large_object(6))
         assert pair.applied[-1] == NAME
-        assert replica.pending[NAME].revision == 8
+        assert replica.pending[NAME].position.revision == 8
         assert replica.pending[NAME].since == since, "counted from the first missing revision"
         await load_until(pair, 8)
 
