Keep the end of a roll-out that the store has lost, and write it again

A version that had been withdrawn was tried again, and one that was completed was under way again, after the store had come back from an older copy with the order and without its end.

Cause: the order of a newer state of the store replaced the known one, status included. An order that the copy lacked was taken for removed.

Change: the end of an order is kept over a return, told to gateways that start, and written again, once: relays first, as other writes that any gateway may make.

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -1,7 +1,8 @@
 """Drives roll-outs to their end: completes them on time, or rolls back as soon as a version fails.
 
 Any gateway may end a roll-out with a conditional write of its status.  A gateway that considers a
-version bad stops sending requests to it at once, even if it can't write to the store.
+version bad stops sending requests to it at once, even if it can't write to the store.  An end that
+the store has lost by coming back from an older copy is written again.
 """
 
 from __future__ import annotations
@@ -99,9 +100,12 @@
     while True:
         await curio.sleep(CHECK_INTERVAL_S)
         for rollout in gw.rollouts.all():
+            now = clock.now()
             if rollout.order.state != "ordered":
+                await _write_lost_end(gw, rollout, now)
+                continue
+            if _is_order_lost(gw, rollout):
                 continue
-            now = clock.now()
             spread = hash_fraction("duty", gw.cfg["name"], rollout.order.service)
             part = rollout.elapsed_fraction(
                 now - gw.peers.write_delay_s(WRITE_SPREAD_S, spread, now)
@@ -115,6 +119,42 @@
                 await _save_progress(gw, rollout, part, saved_steps)
 
 
+def _is_order_lost(gw: Gateway, rollout: Rollout) -> bool:
+    """Whether the store came back without an order, which the operator is about to write again."""
+    retained = _orders_retained(gw)
+    return rollout.order.service in retained and retained[rollout.order.service] is None
+
+
+def _orders_retained(gw: Gateway) -> dict[str, StoredObject | None]:
+    """Orders that the store lacks or holds without their end, with what it holds."""
+    replica = gw.replicas.get(names.ROLLOUT_KIND)
+    return replica.retained if replica is not None else {}
+
+
+async def _write_lost_end(gw: Gateway, rollout: Rollout, now: float) -> None:
+    """Write the end of a roll-out again that the store holds without it."""
+    order = rollout.order
+    stored = _orders_retained(gw).get(order.service)
+    if stored is None:
+        rollout.write_end_at = float("inf")
+        return
+    if rollout.write_end_at == float("inf"):
+        spread = hash_fraction("duty", gw.cfg["name"], order.service)
+        rollout.write_end_at = now + gw.peers.write_delay_s(WRITE_SPREAD_S, spread, now)
+    if now < rollout.write_end_at:
+        return
+    rollout.write_end_at = now + RETRY_DELAY_S
+    status = rollout_status(order, order.state == "completed")
+    got = await set_status(gw.store, names.ROLLOUT_KIND, order.service, stored.position, status)
+    logger.info(
+        "end of the roll-out written again",
+        service=order.service,
+        version=order.version,
+        state=order.state,
+        outcome=type(got).__name__,
+    )
+
+
 async def _finish(gw: Gateway, rollout: Rollout, completed: bool) -> None:
     """Write the status that ends a roll-out, unless it already has one."""
     order = rollout.order
@@ -152,7 +192,7 @@
     logger.info(
         "roll-out was changed concurrently", service=order.service, found=type(got).__name__
     )
-    if isinstance(got, Missing):
+    if isinstance(got, Missing) and gw.store_returns.is_settled():
         gw.rollouts.remove(order.service)
     else:
         await curio.sleep(RETRY_DELAY_S)
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -32,6 +32,8 @@
         """Whether it has read those of the other gateways."""
         self.withdrawal_reason = ""
         """Why this gateway considers the version bad; empty if it does not."""
+        self.write_end_at = float("inf")
+        """When its end is to be written again, which the store has lost (steady clock)."""
 
     def elapsed_fraction(self, now: float) -> float:
         """Fraction of the roll-out's duration that has passed."""
@@ -69,6 +71,13 @@
     fallback: list[Upstream]
 
 
+def _with_known_end(found: RolloutOrder, known: RolloutOrder) -> RolloutOrder:
+    """An order as found in the store; its end is kept if a store that came back has lost that."""
+    if found.era > known.era and found.state == "ordered":
+        return found._replace(state=known.state)
+    return found
+
+
 class Rollouts:
     """The newest roll-out of each service, and the version of each recent session."""
 
@@ -81,8 +90,8 @@
         """Apply an order or a change of its state; returns whether the order is new."""
         known = self._by_service.get(order.service)
         if known is not None and known.order.version == order.version:
-            if order.revision >= known.order.revision:
-                known.order = order
+            if order.position >= known.order.position:
+                known.order = _with_known_end(order, known.order)
             return False
         self._by_service[order.service] = Rollout(order, now)
         self._apply_progress(order.service, now)
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -141,7 +141,14 @@
     await watch_kind(
         gw, names.UPSTREAM_KIND, upstreams, _upstream_watch_timeout_s(gw), 0.0, urgent=True
     )
-    await watch_kind(gw, names.ROLLOUT_KIND, rollouts, ROLLOUT_WATCH_TIMEOUT_S, 0.0)
+    await watch_kind(
+        gw,
+        names.ROLLOUT_KIND,
+        rollouts,
+        ROLLOUT_WATCH_TIMEOUT_S,
+        0.0,
+        retention=Retention(_has_ended_since, "until settled"),
+    )
     await watch_kind(gw, PROGRESS_KIND, progress, SLOW_WATCH_TIMEOUT_S, FALLBACK_DELAY_S)
     await watch_kind(gw, POLICY_KIND, policies, SLOW_WATCH_TIMEOUT_S, FALLBACK_DELAY_S)
     fatal = Handlers(
@@ -157,7 +164,11 @@
             _ignore_confirmation,
         )
         await watch_kind(
-            gw, names.EVACUATION_KIND, evacuations, _evacuation_watch_timeout_s(gw), 0.0
+            gw,
+            names.EVACUATION_KIND,
+            evacuations,
+            _evacuation_watch_timeout_s(gw),
+            0.0,
         )
     await curio.spawn(_sweep, gw, daemon=True)
 
@@ -210,6 +221,18 @@
     return known_version is not None and (found_version or 0) < known_version
 
 
+def _has_ended_since(known: StoredObject, found: StoredObject) -> bool:
+    """Whether a roll-out has ended that a later era of the store holds without its end."""
+    known_order, found_order = rollout_order(known), rollout_order(found)
+    return (
+        not isinstance(known_order, BadMessage)
+        and not isinstance(found_order, BadMessage)
+        and known_order.version == found_order.version
+        and known_order.state != "ordered"
+        and found_order.state == "ordered"
+    )
+
+
 def _always() -> bool:
     return True
 
--- /dev/null
+++ b/tests/test_retention.py
@@ -0,0 +1,223 @@
+"""What a replica keeps and gives on when the store has come back from an older copy.
+
+Guards against evacuations and orders that ended because an older copy lacked them, or that were in
+force again because they were back in it, and against older states that replaced newer ones.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import curio
+import pytest
+
+from ramppost.gateway.replica import Handlers, KindReplica, UpdateNotifier
+from ramppost.gateway.retention import KEEP_NOTHING, Retention
+from ramppost.gateway.rollouts import Rollouts
+from ramppost.gateway.state import Gateway
+from ramppost.gateway.watchers import _has_ended_since, _has_newer_version, apply_config
+from ramppost.platform import names
+from ramppost.platform.documents import rollout_order
+from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
+from ramppost.policy.position import Position
+from ramppost.wire.codec import BadMessage
+from tests.harness.gateways import config
+from tests.test_gateway_state import SETTINGS
+
+UNTIL_SETTLED = Retention(lambda known, found: False, "until settled")
+BY_VERSION = Retention(_has_newer_version, "always")
+
+
+class Kept(NamedTuple):
+    """A replica, and what its handlers were given: names listed, and names changed or removed."""
+
+    replica: KindReplica
+    listed: list[list[str]]
+    changed: list[str]
+    confirmed: list[float]
+
+    def names(self) -> set[str]:
+        """Objects that another gateway gets that knows nothing."""
+        delta = self.replica.changes_after(Position(0, False, 0))
+        return {change.obj.name for change in delta.changes}
+
+
+def kept(retention: Retention) -> Kept:
+    listed: list[list[str]] = []
+    changed: list[str] = []
+    confirmed: list[float] = []
+    handlers = Handlers(
+        lambda snapshot: listed.append([obj.name for obj in snapshot.objects]),
+        lambda change: changed.append(f"{change.obj.name}{' gone' if change.removed else ''}"),
+        confirmed.append,
+    )
+    replica = KindReplica("kind", handlers, UpdateNotifier(), True, retention)
+    return Kept(replica, listed, changed, confirmed)
+
+
+def obj(name: str, revision: int, era: int = 0, spec: Any = None) -> StoredObject:
+    return StoredObject(name, revision, spec or {}, None, era=era)
+
+
+def listing(revision: int, *objects: StoredObject, era: int = 0, settled: bool = True) -> Snapshot:
+    return Snapshot(list(objects), revision, era, settled)
+
+
+def apply_list(found: Kept, snapshot: Snapshot) -> None:
+    curio.run(found.replica.apply_snapshot(snapshot, 1.0))
+
+
+def apply_change(found: Kept, change: Change, revision: int, settled: bool) -> None:
+    since = found.replica.revision or 0
+    changes = Changes([change], revision, change.obj.era, settled)
+    curio.run(found.replica.apply_changes(since, changes, 2.0))
+
+
+def test_a_lower_revision_of_a_later_era_is_the_newer_state() -> None:
+    found = kept(KEEP_NOTHING)
+    apply_list(found, listing(27, obj("a", 27)))
+    apply_list(found, listing(23, obj("b", 9, era=1), era=1))
+    assert found.replica.position == Position(1, True, 23)
+    apply_list(found, listing(30, obj("a", 27)))
+    assert found.names() == {"b"}
+
+
+def test_changes_since_a_revision_of_an_earlier_era_are_not_applied() -> None:
+    found = kept(KEEP_NOTHING)
+    apply_list(found, listing(27, obj("a", 27)))
+    change = Change(obj("b", 29, era=1), False)
+    curio.run(found.replica.apply_changes(27, Changes([change], 29, era=1), 2.0))
+    assert found.names() == {"a"}
+    assert found.replica.position == Position(0, True, 27)
+
+
+def test_another_gateway_at_the_same_revision_of_an_earlier_era_gets_everything() -> None:
+    found = kept(KEEP_NOTHING)
+    apply_list(found, listing(27, obj("a", 9, era=1), era=1))
+    assert found.replica.changes_after(Position(0, True, 27)).full
+    assert found.replica.changes_after(Position(1, True, 27)) == (False, [])
+
+
+def test_what_the_older_copy_lacks_is_kept_until_the_store_is_settled() -> None:
+    found = kept(UNTIL_SETTLED)
+    apply_list(found, listing(27, obj("lost", 20), obj("there", 9)))
+    apply_list(found, listing(15, obj("there", 9, era=1), era=1, settled=False))
+    assert found.names() == {"lost", "there"}
+    assert found.replica.retained == {"lost": None}
+    apply_list(found, listing(15, obj("there", 9, era=1), era=1))
+    assert found.names() == {"there"}
+    assert found.listed[-1] == ["there"]
+    assert found.replica.changes_after(Position(1, False, 15)).full
+
+
+def test_what_is_back_in_the_older_copy_is_no_new_order() -> None:
+    found = kept(UNTIL_SETTLED)
+    apply_list(found, listing(26, obj("ended", 20)))
+    apply_change(found, Change(obj("ended", 20), True), 27, True)
+    apply_list(found, listing(22, obj("ended", 20, era=1), era=1, settled=False))
+    assert found.names() == set()
+    # Written anew, it is one.
+    apply_change(found, Change(obj("ended", 23, era=1), False), 23, False)
+    assert found.names() == {"ended"}
+
+
+def test_what_is_back_and_stays_is_in_force_once_the_store_is_settled() -> None:
+    found = kept(UNTIL_SETTLED)
+    apply_list(found, listing(26, obj("ended", 20)))
+    apply_change(found, Change(obj("ended", 20), True), 27, True)
+    apply_list(found, listing(22, obj("ended", 20, era=1), era=1, settled=False))
+    apply_list(found, listing(22, obj("ended", 20, era=1), era=1))
+    assert found.names() == {"ended"}
+
+
+def test_a_removal_after_the_return_removes_what_was_kept() -> None:
+    found = kept(UNTIL_SETTLED)
+    apply_list(found, listing(27, obj("a", 20)))
+    apply_list(found, listing(15, era=1, settled=False))
+    apply_change(found, Change(obj("a", 16, era=1), False), 16, False)
+    apply_change(found, Change(obj("a", 16, era=1), True), 17, False)
+    assert found.names() == set()
+    assert found.replica.retained == {}
+
+
+def test_what_was_kept_outlives_a_second_return() -> None:
+    found = kept(UNTIL_SETTLED)
+    apply_list(found, listing(27, obj("a", 20)))
+    apply_list(found, listing(15, era=1, settled=False))
+    apply_list(found, listing(12, era=2, settled=False))
+    assert found.names() == {"a"}
+
+
+def version(number: int) -> dict[str, Any]:
+    return {"version": number}
+
+
+@pytest.mark.parametrize("listed", [[], [obj("main", 9, 1, version(13))]])
+def test_the_newest_configuration_is_kept_and_given_on(listed: list[StoredObject]) -> None:
+    found = kept(BY_VERSION)
+    apply_list(found, listing(27, obj("main", 27, 0, version(21))))
+    apply_list(found, listing(20, *listed, era=1))
+    kept_now = found.replica.complete_object("main")
+    assert kept_now is not None and kept_now.spec == version(21)
+    assert "main" in found.replica.retained
+    starting = kept(BY_VERSION)
+    delta = found.replica.changes_after(Position(0, False, 0))
+    apply_list(starting, listing(20, *[change.obj for change in delta.changes], era=1))
+    assert starting.replica.complete_object("main") == kept_now
+    # Written again, or a newer one, it is the store's.
+    apply_change(found, Change(obj("main", 21, 1, version(25)), False), 21, True)
+    assert found.replica.retained == {}
+
+
+def test_a_gateway_that_feeds_this_one_knows_an_older_configuration() -> None:
+    # It kept an older one of the same earlier era, of a store that has come back since.
+    found = kept(BY_VERSION)
+    apply_list(found, listing(29, obj("main", 29, 0, version(28))))
+    apply_list(found, listing(20, obj("main", 27, 0, version(21)), era=1))
+    kept_now = found.replica.complete_object("main")
+    assert kept_now is not None and kept_now.spec == version(28)
+
+
+def test_a_large_configuration_of_the_older_copy_does_not_replace_the_newest() -> None:
+    found = kept(BY_VERSION)
+    apply_list(found, listing(27, obj("main", 27, 0, version(21))))
+    stub = StoredObject("main", 9, None, None, whole=False, era=1)
+    apply_list(found, listing(20, stub, era=1))
+    assert "main" in found.replica.pending
+    curio.run(found.replica.apply_object(obj("main", 9, 1, version(13))))
+    assert not found.replica.pending
+    kept_now = found.replica.complete_object("main")
+    assert kept_now is not None and kept_now.spec == version(21)
+
+
+def order(revision: int, era: int, state: str = "") -> StoredObject:
+    spec = {"service": "lm", "target_version": "v2", "duration_s": 10.0}
+    status = {"state": state, "target_version": "v2"} if state else None
+    return StoredObject("lm", revision, spec, status, era=era)
+
+
+@pytest.mark.parametrize("state", ["rolled_back", "completed"])
+def test_a_rollout_that_has_ended_is_not_under_way_again(state: str) -> None:
+    found = kept(Retention(_has_ended_since, "until settled"))
+    apply_list(found, listing(27, order(27, 0, state)))
+    back = order(9, 1)
+    apply_list(found, listing(20, back, era=1, settled=False))
+    assert found.replica.retained == {"lm": back}
+    assert found.replica.complete_object("lm") == order(27, 0, state)
+    rollouts = Rollouts(5.0)
+    for stored in (order(27, 0, state), back):
+        decoded = rollout_order(stored)
+        assert not isinstance(decoded, BadMessage)
+        rollouts.update(decoded, 1.0)
+    rollout = rollouts.get("lm")
+    assert rollout is not None and rollout.order.state == state
+    assert rollout.order.position == back.position
+
+
+def test_a_configuration_in_force_is_not_replaced_by_an_older_version() -> None:
+    gw = Gateway(SETTINGS)
+    apply_config(gw, StoredObject(names.CONFIG_NAME, 27, config(21), None))
+    apply_config(gw, StoredObject(names.CONFIG_NAME, 9, config(13), None, era=1))
+    assert gw.table is not None and gw.table.version == 21
+    apply_config(gw, StoredObject(names.CONFIG_NAME, 21, config(25), None, era=1))
+    assert gw.table.version == 25
