Keep evacuations that the store has lost until the operator has written them again

After the store had come back from an older copy, an evacuation that the copy lacked ended, so that upstreams of the hall were sent requests, and one that had ended began again because the copy held it.

Cause: what a list lacks was taken for removed, and what it holds for in force, whichever state of the store the list is of.

test_an_evacuation_ended_and_an_ended_one_began_after_the_stores_return failed before (halls evacuated: lideta instead of kirkos) and passes.

--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -169,6 +169,7 @@
             evacuations,
             _evacuation_watch_timeout_s(gw),
             0.0,
+            retention=Retention(_never, "until settled"),
         )
     await curio.spawn(_sweep, gw, daemon=True)
 
@@ -233,6 +234,10 @@
     )
 
 
+def _never(known: StoredObject, found: StoredObject) -> bool:
+    return False
+
+
 def _always() -> bool:
     return True
 
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -20,6 +20,7 @@
 from ramppost.gateway.peers import GATEWAY_KIND
 from ramppost.gateway.policies import POLICY_KIND, POLICY_NAME
 from ramppost.gateway.rollout_duty import PROGRESS_KIND
+from ramppost.gateway.store_returns import SETTLE_S
 from ramppost.policy.ramp import RAMP_STEPS
 from tests.harness.gateways import KEYS, SAFE, STREAM, Deployment, Given, config, route
 from tests.test_gateway_policies import Operated
@@ -160,6 +161,42 @@
     return got
 
 
+def test_an_evacuation_ended_and_an_ended_one_began_after_the_stores_return(
+    tmp_path: Path,
+) -> None:
+    # The older copy lacked the one and held the other, until the operator wrote both again.
+    found = Deployment(tmp_path, gateways=3, evacuate_ms=1500)
+    try:
+        found.evacuate("lideta")
+        everywhere(found, APPLY_S + 1, lambda name: has_logged(found, name, "evacuation started"))
+        before = found.revision()
+        found.end_evacuation("lideta")
+        found.evacuate("kirkos")
+        everywhere(found, APPLY_S + 1, lambda name: halls_evacuated(found, name) == {"kirkos"})
+        come_back(found, before, config(1))
+        time.sleep(RETURN_SEEN_S)
+        assert [halls_evacuated(found, name) for name in found.gateways] == 3 * [{"kirkos"}]
+        found.end_evacuation("lideta")
+        found.evacuate("kirkos")
+        time.sleep(SETTLE_S)
+        assert [halls_evacuated(found, name) for name in found.gateways] == 3 * [{"kirkos"}]
+        found.end_evacuation("kirkos")
+        everywhere(found, APPLY_S + 1, lambda name: halls_evacuated(found, name) == set())
+    finally:
+        found.stop()
+
+
+def halls_evacuated(site: Deployment, gateway: str) -> set[str]:
+    """Evacuated data halls by a gateway's log."""
+    halls: set[str] = set()
+    for line in site.lines(gateway):
+        if "evacuation started" in line["message"]:
+            halls.add(line["hall"])
+        elif "evacuation ended" in line["message"]:
+            halls.discard(line["hall"])
+    return halls
+
+
 def test_entries_of_gateways_that_the_store_had_lost_were_not_written_again(
     site: Deployment,
 ) -> None:
