Write entries of gateways again that the store has lost

After the store had come back from a copy older than a gateway's start, that gateway was missing from the list for good: gateways that started later did not know it, shares and roles were computed without it.

Cause: a gateway wrote its entry at its start only.

test_entries_of_gateways_that_the_store_had_lost_were_not_written_again failed before and passes.

--- a/ramppost/gateway/joining.py
+++ b/ramppost/gateway/joining.py
@@ -15,7 +15,6 @@
 from typing import Final
 
 import curio
-from loguru import logger
 
 from ramppost import clock
 from ramppost.gateway.peers import (
@@ -26,6 +25,7 @@
     own_entry,
 )
 from ramppost.gateway.replica import Handlers
+from ramppost.gateway.rewriting import keep_entry, write_entry
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.subscribe import subscribe
 from ramppost.gateway.watchers import (
@@ -34,10 +34,9 @@
     start_watchers,
     watch_kind,
 )
-from ramppost.platform.store import Snapshot, StoredObject, Unavailable, list_kind, put
+from ramppost.platform.store import Snapshot, Unavailable, list_kind
 from ramppost.policy.relays import start_hold_s
 
-REGISTER_RETRY_S: Final = 0.25
 JOINT_START_S: Final = 0.8
 """How long a fleet's first start takes: its boxes start within 0.3 s of each other, and their
 processes need half a second."""
@@ -52,7 +51,7 @@
     listing = await list_kind(gw.store, GATEWAY_KIND, stale_ok=True)
     registered = _is_registered(gw, listing, entry)
     if isinstance(listing, Snapshot) and not listing.objects:
-        await _register(gw, entry)
+        await write_entry(gw, entry)
         registered = True
         listing = await _list_joint_start(gw, entry)
     if isinstance(listing, Snapshot):
@@ -63,8 +62,10 @@
     await start_watchers(gw)
     await _follow_gateways(gw, listing)
     await curio.spawn(subscribe, gw, daemon=True)
+    era = listing.era if isinstance(listing, Snapshot) else 0
     if not registered:
-        await _register(gw, entry)
+        era = await write_entry(gw, entry)
+    await curio.spawn(keep_entry, gw, entry, era, daemon=True)
 
 
 async def _list_joint_start(gw: Gateway, entry: GatewayEntry) -> Snapshot | Unavailable:
@@ -90,13 +91,6 @@
         await gw.replicas[GATEWAY_KIND].apply_snapshot(listing, float("-inf"))
 
 
-async def _register(gw: Gateway, entry: GatewayEntry) -> None:
-    """Write the own entry; retries as long as the store is unavailable."""
-    while not isinstance(await put(gw.store, GATEWAY_KIND, gw.cfg["name"], entry), StoredObject):
-        await curio.sleep(REGISTER_RETRY_S)
-    logger.info("entered among the gateways", addr=entry["addr"])
-
-
 def _is_registered(gw: Gateway, listing: Snapshot | Unavailable, entry: GatewayEntry) -> bool:
     """Whether a list contains the own entry with its current contents."""
     if isinstance(listing, Unavailable):
