Write confirmed policies and plans again that the store has lost

Policies that an operator had confirmed were gone, or the ones before were in force again, after the store had come back from an older copy; a plan made before could not be confirmed, or met another state with the same revision.

Cause: documents were ordered by the store's revision, and written once.

Change: each confirmed document has the era and a number that rises with each, which order it over returns (policydoc.order_of): one confirmed after a return is newer than any that was lost by it. Gateways keep the newest, and the first that finds the store without it writes it again. A plan names the document that it was made for in place of a revision, so that it can be confirmed after a return; while policies or plans may still be missing, a confirmation is refused as to be repeated. The end of a roll-out that its own writer had not yet seen in its replica is written again as well.

--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -21,6 +21,7 @@
 from ramppost.gateway.joining import join
 from ramppost.gateway.loading import load_pending
 from ramppost.gateway.operators import internal_handler
+from ramppost.gateway.rewriting import keep_plans, keep_policies
 from ramppost.gateway.rollout_duty import drive_rollouts
 from ramppost.gateway.serve import serve
 from ramppost.gateway.settings import BadSettings, read_settings
@@ -83,6 +84,8 @@
     await curio.spawn(gw.fatal.send_ends, daemon=True)
     await curio.spawn(gw.limit_news.ask_others, daemon=True)
     await curio.spawn(sync_document, gw, daemon=True)
+    await curio.spawn(keep_policies, gw, daemon=True)
+    await curio.spawn(keep_plans, gw, daemon=True)
     metrics_socket = listen(cfg["ip"], cfg["metrics_port"])
     await curio.spawn(serve_http, metrics_socket, _metrics_handler(gw), daemon=True)
     hooks = ServerHooks(
--- a/ramppost/gateway/operators.py
+++ b/ramppost/gateway/operators.py
@@ -16,6 +16,7 @@
 from ramppost.errors import Refusal, error_body, refusal
 from ramppost.gateway.copies import COPY_PATH, copy_handler
 from ramppost.gateway.feed import FEED_PATH, feed_handler
+from ramppost.gateway.plans import PLAN_KIND
 from ramppost.gateway.policies import POLICY_KIND, POLICY_NAME
 from ramppost.gateway.state import Gateway
 from ramppost.platform.store import (
@@ -36,7 +37,6 @@
 )
 from ramppost.policy.permissions import operator_by_token
 from ramppost.policy.policydoc import from_config
-from ramppost.policy.position import Position
 from ramppost.schema.config import Operator, PolicyDoc
 from ramppost.schema.messages import (
     EntryStatus,
@@ -50,7 +50,6 @@
 from ramppost.wire.codec import BadMessage, decode, encode
 from ramppost.wire.server import Handler, Reply, Request, bearer
 
-PLAN_KIND: Final = "plans"
 STATUS_PATH: Final = "/x/status"
 REPORT_PATH: Final = "/x/report"
 PEER_TIMEOUT_S: Final = 2.0
@@ -125,7 +124,7 @@
     plan = Plan(
         plan_id=plan_id,
         revision=gw.policies.revision,
-        era=gw.policies.position.era,
+        made_for=gw.policies.doc["plan_id"],
         made_by=operator["name"],
         wish=req.body.decode(),
         difference=config_diff(config, changed),
@@ -137,43 +136,80 @@
     created = await create(gw.store, PLAN_KIND, plan_id, plan)
     if not isinstance(created, StoredObject):
         return _store_refusal(created)
+    gw.plans.add(plan, created.era)
     return encode(plan | {"result": ""})
 
 
 async def _confirm_plan(gw: Gateway, operator: Operator, plan_id: str) -> bytes | Refusal:
     stored = await read(gw.store, PLAN_KIND, plan_id)
-    if isinstance(stored, Missing):
+    if isinstance(stored, Missing) and gw.store_returns.is_settled():
         return refusal("not_found", f"no such plan: {plan_id}")
+    if isinstance(stored, Missing):
+        return _rewriting_refusal(f"plan {plan_id}")
     if isinstance(stored, Unavailable):
         return _store_refusal(stored)
     plan = decode(encode(stored.spec), Plan)
     assert not isinstance(plan, BadMessage), plan
+    return await _put_in_force(gw, operator, plan)
+
+
+async def _put_in_force(gw: Gateway, operator: Operator, plan: Plan) -> bytes | Refusal:
+    """Replace the document that the plan was made for.
+
+    A repeated confirmation, or one after a lost response, finds its own document already stored.
+    """
+    current = await read(gw.store, POLICY_KIND, POLICY_NAME)
+    if isinstance(current, Unavailable):
+        return _store_refusal(current)
+    if isinstance(current, Missing):
+        lost = gw.policies.revision > 0 and not gw.store_returns.is_settled()
+        return _rewriting_refusal("the policies") if lost else _stale_plan_refusal(plan, current)
+    if gw.policies.is_newer_than(current):
+        return _rewriting_refusal("the policies")
+    if current.spec.get("plan_id") == plan["plan_id"]:
+        return _confirmed(gw, plan, current)
+    if not _is_made_for(plan, current):
+        return _stale_plan_refusal(plan, current)
+    doc = _confirmed_doc(operator, plan, current)
+    written = await replace(gw.store, POLICY_KIND, POLICY_NAME, current.position, doc)
+    if isinstance(written, StoredObject):
+        return _confirmed(gw, plan, written)
+    stored = await read(gw.store, POLICY_KIND, POLICY_NAME)
+    if isinstance(stored, Unavailable):
+        code = "confirm_unknown" if isinstance(written, Unavailable) else "platform_down"
+        return refusal(code, f"the store gave no answer: {stored.reason}", RETRY_AFTER_S)
+    if isinstance(stored, Missing) or stored.spec.get("plan_id") != plan["plan_id"]:
+        return _stale_plan_refusal(plan, stored)
+    return _confirmed(gw, plan, stored)
+
+
+def _is_made_for(plan: Plan, current: StoredObject) -> bool:
+    """Whether a plan changes this document.  Its revision says so in one era of the store only."""
+    if "made_for" in plan:
+        return bool(current.spec.get("plan_id") == plan["made_for"])
+    return current.revision == plan["revision"]
+
+
+def _confirmed_doc(operator: Operator, plan: Plan, current: StoredObject) -> PolicyDoc:
     doc = decode(plan["result"].encode(), PolicyDoc)
     assert not isinstance(doc, BadMessage), doc
     doc["changed_by"] = operator["name"]
-    return await _write_policies(gw, plan, doc)
-
+    doc["era"] = current.era
+    doc["generation"] = current.spec.get("generation", 0) + 1
+    return doc
 
-async def _write_policies(gw: Gateway, plan: Plan, doc: PolicyDoc) -> bytes | Refusal:
-    """Put a policy document in force.
 
-    A repeated confirmation, or one after a lost response, finds the document already stored.
-    """
-    made_for = Position(plan.get("era", 0), True, plan["revision"])
-    written = await replace(gw.store, POLICY_KIND, POLICY_NAME, made_for, doc)
-    if not isinstance(written, StoredObject):
-        stored = await read(gw.store, POLICY_KIND, POLICY_NAME)
-        if isinstance(stored, Unavailable):
-            code = "confirm_unknown" if isinstance(written, Unavailable) else "platform_down"
-            return refusal(code, f"the store gave no answer: {stored.reason}", RETRY_AFTER_S)
-        if isinstance(stored, Missing) or stored.spec.get("plan_id") != plan["plan_id"]:
-            return _stale_plan_refusal(plan, stored)
-        written = stored
+def _confirmed(gw: Gateway, plan: Plan, written: StoredObject) -> bytes:
     gw.policies.update(written)
     logger.info("plan confirmed", plan=plan["plan_id"], revision=written.revision)
     return encode({"plan_id": plan["plan_id"], "revision": written.revision})
 
 
+def _rewriting_refusal(what: str) -> Refusal:
+    reason = f"the store came back from an older copy, and {what} may be written to it again"
+    return refusal("platform_down", reason, RETRY_AFTER_S)
+
+
 def _stale_plan_refusal(plan: Plan, stored: StoredObject | Missing) -> Refusal:
     now = stored.revision if isinstance(stored, StoredObject) else 0
     return refusal("stale_plan", f"made for revision {plan['revision']}, now {now}: plan again")
--- a/ramppost/gateway/policies.py
+++ b/ramppost/gateway/policies.py
@@ -13,6 +13,7 @@
     PlatformCatalog,
     effective_policy,
     empty_doc,
+    order_of,
     to_config,
 )
 from ramppost.policy.position import Position
@@ -24,6 +25,19 @@
 """The only document of this kind, which is specific to ramppost."""
 
 
+def is_newer_policy(known: StoredObject, found: StoredObject) -> bool:
+    """Whether the known document is newer than one found in a later era of the store."""
+    known_doc, found_doc = _decode(known), _decode(found)
+    if isinstance(known_doc, BadMessage):
+        return False
+    return isinstance(found_doc, BadMessage) or order_of(found_doc) < order_of(known_doc)
+
+
+def _decode(obj: StoredObject) -> PolicyDoc | BadMessage:
+    doc: PolicyDoc | BadMessage = decode(encode(obj.spec), PolicyDoc)
+    return doc
+
+
 class Policies:
     """The newest policy document, and the configuration derived from it and the routing table."""
 
@@ -39,13 +53,18 @@
         return self.position.revision
 
     def update(self, obj: StoredObject) -> None:
-        """Apply a document from the store; an older or invalid one is ignored."""
-        doc = decode(encode(obj.spec), PolicyDoc)
+        """Apply a document from the store; an older or invalid one is ignored.
+
+        The store may hold an older one after its return from an older copy.
+        """
+        doc = _decode(obj)
         if isinstance(doc, BadMessage):
             logger.error("invalid policy document: {}", doc.reason, revision=obj.revision)
             return
         if obj.name != POLICY_NAME or obj.position <= self.position:
             return
+        if obj.era > self.position.era and order_of(doc) < order_of(self.doc):
+            return
         self.doc, self.position, self._config = doc, obj.position, None
         logger.info(
             "policies in force",
@@ -56,6 +75,11 @@
             policies=[policy["name"] for policy in doc["policies"]],
         )
 
+    def is_newer_than(self, stored: StoredObject) -> bool:
+        """Whether the document in force is newer than the one that the store holds."""
+        doc = _decode(stored)
+        return isinstance(doc, BadMessage) or order_of(doc) < order_of(self.doc)
+
     def set_table(self, table: RoutingTable) -> None:
         """Use the prices and workspaces of the platform's current configuration."""
         prices: dict[str, float] = {}
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -131,10 +131,24 @@
     return replica.retained if replica is not None else {}
 
 
+def _order_without_end(gw: Gateway, order: RolloutOrder) -> StoredObject | None:
+    """The order as the store holds it, if that lacks the end which is known here."""
+    replica = gw.replicas.get(names.ROLLOUT_KIND)
+    if replica is None:
+        return None
+    stored = replica.retained.get(order.service) or replica.complete_object(order.service)
+    found = rollout_order(stored) if stored is not None else None
+    if found is None or isinstance(found, BadMessage):
+        return None
+    # A replica that has not yet seen the end that was just written is at an earlier state.
+    lost = found.state == "ordered" and found.position >= order.position
+    return stored if lost and found.version == order.version else None
+
+
 async def _write_lost_end(gw: Gateway, rollout: Rollout, now: float) -> None:
     """Write the end of a roll-out again that the store holds without it."""
     order = rollout.order
-    stored = _orders_retained(gw).get(order.service)
+    stored = _order_without_end(gw, order)
     if stored is None:
         rollout.write_end_at = float("inf")
         return
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -20,6 +20,7 @@
 from ramppost.gateway.membership import Members
 from ramppost.gateway.metrics import Metrics
 from ramppost.gateway.model import CallerLimits, RoutingTable, Upstream
+from ramppost.gateway.plans import Plans
 from ramppost.gateway.policies import Policies
 from ramppost.gateway.pools import Pools
 from ramppost.gateway.rate_limits import RateLimits
@@ -114,6 +115,7 @@
         self.fatal = FatalRequests(self.peers, self.datagrams, self.metrics)
         self.counts = Counts()
         self.policies = Policies()
+        self.plans = Plans()
         self.draining = False
         """Whether a planned stop has begun: not ready, and each response closes its connection."""
         self.resume_at = float("inf")
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -16,7 +16,7 @@
 from ramppost.gateway.fatal_doc import FATAL_KIND, fatal_changed, fatal_listed
 from ramppost.gateway.follow import FollowConfig, follow
 from ramppost.gateway.model import RoutingTable, Upstream
-from ramppost.gateway.policies import POLICY_KIND
+from ramppost.gateway.policies import POLICY_KIND, is_newer_policy
 from ramppost.gateway.replica import Handlers, KindReplica
 from ramppost.gateway.retention import KEEP_NOTHING, Retention
 from ramppost.gateway.rollout_duty import PROGRESS_KIND, progress_changed
@@ -150,7 +150,14 @@
         retention=Retention(_has_ended_since, "until settled"),
     )
     await watch_kind(gw, PROGRESS_KIND, progress, SLOW_WATCH_TIMEOUT_S, FALLBACK_DELAY_S)
-    await watch_kind(gw, POLICY_KIND, policies, SLOW_WATCH_TIMEOUT_S, FALLBACK_DELAY_S)
+    await watch_kind(
+        gw,
+        POLICY_KIND,
+        policies,
+        SLOW_WATCH_TIMEOUT_S,
+        FALLBACK_DELAY_S,
+        retention=Retention(is_newer_policy, "always"),
+    )
     fatal = Handlers(
         lambda snapshot: fatal_listed(gw, snapshot),
         lambda change: fatal_changed(gw, change),
--- a/ramppost/policy/policydoc.py
+++ b/ramppost/policy/policydoc.py
@@ -47,6 +47,19 @@
     return PolicyDoc(plan_id="", changed_by="", policies=[], workspaces=[], operators=operators)
 
 
+def order_of(doc: PolicyDoc) -> tuple[int, int]:
+    """Orders documents by when they were confirmed, over returns of the store from older copies.
+
+    One that was confirmed after a return is newer than any that was lost by it.
+
+    >>> doc = empty_doc([])
+    >>> lost = PolicyDoc(**{**doc, "era": 0, "generation": 7})
+    >>> order_of(doc) < order_of(lost) < order_of(PolicyDoc(**{**doc, "era": 1, "generation": 5}))
+    True
+    """
+    return (doc.get("era", 0), doc.get("generation", 0))
+
+
 def to_config(doc: PolicyDoc, revision: int, catalog: PlatformCatalog) -> ConfigDoc:
     """Build the whole configuration document that the policies are a part of."""
     prices = catalog.prices
--- a/ramppost/schema/config.py
+++ b/ramppost/schema/config.py
@@ -278,6 +278,14 @@
     """
     Plan that made this document.
     """
+    era: NotRequired[int]
+    """
+    The store's era in which it was confirmed.
+    """
+    generation: NotRequired[int]
+    """
+    Rises by one with each document that is confirmed.
+    """
     changed_by: str
     """
     Operator that confirmed it.
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -627,9 +627,9 @@
     """
     Revision it was made for.
     """
-    era: NotRequired[int]
+    made_for: NotRequired[str]
     """
-    The store's era that this revision is of.
+    Plan of the document that it changes; empty for the first one.
     """
     made_by: str
     wish: str
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -16,8 +16,8 @@
 import pytest
 
 from ramppost.gateway.fatal_doc import FATAL_KIND, FATAL_NAME
-from ramppost.gateway.operators import PLAN_KIND
 from ramppost.gateway.peers import GATEWAY_KIND
+from ramppost.gateway.plans import PLAN_KIND
 from ramppost.gateway.policies import POLICY_KIND, POLICY_NAME
 from ramppost.gateway.rollout_duty import PROGRESS_KIND
 from ramppost.gateway.store_returns import SETTLE_S
