Write progress and sessions of a roll-out again that the store has lost

A gateway that started after the store had come back from an older copy began a roll-out from its start, and moved sessions that other gateways kept.

Cause: each step and the sessions were written once, and what other gateways had reported before the return counted as stored.

Change: both are looked at again in each era of the store; a list replaces what was reported.

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import Final, TypedDict
+from typing import Final, NamedTuple, TypedDict
 
 import curio
 from loguru import logger
@@ -33,7 +33,7 @@
     set_status,
 )
 from ramppost.policy.pace import Timing, TimingBaseline
-from ramppost.policy.ramp import ANNOUNCE_AT, COMPLETE_AT, RAMP_STEPS
+from ramppost.policy.ramp import ANNOUNCE_AT, COMPLETE_AT, RAMP_STEPS, UNPIN_AT
 from ramppost.policy.routing import hash_fraction
 from ramppost.wire.codec import BadMessage
 
@@ -96,7 +96,7 @@
 
 async def drive_rollouts(gw: Gateway) -> None:
     """Drive all roll-outs and end those that are due, until cancelled."""
-    saved_steps: dict[str, int] = {}
+    saved_steps: dict[str, _SavedStep] = {}
     while True:
         await curio.sleep(CHECK_INTERVAL_S)
         for rollout in gw.rollouts.all():
@@ -218,14 +218,20 @@
     Otherwise a session that continues at another gateway would be moved to the new version there.
     """
     part = rollout.elapsed_fraction(now)
-    if part >= ANNOUNCE_AT and not rollout.sessions_published:
-        rollout.sessions_published = True
+    if part >= ANNOUNCE_AT and _are_sessions_missing(gw, rollout, part):
+        rollout.sessions_published_in = gw.store.era
         await _publish_sessions(gw, rollout, now)
     if part >= FIRST_MOVE_AT - READ_SESSIONS_LEAD and not rollout.sessions_read:
         rollout.sessions_read = True
         await _read_sessions(gw, rollout)
 
 
+def _are_sessions_missing(gw: Gateway, rollout: Rollout, part: float) -> bool:
+    """Whether the own sessions have to be published, or again as the store has come back since."""
+    published_in = rollout.sessions_published_in
+    return published_in is None or (published_in < gw.store.era and part < UNPIN_AT)
+
+
 async def _publish_sessions(gw: Gateway, rollout: Rollout, now: float) -> None:
     order = rollout.order
     sessions = gw.rollouts.pins.sessions_to_announce(order.service, order.version, now)
@@ -260,15 +266,30 @@
     )
 
 
+class _SavedStep(NamedTuple):
+    """The step of a roll-out whose progress was saved last, and the store's era then."""
+
+    era: int
+    step: int
+
+
 async def _save_progress(
-    gw: Gateway, rollout: Rollout, part: float, saved_steps: dict[str, int]
+    gw: Gateway, rollout: Rollout, part: float, saved_steps: dict[str, _SavedStep]
 ) -> None:
-    """Save progress to the store when a roll-out reaches a new step."""
+    """Save progress to the store when a roll-out reaches a new step, or when the store has come
+    back without it."""
     step = sum(part >= step.start for step in RAMP_STEPS)
     key = f"{rollout.order.service}/{rollout.order.version}"
-    if step <= saved_steps.get(key, 0):
+    saved = saved_steps.get(key, _SavedStep(0, 0))
+    replica = gw.replicas.get(PROGRESS_KIND)
+    era = replica.position.era if replica is not None and replica.position is not None else 0
+    if (era, step) <= saved:
         return
-    saved_steps[key] = step
+    saved_steps[key] = _SavedStep(era, step)
+    if step <= saved.step:
+        # All gateways notice a return at the same moment.
+        spread = hash_fraction("progress", gw.cfg["name"])
+        await curio.sleep(gw.peers.write_delay_s(WRITE_SPREAD_S, spread, clock.now()))
     if gw.rollouts.reported_fraction(rollout.order) < RAMP_STEPS[step - 1].start:
         await write_progress(gw, rollout, part)
 
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -26,8 +26,8 @@
         self._split: tuple[list[Upstream], VersionSplit] | None = None
         self.old_version_sessions: set[str] = set()
         """Sessions that ran on the old version at any gateway when the roll-out began."""
-        self.sessions_published = False
-        """Whether this gateway has published its own such sessions."""
+        self.sessions_published_in: int | None = None
+        """The era of the store in which this gateway has published its own such sessions last."""
         self.sessions_read = False
         """Whether it has read those of the other gateways."""
         self.withdrawal_reason = ""
@@ -114,6 +114,10 @@
         self._progress[service] = Progress(version, fraction, now)
         self._apply_progress(service, now)
 
+    def forget_progress(self) -> None:
+        """Forget what gateways have reported, since the store has been listed anew."""
+        self._progress.clear()
+
     def reported_fraction(self, order: RolloutOrder) -> float:
         """The fraction of an order's duration last reported by any gateway; -1 if none has."""
         reported = self._progress.get(order.service)
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -383,6 +383,7 @@
 
 
 def _apply_progress_snapshot(gw: Gateway, snapshot: Snapshot) -> None:
+    gw.rollouts.forget_progress()
     for obj in snapshot.objects:
         progress_changed(gw, obj)
 
