Keep fatal requests that the store has lost, and write them again

After the store had come back from an older copy, requests that end upstreams were run again: the list that the copy held, or lacked, replaced what was known, and a copy without the document counted as an operator's deletion.

Change: the document is known with its era. What a later era lacks is queued to be written; what had been removed and is back is taken out again. A request that is known as certain counts while it waits to be written, too.

--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from ramppost import clock
+from ramppost.bounded import drop_oldest
 from ramppost.gateway.datagrams import Datagrams
 from ramppost.gateway.early import parse_address
 from ramppost.gateway.links import Exchange
@@ -61,6 +62,10 @@
         """Findings of this gateway that are not in the document yet, by fingerprint."""
         self.cleared: set[str] = set()
         """Fingerprints in the document that have since been answered successfully here."""
+        self._removed: dict[str, int] = {}
+        """When the requests that were removed from the document had been found, by fingerprint."""
+        self._document_era = 0
+        """The era of the store that `published` is of."""
         self._awaiting_head: dict[str, set[Exchange]] = {}
         """Exchanges that have not received their response head, by fingerprint."""
         self._unsent_ends: dict[tuple[str, bool], list[RequestUnder]] = {}
@@ -71,7 +76,8 @@
         now = clock.now()
         if self.evidence.is_harmless(fingerprint, now):
             return False
-        if fingerprint in self.published and self.published[fingerprint]["certain"]:
+        known = self.published.get(fingerprint) or self.unpublished.get(fingerprint)
+        if known is not None and known["certain"] and fingerprint not in self.cleared:
             return True
         self._evaluate(fingerprint, now)
         return fingerprint in self.evidence.fatal
@@ -126,15 +132,22 @@
     def reset(self) -> None:
         """Discard all evidence and verdicts, so that every request may run again."""
         self.evidence = CrashHistory()
+        self._record_removals(self.published)
         self.published = {}
         self.unpublished = {}
         self.cleared = set()
 
-    def apply_document(self, requests: list[FatalRequest]) -> None:
-        """Replace the known contents of the document."""
+    def apply_document(self, requests: list[FatalRequest], era: int = 0) -> None:
+        """Replace the known contents of the document by those in an era of the store."""
         previous, self.published = self.published, {}
         for request in requests[-MAX_FATAL:]:
             self.published[request["fingerprint"]] = request
+        missing = {f: request for f, request in previous.items() if f not in self.published}
+        if era > self._document_era:
+            self._document_era = era
+            self._restore(missing)
+        else:
+            self._record_removals(missing)
         self.cleared &= set(self.published)
         for fingerprint, request in self.published.items():
             if request == previous.get(fingerprint):
@@ -149,6 +162,27 @@
             else:
                 self._add_published_evidence(request)
 
+    def is_lost_in(self, era: int) -> bool:
+        """Whether a document that this era of the store lacks was lost, and not deleted."""
+        return era > self._document_era
+
+    def _restore(self, lost: dict[str, FatalRequest]) -> None:
+        """Queue what an older copy of the document lacks, and take out what is back in it."""
+        self.unpublished = {
+            **{f: request for f, request in lost.items() if f not in self.cleared},
+            **self.unpublished,
+        }
+        self.cleared |= {
+            fingerprint
+            for fingerprint, request in self.published.items()
+            if self._removed.get(fingerprint) == request["at"]
+        }
+
+    def _record_removals(self, removed: dict[str, FatalRequest]) -> None:
+        for fingerprint, request in removed.items():
+            self._removed[fingerprint] = request["at"]
+        drop_oldest(self._removed, MAX_FATAL)
+
     def mark_published(self, requests: dict[str, FatalRequest]) -> None:
         """Mark findings as written, including those that did not fit into a full document."""
         for fingerprint, request in requests.items():
--- a/ramppost/gateway/fatal_doc.py
+++ b/ramppost/gateway/fatal_doc.py
@@ -4,7 +4,8 @@
 that is one end short of proof, since all gateways may be killed before the next end.  A gateway
 that answers a listed request successfully removes it.  All gateways watch the document, as they do
 policies.  Its length is bounded, and entries older than a day are removed on the next write.  If an
-operator deletes the document, all requests may run again.
+operator deletes the document, all requests may run again.  What the store has lost by coming back
+from an older copy is written again.
 """
 
 from __future__ import annotations
@@ -48,7 +49,9 @@
 def fatal_listed(gw: Gateway, snapshot: Snapshot) -> None:
     """Apply a listing of the kind."""
     exists = any(obj.name == FATAL_NAME for obj in snapshot.objects)
-    if gw.fatal.published and not exists:
+    if not exists and gw.fatal.is_lost_in(snapshot.era):
+        gw.fatal.apply_document([], snapshot.era)
+    elif not exists and gw.fatal.published:
         _apply_removal(gw)
     for obj in snapshot.objects:
         _apply_document(gw, obj)
@@ -86,7 +89,7 @@
 def _apply_document(gw: Gateway, obj: StoredObject) -> None:
     doc = gw.unreadable.decode_spec(FATAL_KIND, obj, FatalDoc)
     if doc is not None and obj.name == FATAL_NAME:
-        gw.fatal.apply_document(doc["requests"])
+        gw.fatal.apply_document(doc["requests"], obj.era)
 
 
 async def _write(gw: Gateway) -> bool:
@@ -102,7 +105,7 @@
         if not _needs_write(gw):
             return True
     else:
-        gw.fatal.apply_document([])
+        gw.fatal.apply_document([], gw.store.era)
     doc, written = _merge(gw.fatal), dict(gw.fatal.unpublished)
     got: StoredObject | Conflict | Unavailable
     if isinstance(current, Missing):
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -391,3 +391,31 @@
     fatal_listed(gw, Snapshot([], 9))
     assert not gw.fatal.is_fatal("r0")
     assert not gw.fatal.is_fatal("it")
+
+
+def returned(obj: StoredObject) -> StoredObject:
+    """The object as a later era of the store holds it."""
+    return obj._replace(era=1)
+
+
+def test_fatal_requests_that_an_older_copy_of_the_store_lacks_stay_known(gw: Gateway) -> None:
+    fatal_listed(gw, Snapshot([fatal_document(2, True)], 27))
+    fatal_listed(gw, Snapshot([returned(fatal_document(1, True))], 20, era=1))
+    assert gw.fatal.is_fatal("r0") and gw.fatal.is_fatal("r1")
+    assert set(gw.fatal.unpublished) == {"r1"}
+    fatal_listed(gw, Snapshot([], 9, era=2))
+    assert gw.fatal.is_fatal("r0") and gw.fatal.is_fatal("r1")
+    assert set(gw.fatal.unpublished) == {"r0", "r1"}
+
+
+@pytest.mark.parametrize("deleted", [True, False])
+def test_fatal_requests_that_are_back_in_an_older_copy_are_taken_out_again(
+    gw: Gateway, deleted: bool
+) -> None:
+    document = fatal_document(1, True)
+    fatal_listed(gw, Snapshot([document], 26))
+    empty = StoredObject(FATAL_NAME, 27, {"requests": []}, None)
+    fatal_changed(gw, Change(document if deleted else empty, deleted))
+    fatal_listed(gw, Snapshot([returned(document)], 26, era=1))
+    assert not gw.fatal.is_fatal("r0")
+    assert gw.fatal.cleared == {"r0"}
