Use upstreams after a return of the store by what was known of them before

After the store had come back from an older copy, upstreams whose entries it had lost were not used any more until these came back, and ones that had left, or were leaving, were used again because the copy still held them as ready.

One that had said that it leaves stays out; one whose entry had gone stays out for the time after which the store removes the entry of an upstream that is silent.

--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -16,6 +16,10 @@
 A response of an upstream may say that it is leaving before its entry does, which is late while the
 store is unavailable.  That holds for the incarnation whatever its entry says, also when the entry
 disappears and returns.
+
+When the store comes back from an older copy, it may lack entries of upstreams that live, which are
+used as before while their entries may still return, and hold entries of upstreams that are gone,
+which are not used until the store would have removed them.
 """
 
 from __future__ import annotations
@@ -37,6 +41,10 @@
 """The entry of an ended upstream expires after three heartbeats, which are at most 1.2 s apart."""
 
 
+MAX_GONE: Final = 4096
+"""Maximum number of incarnations that are remembered as gone."""
+
+
 MAX_LEAVING: Final = 4096
 """Maximum number of incarnations that are remembered as leaving."""
 
@@ -45,12 +53,14 @@
     """An upstream and its state; times on the steady clock.
 
     `drop_at` is when it is dropped unless its entry returns, None while it has an entry.  It is not
-    used until `excluded_until` because it was found to have ended.
+    used until `excluded_until` because it was found to have ended.  `lost` tells that the store
+    lacks its entry only because it came back from an older copy.
     """
 
     upstream: Upstream
     drop_at: float | None
     excluded_until: float = float("-inf")
+    lost: bool = False
 
 
 class Members:
@@ -63,6 +73,8 @@
         self._evacuated_halls: frozenset[str] = frozenset()
         self._leaving: dict[str, float] = {}
         """Until when incarnations that say that they are leaving may be used as a last resort."""
+        self._gone: dict[str, bool] = {}
+        """Incarnations that were dropped, and whether they had said that they were leaving."""
         self._usable_cache: dict[str, list[Upstream]] = {}
         """Upstreams with entries that accept new requests, by service; cleared on every change."""
 
@@ -79,15 +91,16 @@
         self._set(Member(upstream, None, excluded_until))
         return known is None or known.upstream != upstream or known.drop_at is not None
 
-    def remove(self, upstream_id: str, now: float) -> bool:
-        """Apply the removal of an entry; returns whether the upstream was known."""
+    def remove(self, upstream_id: str, now: float, lost: bool = False) -> bool:
+        """Apply the removal of an entry, or that the store has `lost` it; returns whether the
+        upstream was known."""
         known = self._members.get(upstream_id)
         if known is None:
             return False
         if known.upstream.draining:
             self.drop(upstream_id)
         elif known.drop_at is None:
-            self._set(known._replace(drop_at=now + EXPIRY_GRACE_S))
+            self._set(known._replace(drop_at=now + EXPIRY_GRACE_S, lost=lost))
         return True
 
     def mark_ended(self, upstream_key: str, now: float, for_s: float = ENDED_EXCLUSION_S) -> None:
@@ -132,6 +145,8 @@
         if known is None:
             return False
         self._ended_incarnations.append(known.upstream)
+        self._gone[known.upstream.key] = known.upstream.draining
+        drop_oldest(self._gone, MAX_GONE)
         self._usable_cache.clear()
         return True
 
@@ -145,13 +160,22 @@
         new, self._new_incarnations = self._new_incarnations, []
         return new
 
-    def replace_all(self, listed: list[Upstream], now: float) -> None:
-        """Replace all entries with the listed ones."""
+    def replace_all(self, listed: list[Upstream], now: float, returned: bool = False) -> None:
+        """Replace all entries with the listed ones; `returned` tells that the store has come back
+        from an older copy since the last list."""
         listed_ids = {upstream.id for upstream in listed}
         for missing in [name for name in self._members if name not in listed_ids]:
-            self.remove(missing, now)
+            self.remove(missing, now, lost=returned)
         for upstream in listed:
             self.put(upstream)
+            if returned and upstream.key in self._gone:
+                self._put_back(upstream, now)
+
+    def _put_back(self, upstream: Upstream, now: float) -> None:
+        """Apply the entry of an upstream that is gone and that only an older copy still holds."""
+        if self._gone[upstream.key]:
+            self._leaving.setdefault(upstream.key, float("-inf"))
+        self.mark_ended(upstream.key, now)
 
     def drop_expired(self, now: float) -> list[Upstream]:
         """Drop and return the upstreams whose grace period has passed.
@@ -178,7 +202,7 @@
             listed = self._usable_cache[service] = [
                 m.upstream
                 for m in self._available(service, now)
-                if m.drop_at is None and not self.is_leaving(m.upstream)
+                if (m.drop_at is None or m.lost) and not self.is_leaving(m.upstream)
             ]
         if listed:
             return listed
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -83,6 +83,8 @@
         """Until when another gateway is expected to keep this one up to date (steady clock)."""
         self.members = Members()
         self.members_listed = False
+        self.members_era = 0
+        """The era of the store in which upstreams were listed last."""
         self.evacuated_halls: dict[str, float] = {}
         """Evacuated data halls, with the time when this gateway learned of it (steady clock)."""
         self.evacuations_known = cfg["timing"].get("evacuate_ms", 0) <= 0
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -139,7 +139,13 @@
         retention=Retention(_has_newer_version, "always"),
     )
     await watch_kind(
-        gw, names.UPSTREAM_KIND, upstreams, _upstream_watch_timeout_s(gw), 0.0, urgent=True
+        gw,
+        names.UPSTREAM_KIND,
+        upstreams,
+        _upstream_watch_timeout_s(gw),
+        0.0,
+        urgent=True,
+        retention=Retention(_has_said_leaving, "no"),
     )
     await watch_kind(
         gw,
@@ -229,6 +235,18 @@
     return known_version is not None and (found_version or 0) < known_version
 
 
+def _has_said_leaving(known: StoredObject, found: StoredObject) -> bool:
+    """Whether an upstream is leaving that a later era of the store holds as it was before."""
+    known_upstream, found_upstream = upstream(known), upstream(found)
+    return (
+        not isinstance(known_upstream, BadMessage)
+        and not isinstance(found_upstream, BadMessage)
+        and known_upstream.key == found_upstream.key
+        and known_upstream.draining
+        and not found_upstream.draining
+    )
+
+
 def _has_ended_since(known: StoredObject, found: StoredObject) -> bool:
     """Whether a roll-out has ended that a later era of the store holds without its end."""
     known_order, found_order = rollout_order(known), rollout_order(found)
@@ -318,8 +336,9 @@
 def apply_upstream_snapshot(gw: Gateway, snapshot: Snapshot) -> None:
     now = clock.now()
     upstreams = [up for obj in snapshot.objects if (up := _decode_upstream(gw, obj)) is not None]
-    gw.members.replace_all(upstreams, now)
-    gw.members_listed = True
+    returned = gw.members_listed and snapshot.era > gw.members_era
+    gw.members.replace_all(upstreams, now, returned)
+    gw.members_listed, gw.members_era = True, snapshot.era
     _forget_removed(gw)
     logger.info("upstreams listed", count=len(upstreams), revision=snapshot.revision)
 
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -11,11 +11,20 @@
 import curio
 import pytest
 
+from ramppost import clock
+from ramppost.gateway.membership import ENDED_EXCLUSION_S, EXPIRY_GRACE_S
 from ramppost.gateway.replica import Handlers, KindReplica, UpdateNotifier
 from ramppost.gateway.retention import KEEP_NOTHING, Retention
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.gateway.state import Gateway
-from ramppost.gateway.watchers import _has_ended_since, _has_newer_version, apply_config
+from ramppost.gateway.watchers import (
+    _has_ended_since,
+    _has_newer_version,
+    _has_said_leaving,
+    apply_config,
+    apply_upstream_change,
+    apply_upstream_snapshot,
+)
 from ramppost.platform import names
 from ramppost.platform.documents import rollout_order
 from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
@@ -214,6 +223,63 @@
     assert rollout.order.position == back.position
 
 
+def engine(name: str, revision: int, era: int = 0, state: str = "ready") -> StoredObject:
+    spec = {"service": "lm", "addr": "127.0.0.1:9", "zone": "bole", "version": "v1"}
+    return StoredObject(name, revision, {**spec, "slots": 8, "state": state}, None, era=era)
+
+
+@pytest.fixture
+def gw() -> Gateway:
+    found = Gateway(SETTINGS)
+    apply_upstream_snapshot(found, listing(9, engine("a", 8), engine("b", 9)))
+    return found
+
+
+def usable(gw: Gateway, after_s: float = 0.0) -> set[str]:
+    """Engines that requests are placed on some time from now."""
+    now = clock.now() + after_s
+    gw.members.drop_expired(now)
+    return {upstream.id for upstream in gw.members.usable("lm", now)}
+
+
+def test_an_upstream_whose_entry_the_store_has_lost_was_not_used(gw: Gateway) -> None:
+    apply_upstream_snapshot(gw, listing(8, engine("a", 8, 1), era=1))
+    assert usable(gw) == {"a", "b"}
+    assert usable(gw, EXPIRY_GRACE_S + 0.1) == {"a"}
+
+
+def test_an_upstream_whose_entry_went_in_the_same_era_is_a_last_resort(gw: Gateway) -> None:
+    apply_upstream_snapshot(gw, listing(10, engine("a", 8)))
+    assert usable(gw) == {"a"}
+
+
+def test_an_upstream_that_is_gone_was_used_again_as_the_older_copy_held_it(gw: Gateway) -> None:
+    gone = Change(engine("b", 9), True)
+    apply_upstream_change(gw, gone)
+    assert usable(gw, EXPIRY_GRACE_S + 0.1) == {"a"}
+    apply_upstream_snapshot(gw, listing(9, engine("a", 8, 1), engine("b", 9, 1), era=1))
+    assert usable(gw) == {"a"}
+    # One that lives and had not reached the store keeps its entry.
+    assert usable(gw, ENDED_EXCLUSION_S + 0.1) == {"a", "b"}
+
+
+def test_an_upstream_that_had_left_was_used_again_as_the_older_copy_held_it(gw: Gateway) -> None:
+    apply_upstream_change(gw, Change(engine("b", 10, state="draining"), False))
+    apply_upstream_change(gw, Change(engine("b", 10, state="draining"), True))
+    apply_upstream_snapshot(gw, listing(9, engine("a", 8, 1), engine("b", 9, 1), era=1))
+    assert usable(gw, ENDED_EXCLUSION_S + 0.1) == {"a"}
+
+
+def test_an_upstream_that_is_leaving_was_used_again_as_the_older_copy_held_it() -> None:
+    found = kept(Retention(_has_said_leaving, "no"))
+    leaving = engine("b", 10, state="draining")
+    apply_list(found, listing(10, leaving))
+    apply_list(found, listing(9, engine("b", 9, 1), era=1))
+    assert found.replica.complete_object("b") == leaving
+    apply_change(found, Change(engine("b", 11, 1, "draining"), False), 11, True)
+    assert found.replica.retained == {}
+
+
 def test_a_configuration_in_force_is_not_replaced_by_an_older_version() -> None:
     gw = Gateway(SETTINGS)
     apply_config(gw, StoredObject(names.CONFIG_NAME, 27, config(21), None))
