--- a/ramppost/gateway/replica.py
+++ b/ramppost/gateway/replica.py
@@ -30,14 +30,15 @@
 class Handlers(NamedTuple):
     """Callbacks for a full snapshot, for a change, and for each confirmation.
 
-    `on_confirmed` gets the time (steady clock) at which the state was known to be the newest, if
-    `may_confirm` holds for that time.
+    `on_confirmed` gets the time (steady clock) at which the state was known to be the newest.
+    `may_confirm` gets when the store was asked for a state, None for one that another gateway has
+    sent, and returns whether that state can be known to be the newest.
     """
 
     on_snapshot: Callable[[Snapshot], None]
     on_change: Callable[[Change], None]
     on_confirmed: Callable[[float], None]
-    may_confirm: Callable[[float], bool] = lambda confirmed_at: True
+    may_confirm: Callable[[float | None], bool] = lambda asked_at: True
 
 
 class Delta(NamedTuple):
@@ -149,7 +150,7 @@
         self._change_log_start = snapshot.revision
         whole = [obj for obj in self._objects.values() if obj.whole]
         self._handlers.on_snapshot(snapshot._replace(objects=whole))
-        await self._confirm(confirmed_at)
+        await self._confirm(confirmed_at, confirmed_at if not source else None)
 
     async def apply_changes(
         self, since: int, changes: Changes, confirmed_at: float, source: str = ""
@@ -161,7 +162,7 @@
         for change in changes.changes:
             self._apply_change(change, changes.revision, source)
         self.position = changes.position
-        await self._confirm(confirmed_at)
+        await self._confirm(confirmed_at, confirmed_at if not source else None)
 
     async def apply_object(self, obj: StoredObject) -> None:
         """Apply an object that was pending and has been loaded.
@@ -177,7 +178,7 @@
         if pending is None or obj.position >= pending.position or obj is pending.known:
             self._replace_pending(obj)
         self._handlers.on_change(Change(obj, False))
-        await self._confirm(self.confirmed_at)
+        await self._confirm(self.confirmed_at, None)
 
     def complete_object(self, name: str) -> StoredObject | None:
         """An object with its full contents; None if they are not here."""
@@ -307,8 +308,8 @@
         while len(self._latest_changes) > MAX_CHANGE_LOG:
             self._change_log_start, _ = self._latest_changes.pop(next(iter(self._latest_changes)))
 
-    async def _confirm(self, confirmed_at: float) -> None:
-        self.held_back = not self._handlers.may_confirm(confirmed_at)
+    async def _confirm(self, confirmed_at: float, asked_at: float | None) -> None:
+        self.held_back = not self._handlers.may_confirm(asked_at)
         if not self.held_back:
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
             if not self.pending:
--- a/ramppost/gateway/store_returns.py
+++ b/ramppost/gateway/store_returns.py
@@ -35,28 +35,25 @@
         """None before the first answer of the store."""
         self.seen_at = float("-inf")
         """When its first answer was seen (steady clock)."""
-        self._is_return = False
 
     def note_era(self, era: int) -> None:
         """Record the era that an answer of the store, or another gateway, names."""
         if self.era is not None and era <= self.era:
             return
-        self._is_return = self.era is not None
         previous, self.era = self.era, era
         self.seen_at = clock.now()
         self._metrics.gauges["ramppost_store_era"] = era
-        if self._is_return:
+        if previous is not None:
             logger.warning("store came back from an older copy", era=era, before=previous)
             self.on_return()
 
-    def confirms(self, at: float) -> bool:
-        """Whether an answer of the store that was asked for at a time shows all that it has
-        acknowledged."""
-        return not self._is_return or at >= self.seen_at + REWRITE_S
-
-    def is_settled(self) -> bool:
-        """Whether everybody has had the time to write again what an older copy lacked.
+    def confirms(self, asked_at: float) -> bool:
+        """Whether what the store was asked for then shows all that it has acknowledged.
 
         A gateway that has just started can't know when the store came back last.
         """
+        return not self.era or asked_at >= self.seen_at + REWRITE_S
+
+    def is_settled(self) -> bool:
+        """Whether everybody has had the time to write again what an older copy lacked."""
         return not self.era or clock.now() >= self.seen_at + SETTLE_S
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -107,7 +107,7 @@
         lambda snapshot: apply_config_snapshot(gw, snapshot),
         lambda change: _apply_config_change(gw, change),
         lambda at: confirm_config(gw, at),
-        lambda at: _may_confirm_config(gw, at),
+        lambda asked_at: _may_confirm_config(gw, asked_at),
     )
     upstreams = Handlers(
         lambda snapshot: apply_upstream_snapshot(gw, snapshot),
@@ -145,7 +145,7 @@
         _upstream_watch_timeout_s(gw),
         0.0,
         urgent=True,
-        retention=Retention(_has_said_leaving, "no"),
+        retention=Retention(_is_later_upstream, "no"),
     )
     await watch_kind(
         gw,
@@ -220,13 +220,15 @@
         apply_config(gw, obj)
 
 
-def _may_confirm_config(gw: Gateway, asked_at: float) -> bool:
+def _may_confirm_config(gw: Gateway, asked_at: float | None) -> bool:
     """Whether what the store was asked for then can show a configuration to be the newest.
 
     After its return it may hold an older one than it has acknowledged, until the operator has
-    written the newest again.
+    written the newest again.  A gateway that sends a state has looked at that itself.
     """
-    return gw.store_returns.confirms(asked_at) and not gw.replicas[names.CONFIG_KIND].retained
+    if gw.replicas[names.CONFIG_KIND].retained:
+        return False
+    return asked_at is None or gw.store_returns.confirms(asked_at)
 
 
 def _has_newer_version(known: StoredObject, found: StoredObject) -> bool:
@@ -235,16 +237,15 @@
     return known_version is not None and (found_version or 0) < known_version
 
 
-def _has_said_leaving(known: StoredObject, found: StoredObject) -> bool:
-    """Whether an upstream is leaving that a later era of the store holds as it was before."""
+def _is_later_upstream(known: StoredObject, found: StoredObject) -> bool:
+    """Whether an upstream is leaving, or has started anew, that a later era of the store holds as
+    it was before."""
     known_upstream, found_upstream = upstream(known), upstream(found)
-    return (
-        not isinstance(known_upstream, BadMessage)
-        and not isinstance(found_upstream, BadMessage)
-        and known_upstream.key == found_upstream.key
-        and known_upstream.draining
-        and not found_upstream.draining
-    )
+    if isinstance(known_upstream, BadMessage) or isinstance(found_upstream, BadMessage):
+        return False
+    if known_upstream.key != found_upstream.key:
+        return 0 < found_upstream.started_ms < known_upstream.started_ms
+    return known_upstream.draining and not found_upstream.draining
 
 
 def _has_ended_since(known: StoredObject, found: StoredObject) -> bool:
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -126,6 +126,8 @@
         """Body of a request that ends upstreams that are started from now on; empty for none."""
         self.ids: dict[str, str] = {}
         """Ids of the upstreams' last incarnations."""
+        self.operator_wrote: dict[tuple[str, str], Any] = {}
+        """What the operator has written last, by kind and name; None for a removed object."""
         try:
             self._start_all(engines, services)
         except BaseException:
@@ -412,21 +414,35 @@
         url = f"{self.store}/_put/{kind}/{name}"
         self.http.post(url, content=json.dumps(spec)).raise_for_status()
 
+    def write(self, kind: str, name: str, spec: Any) -> None:
+        """Write what the operator writes again after a return of the store."""
+        self.operator_wrote[kind, name] = spec
+        self.put(kind, name, spec)
+
+    def write_again(self) -> None:
+        """Write all again that the operator has written, as after a return of the store."""
+        for (kind, name), spec in list(self.operator_wrote.items()):
+            if spec is None:
+                self.http.delete(f"{self.store}/objects/{kind}/{name}").raise_for_status()
+            else:
+                self.put(kind, name, spec)
+
     def configure(self, doc: dict[str, Any]) -> None:
         """Write a new configuration."""
-        self.put(names.CONFIG_KIND, names.CONFIG_NAME, doc)
+        self.write(names.CONFIG_KIND, names.CONFIG_NAME, doc)
 
     def rollout(self, version: str, duration_s: float) -> None:
         """Order a roll-out of the engines' service."""
         order = {"service": "lm", "target_version": version, "duration_s": duration_s}
-        self.put(names.ROLLOUT_KIND, "lm", order)
+        self.write(names.ROLLOUT_KIND, "lm", order)
 
     def evacuate(self, hall: str) -> None:
         """Start the evacuation of a data hall."""
-        self.put(names.EVACUATION_KIND, hall, {})
+        self.write(names.EVACUATION_KIND, hall, {})
 
     def end_evacuation(self, hall: str) -> None:
         """End the evacuation of a data hall."""
+        self.operator_wrote[names.EVACUATION_KIND, hall] = None
         url = f"{self.store}/objects/{names.EVACUATION_KIND}/{hall}"
         self.http.delete(url).raise_for_status()
 
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -6,12 +6,12 @@
 connection that it keeps until it breaks, while two schedules drawn from the seed, which
 overlap, stop, pause, kill and restart gateways and upstreams, disturb the store, its links and
 those between gateways, silence what is open on them, take a key away, let the configuration
-grow on thin links, let upstreams leave and bring a version in.  Further schedules spoil entries
-and start upstreams under their ids, and let upstreams name limits, ask for rest and leave by their
-answers alone.  After the storm a new route has to be in force everywhere in time, and a request
-that ends engines is not to be run for ever, though gateways are killed, paused and stopped as it
-comes again.  What upstreams ran, told and were sent, and what callers got, is compared at the end,
-and the gateways' log lines are audited.
+grow on thin links, let upstreams leave and bring a version in.  Further schedules spoil entries and
+start upstreams under their ids, let upstreams name limits, ask for rest and leave by their answers
+alone, and let the store come back from older copies.  After the storm a new route has to be in
+force everywhere in time, and a request that ends engines is not to be run for ever, though gateways
+are killed, paused and stopped as it comes again.  What upstreams ran, told and were sent, and what
+callers got, is compared at the end, and the gateways' log lines are audited.
 """
 
 from __future__ import annotations
@@ -81,8 +81,12 @@
     {"addr": "127.0.0.1:x", "hall": "bole", "version": "v2", "part": "half", "sessions": 3},
 ]
 """Entries that other writers may leave."""
-FURTHER = ("entries", "notices", "rests")
+FURTHER = ("entries", "notices", "rests", "returns")
 """Schedules beside the first ones; regression seeds are played with those that they failed with."""
+COPY_AGES_S = (0.2, 1.0, 3.0, 6.0, 60.0)
+"""How old the copy is that the store comes back from; the last one holds hardly anything."""
+MOST_REWRITE_S = 0.4
+"""Within this the operator writes again what it has written."""
 RESTS_S = (0.6, 1.0, 2.0, 3.0)
 LIMITS_PER_S = (0.0, 0.5, 1.0, 2.0, 5.0, 20.0)
 ALL_OF_SERVICE = 0.3
@@ -178,6 +182,7 @@
             "entries": self.step_of_entries,
             "notices": self.step_of_limits,
             "rests": self.step_of_rests,
+            "returns": self.step_of_returns,
         }
         schedules = [(rng, until, self.step) for rng in self.rngs]
         schedules += [(rng, until, further[name]) for name, rng in self.further_rngs.items()]
@@ -245,6 +250,20 @@
         self.done.append(fault.__name__)
         fault(rng)
 
+    def step_of_returns(self, rng: random.Random) -> None:
+        """The store is away and comes back from an older copy, at times twice in series; the
+        operator writes again what it has written."""
+        time.sleep(rng.uniform(0.5, 4.0))
+        for _ in range(rng.choice((1, 1, 2))):
+            self.done.append("return_store")
+            with self._locks["store"], self._locks["config"]:
+                self.site.fault("store", mode=rng.choice(("down", "frozen")))
+                time.sleep(rng.uniform(0.2, 2.5))
+                self.site.come_back(age_s=rng.choice(COPY_AGES_S))
+                self.site.fault("store", mode="none")
+                time.sleep(rng.uniform(0.0, MOST_REWRITE_S))
+                self.site.write_again()
+
     def ask_for_rest(self, rng: random.Random) -> None:
         upstreams = self._some_of_service(rng)
         rest_s = rng.choice(RESTS_S)
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -20,7 +20,7 @@
 from ramppost.gateway.watchers import (
     _has_ended_since,
     _has_newer_version,
-    _has_said_leaving,
+    _is_later_upstream,
     apply_config,
     apply_upstream_change,
     apply_upstream_snapshot,
@@ -271,7 +271,7 @@
 
 
 def test_an_upstream_that_is_leaving_was_used_again_as_the_older_copy_held_it() -> None:
-    found = kept(Retention(_has_said_leaving, "no"))
+    found = kept(Retention(_is_later_upstream, "no"))
     leaving = engine("b", 10, state="draining")
     apply_list(found, listing(10, leaving))
     apply_list(found, listing(9, engine("b", 9, 1), era=1))
@@ -280,6 +280,19 @@
     assert found.replica.retained == {}
 
 
+def test_the_start_before_the_last_was_used_as_the_older_copy_held_it() -> None:
+    found = kept(Retention(_is_later_upstream, "no"))
+    starts = [
+        engine("b", number, era)._replace(spec={**engine("b", 1).spec, "born": born})
+        for number, era, born in ((9, 1, 1000), (10, 0, 2000), (11, 1, 3000))
+    ]
+    apply_list(found, listing(10, starts[1]))
+    apply_list(found, listing(9, starts[0], era=1))
+    assert found.replica.complete_object("b") == starts[1]
+    apply_change(found, Change(starts[2], False), 11, True)
+    assert found.replica.complete_object("b") == starts[2]
+
+
 def test_a_configuration_in_force_is_not_replaced_by_an_older_version() -> None:
     gw = Gateway(SETTINGS)
     apply_config(gw, StoredObject(names.CONFIG_NAME, 27, config(21), None))
