Take the word of an upstream that it leaves before its entry is known

Cause: what such an answer says of leaving was dropped, because it is not from the upstream that was meant.

Change: it is kept under the id that the answer names, and holds for the start that said so (by its start time, where it has one).

tests/test_leaving.py: the new case failed before and passes.

--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -63,6 +63,14 @@
     lost: bool = False
 
 
+class LeavingId(NamedTuple):
+    """What an upstream has said of which the id alone was known: until when it may be used as a
+    last resort (steady clock), and when it said so (seconds since 1970)."""
+
+    last_use_at: float
+    said_at: float
+
+
 class Members:
     """The currently known upstreams, by id."""
 
@@ -73,6 +81,8 @@
         self._evacuated_halls: frozenset[str] = frozenset()
         self._leaving: dict[str, float] = {}
         """Until when incarnations that say that they are leaving may be used as a last resort."""
+        self._leaving_ids: dict[str, LeavingId] = {}
+        """Upstreams that have said that they are leaving and whose start is not known, by id."""
         self._gone: dict[str, bool] = {}
         """Incarnations that were dropped, and whether they had said that they were leaving."""
         self._usable_cache: dict[str, list[Upstream]] = {}
@@ -88,6 +98,7 @@
             self._ended_incarnations.append(known.upstream)
         if known is None or known.upstream.key != upstream.key:
             self._new_incarnations.append(upstream)
+            self._apply_leaving_id(upstream)
         self._set(Member(upstream, None, excluded_until))
         return known is None or known.upstream != upstream or known.drop_at is not None
 
@@ -131,6 +142,23 @@
         self._usable_cache.clear()
         logger.info("upstream says that it is leaving", upstream=upstream.id)
 
+    def mark_leaving_by_id(self, upstream_id: str, last_use_at: float, said_at: float) -> None:
+        """Record that a response to a request for another upstream says that this one is leaving.
+
+        It took over the other one's address, and its own entry may not be known yet.
+        """
+        self._leaving_ids.setdefault(upstream_id, LeavingId(last_use_at, said_at))
+        drop_oldest(self._leaving_ids, MAX_LEAVING)
+        known = self._members.get(upstream_id)
+        if known is not None:
+            self._apply_leaving_id(known.upstream)
+
+    def _apply_leaving_id(self, upstream: Upstream) -> None:
+        """Mark an incarnation as leaving that has said so; a later start has not."""
+        leaving = self._leaving_ids.get(upstream.id)
+        if leaving is not None and upstream.started_ms <= leaving.said_at * 1000:
+            self.mark_leaving(upstream, leaving.last_use_at)
+
     def is_leaving(self, upstream: Upstream) -> bool:
         """Whether a response of the upstream has said that it is leaving."""
         return upstream.key in self._leaving
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from typing import Final, Literal
 
 from ramppost import clock
@@ -187,9 +188,13 @@
         self.rate_limits.record_response(upstream, head.rate_limit_per_s, sent_at, now)
         if head.rest_s:
             self.rests.record_refusal(upstream, head.rest_s, now)
-        if head.leaving and not head.wrong_upstream:
+        if head.leaving:
             leave_s = self.cfg["timing"]["upstream_leave_ms"] / 1000
-            self.members.mark_leaving(upstream, now + LEAVING_USE_RATIO * leave_s)
+            last_use_at = now + LEAVING_USE_RATIO * leave_s
+            if not head.wrong_upstream:
+                self.members.mark_leaving(upstream, last_use_at)
+            elif head.upstream_id:
+                self.members.mark_leaving_by_id(head.upstream_id, last_use_at, time.time())
 
     def suspicion_of(self, upstream_key: str) -> UpstreamHealth:
         """The failure evidence against an upstream."""
--- a/ramppost/platform/headers.py
+++ b/ramppost/platform/headers.py
@@ -72,6 +72,8 @@
     rate_limit_per_s: float | None = None
     leaving: bool = False
     rest_s: float | None = None
+    upstream_id: str = ""
+    """Id of the upstream that has answered; empty if it names none."""
 
 
 def caller_request(method: str, target: str, headers: Headers, body: bytes) -> CallerRequest:
@@ -139,6 +141,7 @@
         leaving=_text(values, names.LEAVING).strip() == "1",
         rest_s=retry_after_s if status == names.STATUS_OVERLOADED else None,
         rate_limit_per_s=_parse_number(_text(values, names.RATE_LIMIT)),
+        upstream_id=_text(values, names.INSTANCE_ID),
     )
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -117,3 +118,20 @@
     assert chosen_ids(gw) == set()
     got = _compose_request(gw, job_of(gw, random.Random(1)), chosen, "small", None)
     assert isinstance(got, NotSent) and got.withheld
+
+
+NAMED_LEAVING = answer_head(
+    names.STATUS_WRONG_UPSTREAM, ((names.LEAVING, b"1"), (names.INSTANCE_ID, b"i-3"))
+)
+
+
+@pytest.mark.parametrize(("starts_after_s", "used"), [(-10, False), (10, True)])
+def test_upstream_that_said_that_it_was_leaving_before_its_entry_was_known_was_used(
+    gw: Gateway, starts_after_s: int, used: bool
+) -> None:
+    # It answered requests for the one that had its address before (soak 7102).
+    gw._observe_head(ENGINE, NAMED_LEAVING, clock.now())
+    started_ms = int((time.time() + starts_after_s) * 1000)
+    gw.members.put(ENGINE._replace(id="i-3", started_ms=started_ms))
+    assert ("i-3" in chosen_ids(gw)) == used
+    assert ENGINE.id in chosen_ids(gw)
