Audit: a roll-out that has ended is not under way again

A check beside the one of configurations for what must never go back. The gateway logs the removal of an order, and the state that it goes by, which is the known end where the store has lost that.

--- a/ramppost/audit/checks.py
+++ b/ramppost/audit/checks.py
@@ -19,10 +19,12 @@
     FatalRequestUpdate,
     ProcessStarted,
     RequestEnded,
+    RolloutSeen,
 )
 from ramppost.audit.findings import Check, Finding, Findings
 from ramppost.bounded import drop_oldest
 
+ENDED_STATES: Final = ("completed", "rolled_back")
 MAX_ENDED_REQUESTS: Final = 200_000
 """Ended requests that are remembered, to detect a second end: some minutes of hundreds of
 gateways."""
@@ -59,6 +61,34 @@
     return Check(name, promise, handle_event, lambda: ())
 
 
+def rollout_check() -> Check:
+    """Returns the check that a roll-out that has ended is not under way again, unless its order was
+    removed in between."""
+    name = "roll-outs"
+    ended: dict[tuple[str, str], RolloutSeen] = {}
+
+    def handle_event(event: Event) -> Findings:
+        if isinstance(event, ProcessStarted):
+            for key in [key for key in ended if key[0] == event.program]:
+                del ended[key]
+        elif isinstance(event, RolloutSeen):
+            yield from check_state(event)
+
+    def check_state(event: RolloutSeen) -> Findings:
+        key = (event.program, event.service)
+        last = ended.get(key)
+        if event.state in ENDED_STATES:
+            ended[key] = event
+        elif event.state == "removed" or (last is not None and event.version != last.version):
+            ended.pop(key, None)
+        elif last is not None:
+            what = f"version {event.version} of {event.service} {event.state} after {last.state}"
+            yield Finding(name, "broken", event.program, event.at, "", what)
+
+    promise = "a roll-out that has ended is not under way again"
+    return Check(name, promise, handle_event, lambda: ())
+
+
 def _describe(config: ConfigInForce) -> str:
     at = config.position
     return f"version {config.version} (era {at.era}, revision {at.revision})"
@@ -167,6 +197,7 @@
     """
     return [
         config_check(),
+        rollout_check(),
         confirmed_check(max_clock_skew_s),
         end_check(),
         departed_check(),
--- a/ramppost/audit/events.py
+++ b/ramppost/audit/events.py
@@ -24,6 +24,7 @@
     "upstream there": "there",
     "upstream's entry gone": "no entry",
 }
+ROLLOUT_PREFIX: Final = "roll-out "
 EVACUATED_BY_MESSAGE: Final = {
     "data hall evacuation started": True,
     "data hall evacuation ended": False,
@@ -53,6 +54,17 @@
     previous_version: int | None
 
 
+class RolloutSeen(NamedTuple):
+    """A process has logged the state of a service's roll-out, or its removal (`state` "removed",
+    without a version)."""
+
+    program: str
+    at: float
+    service: str
+    version: str
+    state: str
+
+
 class UpstreamSeen(NamedTuple):
     """A process has logged the state of an upstream; `service` is empty if the line lacks it."""
 
@@ -129,6 +141,7 @@
 Event = (
     ProcessStarted
     | ConfigInForce
+    | RolloutSeen
     | UpstreamSeen
     | UpstreamsListed
     | AttemptEnded
@@ -159,6 +172,10 @@
         return ConfigInForce(
             line.program, line.at, int(fields["version"]), position, previous_version
         )
+    if line.message.startswith(ROLLOUT_PREFIX):
+        state = line.message.removeprefix(ROLLOUT_PREFIX)
+        version = str(fields.get("version", ""))
+        return RolloutSeen(line.program, line.at, str(fields["service"]), version, state)
     if line.message == "upstreams listed":
         return UpstreamsListed(line.program, line.at)
     if line.message.startswith("upstream") and "upstream" in fields:
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -390,18 +390,23 @@
     services = {obj.name for obj in snapshot.objects}
     for running in gw.rollouts.all():
         if running.order.service not in services:
-            gw.rollouts.remove(running.order.service)
+            _remove_rollout(gw, running.order.service)
     for obj in snapshot.objects:
         _apply_rollout(gw, obj)
 
 
 def _apply_rollout_change(gw: Gateway, change: Change) -> None:
     if change.removed:
-        gw.rollouts.remove(change.obj.name)
+        _remove_rollout(gw, change.obj.name)
     else:
         _apply_rollout(gw, change.obj)
 
 
+def _remove_rollout(gw: Gateway, service: str) -> None:
+    gw.rollouts.remove(service)
+    logger.info("roll-out removed", service=service)
+
+
 def _apply_progress_snapshot(gw: Gateway, snapshot: Snapshot) -> None:
     gw.rollouts.forget_progress()
     for obj in snapshot.objects:
@@ -426,9 +431,10 @@
         gw.unreadable.log_once(names.ROLLOUT_KIND, obj, order.reason)
         return
     gw.rollouts.update(order, clock.now())
+    rollout = gw.rollouts.get(order.service)
     logger.info(
         "roll-out {}",
-        order.state,
+        rollout.order.state if rollout is not None else order.state,
         service=order.service,
         version=order.version,
         duration_s=order.duration_s,
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -21,7 +21,7 @@
 from tests.harness.gateways import KEYS, SAFE, STREAM, Deployment
 
 NOON = datetime(2026, 3, 1, 12, tzinfo=UTC).timestamp()
-CHECKS = ("configuration", "confirmed", "one end", "departed", "evacuated", "fatal")
+CHECKS = ("configuration", "roll-outs", "confirmed", "one end", "departed", "evacuated", "fatal")
 
 
 def log_line(module: str, message: str, after_s: float, program: str = "g1", **fields: Any) -> str:
@@ -41,6 +41,11 @@
     return log_line("watchers", "configuration in force", after_s, program, **fields)
 
 
+def rollout(state: str, after_s: float, version: str = "v2") -> str:
+    fields = {"service": "lm", "version": version, "revision": 9}
+    return log_line("watchers", f"roll-out {state}", after_s, **fields)
+
+
 def attempt(request: str, outcome: str, after_s: float, took_s: float = 0.1, **more: Any) -> str:
     fields = {"request": request, "upstream": "u1", "fingerprint": "f", "took_s": took_s} | more
     return log_line("attempt", f"attempt 1: {outcome}", after_s, **fields)
@@ -85,6 +90,14 @@
 
 
 VIOLATIONS = {
+    "withdrawn version ordered again": (
+        [rollout("ordered", 0), rollout("rolled_back", 1), rollout("ordered", 2)],
+        "roll-outs",
+    ),
+    "completed version ordered again": (
+        [rollout("completed", 1), rollout("ordered", 2)],
+        "roll-outs",
+    ),
     "sent to an evacuated hall": (
         [
             evacuation("started", 1),
@@ -516,3 +529,11 @@
         config(6, 5, 2, revision=25, era=1),
     ]
     assert verdict_counts(audit_lines(tmp_path, *lines)) == {}
+
+
+@pytest.mark.parametrize(
+    "between", [rollout("removed", 2), rollout("ordered", 2, "v3"), starting(2)]
+)
+def test_a_version_may_be_ordered_again_after(tmp_path: Path, between: str) -> None:
+    lines = [rollout("rolled_back", 1), between, rollout("ordered", 3)]
+    assert verdict_counts(audit_lines(tmp_path, *lines)) == {}
