--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -17,6 +17,7 @@
 from ramppost.gateway.retention import KEEP_NOTHING, Retention
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.gateway.state import Gateway
+from ramppost.gateway.store_returns import REWRITE_S
 from ramppost.gateway.watchers import (
     _has_ended_since,
     _has_newer_version,
@@ -300,3 +301,28 @@
     assert gw.table is not None and gw.table.version == 21
     apply_config(gw, StoredObject(names.CONFIG_NAME, 21, config(25), None, era=1))
     assert gw.table.version == 25
+
+
+def test_only_relays_read_the_store_at_once_after_its_return() -> None:
+    # Hundreds of gateways would list all kinds at the same moment.
+    gws = [Gateway({**SETTINGS, "name": name}) for name in ("g-1", "g-2")]
+    for gw in gws:
+        gw.peers.put("g-1" if gw.cfg["name"] == "g-2" else "g-2", "127.0.0.1:9", "bole")
+        gw.note_era(0)
+        assert gw.feed_valid_until == float("-inf")
+        gw.note_era(1)
+    waits = {gw.cfg["name"]: gw.feed_valid_until > float("-inf") for gw in gws}
+    assert waits == {gw.cfg["name"]: not gw.peers.is_relay(clock.now()) for gw in gws}
+    assert sum(waits.values()) == 1
+
+
+def test_an_answer_of_the_store_just_after_its_return_confirmed_a_lost_configuration() -> None:
+    # What was acknowledged and lost may be newer, until the operator has written it again.
+    gw = Gateway(SETTINGS)
+    gw.note_era(0)
+    assert gw.store_returns.confirms(clock.now())
+    gw.note_era(1)
+    now = clock.now()
+    assert not gw.store_returns.confirms(now)
+    assert gw.store_returns.confirms(now + REWRITE_S)
+    assert not gw.store_returns.is_settled()
