--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -97,7 +97,8 @@
         self.store_outage = StoreOutage()
         self.metrics = Metrics()
         self.store_returns = StoreReturns(self.metrics)
-        self.store = StoreClient(cfg["store"]["addr"], Pool(cfg["ip"]), self.store_returns.note_era)
+        self.store_returns.on_return = self._await_feed_after_return
+        self.store = StoreClient(cfg["store"]["addr"], Pool(cfg["ip"]), self.note_era)
         self.rests = Rests()
         self.rate_limits = RateLimits(self.peers)
         self.connections = ConnectionPool(cfg["ip"], self._observe_head)
