Say that an answer was held back only while the store is in reach

A relay whose last answer had confirmed nothing, after a return, and that was cut off from the store then, went on telling its followers that it does as well as any: they would not have asked the store themselves. Found by reading; the feed says so for a second after such an answer. Held-back relays ask every 0.2 s.

--- a/ramppost/gateway/feed.py
+++ b/ramppost/gateway/feed.py
@@ -31,6 +31,9 @@
 LARGE_OBJECT_BYTES: Final = 32768
 """Objects above this size are announced by name only: on a box with a 10 Mbit/s link, sending one
 of 500 KB to ten gateways would delay all other traffic for seconds."""
+HELD_BACK_S: Final = 1.0
+"""How long an answer of the store that confirmed nothing shows that the store is in reach: several
+watches, of a slow store too."""
 UNKNOWN_AGE_MS: Final = -1
 """Age on the wire if there was no confirmation."""
 COMPRESSION_MIN_BYTES: Final = 2048
@@ -79,7 +82,11 @@
         reading=any(
             replica.awaiting_response for replica in gw.replicas.values() if replica.urgent
         ),
-        held_back=any(replica.held_back for replica in gw.replicas.values() if replica.urgent),
+        held_back=any(
+            now - replica.held_back_at < HELD_BACK_S
+            for replica in gw.replicas.values()
+            if replica.urgent
+        ),
         kinds=kinds,
     )
 
--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -29,7 +29,7 @@
 FIRST_BACKOFF_S: Final = 0.1
 MAX_BACKOFF_S: Final = 0.5
 """Calls to an unavailable store are billed too, and its return must be noticed soon."""
-HELD_BACK_WATCH_TIMEOUT_S: Final = 0.1
+HELD_BACK_WATCH_TIMEOUT_S: Final = 0.2
 """Watch timeout while answers confirm nothing yet, since the store has just come back from an older
 copy: what is needed is a later answer."""
 START_FALLBACK_DELAY_S: Final = 1.0
@@ -173,7 +173,8 @@
     """
     if not _is_confirmation_old(config, now):
         return config.watch_timeout_s
-    short_s = HELD_BACK_WATCH_TIMEOUT_S if config.replica.held_back else SHORT_WATCH_TIMEOUT_S
+    held_back = config.replica.held_back_at > float("-inf")
+    short_s = HELD_BACK_WATCH_TIMEOUT_S if held_back else SHORT_WATCH_TIMEOUT_S
     return min(short_s, config.watch_timeout_s)
 
 
--- a/ramppost/gateway/replica.py
+++ b/ramppost/gateway/replica.py
@@ -101,9 +101,9 @@
         can't be had."""
         self.confirmed_at = float("-inf")
         """When that state was known to be the newest (steady clock)."""
-        self.held_back = False
-        """Whether the last answer of the store confirmed nothing, because the store may hold less
-        than it has acknowledged."""
+        self.held_back_at = float("-inf")
+        """When the store answered last, if that confirmed nothing because the store may hold less
+        than it has acknowledged (steady clock); minus infinity if it confirmed something."""
         self.awaiting_response = False
         """Whether the store's response has begun, or was complete so late that its confirmation is
         already stale; in both cases a later confirmation is about to arrive."""
@@ -309,8 +309,10 @@
             self._change_log_start, _ = self._latest_changes.pop(next(iter(self._latest_changes)))
 
     async def _confirm(self, confirmed_at: float, asked_at: float | None) -> None:
-        self.held_back = not self._handlers.may_confirm(asked_at)
-        if not self.held_back:
+        may_confirm = self._handlers.may_confirm(asked_at)
+        if asked_at is not None:
+            self.held_back_at = float("-inf") if may_confirm else clock.now()
+        if may_confirm:
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
             if not self.pending:
                 self._handlers.on_confirmed(confirmed_at)
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -326,3 +326,15 @@
     assert not gw.store_returns.confirms(now)
     assert gw.store_returns.confirms(now + REWRITE_S)
     assert not gw.store_returns.is_settled()
+
+
+def test_only_an_answer_of_the_store_itself_is_held_back() -> None:
+    # What is known here may be newer than what the gateway knows that feeds this one.
+    found = kept(BY_VERSION)
+    found.replica._handlers = found.replica._handlers._replace(
+        may_confirm=lambda asked_at: asked_at is None
+    )
+    apply_list(found, listing(20, era=1))
+    assert (found.confirmed, found.replica.held_back_at > 0) == ([], True)
+    curio.run(found.replica.apply_snapshot(listing(21, era=1), 3.0, "g-2"))
+    assert found.confirmed == [3.0]
