Let gateways tell one another that the store is settled

A gateway that started long after a return, and became the relay, took the store for not settled for 10 s; its followers, which knew better, took its states for older ones, so that an evacuation or an order did not reach them from it. Found by reading; the two tests failed before. Whoever is asked, or answered, with a settled state of an era takes that era for settled.

--- a/ramppost/gateway/feed.py
+++ b/ramppost/gateway/feed.py
@@ -62,6 +62,8 @@
 async def _answer(gw: Gateway, query: FeedQuery) -> FeedMsg:
     """The response, once there is an update or the wait time is over."""
     received_at = clock.now()
+    for mark in query["kinds"]:
+        note_settled(gw, mark)
     until = received_at + min(MAX_WAIT_S, query["wait_ms"] / 1000)
     while clock.now() < until and not (
         urgent_kinds_known(gw) and _has_update(gw, query, received_at)
@@ -125,6 +127,15 @@
     return Position(mark.get("era", 0), mark.get("settled", True), mark["revision"])
 
 
+def note_settled(gw: Gateway, mark: FeedMark | FeedKind) -> None:
+    """Learn from a message that an era of the store is settled: a gateway that has just started
+    can't know how long ago the store came back."""
+    replica = gw.replicas.get(mark["kind"])
+    position = mark_position(mark)
+    if replica is not None and replica.settles and position.settled:
+        gw.store_returns.note_settled(position.era)
+
+
 def _encode_kind(replica: KindReplica, position: Position, mark: FeedMark, now: float) -> FeedKind:
     """The feed's part for a kind, with the changes after the mark."""
     delta = replica.changes_after(mark_position(mark))
--- a/ramppost/gateway/replica.py
+++ b/ramppost/gateway/replica.py
@@ -127,6 +127,11 @@
         """The revision of `position`, which orders states of one era only."""
         return self.position.revision if self.position is not None else None
 
+    @property
+    def settles(self) -> bool:
+        """Whether it keeps what an older copy lacks until the store is settled."""
+        return self._retention.missing == "until settled"
+
     def response_started(self) -> None:
         """Record that the store has begun to send its response."""
         self.awaiting_response = True
@@ -246,7 +251,7 @@
     def _is_back(self, obj: StoredObject, snapshot: Snapshot) -> bool:
         """Whether an object is there only because the store came back: it had been removed."""
         return (
-            self._retention.missing == "until settled"
+            self.settles
             and not snapshot.settled
             and obj.name not in self._objects
             and self._removed.get(obj.name, snapshot.era) < snapshot.era
--- a/ramppost/gateway/store_returns.py
+++ b/ramppost/gateway/store_returns.py
@@ -35,6 +35,8 @@
         """None before the first answer of the store."""
         self.seen_at = float("-inf")
         """When its first answer was seen (steady clock)."""
+        self._settled_era = 0
+        """The newest era that another gateway knows to be settled."""
 
     def note_era(self, era: int) -> None:
         """Record the era that an answer of the store, or another gateway, names."""
@@ -54,6 +56,12 @@
         """
         return not self.era or asked_at >= self.seen_at + REWRITE_S
 
+    def note_settled(self, era: int) -> None:
+        """Record that another gateway knows an era to be settled, which it may have seen first."""
+        self._settled_era = max(self._settled_era, era)
+
     def is_settled(self) -> bool:
         """Whether everybody has had the time to write again what an older copy lacked."""
-        return not self.era or clock.now() >= self.seen_at + SETTLE_S
+        if not self.era or self.era <= self._settled_era:
+            return True
+        return clock.now() >= self.seen_at + SETTLE_S
--- a/ramppost/gateway/subscribe.py
+++ b/ramppost/gateway/subscribe.py
@@ -20,6 +20,7 @@
     FEED_PATH,
     UNKNOWN_AGE_MS,
     mark_position,
+    note_settled,
     urgent_confirmed_at,
     urgent_kinds_known,
 )
@@ -223,6 +224,7 @@
     replica = gw.replicas[kind_msg["kind"]]
     position = mark_position(kind_msg)
     gw.note_era(position.era)
+    note_settled(gw, kind_msg)
     # Data that was never confirmed there is applied, but confirms nothing here.
     confirmed_at = (
         answered_at - kind_msg["age_ms"] / 1000 if kind_msg["age_ms"] >= 0 else float("-inf")
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -206,7 +206,7 @@
         fallback_delay_s,
         lambda: gw.feed_valid_until,
         probes_store=kind == names.CONFIG_KIND,
-        is_settled=_always if retention.missing != "until settled" else gw.store_returns.is_settled,
+        is_settled=gw.store_returns.is_settled if replica.settles else _always,
     )
     await curio.spawn(follow, gw.store, follow_config, gw.store_outage, daemon=True)
 
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -12,10 +12,12 @@
 from ramppost.gateway.feed import feed_handler
 from ramppost.gateway.operators import internal_handler
 from ramppost.gateway.replica import Handlers, KindReplica
+from ramppost.gateway.retention import Retention
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.subscribe import needs_feed, poll_once
-from ramppost.gateway.watchers import feed_wait_s, stale_after_s
+from ramppost.gateway.watchers import _never, feed_wait_s, stale_after_s
 from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
+from ramppost.policy.position import Position
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.server import listen, serve
 from tests.test_gateway_follow import free_port
@@ -256,3 +258,38 @@
     gw.freshness.confirm(now - age_s)
     gw.store_outage.failing_since = now if failing else None
     assert needs_feed(gw, now) == expected
+
+
+def test_a_relay_that_has_just_started_learns_that_the_store_is_settled() -> None:
+    # Its followers knew that and took its states for older ones: for 10 s an evacuation that it
+    # received did not reach them.
+    async def scenario(pair: Pair) -> None:
+        for gw, settled in ((pair.relay, False), (pair.asker, True)):
+            gw.replicas[OTHER] = KindReplica(
+                OTHER, recording_handlers([]), gw.updates, False, Retention(_never, "until settled")
+            )
+            gw.note_era(1)
+            for replica in gw.replicas.values():
+                listed = Snapshot([], 5, 1, settled or replica.kind == URGENT)
+                await replica.apply_snapshot(listed, clock.now())
+        assert not pair.relay.store_returns.is_settled()
+        await poll_once(pair.asker, RELAY)
+        assert pair.relay.store_returns.is_settled()
+
+    run_scenario(scenario)
+
+
+def test_a_follower_that_has_just_started_learns_that_the_store_is_settled() -> None:
+    async def scenario(pair: Pair) -> None:
+        for gw in (pair.relay, pair.asker):
+            gw.replicas[OTHER] = KindReplica(
+                OTHER, recording_handlers([]), gw.updates, False, Retention(_never, "until settled")
+            )
+            gw.note_era(1)
+        for replica in pair.relay.replicas.values():
+            await replica.apply_snapshot(Snapshot([], 5, 1), clock.now())
+        await poll_once(pair.asker, RELAY)
+        assert pair.asker.store_returns.is_settled()
+        assert pair.asker.replicas[OTHER].position == Position(1, True, 5)
+
+    run_scenario(scenario)
