--- a/ramppost/gateway/policies.py
+++ b/ramppost/gateway/policies.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from ramppost.gateway.model import RoutingTable
+from ramppost.gateway.retention import Retention
 from ramppost.platform.store import StoredObject
 from ramppost.policy.policydoc import (
     DEFAULT_POLICY,
@@ -25,7 +26,12 @@
 """The only document of this kind, which is specific to ramppost."""
 
 
-def is_newer_policy(known: StoredObject, found: StoredObject) -> bool:
+def _decode(obj: StoredObject) -> PolicyDoc | BadMessage:
+    doc: PolicyDoc | BadMessage = decode(encode(obj.spec), PolicyDoc)
+    return doc
+
+
+def _is_newer(known: StoredObject, found: StoredObject) -> bool:
     """Whether the known document is newer than one found in a later era of the store."""
     known_doc, found_doc = _decode(known), _decode(found)
     if isinstance(known_doc, BadMessage):
@@ -33,9 +39,8 @@
     return isinstance(found_doc, BadMessage) or order_of(found_doc) < order_of(known_doc)
 
 
-def _decode(obj: StoredObject) -> PolicyDoc | BadMessage:
-    doc: PolicyDoc | BadMessage = decode(encode(obj.spec), PolicyDoc)
-    return doc
+KEEP_POLICIES: Final = Retention(_is_newer, "always")
+"""What outlives the store's return from an older copy."""
 
 
 class Policies:
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -16,14 +16,20 @@
 from ramppost.gateway.fatal_doc import FATAL_KIND, fatal_changed, fatal_listed
 from ramppost.gateway.follow import FollowConfig, follow
 from ramppost.gateway.model import RoutingTable, Upstream
-from ramppost.gateway.policies import POLICY_KIND, is_newer_policy
+from ramppost.gateway.policies import KEEP_POLICIES, POLICY_KIND
 from ramppost.gateway.replica import Handlers, KindReplica
-from ramppost.gateway.retention import KEEP_NOTHING, Retention
+from ramppost.gateway.retention import (
+    KEEP_CONFIG,
+    KEEP_EVACUATIONS,
+    KEEP_NOTHING,
+    KEEP_ROLLOUTS,
+    KEEP_UPSTREAMS,
+    Retention,
+)
 from ramppost.gateway.rollout_duty import PROGRESS_KIND, progress_changed
 from ramppost.gateway.state import Gateway
 from ramppost.platform import names
 from ramppost.platform.documents import (
-    configuration_version,
     rollout_order,
     routing_table,
     upstream,
@@ -136,7 +142,7 @@
         _config_watch_timeout_s(gw),
         0.0,
         urgent=True,
-        retention=Retention(_has_newer_version, "always"),
+        retention=KEEP_CONFIG,
     )
     await watch_kind(
         gw,
@@ -145,7 +151,7 @@
         _upstream_watch_timeout_s(gw),
         0.0,
         urgent=True,
-        retention=Retention(_is_later_upstream, "no"),
+        retention=KEEP_UPSTREAMS,
     )
     await watch_kind(
         gw,
@@ -153,7 +159,7 @@
         rollouts,
         ROLLOUT_WATCH_TIMEOUT_S,
         0.0,
-        retention=Retention(_has_ended_since, "until settled"),
+        retention=KEEP_ROLLOUTS,
     )
     await watch_kind(gw, PROGRESS_KIND, progress, SLOW_WATCH_TIMEOUT_S, FALLBACK_DELAY_S)
     await watch_kind(
@@ -162,7 +168,7 @@
         policies,
         SLOW_WATCH_TIMEOUT_S,
         FALLBACK_DELAY_S,
-        retention=Retention(is_newer_policy, "always"),
+        retention=KEEP_POLICIES,
     )
     fatal = Handlers(
         lambda snapshot: fatal_listed(gw, snapshot),
@@ -182,7 +188,7 @@
             evacuations,
             _evacuation_watch_timeout_s(gw),
             0.0,
-            retention=Retention(_never, "until settled"),
+            retention=KEEP_EVACUATIONS,
         )
     await curio.spawn(_sweep, gw, daemon=True)
 
@@ -231,39 +237,6 @@
     return asked_at is None or gw.store_returns.confirms(asked_at)
 
 
-def _has_newer_version(known: StoredObject, found: StoredObject) -> bool:
-    """Whether the known configuration is newer than one found in a later era of the store."""
-    known_version, found_version = configuration_version(known), configuration_version(found)
-    return known_version is not None and (found_version or 0) < known_version
-
-
-def _is_later_upstream(known: StoredObject, found: StoredObject) -> bool:
-    """Whether an upstream is leaving, or has started anew, that a later era of the store holds as
-    it was before."""
-    known_upstream, found_upstream = upstream(known), upstream(found)
-    if isinstance(known_upstream, BadMessage) or isinstance(found_upstream, BadMessage):
-        return False
-    if known_upstream.key != found_upstream.key:
-        return 0 < found_upstream.started_ms < known_upstream.started_ms
-    return known_upstream.draining and not found_upstream.draining
-
-
-def _has_ended_since(known: StoredObject, found: StoredObject) -> bool:
-    """Whether a roll-out has ended that a later era of the store holds without its end."""
-    known_order, found_order = rollout_order(known), rollout_order(found)
-    return (
-        not isinstance(known_order, BadMessage)
-        and not isinstance(found_order, BadMessage)
-        and known_order.version == found_order.version
-        and known_order.state != "ordered"
-        and found_order.state == "ordered"
-    )
-
-
-def _never(known: StoredObject, found: StoredObject) -> bool:
-    return False
-
-
 def _always() -> bool:
     return True
 
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -12,10 +12,10 @@
 from ramppost.gateway.feed import feed_handler
 from ramppost.gateway.operators import internal_handler
 from ramppost.gateway.replica import Handlers, KindReplica
-from ramppost.gateway.retention import Retention
+from ramppost.gateway.retention import KEEP_EVACUATIONS
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.subscribe import needs_feed, poll_once
-from ramppost.gateway.watchers import _never, feed_wait_s, stale_after_s
+from ramppost.gateway.watchers import feed_wait_s, stale_after_s
 from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
 from ramppost.policy.position import Position
 from ramppost.schema.settings import GatewaySettings
@@ -266,7 +266,7 @@
     async def scenario(pair: Pair) -> None:
         for gw, settled in ((pair.relay, False), (pair.asker, True)):
             gw.replicas[OTHER] = KindReplica(
-                OTHER, recording_handlers([]), gw.updates, False, Retention(_never, "until settled")
+                OTHER, recording_handlers([]), gw.updates, False, KEEP_EVACUATIONS
             )
             gw.note_era(1)
             for replica in gw.replicas.values():
@@ -283,7 +283,7 @@
     async def scenario(pair: Pair) -> None:
         for gw in (pair.relay, pair.asker):
             gw.replicas[OTHER] = KindReplica(
-                OTHER, recording_handlers([]), gw.updates, False, Retention(_never, "until settled")
+                OTHER, recording_handlers([]), gw.updates, False, KEEP_EVACUATIONS
             )
             gw.note_era(1)
         for replica in pair.relay.replicas.values():
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -14,14 +14,18 @@
 from ramppost import clock
 from ramppost.gateway.membership import ENDED_EXCLUSION_S, EXPIRY_GRACE_S
 from ramppost.gateway.replica import Handlers, KindReplica, UpdateNotifier
-from ramppost.gateway.retention import KEEP_NOTHING, Retention
+from ramppost.gateway.retention import (
+    KEEP_CONFIG,
+    KEEP_EVACUATIONS,
+    KEEP_NOTHING,
+    KEEP_ROLLOUTS,
+    KEEP_UPSTREAMS,
+    Retention,
+)
 from ramppost.gateway.rollouts import Rollouts
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.store_returns import REWRITE_S
 from ramppost.gateway.watchers import (
-    _has_ended_since,
-    _has_newer_version,
-    _is_later_upstream,
     apply_config,
     apply_upstream_change,
     apply_upstream_snapshot,
@@ -34,9 +38,6 @@
 from tests.harness.gateways import config
 from tests.test_gateway_state import SETTINGS
 
-UNTIL_SETTLED = Retention(lambda known, found: False, "until settled")
-BY_VERSION = Retention(_has_newer_version, "always")
-
 
 class Kept(NamedTuple):
     """A replica, and what its handlers were given: names listed, and names changed or removed."""
@@ -109,7 +110,7 @@
 
 
 def test_what_the_older_copy_lacks_is_kept_until_the_store_is_settled() -> None:
-    found = kept(UNTIL_SETTLED)
+    found = kept(KEEP_EVACUATIONS)
     apply_list(found, listing(27, obj("lost", 20), obj("there", 9)))
     apply_list(found, listing(15, obj("there", 9, era=1), era=1, settled=False))
     assert found.names() == {"lost", "there"}
@@ -121,7 +122,7 @@
 
 
 def test_what_is_back_in_the_older_copy_is_no_new_order() -> None:
-    found = kept(UNTIL_SETTLED)
+    found = kept(KEEP_EVACUATIONS)
     apply_list(found, listing(26, obj("ended", 20)))
     apply_change(found, Change(obj("ended", 20), True), 27, True)
     apply_list(found, listing(22, obj("ended", 20, era=1), era=1, settled=False))
@@ -132,7 +133,7 @@
 
 
 def test_what_is_back_and_stays_is_in_force_once_the_store_is_settled() -> None:
-    found = kept(UNTIL_SETTLED)
+    found = kept(KEEP_EVACUATIONS)
     apply_list(found, listing(26, obj("ended", 20)))
     apply_change(found, Change(obj("ended", 20), True), 27, True)
     apply_list(found, listing(22, obj("ended", 20, era=1), era=1, settled=False))
@@ -141,7 +142,7 @@
 
 
 def test_a_removal_after_the_return_removes_what_was_kept() -> None:
-    found = kept(UNTIL_SETTLED)
+    found = kept(KEEP_EVACUATIONS)
     apply_list(found, listing(27, obj("a", 20)))
     apply_list(found, listing(15, era=1, settled=False))
     apply_change(found, Change(obj("a", 16, era=1), False), 16, False)
@@ -151,7 +152,7 @@
 
 
 def test_what_was_kept_outlives_a_second_return() -> None:
-    found = kept(UNTIL_SETTLED)
+    found = kept(KEEP_EVACUATIONS)
     apply_list(found, listing(27, obj("a", 20)))
     apply_list(found, listing(15, era=1, settled=False))
     apply_list(found, listing(12, era=2, settled=False))
@@ -164,13 +165,13 @@
 
 @pytest.mark.parametrize("listed", [[], [obj("main", 9, 1, version(13))]])
 def test_the_newest_configuration_is_kept_and_given_on(listed: list[StoredObject]) -> None:
-    found = kept(BY_VERSION)
+    found = kept(KEEP_CONFIG)
     apply_list(found, listing(27, obj("main", 27, 0, version(21))))
     apply_list(found, listing(20, *listed, era=1))
     kept_now = found.replica.complete_object("main")
     assert kept_now is not None and kept_now.spec == version(21)
     assert "main" in found.replica.retained
-    starting = kept(BY_VERSION)
+    starting = kept(KEEP_CONFIG)
     delta = found.replica.changes_after(Position(0, False, 0))
     apply_list(starting, listing(20, *[change.obj for change in delta.changes], era=1))
     assert starting.replica.complete_object("main") == kept_now
@@ -181,7 +182,7 @@
 
 def test_a_gateway_that_feeds_this_one_knows_an_older_configuration() -> None:
     # It kept an older one of the same earlier era, of a store that has come back since.
-    found = kept(BY_VERSION)
+    found = kept(KEEP_CONFIG)
     apply_list(found, listing(29, obj("main", 29, 0, version(28))))
     apply_list(found, listing(20, obj("main", 27, 0, version(21)), era=1))
     kept_now = found.replica.complete_object("main")
@@ -189,7 +190,7 @@
 
 
 def test_a_large_configuration_of_the_older_copy_does_not_replace_the_newest() -> None:
-    found = kept(BY_VERSION)
+    found = kept(KEEP_CONFIG)
     apply_list(found, listing(27, obj("main", 27, 0, version(21))))
     stub = StoredObject("main", 9, None, None, whole=False, era=1)
     apply_list(found, listing(20, stub, era=1))
@@ -208,7 +209,7 @@
 
 @pytest.mark.parametrize("state", ["rolled_back", "completed"])
 def test_a_rollout_that_has_ended_is_not_under_way_again(state: str) -> None:
-    found = kept(Retention(_has_ended_since, "until settled"))
+    found = kept(KEEP_ROLLOUTS)
     apply_list(found, listing(27, order(27, 0, state)))
     back = order(9, 1)
     apply_list(found, listing(20, back, era=1, settled=False))
@@ -272,7 +273,7 @@
 
 
 def test_an_upstream_that_is_leaving_was_used_again_as_the_older_copy_held_it() -> None:
-    found = kept(Retention(_is_later_upstream, "no"))
+    found = kept(KEEP_UPSTREAMS)
     leaving = engine("b", 10, state="draining")
     apply_list(found, listing(10, leaving))
     apply_list(found, listing(9, engine("b", 9, 1), era=1))
@@ -282,7 +283,7 @@
 
 
 def test_the_start_before_the_last_was_used_as_the_older_copy_held_it() -> None:
-    found = kept(Retention(_is_later_upstream, "no"))
+    found = kept(KEEP_UPSTREAMS)
     starts = [
         engine("b", number, era)._replace(spec={**engine("b", 1).spec, "born": born})
         for number, era, born in ((9, 1, 1000), (10, 0, 2000), (11, 1, 3000))
@@ -330,7 +331,7 @@
 
 def test_only_an_answer_of_the_store_itself_is_held_back() -> None:
     # What is known here may be newer than what the gateway knows that feeds this one.
-    found = kept(BY_VERSION)
+    found = kept(KEEP_CONFIG)
     found.replica._handlers = found.replica._handlers._replace(
         may_confirm=lambda asked_at: asked_at is None
     )
