Don't take upstreams for gone whose entries came back before a return

Entries lapse while the store is away, and upstreams whose entries come back late are dropped and known again. They stayed remembered as gone, so that after the next return of the store they were not used for 4 s, all of a service at worst. An entry that is written ends that memory.

--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -99,6 +99,7 @@
         if known is None or known.upstream.key != upstream.key:
             self._new_incarnations.append(upstream)
             self._apply_leaving_id(upstream)
+        self._gone.pop(upstream.key, None)
         self._set(Member(upstream, None, excluded_until))
         return known is None or known.upstream != upstream or known.drop_at is not None
 
@@ -195,13 +196,14 @@
         for missing in [name for name in self._members if name not in listed_ids]:
             self.remove(missing, now, lost=returned)
         for upstream in listed:
+            said_leaving = self._gone.get(upstream.key) if returned else None
             self.put(upstream)
-            if returned and upstream.key in self._gone:
-                self._put_back(upstream, now)
+            if said_leaving is not None:
+                self._exclude_returned(upstream, said_leaving, now)
 
-    def _put_back(self, upstream: Upstream, now: float) -> None:
-        """Apply the entry of an upstream that is gone and that only an older copy still holds."""
-        if self._gone[upstream.key]:
+    def _exclude_returned(self, upstream: Upstream, said_leaving: bool, now: float) -> None:
+        """Don't use an upstream that was dropped and whose entry an older copy still holds."""
+        if said_leaving:
             self._leaving.setdefault(upstream.key, float("-inf"))
         self.mark_ended(upstream.key, now)
 
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -265,6 +265,16 @@
     assert usable(gw, ENDED_EXCLUSION_S + 0.1) == {"a", "b"}
 
 
+def test_an_upstream_whose_entry_had_lapsed_and_come_back_was_not_used_after_a_return(
+    gw: Gateway,
+) -> None:
+    apply_upstream_change(gw, Change(engine("b", 9), True))
+    assert usable(gw, EXPIRY_GRACE_S + 0.1) == {"a"}
+    apply_upstream_change(gw, Change(engine("b", 11), False))
+    apply_upstream_snapshot(gw, listing(9, engine("a", 8, 1), engine("b", 9, 1), era=1))
+    assert usable(gw) == {"a", "b"}
+
+
 def test_an_upstream_that_had_left_was_used_again_as_the_older_copy_held_it(gw: Gateway) -> None:
     apply_upstream_change(gw, Change(engine("b", 10, state="draining"), False))
     apply_upstream_change(gw, Change(engine("b", 10, state="draining"), True))
