Known red: a new start that says that it leaves before its entry is known is used

Not mended: what an answer says has to hold for a start whose time is told by another clock, which may jump.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -135,3 +135,14 @@
     gw.members.put(ENGINE._replace(id="i-3", started_ms=started_ms))
     assert ("i-3" in chosen_ids(gw)) == used
     assert ENGINE.id in chosen_ids(gw)
+
+
+def test_new_start_that_said_that_it_was_leaving_before_its_entry_was_known_was_used(
+    gw: Gateway,
+) -> None:
+    # Its answer was taken for one of the start before, under the same id and address (soak 7403).
+    now_ms = int(time.time() * 1000)
+    gw.members.put(ENGINE._replace(started_ms=now_ms - 9000))
+    gw._observe_head(ENGINE._replace(started_ms=now_ms - 9000), LEAVING, clock.now())
+    gw.members.put(ENGINE._replace(started_ms=now_ms - 1000))
+    assert ENGINE.id not in chosen_ids(gw)
