--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -146,3 +147,13 @@
     gw.connections.observe_head(OTHER, answer_head(503, ((b"retry-after", b"1.5"),)), 1000.0)
     job = job_of(gw, random.Random(1))
     assert send_wait_s(gw, job, "lm", 1000.5) == pytest.approx(1.0)
+
+
+def test_new_start_that_asked_for_rest_before_its_entry_was_known_was_sent_requests() -> None:
+    # Its refusal was taken for one of the start before, under the same id and address (soak 7410).
+    gw, now_ms = gateway("g-0", 1, 0.0), int(time.time() * 1000)
+    before = ENGINE._replace(started_ms=now_ms - 9000)
+    gw.rests.record_refusal(before, 3.0, clock.now())
+    started = ENGINE._replace(started_ms=now_ms - 1000)
+    gw.rests.record_start(started)
+    assert gw.rests.wait_s(started, clock.now()) > 0
