Don't date an older copy by the confirmation of a newer configuration

Cause: where a gateway keeps something newer than the store holds, two gateways at one position may know different things, and the age was told without that.

Change: a gateway that keeps a newer configuration tells no age for it.

The test in tests/test_gateway_feed.py failed before (a confirmation 0.5 s old) and passes.

--- a/ramppost/gateway/feed.py
+++ b/ramppost/gateway/feed.py
@@ -140,13 +140,14 @@
     """The feed's part for a kind, with the changes after the mark."""
     delta = replica.changes_after(mark_position(mark))
     age_s = now - replica.confirmed_at
+    is_confirmed = replica.confirmed_at > float("-inf") and not replica.confirms_nothing
     return FeedKind(
         kind=replica.kind,
         since=mark["revision"],
         revision=position.revision,
         era=position.era,
         settled=position.settled,
-        age_ms=math.ceil(age_s * 1000) if replica.confirmed_at > float("-inf") else UNKNOWN_AGE_MS,
+        age_ms=math.ceil(age_s * 1000) if is_confirmed else UNKNOWN_AGE_MS,
         full=delta.full,
         changes=[_encode_change(replica, change) for change in delta.changes],
     )
--- a/ramppost/gateway/replica.py
+++ b/ramppost/gateway/replica.py
@@ -132,6 +132,12 @@
         """Whether it keeps what an older copy lacks until the store is settled."""
         return self._retention.missing == "until settled"
 
+    @property
+    def confirms_nothing(self) -> bool:
+        """Whether what is known here is newer than what the store holds, so that no other state of
+        the same position may be taken for the newest."""
+        return not self._handlers.may_confirm(None)
+
     def response_started(self) -> None:
         """Record that the store has begun to send its response."""
         self.awaiting_response = True
--- a/tests/test_gateway_feed.py
+++ b/tests/test_gateway_feed.py
@@ -293,3 +293,19 @@
         assert pair.asker.replicas[OTHER].position == Position(1, True, 5)
 
     run_scenario(scenario)
+
+
+def test_the_age_of_a_newer_configuration_confirmed_the_older_copy_at_another_gateway() -> None:
+    # Both are at one state of the store, of which the relay keeps something newer (soak 7412).
+    async def scenario(pair: Pair) -> None:
+        handlers = recording_handlers([])._replace(may_confirm=lambda asked_at: False)
+        replica = KindReplica(URGENT, handlers, pair.relay.updates, True)
+        pair.relay.replicas[URGENT] = replica
+        replica.confirmed_at = clock.now() - 0.5
+        for gw in (pair.relay, pair.asker):
+            for kind in (URGENT, OTHER):
+                await gw.replicas[kind].apply_snapshot(Snapshot([], 5, 1), float("-inf"))
+        await poll_once(pair.asker, RELAY)
+        assert pair.asker.replicas[URGENT].confirmed_at == float("-inf")
+
+    run_scenario(scenario)
