Confirm nothing by a configuration that was kept over a return, at followers too

Change: a configuration of an earlier era than the replica's position is kept, not listed, so that it neither confirms nor dates anything until it is written again.

--- a/ramppost/gateway/replica.py
+++ b/ramppost/gateway/replica.py
@@ -138,6 +138,13 @@
         the same position may be taken for the newest."""
         return not self._handlers.may_confirm(None)
 
+    @property
+    def keeps_earlier_objects(self) -> bool:
+        """Whether objects are kept here that the store, or the gateway that feeds this one, had in
+        an earlier era only."""
+        era = self.position.era if self.position is not None else 0
+        return bool(self.retained) or any(obj.era < era for obj in self._objects.values())
+
     def response_started(self) -> None:
         """Record that the store has begun to send its response."""
         self.awaiting_response = True
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -232,7 +232,7 @@
     After its return it may hold an older one than it has acknowledged, until the operator has
     written the newest again.  A gateway that sends a state has looked at that itself.
     """
-    if gw.replicas[names.CONFIG_KIND].retained:
+    if gw.replicas[names.CONFIG_KIND].keeps_earlier_objects:
         return False
     return asked_at is None or gw.store_returns.confirms(asked_at)
 
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -175,6 +175,7 @@
     delta = found.replica.changes_after(Position(0, False, 0))
     apply_list(starting, listing(20, *[change.obj for change in delta.changes], era=1))
     assert starting.replica.complete_object("main") == kept_now
+    assert starting.replica.keeps_earlier_objects
     # Written again, or a newer one, it is the store's.
     apply_change(found, Change(obj("main", 21, 1, version(25)), False), 21, True)
     assert found.replica.retained == {}
