Drop what the order of states had written twice or did not need; no change of what it does

Found by reading the change once more: - a kept object is of an earlier era than its replica's position, so that the check for kept objects needs no second look at `retained`; - the position that is older than all had three copies: NOTHING_KNOWN; - whether a list is settled is asked for the kinds that keep until then in one place (follow), so that the watchers need no function that is always true; - the stand-in store kept an era with each change that nobody read.

--- a/ramppost/gateway/follow.py
+++ b/ramppost/gateway/follow.py
@@ -121,7 +121,7 @@
     snapshot = await list_kind(client, replica.kind)
     if isinstance(snapshot, Unavailable):
         return snapshot
-    snapshot = snapshot._replace(settled=config.is_settled())
+    snapshot = snapshot._replace(settled=not replica.settles or config.is_settled())
     logger.info(
         "listed",
         kind=replica.kind,
--- a/ramppost/gateway/policies.py
+++ b/ramppost/gateway/policies.py
@@ -17,7 +17,7 @@
     order_of,
     to_config,
 )
-from ramppost.policy.position import Position
+from ramppost.policy.position import NOTHING_KNOWN
 from ramppost.schema.config import ConfigDoc, Policy, PolicyDoc
 from ramppost.wire.codec import BadMessage, decode, encode
 
@@ -48,7 +48,7 @@
 
     def __init__(self) -> None:
         self.doc: PolicyDoc = empty_doc([])
-        self.position = Position(0, False, 0)
+        self.position = NOTHING_KNOWN
         self._config: ConfigDoc | None = None
         self._known = PlatformCatalog({}, [])
 
--- a/ramppost/gateway/replica.py
+++ b/ramppost/gateway/replica.py
@@ -143,7 +143,7 @@
         """Whether objects are kept here that the store, or the gateway that feeds this one, had in
         an earlier era only."""
         era = self.position.era if self.position is not None else 0
-        return bool(self.retained) or any(obj.era < era for obj in self._objects.values())
+        return any(obj.era < era for obj in self._objects.values())
 
     def response_started(self) -> None:
         """Record that the store has begun to send its response."""
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -39,7 +39,7 @@
 from ramppost.policy.limits import SHARED_FRACTION, WindowBudget, slack_per_gateway
 from ramppost.policy.pace import TimingBaseline
 from ramppost.policy.placement import PrefillRates
-from ramppost.policy.position import Position
+from ramppost.policy.position import NOTHING_KNOWN
 from ramppost.policy.pressure import Pressure
 from ramppost.policy.relays import Peers, start_hold_s
 from ramppost.policy.suspicion import UpstreamHealth
@@ -71,7 +71,7 @@
         self.cfg = cfg
         self.rng = random.Random()
         self.table: RoutingTable | None = None
-        self.config_seen = Position(0, False, 0)
+        self.config_seen = NOTHING_KNOWN
         """State of the newest configuration received, valid or not."""
         self.peers = Peers(cfg["name"], cfg.get("link_mbps", 0.0), cfg["hall"])
         self.warmups = WarmUps(self.peers)
--- a/ramppost/gateway/subscribe.py
+++ b/ramppost/gateway/subscribe.py
@@ -28,7 +28,7 @@
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import feed_wait_s, stale_after_s
 from ramppost.platform.store import Change, Changes, Snapshot, StoredObject
-from ramppost.policy.position import Position
+from ramppost.policy.position import NOTHING_KNOWN
 from ramppost.policy.relays import REFUSED_SKIP_S, UNREACHABLE_SKIP_S
 from ramppost.schema.messages import FeedChange, FeedKind, FeedMark, FeedMsg, FeedQuery
 from ramppost.wire.client import CallFailed, Response, fetch
@@ -209,7 +209,7 @@
     """What is known here of a kind."""
     age_s = now - replica.confirmed_at
     known = replica.confirmed_at > float("-inf")
-    position = replica.position or Position(0, False, 0)
+    position = replica.position or NOTHING_KNOWN
     return FeedMark(
         kind=replica.kind,
         revision=position.revision,
--- a/ramppost/gateway/watchers.py
+++ b/ramppost/gateway/watchers.py
@@ -29,12 +29,7 @@
 from ramppost.gateway.rollout_duty import PROGRESS_KIND, progress_changed
 from ramppost.gateway.state import Gateway
 from ramppost.platform import names
-from ramppost.platform.documents import (
-    rollout_order,
-    routing_table,
-    upstream,
-    warmup_left_s,
-)
+from ramppost.platform.documents import rollout_order, routing_table, upstream, warmup_left_s
 from ramppost.platform.store import Change, Snapshot, StoredObject
 from ramppost.policy.relays import FOLLOWS_HALL_DEPTH
 from ramppost.wire.codec import BadMessage
@@ -212,7 +207,7 @@
         fallback_delay_s,
         lambda: gw.feed_valid_until,
         probes_store=kind == names.CONFIG_KIND,
-        is_settled=gw.store_returns.is_settled if replica.settles else _always,
+        is_settled=gw.store_returns.is_settled,
     )
     await curio.spawn(follow, gw.store, follow_config, gw.store_outage, daemon=True)
 
@@ -237,10 +232,6 @@
     return asked_at is None or gw.store_returns.confirms(asked_at)
 
 
-def _always() -> bool:
-    return True
-
-
 def confirm_config(gw: Gateway, sent_at: float) -> None:
     """Confirm the configuration as of `sent_at` if the newest one received is in force."""
     if gw.table is not None and gw.table.position >= gw.config_seen:
--- a/ramppost/policy/position.py
+++ b/ramppost/policy/position.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 
 class Position(NamedTuple):
@@ -26,3 +26,7 @@
     era: int
     settled: bool
     revision: int
+
+
+NOTHING_KNOWN: Final = Position(0, False, 0)
+"""Older than every state that a store has told."""
--- a/ramppost/standin/store.py
+++ b/ramppost/standin/store.py
@@ -40,14 +40,13 @@
 
 
 class Happened(NamedTuple):
-    """A change: when, of what kind, at which revision and era, and whether it was a removal."""
+    """A change: when, of what kind, at which revision, and whether it was a removal."""
 
     at: float
     kind: str
     revision: int
     obj: dict[str, Any]
     removed: bool
-    era: int
 
 
 class Objects:
@@ -94,7 +93,7 @@
             await self._record(kind, held, True)
 
     async def _record(self, kind: str, obj: dict[str, Any], removed: bool) -> None:
-        self.history.append(Happened(time.time(), kind, self.revision, obj, removed, self.era))
+        self.history.append(Happened(time.time(), kind, self.revision, obj, removed))
         async with self.changed:
             await self.changed.notify_all()
 
