Keep what a new start says of itself before its entry is known

Ruled out: comparing with the answer that a gateway hears last. An upstream that leaves goes on saying so until it ends, and its next start follows within a second, so a clock that is ahead by that much would take the new start for the leaving one.

--- a/ramppost/gateway/membership.py
+++ b/ramppost/gateway/membership.py
@@ -82,7 +82,8 @@
         self._leaving: dict[str, float] = {}
         """Until when incarnations that say that they are leaving may be used as a last resort."""
         self._leaving_ids: dict[str, LeavingId] = {}
-        """Upstreams that have said that they are leaving and whose start is not known, by id."""
+        """Upstreams that have said that they are leaving, by id: an entry that is late may name an
+        earlier start than the one that said so."""
         self._gone: dict[str, bool] = {}
         """Incarnations that were dropped, and whether they had said that they were leaving."""
         self._usable_cache: dict[str, list[Upstream]] = {}
@@ -131,13 +132,19 @@
         """Whether the upstream is in an evacuated data hall."""
         return upstream.hall in self._evacuated_halls
 
-    def mark_leaving(self, upstream: Upstream, last_use_at: float) -> None:
-        """Record that an upstream's own response says that it is leaving.
+    def mark_leaving(self, upstream: Upstream, last_use_at: float, said_at: float) -> None:
+        """Record that an upstream's own response says, at a time of day, that it is leaving.
 
         It is used until `last_use_at` only if its service has no other upstream, and then no more.
         """
         if upstream.key in self._leaving:
             return
+        self._leaving_ids.pop(upstream.id, None)
+        self._leaving_ids[upstream.id] = LeavingId(last_use_at, said_at)
+        drop_oldest(self._leaving_ids, MAX_LEAVING)
+        self._mark_incarnation(upstream, last_use_at)
+
+    def _mark_incarnation(self, upstream: Upstream, last_use_at: float) -> None:
         self._leaving[upstream.key] = last_use_at
         drop_oldest(self._leaving, MAX_LEAVING)
         self._usable_cache.clear()
@@ -157,8 +164,8 @@
     def _apply_leaving_id(self, upstream: Upstream) -> None:
         """Mark an incarnation as leaving that has said so; a later start has not."""
         leaving = self._leaving_ids.get(upstream.id)
-        if leaving is not None and upstream.started_ms <= leaving.said_at * 1000:
-            self.mark_leaving(upstream, leaving.last_use_at)
+        if leaving is not None and upstream.had_started(leaving.said_at):
+            self._mark_incarnation(upstream, leaving.last_use_at)
 
     def is_leaving(self, upstream: Upstream) -> bool:
         """Whether a response of the upstream has said that it is leaving."""
--- a/ramppost/gateway/model.py
+++ b/ramppost/gateway/model.py
@@ -131,6 +131,11 @@
         """
         return f"{self.id}@{self.started_ms}" if self.started_ms else self.id
 
+    def had_started(self, at: float) -> bool:
+        """Whether it was running at a time of day (seconds since 1970).  A response of that time
+        that names its id or address was then its own, and not its previous incarnation's."""
+        return self.started_ms <= at * 1000
+
 
 class RolloutOrder(NamedTuple):
     """An operator's order to move a service to a version, and its current state."""
--- a/ramppost/gateway/rests.py
+++ b/ramppost/gateway/rests.py
@@ -20,10 +20,14 @@
 
 
 class _Rest(NamedTuple):
-    """A rest that an incarnation has asked for, until a time on the steady clock."""
+    """A rest that an incarnation has asked for, until a time on the steady clock.
 
-    upstream_key: str
+    `said_at` is when it last asked (seconds since 1970).
+    """
+
+    upstream: Upstream
     until: float
+    said_at: float
 
 
 class Rests:
@@ -43,17 +47,25 @@
         rest = self._rests.get(upstream.addr)
         return 0.0 if rest is None else max(0.0, rest.until - now)
 
-    def record_refusal(self, upstream: Upstream, rest_s: float, now: float) -> None:
-        """Record that an upstream has refused a request and asks for rest."""
+    def record_refusal(
+        self, upstream: Upstream, rest_s: float, now: float, said_at: float
+    ) -> None:
+        """Record that an upstream has refused a request at a time of day and asks for rest."""
         if self.wait_s(upstream, now) <= 0:
             logger.info("upstream asks for rest", upstream=upstream.id, rest_s=rest_s)
         until = now + max(rest_s, self.wait_s(upstream, now))
         self._rests.pop(upstream.addr, None)
-        self._rests[upstream.addr] = _Rest(upstream.key, until)
+        self._rests[upstream.addr] = _Rest(upstream, until, said_at)
         drop_oldest(self._rests, MAX_RESTS)
 
     def record_start(self, upstream: Upstream) -> None:
-        """End the rest at the address of an incarnation that was not known before."""
+        """End the rest at the address of an incarnation that was not known before.
+
+        It stays if the incarnation has asked for it itself, before its entry was known.
+        """
         rest = self._rests.get(upstream.addr)
-        if rest is not None and rest.upstream_key != upstream.key:
-            del self._rests[upstream.addr]
+        if rest is None or rest.upstream.key == upstream.key:
+            return
+        if rest.upstream.id == upstream.id and upstream.had_started(rest.said_at):
+            return
+        del self._rests[upstream.addr]
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -185,17 +185,17 @@
 
     def _observe_head(self, upstream: Upstream, head: AnswerHead, sent_at: float) -> None:
         """Record what a response tells about its upstream rather than about its request."""
-        now = clock.now()
+        now, time_of_day = clock.now(), time.time()
         self.rate_limits.record_response(upstream, head.rate_limit_per_s, sent_at, now)
         if head.rest_s:
-            self.rests.record_refusal(upstream, head.rest_s, now)
+            self.rests.record_refusal(upstream, head.rest_s, now, time_of_day)
         if head.leaving:
             leave_s = self.cfg["timing"]["upstream_leave_ms"] / 1000
             last_use_at = now + LEAVING_USE_RATIO * leave_s
             if not head.wrong_upstream:
-                self.members.mark_leaving(upstream, last_use_at)
+                self.members.mark_leaving(upstream, last_use_at, time_of_day)
             elif head.upstream_id:
-                self.members.mark_leaving_by_id(head.upstream_id, last_use_at, time.time())
+                self.members.mark_leaving_by_id(head.upstream_id, last_use_at, time_of_day)
 
     def suspicion_of(self, upstream_key: str) -> UpstreamHealth:
         """The failure evidence against an upstream."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -93,7 +93,7 @@
 
 def test_new_start_of_a_leaving_upstream_is_used_at_once(gw: Gateway) -> None:
     say_leaving(gw, ENGINE)
-    gw.members.put(ENGINE._replace(started_ms=9))
+    gw.members.put(ENGINE._replace(started_ms=int((time.time() + 0.5) * 1000)))
     assert chosen_ids(gw) == {ENGINE.id, OTHER.id}
 
 
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -153,7 +153,7 @@
     # Its refusal was taken for one of the start before, under the same id and address (soak 7410).
     gw, now_ms = gateway("g-0", 1, 0.0), int(time.time() * 1000)
     before = ENGINE._replace(started_ms=now_ms - 9000)
-    gw.rests.record_refusal(before, 3.0, clock.now())
+    gw.rests.record_refusal(before, 3.0, clock.now(), time.time())
     started = ENGINE._replace(started_ms=now_ms - 1000)
     gw.rests.record_start(started)
     assert gw.rests.wait_s(started, clock.now()) > 0
