--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -317,26 +317,41 @@
     """
 
 
-class BacklogView(TypedDict, closed=True):
+class WorkspaceUse(TypedDict, closed=True):
     """
-    Keeper to gateway: the answer, one figure for each engine asked about, in the same order.
+    What a workspace has recently sent to engines.
     """
 
-    id: int
+    workspace: str
     """
-    The question.
+    Its name; empty for requests without one.
     """
-    ahead_ms: list[int]
+    read_ms: int
     """
-    Milliseconds of reading that go before it.
+    Predicted milliseconds of prefill that were sent within the last 2 s.
     """
-    kept: list[int]
+
+
+class BacklogFinish(TypedDict, closed=True):
     """
-    How many of its first parts are kept.
+    Gateway to keeper: a stream that had begun no longer runs at an engine.
     """
-    token_ns: int
+
+    key: str
     """
-    Nanoseconds that the model takes to read a token, as the keeper has learned; 0 for not yet.
+    The attempt.
+    """
+    engine: str
+    """
+    The engine's id.
+    """
+    tokens: int
+    """
+    Tokens that it generated after its first event; 0 if that says nothing about the engine.
+    """
+    ms: int
+    """
+    Milliseconds from its first event to its end.
     """
 
 
@@ -369,6 +384,10 @@
     """
     Names of its parts, in order.
     """
+    workspace: NotRequired[str]
+    """
+    The workspace that sent it.
+    """
 
 
 class BacklogOver(TypedDict, closed=True):
@@ -836,20 +855,43 @@
     changes: list[FeedChange]
 
 
-class PeerDatagram(TypedDict, closed=True):
+class BacklogView(TypedDict, closed=True):
     """
-    A datagram between gateways: one of these.
+    Keeper to gateway: the answer, one figure for each engine asked about, in the same order.
     """
 
-    ask: NotRequired[BacklogAsk]
-    view: NotRequired[BacklogView]
-    sent: NotRequired[BacklogSent]
-    over: NotRequired[BacklogOver]
-    leaving: NotRequired[LeavingNote]
-    ended: NotRequired[UpstreamEnded]
-    harmless: NotRequired[HarmlessNote]
-    limit: NotRequired[LimitNote]
-    limit_ask: NotRequired[LimitAsk]
+    id: int
+    """
+    The question.
+    """
+    ahead_ms: list[int]
+    """
+    Milliseconds of reading that go before it.
+    """
+    kept: list[int]
+    """
+    How many of its first parts are kept.
+    """
+    token_ns: int
+    """
+    Nanoseconds that the model takes to read a token, as the keeper has learned; 0 for not yet.
+    """
+    running: NotRequired[list[int]]
+    """
+    Streams that run there.
+    """
+    prefill_pct: NotRequired[list[int]]
+    """
+    Prefill time there, in hundredths of the fleet's for the same model; 0 if not known.
+    """
+    token_us: NotRequired[list[int]]
+    """
+    Microseconds from one generated token of a stream to the next; 0 if not known.
+    """
+    use: NotRequired[list[WorkspaceUse]]
+    """
+    The workspaces with the highest use of these engines, highest first.
+    """
 
 
 class Frame(TypedDict, closed=True):
@@ -937,3 +979,20 @@
     Whether the store answers here and may hold less than it has acknowledged, so that it confirms nothing for now.
     """
     kinds: list[FeedKind]
+
+
+class PeerDatagram(TypedDict, closed=True):
+    """
+    A datagram between gateways: one of these.
+    """
+
+    ask: NotRequired[BacklogAsk]
+    view: NotRequired[BacklogView]
+    sent: NotRequired[BacklogSent]
+    over: NotRequired[BacklogOver]
+    finish: NotRequired[BacklogFinish]
+    leaving: NotRequired[LeavingNote]
+    ended: NotRequired[UpstreamEnded]
+    harmless: NotRequired[HarmlessNote]
+    limit: NotRequired[LimitNote]
+    limit_ask: NotRequired[LimitAsk]
