Place prompts by the speed of engines where that differs

Placement saw the time to first token alone, which was short everywhere, so streams lasted 1.8 s in the median and 5.7 s at the 95th percentile, and each of them is lost when gateways lose power.

Change: the keeper of an engine's backlog estimates its prefill factor and its decoding time (policy/speed.py) and tells them with the backlog; senders tell it when a stream ends. A pool whose engines differ by 1.25 and more is ranked also by the expected decoding time and by the delay that a prompt brings to streams under way. Other pools are ranked as before.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -57,6 +57,13 @@
     work: InFlight
     sent_at: float
     first_s: float
+    key: str = ""
+    """Identifies the attempt at the keeper of its engine's backlog; empty for plain upstreams."""
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the keeper of its engine was told that it has begun."""
+        return self.key != ""
 
 
 async def attempt(
@@ -77,6 +84,8 @@
     result: Running | Refused | NotSent | Broken = Broken("cancelled")
     try:
         result = await _send_and_wait(gw, job, chosen, model, work, pending_prompt)
+        if isinstance(result, Running) and pending_prompt is not None:
+            result = result._replace(key=attempt_key)
     finally:
         work.pending -= 1
         if pending_prompt is not None:
@@ -87,9 +96,15 @@
     return result
 
 
-async def release(running: Running, complete: bool) -> None:
-    """End an attempt; `complete` tells whether its response was read to the end."""
+async def release(gw: Gateway, running: Running, complete: bool, tokens: int = 0) -> None:
+    """End an attempt; `complete` tells whether its response was read to the end.
+
+    `tokens` is the number of tokens that its stream has generated since its first event.
+    """
     running.work.requests -= 1
+    if running.is_stream:
+        took_s = clock.now() - running.sent_at - running.first_s
+        gw.backlogs.record_finish(running.chosen.upstream, running.key, tokens, took_s)
     if complete:
         await running.exchange.finish()
     else:
@@ -212,10 +227,9 @@
 def _record_prefill(gw: Gateway, chosen: Selection, model: str, first_s: float) -> None:
     """Record how fast a model processed a prompt, and how long the prompt was queued."""
     now = clock.now()
-    processed_tokens = chosen.prefill_s / gw.prefill_rates.rate_s(model)
     predicted_queue_s = chosen.predicted_first_s - chosen.prefill_s
     gw.pressure.record_wait(first_s - chosen.prefill_s, now)
-    gw.prefill_rates.observe(model, processed_tokens, max(0.0, first_s - predicted_queue_s))
+    gw.prefill_rates.observe(model, chosen.read_tokens, max(0.0, first_s - predicted_queue_s))
 
 
 def _record_outcome(
@@ -272,6 +286,9 @@
         ahead_s=round(chosen.ahead_s, 4),
         kept_tokens=chosen.kept_tokens,
         all_known=chosen.complete,
+        speed=chosen.speed.prefill,
+        token_ms=round(chosen.speed.token_s * 1000, 2),
+        streams=chosen.speed.running,
         leaving=gw.members.is_leaving(chosen.upstream),
         rest_left_s=round(gw.rests.wait_s(chosen.upstream, now), 3),
         limit_per_s=gw.rate_limits.per_s(chosen.upstream),
--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -29,7 +29,15 @@
 from ramppost.policy.keepers import keeper_of
 from ramppost.policy.placement import PrefillRates
 from ramppost.policy.relays import Peers
-from ramppost.schema.messages import BacklogAsk, BacklogOver, BacklogSent, BacklogView, PeerDatagram
+from ramppost.policy.speed import UNKNOWN_SPEED, EngineSpeed, SpeedFigures, is_uneven
+from ramppost.schema.messages import (
+    BacklogAsk,
+    BacklogFinish,
+    BacklogOver,
+    BacklogSent,
+    BacklogView,
+    PeerDatagram,
+)
 
 ASK_TIMEOUT_S: Final = 0.05
 """A datagram may queue for 30 ms behind a long prompt on a 5 Mbit/s link.  This timeout is a
@@ -50,12 +58,13 @@
     `ahead_s` is the prefill time of the prompts ahead in seconds, `cached_parts` the number of
     leading parts of the prompt that are cached there.  `complete` tells whether the estimate covers
     the prompts of all gateways, because the engine's keeper answered or is this gateway; otherwise
-    it covers only this gateway's own prompts.
+    it covers only this gateway's own prompts.  `speed` is what the keeper said last.
     """
 
     ahead_s: float
     cached_parts: int
     complete: bool
+    speed: SpeedFigures = UNKNOWN_SPEED
 
 
 EMPTY_ESTIMATE: Final = BacklogEstimate(0.0, 0, False)
@@ -96,6 +105,10 @@
         self._datagrams = datagrams
         self._metrics = metrics
         self._backlogs: dict[str, Backlog] = {}
+        self._speeds: dict[str, EngineSpeed] = {}
+        """Speeds of the engines that this gateway keeps, and of others that it has kept."""
+        self._figures: dict[str, SpeedFigures] = {}
+        """The last known figures of each engine, from its keeper."""
         self._silent_until: dict[str, float] = {}
         self._missed_replies: dict[str, int] = {}
         """Consecutive unanswered queries, by keeper."""
@@ -115,7 +128,10 @@
         for engine in engines:
             keeper = self.keeper(engine, now)
             if keeper == self.own:
-                estimates[engine.key] = estimates[engine.key]._replace(complete=True)
+                self._figures[engine.key] = self._speed(engine.key).figures(now)
+                estimates[engine.key] = estimates[engine.key]._replace(
+                    complete=True, speed=self._figures[engine.key]
+                )
             elif keeper:
                 by_keeper.setdefault(keeper, []).append(engine.key)
         if not by_keeper:
@@ -126,16 +142,22 @@
                 max(own.ahead_s, reported.ahead_s),
                 max(own.cached_parts, reported.cached_parts),
                 True,
+                reported.speed,
             )
         return estimates
 
     def local_estimate(self, engine: str, query: BacklogQuery, now: float) -> BacklogEstimate:
         """Estimate an engine's backlog from local data only."""
         backlog = self._backlogs.get(engine)
+        speed = self._figures.get(engine, UNKNOWN_SPEED)
         if backlog is None:
-            return EMPTY_ESTIMATE
+            return EMPTY_ESTIMATE._replace(speed=speed)
         cached = backlog.cached_parts(query.model, query.parts, now)
-        return BacklogEstimate(backlog.ahead_s(query.level, now), cached, False)
+        return BacklogEstimate(backlog.ahead_s(query.level, now), cached, False, speed)
+
+    def are_uneven(self, engines: list[Upstream]) -> bool:
+        """Whether the engines of a pool are known to differ in speed."""
+        return is_uneven([self._figures.get(engine.key, UNKNOWN_SPEED) for engine in engines])
 
     def record_sent(self, engine: Upstream, key: str, prompt: PendingPrompt) -> None:
         """Record a prompt that is being sent to an engine, and notify the keeper."""
@@ -152,12 +174,26 @@
 
     def record_done(self, engine: Upstream, key: str, began: bool) -> None:
         """Record that a prompt has its first token (`began`) or will not get one at this engine."""
-        self._apply_done(engine.key, key, began)
+        is_keeper = self.keeper(engine, clock.now()) == self.own
+        self._apply_done(engine.key, key, began, is_keeper)
         note = BacklogOver(key=key, engine=engine.key, began=began)
         self._notify_keeper(engine, PeerDatagram(over=note))
 
+    def record_finish(self, engine: Upstream, key: str, tokens: int, took_s: float) -> None:
+        """Record that a stream no longer runs at an engine.
+
+        It has generated `tokens` tokens in `took_s` seconds, 0 if that says nothing about it.
+        """
+        note = BacklogFinish(key=key, engine=engine.key, tokens=tokens, ms=round(took_s * 1000))
+        if self.keeper(engine, clock.now()) == self.own:
+            self._apply_finish(note)
+        else:
+            self._notify_keeper(engine, PeerDatagram(finish=note))
+
     def forget(self, engine: str) -> None:
         """Drop the state of an engine that has left or restarted."""
+        self._speeds.pop(engine, None)
+        self._figures.pop(engine, None)
         self._backlogs.pop(engine, None)
         self._keepers.pop(engine, None)
 
@@ -234,17 +270,24 @@
         if "sent" in msg:
             self._apply_sent(msg["sent"])
         if "over" in msg:
-            self._apply_done(msg["over"]["engine"], msg["over"]["key"], msg["over"]["began"])
+            over = msg["over"]
+            self._apply_done(over["engine"], over["key"], over["began"], True)
+        if "finish" in msg:
+            self._apply_finish(msg["finish"])
 
     def _view_for(self, ask: BacklogAsk) -> BacklogView:
         now = clock.now()
         query = BacklogQuery(ask["level"], ask["model"], tuple(ask["parts"]))
         estimates = [self.local_estimate(engine, query, now) for engine in ask["engines"]]
+        speeds = [self._speed(engine).figures(now) for engine in ask["engines"]]
         return BacklogView(
             id=ask["id"],
             ahead_ms=[round(estimate.ahead_s * 1000) for estimate in estimates],
             kept=[estimate.cached_parts for estimate in estimates],
             token_ns=round(self._rates.own_rate_s(ask["model"]) * 1e9),
+            running=[speed.running for speed in speeds],
+            prefill_pct=[round(speed.prefill * 100) for speed in speeds],
+            token_us=[round(speed.token_s * 1e6) for speed in speeds],
         )
 
     async def _handle_view(self, view: BacklogView) -> None:
@@ -252,8 +295,13 @@
         engines = pending.engines.pop(view["id"], None) if pending is not None else None
         if pending is None or engines is None:
             return
-        for engine, ahead_ms, cached in zip(engines, view["ahead_ms"], view["kept"], strict=False):
-            pending.estimates[engine] = BacklogEstimate(ahead_ms / 1000, cached, True)
+        speeds = _speeds_in(view, len(engines))
+        for engine, ahead_ms, cached, speed in zip(
+            engines, view["ahead_ms"], view["kept"], speeds, strict=False
+        ):
+            self._figures[engine] = speed
+            pending.estimates[engine] = BacklogEstimate(ahead_ms / 1000, cached, True, speed)
+        drop_oldest(self._figures, MAX_ENGINES)
         self._rates.accept_peer_rate(pending.model, view["token_ns"] / 1e9)
         if not pending.engines:
             await pending.all_answered.set()
@@ -270,14 +318,47 @@
         )
         self._backlog(note["engine"]).add(note["key"], prompt)
 
-    def _apply_done(self, engine: str, key: str, began: bool) -> None:
-        backlog = self._backlog(engine)
-        if began:
-            backlog.record_first_token(key, clock.now())
-        else:
-            backlog.remove(key, clock.now())
+    def _apply_done(self, engine: str, key: str, began: bool, is_keeper: bool) -> None:
+        backlog, now = self._backlog(engine), clock.now()
+        if not began:
+            backlog.remove(key, now)
+            return
+        prefill = backlog.record_first_token(key, now)
+        if not is_keeper:
+            return
+        speed = self._speed(engine)
+        speed.begin_stream(key, now)
+        if prefill is not None:
+            speed.record_prefill(prefill.predicted_s, prefill.took_s)
+
+    def _apply_finish(self, note: BacklogFinish) -> None:
+        speed = self._speed(note["engine"])
+        speed.finish_stream(note["key"], note["tokens"], note["ms"] / 1000, clock.now())
+
+    def _speed(self, engine: str) -> EngineSpeed:
+        """The speed of an engine; a new keeper begins with what it was told last."""
+        speed = self._speeds.get(engine)
+        if speed is None:
+            speed = EngineSpeed(self._figures.get(engine, UNKNOWN_SPEED))
+            self._speeds[engine] = speed
+            drop_oldest(self._speeds, MAX_ENGINES)
+        return speed
 
     def _backlog(self, engine: str) -> Backlog:
         backlog = self._backlogs.setdefault(engine, Backlog())
         drop_oldest(self._backlogs, MAX_ENGINES)
         return backlog
+
+
+def _speeds_in(view: BacklogView, count: int) -> list[SpeedFigures]:
+    """The speeds in a keeper's answer; a gateway of an earlier version tells none."""
+    unknown = [0] * count
+    return [
+        SpeedFigures(running, prefill_pct / 100, token_us / 1e6)
+        for running, prefill_pct, token_us in zip(
+            view.get("running", unknown),
+            view.get("prefill_pct", unknown),
+            view.get("token_us", unknown),
+            strict=False,
+        )
+    ]
--- a/ramppost/gateway/model.py
+++ b/ramppost/gateway/model.py
@@ -7,13 +7,16 @@
 
 from __future__ import annotations
 
-from typing import Literal, NamedTuple
+from typing import Final, Literal, NamedTuple
 
 from ramppost.policy.position import Position
 
 RetryMode = Literal["any", "never"]
 """Whether a request may be retried once an upstream may have started to run it."""
 
+TYPICAL_LENGTH_RATIO: Final = 0.5
+"""Typical length of an answer relative to its maximum, for callers that give no estimate."""
+
 RolloutState = Literal["ordered", "completed", "rolled_back"]
 
 
@@ -160,6 +163,14 @@
     parts: tuple[tuple[str, int], ...]
     tokens_in: int
     max_tokens_out: int
+    length_hint: int = 0
+    """The caller's estimate of the tokens of the answer, often far off; 0 if it gives none."""
+
+    @property
+    def expected_tokens_out(self) -> float:
+        """The number of tokens that the answer is expected to have."""
+        hint = self.length_hint or self.max_tokens_out * TYPICAL_LENGTH_RATIO
+        return min(hint, self.max_tokens_out)
 
     @property
     def part_names(self) -> tuple[str, ...]:
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -28,6 +28,7 @@
     select_candidates,
 )
 from ramppost.policy.routing import hash_fraction
+from ramppost.policy.speed import SpeedFigures
 from ramppost.policy.urgency import urgency_level
 
 DEFAULT_PLAIN_LATENCY_S: Final = 0.03
@@ -63,6 +64,8 @@
     ahead_s: float
     kept_tokens: int
     complete: bool
+    read_tokens: int
+    speed: SpeedFigures
 
 
 def select_service(job: Job) -> str:
@@ -109,7 +112,7 @@
         return suitable
     candidate_list = gw.pools.candidates(service_name, suitable)
     query = _backlog_query(gw, job, model, prompt)
-    work = PrefillWork(model, prompt.parts, prompt.tokens_in)
+    work = PrefillWork(model, prompt.parts, prompt.tokens_in, 0, prompt.expected_tokens_out)
     context = _placement_context(gw, candidate_list, work)
     views = [
         _engine_view(
@@ -132,7 +135,10 @@
 ) -> PlacementContext:
     hall = gw.cfg["hall"]
     return PlacementContext(
-        hall, home_engine(candidate_list.pool, work, hall), candidate_list.pool.long_prompt_ids
+        hall,
+        home_engine(candidate_list.pool, work, hall),
+        candidate_list.pool.long_prompt_ids,
+        gw.backlogs.are_uneven(list(candidate_list.by_key.values())),
     )
 
 
@@ -255,7 +261,13 @@
     prompt: Prompt,
     now: float,
 ) -> Selection:
-    work = PrefillWork(model, prompt.parts, prompt.tokens_in, _transfer_bytes(job, service, prompt))
+    work = PrefillWork(
+        model,
+        prompt.parts,
+        prompt.tokens_in,
+        _transfer_bytes(job, service, prompt),
+        prompt.expected_tokens_out,
+    )
     candidate_list = gw.pools.candidates(service.name, suitable)
     context = _placement_context(gw, candidate_list, work)
     backlogs = _candidate_backlogs(
@@ -323,6 +335,8 @@
         ahead_s=backlog.ahead_s,
         kept_tokens=cached_tokens,
         complete=backlog.complete,
+        read_tokens=placement.read_tokens,
+        speed=backlog.speed,
     )
 
 
@@ -340,6 +354,7 @@
         others_waiting=0 if backlog.complete else max(0, report.waiting - own.pending),
         reported_at=report.at,
         failure_rate=gw.suspicion_of(upstream.key).failure_rate(now),
+        speed=backlog.speed,
     )
 
 
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -92,7 +92,7 @@
             return result
         larger = "" if reply.started else await choose_larger_model(gw, job, service, plan, result)
         if larger:
-            await release(result, False)
+            await release(gw, result, False)
             model = larger
             job.tried_upstreams.clear()
             continue
@@ -144,7 +144,7 @@
                 _add_cost(job, result, INPUT_PRICE_RATIO * job.req.prompt.tokens_in)
             if not _should_retry_status(gw, job, service, result, reply):
                 return result
-            await release(result, False)
+            await release(gw, result, False)
             job.failed_versions.add(result.chosen.upstream.version)
             last_refusal = refusal("upstream_failed", f"upstream answered {result.head.status}")
         elif isinstance(result, Refused):
@@ -252,12 +252,14 @@
             result = await forward_response(running, reply, run)
         complete = isinstance(result, Forwarded)
     finally:
-        await release(running, complete)
         engine = running.chosen.service.engine
+        tokens = 0
         if engine is not None:
-            _add_cost(
-                job, running, (job.forwarded_events - events_before) * engine.tokens_per_event
-            )
+            events = job.forwarded_events - events_before
+            _add_cost(job, running, events * engine.tokens_per_event)
+            # The first event arrives with the head.
+            tokens = max(0, events - 1) * engine.tokens_per_event if complete else 0
+        await release(gw, running, complete, tokens)
     if isinstance(result, Broken):
         now = clock.now()
         gw.suspicion_of(running.chosen.upstream.key).record_outcome(True, now)
--- a/ramppost/platform/headers.py
+++ b/ramppost/platform/headers.py
@@ -93,7 +93,11 @@
         session=_text(values, names.SESSION),
         last_event_id=_text(values, names.LAST_EVENT_ID),
         any_model=_text(values, names.MODEL) == names.ANY_MODEL,
-        prompt=_parse_prompt(_text(values, names.PROMPT_PARTS), _text(values, names.TOKEN_COUNTS)),
+        prompt=_parse_prompt(
+            _text(values, names.PROMPT_PARTS),
+            _text(values, names.TOKEN_COUNTS),
+            _text(values, names.LENGTH_HINT),
+        ),
     )
 
 
@@ -168,7 +172,7 @@
     return value if 0 <= value < float("inf") else None
 
 
-def _parse_prompt(parts: str, tokens: str) -> Prompt | None:
+def _parse_prompt(parts: str, tokens: str, hint: str) -> Prompt | None:
     """Parses `ID:TOKENS,...` and `IN,MAX_OUT`; None if `tokens` is missing or invalid."""
     tokens_in, _, max_out = tokens.partition(",")
     if not tokens_in.isdigit() or not max_out.isdigit():
@@ -178,7 +182,8 @@
         part_id, _, size = part.partition(":")
         if size.isdigit():
             prefix_parts.append((part_id, int(size)))
-    return Prompt(tuple(prefix_parts), int(tokens_in), int(max_out))
+    length_hint = int(hint) if hint.isdigit() else 0
+    return Prompt(tuple(prefix_parts), int(tokens_in), int(max_out), length_hint)
 
 
 def _parse_load(text: str) -> tuple[int | None, int | None]:
--- a/ramppost/policy/backlog.py
+++ b/ramppost/policy/backlog.py
@@ -48,6 +48,13 @@
     parts: tuple[str, ...]
 
 
+class Prefill(NamedTuple):
+    """A completed prefill: predicted and actual seconds, without the prompts ahead."""
+
+    predicted_s: float
+    took_s: float
+
+
 class Backlog:
     """The backlog of one engine.  Times are in seconds on the clock of whoever maintains it."""
 
@@ -68,16 +75,21 @@
         self._pending[key] = prompt
         drop_oldest(self._pending, MAX_PENDING)
 
-    def record_first_token(self, key: str, now: float) -> None:
-        """Record a prompt's first token: its parts are now cached, and the next prefill starts."""
+    def record_first_token(self, key: str, now: float) -> Prefill | None:
+        """Record a prompt's first token: its parts are now cached, and the next prefill starts.
+
+        Returns how long the prefill took, None for a prompt that is not known.
+        """
         prompt = self._pending.pop(key, None)
         if prompt is None:
-            return
+            return None
+        took_s = now - max(prompt.sent_at, self._head_started_at)
         self._head_started_at = now
         for name in prompt.parts:
             self._cached_at.pop((prompt.model, name), None)
             self._cached_at[prompt.model, name] = now
         drop_oldest(self._cached_at, MAX_PARTS)
+        return Prefill(prompt.read_s, took_s)
 
     def remove(self, key: str, now: float) -> None:
         """Remove a prompt that was not sent, that failed, or whose caller disconnected."""
--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -23,6 +23,7 @@
 from typing import Final, NamedTuple
 
 from ramppost.policy.routing import hash_fraction
+from ramppost.policy.speed import UNKNOWN_SPEED, SpeedFigures
 
 RUNNING_REQUEST_DELAY_S: Final = 0.003
 """Predicted delay for each running request of other gateways, which slows each decoding step."""
@@ -57,6 +58,10 @@
 """How many of these are in the gateway's own hall, if it has that many."""
 HOME_CACHE_SIZE: Final = 4096
 """Cached homes of shared prefixes: several times the number of topics in a day."""
+DECODE_WEIGHT: Final = 0.5
+"""Weight of a second until the last token against one until the first."""
+STREAM_DELAY_WEIGHT: Final = 0.3
+"""Weight of a second by which a prompt delays each stream that runs at its engine."""
 INITIAL_RATE_S: Final = 1 / 30000
 """Seconds of prefill for each prompt token until the model's rate is known."""
 RATE_STEP: Final = 0.04
@@ -82,6 +87,7 @@
     others_waiting: int
     reported_at: float
     failure_rate: float
+    speed: SpeedFigures = UNKNOWN_SPEED
 
 
 class PrefillRates:
@@ -132,20 +138,29 @@
 
 
 class PrefillWork(NamedTuple):
-    """A prompt for a model; `size` is the total size of the request and its answer in bytes."""
+    """A prompt for a model.
+
+    `size` is the total size of the request and its answer in bytes, and `tokens_out` the number of
+    tokens that the answer is expected to have.
+    """
 
     model: str
     parts: tuple[tuple[str, int], ...]
     tokens_in: int
     size: int = 0
+    tokens_out: float = 0.0
 
 
 class Placement(NamedTuple):
-    """An engine with the predicted time to first token and the part of it that is prefill."""
+    """An engine with the predicted time to first token and the part of it that is prefill.
+
+    `read_tokens` is the number of prompt tokens that it has not cached.
+    """
 
     id: str
     first_token_s: float
     prefill_s: float
+    read_tokens: int = 0
 
 
 class EnginePool(NamedTuple):
@@ -228,11 +243,15 @@
 
 
 class PlacementContext(NamedTuple):
-    """The gateway's hall, the home of a prompt's shared prefix, and the long prompt engines."""
+    """The gateway's hall, the home of a prompt's shared prefix, and the long prompt engines.
+
+    `uneven` tells that the engines differ in speed, so that their speeds are considered.
+    """
 
     hall: str
     home: str
     long_prompt_ids: frozenset[str]
+    uneven: bool = False
 
 
 def rank_engines(
@@ -244,18 +263,23 @@
     rng: random.Random,
 ) -> list[Placement]:
     """Rank engines by predicted time to first token plus penalties, best first."""
-    hall, home, long_prompt_ids = context
+    hall, home, long_prompt_ids, uneven = context
     rate_s = rates.rate_s(work.model)
 
     def place(engine: EngineView) -> Placement:
-        prefill_s = rate_s * max(0, work.tokens_in - engine.kept_tokens)
+        read_tokens = max(0, work.tokens_in - engine.kept_tokens)
+        factor = engine.speed.prefill_factor if uneven else 1.0
+        prefill_s = rate_s * read_tokens * factor
         report_weight = math.exp2(-max(0.0, now - engine.reported_at) / REPORT_HALF_LIFE_S)
         others_s = (
             engine.others_running * RUNNING_REQUEST_DELAY_S
             + engine.others_waiting * rates.typical_prefill_s
         )
         return Placement(
-            engine.id, engine.ahead_s + report_weight * others_s + prefill_s, prefill_s
+            engine.id,
+            engine.ahead_s + report_weight * others_s + prefill_s,
+            prefill_s,
+            read_tokens,
         )
 
     views_by_id = {engine.id: engine for engine in engines}
@@ -272,12 +296,19 @@
             if engine.hall == hall
             else CROSS_HALL_PENALTY_S + CROSS_HALL_BYTE_PENALTY_S * work.size
         )
+        cost_s += _streams_cost_s(engine.speed, work, placement) if uneven else 0.0
         cost_s += 0.0 if engine.id == home else NOT_HOME_PENALTY_S
         return cost_s * rng.uniform(1 - SCORE_JITTER, 1 + SCORE_JITTER)
 
     return sorted((place(engine) for engine in engines), key=score_s)
 
 
+def _streams_cost_s(speed: SpeedFigures, work: PrefillWork, placement: Placement) -> float:
+    """Penalty in seconds for a long stream and for delaying the streams that run at an engine."""
+    decode_s = work.tokens_out * speed.token_s
+    return DECODE_WEIGHT * decode_s + STREAM_DELAY_WEIGHT * speed.running * placement.prefill_s
+
+
 def _long_prompt_penalty_s(placement: Placement, long_prompt_ids: frozenset[str]) -> float:
     """Penalty in seconds that separates long prompts from others."""
     if not long_prompt_ids:
--- /dev/null
+++ b/ramppost/policy/speed.py
@@ -0,0 +1,166 @@
+"""Estimates how fast an engine works, from the prompts and streams that it has served.
+
+Pure.  Engines of one pool may differ in speed by a factor of two, and share their boxes with other
+work that slows them for tenths of a second.  While engines are lightly loaded, the time to first
+token hardly shows the difference, but the time between tokens does: placed by the former alone,
+slow engines get as much work as fast ones and their streams take several times as long.
+
+`EngineSpeed` belongs to one incarnation of an engine and is maintained by the gateway that keeps
+its backlog, which sees the prompts and streams of all gateways.  It holds a prefill factor, the
+prefill time relative to the prediction for the pool, and the decoding time per token of a single
+stream.  Both move in small steps towards the median, so that outliers, momentary slowness of the
+box and a fault that slows some answers hardly change them.
+
+    speed = EngineSpeed()
+    speed.record_prefill(0.2, 0.1)
+    speed.begin_stream("r1", NOW)
+    speed.finish_stream("r1", 300, 1.2, NOW + 1.2)
+    speed.figures(NOW + 2.0)
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection
+from typing import Final, NamedTuple
+
+from ramppost.bounded import drop_oldest
+
+MIN_PREFILL_S: Final = 0.04
+"""Predicted prefill time from which a prompt is a sample; the transit of shorter ones dominates."""
+MIN_STREAM_TOKENS: Final = 20
+PREFILL_STEP: Final = 0.06
+MIN_SAMPLES: Final = 4
+"""Samples from which an estimate is used."""
+MIN_PREFILL_FACTOR: Final = 0.25
+MAX_PREFILL_FACTOR: Final = 4.0
+TOKEN_HALF_LIFE_S: Final = 10.0
+"""Half-life of decoding samples: several times the duration of a stream."""
+SLOWDOWN_PER_STREAM: Final = 0.15
+"""Relative increase of the decoding time for each stream that runs beside another, together with
+the prompts that are read for it."""
+PACE_HALF_LIFE_S: Final = 0.3
+"""The pace of a box changes within tenths of a second."""
+MAX_STREAMS: Final = 1024
+MAX_STREAM_S: Final = 30.0
+"""Age at which a stream whose end was not reported is dropped; deadlines are shorter."""
+UNEVEN_RATIO: Final = 1.25
+"""Ratio between slow and fast engines from which a pool counts as uneven: more than the error of an
+estimate."""
+MIN_KNOWN_ENGINES: Final = 4
+
+
+class SpeedFigures(NamedTuple):
+    """What is known of an engine's speed; times in seconds.
+
+    `prefill` is its prefill time relative to the pool's, 0 if not known, and `token_s` the time
+    between two tokens of a stream beside the `running` ones, 0 if not known.
+    """
+
+    running: int = 0
+    prefill: float = 0.0
+    token_s: float = 0.0
+
+    @property
+    def prefill_factor(self) -> float:
+        """The factor of predicted prefill times."""
+        return self.prefill or 1.0
+
+
+UNKNOWN_SPEED: Final = SpeedFigures()
+
+
+class _Stream(NamedTuple):
+    """A stream that runs, and how many others did when it began."""
+
+    began_at: float
+    beside: int
+
+
+class EngineSpeed:
+    """Speed of one incarnation of an engine (seconds on any steady clock).
+
+    `start` is what another gateway knew of it before.
+    """
+
+    def __init__(self, start: SpeedFigures = UNKNOWN_SPEED) -> None:
+        self._prefill = start.prefill_factor
+        self._prefill_samples = MIN_SAMPLES if start.prefill else 0
+        self._streams: dict[str, _Stream] = {}
+        self._tokens = float(MIN_STREAM_TOKENS) if start.token_s else 0.0
+        self._token_time_s = self._tokens * start.token_s / _slowdown(start.running)
+        self._updated_at = float("-inf")
+
+    def record_prefill(self, predicted_s: float, took_s: float) -> None:
+        """Record a prefill that was predicted with the present factor.
+
+        >>> speed = EngineSpeed()
+        >>> for _ in range(40): speed.record_prefill(0.2 * speed.figures(0.0).prefill_factor, 0.1)
+        >>> 0.45 < speed.figures(0.0).prefill < 0.55
+        True
+        """
+        if predicted_s < MIN_PREFILL_S:
+            return
+        self._prefill_samples += 1
+        step = 1.0 + max(PREFILL_STEP, 1.0 / (2 + self._prefill_samples))
+        factor = self._prefill * (step if took_s > predicted_s else 1.0 / step)
+        self._prefill = min(MAX_PREFILL_FACTOR, max(MIN_PREFILL_FACTOR, factor))
+
+    def begin_stream(self, key: str, now: float) -> None:
+        """Record a stream that begins to run."""
+        self._streams[key] = _Stream(now, len(self._streams))
+        drop_oldest(self._streams, MAX_STREAMS)
+
+    def finish_stream(self, key: str, tokens: int, took_s: float, now: float) -> None:
+        """Record the end of a stream that has generated `tokens` tokens in `took_s` seconds."""
+        stream = self._streams.pop(key, None)
+        if stream is None or tokens < MIN_STREAM_TOKENS:
+            return
+        kept = math.exp2(-max(0.0, now - self._updated_at) / TOKEN_HALF_LIFE_S)
+        beside = (stream.beside + len(self._streams)) / 2
+        self._tokens = self._tokens * kept + tokens
+        self._token_time_s = self._token_time_s * kept + took_s / _slowdown(beside)
+        self._updated_at = now
+
+    def figures(self, now: float) -> SpeedFigures:
+        """The present estimates."""
+        self._drop_expired(now)
+        running = len(self._streams)
+        known = self._prefill_samples >= MIN_SAMPLES
+        token_s = self._token_time_s / self._tokens if self._tokens else 0.0
+        return SpeedFigures(running, self._prefill if known else 0.0, token_s * _slowdown(running))
+
+    def _drop_expired(self, now: float) -> None:
+        expired = [k for k, s in self._streams.items() if now - s.began_at > MAX_STREAM_S]
+        for key in expired:
+            del self._streams[key]
+
+
+def _slowdown(beside: float) -> float:
+    """The decoding time beside so many streams, relative to that of a single one."""
+    return 1.0 + SLOWDOWN_PER_STREAM * beside
+
+
+def is_uneven(figures: Collection[SpeedFigures]) -> bool:
+    """Whether the engines of a pool differ in speed beyond the error of the estimates.
+
+    The second slowest is compared with the second fastest, so that a single wrong estimate does not
+    decide.
+
+    >>> pool = [SpeedFigures(prefill=0.55)] * 2 + [SpeedFigures(prefill=1.2)] * 6
+    >>> is_uneven(pool), is_uneven(pool[2:]), is_uneven([])
+    (True, False, False)
+    """
+    known = sorted(engine.prefill for engine in figures if engine.prefill)
+    if len(known) < MIN_KNOWN_ENGINES:
+        return False
+    return known[-2] / known[1] >= UNEVEN_RATIO
+
+
+def decayed_pace(pace: float, age_s: float) -> float:
+    """The pace to expect of a box that reported one some time ago; 1 is the usual pace.
+
+    >>> decayed_pace(2.0, 0.0), decayed_pace(2.0, 0.3)
+    (2.0, 1.5)
+    """
+    return 1.0 + (pace - 1.0) * math.exp2(-max(0.0, age_s) / PACE_HALF_LIFE_S)
--- a/tests/test_gateway_backlogs.py
+++ b/tests/test_gateway_backlogs.py
@@ -23,6 +23,7 @@
 from ramppost.policy.backlog import PendingPrompt
 from ramppost.policy.placement import MIN_RATE_SAMPLES, PrefillRates
 from ramppost.policy.relays import Peers
+from ramppost.policy.speed import MIN_SAMPLES, SpeedFigures
 from tests.test_gateway_follow import free_port
 
 NEAR = Upstream("e-near", "127.0.0.1:9", "lm", "north", "v1", 8, False)
@@ -87,7 +88,9 @@
         assert told[NEAR.id] == BacklogEstimate(0.0, 0, True)
         site.north.record_done(FAR, "a", began=True)
         await curio.sleep(0.01)
-        assert (await site.south.ask([FAR], QUESTION))[FAR.id] == BacklogEstimate(0.0, 2, True)
+        assert (await site.south.ask([FAR], QUESTION))[FAR.id] == BacklogEstimate(
+            0.0, 2, True, SpeedFigures(running=1)
+        )
 
     play(scene)
 
@@ -162,6 +165,23 @@
     play(scene)
 
 
+def test_new_keeper_did_not_know_the_speed_that_the_last_one_had_told() -> None:
+    async def scene(site: Site) -> None:
+        for number in range(MIN_SAMPLES):
+            prompt = reading()._replace(sent_at=clock.now() - 0.2)
+            site.south.record_sent(FAR, f"a{number}", prompt)
+            site.south.record_done(FAR, f"a{number}", began=True)
+            site.south.record_finish(FAR, f"a{number}", 300, 1.5)
+        told = (await site.north.ask([FAR], QUESTION))[FAR.id].speed
+        assert told.prefill < 1.0 and told.token_s == pytest.approx(0.005) and told.running == 0
+        await site.tasks["south"].cancel()
+        for _ in range(MAX_MISSED_REPLIES):
+            await site.north.ask([FAR], QUESTION)
+        assert (await site.north.ask([FAR], QUESTION))[FAR.id].speed == pytest.approx(told)
+
+    play(scene)
+
+
 def test_an_engine_that_left_is_forgotten() -> None:
     async def scene(site: Site) -> None:
         site.south.record_sent(FAR, "a", reading())
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -18,6 +18,7 @@
     rank_engines,
     rank_plain_upstreams,
 )
+from ramppost.policy.speed import SpeedFigures
 
 NOW = 1000.0
 PARTS = (("shared", 4000), ("own", 1000))
@@ -150,3 +151,17 @@
     good = PlainUpstreamView("a", "here", 0.0, 0.03, 0.0)
     bad = good._replace(id="b", **worse)  # type: ignore[arg-type]
     assert rank_plain_upstreams([bad, good], "here", random.Random(1)) == ["a", "b"]
+
+
+FAST, SLOW = SpeedFigures(4, 0.5, 0.003), SpeedFigures(4, 1.2, 0.009)
+
+
+@pytest.mark.parametrize(("uneven", "first"), [(False, "b"), (True, "a")])
+def test_engine_that_decodes_slowly_got_streams_as_often_as_a_fast_one(
+    uneven: bool, first: str
+) -> None:
+    # The times to first token differ by less than the penalty for another home.
+    engines = [engine("a", speed=FAST), engine("b", speed=SLOW)]
+    context = PlacementContext("here", "b", frozenset(), uneven)
+    work = WORK._replace(tokens_out=300)
+    assert rank_engines(engines, work, PrefillRates(), context, NOW, RNG)[0].id == first
--- /dev/null
+++ b/tests/test_speed.py
@@ -0,0 +1,47 @@
+"""How fast an engine works, by its prompts and streams: pure parts."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from ramppost.policy.speed import MAX_STREAM_S, EngineSpeed, SpeedFigures, is_uneven
+
+
+@pytest.mark.parametrize("factor", [0.5, 1.0, 1.3])
+def test_box_that_is_slow_at_times_was_taken_for_a_slow_engine(factor: float) -> None:
+    # One prompt in seven takes 2.5 times as long, and one in fifty ten times.
+    rng, speed = random.Random(1), EngineSpeed()
+    found = []
+    for _ in range(400):
+        pace = rng.choices((1.0, 2.5, 10.0), (84, 14, 2))[0]
+        predicted_s = 0.2 * speed.figures(0.0).prefill_factor
+        speed.record_prefill(predicted_s, 0.2 * factor * pace * rng.uniform(0.9, 1.1))
+        found.append(speed.figures(0.0).prefill_factor)
+    assert sum(found[100:]) / 300 == pytest.approx(factor, rel=0.15)
+
+
+def test_engine_was_taken_for_slow_because_many_streams_ran_there() -> None:
+    alone, busy = EngineSpeed(), EngineSpeed()
+    for number in range(12):
+        busy.begin_stream(f"b{number}", 0.0)
+    alone.begin_stream("a", 0.0)
+    alone.finish_stream("a", 300, 1.0, 1.0)
+    busy.finish_stream("b11", 300, 2.65, 2.65)
+    single = alone.figures(3.0).token_s
+    assert busy.figures(3.0).token_s == pytest.approx(single * (1 + 0.15 * 11), rel=0.1)
+
+
+def test_stream_whose_end_was_lost_counted_for_ever() -> None:
+    speed = EngineSpeed()
+    speed.begin_stream("a", 0.0)
+    assert speed.figures(MAX_STREAM_S).running == 1
+    assert speed.figures(MAX_STREAM_S + 0.1).running == 0
+
+
+def test_single_wrong_estimate_made_a_pool_uneven() -> None:
+    pool = [SpeedFigures(prefill=1.0)] * 8
+    assert not is_uneven([*pool, SpeedFigures(prefill=3.0)])
+    assert not is_uneven([*pool, SpeedFigures(prefill=0.3)])
+    assert is_uneven([*pool, *[SpeedFigures(prefill=0.5)] * 2])
