Decode the figures of a load report independently, with the pace of the host

The decoder accepted exactly three figures.

Each figure is now decoded by itself, further ones are ignored, and impossible ones are dropped. Reports are recorded from every response head in Gateway._observe_head, except that of another upstream at the address (421). Attempt log lines contain it. Counts are decoded from ASCII digits only: int() raised for a digit such as superscript two, in the caller's token counts as well.

The stand-in upstream and engine take POST /_host, which changes their speed and the pace of their host, and report that pace while it is set. The soak changes both in a further schedule, which draws from its own numbers.

Changed test: test_foreign_entries.py passes ReportFields to record_report.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -136,8 +136,6 @@
         if isinstance(head, Broken):
             return head
         now = clock.now()
-        if head.running is not None:
-            gw.loads.record_report(chosen.upstream.key, head.running, head.waiting or 0, now)
         if head.not_run:
             job.may_have_run = ran_before
             await exchange.abort()
@@ -276,4 +274,5 @@
         rest_left_s=round(gw.rests.wait_s(chosen.upstream, now), 3),
         limit_per_s=gw.rate_limits.per_s(chosen.upstream),
         took_s=round(took_s, 4),
+        pace=round(chosen.pace, 2),
     )
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -49,7 +49,7 @@
 
     `predicted_first_s` is the predicted time to its first byte, `prefill_s` the time to read the
     prompt and `ahead_s` the time to read the prompts before it, all in seconds.  `complete` is true
-    if `ahead_s` includes the prompts of all gateways.
+    if `ahead_s` includes the prompts of all gateways.  `pace` is that of the upstream's host.
     """
 
     upstream: Upstream
@@ -63,6 +63,7 @@
     ahead_s: float
     kept_tokens: int
     complete: bool
+    pace: float
 
 
 def select_service(job: Job) -> str:
@@ -323,6 +324,7 @@
         ahead_s=backlog.ahead_s,
         kept_tokens=cached_tokens,
         complete=backlog.complete,
+        pace=gw.loads.pace(best.key, now),
     )
 
 
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -17,7 +17,7 @@
 from ramppost.gateway.inbound import CallerConnections
 from ramppost.gateway.limit_news import LimitNews
 from ramppost.gateway.links import ConnectionPool
-from ramppost.gateway.load import Loads
+from ramppost.gateway.load import Loads, ReportFields
 from ramppost.gateway.membership import Members
 from ramppost.gateway.metrics import Metrics
 from ramppost.gateway.model import CallerLimits, RoutingTable, Upstream
@@ -186,6 +186,9 @@
     def _observe_head(self, upstream: Upstream, head: AnswerHead, sent_at: float) -> None:
         """Record what a response tells about its upstream rather than about its request."""
         now, time_of_day = clock.now(), time.time()
+        if not head.wrong_upstream:
+            fields = ReportFields(head.running, head.waiting, head.slots, head.pace)
+            self.loads.record_report(upstream.key, fields, now)
         self.rate_limits.record_response(upstream, head.rate_limit_per_s, sent_at, now)
         if head.rest_s:
             self.rests.record_refusal(upstream, head.rest_s, now, time_of_day)
--- a/ramppost/platform/headers.py
+++ b/ramppost/platform/headers.py
@@ -30,6 +30,8 @@
 """Headers that apply to one connection only (RFC 9110, 7.6.1), and `Expect`, which the gateway
 answers itself."""
 
+MAX_COUNT_DIGITS: Final = 9
+MAX_PACE_PCT: Final = 10_000
 DEFAULT_DEADLINE_S: Final = 60.0
 """Deadline of a request without one; the time limit of its route is shorter."""
 
@@ -56,6 +58,10 @@
     `rate_limit_per_s` is the rate that the upstream accepts from all gateways together, None if it
     names none, and `leaving` whether it says that it will end.  `rest_s` is for how long it wants
     no more requests from this gateway, None unless it refuses the request and says so.
+
+    `running`, `waiting` and `slots` are the load of the upstream in requests; `pace` is how long
+    work currently takes on its host relative to the usual time, which is 1.  Each of the four is
+    None if it is missing or invalid.
     """
 
     status: int
@@ -74,6 +80,8 @@
     rest_s: float | None = None
     upstream_id: str = ""
     """Id of the upstream that has answered; empty if it names none."""
+    slots: int | None = None
+    pace: float | None = None
 
 
 def caller_request(method: str, target: str, headers: Headers, body: bytes) -> CallerRequest:
@@ -125,7 +133,7 @@
     values = dict(headers)
     dropped = HOP_BY_HOP | _connection_headers(values)
     retry_after_s = _parse_number(_text(values, b"retry-after"))
-    running, waiting = _parse_load(_text(values, names.LOAD))
+    load = _parse_load(_text(values, names.LOAD))
     return AnswerHead(
         status=status,
         headers=tuple((name, value) for name, value in headers if name not in dropped),
@@ -133,8 +141,8 @@
         signed=names.SIGNATURE in values,
         not_run=names.NOT_RUN in values or status == names.STATUS_WRONG_UPSTREAM,
         wrong_upstream=status == names.STATUS_WRONG_UPSTREAM,
-        running=running,
-        waiting=waiting,
+        running=load.running,
+        waiting=load.waiting,
         confidence=_parse_number(_text(values, names.CONFIDENCE)),
         keep_alive_s=_parse_keep_alive(_text(values, b"keep-alive")),
         retry_after_s=retry_after_s,
@@ -142,6 +150,8 @@
         rest_s=retry_after_s if status == names.STATUS_OVERLOADED else None,
         rate_limit_per_s=_parse_number(_text(values, names.RATE_LIMIT)),
         upstream_id=_text(values, names.INSTANCE_ID),
+        slots=load.slots,
+        pace=load.pace,
     )
 
 
@@ -171,22 +181,45 @@
 def _parse_prompt(parts: str, tokens: str) -> Prompt | None:
     """Parses `ID:TOKENS,...` and `IN,MAX_OUT`; None if `tokens` is missing or invalid."""
     tokens_in, _, max_out = tokens.partition(",")
-    if not tokens_in.isdigit() or not max_out.isdigit():
+    count_in, count_out = _parse_count(tokens_in), _parse_count(max_out)
+    if count_in is None or count_out is None:
         return None
     prefix_parts = []
     for part in parts.split(",") if parts else []:
         part_id, _, size = part.partition(":")
-        if size.isdigit():
-            prefix_parts.append((part_id, int(size)))
-    return Prompt(tuple(prefix_parts), int(tokens_in), int(max_out))
+        tokens_of_part = _parse_count(size)
+        if tokens_of_part is not None:
+            prefix_parts.append((part_id, tokens_of_part))
+    return Prompt(tuple(prefix_parts), count_in, count_out)
+
+
+class _Load(NamedTuple):
+    """The figures of the load header; None if missing or invalid."""
+
+    running: int | None
+    waiting: int | None
+    slots: int | None
+    pace: float | None
+
+
+def _parse_load(text: str) -> _Load:
+    """Parses `RUNNING,WAITING,SLOTS,PACE_PCT`, each figure independently; ignores further ones.
+
+    >>> _parse_load("3,0,6,250")
+    _Load(running=3, waiting=0, slots=6, pace=2.5)
+    >>> _parse_load("3,?,0")
+    _Load(running=3, waiting=None, slots=None, pace=None)
+    """
+    counts = [_parse_count(field.strip()) for field in text.split(",")]
+    running, waiting, slots, pace_pct = (*counts, None, None, None, None)[:4]
+    pace = pace_pct / 100 if pace_pct and pace_pct <= MAX_PACE_PCT else None
+    return _Load(running, waiting, slots or None, pace)
 
 
-def _parse_load(text: str) -> tuple[int | None, int | None]:
-    """Running and waiting requests, parsed from `RUNNING,WAITING,SLOTS`."""
-    fields = text.split(",")
-    if len(fields) != 3 or not fields[0].isdigit() or not fields[1].isdigit():
-        return None, None
-    return int(fields[0]), int(fields[1])
+def _parse_count(text: str) -> int | None:
+    """Parses a non-negative decimal integer of ASCII digits."""
+    valid = text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
+    return int(text) if valid else None
 
 
 def _parse_keep_alive(text: str) -> float | None:
--- a/ramppost/standin/engine.py
+++ b/ramppost/standin/engine.py
@@ -2,7 +2,8 @@
 
 It streams made-up tokens in the OpenAI form, runs a number of requests at once
 and lets the rest wait by priority.  A run goes on when its reader is gone; it
-can be read again from any token and cancelled.  `GET /_log` tells what ran.
+can be read again from any token and cancelled.  `GET /_log` tells what ran, and `POST /_host`
+sets the speed and pace of its work (`HostChange`).
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 
 from ramppost.schema.settings import EngineStandinSettings, StandinModel
 from ramppost.standin.faults import Faults, with_faults
+from ramppost.standin.host import Host, HostChange
 from ramppost.wire.codec import BadMessage, decode, encode
 from ramppost.wire.server import Reply, Request, listen, serve
 
@@ -110,6 +112,7 @@
         self.log: list[Run] = []
         self.works: dict[str, Work] = {}
         self.faults = Faults()
+        self.host = Host()
         self.rng = random.Random(7)
         self.reported = 0
 
@@ -145,11 +148,13 @@
         elif req.path == "/v1/cancel":
             await _cancel(engine, req, reply)
         elif req.path == "/load":
-            await reply.send(200, encode({"running": engine.reported, "slots": engine.slots}))
+            await reply.send(200, encode(_load(engine)))
         elif req.path == "/order":
             await _order(engine, req, reply)
         elif req.path == "/_orders":
             await reply.send(200, encode(engine.orders))
+        elif req.path == "/_host":
+            await _change_host(engine, req, reply)
         elif req.path == "/_log":
             await reply.send(200, encode(engine.log))
         else:
@@ -167,6 +172,22 @@
         engine.reported = engine.running + len(engine.waiting)
 
 
+def _load(engine: Engine) -> dict[str, int]:
+    """The answer to `/load`; the pace is included only where it is set."""
+    load = {"running": engine.reported, "slots": engine.slots}
+    pace_pct = engine.host.pace_pct
+    return load if pace_pct is None else {**load, "pace_pct": pace_pct}
+
+
+async def _change_host(engine: Engine, req: Request, reply: Reply) -> None:
+    change = decode(req.body, HostChange)
+    if isinstance(change, BadMessage):
+        await reply.send(400, encode({"error": change.reason}))
+        return
+    engine.host.change(change)
+    await reply.send(200, b"{}")
+
+
 async def _complete(engine: Engine, req: Request, reply: Reply) -> None:
     body = decode(req.body, RunBody)
     if isinstance(body, BadMessage):
@@ -215,7 +236,7 @@
         quality = min(1.0, max(0.0, engine.rng.gauss(mean, QUALITY_SPREAD)))
         work.confidence = min(1.0, max(0.0, quality + engine.rng.gauss(0, CONFIDENCE_NOISE)))
         for index in range(count):
-            await curio.sleep(token_s)
+            await curio.sleep(engine.host.work_s(token_s))
             if work.run["state"] == "cancelled":
                 break
             last = index == count - 1
@@ -286,7 +307,7 @@
     engine.fence = max(engine.fence, order["fence"])
     if order["action"] == "load":
         engine.loading = name
-        await curio.spawn(_load, engine, name, daemon=True)
+        await curio.spawn(_load_model, engine, name, daemon=True)
     else:
         engine.models.pop(name, None)
     await reply.send(200, b"{}")
@@ -301,7 +322,7 @@
     return 503 if engine.loading else 200
 
 
-async def _load(engine: Engine, name: str) -> None:
+async def _load_model(engine: Engine, name: str) -> None:
     """Load a version's weights."""
     await curio.sleep(engine.load_s)
     engine.models[name] = engine.store[name]
--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -2,8 +2,8 @@
 
 A request that tells tokens is answered with a stream of events, any other with a small
 body.  `GET /_log` tells its runs and `GET /_arrivals` all requests that arrived, `POST /_behave`
-sets a `Behaviour`, `POST /_notices` its `Notices`, and `POST /_leave` makes its entry say that it
-is leaving.
+sets a `Behaviour`, `POST /_notices` its `Notices`, `POST /_host` the speed and pace of its work
+(`HostChange`), and `POST /_leave` makes its entry say that it is leaving.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 from ramppost.platform.documents import DRAINING
 from ramppost.platform.store import StoreClient, put
 from ramppost.schema.settings import UpstreamStandinSettings
+from ramppost.standin.host import Host, HostChange
 from ramppost.wire.client import Pool
 from ramppost.wire.codec import BadMessage, decode, encode
 from ramppost.wire.server import ClientDisconnected, Reply, Request, listen, serve
@@ -112,6 +113,7 @@
         self.cfg = cfg
         self.how = Behaviour()
         self.notices = Notices()
+        self.host = Host()
         self.runs: list[RunLine] = []
         self.arrivals: list[Arrival] = []
         self.running = 0
@@ -185,7 +187,7 @@
         arrival["answered_at"] = time.time()
         found = [
             (names.ATTEMPT_ID.decode(), attempt_id),
-            (names.LOAD.decode(), f"{up.running},0,{up.cfg['slots']}"),
+            (names.LOAD.decode(), _load_text(up)),
         ]
         limit_per_s, rest_s = up.notices.get("limit_per_s"), up.notices.get("rest_s")
         if limit_per_s is not None:
@@ -202,6 +204,12 @@
     return headers_now
 
 
+def _load_text(up: _Upstream) -> str:
+    """The value of the load header; the pace is included only where it is set."""
+    text = f"{up.running},0,{up.cfg['slots']}"
+    return text if up.host.pace_pct is None else f"{text},{up.host.pace_pct}"
+
+
 async def _answer(up: _Upstream, req: Request, reply: Reply) -> None:
     heads = {name.encode(): value for name, value in req.headers.items()}
     attempt_id = heads.get(names.ATTEMPT_ID, "")
@@ -263,7 +271,7 @@
 ) -> None:
     if up.how.get("hang"):
         await curio.sleep(float("inf"))
-    await curio.sleep(up.how.get("work_ms", up.cfg["work_ms"]) / 1000)
+    await curio.sleep(up.host.work_s(up.how.get("work_ms", up.cfg["work_ms"]) / 1000))
     if up.how.get("lose"):
         raise ClientDisconnected
     head = (*headers_now(), (names.SIGNATURE.decode(), f"{SIGNATURE}.{up.cfg['id']}"))
@@ -285,7 +293,8 @@
             await reply.write(b"id: %d\ndata: tor" % number)
             raise ClientDisconnected
         await reply.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
-        await curio.sleep(up.how.get("event_ms", up.cfg.get("event_ms", 10)) / 1000)
+        event_s = up.how.get("event_ms", up.cfg.get("event_ms", 10)) / 1000
+        await curio.sleep(up.host.work_s(event_s))
     await reply.end()
 
 
@@ -315,6 +324,12 @@
             await reply.send(400, encode({"error": notices.reason}))
             return
         up.notices = _without_ended(up.notices, notices)
+    elif req.path == "/_host":
+        host_change = decode(req.body, HostChange)
+        if isinstance(host_change, BadMessage):
+            await reply.send(400, encode({"error": host_change.reason}))
+            return
+        up.host.change(host_change)
     elif req.path == "/_leave":
         up.leaving = True
     await reply.send(200, encode(up.arrivals if req.path == "/_arrivals" else up.runs))
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -369,6 +369,10 @@
         """Change what an upstream tells of itself in its answers; None ends one of them."""
         self.http.post(f"{self.url(name)}/_notices", json=told).raise_for_status()
 
+    def host(self, name: str, **change: Any) -> None:
+        """Change how long work takes at an upstream (`HostChange`); None restores a value."""
+        self.http.post(f"{self.url(name)}/_host", json=change).raise_for_status()
+
     def fault(self, name: str, **fault: Any) -> None:
         """Put a fault in force at the store."""
         self.http.post(f"{self.url(name)}/_fault", json=fault).raise_for_status()
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -8,7 +8,8 @@
 those between gateways, silence what is open on them, take a key away, let the configuration
 grow on thin links, let upstreams leave and bring a version in.  Further schedules spoil entries and
 start upstreams under their ids, let upstreams name limits, ask for rest and leave by their answers
-alone, and let the store come back from older copies.  After the storm a new route has to be in
+alone, let the store come back from older copies, and give upstreams different and changing
+speeds.  After the storm a new route has to be in
 force everywhere in time, and a request that ends engines is not to be run for ever, though gateways
 are killed, paused and stopped as it comes again.  What upstreams ran, told and were sent, and what
 callers got, is compared at the end, and the gateways' log lines are audited.
@@ -81,13 +82,18 @@
     {"addr": "127.0.0.1:x", "hall": "bole", "version": "v2", "part": "half", "sessions": 3},
 ]
 """Entries that other writers may leave."""
-FURTHER = ("entries", "notices", "rests", "returns")
+FURTHER = ("entries", "notices", "rests", "returns", "hosts")
 """Schedules beside the first ones; regression seeds are played with those that they failed with."""
 COPY_AGES_S = (0.2, 1.0, 3.0, 6.0, 60.0)
 """How old the copy is that the store comes back from; the last one holds hardly anything."""
 MOST_REWRITE_S = 0.4
 """Within this the operator writes again what it has written."""
 RESTS_S = (0.6, 1.0, 2.0, 3.0)
+TIMES_PCT = (55, 100, 120)
+"""How long work takes at an upstream, in hundredths of the usual time."""
+PACES_PCT = (80, 100, 250)
+HOST_TURN_S = 0.6
+"""How long a host keeps its pace."""
 LIMITS_PER_S = (0.0, 0.5, 1.0, 2.0, 5.0, 20.0)
 ALL_OF_SERVICE = 0.3
 """How often all upstreams of a service tell the same of themselves."""
@@ -183,6 +189,7 @@
             "notices": self.step_of_limits,
             "rests": self.step_of_rests,
             "returns": self.step_of_returns,
+            "hosts": self.step_of_hosts,
         }
         schedules = [(rng, until, self.step) for rng in self.rngs]
         schedules += [(rng, until, further[name]) for name, rng in self.further_rngs.items()]
@@ -264,6 +271,20 @@
                 time.sleep(rng.uniform(0.0, MOST_REWRITE_S))
                 self.site.write_again()
 
+    def step_of_hosts(self, rng: random.Random) -> None:
+        """One or all upstreams of a service get another speed, and their hosts change their pace
+        and report it for some turns."""
+        upstreams = self._some_of_service(rng)
+        self.done.append("change_hosts")
+        for name in upstreams:
+            self._change_host(name, time_pct=rng.choice(TIMES_PCT))
+        for _ in range(rng.randint(1, 4)):
+            for name in upstreams:
+                self._change_host(name, pace_pct=rng.choice(PACES_PCT))
+            time.sleep(HOST_TURN_S)
+        for name in upstreams:
+            self._change_host(name, pace_pct=None)
+
     def ask_for_rest(self, rng: random.Random) -> None:
         upstreams = self._some_of_service(rng)
         rest_s = rng.choice(RESTS_S)
@@ -294,6 +315,13 @@
         except httpx.TransportError:
             self.done.append(f"{name} was away")
 
+    def _change_host(self, name: str, **change: Any) -> None:
+        """Change an upstream's speed; one that is being replaced has the usual one."""
+        try:
+            self.site.host(name, **change)
+        except httpx.TransportError:
+            self.done.append(f"{name} was away")
+
     def leave_junk(self, rng: random.Random) -> None:
         self.site.put(rng.choice(JUNK_KINDS), f"junk-{rng.randrange(3)}", rng.choice(JUNK))
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -22,6 +22,7 @@
 from bench.choosing import job_of
 from ramppost import clock
 from ramppost.gateway.attempt import Refused, _record_outcome
+from ramppost.gateway.load import ReportFields
 from ramppost.gateway.peers import apply_gateway_entry
 from ramppost.gateway.pick import pick
 from ramppost.gateway.rollout_duty import _read_sessions, progress_changed, write_progress
@@ -206,7 +207,7 @@
     apply_upstream_snapshot(gw, Snapshot([entry(born=1000)], 1))
     before = gw.members.usable("lm", clock.now())[0]
     gw.suspicion_of(before.key).record_outcome(True, clock.now())
-    gw.loads.record_report(before.key, 20, 7, clock.now())
+    gw.loads.record_report(before.key, ReportFields(20, 7), clock.now())
     gw.connections.last_received_at[before.key] = clock.now()
     apply_upstream_change(gw, Change(entry(revision=2, born=2000), False))
     after = gw.members.usable("lm", clock.now())[0]
@@ -230,7 +231,7 @@
 def test_repeated_update_changes_nothing(gw: Gateway) -> None:
     apply_upstream_snapshot(gw, Snapshot([entry(born=1000)], 1))
     before = gw.members.usable("lm", clock.now())[0]
-    gw.loads.record_report(before.key, 20, 7, clock.now())
+    gw.loads.record_report(before.key, ReportFields(20, 7), clock.now())
     apply_upstream_change(gw, Change(entry(born=1000), False))
     apply_upstream_snapshot(gw, Snapshot([entry(born=1000)], 1))
     assert gw.loads.last_report(before.key).waiting == 7
