Homes of shared parts by weight, and several of them for a part in demand

Cause: every engine was a home and an engine for long prompts equally often, whatever its speed, and a part whose prompts need more than one engine's time had one home. What went elsewhere paid the penalty and was read again.

Change: what concerns homes moves from policy/placement.py to policy/homes.py. - Weighted rendezvous hashing with weights in steps of a quarter; an engine keeps its weight while that is within three quarters of a step of its estimate. Without weights the result is the one before. - PartDemand estimates the engine time that a part needs in the fleet, and home_count has a hysteresis. It adds homes from three recent prompts on, and only where the demand is beyond the threshold by its standard error. - PlacementContext.homes replaces home.

Changed tests: test_placement.py, test_choice_size.py and harness/replay.py call the moved functions by their new names; what they check is the same.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -21,6 +21,8 @@
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import AnswerHead, SendOptions, upstream_head
 from ramppost.policy.backlog import PendingPrompt
+from ramppost.policy.homes import shared_part
+from ramppost.policy.placement import leading_tokens
 
 TIMEOUT_OBJECTIVE_RATIO: Final = 0.4
 """Fraction of the objective after which a silent upstream is given up; leaves time for another."""
@@ -74,6 +76,7 @@
     if pending_prompt is not None:
         gw.prefill_rates.record_sent(pending_prompt.read_s)
         gw.backlogs.record_sent(upstream, attempt_key, pending_prompt)
+        _record_part_demand(gw, job, model, started_at)
     result: Running | Refused | NotSent | Broken = Broken("cancelled")
     try:
         result = await _send_and_wait(gw, job, chosen, model, work, pending_prompt)
@@ -107,6 +110,16 @@
     return PendingPrompt(now, chosen.prefill_s, urgency, model, prompt.part_names)
 
 
+def _record_part_demand(gw: Gateway, job: Job, model: str, now: float) -> None:
+    """Record the engine time that a prompt needs at an engine that holds its shared parts."""
+    prompt = job.req.prompt
+    if prompt is None:
+        return
+    shared_tokens = leading_tokens(prompt.parts, len(prompt.parts) - 1)
+    own_s = gw.prefill_rates.rate_s(model) * max(0, prompt.tokens_in - shared_tokens)
+    gw.part_demand.record(model, shared_part(prompt.parts), own_s, now)
+
+
 async def _send_and_wait(
     gw: Gateway,
     job: Job,
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -15,13 +15,13 @@
 from ramppost.gateway.pools import Candidates
 from ramppost.gateway.send_limits import least_wait_s, within_limits
 from ramppost.gateway.state import Gateway
+from ramppost.policy.homes import home_candidates, home_engines, home_group, shared_part
 from ramppost.policy.placement import (
     EngineView,
     Placement,
     PlacementContext,
     PlainUpstreamView,
     PrefillWork,
-    home_engine,
     leading_tokens,
     rank_engines,
     rank_plain_upstreams,
@@ -34,8 +34,8 @@
 """Latency assumed for a plain upstream that has not responded yet."""
 MAX_QUERIED_ENGINES: Final = 4
 """Maximum number of engines whose backlogs are queried for one prompt: the best by local knowledge
-and the home of its shared parts.  With six, worth was 0.004 to 0.007 lower on three days of a fleet
-of 32 gateways (one run of each), and the cost of datagrams was half as much again."""
+and at most three homes of its shared parts.  With six, worth was 0.004 to 0.007 lower on three days
+of a fleet of 32 gateways (one run of each), and the cost of datagrams was half as much again."""
 TYPICAL_HEAD_BYTES: Final = 700
 """Size of the heads of a request and its response together, measured on streams."""
 TYPICAL_EVENT_BYTES: Final = 80
@@ -102,7 +102,7 @@
     gw: Gateway, job: Job, service_name: str, model: str, now: float
 ) -> list[Upstream]:
     """The engines whose backlogs are queried before a prompt is placed: the best ones by local
-    knowledge, and the home of its shared parts."""
+    knowledge, and homes of its shared parts."""
     suitable = candidates(gw, job, service_name, now)
     prompt = job.req.prompt
     if prompt is None or len(suitable) <= MAX_QUERIED_ENGINES:
@@ -110,12 +110,13 @@
     candidate_list = gw.pools.candidates(service_name, suitable)
     query = _backlog_query(gw, job, model, prompt)
     work = PrefillWork(model, prompt.parts, prompt.tokens_in)
-    context = _placement_context(gw, candidate_list, work)
+    context = _placement_context(gw, candidate_list, work, now)
+    homes = home_candidates(context.homes, gw.rng)
     views = [
         _engine_view(
             gw, candidate_list.by_key[key], gw.backlogs.local_estimate(key, query, now), prompt, now
         )
-        for key in select_candidates(candidate_list.pool, context.hall, context.home, gw.rng)
+        for key in select_candidates(candidate_list.pool, context.hall, homes, gw.rng)
     ]
     best = [
         placement.id
@@ -123,17 +124,21 @@
     ]
     return [
         candidate_list.by_key[key]
-        for key in {context.home, *best[: MAX_QUERIED_ENGINES - 1]} - {""}
+        for key in {*homes, *best[: MAX_QUERIED_ENGINES - max(1, len(homes))]}
     ]
 
 
 def _placement_context(
-    gw: Gateway, candidate_list: Candidates, work: PrefillWork
+    gw: Gateway, candidate_list: Candidates, work: PrefillWork, now: float
 ) -> PlacementContext:
     hall = gw.cfg["hall"]
-    return PlacementContext(
-        hall, home_engine(candidate_list.pool, work, hall), candidate_list.pool.long_prompt_ids
-    )
+    part = shared_part(work.parts)
+    pool = candidate_list.pool
+    group = home_group(pool, hall)
+    gateways = gw.peers.fleet_size if group is pool.all_halls else gw.peers.hall_size(hall)
+    count = gw.part_demand.home_count(part, work.model, now, gateways, len(group.ids))
+    homes = home_engines(group, work.model, part, count)
+    return PlacementContext(hall, homes, pool.long_prompt_ids)
 
 
 def _is_recent(
@@ -257,7 +262,7 @@
 ) -> Selection:
     work = PrefillWork(model, prompt.parts, prompt.tokens_in, _transfer_bytes(job, service, prompt))
     candidate_list = gw.pools.candidates(service.name, suitable)
-    context = _placement_context(gw, candidate_list, work)
+    context = _placement_context(gw, candidate_list, work, now)
     backlogs = _candidate_backlogs(
         gw, job, candidate_list, context, _backlog_query(gw, job, model, prompt), now
     )
@@ -296,7 +301,8 @@
         }
         if queried:
             return queried
-    considered = select_candidates(candidate_list.pool, context.hall, context.home, gw.rng)
+    homes = home_candidates(context.homes, gw.rng)
+    considered = select_candidates(candidate_list.pool, context.hall, homes, gw.rng)
     return {key: gw.backlogs.local_estimate(key, query, now) for key in considered}
 
 
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -36,6 +36,7 @@
 from ramppost.platform.documents import DEFAULT_LIMITS
 from ramppost.platform.headers import AnswerHead
 from ramppost.platform.store import StoreClient
+from ramppost.policy.homes import PartDemand
 from ramppost.policy.limits import SHARED_FRACTION, WindowBudget, slack_per_gateway
 from ramppost.policy.pace import TimingBaseline
 from ramppost.policy.placement import PrefillRates
@@ -105,6 +106,7 @@
         self.upstream_probes = UpstreamProbes(self.connections)
         self.loads = Loads()
         self.prefill_rates = PrefillRates()
+        self.part_demand = PartDemand()
         self.pressure = Pressure()
         self.suspicions: dict[str, UpstreamHealth] = {}
         self.retry_budgets: dict[str, WindowBudget] = {}
--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -2,13 +2,11 @@
 
 Pure.  For an engine, the prediction is the time to first token: the prompts that gateways sent
 there before (`ramppost.policy.backlog`), the requests that run there, and the prefill of the part
-of the request's prompt that the engine has not cached for the model.  Among equal engines, the home
-of the prompt's shared prefix is preferred.  Homes are assigned by rendezvous hashing, so that
-gateways agree on them without communication; a hall with enough engines has its own homes.
+of the request's prompt that the engine has not cached for the model.  Among equal engines, a home
+of the prompt's shared prefix is preferred (`ramppost.policy.homes`).
 
 A prompt with a long prefill delays all other requests on its engine.  Such prompts therefore share
-a fraction of the engines, which are chosen by the same hashing and have a small penalty for other
-prompts.
+a fraction of the engines, which have a small penalty for other prompts.
 
 A gateway evaluates a bounded number of engines, regardless of the pool size (`select_candidates`),
 and computes what depends on the whole pool once for each list of engines (`EnginePool`).
@@ -16,13 +14,11 @@
 
 from __future__ import annotations
 
-import functools
 import math
 import random
-from collections.abc import Mapping
 from typing import Final, NamedTuple
 
-from ramppost.policy.routing import hash_fraction
+from ramppost.policy.homes import EnginePool
 
 RUNNING_REQUEST_DELAY_S: Final = 0.003
 """Predicted delay for each running request of other gateways, which slows each decoding step."""
@@ -36,27 +32,21 @@
 FAILURE_PENALTY_S: Final = 3.0
 """Penalty for a failure rate of 1: longer than any queue, so only failing upstreams rank lower."""
 NOT_HOME_PENALTY_S: Final = 0.1
-"""Penalty for engines other than the home of a prompt's shared prefix: half of the penalty for a
+"""Penalty for engines other than the homes of a prompt's shared prefix: half of the penalty for a
 large request to another hall.  In a fleet of 32 gateways that don't know each other's requests, the
 cost of traffic between halls fell by a quarter with a home in each hall."""
 REPORT_HALF_LIFE_S: Final = 2.0
-MIN_ENGINES_FOR_HALL_HOMES: Final = 4
-"""Number of engines from which a hall has its own homes.  With two, cached prefixes are evicted too
-early: the mean score of two days with faults fell from 0.705 to 0.689 (four seeds of each)."""
 SCORE_JITTER: Final = 0.05
 """Relative noise on scores, so that gateways with the same report choose different engines."""
 LONG_PREFILL_S: Final = 1.2
 """Prefill time from which a prompt counts as long; a typical prompt takes a tenth of it."""
 LONG_PROMPT_ENGINE_PENALTY_S: Final = 0.1
 """Penalty for other prompts on an engine for long ones, because one may be on its way there."""
-ENGINES_PER_LONG_PROMPT_ENGINE: Final = 6
 MAX_CANDIDATES: Final = 24
 """Maximum number of engines evaluated for a prompt.  A gateway's own estimates are rough, so it
 queries the keepers of the best engines; choosing among four of these is as good as among six."""
 MAX_LOCAL_CANDIDATES: Final = 16
 """How many of these are in the gateway's own hall, if it has that many."""
-HOME_CACHE_SIZE: Final = 4096
-"""Cached homes of shared prefixes: several times the number of topics in a day."""
 INITIAL_RATE_S: Final = 1 / 30000
 """Seconds of prefill for each prompt token until the model's rate is known."""
 RATE_STEP: Final = 0.04
@@ -148,54 +138,18 @@
     prefill_s: float
 
 
-class EnginePool(NamedTuple):
-    """Ids of the engines that may take a prompt, in total, by hall, and for long prompts."""
-
-    ids: tuple[str, ...]
-    by_hall: dict[str, tuple[str, ...]]
-    long_prompt_ids: frozenset[str]
-
-
-def build_pool(halls: Mapping[str, str]) -> EnginePool:
-    """Build a pool from the hall of each engine id.
-
-    >>> build_pool({"a": "here", "b": "there"}).by_hall
-    {'here': ('a',), 'there': ('b',)}
-    """
-    id_lists: dict[str, list[str]] = {}
-    for id, hall in halls.items():
-        id_lists.setdefault(hall, []).append(id)
-    by_hall = {hall: tuple(ids) for hall, ids in id_lists.items()}
-    return EnginePool(tuple(halls), by_hall, long_prompt_engines(tuple(halls)))
-
-
-def home_engine(pool: EnginePool, work: PrefillWork, hall: str) -> str:
-    """The home of a prompt's shared prefix, or "" if it has none.
-
-    It is in the given hall if that has enough engines, else one home serves all halls.
-    """
-    shared = work.parts[:-1]
-    if not shared:
-        return ""
-    local_ids = pool.by_hall.get(hall, ())
-    ids = local_ids if len(local_ids) >= MIN_ENGINES_FOR_HALL_HOMES else pool.ids
-    return _hashed_home(ids, work.model, shared[-1][0])
-
-
-@functools.lru_cache(maxsize=HOME_CACHE_SIZE)
-def _hashed_home(ids: tuple[str, ...], model: str, part: str) -> str:
-    return min(ids, key=lambda id: hash_fraction("home", model, part, id), default="")
-
-
-def select_candidates(pool: EnginePool, hall: str, home: str, rng: random.Random) -> set[str]:
+def select_candidates(
+    pool: EnginePool, hall: str, homes: tuple[str, ...], rng: random.Random
+) -> set[str]:
     """Ids of the engines to evaluate for a prompt.
 
-    A small pool is evaluated whole; otherwise the home, random engines of the gateway's hall, and
-    random engines of any hall.  Evaluating 600 engines took 22 ms of CPU time for each request,
+    A small pool is evaluated whole; otherwise the homes, random engines of the gateway's hall,
+    and random engines of any hall.  Evaluating 600 engines took 22 ms of CPU time for each request,
     fifteen times as long as 40.
 
+    >>> from ramppost.policy.homes import build_pool
     >>> pool = build_pool({f"e{n}": "here" if n % 2 else "there" for n in range(100)})
-    >>> candidates = select_candidates(pool, "here", "e0", random.Random(1))
+    >>> candidates = select_candidates(pool, "here", ("e0",), random.Random(1))
     >>> len(candidates), "e0" in candidates
     (24, True)
     >>> sum(int(id[1:]) % 2 for id in candidates) >= MAX_LOCAL_CANDIDATES
@@ -204,9 +158,7 @@
     if len(pool.ids) <= MAX_CANDIDATES:
         return set(pool.ids)
     local_ids = pool.by_hall.get(hall, ())
-    candidates = {home} - {""} | set(
-        rng.sample(local_ids, min(MAX_LOCAL_CANDIDATES, len(local_ids)))
-    )
+    candidates = set(homes) | set(rng.sample(local_ids, min(MAX_LOCAL_CANDIDATES, len(local_ids))))
     while len(candidates) < MAX_CANDIDATES:
         candidates.add(rng.choice(pool.ids))
     return candidates
@@ -221,17 +173,11 @@
     return sum(tokens for _, tokens in parts[:count])
 
 
-def long_prompt_engines(ids: tuple[str, ...]) -> frozenset[str]:
-    """The engines for long prompts; empty if the pool is too small."""
-    count = len(ids) // ENGINES_PER_LONG_PROMPT_ENGINE
-    return frozenset(sorted(ids, key=lambda name: hash_fraction("long", name))[:count])
-
-
 class PlacementContext(NamedTuple):
-    """The gateway's hall, the home of a prompt's shared prefix, and the long prompt engines."""
+    """The gateway's hall, the homes of a prompt's shared prefix, and the long prompt engines."""
 
     hall: str
-    home: str
+    homes: tuple[str, ...]
     long_prompt_ids: frozenset[str]
 
 
@@ -244,7 +190,7 @@
     rng: random.Random,
 ) -> list[Placement]:
     """Rank engines by predicted time to first token plus penalties, best first."""
-    hall, home, long_prompt_ids = context
+    hall, homes, long_prompt_ids = context
     rate_s = rates.rate_s(work.model)
 
     def place(engine: EngineView) -> Placement:
@@ -272,7 +218,7 @@
             if engine.hall == hall
             else CROSS_HALL_PENALTY_S + CROSS_HALL_BYTE_PENALTY_S * work.size
         )
-        cost_s += 0.0 if engine.id == home else NOT_HOME_PENALTY_S
+        cost_s += 0.0 if engine.id in homes else NOT_HOME_PENALTY_S
         return cost_s * rng.uniform(1 - SCORE_JITTER, 1 + SCORE_JITTER)
 
     return sorted((place(engine) for engine in engines), key=score_s)
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -151,6 +151,10 @@
         list has been read."""
         return len(self.addrs) + 1 if self.listed or self.addrs else 0
 
+    def hall_size(self, hall: str) -> int:
+        """Number of known gateways in a data hall."""
+        return tuple(self.halls.values()).count(hall)
+
     def mark_stopping(self, name: str, back_at: float) -> None:
         """Record that a gateway is stopping and expects to have restarted at `back_at`."""
         self._back_at[name] = back_at
--- a/tests/harness/replay.py
+++ b/tests/harness/replay.py
@@ -18,13 +18,12 @@
 from typing import Final, NamedTuple
 
 from ramppost.policy.backlog import Backlog, PendingPrompt
+from ramppost.policy.homes import build_pool, home_engines, home_group, shared_part
 from ramppost.policy.placement import (
     EngineView,
     PlacementContext,
     PrefillRates,
     PrefillWork,
-    build_pool,
-    home_engine,
     leading_tokens,
     rank_engines,
 )
@@ -123,8 +122,9 @@
             ahead_s = backlog.ahead_s(level, now)
             views.append(EngineView(engine.name, engine.hall, ahead_s, kept_tokens, 0, 0, now, 0))
         pool = build_pool({view.id: view.hall for view in views})
-        home = home_engine(pool, prompt.work, prompt.hall)
-        around = PlacementContext(prompt.hall, home, pool.long_prompt_ids)
+        group = home_group(pool, prompt.hall)
+        homes = home_engines(group, prompt.work.model, shared_part(prompt.work.parts))
+        around = PlacementContext(prompt.hall, homes, pool.long_prompt_ids)
         best = rank_engines(views, prompt.work, self.rates, around, now, self.rng)[0]
         chosen = next(e for e in self.engines if e.name == best.id)
         prompt.key = f"{next(self.numbers)}"
--- a/tests/test_choice_size.py
+++ b/tests/test_choice_size.py
@@ -18,9 +18,10 @@
 from ramppost import clock
 from ramppost.gateway.pick import MAX_QUERIED_ENGINES, engines_to_query, pick
 from ramppost.gateway.state import Gateway
-from ramppost.policy import placement
+from ramppost.policy import homes
 from ramppost.policy.backlog import PendingPrompt
-from ramppost.policy.placement import MAX_CANDIDATES, build_pool, home_engine, select_candidates
+from ramppost.policy.homes import build_pool, home_engines, home_group, shared_part
+from ramppost.policy.placement import MAX_CANDIDATES, select_candidates
 
 MODEL = "small"
 
@@ -28,7 +29,7 @@
 def count_lookups(engines: int, monkeypatch: pytest.MonkeyPatch) -> Counter[str]:
     """Counts the backlog lookups and hash computations of the second hundred requests."""
     gw, rng, seen = fleet(engines, 20), random.Random(2), Counter[str]()
-    local_estimate, hash_fraction = gw.backlogs.local_estimate, placement.hash_fraction
+    local_estimate, hash_fraction = gw.backlogs.local_estimate, homes.hash_fraction
 
     def count_local_estimate(*args: Any) -> Any:
         seen["known"] += 1
@@ -39,7 +40,7 @@
         return hash_fraction(*parts)
 
     monkeypatch.setattr(gw.backlogs, "local_estimate", count_local_estimate)
-    monkeypatch.setattr(placement, "hash_fraction", count_hash_fraction)
+    monkeypatch.setattr(homes, "hash_fraction", count_hash_fraction)
     for number in range(200):
         if number == 100:
             seen.clear()
@@ -73,9 +74,9 @@
         assert prompt is not None
         usable = gw.members.usable("lm", clock.now())
         pool = build_pool({up.key: up.hall for up in usable})
-        work = placement.PrefillWork(MODEL, prompt.parts, prompt.tokens_in)
-        home = home_engine(pool, work, gw.cfg["hall"])
-        assert home in select_candidates(pool, gw.cfg["hall"], home, rng)
+        group = home_group(pool, gw.cfg["hall"])
+        (home,) = home_engines(group, MODEL, shared_part(prompt.parts))
+        assert home in select_candidates(pool, gw.cfg["hall"], (home,), rng)
         queried = [up.key for up in engines_to_query(gw, job, "lm", MODEL, clock.now())]
         assert home in queried
         assert len(queried) <= MAX_QUERIED_ENGINES
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,15 +6,19 @@
 
 import pytest
 
-from ramppost.policy.placement import (
+from ramppost.policy.homes import (
     EnginePool,
+    build_pool,
+    home_engines,
+    home_group,
+    shared_part,
+)
+from ramppost.policy.placement import (
     EngineView,
     PlacementContext,
     PlainUpstreamView,
     PrefillRates,
     PrefillWork,
-    build_pool,
-    home_engine,
     rank_engines,
     rank_plain_upstreams,
 )
@@ -34,7 +38,7 @@
 def order(engines: list[EngineView], work: PrefillWork = WORK) -> list[str]:
     """Ids of engines as they are ranked for a prompt, seen from one hall."""
     among = pool(engines)
-    around = PlacementContext("here", home_engine(among, work, "here"), among.long_prompt_ids)
+    around = PlacementContext("here", homes_of(among, work, "here"), among.long_prompt_ids)
     found = rank_engines(engines, work, PrefillRates(), around, NOW, RNG)
     return [placed.id for placed in found]
 
@@ -43,6 +47,15 @@
     return build_pool({engine.id: engine.hall for engine in engines})
 
 
+def homes_of(among: EnginePool, work: PrefillWork, hall: str) -> tuple[str, ...]:
+    return home_engines(home_group(among, hall), work.model, shared_part(work.parts))
+
+
+def home_engine(among: EnginePool, work: PrefillWork, hall: str) -> str:
+    """The only home of a part without much demand; "" if there is no engine."""
+    return next(iter(homes_of(among, work, hall)), "")
+
+
 RNG = random.Random(1)
 
 
