Don't let an engine whose decoding speed is not known attract all streams

Engines without it are now given the median of the others. A fast engine had no samples of its prefill any more, because the smallest sample was measured by its present factor; it is measured at the pool's rate.

--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -19,7 +19,7 @@
 from typing import Final, NamedTuple
 
 from ramppost.policy.homes import EnginePool
-from ramppost.policy.speed import UNKNOWN_SPEED, SpeedFigures
+from ramppost.policy.speed import UNKNOWN_SPEED, SpeedFigures, typical_token_s
 
 RUNNING_REQUEST_DELAY_S: Final = 0.003
 """Predicted delay for each running request of other gateways, which slows each decoding step."""
@@ -228,6 +228,7 @@
             read_tokens,
         )
 
+    token_s = typical_token_s([engine.speed for engine in engines])
     views_by_id = {engine.id: engine for engine in engines}
 
     def score_s(placement: Placement) -> float:
@@ -242,7 +243,9 @@
             if engine.hall == hall
             else CROSS_HALL_PENALTY_S + CROSS_HALL_BYTE_PENALTY_S * work.size
         )
-        cost_s += _streams_cost_s(engine.speed, work, placement) if uneven else 0.0
+        if uneven:
+            # An engine without finished streams would attract all others until one finishes.
+            cost_s += _streams_cost_s(engine.speed.or_typical(token_s), work, placement)
         cost_s += 0.0 if engine.id in homes else NOT_HOME_PENALTY_S
         return cost_s * rng.uniform(1 - SCORE_JITTER, 1 + SCORE_JITTER)
 
--- a/ramppost/policy/speed.py
+++ b/ramppost/policy/speed.py
@@ -27,7 +27,8 @@
 from ramppost.bounded import drop_oldest
 
 MIN_PREFILL_S: Final = 0.04
-"""Predicted prefill time from which a prompt is a sample; the transit of shorter ones dominates."""
+"""Prefill time at the pool's rate from which a prompt is a sample; the transit of shorter ones
+dominates."""
 MIN_STREAM_TOKENS: Final = 20
 PREFILL_STEP: Final = 0.06
 MIN_SAMPLES: Final = 4
@@ -66,6 +67,17 @@
         """The factor of predicted prefill times."""
         return self.prefill or 1.0
 
+    @property
+    def single_token_s(self) -> float:
+        """The time between two tokens of a stream that runs alone; 0 if not known."""
+        return self.token_s / _slowdown(self.running)
+
+    def or_typical(self, single_token_s: float) -> SpeedFigures:
+        """The same with a typical decoding time if that of the engine is not known."""
+        if self.token_s:
+            return self
+        return self._replace(token_s=single_token_s * _slowdown(self.running))
+
 
 UNKNOWN_SPEED: Final = SpeedFigures()
 
@@ -99,7 +111,8 @@
         >>> 0.45 < speed.figures(0.0).prefill < 0.55
         True
         """
-        if predicted_s < MIN_PREFILL_S:
+        # By the present factor, a fast engine would have no samples any more.
+        if predicted_s / self._prefill < MIN_PREFILL_S:
             return
         self._prefill_samples += 1
         step = 1.0 + max(PREFILL_STEP, 1.0 / (2 + self._prefill_samples))
@@ -141,6 +154,16 @@
     return 1.0 + SLOWDOWN_PER_STREAM * beside
 
 
+def typical_token_s(figures: Collection[SpeedFigures]) -> float:
+    """The median decoding time per token of a single stream among the engines where it is known.
+
+    >>> typical_token_s([SpeedFigures(0, 1.0, 0.004), SpeedFigures(), SpeedFigures(0, 1.0, 0.006)])
+    0.006
+    """
+    known = sorted(engine.single_token_s for engine in figures if engine.token_s)
+    return known[len(known) // 2] if known else 0.0
+
+
 def is_uneven(figures: Collection[SpeedFigures]) -> bool:
     """Whether the engines of a pool differ in speed beyond the error of the estimates.
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -178,3 +178,15 @@
     context = PlacementContext("here", ("b",), frozenset(), uneven)
     work = WORK._replace(tokens_out=300)
     assert rank_engines(engines, work, PrefillRates(), context, NOW, RNG)[0].id == first
+
+
+def test_engine_whose_decoding_time_was_not_known_attracted_every_stream() -> None:
+    engines = [
+        engine("a", speed=FAST),
+        engine("b", speed=SpeedFigures(20)),
+        engine("c", speed=FAST),
+    ]
+    context = PlacementContext("here", (), frozenset(), True)
+    work = WORK._replace(tokens_out=300)
+    ranked = rank_engines(engines, work, PrefillRates(), context, NOW, RNG)
+    assert ranked[-1].id == "b"
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -22,6 +22,13 @@
     assert sum(found[100:]) / 300 == pytest.approx(factor, rel=0.15)
 
 
+def test_fast_engine_had_no_samples_any_more() -> None:
+    speed = EngineSpeed()
+    for took_s in [0.02] * 60 + [0.08] * 120:
+        speed.record_prefill(0.06 * speed.figures(0.0).prefill_factor, took_s)
+    assert speed.figures(0.0).prefill == pytest.approx(0.08 / 0.06, rel=0.1)
+
+
 def test_engine_was_taken_for_slow_because_many_streams_ran_there() -> None:
     alone, busy = EngineSpeed(), EngineSpeed()
     for number in range(12):
