Count shared prompt tokens that are read again although another engine was told to hold them

Cause: nothing showed whether the homes of a part suffice or its prompts overflow to engines that read it again.

Change: metric ramppost_shared_tokens_reread_total, counted when an attempt's response head has arrived, from the backlogs that were queried for its prompt. The comment says where it is an estimate.

tests/test_homes.py: the test of bounded memory and the test of queries ask for the number of homes after each prompt, as a gateway does; their assertions are the same.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -231,6 +231,23 @@
     gw.prefill_rates.observe(model, processed_tokens, max(0.0, first_s - predicted_queue_s))
 
 
+def _reread_tokens(job: Job, chosen: Selection, model: str) -> int:
+    """Tokens of a prompt's shared parts that were prefilled although another engine held them.
+
+    An engine holds a part if its keeper was told of a prompt with the part within the last seconds
+    (`ramppost.policy.backlog`).  The count is an estimate in two respects: it is too low where only
+    engines that were not queried for this prompt hold the part, and too high where an engine has
+    evicted the part early or a notification about it was lost.
+    """
+    snapshot = job.backlog_snapshot
+    prompt = job.req.prompt
+    if snapshot is None or snapshot.model != model or prompt is None:
+        return 0
+    shared_parts = prompt.parts[:-1]
+    held = max((known.cached_parts for known in snapshot.backlogs.values()), default=0)
+    return max(0, leading_tokens(shared_parts, held) - chosen.kept_tokens)
+
+
 def _record_outcome(
     gw: Gateway,
     job: Job,
@@ -246,6 +263,9 @@
         failed = result.head.status >= 500
         if result.head.status < 500 and job.req.prompt is not None:
             _record_prefill(gw, chosen, model, result.first_s)
+            reread_tokens = _reread_tokens(job, chosen, model)
+            if reread_tokens:
+                gw.metrics.count("ramppost_shared_tokens_reread_total", by=reread_tokens)
         if chosen.service.engine is None:
             gw.suspicion_of(chosen.upstream.key).record_latency(took_s, now)
     elif isinstance(result, Refused):
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -8,8 +8,12 @@
 
 from bench.choosing import fleet, job_of
 from ramppost import clock
-from ramppost.gateway.pick import MAX_QUERIED_ENGINES, engines_to_query
+from ramppost.gateway.attempt import Refused, Running, _record_outcome
+from ramppost.gateway.backlogs import BacklogEstimate
+from ramppost.gateway.job import BacklogSnapshot
+from ramppost.gateway.pick import MAX_QUERIED_ENGINES, engines_to_query, pick
 from ramppost.gateway.pools import WEIGHTS_VALID_S, Pools
+from ramppost.platform.headers import AnswerHead
 from ramppost.policy.homes import (
     MAX_DEMAND_PARTS,
     PartDemand,
@@ -124,8 +128,9 @@
     for n in range(3 * MAX_DEMAND_PARTS):
         demand.record("m", f"p{n}", 0.1, n / 100)
         demand.record("m", "hot", 0.1, n / 100)
+        homes = demand.home_count("hot", "m", n / 100, 4, 600)
     assert len(demand._parts) == MAX_DEMAND_PARTS
-    assert demand.home_count("hot", "m", 3 * MAX_DEMAND_PARTS / 100, 4, 600) > 10
+    assert homes > 10
 
 
 @pytest.mark.parametrize("engines", [6, 40, 600])
@@ -138,6 +143,7 @@
     part, now = shared_part(prompt.parts), clock.now()
     for _ in range(200):
         gw.part_demand.record("small", part, 0.4, now)
+        gw.part_demand.home_count(part, "small", now, 4, 600)
     pool = build_pool({up.key: up.hall for up in gw.members.usable("lm", now)})
     group = home_group(pool, gw.cfg["hall"])
     homes = home_engines(group, "small", part, max(1, len(group.ids) // 8))
@@ -153,3 +159,29 @@
         assert set(homes[:2]) <= set(queried)
         seen.update(evaluated)
     assert seen == set(homes)
+
+
+def test_only_tokens_that_another_engine_holds_count_as_read_again() -> None:
+    """The metric must not count the first reading of a part, nor a prompt that did not run."""
+    gw, model = fleet(6, 4), "small"
+    job = job_of(gw, random.Random(4))
+    chosen = pick(gw, job, "lm", model, clock.now())
+    assert chosen is not None
+    other = next(up for up in gw.members.usable("lm", 0.0) if up != chosen.upstream)
+    held = {"nothing": 0, "first part": 1, "both shared parts": 2, "whole prompt": 3}
+    expected = {"nothing": 0, "first part": 500, "both shared parts": 5300, "whole prompt": 5300}
+    head = AnswerHead(200, (), "", True, False, False, None, None, None, None, None)
+    running = Running(chosen, model, None, head, gw.loads.in_flight("e"), 0.0, 0.1)  # type: ignore[arg-type]
+    for name, parts in held.items():
+        estimates = {other.key: BacklogEstimate(0.0, parts, True)}
+        job.backlog_snapshot = BacklogSnapshot(model, estimates, clock.now())
+        gw.metrics.counters.clear()
+        _record_outcome(gw, job, chosen, model, Refused(429, 0.0), 0.1)
+        assert ("ramppost_shared_tokens_reread_total", ()) not in gw.metrics.counters
+        _record_outcome(gw, job, chosen, model, running, 0.1)
+        counted = gw.metrics.counters.get(("ramppost_shared_tokens_reread_total", ()), 0)
+        assert counted == expected[name], name
+    kept = chosen._replace(kept_tokens=5300)
+    gw.metrics.counters.clear()
+    _record_outcome(gw, job, kept, model, running._replace(chosen=kept), 0.1)
+    assert ("ramppost_shared_tokens_reread_total", ()) not in gw.metrics.counters
