--- a/ramppost/policy/homes.py
+++ b/ramppost/policy/homes.py
@@ -202,15 +202,19 @@
 
 
 class _Demand:
-    """Decayed sums of the prompts of a part at the time `at`, and its current number of homes."""
+    """Decayed sums of the prompts of a part at the time `at`, and its current number of homes.
 
-    __slots__ = ("at", "homes", "prefill_s", "samples")
+    `may_add` tells whether a prompt was recorded since a home was added last.
+    """
+
+    __slots__ = ("at", "homes", "may_add", "prefill_s", "samples")
 
     def __init__(self, at: float) -> None:
         self.at = at
         self.prefill_s = 0.0
         self.samples = 0.0
         self.homes = 1
+        self.may_add = False
 
 
 class PartDemand:
@@ -218,7 +222,8 @@
 
     The estimate is the demand at this gateway times the number of gateways.  A home is added or
     removed only if the demand is beyond the threshold by more than its standard error, as the
-    prompts of a single gateway are few in a large fleet.
+    prompts of a single gateway are few in a large fleet.  For the same reason, at most one home is
+    added for each recorded prompt.
     """
 
     def __init__(self) -> None:
@@ -236,6 +241,7 @@
         demand.prefill_s = demand.prefill_s * decay + prefill_s
         demand.samples = demand.samples * decay + 1
         demand.at = now
+        demand.may_add = True
         self._parts[model, part] = demand
         drop_oldest(self._parts, MAX_DEMAND_PARTS)
 
@@ -245,8 +251,10 @@
         >>> demand = PartDemand()
         >>> demand.home_count("p", "m", 0.0, 4, 40)
         1
-        >>> for n in range(40): demand.record("m", "p", 0.1, n / 10)
-        >>> demand.home_count("p", "m", 4.0, 4, 40), demand.home_count("p", "m", 30.0, 4, 40)
+        >>> for n in range(40):
+        ...     demand.record("m", "p", 0.1, n / 10)
+        ...     count = demand.home_count("p", "m", n / 10, 4, 40)
+        >>> count, demand.home_count("p", "m", 30.0, 4, 40)
         (4, 1)
         """
         demand = self._parts.get((model, part))
@@ -260,8 +268,10 @@
         least = engines_needed * (1 - relative_error) if samples >= MIN_SAMPLES else 0.0
         most = engines_needed * (1 + relative_error)
         max_homes = max(1, engines // ENGINES_PER_HOME)
-        while demand.homes < max_homes and least > ADD_HOME_DEMAND * demand.homes:
+        more_needed = demand.homes < max_homes and least > ADD_HOME_DEMAND * demand.homes
+        if more_needed and demand.may_add:
             demand.homes += 1
+            demand.may_add = False
         while demand.homes > 1 and most < REMOVE_HOME_DEMAND * (demand.homes - 1):
             demand.homes -= 1
         return min(demand.homes, max_homes)
