--- a/ramppost/policy/backlog.py
+++ b/ramppost/policy/backlog.py
@@ -19,6 +19,7 @@
 from typing import Final, NamedTuple
 
 from ramppost.bounded import drop_oldest
+from ramppost.policy.use import RecentUse
 
 OVERDUE_SHARE: Final = 0.2
 """Share of the predicted prefill time that an overdue prompt is assumed to need still: inaccurate
@@ -46,6 +47,8 @@
     level: int
     model: str
     parts: tuple[str, ...]
+    workspace: str = ""
+    """The workspace that sent it, empty for a request without one."""
 
 
 class Backlog:
@@ -57,6 +60,8 @@
         """When the engine started the prefill of the first pending prompt."""
         self._cached_at: dict[tuple[str, str], float] = {}
         """When each part was last processed, by model and part name."""
+        self.use = RecentUse()
+        """What workspaces have sent to the engine lately."""
 
     def add(self, key: str, prompt: PendingPrompt) -> None:
         """Add a prompt that is being sent.
@@ -66,6 +71,7 @@
         if not self._pending:
             self._head_started_at = prompt.sent_at
         self._pending[key] = prompt
+        self.use.record(prompt.workspace, prompt.read_s, prompt.sent_at)
         drop_oldest(self._pending, MAX_PENDING)
 
     def record_first_token(self, key: str, now: float) -> None:
