Refuse requests that engines have no room for before they are sent to any

Cause: callers waited until their deadline for engines that could not serve them in time, and a greedy workspace was admitted like the others.

Change: senders name the workspace of a prompt, keepers reply with the highest uses where a wait is above 0.1 s, and `gateway/room.py` asks `policy/fair_admission.py` after the query of backlogs, once for each request and before its first attempt. Requests that were sent, and resumed streams, are never refused. A few requests of a starving class are sent as the most urgent (`Job.raised`).

Run: test_gateway_room, test_gateway_backlogs, test_backlog, test_fair_admission, test_regions, test_settings, test_docs, test_gateway, test_gateway_policies, test_relief, test_metrics and the doctests of policy and gateway.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -104,7 +104,8 @@
     if chosen.service.engine is None or prompt is None:
         return None
     urgency = prompt_urgency(gw, job, chosen.prefill_s)
-    return PendingPrompt(now, chosen.prefill_s, urgency, model, prompt.part_names)
+    workspace = job.workspace.name if job.workspace is not None else ""
+    return PendingPrompt(now, chosen.prefill_s, urgency, model, prompt.part_names, workspace)
 
 
 async def _send_and_wait(
--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
 
 import curio
@@ -29,7 +30,16 @@
 from ramppost.policy.keepers import keeper_of
 from ramppost.policy.placement import PrefillRates
 from ramppost.policy.relays import Peers
-from ramppost.schema.messages import BacklogAsk, BacklogOver, BacklogSent, BacklogView, PeerDatagram
+from ramppost.policy.room import BUSY_WAIT_S
+from ramppost.policy.use import highest_use
+from ramppost.schema.messages import (
+    BacklogAsk,
+    BacklogOver,
+    BacklogSent,
+    BacklogView,
+    PeerDatagram,
+    WorkspaceUse,
+)
 
 ASK_TIMEOUT_S: Final = 0.05
 """A datagram may queue for 30 ms behind a long prompt on a 5 Mbit/s link.  This timeout is a
@@ -69,12 +79,22 @@
     parts: tuple[str, ...]
 
 
+UseObserver = Callable[[str, int, Mapping[str, float], float], None]
+"""Receives a service, a number of its engines, the prefill seconds that each workspace has recently
+sent to these, and the time."""
+
+
+def _ignore_use(service: str, engines: int, by_workspace: Mapping[str, float], now: float) -> None:
+    """Used where no admission control observes the use of engines."""
+
+
 class _PendingQuery:
     """A query in progress: engines whose keepers have not answered, by query id, and estimates."""
 
-    def __init__(self, engines: dict[int, list[str]], model: str) -> None:
+    def __init__(self, engines: dict[int, list[str]], model: str, service: str) -> None:
         self.engines = engines
         self.model = model
+        self.service = service
         self.estimates: dict[str, BacklogEstimate] = {}
         self.all_answered = curio.Event()
 
@@ -104,6 +124,8 @@
         self._keepers_valid_for: tuple[int, frozenset[str]] = (-1, frozenset())
         self._pending: dict[int, _PendingQuery] = {}
         self._ids = itertools.count(1)
+        self.observe_use: UseObserver = _ignore_use
+        """Called with what workspaces have sent to engines, by the keepers that are asked."""
 
     # --- queries and notifications by this gateway
 
@@ -118,9 +140,13 @@
                 estimates[engine.key] = estimates[engine.key]._replace(complete=True)
             elif keeper:
                 by_keeper.setdefault(keeper, []).append(engine.key)
+        kept = {key: estimate for key, estimate in estimates.items() if estimate.complete}
+        if kept and max(estimate.ahead_s for estimate in kept.values()) > BUSY_WAIT_S:
+            self.observe_use(engines[0].service, len(kept), self._use_of(kept, now), now)
         if not by_keeper:
             return estimates
-        for name, reported in (await self._ask_keepers(by_keeper, query)).items():
+        service = engines[0].service
+        for name, reported in (await self._ask_keepers(by_keeper, query, service)).items():
             own = estimates[name]
             estimates[name] = BacklogEstimate(
                 max(own.ahead_s, reported.ahead_s),
@@ -147,6 +173,7 @@
             level=prompt.level,
             model=prompt.model,
             parts=list(prompt.parts),
+            workspace=prompt.workspace,
         )
         self._notify_keeper(engine, PeerDatagram(sent=note))
 
@@ -180,11 +207,11 @@
         return keeper
 
     async def _ask_keepers(
-        self, by_keeper: dict[str, list[str]], query: BacklogQuery
+        self, by_keeper: dict[str, list[str]], query: BacklogQuery, service: str
     ) -> dict[str, BacklogEstimate]:
         ids = {next(self._ids): keeper for keeper in by_keeper}
         engines = {query_id: by_keeper[keeper] for query_id, keeper in ids.items()}
-        pending = _PendingQuery(engines, query.model)
+        pending = _PendingQuery(engines, query.model, service)
         for query_id, keeper in ids.items():
             self._pending[query_id] = pending
             ask = BacklogAsk(
@@ -240,12 +267,23 @@
         now = clock.now()
         query = BacklogQuery(ask["level"], ask["model"], tuple(ask["parts"]))
         estimates = [self.local_estimate(engine, query, now) for engine in ask["engines"]]
-        return BacklogView(
+        view = BacklogView(
             id=ask["id"],
             ahead_ms=[round(estimate.ahead_s * 1000) for estimate in estimates],
             kept=[estimate.cached_parts for estimate in estimates],
             token_ns=round(self._rates.own_rate_s(ask["model"]) * 1e9),
         )
+        if any(estimate.ahead_s > BUSY_WAIT_S for estimate in estimates):
+            view["use"] = [
+                WorkspaceUse(workspace=name, read_ms=round(read_s * 1000))
+                for name, read_s in self._use_of(ask["engines"], now).items()
+            ]
+        return view
+
+    def _use_of(self, engines: Iterable[str], now: float) -> dict[str, float]:
+        """Prefill seconds that workspaces have recently sent to engines, the highest alone."""
+        kept = [self._backlogs[engine] for engine in engines if engine in self._backlogs]
+        return dict(highest_use(backlog.use.by_workspace(now) for backlog in kept))
 
     async def _handle_view(self, view: BacklogView) -> None:
         pending = self._pending.get(view["id"])
@@ -254,6 +292,9 @@
             return
         for engine, ahead_ms, cached in zip(engines, view["ahead_ms"], view["kept"], strict=False):
             pending.estimates[engine] = BacklogEstimate(ahead_ms / 1000, cached, True)
+        if "use" in view:
+            use = {entry["workspace"]: entry["read_ms"] / 1000 for entry in view["use"]}
+            self.observe_use(pending.service, len(engines), use, clock.now())
         self._rates.accept_peer_rate(pending.model, view["token_ns"] / 1e9)
         if not pending.engines:
             await pending.all_answered.set()
@@ -267,6 +308,7 @@
             note["level"],
             note["model"],
             tuple(note["parts"]),
+            note.get("workspace", ""),
         )
         self._backlog(note["engine"]).add(note["key"], prompt)
 
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -39,6 +39,11 @@
         self.tried_upstreams: set[str] = set()
         self.backlog_snapshot: BacklogSnapshot | None = None
         """The last query of the engines that may run the request."""
+        self.admission_decided = False
+        """Whether admission control has admitted it."""
+        self.raised = False
+        """Whether admission control has admitted it as one of the most urgent, so that its class
+        does not starve."""
         self.failed_versions: set[str] = set()
         """Versions of upstreams that returned an error status that was retried."""
         self.policy = ""
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -28,7 +28,7 @@
     select_candidates,
 )
 from ramppost.policy.routing import hash_fraction
-from ramppost.policy.urgency import urgency_level
+from ramppost.policy.urgency import MOST_URGENT_LEVEL, urgency_level
 
 DEFAULT_PLAIN_LATENCY_S: Final = 0.03
 """Latency assumed for a plain upstream that has not responded yet."""
@@ -230,6 +230,8 @@
 
 def prompt_urgency(gw: Gateway, job: Job, prefill_s: float) -> int:
     """The urgency level of a prompt that takes `prefill_s` seconds to read."""
+    if job.raised:
+        return MOST_URGENT_LEVEL
     workspace_rank = job.workspace.priority if job.workspace is not None else 0
     return urgency_level(workspace_rank, job.route.priority, prefill_s)
 
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -26,6 +26,7 @@
 from ramppost.gateway.model import CallerRequest
 from ramppost.gateway.pick import any_send_wait_s, pick, query_backlogs, select_service, send_wait_s
 from ramppost.gateway.rollout_duty import evaluate_answer
+from ramppost.gateway.room import refusal_without_room
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers, refusal_headers
 from ramppost.policy.fatal import ObservedRun, evidence_level
@@ -129,6 +130,9 @@
         now = clock.now()
         if job.workspace is not None and not gw.freshness.may_start(now):
             return _final_refusal(job, stale_refusal())
+        no_room = refusal_without_room(gw, job, service, model, now)
+        if no_room is not None:
+            return no_room
         chosen = pick(gw, job, service, model, now)
         wait_s = send_wait_s(gw, job, service, now) if chosen is None else None
         if wait_s:
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -32,6 +32,7 @@
 from ramppost.gateway.store_returns import StoreReturns
 from ramppost.gateway.unreadable import UnreadableEntries
 from ramppost.gateway.warmup import WarmUps
+from ramppost.gateway.workspace_ranks import WorkspaceRanks
 from ramppost.platform import names
 from ramppost.platform.documents import DEFAULT_LIMITS
 from ramppost.platform.headers import AnswerHead
@@ -42,6 +43,7 @@
 from ramppost.policy.position import NOTHING_KNOWN
 from ramppost.policy.pressure import Pressure
 from ramppost.policy.relays import Peers, start_hold_s
+from ramppost.policy.room import Room
 from ramppost.policy.suspicion import UpstreamHealth
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.client import Pool
@@ -115,6 +117,11 @@
         self.backlogs = Backlogs(
             cfg["name"], self.peers, self.prefill_rates, self.datagrams, self.metrics
         )
+        self.room = Room()
+        self.backlogs.observe_use = self.room.observe_use
+        self.workspace_ranks = WorkspaceRanks()
+        self.refused_workspaces: set[str] = set()
+        """Workspaces with refusals that are counted under their own name."""
         self.limit_news = LimitNews(self.peers, self.datagrams, self.rate_limits)
         self.fatal = FatalRequests(self.peers, self.datagrams, self.metrics)
         self.counts = Counts()
--- a/ramppost/policy/urgency.py
+++ b/ramppost/policy/urgency.py
@@ -17,6 +17,7 @@
 from typing import Final
 
 LEVELS_PER_WORKSPACE: Final = 3
+MOST_URGENT_LEVEL: Final = 0
 LOWEST_LEVEL: Final = 9
 """Engines accept levels 0 to 9."""
 SHORT_READ_S: Final = 0.2
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -361,6 +361,21 @@
     """
 
 
+class AdmissionSettings(TypedDict, closed=True):
+    """
+    Admission control while engines are short.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether requests are refused while engines are short.
+    """
+    weights: NotRequired[dict[str, float]]
+    """
+    Weights by name of workspace, for the shares of workspaces of the same rank; 1 for one that is not listed.
+    """
+
+
 class GatewaySettings(TypedDict, closed=True):
     """
     Settings of `ramppost gateway`.
@@ -422,6 +437,10 @@
     """
     How much a bad version may be given.
     """
+    admission: NotRequired[AdmissionSettings]
+    """
+    Refusals while engines are short.
+    """
     log: Log
     """
     Logging.
