--- a/ramppost/policy/fair_admission.py
+++ b/ramppost/policy/fair_admission.py
@@ -50,6 +50,9 @@
 share is refused as many as possible."""
 MIN_ADMITTED: Final = 0.05
 """Least fraction of a workspace's requests that is admitted, so that none starves."""
+RAISED_RATIO: Final = 0.07
+"""Fraction of the requests of a starving class that is sent as most urgent.  A twentieth must be
+served, and some are sent before it shows that the class starves."""
 TURN_S: Final = 60.0
 """Time in which each request has a turn.  Callers return within seconds, so only a tenth of those
 refused do so in their turn; these must fit into the share."""
@@ -266,7 +269,7 @@
     """Whether a request is among the few that are served although more urgent ones take all
     engines.  Repeating it does not change that until the next turn."""
     turn = str(int(time_of_day // TURN_S))
-    return hash_fraction("raised", request.fingerprint, turn) < MIN_ADMITTED
+    return hash_fraction("raised", request.fingerprint, turn) < RAISED_RATIO
 
 
 def _drained_after_s(excess_s: float, rng: random.Random) -> float:
--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from ramppost.gateway.backlogs import ASK_TIMEOUT_S
 from ramppost.policy.backlog import Backlog, PendingPrompt
 from ramppost.policy.fair_admission import AdmissionRequest, Admit, FairAdmission, Reject
 from ramppost.policy.room import BUSY_WAIT_S, Room, SampledUse, Shortage
@@ -63,6 +64,15 @@
     """Seconds of reading of all engines together, by second."""
     reasons: dict[str, int]
 
+    def answered(self, level: int) -> float:
+        """Share of callers of a level whose answer began before their deadline."""
+        of_level = [
+            caller.first_s <= caller.kind.deadline_s
+            for caller in self.callers
+            if caller.level == level and MEASURED_FROM_S <= caller.at < OVERLOAD_UNTIL_S
+        ]
+        return sum(of_level) / len(of_level)
+
     def served(self, of: Callable[[Caller], Any]) -> dict[Any, float]:
         """Share of callers whose answer began within its objective, by a property of them."""
         groups = defaultdict(list)
@@ -211,7 +221,7 @@
 
 OVERLOADS = pytest.mark.parametrize("load", [1.5, 2.6])
 FLEETS = pytest.mark.parametrize("gateways", ENGINES)
-MAX_LOSS, MAX_REFUSED_AGAIN, MIN_BUSY = 0.05, 0.05, 0.9
+MAX_LOSS, MAX_REFUSED_AGAIN, MIN_BUSY, MIN_ANSWERED = 0.05, 0.05, 0.9, 0.05
 
 
 def of_others(caller: Caller) -> bool:
@@ -235,6 +245,18 @@
         assert share >= less_urgent - MAX_LOSS, by_urgency
 
 
+@FLEETS
+def test_a_class_starves(gateways: int) -> None:
+    """Guards against less urgent classes of which engines never read a prompt."""
+    answered = [play(gateways, 2.6).answered(level) for level in range(6)]
+    assert min(answered) >= MIN_ANSWERED, answered
+
+
+def test_refusals_come_late() -> None:
+    """Guards against a query of keepers that holds refusals up; nothing else does."""
+    assert min(kind.objective_s for kind in KINDS) / 8 >= ASK_TIMEOUT_S
+
+
 @FLEETS
 @OVERLOADS
 def test_a_greedy_workspace_takes_from_others(gateways: int, load: float) -> None:
