--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -122,7 +122,8 @@
     if chosen.service.engine is None or prompt is None:
         return None
     urgency = prompt_urgency(gw, job, chosen.prefill_s)
-    return PendingPrompt(now, chosen.prefill_s, urgency, model, prompt.part_names)
+    workspace = job.workspace.name if job.workspace is not None else ""
+    return PendingPrompt(now, chosen.prefill_s, urgency, model, prompt.part_names, workspace)
 
 
 def _record_part_demand(gw: Gateway, job: Job, model: str, now: float) -> None:
