--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -13,7 +13,8 @@
 import itertools
 import random
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from functools import partial
+from typing import Final
 
 from bench.engine_model import (
     KINDS,
@@ -25,17 +26,16 @@
     make_engine,
     make_request,
 )
-from ramppost.policy.backlog import Backlog, PendingPrompt
+from bench.gateway_model import Gateway, Report, Way
+from ramppost.policy.backlog import PendingPrompt
 from ramppost.policy.keepers import keeper_of
 from ramppost.policy.placement import (
     EngineView,
     Placement,
     PlacementContext,
-    PrefillRates,
     PrefillWork,
     build_pool,
     home_engine,
-    leading_tokens,
     rank_engines,
     select_candidates,
 )
@@ -56,45 +56,12 @@
 """Requests that arrive earlier are not counted."""
 
 
-class Way(NamedTuple):
-    """What gateways know of engines."""
-
-    name: str
-    reports: bool
-
-
-class Report(NamedTuple):
-    """A load report as a gateway received it."""
-
-    running: int
-    waiting: int
-    at: float
-
-
-NO_REPORT: Final = Report(0, 0, float("-inf"))
-
-
-class Gateway:
-    """What a gateway knows of engines, as their keeper or by its own requests."""
-
-    def __init__(self, hall: str) -> None:
-        self.hall = hall
-        self.rates = PrefillRates()
-        self.backlogs: dict[str, Backlog] = {}
-        self.reports: dict[str, Report] = {}
-        self.own_running: dict[str, int] = {}
-
-    def backlog(self, engine: str) -> Backlog:
-        """The backlog of an engine."""
-        return self.backlogs.setdefault(engine, Backlog())
-
-
 class Simulation:
     """A fleet under load, for some seconds."""
 
     def __init__(self, way: Way, size: int, seed: int, duration_s: float, load: float) -> None:
         self.way, self.rng, self._arrivals = way, random.Random(seed), random.Random(-seed)
-        self.gateways = [Gateway(HALLS[n % len(HALLS)]) for n in range(size)]
+        self.gateways = [Gateway(HALLS[n % len(HALLS)], way) for n in range(size)]
         count = max(4, round(USUAL_ENGINES * size / USUAL_GATEWAYS))
         engines = [make_engine(n, HALLS[n // 4 % 4], self._arrivals) for n in range(count)]
         self.engines = {engine.id: engine for engine in engines}
@@ -113,10 +80,10 @@
     def run(self) -> None:
         """Run until all that arrived has ended."""
         for kind in KINDS:
-            self._at(0.0, lambda now, kind=kind: self._arrive(kind, now))
+            self._at(0.0, partial(self._arrive, kind))
         for engine in self.engines.values():
             first = self._arrivals.uniform(-PACE_TURN_S, 0)
-            self._at(first, lambda now, engine=engine: self._turn(engine, now))
+            self._at(first, partial(self._turn, engine))
         while self._events:
             now, _, action = heapq.heappop(self._events)
             action(now)
@@ -130,7 +97,7 @@
         rng = self._arrivals
         if now > self.duration_s:
             return
-        self._at(now + rng.expovariate(kind.per_s * self._per_s), lambda t: self._arrive(kind, t))
+        self._at(now + rng.expovariate(kind.per_s * self._per_s), partial(self._arrive, kind))
         subjects = max(2, round(SUBJECTS * len(self.gateways) / USUAL_GATEWAYS))
         gateway = rng.randrange(len(self.gateways))
         request = make_request(kind, next(self._numbers), gateway, subjects, now, rng)
@@ -142,7 +109,7 @@
         engine.pace = SLOW_PACE if self._arrivals.random() < SLOW_PACE_SHARE else 1.0
         self._run_engine(engine, now)
         if now < self.duration_s:
-            self._at(now + PACE_TURN_S, lambda t: self._turn(engine, t))
+            self._at(now + PACE_TURN_S, partial(self._turn, engine))
 
     def _run_engine(self, engine: Engine, now: float, new: Attempt | None = None) -> None:
         """Continue an engine until now, and arrange for the next change."""
@@ -152,18 +119,23 @@
         for attempt in read:
             if attempt.model == "large" or not attempt.request.again:
                 engine.start_stream(attempt)
-            report = Report(len(engine.streams), len(engine.waiting), now + DELAY_S)
-            self._at(now + DELAY_S, lambda t, a=attempt, r=report: self._began(a, r, t))
+            report = Report(len(engine.streams), len(engine.waiting), engine.pace, now + DELAY_S)
+            self._at(now + DELAY_S, partial(self._began, attempt, report))
         for attempt in ended:
-            self._at(now + DELAY_S, lambda t, a=attempt: self._ended(a, t))
+            self._at(now + DELAY_S, partial(self._ended, attempt))
         parts, dropped = engine.start_reading(now)
         if parts and engine.reading is not None:
             self._count_read(engine.reading, parts)
         for attempt in dropped:
-            self._at(now + DELAY_S, lambda t, a=attempt: self._dropped(a, t))
+            self._at(now + DELAY_S, partial(self._dropped, attempt))
         self._wakes[engine.id] = wake = engine.next_at()
         if wake < float("inf"):
-            self._at(wake, lambda t: self._wakes[engine.id] == t and self._run_engine(engine, t))
+            self._at(wake, partial(self._wake, engine))
+
+    def _wake(self, engine: Engine, now: float) -> None:
+        """Continue an engine unless something has changed since this was arranged."""
+        if self._wakes[engine.id] == now:
+            self._run_engine(engine, now)
 
     def _count_read(self, attempt: Attempt, parts: list[str]) -> None:
         for name, tokens in attempt.request.parts[:-1]:
@@ -183,11 +155,13 @@
         attempt = Attempt(str(next(self._numbers)), request, model, level)
         context = self._context(attempt)
         chosen = select_candidates(self.pool, gateway.hall, context.home, self.rng)
-        views = [self._view(gateway, gateway, id, attempt, now) for id in sorted(chosen)]
+        views = [
+            gateway.view(id, self.engines[id].hall, attempt, None, now) for id in sorted(chosen)
+        ]
         best = [p.id for p in self._rank(attempt, views, context, now)]
         asked = sorted({context.home, *best[: MAX_QUERIED - 1]} - {""})
         self.datagrams += 2 * len({self.keepers[id] for id in asked} - {request.gateway})
-        self._at(now + DELAY_S, lambda t: self._answer(attempt, asked, context, t))
+        self._at(now + DELAY_S, partial(self._answer, attempt, asked, context))
 
     def _answer(
         self, attempt: Attempt, asked: list[str], context: PlacementContext, now: float
@@ -196,9 +170,9 @@
         views = []
         for id in asked:
             keeper = self.gateways[self.keepers[id]]
-            views.append(self._view(gateway, keeper, id, attempt, now))
+            views.append(gateway.view(id, self.engines[id].hall, attempt, keeper, now))
             gateway.rates.accept_peer_rate(attempt.model, keeper.rates.own_rate_s(attempt.model))
-        self._at(now + DELAY_S, lambda t: self._send(attempt, views, context, t))
+        self._at(now + DELAY_S, partial(self._send, attempt, views, context))
 
     def _send(
         self, attempt: Attempt, views: list[EngineView], context: PlacementContext, now: float
@@ -216,25 +190,32 @@
     def _began(self, attempt: Attempt, report: Report, now: float) -> None:
         gateway, id = self.gateways[attempt.request.gateway], attempt.placed.id
         attempt.began_at = now
-        self._tell(attempt, now, lambda g, t: g.backlog(id).record_first_token(attempt.key, t))
-        if self.way.reports:
-            gateway.reports[id] = report
-        self._learn(gateway, attempt, now)
+        keeper = self.gateways[self.keepers[id]]
+        self._tell(attempt, now, lambda g, t: g.record_began(attempt, g is keeper, t))
+        gateway.record_own(attempt, report, now)
         if attempt.model == "small" and attempt.request.again:
+            self._finish_stream(attempt, 0, now)
             self._ask(attempt.request, "large", now)
             return
         gateway.own_running[id] = gateway.own_running.get(id, 0) + 1
         late = now - attempt.request.arrived > attempt.request.kind.objective_s
         self.late += late and attempt.request.arrived > WARM_UP_S
 
-    def _learn(self, gateway: Gateway, attempt: Attempt, now: float) -> None:
-        placed = attempt.placed
-        tokens = placed.prefill_s / gateway.rates.rate_s(attempt.model)
-        waited_s = placed.first_token_s - placed.prefill_s
-        gateway.rates.observe(attempt.model, tokens, max(0.0, now - attempt.sent_at - waited_s))
+    def _finish_stream(self, attempt: Attempt, tokens: int, now: float) -> None:
+        """Record the end of a stream where the speed of its engine is estimated."""
+        id, took_s = attempt.placed.id, now - attempt.began_at
+        own, keeper = attempt.request.gateway, self.keepers[id]
+        if self.way.speeds == "alone":
+            self.gateways[own].speed(id).finish_stream(attempt.key, tokens, took_s, now)
+        elif self.way.speeds == "keepers":
+            self.datagrams += keeper != own
+            speed = self.gateways[keeper].speed(id)
+            delay_s = DELAY_S if keeper != own else 0.0
+            self._at(now + delay_s, lambda t: speed.finish_stream(attempt.key, tokens, took_s, t))
 
     def _ended(self, attempt: Attempt, now: float) -> None:
         attempt.ended_at = now
+        self._finish_stream(attempt, attempt.request.tokens_out, now)
         self.gateways[attempt.request.gateway].own_running[attempt.placed.id] -= 1
         if attempt.request.arrived > WARM_UP_S:
             self.answers.append(attempt)
@@ -255,36 +236,17 @@
 
     def _work(self, attempt: Attempt) -> PrefillWork:
         kind = attempt.request.kind
-        size = round(BYTES + BYTES_PER_TOKEN * kind.max_out)
-        return PrefillWork(attempt.model, attempt.request.parts, kind.shared + kind.own, size)
+        tokens, size = kind.shared + kind.own, round(BYTES + BYTES_PER_TOKEN * kind.max_out)
+        return PrefillWork(attempt.model, attempt.request.parts, tokens, size, attempt.request.hint)
 
     def _context(self, attempt: Attempt) -> PlacementContext:
-        hall = self.gateways[attempt.request.gateway].hall
-        home = home_engine(self.pool, self._work(attempt), hall)
-        return PlacementContext(hall, home, self.pool.long_prompt_ids)
+        gateway = self.gateways[attempt.request.gateway]
+        home = home_engine(self.pool, self._work(attempt), gateway.hall)
+        long_prompt_ids = self.pool.long_prompt_ids
+        return PlacementContext(gateway.hall, home, long_prompt_ids, gateway.is_uneven())
 
     def _rank(
         self, attempt: Attempt, views: list[EngineView], context: PlacementContext, now: float
     ) -> list[Placement]:
         rates = self.gateways[attempt.request.gateway].rates
         return rank_engines(views, self._work(attempt), rates, context, now, self.rng)
-
-    def _view(
-        self, gateway: Gateway, source: Gateway, id: str, attempt: Attempt, now: float
-    ) -> EngineView:
-        """An engine as a gateway sees it, with the larger backlog of its own and the source's."""
-        names, parts = tuple(name for name, _ in attempt.request.parts), attempt.request.parts
-        backlogs = [g.backlog(id) for g in {gateway, source}]
-        cached = max(b.cached_parts(attempt.model, names, now) for b in backlogs)
-        report = gateway.reports.get(id, NO_REPORT)
-        complete = self.keepers[id] == attempt.request.gateway or source is not gateway
-        return EngineView(
-            id=id,
-            hall=self.engines[id].hall,
-            ahead_s=max(b.ahead_s(attempt.level, now) for b in backlogs),
-            kept_tokens=leading_tokens(parts, cached),
-            others_running=max(0, report.running - gateway.own_running.get(id, 0)),
-            others_waiting=0 if complete else report.waiting,
-            reported_at=report.at,
-            failure_rate=0.0,
-        )
--- a/bench/uneven.py
+++ b/bench/uneven.py
@@ -1,6 +1,7 @@
 """Compares ways to place prompts on engines of uneven speed, in a simulation without a network.
 
     python -m bench.uneven [GATEWAYS ...]
+    python -m bench.uneven --weights [GATEWAYS ...]
 
 Each row shows one way at one fleet size, over several seeds; see `bench.placement_model`.  Times to
 the first token and to the end are in seconds from the arrival of a request, and include the prompt
@@ -8,23 +9,37 @@
 requests whose first token came after the objective.  `read` and `tokens` are the reading time (at
 usual speed) and the tokens generated of a fast engine, divided by those of a slow one; 2.18 matches
 their speeds.  `again` is the share of shared prompt tokens that were read although an engine had
-read them before, and `sent` the datagrams for each request.
+read them before, and `sent` the datagrams for each request.  With `--weights`, a row shows the
+weights of decoding time and of delays to running streams, relative to those in use.
 """
 
 from __future__ import annotations
 
+import itertools
 import statistics
 import sys
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
+from unittest import mock
 
 from bench.engine_model import Attempt, Engine, is_fast
-from bench.placement_model import Simulation, Way
+from bench.gateway_model import Way
+from bench.placement_model import USUAL_GATEWAYS, Simulation
+from ramppost.policy import placement
 
 SIZES: Final = (4, 24, 68, 298)
 DURATION_S: Final = 25.0
 SEEDS: Final = (1, 2)
-WAYS: Final = (Way("as it stands", False), Way("with reports", True))
+WEIGHT_SEEDS: Final = (1, 2, 3, 4)
+WEIGHT_FACTORS: Final = (1 / 3, 1.0, 3.0)
+KEEPERS: Final = Way("keepers", True, "keepers")
+WAYS: Final = (
+    Way("as it stands"),
+    Way("with reports", True),
+    Way("alone", True, "alone"),
+    KEEPERS,
+    Way("pace", True, "keepers", True),
+)
 
 
 class Result(NamedTuple):
@@ -71,20 +86,37 @@
 
 
 def main() -> None:
-    """Print the table."""
+    """Print the table, or that of the weights."""
     print(
         "gateways way              first        stream          end  late  read tokens again  sent"
     )
+    if sys.argv[1:2] == ["--weights"]:
+        for size in map(int, sys.argv[2:] or (USUAL_GATEWAYS,)):
+            _print_weights(size)
+        return
     for size in map(int, sys.argv[1:] or SIZES):
         for way in WAYS:
-            _print_row(size, way, [simulate(way, size, seed) for seed in SEEDS])
+            _print_row(size, way.name, [simulate(way, size, seed) for seed in SEEDS])
 
 
-def _print_row(size: int, way: Way, results: list[Result]) -> None:
+def _print_weights(size: int) -> None:
+    """Results by the weights of decoding time and of delays to streams, relative to the present."""
+    decode, delay = placement.DECODE_WEIGHT, placement.STREAM_DELAY_WEIGHT
+    for decode_times, delay_times in itertools.product(WEIGHT_FACTORS, repeat=2):
+        weights: dict[str, Any] = {
+            "DECODE_WEIGHT": decode * decode_times,
+            "STREAM_DELAY_WEIGHT": delay * delay_times,
+        }
+        with mock.patch.multiple(placement, **weights):
+            results = [simulate(KEEPERS, size, seed) for seed in WEIGHT_SEEDS]
+        _print_row(size, f"{decode_times:.2f}, {delay_times:.2f}", results)
+
+
+def _print_row(size: int, label: str, results: list[Result]) -> None:
     mean = Result(*map(statistics.mean, zip(*results, strict=True)))
     times = " ".join(f"{value:6.3f}" for value in mean[:6])
     shares = f"{mean.late:.3f} {mean.fast_read:5.2f} {mean.fast_tokens:6.2f} {mean.again:5.3f}"
-    print(f"{size:8} {way.name:13} {times} {shares} {mean.datagrams:5.1f}", flush=True)
+    print(f"{size:8} {label:13} {times} {shares} {mean.datagrams:5.1f}", flush=True)
 
 
 if __name__ == "__main__":
