--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.ready
 
-.PHONY: days dev test check bench slopes capacity chaos soak binary generate docs examples clean
+.PHONY: days dev test check bench slopes capacity uneven chaos soak binary generate docs examples clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	$(PY) -m venv $(VENV)
@@ -56,6 +56,9 @@
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity
 
+uneven: $(STAMP)
+	$(BIN)/python -m bench.uneven
+
 bench: $(STAMP)
 	$(BIN)/python -m bench.main --seed $(SEED) --seconds $(SECONDS_EACH)
 
