Keep hosts at their usual pace where alike engines are replayed

The requirement concerns engines that are alike on hosts of steady pace; the check had the uneven pace of deployment U.

--- a/tests/test_uneven.py
+++ b/tests/test_uneven.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from bench import engine_model
+from bench import engine_model, placement_model
 from bench.gateway_model import Way
 from bench.placement_model import Simulation
 from bench.uneven import KEEPERS, Result, simulate
@@ -49,6 +49,8 @@
     """Guards against estimates that drift apart, which change decisions where engines are alike."""
     monkeypatch.setattr(engine_model, "FAST", 1.0)
     monkeypatch.setattr(engine_model, "SLOW", 1.0)
+    monkeypatch.setattr(engine_model, "SPEED_SPREAD", 0.0)
+    monkeypatch.setattr(placement_model, "SLOW_PACE_SHARE", 0.0)
     sim = Simulation(KEEPERS, 24, seed=7, duration_s=20.0, load=USUAL_LOAD)
     sim.run()
     assert [gateway.is_uneven() for gateway in sim.gateways] == [False] * 24
