--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -50,7 +50,7 @@
 
     `predicted_first_s` is the predicted time to its first byte, `prefill_s` the time to read the
     prompt and `ahead_s` the time to read the prompts before it, all in seconds.  `complete` is true
-    if `ahead_s` includes the prompts of all gateways.
+    if `ahead_s` includes the prompts of all gateways.  `pace` is that of the upstream's host.
     """
 
     upstream: Upstream
@@ -66,6 +66,7 @@
     complete: bool
     read_tokens: int
     speed: SpeedFigures
+    pace: float
 
 
 def select_service(job: Job) -> str:
@@ -337,6 +338,7 @@
         complete=backlog.complete,
         read_tokens=placement.read_tokens,
         speed=backlog.speed,
+        pace=gw.loads.pace(best.key, now),
     )
 
 
