--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -1,20 +1,20 @@
-"""What a gateway of a simulation knows of engines, kept by the modules of `ramppost.policy`.
+"""What a gateway of a simulation knows of engines, kept by the modules of the gateway itself.
 
 Pure.  `Way` says how much of it a gateway has.
 """
 
 from __future__ import annotations
 
-from typing import Final, Literal, NamedTuple
+from typing import Literal, NamedTuple
 
 from bench.engine_model import Attempt
+from ramppost.gateway.load import Loads, ReportFields
 from ramppost.policy.backlog import Backlog
 from ramppost.policy.placement import EngineView, PrefillRates, leading_tokens
 from ramppost.policy.speed import (
     UNKNOWN_SPEED,
     EngineSpeed,
     SpeedFigures,
-    decayed_pace,
     is_uneven,
 )
 
@@ -22,7 +22,8 @@
 class Way(NamedTuple):
     """What gateways know of engines: load reports, speeds, and the pace of hosts.
 
-    Speeds are not known, or learned by each gateway alone, or told by the keepers.
+    Speeds are not known, or learned by each gateway alone, or told by the keepers.  The pace that a
+    gateway was told multiplies the time of the prompts ahead and the engine's prefill factor.
     """
 
     name: str
@@ -31,18 +32,6 @@
     pace: bool = False
 
 
-class Report(NamedTuple):
-    """A load report as a gateway received it."""
-
-    running: int
-    waiting: int
-    pace: float
-    at: float
-
-
-NO_REPORT: Final = Report(0, 0, 1.0, float("-inf"))
-
-
 class Gateway:
     """What a gateway knows of engines, as their keeper or by its own requests."""
 
@@ -50,8 +39,7 @@
         self.hall, self.way = hall, way
         self.rates = PrefillRates()
         self.backlogs: dict[str, Backlog] = {}
-        self.reports: dict[str, Report] = {}
-        self.own_running: dict[str, int] = {}
+        self.loads = Loads()
         self.speeds: dict[str, EngineSpeed] = {}
         """Speeds of the engines that it keeps, or by its own requests."""
         self.figures: dict[str, SpeedFigures] = {}
@@ -78,11 +66,11 @@
             if prefill is not None:
                 self.speed(id).record_prefill(prefill.predicted_s, prefill.took_s)
 
-    def record_own(self, attempt: Attempt, report: Report, now: float) -> None:
+    def record_own(self, attempt: Attempt, report: ReportFields, now: float) -> None:
         """Record what the response to its own prompt tells a gateway."""
         placed = attempt.placed
         if self.way.reports:
-            self.reports[placed.id] = report
+            self.loads.record_report(placed.id, report, now)
         queued_s = placed.first_token_s - placed.prefill_s
         took_s = max(0.0, now - attempt.sent_at - queued_s)
         self.rates.observe(attempt.model, placed.read_tokens, took_s)
@@ -102,14 +90,14 @@
             self.figures[id] = self.speed(id).figures(now)
         elif self.way.speeds == "keepers" and keeper is not None:
             self.figures[id] = keeper.speed(id).figures(now)
-        speed, report = self.figures.get(id, UNKNOWN_SPEED), self.reports.get(id, NO_REPORT)
-        pace = decayed_pace(report.pace, now - report.at) if self.way.pace else 1.0
+        speed, report = self.figures.get(id, UNKNOWN_SPEED), self.loads.last_report(id)
+        pace = self.loads.pace(id, now) if self.way.pace else 1.0
         return EngineView(
             id=id,
             hall=hall,
             ahead_s=pace * max(b.ahead_s(attempt.level, now) for b in backlogs),
             kept_tokens=leading_tokens(parts, cached),
-            others_running=max(0, report.running - self.own_running.get(id, 0)),
+            others_running=max(0, report.running - self.loads.in_flight(id).requests),
             others_waiting=0 if keeper is not None else report.waiting,
             reported_at=report.at,
             failure_rate=0.0,
--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -18,6 +18,7 @@
 
 from bench.engine_model import (
     KINDS,
+    SLOTS,
     SUBJECTS,
     Attempt,
     Engine,
@@ -26,7 +27,8 @@
     make_engine,
     make_request,
 )
-from bench.gateway_model import Gateway, Report, Way
+from bench.gateway_model import Gateway, Way
+from ramppost.gateway.load import ReportFields
 from ramppost.policy.backlog import PendingPrompt
 from ramppost.policy.keepers import keeper_of
 from ramppost.policy.placement import (
@@ -119,7 +121,7 @@
         for attempt in read:
             if attempt.model == "large" or not attempt.request.again:
                 engine.start_stream(attempt)
-            report = Report(len(engine.streams), len(engine.waiting), engine.pace, now + DELAY_S)
+            report = ReportFields(len(engine.streams), len(engine.waiting), SLOTS, engine.pace)
             self._at(now + DELAY_S, partial(self._began, attempt, report))
         for attempt in ended:
             self._at(now + DELAY_S, partial(self._ended, attempt))
@@ -187,7 +189,7 @@
         engine = self.engines[placed.id]
         self._at(now + DELAY_S, lambda t: self._run_engine(engine, t, attempt))
 
-    def _began(self, attempt: Attempt, report: Report, now: float) -> None:
+    def _began(self, attempt: Attempt, report: ReportFields, now: float) -> None:
         gateway, id = self.gateways[attempt.request.gateway], attempt.placed.id
         attempt.began_at = now
         keeper = self.gateways[self.keepers[id]]
@@ -197,7 +199,7 @@
             self._finish_stream(attempt, 0, now)
             self._ask(attempt.request, "large", now)
             return
-        gateway.own_running[id] = gateway.own_running.get(id, 0) + 1
+        gateway.loads.in_flight(id).requests += 1
         late = now - attempt.request.arrived > attempt.request.kind.objective_s
         self.late += late and attempt.request.arrived > WARM_UP_S
 
@@ -216,7 +218,8 @@
     def _ended(self, attempt: Attempt, now: float) -> None:
         attempt.ended_at = now
         self._finish_stream(attempt, attempt.request.tokens_out, now)
-        self.gateways[attempt.request.gateway].own_running[attempt.placed.id] -= 1
+        gateway = self.gateways[attempt.request.gateway]
+        gateway.loads.in_flight(attempt.placed.id).requests -= 1
         if attempt.request.arrived > WARM_UP_S:
             self.answers.append(attempt)
 
