--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 import curio
@@ -155,9 +156,21 @@
         cached = backlog.cached_parts(query.model, query.parts, now)
         return BacklogEstimate(backlog.ahead_s(query.level, now), cached, False, speed)
 
-    def are_uneven(self, engines: list[Upstream]) -> bool:
-        """Whether the engines of a pool are known to differ in speed."""
-        return is_uneven([self._figures.get(engine.key, UNKNOWN_SPEED) for engine in engines])
+    def are_uneven(self, engines: Iterable[str]) -> bool:
+        """Whether the engines of a pool, by key, are known to differ in speed."""
+        return is_uneven([self._figures.get(engine, UNKNOWN_SPEED) for engine in engines])
+
+    def speed_weights(self, engines: Iterable[str]) -> dict[str, float]:
+        """The relative speeds of the engines of a pool, empty if they don't differ.
+
+        Engines whose speed is not known are left out.
+        """
+        if not self.are_uneven(engines):
+            return {}
+        prefills = {
+            engine: self._figures[engine].prefill for engine in engines if engine in self._figures
+        }
+        return {engine: 1 / prefill for engine, prefill in prefills.items() if prefill}
 
     def record_sent(self, engine: Upstream, key: str, prompt: PendingPrompt) -> None:
         """Record a prompt that is being sent to an engine, and notify the keeper."""
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -36,6 +36,7 @@
 from ramppost.platform.documents import DEFAULT_LIMITS
 from ramppost.platform.headers import AnswerHead
 from ramppost.platform.store import StoreClient
+from ramppost.policy.homes import PartDemand
 from ramppost.policy.limits import SHARED_FRACTION, WindowBudget, slack_per_gateway
 from ramppost.policy.pace import TimingBaseline
 from ramppost.policy.placement import PrefillRates
@@ -92,7 +93,7 @@
         """Whether evacuations have been listed; always true if the settings disable them."""
         self.unreadable = UnreadableEntries()
         self.regions = Regions(cfg.get("regions", {}))
-        self.pools = Pools()
+        self.pools = Pools(lambda engines: self.backlogs.speed_weights(engines))
         self.freshness = Freshness(_withdrawal_bound_s(cfg), _serves_unconfirmed(cfg))
         self.store_outage = StoreOutage()
         self.metrics = Metrics()
@@ -105,6 +106,7 @@
         self.upstream_probes = UpstreamProbes(self.connections)
         self.loads = Loads()
         self.prefill_rates = PrefillRates()
+        self.part_demand = PartDemand()
         self.pressure = Pressure()
         self.suspicions: dict[str, UpstreamHealth] = {}
         self.retry_budgets: dict[str, WindowBudget] = {}
