--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -5,11 +5,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Literal, NamedTuple
 
 from bench.engine_model import Attempt
 from ramppost.gateway.load import Loads, ReportFields
+from ramppost.gateway.pools import WEIGHTS_VALID_S
 from ramppost.policy.backlog import Backlog
+from ramppost.policy.homes import PartDemand, build_pool, quantized_weights
 from ramppost.policy.placement import EngineView, PrefillRates, leading_tokens
 from ramppost.policy.speed import (
     UNKNOWN_SPEED,
@@ -35,8 +38,11 @@
 class Gateway:
     """What a gateway knows of engines, as their keeper or by its own requests."""
 
-    def __init__(self, hall: str, way: Way) -> None:
-        self.hall, self.way = hall, way
+    def __init__(self, hall: str, way: Way, engine_halls: Mapping[str, str]) -> None:
+        self.hall, self.way, self._engine_halls = hall, way, engine_halls
+        self.pool, self.uneven = build_pool(engine_halls), False
+        self._pool_until = 0.0
+        self.part_demand = PartDemand()
         self.rates = PrefillRates()
         self.backlogs: dict[str, Backlog] = {}
         self.loads = Loads()
@@ -53,9 +59,18 @@
         """The speed of an engine, as estimated here."""
         return self.speeds.setdefault(engine, EngineSpeed())
 
-    def is_uneven(self) -> bool:
-        """Whether the engines are known to differ in speed."""
-        return self.way.speeds != "" and is_uneven(list(self.figures.values()))
+    def update_pool(self, now: float) -> None:
+        """Compare the weights of the engines with their speeds, at most once a second."""
+        if now < self._pool_until or not self.way.speeds:
+            return
+        self._pool_until = now + WEIGHTS_VALID_S
+        self.uneven = is_uneven(list(self.figures.values()))
+        known = self.figures.items() if self.uneven else ()
+        estimates = {id: 1 / speed.prefill for id, speed in known if speed.prefill}
+        previous = self.pool.weights
+        weights = quantized_weights(self.pool.ids, estimates, previous) if estimates else {}
+        if weights != previous:
+            self.pool = build_pool(self._engine_halls, weights)
 
     def record_began(self, attempt: Attempt, is_keeper: bool, now: float) -> None:
         """Record that a prompt has been read, as far as any gateway knows of it."""
