Rank plain upstreams by reported load and pace; hold requests while all are full

Plain upstreams were ranked by latency and this gateway's own requests alone, so that requests went to slow hosts and to upstreams that had just reported no free slot.

policy/plain.py takes over the view and ranking from policy/placement.py. The response time is the latency at the usual pace, times the host's pace, stretched by the requests beyond the slots. Without reports, and with reports of free slots and no pace, the order is as before. A request that may run only once goes to a free slot if there is one. Latency is recorded at the usual pace, and not from responses that may have waited.

Where all plain upstreams are known to be full, gateway/full.py holds a request until a slot is likely to be free, for at most a tenth of its objective, ordered by rank and deadline, or refuses it with the time to retry. In doubt it is sent. Attempts and the retry budget are unchanged.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -17,10 +17,11 @@
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, Exchange, NotSent, OutgoingRequest, open_exchange
 from ramppost.gateway.load import InFlight
-from ramppost.gateway.pick import Selection, prompt_urgency
+from ramppost.gateway.pick import DEFAULT_PLAIN_LATENCY_S, Selection, prompt_urgency
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import AnswerHead, SendOptions, upstream_head
 from ramppost.policy.backlog import PendingPrompt
+from ramppost.policy.plain import KNOWN_FULL_S
 
 TIMEOUT_OBJECTIVE_RATIO: Final = 0.4
 """Fraction of the objective after which a silent upstream is given up; leaves time for another."""
@@ -216,6 +217,22 @@
     gw.prefill_rates.observe(model, processed_tokens, max(0.0, first_s - predicted_queue_s))
 
 
+def _record_latency(gw: Gateway, chosen: Selection, took_s: float, now: float) -> None:
+    """Record the latency of a plain upstream at the usual pace.
+
+    A response of an upstream that has requests waiting may have waited itself; it only confirms
+    the latency that is known.
+    """
+    key = chosen.upstream.key
+    health = gw.suspicion_of(key)
+    report = gw.loads.last_report(key)
+    if report.waiting and now - report.at <= KNOWN_FULL_S:
+        latency_s = health.latency_s(DEFAULT_PLAIN_LATENCY_S, now)
+    else:
+        latency_s = took_s / gw.loads.pace(key, now)
+    health.record_latency(latency_s, now)
+
+
 def _record_outcome(
     gw: Gateway,
     job: Job,
@@ -232,7 +249,7 @@
         if result.head.status < 500 and job.req.prompt is not None:
             _record_prefill(gw, chosen, model, result.first_s)
         if chosen.service.engine is None:
-            gw.suspicion_of(chosen.upstream.key).record_latency(took_s, now)
+            _record_latency(gw, chosen, took_s, now)
     elif isinstance(result, Refused):
         outcome = f"refused with {result.status}"
         # An entry may outlive its upstream until it expires.  Such an upstream was taken for idle
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -37,6 +37,8 @@
         self.may_have_run = False
         """Whether an upstream was sent the request and has not reported that it did not run it."""
         self.tried_upstreams: set[str] = set()
+        self.full_upstreams: set[str] = set()
+        """Those of them that have refused the request because no slot was free."""
         self.backlog_snapshot: BacklogSnapshot | None = None
         """The last query of the engines that may run the request."""
         self.failed_versions: set[str] = set()
--- a/ramppost/gateway/load.py
+++ b/ramppost/gateway/load.py
@@ -17,12 +17,16 @@
 
 
 class ReportFields(NamedTuple):
-    """The figures of one report; None for those that it does not contain."""
+    """The figures of one report; None for those that it does not contain.
+
+    `refused` is whether it came with a refusal, which does not count the refused request.
+    """
 
     running: int | None
     waiting: int | None
     slots: int | None = None
     pace: float | None = None
+    refused: bool = False
 
 
 class LoadReport(NamedTuple):
@@ -30,6 +34,7 @@
 
     `at` is when it reported its running and waiting requests, and `pace_at` when its host's pace,
     both on the steady clock; minus infinity if never.  `slots` is None if it has reported none.
+    `own` is how many of the requests were this gateway's.
     """
 
     running: int
@@ -38,6 +43,7 @@
     slots: int | None
     pace: float
     pace_at: float
+    own: int = 0
 
 
 NO_REPORT: Final = LoadReport(0, 0, float("-inf"), None, 1.0, float("-inf"))
@@ -58,6 +64,8 @@
     def __init__(self) -> None:
         self._in_flight: dict[str, InFlight] = {}
         self._reports: dict[str, LoadReport] = {}
+        self.full_reported_at = float("-inf")
+        """When an upstream last reported that it has no free slot (steady clock)."""
 
     def in_flight(self, upstream_key: str) -> InFlight:
         """This gateway's requests in flight at the upstream."""
@@ -74,17 +82,22 @@
         >>> loads.record_report("u", ReportFields(3, 1, 6), 10.0)
         >>> loads.record_report("u", ReportFields(None, None, None, 2.5), 11.0)
         >>> loads.last_report("u")
-        LoadReport(running=3, waiting=1, at=10.0, slots=6, pace=2.5, pace_at=11.0)
+        LoadReport(running=3, waiting=1, at=10.0, slots=6, pace=2.5, pace_at=11.0, own=0)
         """
         report = self.last_report(upstream_key)
         if fields.running is not None:
-            report = report._replace(running=fields.running, waiting=fields.waiting or 0, at=now)
+            own = max(0, self.in_flight(upstream_key).requests - fields.refused)
+            report = report._replace(
+                running=fields.running, waiting=fields.waiting or 0, at=now, own=own
+            )
         if fields.slots is not None:
             report = report._replace(slots=fields.slots)
         if fields.pace is not None:
             report = report._replace(pace=fields.pace, pace_at=now)
         if report is not NO_REPORT:
             self._reports[upstream_key] = report
+        if report.at == now and report.slots and report.running + report.waiting >= report.slots:
+            self.full_reported_at = now
 
     def pace(self, upstream_key: str, now: float) -> float:
         """How long work takes on the upstream's host relative to the usual time.
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -19,14 +19,13 @@
     EngineView,
     Placement,
     PlacementContext,
-    PlainUpstreamView,
     PrefillWork,
     home_engine,
     leading_tokens,
     rank_engines,
-    rank_plain_upstreams,
     select_candidates,
 )
+from ramppost.policy.plain import PlainUpstreamView, rank_plain_upstreams
 from ramppost.policy.routing import hash_fraction
 from ramppost.policy.urgency import urgency_level
 
@@ -223,12 +222,26 @@
     prompt = job.req.prompt
     if service.engine is not None and prompt is not None:
         return _best_engine(gw, job, service, suitable, model, prompt, now)
-    best_key = rank_plain_upstreams(_plain_views(gw, suitable, now), gw.cfg["hall"], gw.rng)[0]
+    views = plain_views(gw, suitable, now)
+    runs_once = job.route.retry_mode == "never"
+    best_key = rank_plain_upstreams(views, gw.cfg["hall"], gw.rng, needs_slot=runs_once)[0]
     best = next(upstream for upstream in suitable if upstream.key == best_key)
     placement = Placement(best_key, DEFAULT_PLAIN_LATENCY_S, 0.0)
     return _selection(gw, service, best, len(suitable), placement, EMPTY_ESTIMATE, 0, now)
 
 
+def selectable_views(
+    gw: Gateway, job: Job, service: Service, now: float
+) -> list[PlainUpstreamView]:
+    """The upstreams, of all versions, that a request may be sent to now or once they have a slot.
+
+    These are the untried ones and those that have refused the request as full.
+    """
+    tried = job.tried_upstreams - job.full_upstreams
+    allowed = [u for u in _allowed(gw, job, service.name, now) if u.key not in tried]
+    return plain_views(gw, within_limits(gw, service, allowed, now), now)
+
+
 def prompt_urgency(gw: Gateway, job: Job, prefill_s: float) -> int:
     """The urgency level of a prompt that takes `prefill_s` seconds to read."""
     workspace_rank = job.workspace.priority if job.workspace is not None else 0
@@ -345,17 +358,24 @@
     )
 
 
-def _plain_views(gw: Gateway, upstreams: list[Upstream], now: float) -> list[PlainUpstreamView]:
+def plain_views(gw: Gateway, upstreams: list[Upstream], now: float) -> list[PlainUpstreamView]:
+    """What is known about upstreams, apart from the prompts that engines have."""
     views = []
     for upstream in upstreams:
         suspicion = gw.suspicion_of(upstream.key)
-        load = gw.loads.in_flight(upstream.key).requests / max(1, upstream.slots)
+        own_requests = gw.loads.in_flight(upstream.key).requests
+        report = gw.loads.last_report(upstream.key)
         view = PlainUpstreamView(
             upstream.key,
             upstream.hall,
-            load,
+            own_requests / max(1, upstream.slots),
             suspicion.latency_s(DEFAULT_PLAIN_LATENCY_S, now),
             suspicion.failure_rate(now),
+            gw.loads.pace(upstream.key, now),
+            max(0, report.running + report.waiting - report.own),
+            own_requests,
+            max(1, report.slots or upstream.slots),
+            now - report.at,
         )
         views.append(view)
     return views
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -20,6 +20,7 @@
 from ramppost.gateway.counts import EndedRequest
 from ramppost.gateway.escalation import choose_larger_model, plan_models
 from ramppost.gateway.forwarding import Forwarded, forward_response, forward_stream
+from ramppost.gateway.full import hold_while_full, note_refusal
 from ramppost.gateway.inbound import JSON_TYPE, Reply
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, NotSent
@@ -124,6 +125,10 @@
         if gw.fatal.is_fatal(job.fingerprint):
             return _fatal_refusal(job)
         await query_backlogs(gw, job, service, model)
+        if not reply.started and _has_attempt_left(gw, job, service):
+            no_slot = await hold_while_full(gw, job, service)
+            if no_slot is not None:
+                return _final_refusal(job, no_slot)
         # Read the clock after every step that may take time, so that a process that was frozen
         # notices here that its confirmation is too old.
         now = clock.now()
@@ -148,6 +153,7 @@
             job.failed_versions.add(result.chosen.upstream.version)
             last_refusal = refusal("upstream_failed", f"upstream answered {result.head.status}")
         elif isinstance(result, Refused):
+            note_refusal(gw, job, chosen.upstream)
             last_refusal = _overload_refusal(gw, job, service, result)
         elif isinstance(result, NotSent):
             connect_failures += 1
@@ -212,6 +218,14 @@
     return gw.retry_budget_of(service).take(clock.now())
 
 
+def _has_attempt_left(gw: Gateway, job: Job, service: str) -> bool:
+    """Whether `_may_attempt` would allow one more attempt; takes nothing from the budget."""
+    if job.attempts == 0:
+        return True
+    has_budget = gw.retry_budget_of(service).available(clock.now()) >= 1
+    return has_budget and job.counted_attempts < job.route.attempts
+
+
 def _should_retry_status(
     gw: Gateway, job: Job, service: str, running: Running, reply: Reply
 ) -> bool:
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -14,6 +14,7 @@
 from ramppost.gateway.fatal import FatalRequests
 from ramppost.gateway.follow import StoreOutage
 from ramppost.gateway.freshness import Freshness
+from ramppost.gateway.held import HeldRequests
 from ramppost.gateway.inbound import CallerConnections
 from ramppost.gateway.limit_news import LimitNews
 from ramppost.gateway.links import ConnectionPool
@@ -104,6 +105,7 @@
         self.connections = ConnectionPool(cfg["ip"], self._observe_head)
         self.upstream_probes = UpstreamProbes(self.connections)
         self.loads = Loads()
+        self.held = HeldRequests()
         self.prefill_rates = PrefillRates()
         self.pressure = Pressure()
         self.suspicions: dict[str, UpstreamHealth] = {}
@@ -187,7 +189,9 @@
         """Record what a response tells about its upstream rather than about its request."""
         now, time_of_day = clock.now(), time.time()
         if not head.wrong_upstream:
-            fields = ReportFields(head.running, head.waiting, head.slots, head.pace)
+            fields = ReportFields(
+                head.running, head.waiting, head.slots, head.pace, refused=head.not_run
+            )
             self.loads.record_report(upstream.key, fields, now)
         self.rate_limits.record_response(upstream, head.rate_limit_per_s, sent_at, now)
         if head.rest_s:
--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -285,30 +285,3 @@
     if placement.prefill_s > LONG_PREFILL_S:
         return 0.0 if placement.id in long_prompt_ids else LONG_PREFILL_S
     return LONG_PROMPT_ENGINE_PENALTY_S if placement.id in long_prompt_ids else 0.0
-
-
-class PlainUpstreamView(NamedTuple):
-    """What a gateway knows about an upstream that is not an engine; `load` is requests per slot."""
-
-    id: str
-    hall: str
-    load: float
-    latency_s: float
-    failure_rate: float
-
-
-def rank_plain_upstreams(
-    views: list[PlainUpstreamView], hall: str, rng: random.Random
-) -> list[str]:
-    """Rank upstreams that are not engines by predicted response time, best first."""
-
-    def score_s(view: PlainUpstreamView) -> float:
-        hall_penalty_s = 0.0 if view.hall == hall else CROSS_HALL_PENALTY_S
-        expected_s = (
-            view.latency_s * (1 + view.load)
-            + hall_penalty_s
-            + view.failure_rate * FAILURE_PENALTY_S
-        )
-        return expected_s * rng.uniform(1 - SCORE_JITTER, 1 + SCORE_JITTER)
-
-    return [view.id for view in sorted(views, key=score_s)]
