Send no refused request again once a tenth of its objective has passed

While all upstreams were known to be full, a refused request was sent again in doubt at any time. In a replay at 1.5 of capacity, with load reports without a pace, one of 1,377 refusals came after 27.5 ms; an eighth of the objective is 27.25 ms.

Such a request is now refused. The replay test also covers reports without a pace.

--- a/ramppost/policy/plain.py
+++ b/ramppost/policy/plain.py
@@ -169,7 +169,8 @@
     slot_s = (request.ahead + 1) / sum(view.slots / view.run_s for view in views)
     if slot_s <= _hold_left_s(request, run_s):
         return Hold(slot_s)
-    if request.ahead == 0 and not (request.refused and _all_just_full(views)):
+    spent = request.held_s >= MAX_HOLD_RATIO * request.objective_s
+    if request.ahead == 0 and not (request.refused and (spent or _all_just_full(views))):
         return Send()
     return Reject(_retry_after_s(slot_s, run_s, rng), "no slot became free")
 
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -131,6 +131,7 @@
     assert isinstance(decide(FULL, held_s=0.02, ahead=1), Reject)
     assert isinstance(decide(FULL, held_s=0.02, refused=True), Reject)
     assert decide(FULL._replace(report_age_s=0.1), held_s=0.02, refused=True) == Send()
+    assert isinstance(decide(FULL._replace(report_age_s=0.1), held_s=0.022, refused=True), Reject)
     assert decide(FULL, deadline_left_s=0.04) == Send()
 
 
@@ -192,14 +193,14 @@
 ) -> None:
     """Refusals must be quick, and there must be none while half of the slots are free."""
     shares = {}
-    for tells in ("nothing", "pace"):
+    refused = []
+    for tells in ("nothing", "load", "pace"):
         replay = Replay(6, tells, queues, monkeypatch)
         replay.play(0.5, 1.0)
         ended = replay.play(load, 3.0)
         shares[tells] = replay.served_in_time()
-    refused = [end for end in ended if end.status != 200]
-    assert shares["pace"] - shares["nothing"] >= least_gain
+        if tells != "nothing":
+            refused += [end for end in ended if end.status != 200]
+    assert min(shares["load"], shares["pace"]) - shares["nothing"] >= least_gain
     assert all(end.took_s <= OBJECTIVE_S / 8 for end in refused)
-    assert all(end.in_use >= 0.5 for end in refused)
-    if queues:
-        assert all(end.in_use >= 0.9 for end in refused)
+    assert all(end.in_use >= (0.9 if queues else 0.5) for end in refused)
