--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -79,7 +79,7 @@
         if self.way.speeds == "keepers" and is_keeper:
             self.speed(id).begin_stream(attempt.key, now)
             if prefill is not None:
-                self.speed(id).record_prefill(prefill.predicted_s, prefill.took_s)
+                self.speed(id).record_prefill(prefill.usual_s, prefill.took_s)
 
     def record_own(self, attempt: Attempt, report: ReportFields, now: float) -> None:
         """Record what the response to its own prompt tells a gateway."""
@@ -91,7 +91,7 @@
         self.rates.observe(attempt.model, placed.read_tokens, took_s)
         if self.way.speeds == "alone":
             self.speed(placed.id).begin_stream(attempt.key, now)
-            self.speed(placed.id).record_prefill(placed.prefill_s, took_s)
+            self.speed(placed.id).record_prefill(placed.usual_prefill_s, took_s)
 
     def view(
         self, id: str, hall: str, attempt: Attempt, keeper: Gateway | None, now: float
--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -187,7 +187,14 @@
         part = shared_part(attempt.request.parts)
         gateway.part_demand.record(attempt.model, part, own_s, now)
         names = tuple(name for name, _ in attempt.request.parts)
-        prompt = PendingPrompt(now, placed.prefill_s, attempt.level, attempt.model, names)
+        prompt = PendingPrompt(
+            now,
+            placed.prefill_s,
+            attempt.level,
+            attempt.model,
+            names,
+            prefill_factor=placed.prefill_factor,
+        )
         self._tell(attempt, now, lambda g, t: g.backlog(placed.id).add(attempt.key, prompt))
         engine = self.engines[placed.id]
         self._at(now + DELAY_S, lambda t: self._run_engine(engine, t, attempt))
--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -202,6 +202,7 @@
             model=prompt.model,
             parts=list(prompt.parts),
             workspace=prompt.workspace,
+            prefill_pct=round(prompt.prefill_factor * 100),
         )
         self._notify_keeper(engine, PeerDatagram(sent=note))
 
@@ -363,6 +364,7 @@
             note["model"],
             tuple(note["parts"]),
             note.get("workspace", ""),
+            max(1, note.get("prefill_pct", 100)) / 100,
         )
         self._backlog(note["engine"]).add(note["key"], prompt)
 
@@ -377,7 +379,7 @@
         speed = self._speed(engine)
         speed.begin_stream(key, now)
         if prefill is not None:
-            speed.record_prefill(prefill.predicted_s, prefill.took_s)
+            speed.record_prefill(prefill.usual_s, prefill.took_s)
 
     def _apply_finish(self, note: BacklogFinish) -> None:
         speed = self._speed(note["engine"])
--- a/ramppost/policy/backlog.py
+++ b/ramppost/policy/backlog.py
@@ -49,12 +49,15 @@
     parts: tuple[str, ...]
     workspace: str = ""
     """The workspace that sent it, empty for a request without one."""
+    prefill_factor: float = 1.0
+    """The factor for the engine's speed that `read_s` contains."""
 
 
 class Prefill(NamedTuple):
-    """A completed prefill: predicted and actual seconds, without the prompts ahead."""
+    """A completed prefill without the prompts ahead: the seconds that it takes at the usual speed,
+    and those that it took."""
 
-    predicted_s: float
+    usual_s: float
     took_s: float
 
 
@@ -95,7 +98,7 @@
             self._cached_at.pop((prompt.model, name), None)
             self._cached_at[prompt.model, name] = now
         drop_oldest(self._cached_at, MAX_PARTS)
-        return Prefill(prompt.read_s, took_s)
+        return Prefill(prompt.read_s / prompt.prefill_factor, took_s)
 
     def remove(self, key: str, now: float) -> None:
         """Remove a prompt that was not sent, that failed, or whose caller disconnected."""
--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -48,9 +48,9 @@
 queries the keepers of the best engines; choosing among four of these is as good as among six."""
 MAX_LOCAL_CANDIDATES: Final = 16
 """How many of these are in the gateway's own hall, if it has that many."""
-DECODE_WEIGHT: Final = 0.5
+DECODE_WEIGHT: Final = 0.25
 """Weight of a second until the last token against one until the first."""
-STREAM_DELAY_WEIGHT: Final = 0.3
+STREAM_DELAY_WEIGHT: Final = 0.05
 """Weight of a second by which a prompt delays each stream that runs at its engine."""
 INITIAL_RATE_S: Final = 1 / 30000
 """Seconds of prefill for each prompt token until the model's rate is known."""
@@ -144,13 +144,20 @@
 class Placement(NamedTuple):
     """An engine with the predicted time to first token and the part of it that is prefill.
 
-    `read_tokens` is the number of prompt tokens that it has not cached.
+    `read_tokens` is the number of prompt tokens that it has not cached, and `prefill_factor` the
+    factor for its speed that `prefill_s` contains.
     """
 
     id: str
     first_token_s: float
     prefill_s: float
     read_tokens: int = 0
+    prefill_factor: float = 1.0
+
+    @property
+    def usual_prefill_s(self) -> float:
+        """Prefill time at the usual speed."""
+        return self.prefill_s / self.prefill_factor
 
 
 def select_candidates(
@@ -226,6 +233,7 @@
             engine.ahead_s + report_weight * others_s + prefill_s,
             prefill_s,
             read_tokens,
+            factor,
         )
 
     token_s = typical_token_s([engine.speed for engine in engines])
@@ -262,33 +270,6 @@
     """Penalty in seconds that separates long prompts from others."""
     if not long_prompt_ids:
         return 0.0
-    if placement.prefill_s > LONG_PREFILL_S:
+    if placement.usual_prefill_s > LONG_PREFILL_S:
         return 0.0 if placement.id in long_prompt_ids else LONG_PREFILL_S
     return LONG_PROMPT_ENGINE_PENALTY_S if placement.id in long_prompt_ids else 0.0
-
-
-class PlainUpstreamView(NamedTuple):
-    """What a gateway knows about an upstream that is not an engine; `load` is requests per slot."""
-
-    id: str
-    hall: str
-    load: float
-    latency_s: float
-    failure_rate: float
-
-
-def rank_plain_upstreams(
-    views: list[PlainUpstreamView], hall: str, rng: random.Random
-) -> list[str]:
-    """Rank upstreams that are not engines by predicted response time, best first."""
-
-    def score_s(view: PlainUpstreamView) -> float:
-        hall_penalty_s = 0.0 if view.hall == hall else CROSS_HALL_PENALTY_S
-        expected_s = (
-            view.latency_s * (1 + view.load)
-            + hall_penalty_s
-            + view.failure_rate * FAILURE_PENALTY_S
-        )
-        return expected_s * rng.uniform(1 - SCORE_JITTER, 1 + SCORE_JITTER)
-
-    return [view.id for view in sorted(views, key=score_s)]
--- a/ramppost/policy/speed.py
+++ b/ramppost/policy/speed.py
@@ -7,7 +7,7 @@
 
 `EngineSpeed` belongs to one incarnation of an engine and is maintained by the gateway that keeps
 its backlog, which sees the prompts and streams of all gateways.  It holds a prefill factor, the
-prefill time relative to the prediction for the pool, and the decoding time per token of a single
+prefill time relative to the usual one of the pool, and the decoding time per token of a single
 stream.  Both move in small steps towards the median, so that outliers, momentary slowness of the
 box and a fault that slows some answers hardly change them.
 
@@ -30,7 +30,7 @@
 """Prefill time at the pool's rate from which a prompt is a sample; the transit of shorter ones
 dominates."""
 MIN_STREAM_TOKENS: Final = 20
-PREFILL_STEP: Final = 0.06
+PREFILL_STEP: Final = 0.03
 MIN_SAMPLES: Final = 4
 """Samples from which an estimate is used."""
 MIN_PREFILL_FACTOR: Final = 0.25
@@ -45,9 +45,9 @@
 MAX_STREAMS: Final = 1024
 MAX_STREAM_S: Final = 30.0
 """Age at which a stream whose end was not reported is dropped; deadlines are shorter."""
-UNEVEN_RATIO: Final = 1.25
-"""Ratio between slow and fast engines from which a pool counts as uneven: more than the error of an
-estimate."""
+UNEVEN_RATIO: Final = 1.5
+"""Ratio between slow and fast engines from which a pool counts as uneven.  Gateways predict with
+rates of their own, so the estimates of alike engines scatter by a fifth."""
 MIN_KNOWN_ENGINES: Final = 4
 
 
@@ -103,20 +103,19 @@
         self._token_time_s = self._tokens * start.token_s / _slowdown(start.running)
         self._updated_at = float("-inf")
 
-    def record_prefill(self, predicted_s: float, took_s: float) -> None:
-        """Record a prefill that was predicted with the present factor.
+    def record_prefill(self, usual_s: float, took_s: float) -> None:
+        """Record a prefill that takes `usual_s` seconds at the usual speed.
 
         >>> speed = EngineSpeed()
-        >>> for _ in range(40): speed.record_prefill(0.2 * speed.figures(0.0).prefill_factor, 0.1)
-        >>> 0.45 < speed.figures(0.0).prefill < 0.55
+        >>> for _ in range(40): speed.record_prefill(0.2, 0.1)
+        >>> 0.48 < speed.figures(0.0).prefill < 0.52
         True
         """
-        # By the present factor, a fast engine would have no samples any more.
-        if predicted_s / self._prefill < MIN_PREFILL_S:
+        if usual_s < MIN_PREFILL_S:
             return
         self._prefill_samples += 1
         step = 1.0 + max(PREFILL_STEP, 1.0 / (2 + self._prefill_samples))
-        factor = self._prefill * (step if took_s > predicted_s else 1.0 / step)
+        factor = self._prefill * (step if took_s > usual_s * self._prefill else 1.0 / step)
         self._prefill = min(MAX_PREFILL_FACTOR, max(MIN_PREFILL_FACTOR, factor))
 
     def begin_stream(self, key: str, now: float) -> None:
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -388,6 +388,10 @@
     """
     The workspace that sent it.
     """
+    prefill_pct: NotRequired[int]
+    """
+    The factor of the prediction for the engine's speed, in hundredths; 100 without one.
+    """
 
 
 class BacklogOver(TypedDict, closed=True):
