Read upstreams on while callers pause, within a memory limit

Cause: the next chunk was read from the upstream only after the caller had taken the previous one. An upstream that aborts what is not read was counted as failed for its caller's pause, and the stream was run again elsewhere.

Change: data goes straight to the caller's socket while it accepts all of it; the rest is buffered and sent by a writer task that ends with the buffer. A response that was read completely releases its upstream at once; the rest is delivered until the deadline. A response with a full buffer (256 KiB) stops reading its upstream; a break after that is logged as left_unread and not counted against the upstream. All responses share limits.caller_buffer_mb; when it is reached, the least urgent and then the largest is aborted as `caller too slow`. TCP_NOTSENT_LOWAT bounds what the kernel accepts for a caller. A large response no longer keeps its first 256 KiB while it is forwarded.

Not run: the whole suite.

--- a/ramppost/gateway/forwarding.py
+++ b/ramppost/gateway/forwarding.py
@@ -3,10 +3,16 @@
 Streams are forwarded event by event as they arrive.  Any other response is buffered completely
 before it is sent, so that it can still be retried if it breaks off; a large one is forwarded as it
 arrives.
+
+The upstream is read on while the caller pauses, until the caller's buffer is full.  A response
+counts as forwarded when it was read completely: what the caller has not taken then is sent later,
+and the upstream is free.  Buffered events count as forwarded, too, so a stream is resumed after
+them.
 """
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 
 import curio
@@ -25,10 +31,16 @@
 """A response up to this size is read completely before it is forwarded."""
 STALL_GAP_FACTOR: Final = 3.0
 """Multiple of a stream's allowed gap after which the stream is resumed at another upstream."""
+MIN_LEFT_UNREAD_S: Final = 1.0
+"""An upstream that was not read for this time may abort its response for that reason."""
+
+
+ReadChunk = Callable[[], Awaitable[bytes | BodyEnd | Broken]]
+"""Reads the next chunk of a response from its upstream."""
 
 
 class Forwarded(NamedTuple):
-    """A response that was forwarded completely.
+    """A response that was read completely and sent or buffered.
 
     `first_s` and `last_s` are the seconds from sending the request to its first and last byte.  If
     it is not `framed`, it can't be told from one that was cut short by the end of its upstream.
@@ -40,11 +52,31 @@
     framed: bool
 
 
+class _Reader:
+    """Reads chunks of a response while its caller's buffer has room."""
+
+    def __init__(self, reply: Reply, read_chunk: ReadChunk) -> None:
+        self._buffer = reply.buffer
+        self._read_chunk = read_chunk
+        self._longest_pause_s = 0.0
+
+    async def read_chunk(self) -> bytes | BodyEnd | Broken:
+        """Read the next chunk, first waiting for room in the buffer."""
+        if self._buffer.is_full:
+            pause_s = await self._buffer.wait_for_room()
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        chunk = await self._read_chunk()
+        if isinstance(chunk, Broken) and self._longest_pause_s >= MIN_LEFT_UNREAD_S:
+            return chunk._replace(left_unread=True)
+        return chunk
+
+
 async def forward_response(running: Running, reply: Reply, run: ObservedRun) -> Forwarded | Broken:
     """Forward a response that is not a stream.  `run` records each chunk that arrives."""
     body = bytearray()
+    reader = _Reader(reply, running.exchange.read_chunk)
     while True:
-        chunk = await running.exchange.read_chunk()
+        chunk = await reader.read_chunk()
         if isinstance(chunk, Broken):
             return chunk
         if isinstance(chunk, BodyEnd):
@@ -56,6 +88,7 @@
         body += chunk
         if len(body) > MAX_BUFFERED_BYTES:
             await reply.start(running.head.status, running.head.headers, bytes(body))
+            body.clear()
     if reply.started:
         await reply.end()
     else:
@@ -72,8 +105,9 @@
     """
     splitter = EventSplitter()
     forwarded = 0
+    reader = _Reader(reply, lambda: _read_chunk_in_time(gw, job, running))
     while True:
-        chunk = await _read_chunk_in_time(gw, job, running)
+        chunk = await reader.read_chunk()
         if isinstance(chunk, Broken):
             return chunk
         if isinstance(chunk, BodyEnd):
--- a/ramppost/gateway/inbound.py
+++ b/ramppost/gateway/inbound.py
@@ -3,6 +3,9 @@
 Each connection has a task.  The connection is also read while a request is served: bytes are kept
 for the next request, and a disconnect cancels the request, so that its upstream stops, too.  The
 limits are those of the current configuration.
+
+What a caller does not take at once is buffered (`ramppost.gateway.caller_buffer`): writing returns
+at once, and the connection takes the next request when everything was sent.
 """
 
 from __future__ import annotations
@@ -16,6 +19,7 @@
 from loguru import logger
 
 from ramppost import clock
+from ramppost.gateway.caller_buffer import CallerBuffer, CallerBuffers, limit_unsent
 from ramppost.gateway.links import configure_socket
 from ramppost.gateway.model import CallerLimits, CallerRequest
 from ramppost.platform.headers import Headers, caller_request
@@ -40,10 +44,15 @@
 
 
 class Reply:
-    """The response to a request: `send` for a complete one, or `start`, `write` and `end`."""
+    """The response to a request: `send` for a complete one, or `start`, `write` and `end`.
+
+    They return before the caller has taken the bytes: see `buffer`.
+    """
 
-    def __init__(self, sock: Any, conn: h11.Connection, should_close: Callable[[], bool]) -> None:
-        self._sock = sock
+    def __init__(
+        self, buffer: CallerBuffer, conn: h11.Connection, should_close: Callable[[], bool]
+    ) -> None:
+        self.buffer = buffer
         self._conn = conn
         self._should_close = should_close
         self.status = 0
@@ -60,20 +69,20 @@
         data = self._head(status, (*framed, length))
         data += self._conn.send(h11.Data(data=body)) or b""
         data += self._conn.send(h11.EndOfMessage()) or b""
-        await self._write(data)
+        await self.buffer.write(data)
 
     async def start(self, status: int, headers: Headers, first: bytes) -> None:
         """Send the head and first bytes of a response; the rest follows."""
         data = self._head(status, headers)
-        await self._write(data + (self._conn.send(h11.Data(data=first)) or b""))
+        await self.buffer.write(data + (self._conn.send(h11.Data(data=first)) or b""))
 
     async def write(self, data: bytes) -> None:
         """Send the next bytes."""
-        await self._write(self._conn.send(h11.Data(data=data)) or b"")
+        await self.buffer.write(self._conn.send(h11.Data(data=data)) or b"")
 
     async def end(self) -> None:
         """Mark the response as complete; without this the caller sees that it broke off."""
-        await self._write(self._conn.send(h11.EndOfMessage()) or b"")
+        await self.buffer.write(self._conn.send(h11.EndOfMessage()) or b"")
 
     def _head(self, status: int, headers: Headers) -> bytes:
         self.status = status
@@ -81,12 +90,6 @@
         head = h11.Response(status_code=status, headers=[*headers, *closing])
         return self._conn.send(head) or b""
 
-    async def _write(self, data: bytes) -> None:
-        try:
-            await self._sock.sendall(data)
-        except OSError as exc:
-            raise ClientDisconnected from exc
-
 
 Serve = Callable[[CallerRequest, Reply, float], Awaitable[None]]
 """Serves a request that was read completely at the given time on the steady clock."""
@@ -105,9 +108,10 @@
 
 
 class CallerConnections:
-    """Counts of callers' connections, and the idle ones that wait for a request."""
+    """Counts of callers' connections, their buffers, and the idle ones that wait for a request."""
 
-    def __init__(self) -> None:
+    def __init__(self, buffers: CallerBuffers) -> None:
+        self.buffers = buffers
         self.count = 0
         self.busy = 0
         self.idle: set[Any] = set()
@@ -125,6 +129,7 @@
         while True:
             client_sock = await accept_client(sock, lambda: callers.count >= MAX_CONNECTIONS)
             configure_socket(client_sock)
+            limit_unsent(client_sock)
             await curio.spawn(_serve_connection, client_sock, callers, hooks, daemon=True)
 
 
@@ -154,11 +159,15 @@
         request = await _read_request(sock, conn, hooks.limits())
         if request is None:
             return False
-        reply = Reply(sock, conn, hooks.is_closing)
-        if isinstance(request, BadRequest):
-            await _refuse_bad_request(sock, conn, reply, request, hooks.refusal_body)
-            return False
-        await _serve_while_connected(sock, conn, request, reply, hooks.serve)
+        buffer = CallerBuffer(sock, callers.buffers)
+        reply = Reply(buffer, conn, hooks.is_closing)
+        try:
+            if isinstance(request, BadRequest):
+                await _refuse_bad_request(sock, conn, reply, request, hooks.refusal_body)
+                return False
+            await _serve_while_connected(sock, conn, request, reply, hooks.serve)
+        finally:
+            await buffer.close()
     finally:
         callers.busy -= 1
     is_complete = conn.our_state is h11.DONE and conn.their_state is h11.DONE
@@ -249,6 +258,8 @@
     await reply.send(
         bad_request.status, (JSON_TYPE, (b"connection", b"close")), refusal_body(bad_request)
     )
+    async with curio.ignore_after(LINGER_S):
+        await reply.buffer.wait_until_sent()
     await sock.shutdown(socket.SHUT_WR)
     async with curio.ignore_after(LINGER_S):
         while await sock.recv(READ_SIZE):
@@ -271,6 +282,7 @@
     """Serve a request; false if the connection must be closed."""
     try:
         await serve(req, reply, read_at)
+        await reply.buffer.wait_until_sent()
     except ClientDisconnected:
         return False
     except Exception as exc:
--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -56,11 +56,13 @@
     """The connection failed after sending: the request may have run.
 
     `by_peer` is true if the peer closed the connection or violated the protocol, and false if this
-    gateway gave up.
+    gateway gave up.  `left_unread` is true if the peer may have given up because this gateway did
+    not read from it while the caller paused.
     """
 
     reason: str
     by_peer: bool = False
+    left_unread: bool = False
 
 
 class BodyEnd(NamedTuple):
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -204,6 +204,7 @@
         gw.metrics.gauges["ramppost_config_revision"] = gw.table.revision if gw.table else 0
         gw.metrics.gauges["ramppost_upstream_connections_opened"] = gw.connections.opened
         gw.metrics.gauges["ramppost_upstreams_rate_limited"] = len(gw.rate_limits)
+        gw.metrics.gauges["ramppost_caller_buffer_bytes"] = gw.callers.buffers.total_bytes
         gw.metrics.gauges["ramppost_log_lines_dropped"] = logs.dropped_lines()
         await reply.send(200, gw.metrics.text(), METRICS_CONTENT_TYPE)
 
--- a/ramppost/gateway/rests.py
+++ b/ramppost/gateway/rests.py
@@ -47,9 +47,7 @@
         rest = self._rests.get(upstream.addr)
         return 0.0 if rest is None else max(0.0, rest.until - now)
 
-    def record_refusal(
-        self, upstream: Upstream, rest_s: float, now: float, said_at: float
-    ) -> None:
+    def record_refusal(self, upstream: Upstream, rest_s: float, now: float, said_at: float) -> None:
         """Record that an upstream has refused a request at a time of day and asks for rest."""
         if self.wait_s(upstream, now) <= 0:
             logger.info("upstream asks for rest", upstream=upstream.id, rest_s=rest_s)
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -30,6 +30,7 @@
 from ramppost.platform.headers import Headers, refusal_headers
 from ramppost.policy.fatal import ObservedRun, evidence_level
 from ramppost.policy.policydoc import INPUT_PRICE_RATIO
+from ramppost.policy.slow_callers import Rank
 from ramppost.wire.server import ClientDisconnected
 
 MAX_CONNECT_FAILURES: Final = 4
@@ -59,14 +60,17 @@
     job = Job(req, admitted, read_at)
     if admitted.workspace is not None and not gw.freshness.is_fresh(read_at):
         gw.metrics.count("ramppost_requests_on_unconfirmed_keys_total")
+    reply.buffer.rank = _buffer_rank(job)
     failure: Refusal | None = None
     try:
         async with curio.timeout_after(max(MIN_TIMEOUT_S, job.left_s(clock.now()))):
             failure = await _process(gw, job, reply)
+            await reply.buffer.wait_until_sent()
     except curio.TaskTimeout:
-        failure = _timeout_refusal(job)
+        failure = failure or _timeout_refusal(job, reply)
     except (ClientDisconnected, curio.CancelledError):
-        _record_end(gw, job, "caller left", reply.status, read_at)
+        outcome = "caller too slow" if reply.buffer.was_cut else "caller left"
+        _record_end(gw, job, outcome, reply.status, read_at)
         raise
     gw.counts.record(_ended_record(job, failure is None, clock.now()))
     if failure is None:
@@ -78,6 +82,12 @@
         await _send_refusal(gw, req, reply, failure, read_at, job.fingerprint)
 
 
+def _buffer_rank(job: Job) -> Rank:
+    """How urgent a response is when buffers for slow callers must be freed."""
+    workspace_rank = job.workspace.priority if job.workspace is not None else 0
+    return workspace_rank, job.route.priority
+
+
 async def _process(gw: Gateway, job: Job, reply: Reply) -> Refusal | None:
     """Find an upstream that responds and forward its response; a refusal if there is none."""
     service = select_service(job)
@@ -260,7 +270,8 @@
             )
     if isinstance(result, Broken):
         now = clock.now()
-        gw.suspicion_of(running.chosen.upstream.key).record_outcome(True, now)
+        if not result.left_unread:
+            gw.suspicion_of(running.chosen.upstream.key).record_outcome(True, now)
         events_there = job.forwarded_events - events_before
         logger.info(
             "answer broke off: {}",
@@ -272,6 +283,7 @@
             events_there=events_there,
             since_head_s=round(now - head_at, 4),
             lived_s=round(run.lived_s, 4),
+            left_unread=result.left_unread,
         )
         evidence = evidence_level(run.lived_s, events_there)
         await handle_broken_response(gw, job, running.chosen.upstream, result, evidence)
@@ -294,7 +306,9 @@
     return refusal("fatal_request", "upstreams end when they begin to run it", ran=ran)
 
 
-def _timeout_refusal(job: Job) -> Refusal:
+def _timeout_refusal(job: Job, reply: Reply) -> Refusal:
+    if reply.buffer.size:
+        return refusal("deadline", "the caller did not read the rest in time", ran="unknown")
     if job.may_have_run:
         return refusal("deadline", "the time limit passed while it was running", ran="unknown")
     return refusal("overloaded", "the time limit passed before it was begun", OVERLOAD_RETRY_S)
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -8,6 +8,7 @@
 
 from ramppost import clock
 from ramppost.gateway.backlogs import Backlogs
+from ramppost.gateway.caller_buffer import BYTES_PER_MB, DEFAULT_LIMIT_MB, CallerBuffers
 from ramppost.gateway.counts import Counts
 from ramppost.gateway.datagrams import Datagrams
 from ramppost.gateway.endings import UpstreamProbes
@@ -57,6 +58,11 @@
     return cfg["timing"].get("unconfirmed_keys") == "serve"
 
 
+def _caller_buffer_bytes(cfg: GatewaySettings) -> int:
+    """Limit of the buffers of all responses together."""
+    return cfg.get("limits", {}).get("caller_buffer_mb", DEFAULT_LIMIT_MB) * BYTES_PER_MB
+
+
 LEAVING_USE_RATIO: Final = 0.5
 """Part of the time in which an upstream that is leaving must have been given up, during which it is
 used if its service has no other.  The rest covers the transit of requests."""
@@ -110,7 +116,8 @@
         self.retry_budgets: dict[str, WindowBudget] = {}
         self.timing_baselines: dict[tuple[str, str], TimingBaseline] = {}
         self.rollouts = Rollouts(cfg["timing"]["session_s"])
-        self.callers = CallerConnections()
+        self.callers = CallerConnections(CallerBuffers(self.metrics))
+        self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
         self.datagrams = Datagrams(self.metrics)
         self.backlogs = Backlogs(
             cfg["name"], self.peers, self.prefill_rates, self.datagrams, self.metrics
@@ -181,6 +188,7 @@
         self.freshness.max_age_s = _withdrawal_bound_s(cfg)
         self.freshness.serve_unconfirmed = _serves_unconfirmed(cfg)
         self.rollouts.pins.session_s = cfg["timing"]["session_s"]
+        self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
         self.retry_budgets.clear()
 
     def _observe_head(self, upstream: Upstream, head: AnswerHead, sent_at: float) -> None:
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -361,6 +361,17 @@
     """
 
 
+class GatewayLimits(TypedDict, closed=True):
+    """
+    Limits on what a gateway uses of its box.
+    """
+
+    caller_buffer_mb: NotRequired[int]
+    """
+    Most memory for responses that callers have not taken yet, megabytes of 1,048,576 bytes, of all callers together; when it is full, the least urgent responses are aborted.
+    """
+
+
 class GatewaySettings(TypedDict, closed=True):
     """
     Settings of `ramppost gateway`.
@@ -422,6 +433,10 @@
     """
     How much a bad version may be given.
     """
+    limits: NotRequired[GatewayLimits]
+    """
+    Limits on what it uses of its box.
+    """
     log: Log
     """
     Logging.
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -109,12 +109,14 @@
         engines: int = 2,
         services: int = 2,
         regions: dict[str, str] | None = None,
+        limits: dict[str, int] | None = None,
         **timing: Any,
     ) -> None:
         self.folder = folder
         self.base = free_base()
         self.timing = timing
         self.regions = regions or {}
+        self.limits = limits or {}
         self.procs: dict[str, subprocess.Popen[bytes]] = {}
         self.ports: dict[str, int] = {"store": self.base}
         self._ips: dict[str, str] = {}
@@ -251,6 +253,7 @@
             "timing": timing | self.timing,
             "retries": {"ratio": 0.9, "window_s": 10, "slack": 50},
             "exposure": {"share": 0.15, "slack": 30, "rollback_ms": 5000},
+            "limits": self.limits,
             "log": {"form": "json", "level": "INFO"},
         }
         self._start(name, cfg, ["-m", "ramppost.gateway"])
@@ -461,9 +464,12 @@
         headers: dict[str, str] | None = None,
         body: bytes = b"question",
         http: httpx.Client | None = None,
+        event_bytes: int = 0,
+        pause_s: float = 0.0,
     ) -> Given:
         """Make a request as a caller, on a new connection or one that `http` keeps; the status
-        is 0 or below where the connection broke."""
+        is 0 or below where the connection broke.  Events are padded by `event_bytes`, and the
+        caller pauses after the first bytes."""
         head = {
             "Host": SITE,
             names.ATTEMPT_ID.decode(): attempt or os.urandom(8).hex(),
@@ -477,6 +483,8 @@
             head[names.MODEL.decode()] = names.ANY_MODEL
         head |= headers or {}
         url = f"{self.url(gateway)}{prefix}x/2f?q=%20a"
+        if event_bytes:
+            url += f"&event_bytes={event_bytes}"
         got = bytearray()
         status, found = 0, {}
         try:
@@ -484,6 +492,8 @@
                 status, found = answer.status_code, dict(answer.headers)
                 for piece in answer.iter_raw():
                     got += piece
+                    time.sleep(pause_s)
+                    pause_s = 0.0
         except httpx.HTTPError:
             return Given(-status, found, bytes(got))
         return Given(status, found, bytes(got))
