Let callers of the soak pause within large streams

Cause: the soak's streams fit into socket buffers, so no caller ever held up a response.

Three in ten streams of the soak are large and paused in, by a random generator of their own, so that the other draws of a caller stay. Sockets of the soak's callers hold 8 KiB.

--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -1,9 +1,9 @@
 """Stand-in for an upstream of the users' platform: keeps its entry, runs, streams.
 
 A request that tells tokens is answered with a stream of events, any other with a small
-body.  `GET /_log` tells its runs and `GET /_arrivals` all requests that arrived, `POST /_behave`
-sets a `Behaviour`, `POST /_notices` its `Notices`, and `POST /_leave` makes its entry say that it
-is leaving.
+body.  `event_bytes` in its query pads the events.  `GET /_log` tells its runs and `GET /_arrivals`
+all requests that arrived, `POST /_behave` sets a `Behaviour`, `POST /_notices` its `Notices`, and
+`POST /_leave` makes its entry say that it is leaving.
 """
 
 from __future__ import annotations
@@ -279,12 +279,13 @@
     if up.how.get("ends_on", up.cfg.get("ends_on")) == req.body.decode("latin-1"):
         await curio.sleep(END_AFTER_S)
         os._exit(1)
+    padding = b"x" * int(req.query.get("event_bytes", "0"))
     begin = int(heads.get(names.LAST_EVENT_ID, "0") or "0")
     for number in range(begin + 1, up.how.get("events", DEFAULT_EVENTS) + 1):
         if number > up.how.get("cut_after", number):
             await reply.write(b"id: %d\ndata: tor" % number)
             raise ClientDisconnected
-        await reply.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
+        await reply.write(b"id: %d\ndata: piece %d%s\n\n" % (number, number, padding))
         await curio.sleep(up.how.get("event_ms", up.cfg.get("event_ms", 10)) / 1000)
     await reply.end()
 
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -2,16 +2,16 @@
 
     python -m tests.harness.soak --seeds 1 2 3 --duration-s 12
 
-Callers ask for streams, calls that may repeat and calls that may run once, each on a
-connection that it keeps until it breaks, while two schedules drawn from the seed, which
-overlap, stop, pause, kill and restart gateways and upstreams, disturb the store, its links and
-those between gateways, silence what is open on them, take a key away, let the configuration
-grow on thin links, let upstreams leave and bring a version in.  Further schedules spoil entries and
-start upstreams under their ids, let upstreams name limits, ask for rest and leave by their answers
-alone, and let the store come back from older copies.  After the storm a new route has to be in
-force everywhere in time, and a request that ends engines is not to be run for ever, though gateways
-are killed, paused and stopped as it comes again.  What upstreams ran, told and were sent, and what
-callers got, is compared at the end, and the gateways' log lines are audited.
+Callers ask for streams, calls that may repeat and calls that may run once, each on a connection
+that it keeps until it breaks, and some pause within larger streams, while two schedules drawn from
+the seed, which overlap, stop, pause, kill and restart gateways and upstreams, disturb the store,
+its links and those between gateways, silence what is open on them, take a key away, let the
+configuration grow on thin links, let upstreams leave and bring a version in. Further schedules
+spoil entries and start upstreams under their ids, let upstreams name limits, ask for rest and leave
+by their answers alone, and let the store come back from older copies. After the storm a new route
+has to be in force everywhere in time, and a request that ends engines is not to be run for ever,
+though gateways are killed, paused and stopped as it comes again. What upstreams ran, told and were
+sent, and what callers got, is compared at the end, and the gateways' log lines are audited.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import threading
@@ -49,6 +50,12 @@
 from tests.harness.upstream_rules import Excuse, after_leaving, during_rest, over_limit
 
 CALLERS = 9
+SLOW_SHARE = 0.3
+"""How many streams their callers pause in."""
+MOST_PAUSE_S = 1.5
+SLOW_EVENT_BYTES = 40_000
+"""Five such events don't fit into the socket buffers of these callers."""
+CALLER_SOCKET = ((socket.SOL_SOCKET, socket.SO_RCVBUF, 8192),)
 ENGINES = ("lm-1", "lm-2", "lm-3")
 SERVICES = ("web-1", "web-2")
 WITHDRAWAL_S = 2.0
@@ -125,15 +132,21 @@
             thread.start()
 
     def _call(self, number: int) -> None:
-        rng = random.Random(number)
-        kept = httpx.Client(timeout=10, limits=httpx.Limits(max_connections=4))
+        rng, pauses = random.Random(number), random.Random(f"{number}/pauses")
+        limits = httpx.Limits(max_connections=4)
+        transport = httpx.HTTPTransport(limits=limits, socket_options=CALLER_SOCKET)
+        kept = httpx.Client(timeout=10, transport=transport)
         while not self._ending.is_set():
             prefix = rng.choice((ONCE, ONCE, SAFE, STREAM))
             workspace = rng.choice(sorted(KEYS))
             gateway = rng.choice(self.site.gateways)
             attempt, at = os.urandom(8).hex(), time.time()
+            slow: dict[str, Any] = {}
+            if prefix == STREAM and pauses.random() < SLOW_SHARE:
+                pause_s = pauses.uniform(0.0, MOST_PAUSE_S)
+                slow = {"event_bytes": SLOW_EVENT_BYTES, "pause_s": pause_s}
             got = self.site.call(
-                gateway, prefix, KEYS[workspace], attempt, deadline_ms=2500, http=kept
+                gateway, prefix, KEYS[workspace], attempt, deadline_ms=2500, http=kept, **slow
             )
             self.asked.append(Asked(attempt, prefix, workspace, at, got))
             time.sleep(rng.uniform(0.0, 0.05))
