--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -124,6 +124,7 @@
         return None
     urgency = prompt_urgency(gw, job, chosen.prefill_s)
     workspace = job.workspace.name if job.workspace is not None else ""
+    factor = chosen.prefill_factor if gw.prefill_rates.is_known(model) else 0.0
     return PendingPrompt(
         now,
         chosen.prefill_s,
@@ -131,7 +132,7 @@
         model,
         prompt.part_names,
         workspace,
-        chosen.prefill_factor,
+        factor,
     )
 
 
--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -364,7 +364,7 @@
             note["model"],
             tuple(note["parts"]),
             note.get("workspace", ""),
-            max(1, note.get("prefill_pct", 100)) / 100,
+            note.get("prefill_pct", 100) / 100,
         )
         self._backlog(note["engine"]).add(note["key"], prompt)
 
--- a/ramppost/policy/backlog.py
+++ b/ramppost/policy/backlog.py
@@ -50,12 +50,13 @@
     workspace: str = ""
     """The workspace that sent it, empty for a request without one."""
     prefill_factor: float = 1.0
-    """The factor for the engine's speed that `read_s` contains."""
+    """The factor for the engine's speed that `read_s` contains, 0 if the rate of the model was not
+    known and `read_s` says nothing about the engine."""
 
 
 class Prefill(NamedTuple):
     """A completed prefill without the prompts ahead: the seconds that it takes at the usual speed,
-    and those that it took."""
+    0 if that is not known, and those that it took."""
 
     usual_s: float
     took_s: float
@@ -98,7 +99,8 @@
             self._cached_at.pop((prompt.model, name), None)
             self._cached_at[prompt.model, name] = now
         drop_oldest(self._cached_at, MAX_PARTS)
-        return Prefill(prompt.read_s / prompt.prefill_factor, took_s)
+        factor = prompt.prefill_factor
+        return Prefill(prompt.read_s / factor if factor else 0.0, took_s)
 
     def remove(self, key: str, now: float) -> None:
         """Remove a prompt that was not sent, that failed, or whose caller disconnected."""
--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -90,6 +90,8 @@
     def __init__(self) -> None:
         self._rates: dict[str, float] = {}
         self._sample_counts: dict[str, int] = {}
+        self._peer_models: set[str] = set()
+        """Models whose rate was accepted from a peer."""
         self.typical_prefill_s = 0.05
         """Average prefill time of a request, used for waiting requests of other gateways."""
 
@@ -97,6 +99,14 @@
         """Seconds per token."""
         return self._rates.get(model, INITIAL_RATE_S)
 
+    def is_known(self, model: str) -> bool:
+        """Whether the rate was measured by this gateway or a peer.
+
+        >>> PrefillRates().is_known("m")
+        False
+        """
+        return model in self._peer_models or self.own_rate_s(model) > 0
+
     def own_rate_s(self, model: str) -> float:
         """Seconds per token measured by this gateway; 0 if there are too few samples."""
         return self.rate_s(model) if self._sample_counts.get(model, 0) >= MIN_RATE_SAMPLES else 0.0
@@ -121,6 +131,7 @@
         """Use a rate measured by another gateway unless this one has enough samples."""
         if rate_s > 0 and self._sample_counts.get(model, 0) < MIN_RATE_SAMPLES:
             self._rates[model] = rate_s
+            self._peer_models.add(model)
 
     def record_sent(self, seconds: float) -> None:
         """Record a sent request with its predicted prefill time."""
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -390,7 +390,7 @@
     """
     prefill_pct: NotRequired[int]
     """
-    The factor of the prediction for the engine's speed, in hundredths; 100 without one.
+    The factor of the prediction for the engine's speed, in hundredths; 100 without one, 0 if the rate of the model was not known.
     """
 
 
--- a/tests/test_gateway_backlogs.py
+++ b/tests/test_gateway_backlogs.py
@@ -165,6 +165,18 @@
     play(scene)
 
 
+def test_prompts_of_gateways_that_had_just_started_made_engines_look_fast() -> None:
+    # They predict with a rate that is not that of the model.
+    async def scene(site: Site) -> None:
+        for number in range(40):
+            prompt = reading()._replace(sent_at=clock.now() - 0.2, prefill_factor=0.0)
+            site.south.record_sent(FAR, f"a{number}", prompt)
+            site.south.record_done(FAR, f"a{number}", began=True)
+        assert (await site.north.ask([FAR], QUESTION))[FAR.id].speed.prefill == 0.0
+
+    play(scene)
+
+
 def test_new_keeper_did_not_know_the_speed_that_the_last_one_had_told() -> None:
     async def scene(site: Site) -> None:
         for number in range(MIN_SAMPLES):
