--- a/ramppost/gateway/caller_buffer.py
+++ b/ramppost/gateway/caller_buffer.py
@@ -53,6 +53,8 @@
     def __init__(self, metrics: Metrics) -> None:
         self.limit_bytes = DEFAULT_LIMIT_MB * BYTES_PER_MB
         self.total_bytes = 0
+        self.assembled_bytes = 0
+        """Bytes of responses of which nothing was sent yet."""
         self._metrics = metrics
         self._filled: set[CallerBuffer] = set()
 
@@ -77,6 +79,36 @@
             self._filled.discard(buffer)
 
 
+class Assembly:
+    """A response that is read completely before any of it is sent, so that it can be retried.
+
+    All of them together have the same limit as the buffers, so that many large responses at once do
+    not exceed the memory of the box.
+    """
+
+    def __init__(self, buffers: CallerBuffers) -> None:
+        self._buffers = buffers
+        self._data = bytearray()
+
+    def add(self, chunk: bytes) -> None:
+        """Append the next bytes."""
+        self._data += chunk
+        self._buffers.assembled_bytes += len(chunk)
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether the response must be forwarded before it is complete."""
+        is_over = self._buffers.assembled_bytes > self._buffers.limit_bytes
+        return is_over or len(self._data) > MAX_RESPONSE_BYTES
+
+    def take(self) -> bytes:
+        """Return what was appended, and drop it."""
+        data = bytes(self._data)
+        self._buffers.assembled_bytes -= len(data)
+        self._data.clear()
+        return data
+
+
 class CallerBuffer:
     """What the caller of one response has not taken yet.
 
@@ -86,6 +118,7 @@
     def __init__(self, sock: Any, buffers: CallerBuffers) -> None:
         self._sock = sock
         self._buffers = buffers
+        self.assembly = Assembly(buffers)
         self._data = bytearray()
         self._writer: Any = None
         self._writing = False
--- a/ramppost/gateway/forwarding.py
+++ b/ramppost/gateway/forwarding.py
@@ -19,6 +19,7 @@
 
 from ramppost import clock
 from ramppost.gateway.attempt import Running
+from ramppost.gateway.caller_buffer import Assembly
 from ramppost.gateway.events import Event, EventSplitter
 from ramppost.gateway.inbound import Reply
 from ramppost.gateway.job import Job
@@ -27,8 +28,6 @@
 from ramppost.platform.headers import Headers
 from ramppost.policy.fatal import ObservedRun
 
-MAX_BUFFERED_BYTES: Final = 262144
-"""A response up to this size is read completely before it is forwarded."""
 STALL_GAP_FACTOR: Final = 3.0
 """Multiple of a stream's allowed gap after which the stream is resumed at another upstream."""
 MIN_LEFT_UNREAD_S: Final = 1.0
@@ -73,7 +72,16 @@
 
 async def forward_response(running: Running, reply: Reply, run: ObservedRun) -> Forwarded | Broken:
     """Forward a response that is not a stream.  `run` records each chunk that arrives."""
-    body = bytearray()
+    body = reply.buffer.assembly
+    try:
+        return await _forward_assembled(running, reply, run, body)
+    finally:
+        body.take()
+
+
+async def _forward_assembled(
+    running: Running, reply: Reply, run: ObservedRun, body: Assembly
+) -> Forwarded | Broken:
     reader = _Reader(reply, running.exchange.read_chunk)
     while True:
         chunk = await reader.read_chunk()
@@ -85,14 +93,13 @@
         if reply.started:
             await reply.write(chunk)
             continue
-        body += chunk
-        if len(body) > MAX_BUFFERED_BYTES:
-            await reply.start(running.head.status, running.head.headers, bytes(body))
-            body.clear()
+        body.add(chunk)
+        if body.is_too_large:
+            await reply.start(running.head.status, running.head.headers, body.take())
     if reply.started:
         await reply.end()
     else:
-        await reply.send(running.head.status, running.head.headers, bytes(body))
+        await reply.send(running.head.status, running.head.headers, body.take())
     return Forwarded(running.first_s, clock.now() - running.sent_at, 0, chunk.framed)
 
 
