Mend what the reviews of the parts found

Answers with an error status were samples of a fast engine. Figures of other gateways are bounded, and a datagram whose values can't be handled no longer ends the reception of all others. A decoding time without samples for 30 s counts as unknown, and a keeper that knows nothing does not erase what was known.

Plain upstreams: a request was refused because one upstream had a queue and the only one without was slower.

Streams: events before a gap in their ids were skipped, because the stream was resumed after them without forwarding them. An unframed response that its upstream aborted while it was not read ended as complete.

--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -64,7 +64,7 @@
         if now < self._pool_until or not self.way.speeds:
             return
         self._pool_until = now + WEIGHTS_VALID_S
-        self.uneven = is_uneven(list(self.figures.values()))
+        self.uneven = is_uneven(list(self.figures.values()), self.uneven)
         known = self.figures.items() if self.uneven else ()
         estimates = {id: 1 / speed.prefill for id, speed in known if speed.prefill}
         previous = self.pool.weights
--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -88,18 +88,23 @@
     result: Running | Refused | NotSent | Broken = Broken("cancelled")
     try:
         result = await _send_and_wait(gw, job, chosen, model, work, pending_prompt)
-        if isinstance(result, Running) and pending_prompt is not None:
+        if _has_begun(result) and isinstance(result, Running) and pending_prompt is not None:
             result = result._replace(key=attempt_key)
     finally:
         work.pending -= 1
         if pending_prompt is not None:
-            gw.backlogs.record_done(upstream, attempt_key, isinstance(result, Running))
+            gw.backlogs.record_done(upstream, attempt_key, _has_begun(result))
         if not isinstance(result, Running):
             work.requests -= 1
         _record_outcome(gw, job, chosen, model, result, clock.now() - started_at)
     return result
 
 
+def _has_begun(result: Running | Refused | NotSent | Broken) -> bool:
+    """Whether an engine has read the prompt; an error status may come before it does."""
+    return isinstance(result, Running) and result.head.status < 400
+
+
 async def release(gw: Gateway, running: Running, complete: bool, tokens: int = 0) -> None:
     """End an attempt; `complete` tells whether its response was read to the end.
 
--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final, NamedTuple
 
 import curio
@@ -31,7 +31,17 @@
 from ramppost.policy.placement import PrefillRates
 from ramppost.policy.relays import Peers
 from ramppost.policy.room import BUSY_WAIT_S
-from ramppost.policy.speed import UNKNOWN_SPEED, EngineSpeed, SpeedFigures, is_uneven
+from ramppost.policy.speed import (
+    MAX_PREFILL_FACTOR,
+    MAX_STREAM_S,
+    MAX_STREAMS,
+    MAX_TOKEN_S,
+    SLOWDOWN_PER_STREAM,
+    UNKNOWN_SPEED,
+    EngineSpeed,
+    SpeedFigures,
+    is_uneven,
+)
 from ramppost.policy.use import highest_use
 from ramppost.schema.messages import (
     BacklogAsk,
@@ -169,22 +179,19 @@
     def local_estimate(self, engine: str, query: BacklogQuery, now: float) -> BacklogEstimate:
         """Estimate an engine's backlog from local data only."""
         backlog = self._backlogs.get(engine)
-        speed = self._figures.get(engine, UNKNOWN_SPEED)
+        speed = self._figures.get(engine, UNKNOWN_SPEED).alone
         if backlog is None:
             return EMPTY_ESTIMATE._replace(speed=speed)
         cached = backlog.cached_parts(query.model, query.parts, now)
         return BacklogEstimate(backlog.ahead_s(query.level, now), cached, False, speed)
 
-    def are_uneven(self, engines: Iterable[str]) -> bool:
-        """Whether the engines of a pool, by key, are known to differ in speed."""
-        return is_uneven([self._figures.get(engine, UNKNOWN_SPEED) for engine in engines])
-
-    def speed_weights(self, engines: Iterable[str]) -> dict[str, float]:
+    def speed_weights(self, engines: Collection[str], were_uneven: bool) -> dict[str, float]:
         """The relative speeds of the engines of a pool, empty if they don't differ.
 
         Engines whose speed is not known are left out.
         """
-        if not self.are_uneven(engines):
+        figures = [self._figures.get(engine, UNKNOWN_SPEED) for engine in engines]
+        if not is_uneven(figures, were_uneven):
             return {}
         prefills = {
             engine: self._figures[engine].prefill for engine in engines if engine in self._figures
@@ -313,7 +320,7 @@
         now = clock.now()
         query = BacklogQuery(ask["level"], ask["model"], tuple(ask["parts"]))
         estimates = [self.local_estimate(engine, query, now) for engine in ask["engines"]]
-        speeds = [self._speed(engine).figures(now) for engine in ask["engines"]]
+        speeds = [self._told_speed(engine, now) for engine in ask["engines"]]
         view = BacklogView(
             id=ask["id"],
             ahead_ms=[round(estimate.ahead_s * 1000) for estimate in estimates],
@@ -344,7 +351,9 @@
         for engine, ahead_ms, cached, speed in zip(
             engines, view["ahead_ms"], view["kept"], speeds, strict=False
         ):
-            self._figures[engine] = speed
+            # A keeper that has just started, or is of an earlier version, knows nothing.
+            self._figures[engine] = speed.or_known(self._figures.get(engine, UNKNOWN_SPEED))
+            self._speeds.pop(engine, None)
             pending.estimates[engine] = BacklogEstimate(ahead_ms / 1000, cached, True, speed)
         drop_oldest(self._figures, MAX_ENGINES)
         if "use" in view:
@@ -364,7 +373,7 @@
             note["model"],
             tuple(note["parts"]),
             note.get("workspace", ""),
-            note.get("prefill_pct", 100) / 100,
+            _bounded(note.get("prefill_pct", 100), MAX_PREFILL_FACTOR * 100) / 100,
         )
         self._backlog(note["engine"]).add(note["key"], prompt)
 
@@ -382,8 +391,17 @@
             speed.record_prefill(prefill.usual_s, prefill.took_s)
 
     def _apply_finish(self, note: BacklogFinish) -> None:
-        speed = self._speed(note["engine"])
-        speed.finish_stream(note["key"], note["tokens"], note["ms"] / 1000, clock.now())
+        speed = self._speeds.get(note["engine"])
+        if speed is not None:
+            took_s = _bounded(note["ms"], MAX_STREAM_S * 1000) / 1000
+            speed.finish_stream(note["key"], note["tokens"], took_s, clock.now())
+
+    def _told_speed(self, engine: str, now: float) -> SpeedFigures:
+        """What this gateway tells about the speed of an engine that it is asked about."""
+        speed = self._speeds.get(engine)
+        if speed is None:
+            return self._figures.get(engine, UNKNOWN_SPEED).alone
+        return speed.figures(now)
 
     def _speed(self, engine: str) -> EngineSpeed:
         """The speed of an engine; a new keeper begins with what it was told last."""
@@ -402,13 +420,19 @@
 
 def _speeds_in(view: BacklogView, count: int) -> list[SpeedFigures]:
     """The speeds in a keeper's answer; a gateway of an earlier version tells none."""
-    unknown = [0] * count
+    lists = (view.get("running", []), view.get("prefill_pct", []), view.get("token_us", []))
+    if any(len(values) != count for values in lists):
+        return [UNKNOWN_SPEED] * count
     return [
-        SpeedFigures(running, prefill_pct / 100, token_us / 1e6)
-        for running, prefill_pct, token_us in zip(
-            view.get("running", unknown),
-            view.get("prefill_pct", unknown),
-            view.get("token_us", unknown),
-            strict=False,
+        SpeedFigures(
+            int(_bounded(running, MAX_STREAMS)),
+            _bounded(prefill_pct, MAX_PREFILL_FACTOR * 100) / 100,
+            _bounded(token_us, MAX_TOKEN_S * 1e6 * (1 + SLOWDOWN_PER_STREAM * MAX_STREAMS)) / 1e6,
         )
+        for running, prefill_pct, token_us in zip(*lists, strict=True)
     ]
+
+
+def _bounded(value: int, limit: float) -> float:
+    """A figure of another gateway within its possible range; messages may hold any integer."""
+    return min(limit, max(0, value))
--- a/ramppost/gateway/caller_buffer.py
+++ b/ramppost/gateway/caller_buffer.py
@@ -129,6 +129,8 @@
         """Bytes that are buffered, in step with the total of all buffers."""
         self.rank = MOST_URGENT
         self.was_cut = False
+        self.was_full = False
+        """Whether the upstream ever had to wait for the caller."""
 
     @property
     def is_full(self) -> bool:
@@ -157,6 +159,7 @@
     async def wait_for_room(self) -> float:
         """Wait until the upstream may be read again; returns the seconds that took."""
         began_at = clock.now()
+        self.was_full = True
         await self._wait_for_size(RESUME_BYTES)
         return clock.now() - began_at
 
--- a/ramppost/gateway/datagrams.py
+++ b/ramppost/gateway/datagrams.py
@@ -38,8 +38,13 @@
                 msg = decode(data, PeerDatagram)
                 if isinstance(msg, BadMessage):
                     logger.warning("invalid datagram: {}", msg.reason, peer=addr[0])
-                else:
+                    continue
+                try:
                     await handle(msg, addr)
+                except (ArithmeticError, LookupError, ValueError, TypeError) as exc:
+                    # Its fields have the right types but impossible values.
+                    logger.warning("datagram not handled: {!r}", exc, peer=addr[0])
+                    self._metrics.count("ramppost_datagrams_unhandled_total")
 
     def send(self, addr: Address, msg: PeerDatagram) -> None:
         """Send without waiting; a datagram that can't be sent is dropped."""
--- a/ramppost/gateway/forwarding.py
+++ b/ramppost/gateway/forwarding.py
@@ -65,8 +65,13 @@
             pause_s = await self._buffer.wait_for_room()
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         chunk = await self._read_chunk()
-        if isinstance(chunk, Broken) and self._longest_pause_s >= MIN_LEFT_UNREAD_S:
+        if self._longest_pause_s < MIN_LEFT_UNREAD_S:
+            return chunk
+        if isinstance(chunk, Broken):
             return chunk._replace(left_unread=True)
+        if isinstance(chunk, BodyEnd) and not chunk.framed:
+            # Without a length, the end of an aborted response looks like that of a complete one.
+            return Broken("unframed answer closed while unread", by_peer=True, left_unread=True)
         return chunk
 
 
@@ -122,16 +127,13 @@
                 return Broken("stream ended within an event", by_peer=True)
             break
         run.record_piece(clock.now())
-        events = splitter.feed(chunk)
-        for event in events:
-            if not _is_next_event(job, event):
-                return Broken(f"event {event.id!r} after {job.last_event_id!r}")
-            if event.id:
-                job.last_event_id = event.id
+        events, broken = _events_in_order(job, splitter.feed(chunk))
         if events:
             await _write_events(running, reply, b"".join(event.raw for event in events))
             forwarded += len(events)
             job.forwarded_events += len(events)
+        if broken is not None:
+            return broken
     if not reply.started:
         await reply.send(running.head.status, running.head.headers, b"")
     else:
@@ -139,6 +141,21 @@
     return Forwarded(running.first_s, clock.now() - running.sent_at, forwarded, chunk.framed)
 
 
+def _events_in_order(job: Job, events: list[Event]) -> tuple[list[Event], Broken | None]:
+    """The events before a gap in their ids, and what is wrong with the next.
+
+    Those before a gap are forwarded, because the stream is resumed after them.
+    """
+    valid: list[Event] = []
+    for event in events:
+        if not _is_next_event(job, event):
+            return valid, Broken(f"event {event.id!r} after {job.last_event_id!r}")
+        if event.id:
+            job.last_event_id = event.id
+        valid.append(event)
+    return valid, None
+
+
 async def _write_events(running: Running, reply: Reply, data: bytes) -> None:
     if reply.started:
         await reply.write(data)
--- a/ramppost/gateway/pools.py
+++ b/ramppost/gateway/pools.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final, NamedTuple
 
 from ramppost import clock
@@ -19,12 +19,13 @@
 """How long weights are used before they are compared with new estimates, which costs as much as a
 request where there are 600 engines."""
 
-SpeedWeights = Callable[[Iterable[str]], Mapping[str, float]]
+SpeedWeights = Callable[[Collection[str], bool], Mapping[str, float]]
 """Estimates the weights of engines by key: 1 is an engine of usual speed, 2 one twice as fast.
-Engines without an estimate are left out."""
+Engines without an estimate are left out; none has one if their speeds do not differ.  The second
+argument tells whether they did before."""
 
 
-def equal_weights(ids: Iterable[str]) -> Mapping[str, float]:
+def equal_weights(ids: Collection[str], were_uneven: bool) -> Mapping[str, float]:
     """The weights of engines whose speeds do not differ."""
     return {}
 
@@ -61,26 +62,30 @@
         by_key = {upstream.key: upstream for upstream in listed}
         # Another list of the service has most of these engines, and they keep their weights.
         previous = cached[0].pool.weights if cached else {}
-        found = self._built(listed, by_key, previous)
+        estimates = self._speed_weights(by_key, bool(cached and cached[0].uneven))
+        found = _built(listed, by_key, estimates, previous)
         cached.insert(0, found)
         del cached[MAX_CACHED_LISTS:]
         return found
 
     def _reweighted(self, found: Candidates) -> Candidates:
         """The candidates with weights by new estimates, with the same pool if none changed."""
-        estimates = self._speed_weights(found.by_key)
+        estimates = self._speed_weights(found.by_key, found.uneven)
         if _weights(found.by_key, estimates, found.pool.weights) != found.pool.weights:
-            return self._built(found.listed, found.by_key, found.pool.weights)
+            return _built(found.listed, found.by_key, estimates, found.pool.weights)
         return found._replace(weights_until=clock.now() + WEIGHTS_VALID_S, uneven=bool(estimates))
 
-    def _built(
-        self, listed: list[Upstream], by_key: dict[str, Upstream], previous: Mapping[str, float]
-    ) -> Candidates:
-        estimates = self._speed_weights(by_key)
-        halls = {key: upstream.hall for key, upstream in by_key.items()}
-        pool = build_pool(halls, _weights(by_key, estimates, previous))
-        valid_until = clock.now() + WEIGHTS_VALID_S
-        return Candidates(listed, by_key, pool, valid_until, bool(estimates))
+
+def _built(
+    listed: list[Upstream],
+    by_key: dict[str, Upstream],
+    estimates: Mapping[str, float],
+    previous: Mapping[str, float],
+) -> Candidates:
+    halls = {key: upstream.hall for key, upstream in by_key.items()}
+    pool = build_pool(halls, _weights(by_key, estimates, previous))
+    valid_until = clock.now() + WEIGHTS_VALID_S
+    return Candidates(listed, by_key, pool, valid_until, bool(estimates))
 
 
 def _weights(
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -167,7 +167,8 @@
             job.failed_versions.add(result.chosen.upstream.version)
             last_refusal = refusal("upstream_failed", f"upstream answered {result.head.status}")
         elif isinstance(result, Refused):
-            note_refusal(gw, job, chosen.upstream)
+            if not result.wrong_upstream:
+                note_refusal(gw, job, chosen.upstream)
             last_refusal = _overload_refusal(gw, job, service, result)
         elif isinstance(result, NotSent):
             connect_failures += 1
@@ -285,8 +286,10 @@
         if engine is not None:
             events = job.forwarded_events - events_before
             _add_cost(job, running, events * engine.tokens_per_event)
-            # The first event arrives with the head.
-            tokens = max(0, events - 1) * engine.tokens_per_event if complete else 0
+            # The first event arrives with the head.  A stream whose upstream had to wait for the
+            # caller says nothing about its engine.
+            is_sample = complete and not reply.buffer.was_full
+            tokens = max(0, events - 1) * engine.tokens_per_event if is_sample else 0
         await release(gw, running, complete, tokens)
     if isinstance(result, Broken):
         now = clock.now()
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -102,7 +102,7 @@
         """Whether evacuations have been listed; always true if the settings disable them."""
         self.unreadable = UnreadableEntries()
         self.regions = Regions(cfg.get("regions", {}))
-        self.pools = Pools(lambda engines: self.backlogs.speed_weights(engines))
+        self.pools = Pools(lambda engines, uneven: self.backlogs.speed_weights(engines, uneven))
         self.freshness = Freshness(_withdrawal_bound_s(cfg), _serves_unconfirmed(cfg))
         self.store_outage = StoreOutage()
         self.metrics = Metrics()
--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -50,8 +50,10 @@
 """How many of these are in the gateway's own hall, if it has that many."""
 DECODE_WEIGHT: Final = 0.25
 """Weight of a second until the last token against one until the first."""
-STREAM_DELAY_WEIGHT: Final = 0.05
+STREAM_DELAY_WEIGHT: Final = 0.1
 """Weight of a second by which a prompt delays each stream that runs at its engine."""
+MAX_STREAMS_COST_S: Final = 2.0
+"""Below the penalty for an engine that fails, however long the answer may become."""
 INITIAL_RATE_S: Final = 1 / 30000
 """Seconds of prefill for each prompt token until the model's rate is known."""
 RATE_STEP: Final = 0.04
@@ -274,7 +276,8 @@
 def _streams_cost_s(speed: SpeedFigures, work: PrefillWork, placement: Placement) -> float:
     """Penalty in seconds for a long stream and for delaying the streams that run at an engine."""
     decode_s = work.tokens_out * speed.token_s
-    return DECODE_WEIGHT * decode_s + STREAM_DELAY_WEIGHT * speed.running * placement.prefill_s
+    delay_s = speed.running * placement.prefill_s
+    return min(MAX_STREAMS_COST_S, DECODE_WEIGHT * decode_s + STREAM_DELAY_WEIGHT * delay_s)
 
 
 def _long_prompt_penalty_s(placement: Placement, long_prompt_ids: frozenset[str]) -> float:
--- a/ramppost/policy/plain.py
+++ b/ramppost/policy/plain.py
@@ -161,7 +161,8 @@
         return Send()
     run_s = min(view.run_s for view in views)
     response_s = min(_queue_s(view) + view.run_s for view in views)
-    if response_s - run_s > 0 and response_s > _longest_response_s(request):
+    queued = all(_queue_s(view) > 0 for view in views)
+    if queued and response_s > _longest_response_s(request):
         return Reject(_retry_after_s(response_s, run_s, rng), "no slot is free in time")
     if any(_queue_s(view) > 0 for view in views):
         # An upstream that has requests waiting keeps them in its own queue.
--- a/ramppost/policy/speed.py
+++ b/ramppost/policy/speed.py
@@ -8,8 +8,8 @@
 `EngineSpeed` belongs to one incarnation of an engine and is maintained by the gateway that keeps
 its backlog, which sees the prompts and streams of all gateways.  It holds a prefill factor, the
 prefill time relative to the usual one of the pool, and the decoding time per token of a single
-stream.  Both move in small steps towards the median, so that outliers, momentary slowness of the
-box and a fault that slows some answers hardly change them.
+stream.  The former is the median of recent prompts and the latter a mean of bounded samples, so
+that outliers, momentary slowness of the box and a fault that slows some answers hardly change them.
 
     speed = EngineSpeed()
     speed.record_prefill(0.2, 0.1)
@@ -21,6 +21,8 @@
 from __future__ import annotations
 
 import math
+import statistics
+from collections import deque
 from collections.abc import Collection
 from typing import Final, NamedTuple
 
@@ -30,24 +32,33 @@
 """Prefill time at the pool's rate from which a prompt is a sample; the transit of shorter ones
 dominates."""
 MIN_STREAM_TOKENS: Final = 20
-PREFILL_STEP: Final = 0.03
-MIN_SAMPLES: Final = 4
-"""Samples from which an estimate is used."""
+MIN_SAMPLES: Final = 12
+"""Prefills from which a factor is used.  With fewer, the extremes of a pool of equal engines differ
+by more than `UNEVEN_RATIO`."""
+MAX_SAMPLES: Final = 31
+"""Recent prefills whose median is the factor."""
 MIN_PREFILL_FACTOR: Final = 0.25
 MAX_PREFILL_FACTOR: Final = 4.0
 TOKEN_HALF_LIFE_S: Final = 10.0
 """Half-life of decoding samples: several times the duration of a stream."""
+TOKEN_VALID_S: Final = 30.0
+"""Age of the last sample from which the decoding time counts as unknown, so that an engine that was
+slow gets streams again."""
+MAX_SAMPLE_RATIO: Final = 5.0
+"""Bound of a decoding sample relative to the present estimate, which changes with the load."""
+MAX_TOKENS: Final = 100_000
+MAX_TOKEN_S: Final = 1.0
 SLOWDOWN_PER_STREAM: Final = 0.15
 """Relative increase of the decoding time for each stream that runs beside another, together with
 the prompts that are read for it."""
-PACE_HALF_LIFE_S: Final = 0.3
-"""The pace of a box changes within tenths of a second."""
 MAX_STREAMS: Final = 1024
 MAX_STREAM_S: Final = 30.0
 """Age at which a stream whose end was not reported is dropped; deadlines are shorter."""
-UNEVEN_RATIO: Final = 1.5
+UNEVEN_RATIO: Final = 1.7
 """Ratio between slow and fast engines from which a pool counts as uneven.  Gateways predict with
 rates of their own, so the estimates of alike engines scatter by a fifth."""
+STILL_UNEVEN_RATIO: Final = 1.4
+"""Ratio down to which a pool that was uneven stays so."""
 MIN_KNOWN_ENGINES: Final = 4
 
 
@@ -67,6 +78,16 @@
         """The factor of predicted prefill times."""
         return self.prefill or 1.0
 
+    @property
+    def alone(self) -> SpeedFigures:
+        """The same engine without other streams, whose number changes within a second."""
+        return SpeedFigures(0, self.prefill, self.single_token_s)
+
+    def or_known(self, known: SpeedFigures) -> SpeedFigures:
+        """The same with what was known before in place of what is not known."""
+        token_s = self.token_s or known.single_token_s * _slowdown(self.running)
+        return SpeedFigures(self.running, self.prefill or known.prefill, token_s)
+
     @property
     def single_token_s(self) -> float:
         """The time between two tokens of a stream that runs alone; 0 if not known."""
@@ -96,12 +117,12 @@
     """
 
     def __init__(self, start: SpeedFigures = UNKNOWN_SPEED) -> None:
-        self._prefill = start.prefill_factor
-        self._prefill_samples = MIN_SAMPLES if start.prefill else 0
+        self._start = start
+        self._prefills: deque[float] = deque(maxlen=MAX_SAMPLES)
         self._streams: dict[str, _Stream] = {}
         self._tokens = float(MIN_STREAM_TOKENS) if start.token_s else 0.0
-        self._token_time_s = self._tokens * start.token_s / _slowdown(start.running)
-        self._updated_at = float("-inf")
+        self._token_time_s = self._tokens * start.single_token_s
+        self._updated_at: float | None = None
 
     def record_prefill(self, usual_s: float, took_s: float) -> None:
         """Record a prefill that takes `usual_s` seconds at the usual speed.
@@ -111,12 +132,9 @@
         >>> 0.48 < speed.figures(0.0).prefill < 0.52
         True
         """
-        if usual_s < MIN_PREFILL_S:
-            return
-        self._prefill_samples += 1
-        step = 1.0 + max(PREFILL_STEP, 1.0 / (2 + self._prefill_samples))
-        factor = self._prefill * (step if took_s > usual_s * self._prefill else 1.0 / step)
-        self._prefill = min(MAX_PREFILL_FACTOR, max(MIN_PREFILL_FACTOR, factor))
+        if usual_s >= MIN_PREFILL_S:
+            factor = took_s / usual_s
+            self._prefills.append(min(MAX_PREFILL_FACTOR, max(MIN_PREFILL_FACTOR, factor)))
 
     def begin_stream(self, key: str, now: float) -> None:
         """Record a stream that begins to run."""
@@ -126,21 +144,31 @@
     def finish_stream(self, key: str, tokens: int, took_s: float, now: float) -> None:
         """Record the end of a stream that has generated `tokens` tokens in `took_s` seconds."""
         stream = self._streams.pop(key, None)
-        if stream is None or tokens < MIN_STREAM_TOKENS:
+        if stream is None or not MIN_STREAM_TOKENS <= tokens <= MAX_TOKENS:
             return
-        kept = math.exp2(-max(0.0, now - self._updated_at) / TOKEN_HALF_LIFE_S)
         beside = (stream.beside + len(self._streams)) / 2
+        sample_s = max(0.0, took_s) / tokens / _slowdown(beside)
+        known_s = self._single_token_s(now)
+        if known_s:
+            sample_s = min(MAX_SAMPLE_RATIO * known_s, max(known_s / MAX_SAMPLE_RATIO, sample_s))
+        since_s = 0.0 if self._updated_at is None else max(0.0, now - self._updated_at)
+        kept = math.exp2(-since_s / TOKEN_HALF_LIFE_S) if known_s else 0.0
         self._tokens = self._tokens * kept + tokens
-        self._token_time_s = self._token_time_s * kept + took_s / _slowdown(beside)
+        self._token_time_s = self._token_time_s * kept + sample_s * tokens
         self._updated_at = now
 
     def figures(self, now: float) -> SpeedFigures:
         """The present estimates."""
         self._drop_expired(now)
         running = len(self._streams)
-        known = self._prefill_samples >= MIN_SAMPLES
-        token_s = self._token_time_s / self._tokens if self._tokens else 0.0
-        return SpeedFigures(running, self._prefill if known else 0.0, token_s * _slowdown(running))
+        known = len(self._prefills) >= MIN_SAMPLES
+        prefill = statistics.median(self._prefills) if known else self._start.prefill
+        token_s = min(MAX_TOKEN_S, self._single_token_s(now))
+        return SpeedFigures(running, prefill, token_s * _slowdown(running))
+
+    def _single_token_s(self, now: float) -> float:
+        is_old = self._updated_at is not None and now - self._updated_at > TOKEN_VALID_S
+        return 0.0 if is_old or not self._tokens else self._token_time_s / self._tokens
 
     def _drop_expired(self, now: float) -> None:
         expired = [k for k, s in self._streams.items() if now - s.began_at > MAX_STREAM_S]
@@ -163,11 +191,11 @@
     return known[len(known) // 2] if known else 0.0
 
 
-def is_uneven(figures: Collection[SpeedFigures]) -> bool:
+def is_uneven(figures: Collection[SpeedFigures], was_uneven: bool = False) -> bool:
     """Whether the engines of a pool differ in speed beyond the error of the estimates.
 
     The second slowest is compared with the second fastest, so that a single wrong estimate does not
-    decide.
+    decide.  A pool that `was_uneven` stays so down to a smaller ratio.
 
     >>> pool = [SpeedFigures(prefill=0.55)] * 2 + [SpeedFigures(prefill=1.2)] * 6
     >>> is_uneven(pool), is_uneven(pool[2:]), is_uneven([])
@@ -176,13 +204,4 @@
     known = sorted(engine.prefill for engine in figures if engine.prefill)
     if len(known) < MIN_KNOWN_ENGINES:
         return False
-    return known[-2] / known[1] >= UNEVEN_RATIO
-
-
-def decayed_pace(pace: float, age_s: float) -> float:
-    """The pace to expect of a box that reported one some time ago; 1 is the usual pace.
-
-    >>> decayed_pace(2.0, 0.0), decayed_pace(2.0, 0.3)
-    (2.0, 1.5)
-    """
-    return 1.0 + (pace - 1.0) * math.exp2(-max(0.0, age_s) / PACE_HALF_LIFE_S)
+    return known[-2] / known[1] >= (STILL_UNEVEN_RATIO if was_uneven else UNEVEN_RATIO)
--- a/tests/test_gateway_backlogs.py
+++ b/tests/test_gateway_backlogs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -16,6 +17,7 @@
     BacklogEstimate,
     BacklogQuery,
     Backlogs,
+    _speeds_in,
 )
 from ramppost.gateway.datagrams import Datagrams
 from ramppost.gateway.metrics import Metrics
@@ -177,6 +179,28 @@
     play(scene)
 
 
+def test_impossible_figures_of_a_datagram_ended_the_reception_of_all() -> None:
+    huge, odd = 10**400, -700
+
+    async def scene(site: Site) -> None:
+        site.north.record_sent(FAR, "a", reading())
+        site.north.record_done(FAR, "a", began=True)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            for value in (huge, odd):
+                note = {"key": "a", "engine": FAR.key, "tokens": value, "ms": value}
+                sent = {"key": "b", "engine": FAR.key, "read_ms": value, "level": 1, "model": "m"}
+                sent |= {"parts": [], "prefill_pct": value}
+                for data in ({"finish": note}, {"sent": sent}):
+                    sock.sendto(json.dumps(data).encode(), (HOST, site.ports["south"]))
+        await curio.sleep(0.02)
+        assert (await site.north.ask([FAR], QUESTION))[FAR.id].complete
+        view = {"running": [odd], "prefill_pct": [odd], "token_us": [huge]}
+        speed = _speeds_in(view, 1)[0]  # type: ignore[arg-type]
+        assert (speed.running, speed.prefill) == (0, 0.0) and 0 < speed.token_s < 1000
+
+    play(scene)
+
+
 def test_new_keeper_did_not_know_the_speed_that_the_last_one_had_told() -> None:
     async def scene(site: Site) -> None:
         for number in range(MIN_SAMPLES):
--- a/tests/test_gateway_room.py
+++ b/tests/test_gateway_room.py
@@ -11,7 +11,9 @@
 
 from ramppost import clock
 from ramppost.gateway.admit import Admitted, admit
+from ramppost.gateway.caller_buffer import CallerBuffer, CallerBuffers
 from ramppost.gateway.job import Job
+from ramppost.gateway.metrics import Metrics
 from ramppost.gateway.model import CallerRequest, Prompt, Upstream
 from ramppost.gateway.pick import prompt_urgency, query_backlogs
 from ramppost.gateway.room import refusal_without_room
@@ -62,6 +64,9 @@
 
     started, status = False, 0
 
+    def __init__(self) -> None:
+        self.buffer = CallerBuffer(None, CallerBuffers(Metrics()))
+
     async def send(self, status: int, headers: Any, body: bytes) -> None:
         self.status, self.headers, self.body = status, dict(headers), json.loads(body)
 
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -100,7 +100,7 @@
     now, estimates = 100.0, {"i-0@7": 1.0}
     monkeypatch.setattr(clock, "now", lambda: now)
     listed = fleet(12, 4).members.usable("lm", 0.0)
-    pools = Pools(lambda ids: estimates)
+    pools = Pools(lambda ids, were_uneven: estimates)
     first = pools.candidates("lm", listed).pool
     estimates = {"i-0@7": 2.0}
     assert pools.candidates("lm", listed).pool is first
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -204,3 +204,10 @@
     assert min(shares["load"], shares["pace"]) - shares["nothing"] >= least_gain
     assert all(end.took_s <= OBJECTIVE_S / 8 for end in refused)
     assert all(end.in_use >= (0.9 if queues else 0.5) for end in refused)
+
+
+def test_request_was_refused_because_the_upstream_without_a_queue_was_slower() -> None:
+    slow = PlainUpstreamView("a", "h", 0, 0.05, 0, 2.5, others=6, slots=6, report_age_s=0.45)
+    fast = PlainUpstreamView("b", "h", 0, 0.02, 0, 1.0, others=70, slots=6, report_age_s=0.0)
+    request = HeldRequest(0.218, 0.218, 1.6, held_s=0, ahead=0, refused=False)
+    assert not isinstance(decide_full([slow, fast], request, random.Random(1)), Reject)
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ramppost.policy.speed import MAX_STREAM_S, EngineSpeed, SpeedFigures, is_uneven
+from ramppost.policy.speed import MAX_STREAM_S, TOKEN_VALID_S, EngineSpeed, SpeedFigures, is_uneven
 
 
 @pytest.mark.parametrize("factor", [0.5, 1.0, 1.3])
@@ -46,6 +46,24 @@
     assert speed.figures(MAX_STREAM_S + 0.1).running == 0
 
 
+@pytest.mark.parametrize("engines", [8, 22])
+def test_pool_of_equal_engines_was_uneven_while_few_samples_were_known(engines: int) -> None:
+    rng, pool = random.Random(1), [EngineSpeed() for _ in range(engines)]
+    for _ in range(40):
+        for speed in pool:
+            pace = rng.choices((1.0, 2.5), (86, 14))[0]
+            speed.record_prefill(0.2, 0.2 * pace * rng.lognormvariate(0.0, 0.1))
+        assert not is_uneven([speed.figures(0.0) for speed in pool])
+
+
+def test_slow_stream_kept_an_engine_out_for_ever() -> None:
+    speed = EngineSpeed()
+    speed.begin_stream("a", 0.0)
+    speed.finish_stream("a", 300, 20.0, 20.0)
+    assert speed.figures(21.0).token_s > 0
+    assert speed.figures(20.0 + TOKEN_VALID_S + 1).token_s == 0
+
+
 def test_single_wrong_estimate_made_a_pool_uneven() -> None:
     pool = [SpeedFigures(prefill=1.0)] * 8
     assert not is_uneven([*pool, SpeedFigures(prefill=3.0)])
