Compute the speed weights of a pool in one place

Which engines weigh how much was written in gateway/backlogs.py and again in bench/gateway_model.py, and two callers guarded quantized_weights against empty estimates, for which it returns no weights anyway. policy/speed.py has the function now, and the guard is gone. No change of what it does.

tests/test_speed.py, test_homes.py, test_gateway_backlogs.py, test_uneven.py, test_hot_part.py and the doctests: passed.

--- a/bench/gateway_model.py
+++ b/bench/gateway_model.py
@@ -18,7 +18,7 @@
     UNKNOWN_SPEED,
     EngineSpeed,
     SpeedFigures,
-    is_uneven,
+    speed_weights,
 )
 
 
@@ -64,11 +64,10 @@
         if now < self._pool_until or not self.way.speeds:
             return
         self._pool_until = now + WEIGHTS_VALID_S
-        self.uneven = is_uneven(list(self.figures.values()), self.uneven)
-        known = self.figures.items() if self.uneven else ()
-        estimates = {id: 1 / speed.prefill for id, speed in known if speed.prefill}
+        estimates = speed_weights(self.figures, self.uneven)
+        self.uneven = bool(estimates)
         previous = self.pool.weights
-        weights = quantized_weights(self.pool.ids, estimates, previous) if estimates else {}
+        weights = quantized_weights(self.pool.ids, estimates, previous)
         if weights != previous:
             self.pool = build_pool(self._engine_halls, weights)
 
--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
 
 import curio
@@ -40,7 +40,7 @@
     UNKNOWN_SPEED,
     EngineSpeed,
     SpeedFigures,
-    is_uneven,
+    speed_weights,
 )
 from ramppost.policy.use import highest_use
 from ramppost.schema.messages import (
@@ -185,18 +185,10 @@
         cached = backlog.cached_parts(query.model, query.parts, now)
         return BacklogEstimate(backlog.ahead_s(query.level, now), cached, False, speed)
 
-    def speed_weights(self, engines: Collection[str], were_uneven: bool) -> dict[str, float]:
-        """The relative speeds of the engines of a pool, empty if they don't differ.
-
-        Engines whose speed is not known are left out.
-        """
-        figures = [self._figures.get(engine, UNKNOWN_SPEED) for engine in engines]
-        if not is_uneven(figures, were_uneven):
-            return {}
-        prefills = {
-            engine: self._figures[engine].prefill for engine in engines if engine in self._figures
-        }
-        return {engine: 1 / prefill for engine, prefill in prefills.items() if prefill}
+    def speed_weights(self, engines: Iterable[str], were_uneven: bool) -> dict[str, float]:
+        """The relative speeds of engines by key (`ramppost.policy.speed`)."""
+        figures = {engine: self._figures.get(engine, UNKNOWN_SPEED) for engine in engines}
+        return speed_weights(figures, were_uneven)
 
     def record_sent(self, engine: Upstream, key: str, prompt: PendingPrompt) -> None:
         """Record a prompt that is being sent to an engine, and notify the keeper."""
--- a/ramppost/gateway/pools.py
+++ b/ramppost/gateway/pools.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Final, NamedTuple
 
 from ramppost import clock
@@ -71,7 +71,7 @@
     def _reweighted(self, found: Candidates) -> Candidates:
         """The candidates with weights by new estimates, with the same pool if none changed."""
         estimates = self._speed_weights(found.by_key, found.uneven)
-        if _weights(found.by_key, estimates, found.pool.weights) != found.pool.weights:
+        if quantized_weights(found.by_key, estimates, found.pool.weights) != found.pool.weights:
             return _built(found.listed, found.by_key, estimates, found.pool.weights)
         return found._replace(weights_until=clock.now() + WEIGHTS_VALID_S, uneven=bool(estimates))
 
@@ -83,13 +83,6 @@
     previous: Mapping[str, float],
 ) -> Candidates:
     halls = {key: upstream.hall for key, upstream in by_key.items()}
-    pool = build_pool(halls, _weights(by_key, estimates, previous))
+    pool = build_pool(halls, quantized_weights(by_key, estimates, previous))
     valid_until = clock.now() + WEIGHTS_VALID_S
     return Candidates(listed, by_key, pool, valid_until, bool(estimates))
-
-
-def _weights(
-    ids: Iterable[str], estimates: Mapping[str, float], previous: Mapping[str, float]
-) -> dict[str, float]:
-    """The weights other than 1; without estimates, all engines have the same."""
-    return quantized_weights(ids, estimates, previous) if estimates else {}
--- a/ramppost/policy/speed.py
+++ b/ramppost/policy/speed.py
@@ -23,7 +23,7 @@
 import math
 import statistics
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from typing import Final, NamedTuple
 
 from ramppost.bounded import drop_oldest
@@ -191,6 +191,21 @@
     return known[len(known) // 2] if known else 0.0
 
 
+def speed_weights(engines: Mapping[str, SpeedFigures], were_uneven: bool) -> dict[str, float]:
+    """The speeds of the engines of a pool relative to the usual one; empty if they don't differ.
+
+    Engines whose speed is not known are left out.
+
+    >>> pool = {"a": 0.5, "b": 0.5, "c": 1.25, "d": 1.25, "e": 0.0}
+    >>> figures = {id: SpeedFigures(prefill=prefill) for id, prefill in pool.items()}
+    >>> speed_weights(figures, False)
+    {'a': 2.0, 'b': 2.0, 'c': 0.8, 'd': 0.8}
+    """
+    if not is_uneven(engines.values(), were_uneven):
+        return {}
+    return {id: 1 / engine.prefill for id, engine in engines.items() if engine.prefill}
+
+
 def is_uneven(figures: Collection[SpeedFigures], was_uneven: bool = False) -> bool:
     """Whether the engines of a pool differ in speed beyond the error of the estimates.
 
