Keep the figures of engines as they are used, without streams

Every reader of the last known figures but one converted them to those of an engine without other streams, the ranking for each of up to 24 candidates of a request, and the median decoding time of the candidates was computed for pools of equal engines, too, which don't use it. The conversion is done as a keeper answers, and the median only for uneven pools. No change of what is decided.

--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -132,7 +132,7 @@
         self._speeds: dict[str, EngineSpeed] = {}
         """Speeds of the engines that this gateway keeps, and of others that it has kept."""
         self._figures: dict[str, SpeedFigures] = {}
-        """The last known figures of each engine, from its keeper."""
+        """The last known figures of each engine without streams, from its keeper."""
         self._silent_until: dict[str, float] = {}
         self._missed_replies: dict[str, int] = {}
         """Consecutive unanswered queries, by keeper."""
@@ -154,10 +154,9 @@
         for engine in engines:
             keeper = self.keeper(engine, now)
             if keeper == self.own:
-                self._figures[engine.key] = self._speed(engine.key).figures(now)
-                estimates[engine.key] = estimates[engine.key]._replace(
-                    complete=True, speed=self._figures[engine.key]
-                )
+                speed = self._speed(engine.key).figures(now)
+                self._figures[engine.key] = speed.alone
+                estimates[engine.key] = estimates[engine.key]._replace(complete=True, speed=speed)
             elif keeper:
                 by_keeper.setdefault(keeper, []).append(engine.key)
         kept = {key: estimate for key, estimate in estimates.items() if estimate.complete}
@@ -179,7 +178,7 @@
     def local_estimate(self, engine: str, query: BacklogQuery, now: float) -> BacklogEstimate:
         """Estimate an engine's backlog from local data only."""
         backlog = self._backlogs.get(engine)
-        speed = self._figures.get(engine, UNKNOWN_SPEED).alone
+        speed = self._figures.get(engine, UNKNOWN_SPEED)
         if backlog is None:
             return EMPTY_ESTIMATE._replace(speed=speed)
         cached = backlog.cached_parts(query.model, query.parts, now)
@@ -344,7 +343,8 @@
             engines, view["ahead_ms"], view["kept"], speeds, strict=False
         ):
             # A keeper that has just started, or is of an earlier version, knows nothing.
-            self._figures[engine] = speed.or_known(self._figures.get(engine, UNKNOWN_SPEED))
+            known = self._figures.get(engine, UNKNOWN_SPEED)
+            self._figures[engine] = speed.alone.or_known(known)
             self._speeds.pop(engine, None)
             pending.estimates[engine] = BacklogEstimate(ahead_ms / 1000, cached, True, speed)
         drop_oldest(self._figures, MAX_ENGINES)
@@ -392,7 +392,7 @@
         """What this gateway tells about the speed of an engine that it is asked about."""
         speed = self._speeds.get(engine)
         if speed is None:
-            return self._figures.get(engine, UNKNOWN_SPEED).alone
+            return self._figures.get(engine, UNKNOWN_SPEED)
         return speed.figures(now)
 
     def _speed(self, engine: str) -> EngineSpeed:
--- a/ramppost/policy/placement.py
+++ b/ramppost/policy/placement.py
@@ -249,7 +249,7 @@
             factor,
         )
 
-    token_s = typical_token_s([engine.speed for engine in engines])
+    token_s = typical_token_s([engine.speed for engine in engines]) if uneven else 0.0
     views_by_id = {engine.id: engine for engine in engines}
 
     def score_s(placement: Placement) -> float:
--- a/ramppost/policy/speed.py
+++ b/ramppost/policy/speed.py
@@ -84,9 +84,12 @@
         return SpeedFigures(0, self.prefill, self.single_token_s)
 
     def or_known(self, known: SpeedFigures) -> SpeedFigures:
-        """The same with what was known before in place of what is not known."""
-        token_s = self.token_s or known.single_token_s * _slowdown(self.running)
-        return SpeedFigures(self.running, self.prefill or known.prefill, token_s)
+        """The same with what was known before in place of what is not known.
+
+        Both are of the same number of streams.
+        """
+        prefill, token_s = self.prefill or known.prefill, self.token_s or known.token_s
+        return SpeedFigures(self.running, prefill, token_s)
 
     @property
     def single_token_s(self) -> float:
@@ -113,7 +116,7 @@
 class EngineSpeed:
     """Speed of one incarnation of an engine (seconds on any steady clock).
 
-    `start` is what another gateway knew of it before.
+    `start` is what another gateway knew of it before, without streams.
     """
 
     def __init__(self, start: SpeedFigures = UNKNOWN_SPEED) -> None:
@@ -121,7 +124,7 @@
         self._prefills: deque[float] = deque(maxlen=MAX_SAMPLES)
         self._streams: dict[str, _Stream] = {}
         self._tokens = float(MIN_STREAM_TOKENS) if start.token_s else 0.0
-        self._token_time_s = self._tokens * start.single_token_s
+        self._token_time_s = self._tokens * start.token_s
         self._updated_at: float | None = None
 
     def record_prefill(self, usual_s: float, took_s: float) -> None:
