--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -128,7 +128,6 @@
     if chosen.service.engine is None or prompt is None:
         return None
     urgency = prompt_urgency(gw, job, chosen.prefill_s)
-    workspace = job.workspace.name if job.workspace is not None else ""
     factor = chosen.prefill_factor if gw.prefill_rates.is_known(model) else 0.0
     return PendingPrompt(
         now,
@@ -136,7 +135,7 @@
         urgency,
         model,
         prompt.part_names,
-        workspace,
+        job.workspace_name,
         factor,
     )
 
--- a/ramppost/gateway/escalation.py
+++ b/ramppost/gateway/escalation.py
@@ -20,8 +20,7 @@
 
 def plan_models(gw: Gateway, job: Job, may_retry: bool) -> ModelPlan:
     """Plan the models to try, by the policy that applies to the session or request."""
-    workspace = job.workspace.name if job.workspace is not None else ""
-    policy = gw.policies.policy_for(workspace, job.req.session or job.req.attempt_id)
+    policy = gw.policies.policy_for(job.workspace_name, job.req.session or job.req.attempt_id)
     plan = model_plan(job.route, policy, job.req.any_model, may_retry)
     if plan.models[0]:
         job.policy = policy["name"]
--- a/ramppost/gateway/full.py
+++ b/ramppost/gateway/full.py
@@ -31,8 +31,7 @@
         return None
     if clock.now() - gw.loads.full_reported_at > KNOWN_FULL_S:
         return None
-    workspace_rank = job.workspace.priority if job.workspace is not None else 0
-    with gw.held.hold(service_name, workspace_rank, job.route.priority, job.deadline) as entry:
+    with gw.held.hold(service_name, job.workspace_rank, job.route.priority, job.deadline) as entry:
         return await _hold(gw, job, service, entry)
 
 
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -25,8 +25,7 @@
         self.req = req
         self.route = admitted.route
         self.workspace = admitted.workspace
-        caller = admitted.workspace.name if admitted.workspace is not None else ""
-        self.fingerprint = fingerprint(req.host, req.target, caller, req.body)
+        self.fingerprint = fingerprint(req.host, req.target, self.workspace_name, req.body)
         """Identifies all submissions of the same request, at any gateway."""
         self.read_at = read_at
         self.deadline = read_at + min(req.deadline_s, admitted.route.timeout_s)
@@ -61,6 +60,16 @@
         self.last_event_id = ""
         """Id of the last forwarded event, as set by the upstream."""
 
+    @property
+    def workspace_name(self) -> str:
+        """Name of its workspace; empty if it carries no key."""
+        return self.workspace.name if self.workspace is not None else ""
+
+    @property
+    def workspace_rank(self) -> int:
+        """Priority of its workspace, 0 being the most urgent, as for a request without a key."""
+        return self.workspace.priority if self.workspace is not None else 0
+
     @property
     def counted_attempts(self) -> int:
         """Attempts that count against the limit of the route.
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -255,8 +255,7 @@
     """The urgency level of a prompt that takes `prefill_s` seconds to read."""
     if job.raised:
         return MOST_URGENT_LEVEL
-    workspace_rank = job.workspace.priority if job.workspace is not None else 0
-    return urgency_level(workspace_rank, job.route.priority, prefill_s)
+    return urgency_level(job.workspace_rank, job.route.priority, prefill_s)
 
 
 def _transfer_bytes(job: Job, service: Service, prompt: Prompt) -> int:
--- a/ramppost/gateway/room.py
+++ b/ramppost/gateway/room.py
@@ -53,8 +53,8 @@
     waits = [estimate.ahead_s for estimate in estimates.values() if estimate.complete]
     gw.room.observe(service, level, waits, snapshot.taken_at)
     request = AdmissionRequest(
-        workspace=job.workspace.name if job.workspace is not None else "",
-        rank=job.workspace.priority if job.workspace is not None else 0,
+        workspace=job.workspace_name,
+        rank=job.workspace_rank,
         short_prompt=prefill_s < SHORT_READ_S,
         fingerprint=job.fingerprint,
         objective_s=job.route.objective_s,
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -86,8 +86,7 @@
 
 def _buffer_rank(job: Job) -> Rank:
     """How urgent a response is when buffers for slow callers must be freed."""
-    workspace_rank = job.workspace.priority if job.workspace is not None else 0
-    return workspace_rank, job.route.priority
+    return job.workspace_rank, job.route.priority
 
 
 async def _process(gw: Gateway, job: Job, reply: Reply) -> Refusal | None:
@@ -369,7 +368,7 @@
 def _ended_record(job: Job, served: bool, now: float) -> EndedRequest:
     """The values of a request that the operators' reports count."""
     return EndedRequest(
-        workspace=job.workspace.name if job.workspace is not None else "",
+        workspace=job.workspace_name,
         route=job.route.name,
         served=served,
         took_s=(now if job.head_at is None else job.head_at) - job.read_at,
@@ -391,7 +390,7 @@
         request=job.req.attempt_id,
         fingerprint=job.fingerprint,
         route=job.route.name,
-        workspace=job.workspace.name if job.workspace else "",
+        workspace=job.workspace_name,
         status=status,
         attempts=job.attempts,
         events=job.last_event_id,
