Sum the use of workspaces by one function

The sum by workspace was written three times, in policy/use.py and policy/room.py; a type variable that nothing used is gone. No change of what it does.

--- a/ramppost/policy/room.py
+++ b/ramppost/policy/room.py
@@ -15,9 +15,9 @@
 import statistics
 from collections import deque
 from collections.abc import Mapping, Sequence
-from typing import Final, NamedTuple, TypeVar
+from typing import Final, NamedTuple
 
-T = TypeVar("T")
+from ramppost.policy.use import total_use
 
 MAX_AGE_S: Final = 0.5
 """Age from which replies are not used: a burst fills the queues within a second."""
@@ -116,10 +116,7 @@
         if replies is None:
             return NO_USE
         _drop_expired(replies, now)
-        totals: dict[str, float] = {}
-        for _, reply in replies:
-            for workspace, read_s in reply.by_workspace.items():
-                totals[workspace] = totals.get(workspace, 0.0) + read_s
+        totals = total_use(part for _, reply in replies for part in reply.by_workspace.items())
         return SampledUse(sum(reply.engines for _, reply in replies), totals)
 
 
--- a/ramppost/policy/use.py
+++ b/ramppost/policy/use.py
@@ -37,24 +37,30 @@
     def by_workspace(self, now: float) -> dict[str, float]:
         """Seconds of prefill by workspace."""
         self._drop_expired(now)
-        totals: dict[str, float] = {}
-        for _, workspace, read_s in self._records:
-            totals[workspace] = totals.get(workspace, 0.0) + read_s
-        return totals
+        return total_use((workspace, read_s) for _, workspace, read_s in self._records)
 
     def _drop_expired(self, now: float) -> None:
         while self._records and now - self._records[0][0] > USE_WINDOW_S:
             self._records.popleft()
 
 
+def total_use(parts: Iterable[tuple[str, float]]) -> dict[str, float]:
+    """Seconds by workspace.
+
+    >>> total_use([("a", 0.5), ("b", 0.25), ("a", 0.5)])
+    {'a': 1.0, 'b': 0.25}
+    """
+    totals: dict[str, float] = {}
+    for workspace, read_s in parts:
+        totals[workspace] = totals.get(workspace, 0.0) + read_s
+    return totals
+
+
 def highest_use(totals: Iterable[Mapping[str, float]]) -> list[tuple[str, float]]:
     """The workspaces with the highest use of several engines together, highest first.
 
     >>> highest_use([{"a": 0.5, "b": 0.2}, {"b": 0.6}])
     [('b', 0.8), ('a', 0.5)]
     """
-    sums: dict[str, float] = {}
-    for by_workspace in totals:
-        for workspace, read_s in by_workspace.items():
-            sums[workspace] = sums.get(workspace, 0.0) + read_s
+    sums = total_use(part for by_workspace in totals for part in by_workspace.items())
     return sorted(sums.items(), key=lambda item: -item[1])[:MAX_REPORTED]
