Sample the shortage of engines only where fair shares are set

Each request with a prompt recorded the waits of its engines, took the median of the last 16 replies and summed what workspaces use, and without admission.fair_shares nothing read any of it. No change of what is decided.

tests/test_gateway_room.py, test_gateway_backlogs.py, test_gateway_state.py, test_suspended.py, test_relief.py, test_metrics.py, test_docs.py: passed.

--- a/ramppost/gateway/room.py
+++ b/ramppost/gateway/room.py
@@ -18,12 +18,13 @@
 
 from ramppost.errors import Refusal, refusal
 from ramppost.gateway.backlogs import BacklogEstimate
-from ramppost.gateway.job import Job
+from ramppost.gateway.job import BacklogSnapshot, Job
 from ramppost.gateway.model import Prompt
 from ramppost.gateway.pick import prompt_urgency
 from ramppost.gateway.state import Gateway
 from ramppost.policy.fair_admission import AdmissionRequest, FairAdmission, Reject
 from ramppost.policy.placement import leading_tokens
+from ramppost.policy.room import NO_USE, Shortage
 from ramppost.policy.urgency import SHORT_READ_S
 from ramppost.schema.settings import AdmissionSettings
 
@@ -49,9 +50,6 @@
         return None
     prefill_s = gw.prefill_rates.rate_s(model) * prompt.tokens_in
     level = prompt_urgency(gw, job, prefill_s)
-    estimates = snapshot.backlogs
-    waits = [estimate.ahead_s for estimate in estimates.values() if estimate.complete]
-    gw.room.observe(service, level, waits, snapshot.taken_at)
     request = AdmissionRequest(
         workspace=job.workspace_name,
         rank=job.workspace_rank,
@@ -59,17 +57,15 @@
         fingerprint=job.fingerprint,
         objective_s=job.route.objective_s,
         left_s=job.left_s(now),
-        first_token_s=_least_first_token_s(gw, model, prompt, estimates),
+        first_token_s=_least_first_token_s(gw, model, prompt, snapshot.backlogs),
     )
     shares = settings.get("fair_shares", False)
-    shortage = gw.room.shortage(service, level, now) if shares else None
-    if shortage is not None:
-        gw.metrics.observe("ramppost_engine_shortage_seconds", shortage.wait_s, service=service)
+    shortage = _observe_shortage(gw, service, level, snapshot, now) if shares else None
     rules = FairAdmission(_weights(settings))
     decision = rules.decide(
         request,
         shortage,
-        gw.room.use(service, now),
+        gw.room.use(service, now) if shortage is not None else NO_USE,
         gw.workspace_ranks.of(gw.table),
         time.time(),
         gw.rng,
@@ -82,6 +78,18 @@
     return None
 
 
+def _observe_shortage(
+    gw: Gateway, service: str, level: int, snapshot: BacklogSnapshot, now: float
+) -> Shortage | None:
+    """The shortage of engines with the waits of a query that was just answered."""
+    waits = [estimate.ahead_s for estimate in snapshot.backlogs.values() if estimate.complete]
+    gw.room.observe(service, level, waits, snapshot.taken_at)
+    shortage = gw.room.shortage(service, level, now)
+    if shortage is not None:
+        gw.metrics.observe("ramppost_engine_shortage_seconds", shortage.wait_s, service=service)
+    return shortage
+
+
 def _least_first_token_s(
     gw: Gateway, model: str, prompt: Prompt, estimates: Mapping[str, BacklogEstimate]
 ) -> float | None:
