Let the type of an attempt's result follow from the check that it has begun

The check was followed by a second one of the same type, and a property with the name of a stream said only that the attempt has a key. No change of what it does. The same tests passed.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import itertools
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypeGuard
 
 import curio
 from loguru import logger
@@ -61,12 +61,8 @@
     sent_at: float
     first_s: float
     key: str = ""
-    """Identifies the attempt at the keeper of its engine's backlog; empty for plain upstreams."""
-
-    @property
-    def is_stream(self) -> bool:
-        """Whether the keeper of its engine was told that it has begun."""
-        return self.key != ""
+    """Identifies the attempt at the keeper of its engine, which was told that it has begun; empty
+    for plain upstreams and error statuses."""
 
 
 async def attempt(
@@ -88,7 +84,7 @@
     result: Running | Refused | NotSent | Broken = Broken("cancelled")
     try:
         result = await _send_and_wait(gw, job, chosen, model, work, pending_prompt)
-        if _has_begun(result) and isinstance(result, Running) and pending_prompt is not None:
+        if _has_begun(result) and pending_prompt is not None:
             result = result._replace(key=attempt_key)
     finally:
         work.pending -= 1
@@ -100,7 +96,7 @@
     return result
 
 
-def _has_begun(result: Running | Refused | NotSent | Broken) -> bool:
+def _has_begun(result: Running | Refused | NotSent | Broken) -> TypeGuard[Running]:
     """Whether an engine has read the prompt; an error status may come before it does."""
     return isinstance(result, Running) and result.head.status < 400
 
@@ -111,7 +107,7 @@
     `tokens` is the number of tokens that its stream has generated since its first event.
     """
     running.work.requests -= 1
-    if running.is_stream:
+    if running.key:
         took_s = clock.now() - running.sent_at - running.first_s
         gw.backlogs.record_finish(running.chosen.upstream, running.key, tokens, took_s)
     if complete:
