Name the shared parts of prompts in the lines of attempts and of ends of upstreams

Lines of attempts, broken answers and ends now carry `parts`: the first eight parts of the prompt, without the last, which is the request's own. No change of logic.

--- a/ramppost/gateway/aftermath.py
+++ b/ramppost/gateway/aftermath.py
@@ -72,6 +72,7 @@
         "upstream ended under a request",
         request=job.req.attempt_id,
         fingerprint=job.fingerprint,
+        parts=job.logged_parts,
         upstream=upstream.id,
         fate=result,
         sign=evidence,
--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -329,6 +329,7 @@
         outcome,
         request=job.req.attempt_id,
         fingerprint=job.fingerprint,
+        parts=job.logged_parts,
         upstream=chosen.upstream.id,
         hall=chosen.upstream.hall,
         version=chosen.upstream.version,
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from ramppost.gateway.admit import Admitted
 from ramppost.gateway.backlogs import BacklogEstimate
 from ramppost.gateway.model import CallerRequest
 from ramppost.policy.fingerprint import fingerprint
 
+MAX_LOGGED_PARTS: Final = 8
+
 
 class BacklogSnapshot(NamedTuple):
     """Backlogs of engines for a model, and when they were queried (steady clock)."""
@@ -65,6 +67,16 @@
         """Name of its workspace; empty if it carries no key."""
         return self.workspace.name if self.workspace is not None else ""
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Names of the parts of its prompt that other requests may hold: all but the last."""
+        return self.req.prompt.part_names[:-1] if self.req.prompt is not None else ()
+
+    @property
+    def logged_parts(self) -> tuple[str, ...]:
+        """The first of these, for log lines."""
+        return self.shared_parts[:MAX_LOGGED_PARTS]
+
     @property
     def workspace_rank(self) -> int:
         """Priority of its workspace, 0 being the most urgent, as for a request without a key."""
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -300,6 +300,7 @@
             result.reason,
             request=job.req.attempt_id,
             fingerprint=job.fingerprint,
+            parts=job.logged_parts,
             upstream=running.chosen.upstream.id,
             after_event=job.last_event_id,
             events_there=events_there,
