Failing test: requests with a fatal part crash engine after engine

Engines of the stand-in can end on a shared part of a prompt, before the head of the answer or after it.

The crashing engines of tests/test_fatal_requests.py stand in tests/harness/crashing.py now; a restarted one may crash again before the harness has reached it.

--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -670,6 +670,14 @@
     """
     Body of a request that ends the process as it begins to run it; none ends it where this is not given.
     """
+    ends_on_part: NotRequired[str]
+    """
+    Shared part of a prompt that ends the process as it begins to write an answer on it; none ends it where this is not given.
+    """
+    ends_before_head: NotRequired[bool]
+    """
+    Whether such a request ends it before the head of the answer.
+    """
     log: Log
     """
     Logging.
--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -273,6 +273,9 @@
     if up.how.get("hang"):
         await curio.sleep(float("inf"))
     await curio.sleep(up.host.work_s(up.how.get("work_ms", up.cfg["work_ms"]) / 1000))
+    is_fatal = _is_fatal(up, req, heads)
+    if is_fatal and up.cfg.get("ends_before_head"):
+        os._exit(1)
     if up.how.get("lose"):
         raise ClientDisconnected
     head = (*headers_now(), (names.SIGNATURE.decode(), f"{SIGNATURE}.{up.cfg['id']}"))
@@ -285,7 +288,7 @@
     own = up.how.get("confidences", {}).get(model, up.how.get("confidence", DEFAULT_CONFIDENCE))
     confidence = (names.CONFIDENCE.decode(), str(own))
     await reply.start(200, "text/event-stream", (*head, confidence))
-    if up.how.get("ends_on", up.cfg.get("ends_on")) == req.body.decode("latin-1"):
+    if is_fatal:
         await curio.sleep(END_AFTER_S)
         os._exit(1)
     padding = b"x" * int(req.query.get("event_bytes", "0"))
@@ -300,6 +303,15 @@
     await reply.end()
 
 
+def _is_fatal(up: _Upstream, req: Request, heads: dict[bytes, str]) -> bool:
+    """Whether running a request ends the process."""
+    shared_parts = [part.partition(":")[0] for part in heads.get(names.PROMPT_PARTS, "").split(",")]
+    return (
+        up.how.get("ends_on", up.cfg.get("ends_on")) == req.body.decode("latin-1")
+        or up.cfg.get("ends_on_part") in shared_parts[:-1]
+    )
+
+
 def _without_ended(told: Notices, change: Notices) -> Notices:
     """What it tells after a change."""
     found = Notices(**{**told, **change})
--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -110,6 +110,7 @@
         services: int = 2,
         regions: dict[str, str] | None = None,
         limits: dict[str, int] | None = None,
+        upstream_settings: dict[str, Any] | None = None,
         **timing: Any,
     ) -> None:
         self.folder = folder
@@ -124,8 +125,8 @@
         (folder / "seed.json").write_text(json.dumps(config(1)))
         self.gateways = [f"gateway-{i + 1}" for i in range(gateways)]
         self.starts = 0
-        self.ends_on = ""
-        """Body of a request that ends upstreams that are started from now on; empty for none."""
+        self.upstream_settings = upstream_settings or {}
+        """Further settings of upstreams that are started from now on."""
         self.ids: dict[str, str] = {}
         """Ids of the upstreams' last incarnations."""
         self.operator_wrote: dict[tuple[str, str], Any] = {}
@@ -200,7 +201,13 @@
         self._wait_until(lambda: self._answers(f"{self.store}/_log"), "store")
 
     def start_upstream(
-        self, name: str, service: str, version: str, again: bool = False, hall: str = "bole"
+        self,
+        name: str,
+        service: str,
+        version: str,
+        again: bool = False,
+        hall: str = "bole",
+        wait: bool = True,
     ) -> str:
         """Start an upstream as a new incarnation; gives its id, which is new unless it starts
         `again` under the last one."""
@@ -219,9 +226,10 @@
             "slots": 8,
             "work_ms": 5,
             "log": {"form": "human", "level": "WARNING"},
-        } | ({"ends_on": self.ends_on} if self.ends_on else {})
+        } | self.upstream_settings
         self._start(name, cfg, ["-m", "ramppost", "standin", "upstream", "--settings"])
-        self._wait_until(lambda: self._answers(f"{self.url(name)}/_log"), name)
+        if wait:
+            self._wait_until(lambda: self._answers(f"{self.url(name)}/_log"), name)
         return upstream_id
 
     def start_gateway(self, name: str, store: str = "") -> None:
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -479,7 +479,7 @@
         """After the storm, a request that ends engines comes again and again at gateways that are
         killed, paused and stopped meanwhile; gives what went wrong."""
         rng = self.rngs[0]
-        self.site.ends_on = FATAL.decode()
+        self.site.upstream_settings = {"ends_on": FATAL.decode()}
         for name in ENGINES:
             self._replace(name)
         ends = 0
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -19,16 +19,11 @@
 import pytest
 
 from ramppost import clock
+from tests.harness.crashing import CrashingEngines
 from tests.harness.gateways import MODELS, STREAM, Deployment, Given, config, route
 
 FATAL = b"ends whoever runs it"
 ENGINES = ("lm-1", "lm-2", "lm-3", "lm-4", "lm-5", "lm-6")
-RESTART_DELAY_S = 1.0
-"""Delay between the crash of an engine and its restart."""
-ENTRY_EXPIRY_S = 0.3
-"""Delay between the crash of an engine and the removal of its entry."""
-REMOVAL_PROPAGATION_S = 2.5
-"""Time after the removal of an entry until no gateway uses its engine."""
 FATAL_CRASH_COUNT = 3
 """Number of crashes after which a request is classified as fatal."""
 PROPAGATION_S = 1.0
@@ -36,76 +31,10 @@
 IMMEDIATE_REFUSAL_S = 0.3
 
 
-class Engines:
-    """Engines that crash on the fatal request and are restarted under new ids."""
-
-    def __init__(self, site: Deployment) -> None:
-        self.site = site
-        self.crashed_at: list[float] = []
-        self._down: dict[str, float] = {}
-        """Engines that are down, with the time at which each crashed."""
-        self._restarts_suspended = False
-        """Whether restarts are suspended."""
-        self._stopping = threading.Event()
-        for name in ENGINES:
-            self._arm(name)
-        self._thread = threading.Thread(target=self._watch)
-        self._thread.start()
-
-    def stop(self) -> None:
-        self._stopping.set()
-        self._thread.join()
-
-    def all_up(self) -> bool:
-        """Return whether all engines are running."""
-        running = all(self.site.procs[name].poll() is None for name in ENGINES)
-        return running and not self._down
-
-    def kill_all_except(self, *names: str) -> None:
-        """Kill all other engines and suspend restarts."""
-        self._restarts_suspended = True
-        for name in set(ENGINES) - set(names):
-            self._down[name] = time.monotonic()
-            self.site.procs[name].kill()
-            self.site.wait_end(name)
-            self.site.remove_entry(name)
-        time.sleep(REMOVAL_PROPAGATION_S)
-
-    def resume_restarts(self) -> None:
-        """Resume restarts of engines that are down."""
-        self._restarts_suspended = False
-
-    def _arm(self, name: str) -> None:
-        self.site.behave(name, ends_on=FATAL.decode(), events=20, event_ms=40)
-
-    def _watch(self) -> None:
-        ended = self._down
-        expired: set[str] = set()
-        while not self._stopping.is_set():
-            now = clock.now()
-            for name in ENGINES:
-                if name not in ended and self.site.procs[name].poll() is not None:
-                    ended[name] = now
-                    self.crashed_at.append(now)
-                if name in ended and name not in expired and now - ended[name] > ENTRY_EXPIRY_S:
-                    expired.add(name)
-                    self.site.remove_entry(name)
-                if (
-                    name in ended
-                    and not self._restarts_suspended
-                    and now - ended[name] > RESTART_DELAY_S
-                ):
-                    self.site.start_upstream(name, "lm", "v1")
-                    self._arm(name)
-                    del ended[name]
-                    expired.discard(name)
-            time.sleep(0.02)
-
-
 @pytest.fixture
-def engines(tmp_path: Path) -> Iterator[Engines]:
+def engines(tmp_path: Path) -> Iterator[CrashingEngines]:
     site = Deployment(tmp_path, gateways=4, engines=len(ENGINES), services=1)
-    found = Engines(site)
+    found = CrashingEngines(site, ENGINES, ends_on=FATAL.decode(), events=20, event_ms=40)
     yield found
     found.stop()
     site.stop()
@@ -115,7 +44,7 @@
     return site.call(gateway, STREAM, body=FATAL)
 
 
-def wait_recovered(engines: Engines) -> None:
+def wait_recovered(engines: CrashingEngines) -> None:
     """Wait until every crashed engine is restarted and known to the gateways."""
     time.sleep(PROPAGATION_S)
     engines.site.until(engines.all_up, 10.0, "engines")
@@ -129,7 +58,7 @@
     time.sleep(PROPAGATION_S)
 
 
-def send_until_fatal(engines: Engines, gateways: list[str] | None = None) -> None:
+def send_until_fatal(engines: CrashingEngines, gateways: list[str] | None = None) -> None:
     """Send the request to one gateway after another until it is classified as fatal."""
     for gateway in (gateways or engines.site.gateways) * 2:
         if len(engines.crashed_at) >= FATAL_CRASH_COUNT:
@@ -140,7 +69,7 @@
     assert len(engines.crashed_at) >= FATAL_CRASH_COUNT
 
 
-def test_fatal_request_is_refused_after_crashes(engines: Engines) -> None:
+def test_fatal_request_is_refused_after_crashes(engines: CrashingEngines) -> None:
     site = engines.site
     send_until_fatal(engines)
     ended = len(engines.crashed_at)
@@ -159,7 +88,7 @@
         assert took_s < IMMEDIATE_REFUSAL_S
 
 
-def test_restarted_gateways_know_fatal_request(engines: Engines) -> None:
+def test_restarted_gateways_know_fatal_request(engines: CrashingEngines) -> None:
     """All gateways are killed, so that none can pass on what it has observed."""
     site = engines.site
     send_until_fatal(engines)
@@ -178,7 +107,7 @@
     assert len(engines.crashed_at) == ended
 
 
-def test_concurrent_requests_are_served(engines: Engines) -> None:
+def test_concurrent_requests_are_served(engines: CrashingEngines) -> None:
     """Streams on crashing engines are resumed, and their callers are served again later."""
     site = engines.site
     given: dict[int, Given] = {}
@@ -201,7 +130,7 @@
     assert send_fatal(site, site.gateways[0]).status == 502
 
 
-def test_waiting_duplicate_is_cancelled(engines: Engines) -> None:
+def test_waiting_duplicate_is_cancelled(engines: CrashingEngines) -> None:
     """It waits on an engine while three others crash; it is cancelled and that engine survives."""
     site = engines.site
     configure_long_wait(site)
@@ -229,7 +158,7 @@
     assert site.procs[ENGINES[0]].poll() is None
 
 
-def test_crash_history_survives_gateway_restarts(engines: Engines) -> None:
+def test_crash_history_survives_gateway_restarts(engines: CrashingEngines) -> None:
     """Two engines crash, all gateways are killed, and one more crash is decisive."""
     site = engines.site
     engines.kill_all_except(*ENGINES[:2])
