Blame a part of prompts when engines end under different requests that hold it

Callers saw whole seconds without service: requests that share one part of their prompts, no two of them alike, ended one engine after the other. Cause: evidence was kept by whole request, so each new one began without any; and whoever had been answered once counted as harmless for 600 s, whatever ended after that. Class: evidence that is kept under a name too narrow for its cause, and an acquittal without regard to what follows it.

Change: requests and shared parts are suspects of one model (policy/fatal.py). An end does not count against a part that its upstream had run just before; an answer clears the ends before it, at upstreams of its version; a suspect that was answered lately is judged when an answer would have been told. The most specific part is blamed; parts that were never apart are fatal together only. Two different requests must have held it. Requests beside fatal ones at each end are not blamed. Verdicts go to all gateways by datagram as well as into the store; taking an entry out of the document lifts it. Refusals and lines name the part.

--- a/ramppost/audit/checks.py
+++ b/ramppost/audit/checks.py
@@ -159,7 +159,7 @@
 def fatal_check() -> Check:
     """Returns the check that no request is attempted that its gateway knows to crash upstreams."""
     name = "fatal"
-    fatal_since: dict[str, dict[str, float]] = {}
+    fatal_since: dict[str, dict[str, FatalRequestUpdate]] = {}
 
     def handle_event(event: Event) -> Findings:
         if isinstance(event, ProcessStarted):
@@ -172,21 +172,29 @@
     def update(event: FatalRequestUpdate) -> None:
         since_by_fingerprint = fatal_since.setdefault(event.program, {})
         if event.fatal:
-            since_by_fingerprint.setdefault(event.fingerprint, event.at)
+            since_by_fingerprint.setdefault(event.fingerprint, event)
         elif event.fingerprint:
             since_by_fingerprint.pop(event.fingerprint, None)
         else:
             since_by_fingerprint.clear()
 
+    def concerns(update: FatalRequestUpdate, event: AttemptEnded) -> bool:
+        if update.parts:
+            return update.parts <= event.parts
+        return update.fingerprint == event.fingerprint
+
     def check_attempt(event: AttemptEnded) -> Findings:
-        since = fatal_since.get(event.program, {}).get(event.fingerprint)
+        known = fatal_since.get(event.program, {})
+        since = min(
+            (update.at for update in known.values() if concerns(update, event)), default=None
+        )
         if since is None or event.started_at <= since + TIMING_TOLERANCE_S:
             return
         delay_s = event.started_at - since
         what = f"sent to {event.upstream} {delay_s:.2f} s after it was known to be fatal"
         yield Finding(name, "broken", event.program, event.at, event.request, what)
 
-    promise = "no attempt is made of a request that is known to end upstreams"
+    promise = "no attempt is made of a request that is known to end upstreams, or whose parts are"
     return Check(name, promise, handle_event, lambda: ())
 
 
--- a/ramppost/audit/events.py
+++ b/ramppost/audit/events.py
@@ -12,6 +12,7 @@
 
 from ramppost.audit.lines import Line
 from ramppost.policy.position import Position
+from ramppost.policy.suspects import part_key
 
 Outcome = Literal["answered", "refused", "not sent", "cancelled", "unknown"]
 """Outcome of an attempt: a response, a refusal that says it was not run, not sent at all, cancelled
@@ -25,6 +26,12 @@
     "upstream's entry gone": "no entry",
 }
 ROLLOUT_PREFIX: Final = "roll-out "
+FATAL_BY_MESSAGE: Final = {
+    "request held to be fatal": True,
+    "part held to be fatal": True,
+    "request cleared": False,
+    "fatal request withdrawn": False,
+}
 EVACUATED_BY_MESSAGE: Final = {
     "data hall evacuation started": True,
     "data hall evacuation ended": False,
@@ -86,8 +93,9 @@
     """An attempt of a request has ended.
 
     `fingerprint` is the same for all tries of a request, `candidates` is the number of upstreams
-    that `upstream` was chosen from, and `hall` is its data hall.  A line may lack these three:
-    `fingerprint` and `hall` are then empty, and `candidates` is None.
+    that `upstream` was chosen from, `hall` is its data hall, and `parts` are the first suspects
+    among the parts of its prompt.  A line may lack these: `candidates` is then None, and the others
+    are empty.
     """
 
     program: str
@@ -99,6 +107,7 @@
     outcome: Outcome
     candidates: int | None
     hall: str = ""
+    parts: frozenset[str] = frozenset()
 
 
 class HallEvacuation(NamedTuple):
@@ -127,7 +136,7 @@
 
 
 class FatalRequestUpdate(NamedTuple):
-    """A process has learned whether a request is fatal to upstreams.
+    """A process has learned whether a request, or requests with some parts, are fatal to upstreams.
 
     An empty `fingerprint` means that no request is considered fatal any more.
     """
@@ -136,6 +145,7 @@
     at: float
     fingerprint: str
     fatal: bool
+    parts: frozenset[str] = frozenset()
 
 
 Event = (
@@ -201,6 +211,7 @@
         _parse_outcome(match[1]),
         int(fields["candidates"]) if "candidates" in fields else None,
         str(fields.get("hall", "")),
+        frozenset(part_key(str(name)) for name in fields.get("parts", ())),
     )
 
 
@@ -245,12 +256,13 @@
     fields = line.fields
     if line.message.startswith("fatal requests removed"):
         return FatalRequestUpdate(line.program, line.at, "", False)
-    fatal = {"request held to be fatal": True, "request cleared": False}.get(line.message)
+    fatal = FATAL_BY_MESSAGE.get(line.message)
     if line.message == "fatal request known" and fields["certain"]:
         fatal = True
     if fatal is None:
         return None
-    return FatalRequestUpdate(line.program, line.at, str(fields["fingerprint"]), fatal)
+    parts = frozenset(map(str, fields.get("parts", ())))
+    return FatalRequestUpdate(line.program, line.at, str(fields["fingerprint"]), fatal, parts)
 
 
 PARSERS_BY_MODULE: Final[dict[str, Callable[[Line], Event | None]]] = {
--- a/ramppost/errors.py
+++ b/ramppost/errors.py
@@ -120,8 +120,8 @@
     "fatal_request": ErrorDoc(
         502,
         "no",
-        "Upstreams have ended each time that they began to run this request, so it is not run any more. `ran` is `unknown` where one ended under this very try.",
-        "Don't repeat it; change the request, or mend the upstreams.",
+        "Upstreams have ended each time that they began to run this request, or any with the parts of its prompt that the message names, so it is not run any more. `ran` is `unknown` where one ended under this very try.",
+        "Don't repeat it; change the request or leave out the part, or mend the upstreams.",
     ),
     "outcome_unknown": ErrorDoc(
         502,
--- a/ramppost/gateway/aftermath.py
+++ b/ramppost/gateway/aftermath.py
@@ -49,7 +49,20 @@
     upstream would have closed the connection as well.
     """
     if await _recheck(gw, job, running.chosen.upstream, evidence):
-        gw.fatal.record_answer(job.fingerprint, running.head.status)
+        record_whole_answer(gw, job, running)
+
+
+def record_whole_answer(gw: Gateway, job: Job, running: Running) -> None:
+    """Record that an upstream has answered a request completely."""
+    upstream = running.chosen.upstream
+    gw.fatal.record_answer(
+        job.fingerprint,
+        running.head.status,
+        job.suspect_parts,
+        upstream.key,
+        upstream.version,
+        running.sent_at + running.first_s,
+    )
 
 
 async def _recheck(gw: Gateway, job: Job, upstream: Upstream, evidence: int) -> bool:
@@ -81,4 +94,11 @@
     if result == "ended":
         # A silent upstream may return at any moment, as only the network path to it may be down.
         gw.members.mark_ended(upstream.key, clock.now())
-    await gw.fatal.record_end(upstream.key, job.fingerprint, evidence, gone=result == "ended")
+    await gw.fatal.record_end(
+        upstream.key,
+        job.fingerprint,
+        evidence,
+        gone=result == "ended",
+        parts=job.suspect_parts,
+        version=upstream.version,
+    )
--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -14,6 +14,7 @@
 
 from ramppost import clock
 from ramppost.gateway import send_limits
+from ramppost.gateway.fatal import Observed
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, Exchange, NotSent, OutgoingRequest, open_exchange
 from ramppost.gateway.load import InFlight
@@ -170,7 +171,8 @@
         return exchange
     handled = False
     try:
-        with gw.fatal.abort_if_fatal(job.fingerprint, exchange):
+        observed = Observed(job.fingerprint, job.suspect_parts)
+        with gw.fatal.abort_if_fatal(observed, exchange):
             head = await _read_head_in_time(gw, job, chosen, exchange)
         if isinstance(head, Broken):
             return head
@@ -201,6 +203,8 @@
         return NotSent("not sent: the confirmation of its key grew old on the way", withheld=True)
     if job.left_s(now) <= 0:
         return NotSent("not sent: its time passed on the way", withheld=True)
+    if gw.fatal.is_fatal(job.fingerprint, job.suspect_parts):
+        return NotSent("not sent: it was found to end upstreams on the way", withheld=True)
     if gw.members.is_evacuated(chosen.upstream):
         return NotSent("not sent: its data hall was evacuated on the way", withheld=True)
     if gw.members.has_left(chosen.upstream, now):
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -8,6 +8,7 @@
 from ramppost.gateway.backlogs import BacklogEstimate
 from ramppost.gateway.model import CallerRequest
 from ramppost.policy.fingerprint import fingerprint
+from ramppost.policy.suspects import part_key
 
 MAX_LOGGED_PARTS: Final = 8
 
@@ -29,6 +30,8 @@
         self.workspace = admitted.workspace
         self.fingerprint = fingerprint(req.host, req.target, self.workspace_name, req.body)
         """Identifies all submissions of the same request, at any gateway."""
+        self.suspect_parts = tuple(part_key(name) for name in dict.fromkeys(self.shared_parts))
+        """What may crash upstreams besides the request itself (`ramppost.policy.suspects`)."""
         self.read_at = read_at
         self.deadline = read_at + min(req.deadline_s, admitted.route.timeout_s)
         self.attempts = 0
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -82,6 +82,7 @@
     )
     await curio.spawn(load_pending, gw, daemon=True)
     await curio.spawn(gw.fatal.send_ends, daemon=True)
+    await curio.spawn(gw.fatal.judge, daemon=True)
     await curio.spawn(gw.limit_news.ask_others, daemon=True)
     await curio.spawn(sync_document, gw, daemon=True)
     await curio.spawn(keep_policies, gw, daemon=True)
@@ -171,10 +172,10 @@
     async def handle(message: PeerDatagram, addr: Address) -> None:
         if "leaving" in message:
             handle_leaving_note(gw, message["leaving"])
-        elif "ended" in message or "harmless" in message:
+        elif "ended" in message or "harmless" in message or "fatal" in message:
             if "ended" in message and message["ended"]["gone"]:
                 gw.members.mark_ended(message["ended"]["upstream"], clock.now())
-            gw.fatal.handle_datagram(message)
+            await gw.fatal.handle_datagram(message)
         elif "limit" in message or "limit_ask" in message:
             gw.limit_news.handle_datagram(message, addr)
         else:
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -15,7 +15,11 @@
 from ramppost import clock
 from ramppost.errors import Ran, Refusal, error_body, refusal
 from ramppost.gateway.admit import admit, stale_refusal
-from ramppost.gateway.aftermath import handle_broken_response, handle_unframed_end
+from ramppost.gateway.aftermath import (
+    handle_broken_response,
+    handle_unframed_end,
+    record_whole_answer,
+)
 from ramppost.gateway.attempt import Refused, Running, attempt, release
 from ramppost.gateway.counts import EndedRequest
 from ramppost.gateway.escalation import choose_larger_model, plan_models
@@ -46,6 +50,9 @@
 MAX_SEND_WAIT_RATIO: Final = 0.1
 """Fraction of its objective for which a request may wait when no suitable upstream may be sent more
 requests now.  The remainder is left for serving the request."""
+MAX_VERDICT_WAIT_S: Final = 1.0
+"""Longer than the evidence of other gateways takes."""
+VERDICT_POLL_S: Final = 0.05
 MAX_RETRY_SPREAD_S: Final = 0.25
 """Callers that are refused at the same moment retry spread over this time."""
 
@@ -132,8 +139,9 @@
         "no_upstream", f"no upstream of {service} can be asked", OVERLOAD_RETRY_S
     )
     while True:
-        if gw.fatal.is_fatal(job.fingerprint):
-            return _fatal_refusal(job)
+        await _wait_for_verdict(gw, job)
+        if gw.fatal.is_fatal(job.fingerprint, job.suspect_parts):
+            return _fatal_refusal(gw, job)
         await query_backlogs(gw, job, service, model)
         if not reply.started and _has_attempt_left(gw, job, service):
             no_slot = await hold_while_full(gw, job, service)
@@ -186,6 +194,14 @@
                 return last_refusal
 
 
+async def _wait_for_verdict(gw: Gateway, job: Job) -> None:
+    """Hold a request while a verdict on the parts of its prompt is imminent."""
+    now = clock.now()
+    give_up_at = now + MAX_VERDICT_WAIT_S
+    while gw.fatal.is_pending(job.suspect_parts) and clock.now() < give_up_at:
+        await curio.sleep(VERDICT_POLL_S)
+
+
 def _overload_refusal(gw: Gateway, job: Job, service: str, refused: Refused) -> Refusal:
     """The refusal of a request that upstreams have refused.
 
@@ -272,7 +288,13 @@
     head_at = running.sent_at + running.first_s
     job.head_at = job.head_at or head_at
     events_before = job.forwarded_events
-    run = ObservedRun(head_at)
+    upstream = running.chosen.upstream
+
+    def record_survival() -> None:
+        if running.head.status < 400:
+            gw.fatal.record_survival(upstream.key, upstream.version, job.suspect_parts, head_at)
+
+    run = ObservedRun(head_at, record_survival)
     try:
         if job.route.streams and running.head.status < 400:
             result = await forward_stream(gw, job, running, reply, run)
@@ -312,7 +334,7 @@
         await handle_broken_response(gw, job, running.chosen.upstream, result, evidence)
         return result
     if result.framed:
-        gw.fatal.record_answer(job.fingerprint, running.head.status)
+        record_whole_answer(gw, job, running)
     else:
         evidence = evidence_level(run.lived_s, result.events)
         await curio.spawn(handle_unframed_end, gw, job, running, evidence, daemon=True)
@@ -320,13 +342,15 @@
     return None
 
 
-def _fatal_refusal(job: Job) -> Refusal:
-    """The refusal of a request that ends upstreams.
+def _fatal_refusal(gw: Gateway, job: Job) -> Refusal:
+    """The refusal of a request that ends upstreams, or that holds parts that do.
 
     It carries no retry delay, as the request would be refused again.
     """
     ran: Ran = "unknown" if job.may_have_run else "no"
-    return refusal("fatal_request", "upstreams end when they begin to run it", ran=ran)
+    parts = " and ".join(gw.fatal.find_fatal_parts(job.suspect_parts))
+    cause = f"to write an answer on {parts}" if parts else "to run it"
+    return refusal("fatal_request", f"upstreams end when they begin {cause}", ran=ran)
 
 
 def _timeout_refusal(job: Job, reply: Reply) -> Refusal:
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -185,6 +185,14 @@
     """
     How much speaks against it, from 0 (it has run for long) to 4 (it had just begun).
     """
+    parts: NotRequired[list[str]]
+    """
+    Shared parts of its prompt that the upstream is not known to have run before; keys of suspects.
+    """
+    answered: NotRequired[list[str]]
+    """
+    Those of these suspects that other upstreams have answered lately.
+    """
 
 
 class UpstreamEnded(TypedDict, closed=True):
@@ -200,6 +208,14 @@
     """
     The start of the upstream that is over.
     """
+    version: NotRequired[str]
+    """
+    The version that it ran.
+    """
+    survived: NotRequired[list[str]]
+    """
+    Shared parts of prompts that it had run without harm lately; keys of suspects.
+    """
     under: list[RequestUnder]
 
 
@@ -210,18 +226,34 @@
 
     fingerprint: str
     """
-    What it has in common with its other tries.
+    What it has in common with its other tries; or the key of a part of its prompt.
+    """
+    version: NotRequired[str]
+    """
+    The version of the upstream that has answered it.
+    """
+    age_s: NotRequired[float]
+    """
+    Seconds since its answer began.
     """
 
 
 class FatalRequest(TypedDict, closed=True):
     """
-    A request under which upstreams have ended.
+    A request under which upstreams have ended, or parts of prompts.
     """
 
     fingerprint: str
     """
-    What it has in common with its other tries.
+    What it has in common with its other tries; or a key for the parts.
+    """
+    parts: NotRequired[list[str]]
+    """
+    Parts of prompts; requests that hold all of them are not run. Missing where it is a single request.
+    """
+    version: NotRequired[str]
+    """
+    The version of the upstreams; missing if they differ.
     """
     at: int
     """
@@ -998,5 +1030,6 @@
     leaving: NotRequired[LeavingNote]
     ended: NotRequired[UpstreamEnded]
     harmless: NotRequired[HarmlessNote]
+    fatal: NotRequired[FatalRequest]
     limit: NotRequired[LimitNote]
     limit_ask: NotRequired[LimitAsk]
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -209,6 +209,14 @@
         [fatal("request held to be fatal", 1), attempt("r", "status 200", 3), served("r", 3)],
         "fatal",
     ),
+    "sent though a part of its prompt is known to be fatal": (
+        [
+            fatal("part held to be fatal", 1, parts=["part:bad"]),
+            attempt("r", "status 200", 3, parts=["aa", "bad"]),
+            served("r", 3),
+        ],
+        "fatal",
+    ),
     "sent though all gateways know that it is fatal": (
         [
             fatal("fatal request known", 1, certain=True),
@@ -385,6 +393,11 @@
         attempt("r", "status 200", 3),
         served("r", 3),
     ],
+    "a request with one of two parts that are fatal together": [
+        fatal("part held to be fatal", 1, parts=["part:bad", "part:fine"]),
+        attempt("r", "status 200", 3, parts=["aa", "fine"]),
+        served("r", 3),
+    ],
     "known to a process before": [
         fatal("request held to be fatal", 1),
         starting(2),
--- a/tests/test_fatal_policy.py
+++ b/tests/test_fatal_policy.py
@@ -16,9 +16,9 @@
     HARMLESS_RUN_S,
     JUST_BEGUN,
     LONG_RUN_S,
+    MAX_ANSWERED,
     MAX_ENDS,
     MAX_FATAL,
-    MAX_HARMLESS,
     MAX_REQUESTS_PER_END,
     RAN,
     RETENTION_S,
@@ -107,8 +107,8 @@
         history.record_end(f"f{number}", "page", JUST_BEGUN, float(number))
         history.record_answer("page", number + 0.5)
     assert not history.is_fatal("page", 20.0)
-    assert history.is_harmless("page", 20.0)
-    assert not history.is_harmless("page", 20.0 + RETENTION_S)
+    assert history.was_answered("page", 20.0)
+    assert not history.was_answered("page", 20.0 + RETENTION_S)
 
 
 def test_memory_is_bounded() -> None:
@@ -121,13 +121,13 @@
         for end in range(FATAL_START_ENDS):
             history.record_end(f"x{number}-{end}", f"bad{number}", JUST_BEGUN, 1.0)
         assert history.is_fatal(f"bad{number}", 1.0)
-    for number in range(2 * MAX_HARMLESS):
+    for number in range(2 * MAX_ANSWERED):
         history.record_answer(f"fine{number}", 1.0)
     assert len(history.fatal) <= MAX_FATAL
     assert len(history._ends) <= MAX_ENDS
-    assert len(history._harmless) <= MAX_HARMLESS
+    assert all(len(known) <= MAX_ANSWERED for known in history._answered.values())
     assert (
-        sum(len(under) for under in history._ends_by_request.values())
+        sum(len(under) for under in history._ends_by_suspect.values())
         <= MAX_ENDS * MAX_REQUESTS_PER_END
     )
     history.record_end("late", "r", WAITED, 2 * RETENTION_S)
@@ -185,7 +185,7 @@
         for number in self.collectors:
             history = self.histories[number]
             found |= {
-                name for name in list(history._ends_by_request) if history.is_fatal(name, now)
+                name for name in list(history._ends_by_suspect) if history.is_fatal(name, now)
             }
         return found
 
