Pause a request under which two engines have ended before the next attempt

Callers of sound prompts were left without any engine: where a fatal request ends engines before the head of their answers, its attempts follow each other within milliseconds, and two such requests ended all eight engines of a fleet within 0.1 s, before evidence from other gateways could arrive. Six sound streams broke off.

--- a/ramppost/gateway/aftermath.py
+++ b/ramppost/gateway/aftermath.py
@@ -91,6 +91,7 @@
         sign=evidence,
     )
     job.upstream_ends += 1
+    job.upstream_ended_at = clock.now()
     if result == "ended":
         # A silent upstream may return at any moment, as only the network path to it may be down.
         gw.members.mark_ended(upstream.key, clock.now())
--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -148,6 +148,15 @@
         """Whether a verdict on a request with these parts is imminent, so that it should wait."""
         return bool(self._pending) and self._pending.issubset(parts)
 
+    def may_be_fatal(self, fingerprint: str, parts: Collection[str]) -> bool:
+        """Whether there is evidence against a request or its parts that no answer contradicts.  Of
+        a request with parts that are all answered elsewhere, the rest is hardly the cause."""
+        now = clock.now()
+        return any(
+            self.evidence.is_suspect(suspect) and not self.evidence.was_answered(suspect, now)
+            for suspect in (parts or (fingerprint,))
+        )
+
     async def record_end(
         self,
         upstream: str,
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -38,6 +38,8 @@
         """Number of upstreams that the request was sent to, including those that refused it."""
         self.upstream_ends = 0
         """Number of these upstreams that ended while they had the request."""
+        self.upstream_ended_at = float("-inf")
+        """When the last of these was found to have ended (steady clock)."""
         self.may_have_run = False
         """Whether an upstream was sent the request and has not reported that it did not run it."""
         self.tried_upstreams: set[str] = set()
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -34,7 +34,7 @@
 from ramppost.gateway.room import refusal_without_room
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers, refusal_headers
-from ramppost.policy.fatal import ObservedRun, evidence_level
+from ramppost.policy.fatal import EVIDENCE_WAIT_S, ObservedRun, evidence_level
 from ramppost.policy.policydoc import INPUT_PRICE_RATIO
 from ramppost.policy.slow_callers import Rank
 from ramppost.wire.server import ClientDisconnected
@@ -50,6 +50,9 @@
 MAX_SEND_WAIT_RATIO: Final = 0.1
 """Fraction of its objective for which a request may wait when no suitable upstream may be sent more
 requests now.  The remainder is left for serving the request."""
+MAX_UNPACED_ENDS: Final = 2
+"""Upstreams that may end under a request before its attempts are spread over time.  Without that,
+requests that crash engines before the response head crashed all eight of a fleet within 0.1 s."""
 MAX_VERDICT_WAIT_S: Final = 1.0
 """Longer than the evidence of other gateways takes."""
 VERDICT_POLL_S: Final = 0.05
@@ -139,7 +142,7 @@
         "no_upstream", f"no upstream of {service} can be asked", OVERLOAD_RETRY_S
     )
     while True:
-        await _wait_for_verdict(gw, job)
+        await _wait_for_verdict(gw, job, reply)
         if gw.fatal.is_fatal(job.fingerprint, job.suspect_parts):
             return _fatal_refusal(gw, job)
         await query_backlogs(gw, job, service, model)
@@ -194,9 +197,13 @@
                 return last_refusal
 
 
-async def _wait_for_verdict(gw: Gateway, job: Job) -> None:
-    """Hold a request while a verdict on the parts of its prompt is imminent."""
+async def _wait_for_verdict(gw: Gateway, job: Job, reply: Reply) -> None:
+    """Hold a request while a verdict on the parts of its prompt is imminent, and one under which
+    upstreams have ended before it is sent to yet another."""
     now = clock.now()
+    paused = job.upstream_ends >= MAX_UNPACED_ENDS and not reply.started
+    if paused and gw.fatal.may_be_fatal(job.fingerprint, job.suspect_parts):
+        await curio.sleep(max(0.0, job.upstream_ended_at + EVIDENCE_WAIT_S - now))
     give_up_at = now + MAX_VERDICT_WAIT_S
     while gw.fatal.is_pending(job.suspect_parts) and clock.now() < give_up_at:
         await curio.sleep(VERDICT_POLL_S)
--- a/tests/harness/crashing.py
+++ b/tests/harness/crashing.py
@@ -29,6 +29,8 @@
         self.site = site
         self.engines = engines
         self.crashed_at: list[float] = []
+        self.most_down = 0
+        """The largest number of engines that were down at the same time."""
         self._behaviour = behaviour
         self._down: dict[str, float] = {}
         """Engines that are down, with the time at which each crashed."""
@@ -85,6 +87,7 @@
                 if name not in ended and self.site.procs[name].poll() is not None:
                     ended[name] = now
                     self.crashed_at.append(now)
+                    self.most_down = max(self.most_down, len(ended))
                 if name in ended and name not in expired and now - ended[name] > ENTRY_EXPIRY_S:
                     expired.add(name)
                     self.site.remove_entry(name)
--- a/tests/test_fatal_parts.py
+++ b/tests/test_fatal_parts.py
@@ -157,6 +157,7 @@
     time_of_day = time.time() - clock.now()
     late = fatal_attempts(site, time_of_day + last_at + CONTACT_S)
     assert len(late) <= MAX_LATE_ATTEMPTS, f"{len(crashed_at)} engines crashed"
+    assert engines.most_down < len(ENGINES), "retries crashed the whole fleet at once"
     before = served_ratio([call for call in sound.calls if call.at < min(crashed_at)])
     after = served_ratio([call for call in sound.calls if call.at > last_at + 2 * CONTACT_S])
     assert after >= MIN_SOUND_RATIO * before
