Tell an unframed answer that its upstream's crash has cut from a complete one

Callers got the beginning of a stream as if it were whole: an answer with neither a length nor chunks ends with its connection, and so does that of an engine that crashes between two events. Now the upstream is asked for a connection before such an answer is called complete, 0.1 s later for a stream, whose events are all sent by then; one that has ended counts as broken off, and the stream is resumed.

Stand-ins of upstreams can answer without length and chunks.

--- a/ramppost/gateway/forwarding.py
+++ b/ramppost/gateway/forwarding.py
@@ -33,6 +33,9 @@
 MIN_LEFT_UNREAD_S: Final = 1.0
 """An upstream that was not read for this time may abort its response for that reason."""
 
+UNFRAMED_STREAM_CHECK_S: Final = 0.1
+"""Its events are all sent by then, so the caller only learns later that there are no more."""
+CUT_BY_CRASH: Final = Broken("unframed answer ended with its upstream", by_peer=True)
 
 ReadChunk = Callable[[], Awaitable[bytes | BodyEnd | Broken]]
 """Reads the next chunk of a response from its upstream."""
@@ -75,17 +78,31 @@
         return chunk
 
 
-async def forward_response(running: Running, reply: Reply, run: ObservedRun) -> Forwarded | Broken:
+async def _cut_by_crash(gw: Gateway, running: Running, end: BodyEnd, delay_s: float) -> bool:
+    """Whether an answer without a length ended because its upstream did.
+
+    `delay_s` is the time to wait first: a process that ends may still accept connections for a
+    moment.
+    """
+    if end.framed:
+        return False
+    await curio.sleep(delay_s)
+    return await gw.upstream_probes.probe(running.chosen.upstream) == "ended"
+
+
+async def forward_response(
+    gw: Gateway, running: Running, reply: Reply, run: ObservedRun
+) -> Forwarded | Broken:
     """Forward a response that is not a stream.  `run` records each chunk that arrives."""
     body = reply.buffer.assembly
     try:
-        return await _forward_assembled(running, reply, run, body)
+        return await _forward_assembled(gw, running, reply, run, body)
     finally:
         body.take()
 
 
 async def _forward_assembled(
-    running: Running, reply: Reply, run: ObservedRun, body: Assembly
+    gw: Gateway, running: Running, reply: Reply, run: ObservedRun, body: Assembly
 ) -> Forwarded | Broken:
     reader = _Reader(reply, running.exchange.read_chunk)
     while True:
@@ -93,6 +110,8 @@
         if isinstance(chunk, Broken):
             return chunk
         if isinstance(chunk, BodyEnd):
+            if await _cut_by_crash(gw, running, chunk, 0.0):
+                return CUT_BY_CRASH
             break
         run.record_piece(clock.now())
         if reply.started:
@@ -125,6 +144,8 @@
         if isinstance(chunk, BodyEnd):
             if splitter.remainder:
                 return Broken("stream ended within an event", by_peer=True)
+            if await _cut_by_crash(gw, running, chunk, UNFRAMED_STREAM_CHECK_S):
+                return CUT_BY_CRASH
             break
         run.record_piece(clock.now())
         events, broken = _events_in_order(job, splitter.feed(chunk))
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -306,7 +306,7 @@
         if job.route.streams and running.head.status < 400:
             result = await forward_stream(gw, job, running, reply, run)
         else:
-            result = await forward_response(running, reply, run)
+            result = await forward_response(gw, running, reply, run)
         complete = isinstance(result, Forwarded)
     finally:
         engine = running.chosen.service.engine
--- a/ramppost/standin/upstream.py
+++ b/ramppost/standin/upstream.py
@@ -40,7 +40,8 @@
     """How it answers from now on: events of a stream, after how many it breaks off, the
     confidence it tells (for all models, or by model), a status instead of an answer, a refusal,
     silence, an answer lost after the run, a time to work and between events, a body whose run
-    ends the process just after its head, or a warm-up time from now on and the number of requests
+    ends the process just after its head, answers without length and chunks that end with their
+    connection, or a warm-up time from now on and the number of requests
     per second that ends the process during it."""
 
     events: NotRequired[int]
@@ -54,6 +55,7 @@
     work_ms: NotRequired[int]
     event_ms: NotRequired[int]
     ends_on: NotRequired[str]
+    unframed: NotRequired[bool]
     warmup_ms: NotRequired[int]
     too_many: NotRequired[int]
 
@@ -282,12 +284,20 @@
     status = up.how.get("status", 200)
     if names.TOKEN_COUNTS not in heads or status != 200:
         body = {"upstream": up.cfg["id"], "nonce": secrets.token_hex(4), "echo": req.path}
+        if up.how.get("unframed"):
+            await reply.send_raw(_unframed_head(status, head) + encode(body))
+            raise ClientDisconnected
         await reply.send(status, encode(body), headers=head)
         return
     model = heads.get(names.MODEL, "")
     own = up.how.get("confidences", {}).get(model, up.how.get("confidence", DEFAULT_CONFIDENCE))
     confidence = (names.CONFIDENCE.decode(), str(own))
-    await reply.start(200, "text/event-stream", (*head, confidence))
+    write = reply.write
+    if up.how.get("unframed"):
+        write = reply.send_raw
+        await write(_unframed_head(200, (*head, confidence)))
+    else:
+        await reply.start(200, "text/event-stream", (*head, confidence))
     if is_fatal:
         await curio.sleep(END_AFTER_S)
         os._exit(1)
@@ -295,14 +305,22 @@
     begin = int(heads.get(names.LAST_EVENT_ID, "0") or "0")
     for number in range(begin + 1, up.how.get("events", DEFAULT_EVENTS) + 1):
         if number > up.how.get("cut_after", number):
-            await reply.write(b"id: %d\ndata: tor" % number)
+            await write(b"id: %d\ndata: tor" % number)
             raise ClientDisconnected
-        await reply.write(b"id: %d\ndata: piece %d%s\n\n" % (number, number, padding))
+        await write(b"id: %d\ndata: piece %d%s\n\n" % (number, number, padding))
         event_s = up.how.get("event_ms", up.cfg.get("event_ms", 10)) / 1000
         await curio.sleep(up.host.work_s(event_s))
+    if up.how.get("unframed"):
+        raise ClientDisconnected
     await reply.end()
 
 
+def _unframed_head(status: int, headers: tuple[tuple[str, str], ...]) -> bytes:
+    """The head of an answer that has neither a length nor chunks."""
+    lines = [f"HTTP/1.1 {status} Unframed", *(f"{name}: {value}" for name, value in headers)]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
 def _is_fatal(up: _Upstream, req: Request, heads: dict[bytes, str]) -> bool:
     """Whether running a request ends the process."""
     shared_parts = [part.partition(":")[0] for part in heads.get(names.PROMPT_PARTS, "").split(",")]
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -114,6 +114,11 @@
         """End a streamed response; without it the client sees a truncated response."""
         await self._write(self._conn.send(h11.EndOfMessage()) or b"")
 
+    async def send_raw(self, data: bytes) -> None:
+        """Send bytes that are no framed response; the connection must be closed after them."""
+        self.started = True
+        await self._write(data)
+
     def _encode_head(self, status: int, kind: str, headers: tuple[tuple[str, str], ...]) -> bytes:
         self.started = True
         head = [("content-type", kind), *headers]
--- a/tests/test_unframed_ends.py
+++ b/tests/test_unframed_ends.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
+import signal
 import socket
+import threading
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -16,7 +18,7 @@
 import pytest
 
 from ramppost import clock
-from tests.harness.gateways import KEYS, Deployment, config, route
+from tests.harness.gateways import KEYS, STREAM, Deployment, Given, config, route
 from tests.harness.scripted import Peer, read_request
 
 RAW_PREFIX = "/raw/"
@@ -26,6 +28,9 @@
 FRAMED = b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"
 PROPAGATION_S = 1.0
 READY_TIMEOUT_S = 5.0
+ENGINES = ("lm-1", "lm-2")
+EVENTS = 8
+EVENT_MS = 100
 PIECES = 16
 PIECE_INTERVAL_S = 0.2
 
@@ -120,6 +125,44 @@
     peer.close()
 
 
+@pytest.fixture
+def engines(tmp_path: Path) -> Iterator[Deployment]:
+    found = Deployment(tmp_path, gateways=1, engines=2, services=1)
+    for name in ENGINES:
+        found.behave(name, unframed=True, events=EVENTS, event_ms=EVENT_MS)
+    yield found
+    found.stop()
+
+
+def test_unframed_stream_is_complete_at_its_end(engines: Deployment) -> None:
+    """Neither engine is suspected of anything, and none is asked twice."""
+    for _ in range(4):
+        got = engines.call("gateway-1", STREAM)
+        assert (got.status, got.events) == (200, list(range(1, EVENTS + 1)))
+    assert len(engines.runs(*ENGINES)) == 4 + 1, "and one as the harness waited"
+
+
+def test_unframed_stream_torn_within_an_event_is_resumed(engines: Deployment) -> None:
+    engines.behave(ENGINES[0], unframed=True, events=EVENTS, cut_after=2)
+    for _ in range(4):
+        got = engines.call("gateway-1", STREAM)
+        assert (got.status, got.events) == (200, list(range(1, EVENTS + 1)))
+
+
+def test_unframed_stream_cut_between_events_looked_complete(engines: Deployment) -> None:
+    """The crash of its engine closes the connection just as the end of the stream would."""
+    got: list[Given] = []
+    caller = threading.Thread(target=lambda: got.append(engines.call("gateway-1", STREAM)))
+    caller.start()
+    time.sleep(EVENTS * EVENT_MS / 2000)
+    running = [
+        name for name in ENGINES if any(run["state"] == "running" for run in engines.runs(name))
+    ]
+    engines.signal(running[0], signal.SIGKILL)
+    caller.join()
+    assert (got[0].status, got[0].events) == (200, list(range(1, EVENTS + 1)))
+
+
 @pytest.mark.parametrize("head", [HEAD, FRAMED], ids=["unframed", "framed"])
 def test_long_run_before_crash_is_not_fatal(site: Deployment, head: bytes) -> None:
     """Three upstreams crash for another reason, well after the start of their responses.
