--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -8,11 +8,12 @@
 its links and those between gateways, silence what is open on them, take a key away, let the
 configuration grow on thin links, let upstreams leave and bring a version in. Further schedules
 spoil entries and start upstreams under their ids, let upstreams name limits, ask for rest and leave
-by their answers alone, let the store come back from older copies, and give upstreams different and
-changing speeds. After the storm a new route
-has to be in force everywhere in time, and a request that ends engines is not to be run for ever,
-though gateways are killed, paused and stopped as it comes again. What upstreams ran, told and were
-sent, and what callers got, is compared at the end, and the gateways' log lines are audited.
+by their answers alone, let the store come back from older copies, give upstreams different and
+changing speeds, and let them answer without length and chunks. After the storm a new route has to
+be in force everywhere in time, and neither a request that ends engines nor a part of prompts that
+does is to be run for ever, though gateways are killed, paused and stopped as it comes again. What
+upstreams ran, told and were sent, and what callers got, is compared at the end, and the gateways'
+log lines are audited.
 """
 
 from __future__ import annotations
@@ -77,9 +78,14 @@
 """For the time on a thin link, and for a busy machine."""
 NEW = "/new/"
 FATAL = b"ends whoever runs it"
+TORN_SHARE = 0.5
+"""How often upstreams that answer without a length also tear their streams."""
+FATAL_PART = "bad0"
 FATAL_CALLS = 12
 MOST_FATAL_ENDS = 6
 """Three ends make it certain, and after those it may be tried three times more."""
+MOST_FATAL_PART_ENDS = 8
+"""Five ends make it certain at the latest, and after those three more may come."""
 JUNK: list[Any] = [
     {},
     "text",
@@ -89,7 +95,7 @@
     {"addr": "127.0.0.1:x", "hall": "bole", "version": "v2", "part": "half", "sessions": 3},
 ]
 """Entries that other writers may leave."""
-FURTHER = ("entries", "notices", "rests", "returns", "hosts")
+FURTHER = ("entries", "notices", "rests", "returns", "hosts", "unframed")
 """Schedules beside the first ones; regression seeds are played with those that they failed with."""
 COPY_AGES_S = (0.2, 1.0, 3.0, 6.0, 60.0)
 """How old the copy is that the store comes back from; the last one holds hardly anything."""
@@ -203,6 +209,7 @@
             "rests": self.step_of_rests,
             "returns": self.step_of_returns,
             "hosts": self.step_of_hosts,
+            "unframed": self.step_of_unframed,
         }
         schedules = [(rng, until, self.step) for rng in self.rngs]
         schedules += [(rng, until, further[name]) for name, rng in self.further_rngs.items()]
@@ -298,6 +305,25 @@
         for name in upstreams:
             self._change_host(name, pace_pct=None)
 
+    def step_of_unframed(self, rng: random.Random) -> None:
+        """One or all upstreams of a service answer without length and chunks, and some of their
+        streams are torn within an event."""
+        upstreams = self._some_of_service(rng)
+        self.done.append("answer_unframed")
+        how = {"unframed": True} | ({"cut_after": 2} if rng.random() < TORN_SHARE else {})
+        for name in upstreams:
+            self._behave(name, **how)
+        time.sleep(rng.uniform(0.5, 3.0))
+        for name in upstreams:
+            self._behave(name)
+
+    def _behave(self, name: str, **how: Any) -> None:
+        """Let an upstream answer in some way; one that is being replaced answers as usual."""
+        try:
+            self.site.behave(name, **how)
+        except httpx.TransportError:
+            self.done.append(f"{name} was away")
+
     def ask_for_rest(self, rng: random.Random) -> None:
         upstreams = self._some_of_service(rng)
         rest_s = rng.choice(RESTS_S)
@@ -478,33 +504,59 @@
     def run_fatal_requests(self) -> list[str]:
         """After the storm, a request that ends engines comes again and again at gateways that are
         killed, paused and stopped meanwhile; gives what went wrong."""
+        return self._run_fatal(lambda: FATAL, {"ends_on": FATAL.decode()}, {}, MOST_FATAL_ENDS)
+
+    def run_fatal_parts(self) -> list[str]:
+        """The same with requests that are all different and share a part of their prompts."""
+        parts = {names.PROMPT_PARTS.decode(): f"aa:30,{FATAL_PART}:30,own:40"}
+        found = self._run_fatal(
+            lambda: os.urandom(8).hex().encode(),
+            {"ends_on_part": FATAL_PART},
+            parts,
+            MOST_FATAL_PART_ENDS,
+        )
+        sound = self.site.call(self.site.gateways[0], STREAM)
+        if b'"fatal_request"' in sound.body:
+            found.append("a sound request is refused as fatal")
+        return found
+
+    def _run_fatal(
+        self,
+        body: Callable[[], bytes],
+        upstream_settings: dict[str, Any],
+        headers: dict[str, str],
+        most_ends: int,
+    ) -> list[str]:
         rng = self.rngs[0]
-        self.site.upstream_settings = {"ends_on": FATAL.decode()}
+        self.site.upstream_settings = upstream_settings
         for name in ENGINES:
             self._replace(name)
+
+        def call(gateway: str) -> Given:
+            return self.site.call(gateway, STREAM, body=body(), headers=headers, deadline_ms=2500)
+
         ends = 0
         for number in range(FATAL_CALLS):
             if number % 3 == 1:
                 rng.choice((self.kill_gateway, self.pause_gateway, self.stop_gateway))(rng)
-            self.site.call(rng.choice(self.site.gateways), STREAM, body=FATAL, deadline_ms=2500)
+            call(rng.choice(self.site.gateways))
             time.sleep(rng.uniform(0.1, 0.6))
             ends += self._start_ended_engines()
         found = [
             f"{name}: a fatal request is not refused as such"
             for name in self.site.gateways
-            if not self._refuses_fatal(name)
+            if not self._refuses_fatal(lambda name=name: call(name))
         ]
         ends += self._start_ended_engines()
-        if ends > MOST_FATAL_ENDS:
-            found.append(f"{ends} engines ended under one request")
+        if ends > most_ends:
+            found.append(f"{ends} engines ended under {sorted(upstream_settings)}")
         return found
 
-    def _refuses_fatal(self, gateway: str) -> bool:
-        """Whether a gateway refuses the request, once it knows again what is in force."""
+    def _refuses_fatal(self, call: Callable[[], Given]) -> bool:
+        """Whether a gateway refuses a request, once it knows again what is in force."""
         deadline = clock.now() + RECOVERY_S
         while clock.now() < deadline:
-            got = self.site.call(gateway, STREAM, body=FATAL, deadline_ms=2500)
-            if b'"fatal_request"' in got.body:
+            if b'"fatal_request"' in call().body:
                 return True
             time.sleep(0.1)
         return False
@@ -628,6 +680,7 @@
         late = played.late_for_configuration()
         played.leave_in_calm()
         fatal = played.run_fatal_requests() if "entries" in further else []
+        fatal += played.run_fatal_parts() if "unframed" in further else []
         callers.end()
         found = late + fatal + played.faults_of(callers.asked) + played.late_for_leaving()
         found += played.owed_to_upstreams()
