Ask an upstream again that had ended and answers once more

The result of the probe after an end was kept so for good: of an upstream that had started again under its id, every answer that broke off counted as its end, and since unframed answers are checked by the same probe, whole ones would have counted as cut.

A head from an upstream whose probe said that it has ended discards that result. The new case of tests/test_endings.py failed before; test_leaving.py and test_rest.py pass.

--- a/ramppost/gateway/endings.py
+++ b/ramppost/gateway/endings.py
@@ -72,6 +72,12 @@
             )
         return probe.result
 
+    def record_answer(self, upstream_key: str) -> None:
+        """Discard the result of an upstream that had ended: it has started again, as it answers."""
+        probe = self._probes.get(upstream_key)
+        if probe is not None and probe.result == "ended":
+            del self._probes[upstream_key]
+
     def forget(self, upstream_key: str) -> None:
         """Discard the result of an upstream that has left or restarted."""
         self._probes.pop(upstream_key, None)
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -205,6 +205,7 @@
     def _observe_head(self, upstream: Upstream, head: AnswerHead, sent_at: float) -> None:
         """Record what a response tells about its upstream rather than about its request."""
         now, time_of_day = clock.now(), time.time()
+        self.upstream_probes.record_answer(upstream.key)
         if not head.wrong_upstream:
             fields = ReportFields(
                 head.running, head.waiting, head.slots, head.pace, refused=head.not_run
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,7 +14,7 @@
 from ramppost.gateway.links import Broken
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import apply_upstream_snapshot
-from ramppost.platform.headers import caller_request
+from ramppost.platform.headers import answer_head, caller_request
 from ramppost.platform.store import Snapshot
 from ramppost.policy.fatal import FATAL_START_ENDS, JUST_BEGUN
 from ramppost.wire.client import CallFailed
@@ -91,3 +91,21 @@
     assert gw.fatal.is_fatal(job.fingerprint) == case.recorded
     assert job.counted_attempts == (0 if case.recorded else FATAL_START_ENDS)
     assert bool(gw.members.usable("lm", clock.now())) == case.still_used
+
+
+def test_new_start_that_answered_before_its_entry_was_known_counted_as_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store is away, so that the new start answers under the key of the one that has ended."""
+    results = [REFUSED, OpenConnection()]
+
+    async def connect(addr: str, source: tuple[str, int], timeout_s: float) -> Any:
+        return results.pop(0)
+
+    monkeypatch.setattr("ramppost.gateway.endings.connect", connect)
+    gw = Gateway(SETTINGS)
+    apply_upstream_snapshot(gw, Snapshot([entry("e0")], 5))
+    upstream = gw.members.usable("lm", clock.now())[0]
+    assert curio.run(gw.upstream_probes.probe, upstream) == "ended"
+    gw.connections.observe_head(upstream, answer_head(200, ()), clock.now())
+    assert curio.run(gw.upstream_probes.probe, upstream) == "alive"
