Don't take over a finding that is already known as strongly; changelog

While a finding is not in the store it is sent to all gateways every two seconds, and each that had come to the same one by itself logged it again each time. tests/test_fatal_part_evidence.py, test_gateway_state.py: passed.

--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -261,7 +261,10 @@
     def _handle_finding(self, found: FatalRequest) -> None:
         """Take over a finding of another gateway, which may not reach the store."""
         key = found["fingerprint"]
-        if self._removed.get(key) == found["at"] or self._find_known(key) == found:
+        known = self._find_known(key)
+        if self._removed.get(key) == found["at"] or (
+            known is not None and not _is_stronger(found, known)
+        ):
             return
         self._told[key] = found
         drop_oldest(self._told, MAX_FATAL)
