Look for a second end under a request before it is sent again

Traced by its log: an engine that ends may accept connections for a moment, so the end is looked for again 0.1 s later; for a request that was still waiting that was done beside its retry. So two requests were sent to three more engines within 0.04 s each before the ends counted, and the pause after two ends did not begin.

From the second end on, the retry of a waiting request comes after that check, as it does for one that had just begun. The new case of tests/test_endings.py failed before (1 end noticed instead of 2).

--- a/ramppost/gateway/aftermath.py
+++ b/ramppost/gateway/aftermath.py
@@ -18,7 +18,7 @@
 from ramppost.gateway.links import Broken
 from ramppost.gateway.model import Upstream
 from ramppost.gateway.state import Gateway
-from ramppost.policy.fatal import JUST_BEGUN
+from ramppost.policy.fatal import JUST_BEGUN, WAITED
 
 RECHECK_DELAY_S: Final = 0.1
 """A process that ends closes its connections one by one, and may accept a new one meanwhile."""
@@ -35,7 +35,7 @@
         return
     if not await _is_alive(gw, job, upstream, evidence):
         return
-    if evidence == JUST_BEGUN:
+    if evidence == JUST_BEGUN or (evidence == WAITED and job.upstream_ends):
         # The request may be what ended the upstream, and an immediate retry would end the next one.
         await _recheck(gw, job, upstream, evidence)
     else:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,7 +16,7 @@
 from ramppost.gateway.watchers import apply_upstream_snapshot
 from ramppost.platform.headers import answer_head, caller_request
 from ramppost.platform.store import Snapshot
-from ramppost.policy.fatal import FATAL_START_ENDS, JUST_BEGUN
+from ramppost.policy.fatal import FATAL_START_ENDS, JUST_BEGUN, WAITED
 from ramppost.wire.client import CallFailed
 from tests.harness.gateways import STREAM
 from tests.test_gateway_state import SETTINGS, admit_request, entry, set_config
@@ -109,3 +109,25 @@
     assert curio.run(gw.upstream_probes.probe, upstream) == "ended"
     gw.connections.observe_head(upstream, answer_head(200, ()), clock.now())
     assert curio.run(gw.upstream_probes.probe, upstream) == "alive"
+
+
+def test_retry_was_sent_before_a_second_end_was_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its engines end before the response head, and accept connections for a moment longer."""
+    began = clock.now()
+
+    async def connect(addr: str, source: tuple[str, int], timeout_s: float) -> Any:
+        return OpenConnection() if clock.now() < began + EXIT_S else REFUSED
+
+    monkeypatch.setattr("ramppost.gateway.endings.connect", connect)
+    gw = Gateway(SETTINGS)
+    set_config(gw, 5, 1)
+    gw.freshness.confirm(clock.now())
+    apply_upstream_snapshot(gw, Snapshot([entry("e0")], 5))
+    admitted = admit_request(gw, STREAM)
+    assert isinstance(admitted, Admitted)
+    job = Job(caller_request("POST", STREAM, (), b""), admitted, clock.now())
+    job.upstream_ends = 1
+    upstream = gw.members.usable("lm", clock.now())[0]
+    broken = Broken("closed", by_peer=True)
+    curio.run(handle_broken_response, gw, job, upstream, broken, WAITED)
+    assert job.upstream_ends == 2
