Read what the change wrote twice: one delay, one list of findings, one merge of levels

Found by reading the whole change once more. The wait for a process that is just ending stood in two modules under two names; the three places that hold findings were listed three times; the level of a part was merged by two nested conditions where the least of those that have begun is meant; two fields of Observed were read nowhere; a third copy of the soak's call to an upstream that may be away was added beside two.

--- a/ramppost/gateway/aftermath.py
+++ b/ramppost/gateway/aftermath.py
@@ -6,23 +6,18 @@
 
 from __future__ import annotations
 
-from typing import Final
-
 import curio
 from loguru import logger
 
 from ramppost import clock
 from ramppost.gateway.attempt import Running
-from ramppost.gateway.endings import ProbeResult
+from ramppost.gateway.endings import RECHECK_DELAY_S, ProbeResult
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken
 from ramppost.gateway.model import Upstream
 from ramppost.gateway.state import Gateway
 from ramppost.policy.fatal import JUST_BEGUN, WAITED
 
-RECHECK_DELAY_S: Final = 0.1
-"""A process that ends closes its connections one by one, and may accept a new one meanwhile."""
-
 
 async def handle_broken_response(
     gw: Gateway, job: Job, upstream: Upstream, broken: Broken, evidence: int
--- a/ramppost/gateway/endings.py
+++ b/ramppost/gateway/endings.py
@@ -24,6 +24,8 @@
 
 PROBE_TIMEOUT_S: Final = 0.25
 """A reachable box responds within one round trip; an unreachable one never does."""
+RECHECK_DELAY_S: Final = 0.1
+"""A process that ends closes its connections one by one, and may accept a new one meanwhile."""
 RESULT_VALID_S: Final[dict[ProbeResult, float]] = {
     "alive": 0.05,
     "silent": 0.5,
--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -82,15 +82,10 @@
 
 
 class Observed(NamedTuple):
-    """A run of a request, and what may be suspected for its upstream's end.
-
-    `parts` are the suspects among the parts of its prompt (`ramppost.policy.suspects`).
-    """
+    """A request with the suspects among the parts of its prompt (`ramppost.policy.suspects`)."""
 
     fingerprint: str
-    parts: tuple[str, ...] = ()
-    upstream: str = ""
-    version: str = ""
+    parts: tuple[str, ...]
 
 
 class FatalRequests:
@@ -124,6 +119,11 @@
         self._evidence_at = float("-inf")
         """When evidence was last received."""
 
+    @property
+    def _findings(self) -> tuple[dict[str, FatalRequest], ...]:
+        """All known findings, by where they are from."""
+        return self.published, self.unpublished, self._told
+
     def is_fatal(self, fingerprint: str, parts: Collection[str] = ()) -> bool:
         """Whether a request is known to be fatal and must not be run."""
         if parts and self.find_fatal_parts(parts):
@@ -138,7 +138,7 @@
         """The parts because of which a request is not run; empty if there are none."""
         held = frozenset(parts)
         groups = list(self.evidence.fatal_parts.values())
-        for findings in (self.published, self.unpublished, self._told):
+        for findings in self._findings:
             for key, found in findings.items():
                 if found["certain"] and "parts" in found and key not in self.cleared:
                     groups.append(tuple(found["parts"]))
@@ -373,10 +373,9 @@
 
     def _keys_of(self, suspect: str) -> list[str]:
         """The known findings on a suspect."""
-        known = (self.published, self.unpublished, self._told)
         return [
             key
-            for findings in known
+            for findings in self._findings
             for key, found in findings.items()
             if key == suspect or suspect in found.get("parts", ())
         ]
@@ -537,9 +536,7 @@
 
     def _find_known(self, key: str) -> FatalRequest | None:
         """The strongest finding that is known under a key."""
-        known = [
-            found[key] for found in (self.published, self.unpublished, self._told) if key in found
-        ]
+        known = [findings[key] for findings in self._findings if key in findings]
         return max(known, key=lambda found: found["certain"], default=None)
 
     def _log_known(self, found: FatalRequest) -> None:
--- a/ramppost/gateway/forwarding.py
+++ b/ramppost/gateway/forwarding.py
@@ -20,6 +20,7 @@
 from ramppost import clock
 from ramppost.gateway.attempt import Running
 from ramppost.gateway.caller_buffer import Assembly
+from ramppost.gateway.endings import RECHECK_DELAY_S
 from ramppost.gateway.events import Event, EventSplitter
 from ramppost.gateway.inbound import Reply
 from ramppost.gateway.job import Job
@@ -33,8 +34,6 @@
 MIN_LEFT_UNREAD_S: Final = 1.0
 """An upstream that was not read for this time may abort its response for that reason."""
 
-UNFRAMED_STREAM_CHECK_S: Final = 0.1
-"""Its events are all sent by then, so the caller only learns later that there are no more."""
 CUT_BY_CRASH: Final = Broken("unframed answer ended with its upstream", by_peer=True)
 
 ReadChunk = Callable[[], Awaitable[bytes | BodyEnd | Broken]]
@@ -81,8 +80,7 @@
 async def _cut_by_crash(gw: Gateway, running: Running, end: BodyEnd, delay_s: float) -> bool:
     """Whether an answer without a length ended because its upstream did.
 
-    `delay_s` is the time to wait first: a process that ends may still accept connections for a
-    moment.
+    `delay_s` is the time to wait first, up to `RECHECK_DELAY_S`.
     """
     if end.framed:
         return False
@@ -144,7 +142,8 @@
         if isinstance(chunk, BodyEnd):
             if splitter.remainder:
                 return Broken("stream ended within an event", by_peer=True)
-            if await _cut_by_crash(gw, running, chunk, UNFRAMED_STREAM_CHECK_S):
+            # All events are sent by then; the caller only learns later that there are no more.
+            if await _cut_by_crash(gw, running, chunk, RECHECK_DELAY_S):
                 return CUT_BY_CRASH
             break
         run.record_piece(clock.now())
--- a/ramppost/policy/fatal.py
+++ b/ramppost/policy/fatal.py
@@ -501,14 +501,13 @@
         upstream did not crash when it began that one."""
         if part in end.excused:
             return
-        known = end.evidence.get(part, WAITED)
         if part not in end.sightings:
             if len(end.sightings) >= MAX_PARTS_PER_END:
                 return
             end.sightings[part] = PartSighting()
-        if WAITED in (level, known):
-            level = level if known == WAITED else known
-        self._add(end, upstream, part, min(level, known) if known != WAITED else level, now)
+        levels = (level, end.evidence.get(part, WAITED))
+        begun = [known for known in levels if known != WAITED]
+        self._add(end, upstream, part, min(begun, default=WAITED), now)
 
     def _add(self, end: _UpstreamEnd, upstream: str, suspect: str, level: int, now: float) -> None:
         if suspect not in end.evidence:
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -318,11 +318,8 @@
             self._behave(name)
 
     def _behave(self, name: str, **how: Any) -> None:
-        """Let an upstream answer in some way; one that is being replaced answers as usual."""
-        try:
-            self.site.behave(name, **how)
-        except httpx.TransportError:
-            self.done.append(f"{name} was away")
+        """Let an upstream answer in some way."""
+        self._unless_away(self.site.behave, name, how)
 
     def ask_for_rest(self, rng: random.Random) -> None:
         upstreams = self._some_of_service(rng)
@@ -348,16 +345,17 @@
         return service if rng.random() < ALL_OF_SERVICE else (rng.choice(service),)
 
     def _tell(self, name: str, **told: Any) -> None:
-        """Let an upstream tell something; one that is being replaced tells nothing."""
-        try:
-            self.site.notices(name, **told)
-        except httpx.TransportError:
-            self.done.append(f"{name} was away")
+        """Let an upstream tell something."""
+        self._unless_away(self.site.notices, name, told)
 
     def _change_host(self, name: str, **change: Any) -> None:
-        """Change an upstream's speed; one that is being replaced has the usual one."""
+        """Change an upstream's speed."""
+        self._unless_away(self.site.host, name, change)
+
+    def _unless_away(self, act: Callable[..., None], name: str, how: dict[str, Any]) -> None:
+        """Act on an upstream; nothing is done to one that is being replaced."""
         try:
-            self.site.host(name, **change)
+            act(name, **how)
         except httpx.TransportError:
             self.done.append(f"{name} was away")
 
