Name the session of an attempt in its line, and why it runs on its version

Cause: of the hypotheses on moved sessions none could be told from another: no line named a session, so a move could not be seen, and none told whether a version was used for the session's sake, by the roll-out's step or because the other one's engines were all tried.

Change: lines of attempts carry a short hash of the session, the service, the reason and how much of the roll-out's time has passed by this gateway's count. No change of what is decided.

--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -7,7 +7,7 @@
 from ramppost.gateway.admit import Admitted
 from ramppost.gateway.backlogs import BacklogEstimate
 from ramppost.gateway.model import CallerRequest
-from ramppost.policy.fingerprint import fingerprint
+from ramppost.policy.fingerprint import fingerprint, session_label
 from ramppost.policy.suspects import part_key
 
 MAX_LOGGED_PARTS: Final = 8
@@ -54,6 +54,8 @@
         does not starve."""
         self.failed_versions: set[str] = set()
         """Versions of upstreams that returned an error status that was retried."""
+        self.version_reason = ""
+        """Why it was last placed on the version of its upstream, for the log."""
         self.policy = ""
         """Name of the policy that selected the models, empty if the caller named one."""
         self.cost = 0.0
@@ -82,6 +84,11 @@
         """The first of these, for log lines."""
         return self.shared_parts[:MAX_LOGGED_PARTS]
 
+    @property
+    def session_label(self) -> str:
+        """Names its session in log lines; empty if it has none."""
+        return session_label(self.req.session) if self.req.session else ""
+
     @property
     def workspace_rank(self) -> int:
         """Priority of its workspace, 0 being the most urgent, as for a request without a key."""
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -205,6 +205,7 @@
         for group in (side.preferred, side.fallback):
             untried = _untried(group, job.tried_upstreams, avoided_versions)
             if untried:
+                job.version_reason = side.reason if group is side.preferred else "fallback"
                 return untried
     return []
 
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -65,10 +65,14 @@
 
 
 class EligibleUpstreams(NamedTuple):
-    """The upstreams that may receive a request; those in `preferred` are considered first."""
+    """The upstreams that may receive a request; those in `preferred` are considered first.
+
+    `reason` tells, for the log, why their version is preferred; it is empty without a roll-out.
+    """
 
     preferred: list[Upstream]
     fallback: list[Upstream]
+    reason: str = ""
 
 
 def _with_known_end(found: RolloutOrder, known: RolloutOrder) -> RolloutOrder:
@@ -109,6 +113,13 @@
         """All known roll-outs."""
         return list(self._by_service.values())
 
+    def logged_fraction(self, service: str, now: float) -> float | None:
+        """For the log: the elapsed fraction of a service's roll-out; None if none is under way."""
+        rollout = self._by_service.get(service)
+        if rollout is None or rollout.order.state != "ordered":
+            return None
+        return round(rollout.elapsed_fraction(now), 3)
+
     def update_progress(self, service: str, version: str, fraction: float, now: float) -> None:
         """Apply progress reported by some gateway; the order itself may not be known yet."""
         self._progress[service] = Progress(version, fraction, now)
@@ -146,9 +157,9 @@
         new, old = rollout.split(usable)
         rollout.trial_upstreams = max(1, len(new))
         if rollout.withdrawal_reason or rollout.order.state == "rolled_back":
-            return EligibleUpstreams(old, [])
+            return EligibleUpstreams(old, [], "withdrawn")
         if rollout.order.state == "completed":
-            return EligibleUpstreams(new, []) if new else EligibleUpstreams(old, [])
+            return EligibleUpstreams(new or old, [], "completed")
         pinned = self.pins.pinned_version(service, session, now) if session else ""
         fraction = rollout.elapsed_fraction(now)
         keeps_old = (
@@ -159,8 +170,9 @@
             and not keeps_old
             and uses_new_version(service, version, session or request_id, fraction, pinned)
         ):
-            return EligibleUpstreams(new, old)
-        return EligibleUpstreams(old, new if fraction >= UNPIN_AT else [])
+            return EligibleUpstreams(new, old, "session" if pinned else "step")
+        reason = "session" if pinned or keeps_old else "step"
+        return EligibleUpstreams(old, new if fraction >= UNPIN_AT else [], reason)
 
     def record_answer(self, service: str, upstream: Upstream, bad: bool, slow: bool) -> str:
         """Record an answer; returns the reason if it causes a withdrawal, else ""."""
