--- a/tests/harness/gateways.py
+++ b/tests/harness/gateways.py
@@ -129,6 +129,8 @@
         """Further settings of upstreams that are started from now on."""
         self.ids: dict[str, str] = {}
         """Ids of the upstreams' last incarnations."""
+        self.versions: dict[str, str] = {}
+        """Versions of all upstreams that were started, by id."""
         self.operator_wrote: dict[tuple[str, str], Any] = {}
         """What the operator has written last, by kind and name; None for a removed object."""
         try:
@@ -215,6 +217,7 @@
             self.starts += 1
             self.ids[name] = f"i-{name}-{self.starts}"
         upstream_id = self.ids[name]
+        self.versions[upstream_id] = version
         cfg = {
             "program": "standin-upstream",
             "listen": {"host": HOST, "port": self.port(name)},
