Keep the versions of sessions at two gateways each, and count a roll-out's time from one moment

Callers saw sessions in progress run on another version, in the first half of a roll-out or back.

Cause: what gateways knew of each other's sessions hung on one exchange at one moment (told once at 0.06 of the roll-out's time, read once at 0.08, by the store), counted by each gateway from when it saw the order. So sessions that began later, answers that streamed for longer than a session lasts, a gateway that had stopped, a failed call, or a gateway at another step each moved some. Ruled out by the tests: load, and the store's delay alone.

Change: two gateways, found by a hash, keep the version of each session that the first step may move. They are told of each send and of each end, always, and every second in the first half of a roll-out. Who does not know a session asks them; it moves only if one that would have been told does not know it either. A gateway that stops hands on what it knows, twice. A session lasts from the send to session_s after the end of the answer. Which sessions are early no longer depends on the version, so that they are known before any order. Gateways tell each other how much of a roll-out's time has passed, and all count from the earliest. rollout-sessions in the store is gone.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -19,6 +19,7 @@
 from ramppost.gateway.links import Broken, Exchange, NotSent, OutgoingRequest, open_exchange
 from ramppost.gateway.load import InFlight
 from ramppost.gateway.pick import DEFAULT_PLAIN_LATENCY_S, Selection, prompt_urgency
+from ramppost.gateway.session_version import pin_session
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import AnswerHead, SendOptions, upstream_head
 from ramppost.policy.backlog import PendingPrompt
@@ -72,6 +73,7 @@
     """Send the request, and log and count the outcome."""
     upstream = chosen.upstream
     job.tried_upstreams.add(upstream.key)
+    version_before = pin_session(gw, job, chosen.service.name, upstream.version)
     started_at = clock.now()
     work = gw.loads.in_flight(upstream.key)
     work.requests += 1
@@ -87,6 +89,8 @@
         result = await _send_and_wait(gw, job, chosen, model, work, pending_prompt)
         if _has_begun(result) and pending_prompt is not None:
             result = result._replace(key=attempt_key)
+        if isinstance(result, (Refused, NotSent)):
+            pin_session(gw, job, chosen.service.name, version_before)
     finally:
         work.pending -= 1
         if pending_prompt is not None:
@@ -323,9 +327,6 @@
             gw.assume_warming_up(chosen.upstream, now)
     if outcome != "cancelled":
         gw.suspicion_of(chosen.upstream.key).record_outcome(failed, now)
-    if job.req.session:
-        version = chosen.upstream.version
-        gw.rollouts.pins.record(chosen.service.name, job.req.session, version, now)
     gw.metrics.count("ramppost_attempts_total", outcome=type(result).__name__.lower())
     logger.info(
         "attempt {}: {}",
--- a/ramppost/gateway/departures.py
+++ b/ramppost/gateway/departures.py
@@ -34,12 +34,20 @@
         await curio.sleep(ANNOUNCE_INTERVAL_S)
 
 
+def announce_return(gw: Gateway) -> None:
+    """Tell the gateways that were told of a planned stop that this one is back."""
+    note = LeavingNote(name=gw.cfg["name"], back_ms=0)
+    for name in gw.peers.local_peers():
+        gw.datagrams.send(parse_address(gw.peers.addrs[name]), PeerDatagram(leaving=note))
+
+
 def handle_leaving_note(gw: Gateway, note: LeavingNote) -> None:
-    """Process the announcement of another gateway's planned stop."""
+    """Process the announcement of another gateway's planned stop, or of its return."""
     now = clock.now()
     back_s = note["back_ms"] / 1000
-    if not gw.peers.is_stopping(note["name"], now):
-        logger.info("gateway is stopping", peer=note["name"], back_s=back_s)
+    if gw.peers.is_stopping(note["name"], now) != (back_s > 0):
+        message = "gateway is stopping" if back_s > 0 else "gateway is back"
+        logger.info(message, peer=note["name"], back_s=back_s)
     gw.peers.mark_stopping(note["name"], now + back_s)
 
 
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -54,6 +54,12 @@
         does not starve."""
         self.failed_versions: set[str] = set()
         """Versions of upstreams that returned an error status that was retried."""
+        self.session_version = ""
+        """The version that its session runs on; empty if it is not known or not decided."""
+        self.session_is_new = False
+        """Whether its session is known not to be in progress at any gateway."""
+        self.session_begun = ""
+        """The service at which it counts as a request under way of its session."""
         self.version_reason = ""
         """Why it was last placed on the version of its upstream, for the log."""
         self.policy = ""
--- a/ramppost/gateway/joining.py
+++ b/ramppost/gateway/joining.py
@@ -17,6 +17,7 @@
 import curio
 
 from ramppost import clock
+from ramppost.gateway.departures import announce_return
 from ramppost.gateway.peers import (
     GATEWAY_KIND,
     GatewayEntry,
@@ -61,6 +62,7 @@
         gw.feed_valid_until = now + start_hold_s(gw.peers.fleet_size, gw.rng.random())
     await start_watchers(gw)
     await _follow_gateways(gw, listing)
+    announce_return(gw)
     await curio.spawn(subscribe, gw, daemon=True)
     era = listing.era if isinstance(listing, Snapshot) else 0
     if not registered:
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -84,6 +84,7 @@
     await curio.spawn(gw.fatal.send_ends, daemon=True)
     await curio.spawn(gw.fatal.judge, daemon=True)
     await curio.spawn(gw.limit_news.ask_others, daemon=True)
+    await curio.spawn(gw.rollout_news.exchange, daemon=True)
     await curio.spawn(sync_document, gw, daemon=True)
     await curio.spawn(keep_policies, gw, daemon=True)
     await curio.spawn(keep_plans, gw, daemon=True)
@@ -156,6 +157,7 @@
     deadline = started_at + gw.cfg["timing"]["stop_s"] - STOP_MARGIN_S
     gw.resume_at = deadline + RESTART_DELAY_S
     await curio.spawn(announce_leaving, gw, daemon=True)
+    gw.sessions.hand_over()
     await curio.sleep(MIN_STOP_S)
     gw.refusal_scope = "streams"
     while (now := clock.now()) < deadline and gw.callers.busy:
@@ -163,6 +165,7 @@
             gw.refusal_scope = "all"
         gw.callers.close_idle()
         await curio.sleep(STOP_POLL_S)
+    gw.sessions.hand_over()
     logger.info("stopped", left_busy=gw.callers.busy, after_s=round(now - started_at, 2))
 
 
@@ -178,6 +181,10 @@
             await gw.fatal.handle_datagram(message)
         elif "limit" in message or "limit_ask" in message:
             gw.limit_news.handle_datagram(message, addr)
+        elif "rollout" in message:
+            gw.rollout_news.handle_datagram(message["rollout"], addr)
+        elif "sessions" in message or "session_ask" in message or "session_answer" in message:
+            await gw.sessions.handle_datagram(message, addr)
         else:
             await gw.backlogs.handle_datagram(message, addr)
 
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -13,6 +13,7 @@
 from ramppost.gateway.job import BacklogSnapshot, Job
 from ramppost.gateway.model import Prompt, Service, Upstream
 from ramppost.gateway.pools import Candidates
+from ramppost.gateway.rollouts import PlacedRequest
 from ramppost.gateway.send_limits import least_wait_s, within_limits
 from ramppost.gateway.state import Gateway
 from ramppost.policy.homes import home_candidates, home_engines, home_group, shared_part
@@ -198,9 +199,10 @@
     considered here: falling back to another version would change a session's version.
     """
     usable = _allowed(gw, job, service_name, now)
-    side = gw.rollouts.eligible_upstreams(
-        service_name, usable, job.req.attempt_id, job.req.session, now
+    placed = PlacedRequest(
+        job.req.attempt_id, job.session_label, job.session_version, job.session_is_new
     )
+    side = gw.rollouts.eligible_upstreams(service_name, usable, placed, now)
     for avoided_versions in (job.failed_versions, set()):
         for group in (side.preferred, side.fallback):
             untried = _untried(group, job.tried_upstreams, avoided_versions)
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -26,14 +26,12 @@
     StoredObject,
     Unavailable,
     create,
-    list_kind,
-    put,
     read,
     replace,
     set_status,
 )
 from ramppost.policy.pace import Timing, TimingBaseline
-from ramppost.policy.ramp import ANNOUNCE_AT, COMPLETE_AT, RAMP_STEPS, UNPIN_AT
+from ramppost.policy.ramp import COMPLETE_AT, RAMP_STEPS, UNPIN_AT
 from ramppost.policy.routing import hash_fraction
 from ramppost.wire.codec import BadMessage
 
@@ -41,18 +39,9 @@
 WRITE_SPREAD_S: Final = 0.25
 """Relays spread their writes over this time, and the other gateways do so after them."""
 RETRY_DELAY_S: Final = 0.3
-READ_SESSIONS_LEAD: Final = 0.02
-"""Fraction of the duration by which other gateways' sessions are read before any session moves."""
+TELL_SESSIONS_INTERVAL_S: Final = 1.0
+"""A keeper that has started, or was not reached, knows the sessions in progress after this time."""
 PROGRESS_KIND: Final = "rollout-progress"
-SESSIONS_KIND: Final = "rollout-sessions"
-FIRST_MOVE_AT: Final = RAMP_STEPS[1].start
-
-
-class OldSessions(TypedDict):
-    """Sessions that one gateway saw on the old version when a roll-out began."""
-
-    version: str
-    sessions: list[str]
 
 
 class Progress(TypedDict):
@@ -115,7 +104,7 @@
             elif part >= COMPLETE_AT:
                 await _finish(gw, rollout, completed=True)
             else:
-                await _exchange_sessions(gw, rollout, now)
+                _tell_sessions(gw, rollout, now)
                 await _save_progress(gw, rollout, part, saved_steps)
 
 
@@ -212,58 +201,11 @@
         await curio.sleep(RETRY_DELAY_S)
 
 
-async def _exchange_sessions(gw: Gateway, rollout: Rollout, now: float) -> None:
-    """Publish the sessions that run on the old version, and read those of the other gateways.
-
-    Otherwise a session that continues at another gateway would be moved to the new version there.
-    """
-    part = rollout.elapsed_fraction(now)
-    if part >= ANNOUNCE_AT and _are_sessions_missing(gw, rollout, part):
-        rollout.sessions_published_in = gw.store.era
-        await _publish_sessions(gw, rollout, now)
-    if part >= FIRST_MOVE_AT - READ_SESSIONS_LEAD and not rollout.sessions_read:
-        rollout.sessions_read = True
-        await _read_sessions(gw, rollout)
-
-
-def _are_sessions_missing(gw: Gateway, rollout: Rollout, part: float) -> bool:
-    """Whether the own sessions have to be published, or again as the store has come back since."""
-    published_in = rollout.sessions_published_in
-    return published_in is None or (published_in < gw.store.era and part < UNPIN_AT)
-
-
-async def _publish_sessions(gw: Gateway, rollout: Rollout, now: float) -> None:
-    order = rollout.order
-    sessions = gw.rollouts.pins.sessions_to_announce(order.service, order.version, now)
-    if not sessions:
-        return
-    name = f"{order.service}.{gw.cfg['name']}"
-    spec = OldSessions(version=order.version, sessions=sessions)
-    got = await put(gw.store, SESSIONS_KIND, name, spec)
-    logger.info(
-        "sessions under way told",
-        service=order.service,
-        count=len(sessions),
-        outcome=type(got).__name__,
-    )
-
-
-async def _read_sessions(gw: Gateway, rollout: Rollout) -> None:
-    order = rollout.order
-    got = await list_kind(gw.store, SESSIONS_KIND)
-    if isinstance(got, Unavailable):
-        logger.warning("failed to read the sessions of other gateways: {}", got.reason)
-        return
-    for obj in got.objects:
-        published = gw.unreadable.decode_spec(SESSIONS_KIND, obj, OldSessions)
-        same_service = obj.name.startswith(f"{order.service}.")
-        if published is not None and same_service and published["version"] == order.version:
-            rollout.old_version_sessions.update(published["sessions"])
-    logger.info(
-        "read sessions of all gateways",
-        service=order.service,
-        count=len(rollout.old_version_sessions),
-    )
+def _tell_sessions(gw: Gateway, rollout: Rollout, now: float) -> None:
+    """Tell the keepers of sessions again while they must not be moved."""
+    if rollout.elapsed_fraction(now) < UNPIN_AT and now >= rollout.tell_sessions_at:
+        rollout.tell_sessions_at = now + TELL_SESSIONS_INTERVAL_S
+        gw.sessions.tell_all()
 
 
 class _SavedStep(NamedTuple):
--- /dev/null
+++ b/ramppost/gateway/rollout_news.py
@@ -0,0 +1,93 @@
+"""Lets all gateways count the time of a roll-out from the same moment.
+
+Each gateway sees an order at a moment of its own, and one that starts in the middle does not know
+how much of the time has passed.  Gateways tell each other how much has, in datagrams; whoever hears
+of more goes on from there and tells others, so that all count from the earliest.  Between gateways
+at different steps, sessions would move to and fro.
+
+The progress that is saved in the store (`ramppost.gateway.rollout_duty`) is for gateways that reach
+no other, and for a fleet that was ended as a whole.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+import curio
+from loguru import logger
+
+from ramppost import clock
+from ramppost.gateway.datagrams import Address, Datagrams
+from ramppost.gateway.early import parse_address
+from ramppost.gateway.rollouts import Rollout, Rollouts
+from ramppost.policy.relays import Peers
+from ramppost.schema.messages import PeerDatagram, RolloutNote
+
+FANOUT: Final = 16
+"""Gateways that are told at once.  Where each passes news on to so many, all but a few of a fleet
+of hundreds hear of it within three steps, and the others within an interval."""
+INTERVAL_S: Final = 1.0
+INTERVAL_FANOUT: Final = 2
+MIN_GAIN_S: Final = 0.02
+"""A start that is earlier by less than this is not passed on: an answer takes longer."""
+
+
+class RolloutNews:
+    """Sends and receives how much of each roll-out's time has passed."""
+
+    def __init__(self, peers: Peers, datagrams: Datagrams, rollouts: Rollouts) -> None:
+        self._peers = peers
+        self._datagrams = datagrams
+        self._rollouts = rollouts
+        self._rng = random.Random()
+        rollouts.on_order = lambda rollout: self._announce(rollout, FANOUT, asks=True)
+
+    async def exchange(self) -> None:
+        """Tell a few gateways about each roll-out now and then, until cancelled."""
+        while True:
+            await curio.sleep(INTERVAL_S)
+            for rollout in self._rollouts.all():
+                if rollout.order.state == "ordered":
+                    self._announce(rollout, INTERVAL_FANOUT, asks=True)
+
+    def handle_datagram(self, note: RolloutNote, addr: Address) -> None:
+        """Process what another gateway tells about a roll-out; answer it if it is behind."""
+        now = clock.now()
+        elapsed_s = note["elapsed_ms"] / 1000
+        rollout = self._rollouts.get(note["service"])
+        if rollout is None or rollout.order.version != note["version"]:
+            self._rollouts.note_announced(note["service"], note["version"])
+            return
+        if rollout.order.state != "ordered":
+            return
+        gain_s = elapsed_s - (now - rollout.started_at)
+        if gain_s > 0:
+            rollout.started_at -= gain_s
+        if gain_s > MIN_GAIN_S:
+            logger.info(
+                "roll-out began earlier at another gateway",
+                service=note["service"],
+                version=note["version"],
+                by_s=round(gain_s, 3),
+                peer=addr[0],
+            )
+            self._announce(rollout, FANOUT, asks=False)
+        elif -gain_s > MIN_GAIN_S and note["asks"]:
+            self._datagrams.send(addr, PeerDatagram(rollout=_note(rollout, now, asks=False)))
+
+    def _announce(self, rollout: Rollout, count: int, asks: bool) -> None:
+        names = self._peers.alive(clock.now())
+        msg = PeerDatagram(rollout=_note(rollout, clock.now(), asks))
+        for name in self._rng.sample(names, min(count, len(names))):
+            self._datagrams.send(parse_address(self._peers.addrs[name]), msg)
+
+
+def _note(rollout: Rollout, now: float, asks: bool) -> RolloutNote:
+    order = rollout.order
+    return RolloutNote(
+        service=order.service,
+        version=order.version,
+        elapsed_ms=max(0.0, (now - rollout.started_at) * 1000),
+        asks=asks,
+    )
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -1,17 +1,24 @@
 """Tracks roll-outs of services: progress, assignment of sessions to versions, and health.
 
-Every gateway measures the progress of a roll-out on its own steady clock, from when it saw the
-order.  Progress is also saved in the store, so that a gateway that starts in the middle of a
-roll-out continues from there instead of from the beginning.
+Every gateway measures the progress of a roll-out on its own steady clock; all count from when the
+first one saw the order (`ramppost.gateway.rollout_news`).  Progress is also saved in the store, so
+that a fleet that was ended as a whole continues from there instead of from the beginning.
+
+A request of a session in progress goes to the session's version, and one of a session of which
+nothing is known for certain to the version in service (`ramppost.gateway.session_news`).
 """
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import Final, NamedTuple
 
+from ramppost.bounded import drop_oldest
 from ramppost.gateway.model import RolloutOrder, Upstream
 from ramppost.policy.guard import AnswerTally, withdrawal_reason
-from ramppost.policy.ramp import UNPIN_AT, SessionPins, uses_new_version
+from ramppost.policy.ramp import UNPIN_AT, is_moved
+
+MAX_ANNOUNCED: Final = 64
 
 
 class Rollout:
@@ -24,14 +31,10 @@
         self.trial = AnswerTally()
         self.trial_upstreams = 1
         self._split: tuple[list[Upstream], VersionSplit] | None = None
-        self.old_version_sessions: set[str] = set()
-        """Sessions that ran on the old version at any gateway when the roll-out began."""
-        self.sessions_published_in: int | None = None
-        """The era of the store in which this gateway has published its own such sessions last."""
-        self.sessions_read = False
-        """Whether it has read those of the other gateways."""
         self.withdrawal_reason = ""
         """Why this gateway considers the version bad; empty if it does not."""
+        self.tell_sessions_at = seen_at
+        """When the keepers of sessions are to be told of them again (steady clock)."""
         self.write_end_at = float("inf")
         """When its end is to be written again, which the store has lost (steady clock)."""
 
@@ -64,6 +67,19 @@
     at: float
 
 
+class PlacedRequest(NamedTuple):
+    """What a request's version depends on.
+
+    `session` is empty if it has none.  `pinned` is the version that its session runs on, as far as
+    that is known, and `is_new` tells that its session is known not to be in progress anywhere.
+    """
+
+    id: str
+    session: str = ""
+    pinned: str = ""
+    is_new: bool = False
+
+
 class EligibleUpstreams(NamedTuple):
     """The upstreams that may receive a request; those in `preferred` are considered first.
 
@@ -83,12 +99,15 @@
 
 
 class Rollouts:
-    """The newest roll-out of each service, and the version of each recent session."""
+    """The newest roll-out of each service."""
 
-    def __init__(self, session_s: float) -> None:
-        self.pins = SessionPins(session_s)
+    def __init__(self) -> None:
+        self.on_order: Callable[[Rollout], None] = lambda rollout: None
+        """Called with each new roll-out that is under way."""
         self._by_service: dict[str, Rollout] = {}
         self._progress: dict[str, Progress] = {}
+        self._announced: dict[str, str] = {}
+        """Versions of whose roll-outs other gateways have told before their orders were seen."""
 
     def update(self, order: RolloutOrder, now: float) -> bool:
         """Apply an order or a change of its state; returns whether the order is new."""
@@ -97,10 +116,18 @@
             if order.position >= known.order.position:
                 known.order = _with_known_end(order, known.order)
             return False
-        self._by_service[order.service] = Rollout(order, now)
+        rollout = self._by_service[order.service] = Rollout(order, now)
+        self._announced.pop(order.service, None)
         self._apply_progress(order.service, now)
+        if order.state == "ordered":
+            self.on_order(rollout)
         return True
 
+    def note_announced(self, service: str, version: str) -> None:
+        """Record that a roll-out is under way whose order this gateway has not seen."""
+        self._announced[service] = version
+        drop_oldest(self._announced, MAX_ANNOUNCED)
+
     def remove(self, service: str) -> None:
         """Apply the removal of a service's order."""
         self._by_service.pop(service, None)
@@ -113,12 +140,23 @@
         """All known roll-outs."""
         return list(self._by_service.values())
 
+    def version_under_way(self, service: str) -> str:
+        """The version that a service is being moved to; empty if none is."""
+        rollout = self._by_service.get(service)
+        return rollout.order.version if rollout and rollout.order.state == "ordered" else ""
+
     def logged_fraction(self, service: str, now: float) -> float | None:
         """For the log: the elapsed fraction of a service's roll-out; None if none is under way."""
+        if not self.version_under_way(service):
+            return None
+        return round(self._by_service[service].elapsed_fraction(now), 3)
+
+    def depends_on_session(self, service: str, now: float) -> bool:
+        """Whether the version of a request depends on what its session has run on elsewhere."""
         rollout = self._by_service.get(service)
         if rollout is None or rollout.order.state != "ordered":
-            return None
-        return round(rollout.elapsed_fraction(now), 3)
+            return service in self._announced
+        return rollout.elapsed_fraction(now) < UNPIN_AT
 
     def update_progress(self, service: str, version: str, fraction: float, now: float) -> None:
         """Apply progress reported by some gateway; the order itself may not be known yet."""
@@ -147,32 +185,40 @@
         rollout.started_at = min(rollout.started_at, started_at)
 
     def eligible_upstreams(
-        self, service: str, usable: list[Upstream], request_id: str, session: str, now: float
+        self, service: str, usable: list[Upstream], req: PlacedRequest, now: float
     ) -> EligibleUpstreams:
-        """The upstreams that may receive a request of a session."""
+        """The upstreams that may receive a request."""
         rollout = self._by_service.get(service)
         if rollout is None:
-            return EligibleUpstreams(usable, [])
+            return self._without_order(service, usable, req)
         version = rollout.order.version
         new, old = rollout.split(usable)
         rollout.trial_upstreams = max(1, len(new))
-        if rollout.withdrawal_reason or rollout.order.state == "rolled_back":
+        if rollout.order.state == "rolled_back":
             return EligibleUpstreams(old, [], "withdrawn")
         if rollout.order.state == "completed":
             return EligibleUpstreams(new or old, [], "completed")
-        pinned = self.pins.pinned_version(service, session, now) if session else ""
+        if rollout.withdrawal_reason:
+            return EligibleUpstreams(old, [], "withdrawn")
         fraction = rollout.elapsed_fraction(now)
-        keeps_old = (
-            fraction < UNPIN_AT and session in rollout.old_version_sessions and pinned != version
-        )
-        if (
-            new
-            and not keeps_old
-            and uses_new_version(service, version, session or request_id, fraction, pinned)
-        ):
-            return EligibleUpstreams(new, old, "session" if pinned else "step")
-        reason = "session" if pinned or keeps_old else "step"
-        return EligibleUpstreams(old, new if fraction >= UNPIN_AT else [], reason)
+        if new and req.pinned == version:
+            return EligibleUpstreams(new, old, "session")
+        if req.session and fraction < UNPIN_AT and (req.pinned or not req.is_new):
+            return EligibleUpstreams(old, [], "session" if req.pinned else "unknown")
+        if new and is_moved(service, req.session or req.id, fraction):
+            return EligibleUpstreams(new, old, "step")
+        return EligibleUpstreams(old, new if fraction >= UNPIN_AT else [], "step")
+
+    def _without_order(
+        self, service: str, usable: list[Upstream], req: PlacedRequest
+    ) -> EligibleUpstreams:
+        """All upstreams; a session that other gateways have moved by an order that is not known
+        here stays moved."""
+        if req.pinned and req.pinned == self._announced.get(service):
+            moved = [upstream for upstream in usable if upstream.version == req.pinned]
+            if moved:
+                return EligibleUpstreams(moved, [], "session")
+        return EligibleUpstreams(usable, [])
 
     def record_answer(self, service: str, upstream: Upstream, bad: bool, slow: bool) -> str:
         """Record an answer; returns the reason if it causes a withdrawal, else ""."""
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -32,6 +32,7 @@
 from ramppost.gateway.pick import any_send_wait_s, pick, query_backlogs, select_service, send_wait_s
 from ramppost.gateway.rollout_duty import evaluate_answer
 from ramppost.gateway.room import refusal_without_room
+from ramppost.gateway.session_version import end_session_request, learn_session
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers, refusal_headers
 from ramppost.policy.fatal import EVIDENCE_WAIT_S, ObservedRun, evidence_level
@@ -84,6 +85,8 @@
         outcome = "caller too slow" if reply.buffer.was_cut else "caller left"
         _record_end(gw, job, outcome, reply.status, read_at)
         raise
+    finally:
+        end_session_request(gw, job)
     gw.counts.record(_ended_record(job, failure is None, clock.now()))
     if failure is None:
         _record_end(gw, job, "served", reply.status, read_at)
@@ -102,6 +105,7 @@
 async def _process(gw: Gateway, job: Job, reply: Reply) -> Refusal | None:
     """Find an upstream that responds and forward its response; a refusal if there is none."""
     service = select_service(job)
+    await learn_session(gw, job, service)
     budget = gw.retry_budget_of(service)
     began_at = clock.now()
     budget.record_try(began_at)
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -30,7 +30,9 @@
 from ramppost.gateway.regions import Regions
 from ramppost.gateway.replica import KindReplica, PendingObject, UpdateNotifier
 from ramppost.gateway.rests import Rests
+from ramppost.gateway.rollout_news import RolloutNews
 from ramppost.gateway.rollouts import Rollouts
+from ramppost.gateway.session_news import SessionNews
 from ramppost.gateway.store_returns import StoreReturns
 from ramppost.gateway.unreadable import UnreadableEntries
 from ramppost.gateway.warmup import WarmUps
@@ -47,6 +49,7 @@
 from ramppost.policy.pressure import Pressure
 from ramppost.policy.relays import Peers, start_hold_s
 from ramppost.policy.room import Room
+from ramppost.policy.session_pins import SessionPins
 from ramppost.policy.suspicion import UpstreamHealth
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.client import Pool
@@ -121,7 +124,7 @@
         self.suspicions: dict[str, UpstreamHealth] = {}
         self.retry_budgets: dict[str, WindowBudget] = {}
         self.timing_baselines: dict[tuple[str, str], TimingBaseline] = {}
-        self.rollouts = Rollouts(cfg["timing"]["session_s"])
+        self.rollouts = Rollouts()
         self.callers = CallerConnections(CallerBuffers(self.metrics))
         self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
         self.datagrams = Datagrams(self.metrics)
@@ -133,6 +136,9 @@
         self.workspace_ranks = WorkspaceRanks()
         self.refused_workspaces: set[str] = set()
         """Workspaces with refusals that are counted under their own name."""
+        pins = SessionPins(cfg["timing"]["session_s"])
+        self.sessions = SessionNews(self.peers, self.datagrams, self.metrics, pins)
+        self.rollout_news = RolloutNews(self.peers, self.datagrams, self.rollouts)
         self.limit_news = LimitNews(self.peers, self.datagrams, self.rate_limits)
         self.fatal = FatalRequests(self.peers, self.datagrams, self.metrics)
         self.counts = Counts()
@@ -198,7 +204,7 @@
         self.store.addr = cfg["store"]["addr"]
         self.freshness.max_age_s = _withdrawal_bound_s(cfg)
         self.freshness.serve_unconfirmed = _serves_unconfirmed(cfg)
-        self.rollouts.pins.session_s = cfg["timing"]["session_s"]
+        self.sessions.pins.session_s = cfg["timing"]["session_s"]
         self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
         self.retry_budgets.clear()
 
--- a/ramppost/policy/ramp.py
+++ b/ramppost/policy/ramp.py
@@ -7,15 +7,14 @@
 told to stop.
 
 A session's position in the ramp is a hash, so all gateways assign it to the same version
-without communicating.  A session that recently ran on the former version is not moved in the
-first half.
+without communicating.  A session in progress on the former version is not moved in the first half
+(`ramppost.policy.session_pins`).
 """
 
 from __future__ import annotations
 
 from typing import Final, NamedTuple
 
-from ramppost.bounded import drop_oldest
 from ramppost.policy.routing import hash_fraction
 
 
@@ -35,17 +34,13 @@
     RampStep(0.6, 0.5),
     RampStep(0.68, 1.0),
 )
-"""No session moves until the gateways have told each other which sessions are in progress.  The
-later steps are as short as the sequential tests allow at a few requests per second."""
-ANNOUNCE_AT: Final = 0.06
-"""Fraction of the rollout's time at which a gateway announces the sessions that ran on the
-former version."""
+"""No session moves until the gateways have told each other when the roll-out began.  The later
+steps are as short as the sequential tests allow at a few requests per second."""
 UNPIN_AT: Final = 0.5
 """Fraction of the rollout's time before which sessions stay on the former version."""
 COMPLETE_AT: Final = 0.92
 """Fraction of the rollout's time at which the former version is stopped: most answers have ended
 since the last step, and enough time is left before the deadline to repeat a failed write."""
-MAX_PINS: Final = 20000
 
 
 def share_at(progress: float) -> float:
@@ -57,59 +52,21 @@
     return [step.share for step in RAMP_STEPS if step.start <= max(0.0, progress)][-1]
 
 
-class SessionPin(NamedTuple):
-    """The version a session last ran on, and when (steady clock)."""
-
-    version: str
-    at: float
-
-
-class SessionPins:
-    """The versions that the most recently active sessions ran on."""
-
-    def __init__(self, session_s: float) -> None:
-        self.session_s = session_s
-        self._pins: dict[tuple[str, str], SessionPin] = {}
-
-    def record(self, service: str, session: str, version: str, now: float) -> None:
-        """Record that a request of a session was sent to a version."""
-        if not session:
-            return
-        self._pins.pop((service, session), None)
-        self._pins[service, session] = SessionPin(version, now)
-        drop_oldest(self._pins, MAX_PINS)
-
-    def pinned_version(self, service: str, session: str, now: float) -> str:
-        """The version that a session in progress ran on; empty if the session is not known."""
-        pin = self._pins.get((service, session))
-        return pin.version if pin is not None and now - pin.at <= self.session_s else ""
-
-    def sessions_to_announce(self, service: str, version: str, now: float) -> list[str]:
-        """Sessions in progress on other versions that the first step would move to a version."""
-        return [
-            session
-            for (pinned_service, session), pin in self._pins.items()
-            if pinned_service == service
-            and pin.version != version
-            and now - pin.at <= self.session_s
-            and ramp_position(service, version, session) < INITIAL_SHARE
-        ]
+def ramp_position(service: str, routing_key: str) -> float:
+    """Position of a session or request in the ramp, 0 to 1; it moves once the share exceeds it.
 
+    It does not depend on the version, so that a gateway knows before any order which sessions the
+    first step would move.
+    """
+    return hash_fraction("ramp", service, routing_key)
 
-def ramp_position(service: str, version: str, routing_key: str) -> float:
-    """Position of a session or request in the ramp, 0 to 1; it moves once the share exceeds it."""
-    return hash_fraction("ramp", service, version, routing_key)
 
+def is_early(service: str, routing_key: str) -> bool:
+    """Whether the first step of a rollout moves a session or request."""
+    return ramp_position(service, routing_key) < INITIAL_SHARE
 
-def uses_new_version(
-    service: str, version: str, routing_key: str, progress: float, pinned: str
-) -> bool:
-    """Whether a session (or a request without one) uses the version being rolled out.
 
-    `pinned` is the version its session recently ran on; empty if it is not known.
-    """
-    if pinned == version:
-        return True
-    if pinned and progress < UNPIN_AT:
-        return False
-    return ramp_position(service, version, routing_key) < share_at(progress)
+def is_moved(service: str, routing_key: str, progress: float) -> bool:
+    """Whether a session (or a request without one) uses the version being rolled out by now, if it
+    is not in progress on another one."""
+    return ramp_position(service, routing_key) < share_at(progress)
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -163,6 +163,10 @@
         """Whether a gateway is stopping or has not restarted yet."""
         return self._back_at.get(name, float("-inf")) > now
 
+    def stopping(self, now: float) -> set[str]:
+        """All gateways that are stopping or have not restarted yet."""
+        return {name for name, back_at in self._back_at.items() if back_at > now}
+
     def back_at(self, name: str, now: float) -> float:
         """When a stopping gateway will have restarted; minus infinity for any other."""
         return self._back_at[name] if self.is_stopping(name, now) else float("-inf")
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -277,6 +277,98 @@
     requests: list[FatalRequest]
 
 
+class RolloutNote(TypedDict, closed=True):
+    """
+    Gateway to others: how much of the time of a roll-out that is under way has passed.
+    """
+
+    service: str
+    """
+    The service that is rolled out.
+    """
+    version: str
+    """
+    The version that it is moved to.
+    """
+    elapsed_ms: float
+    """
+    Milliseconds since the first gateway saw the order, as far as this one knows.
+    """
+    asks: bool
+    """
+    Whether a gateway at which more has passed is to answer.
+    """
+
+
+class SessionNote(TypedDict, closed=True):
+    """
+    Gateway to the keepers of a session: it is in progress on this version.
+    """
+
+    service: str
+    """
+    The service that it uses.
+    """
+    session: str
+    """
+    The label that names it.
+    """
+    version: str
+    """
+    The version that it runs on.
+    """
+    left_ms: int
+    """
+    Milliseconds for which it is in progress if no more is told of it.
+    """
+    ended: bool
+    """
+    Whether an answer has just ended, so that this replaces what was told before.
+    """
+
+
+class SessionAsk(TypedDict, closed=True):
+    """
+    Gateway to the keepers of a session: which version does it run on?
+    """
+
+    id: int
+    """
+    Names the question in its answer.
+    """
+    service: str
+    """
+    The service that it uses.
+    """
+    session: str
+    """
+    The label that names it.
+    """
+
+
+class SessionAnswer(TypedDict, closed=True):
+    """
+    Answer to a question about a session; without a version it is not known to be in progress.
+    """
+
+    id: int
+    """
+    The question's.
+    """
+    certain: bool
+    """
+    Whether this gateway would have been told of it.
+    """
+    version: NotRequired[str]
+    """
+    The version that it runs on.
+    """
+    left_ms: NotRequired[int]
+    """
+    Milliseconds for which it is in progress at least.
+    """
+
+
 class LimitNote(TypedDict, closed=True):
     """
     Gateway to others: the request rate that an upstream has named, or that it names none any more.
@@ -1033,3 +1125,7 @@
     fatal: NotRequired[FatalRequest]
     limit: NotRequired[LimitNote]
     limit_ask: NotRequired[LimitAsk]
+    rollout: NotRequired[RolloutNote]
+    sessions: NotRequired[list[SessionNote]]
+    session_ask: NotRequired[SessionAsk]
+    session_answer: NotRequired[SessionAnswer]
--- a/tests/harness/sessions.py
+++ b/tests/harness/sessions.py
@@ -10,7 +10,8 @@
 from typing import Final, NamedTuple
 
 from ramppost.platform import names
-from ramppost.policy.ramp import INITIAL_SHARE, ramp_position
+from ramppost.policy.fingerprint import session_label
+from ramppost.policy.ramp import is_early
 from tests.harness.gateways import STREAM, Deployment
 
 SERVICE: Final = "lm"
@@ -54,11 +55,11 @@
         )
 
 
-def early_sessions(version: str) -> Iterator[str]:
-    """Names of sessions that the first step of a roll-out to a version moves, if they are new."""
+def early_sessions() -> Iterator[str]:
+    """Names of sessions that the first step of a roll-out moves, if they are new."""
     for number in itertools.count():
         session = f"session-{time.time_ns():x}-{number}"
-        if ramp_position(SERVICE, version, session) < INITIAL_SHARE:
+        if is_early(SERVICE, session_label(session)):
             yield session
 
 
@@ -84,16 +85,14 @@
 class SessionLoad:
     """Callers whose sessions each make some requests, every one at the next gateway."""
 
-    def __init__(
-        self, site: Deployment, version: str, callers: int = 12, pause_s: float = 0.0
-    ) -> None:
+    def __init__(self, site: Deployment, callers: int = 12, pause_s: float = 0.0) -> None:
         self.site = site
         self.calls: list[SessionCall] = []
         self.failed = 0
         self.away: set[str] = set()
         """Gateways that callers don't choose, as the load balancer has taken them out."""
         self._pause_s = pause_s
-        self._sessions = early_sessions(version)
+        self._sessions = early_sessions()
         self._lock = threading.Lock()
         self._ending = threading.Event()
         self._threads = [threading.Thread(target=self._call, args=(i,)) for i in range(callers)]
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -25,7 +25,7 @@
 from ramppost.gateway.load import ReportFields
 from ramppost.gateway.peers import apply_gateway_entry
 from ramppost.gateway.pick import pick
-from ramppost.gateway.rollout_duty import _read_sessions, progress_changed, write_progress
+from ramppost.gateway.rollout_duty import progress_changed, write_progress
 from ramppost.gateway.rollouts import Rollout
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import (
@@ -269,16 +269,6 @@
     return Rollout(order, clock.now())
 
 
-@pytest.mark.parametrize("spec", [b"null", b'"x"', b"{}", b'{"version":"v2"}', b'{"version":7}'])
-def test_unreadable_rollout_sessions_are_skipped(gw: Gateway, spec: bytes) -> None:
-    good = b'{"metadata":{"name":"lm.b","revision":2},"spec":{"version":"v2","sessions":["s"]}}'
-    bad = b'{"metadata":{"name":"lm.a","revision":1},"spec":' + spec + b"}"
-    body = b'{"items":[' + bad + b"," + good + b'],"truncated":false,"current_rev":9}'
-    rollout = started_rollout()
-    run_with_store(gw, {"rollout-sessions": body}, lambda: _read_sessions(gw, rollout))
-    assert rollout.old_version_sessions == {"s"}
-
-
 @pytest.mark.parametrize("spec", [b"null", b'"x"', b"{}", b'{"version":"v2","part":"half"}'])
 def test_unreadable_rollout_progress_is_replaced(gw: Gateway, spec: bytes) -> None:
     body = b'{"metadata":{"name":"lm","revision":1},"spec":' + spec + b"}"
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -10,17 +10,10 @@
 from ramppost.gateway.freshness import SAFETY_MARGIN_S, Freshness
 from ramppost.gateway.membership import EXPIRY_GRACE_S, Members
 from ramppost.gateway.model import RolloutOrder, Upstream
-from ramppost.gateway.rollouts import Rollouts
+from ramppost.gateway.rollouts import PlacedRequest, Rollouts
 from ramppost.policy.guard import AnswerTally, withdrawal_reason
 from ramppost.policy.limits import RetryBudget, WindowBudget
-from ramppost.policy.ramp import (
-    INITIAL_SHARE,
-    RAMP_STEPS,
-    SessionPins,
-    ramp_position,
-    share_at,
-    uses_new_version,
-)
+from ramppost.policy.ramp import INITIAL_SHARE, RAMP_STEPS, is_early, is_moved, share_at
 from ramppost.policy.suspicion import UpstreamHealth
 
 NOW = 1000.0
@@ -145,38 +138,14 @@
 
 def test_sessions_only_move_forward() -> None:
     for who in (f"s{i}" for i in range(300)):
-        sides = [uses_new_version("lm", "v2", who, i / 100, "") for i in range(100)]
+        sides = [is_moved("lm", who, i / 100) for i in range(100)]
         assert sides == sorted(sides)
 
 
-@pytest.mark.parametrize(
-    ("part", "pinned", "moves"),
-    [(0.2, "v1", False), (0.45, "v1", False), (0.2, "v2", True), (0.9, "v1", True)],
-)
-def test_a_session_in_progress_stays_in_the_first_half(
-    part: float, pinned: str, moves: bool
-) -> None:
-    sides = [uses_new_version("lm", "v2", f"s{i}", part, pinned) for i in range(500)]
-    assert any(sides) == moves
-
-
-def test_pins_last_as_long_as_a_session() -> None:
-    pins = SessionPins(5.0)
-    pins.record("lm", "s", "v1", NOW)
-    assert pins.pinned_version("lm", "s", NOW + 4) == "v1"
-    assert pins.pinned_version("lm", "s", NOW + 6) == ""
-
-
-def test_sessions_that_would_be_among_the_first_are_told() -> None:
-    pins = SessionPins(5.0)
-    names = [f"s{i}" for i in range(400)]
-    for name in names:
-        pins.record("lm", name, "v1", NOW)
-    pins.record("other", "s-other", "v1", NOW)
-    told = pins.sessions_to_announce("lm", "v2", NOW + 1)
-    assert told == [name for name in names if ramp_position("lm", "v2", name) < INITIAL_SHARE]
-    assert 0 < len(told) < 60
-    assert pins.sessions_to_announce("lm", "v2", NOW + 6) == []
+def test_first_step_moves_the_same_sessions_whatever_the_version() -> None:
+    early = [name for name in (f"s{i}" for i in range(1000)) if is_early("lm", name)]
+    assert 30 < len(early) < 90
+    assert early == [name for name in (f"s{i}" for i in range(1000)) if is_moved("lm", name, 0.3)]
 
 
 # --- guard
@@ -217,31 +186,56 @@
 
 
 def rollouts(state: str = "ordered", at: float = 0.2) -> Rollouts:
-    found = Rollouts(5.0)
+    found = Rollouts()
     found.update(RolloutOrder("lm", "v2", 10.0, state, 1), NOW - 10.0 * at)  # type: ignore[arg-type]
     return found
 
 
-BOTH = [upstream("old"), upstream("new", "v2")]
+OLD, FRESH = upstream("old"), upstream("new", "v2")
+BOTH = [OLD, FRESH]
+EARLY = [f"s{i}" for i in range(1000) if is_early("lm", f"s{i}")]
+LATE = [f"s{i}" for i in range(1000) if not is_early("lm", f"s{i}")]
 
 
-def test_a_session_under_way_elsewhere_stays_in_the_first_half() -> None:
-    first = [f"s{i}" for i in range(400) if ramp_position("lm", "v2", f"s{i}") < INITIAL_SHARE]
-    fresh = rollouts(at=0.3)
-    assert all(
-        fresh.eligible_upstreams("lm", BOTH, "r", s, NOW).preferred[0].id == "new" for s in first
-    )
-    held = rollouts(at=0.3)
-    running = held.get("lm")
-    assert running is not None
-    running.old_version_sessions.update(first)
-    assert all(
-        held.eligible_upstreams("lm", BOTH, "r", s, NOW).preferred[0].id == "old" for s in first
-    )
-    running.started_at = NOW - 8.0
-    assert all(
-        held.eligible_upstreams("lm", BOTH, "r", s, NOW).preferred[0].id == "new" for s in first
-    )
+def sides(
+    found: Rollouts, req: PlacedRequest, usable: list[Upstream] = BOTH, now: float = NOW
+) -> tuple[list[str], list[str]]:
+    """Ids of the upstreams that a request goes to first, and of those after them."""
+    side = found.eligible_upstreams("lm", usable, req, now)
+    return [u.id for u in side.preferred], [u.id for u in side.fallback]
+
+
+def of_session(session: str, pinned: str = "", is_new: bool = False) -> PlacedRequest:
+    return PlacedRequest("r", session, pinned, is_new)
+
+
+@pytest.mark.parametrize(
+    ("at", "pinned", "is_new", "chosen"),
+    [
+        (0.2, "v1", False, (["old"], [])),
+        (0.45, "v1", False, (["old"], [])),
+        (0.2, "v2", False, (["new"], ["old"])),
+        (0.2, "", False, (["old"], [])),
+        (0.2, "", True, (["new"], ["old"])),
+        (0.05, "", True, (["old"], [])),
+        (0.05, "v2", False, (["new"], ["old"])),
+        (0.9, "v1", False, (["new"], ["old"])),
+        (0.9, "v2", False, (["new"], ["old"])),
+    ],
+)
+def test_session_in_progress_was_moved_in_the_first_half_or_back(
+    at: float, pinned: str, is_new: bool, chosen: tuple[list[str], list[str]]
+) -> None:
+    for session in EARLY:
+        assert sides(rollouts(at=at), of_session(session, pinned, is_new)) == chosen
+
+
+def test_session_moved_elsewhere_stays_moved_before_the_order_is_seen() -> None:
+    found = Rollouts()
+    assert sides(found, of_session("s", "v2")) == (["old", "new"], [])
+    found.note_announced("lm", "v2")
+    assert found.depends_on_session("lm", NOW)
+    assert sides(found, of_session("s", "v2")) == (["new"], [])
 
 
 @pytest.mark.parametrize(
@@ -250,26 +244,27 @@
 )
 def test_an_ended_rollout_leaves_one_side(state: str, allowed: set[str]) -> None:
     for i in range(50):
-        side = rollouts(state).eligible_upstreams("lm", BOTH, f"r{i}", "", NOW)
-        assert {u.id for u in [*side.preferred, *side.fallback]} == allowed
+        for pinned in ("", "v1", "v2"):
+            preferred, fallback = sides(rollouts(state), of_session(f"s{i}", pinned))
+            assert {*preferred, *fallback} == allowed
 
 
 def test_a_version_held_to_be_bad_gets_nothing_more() -> None:
     found = rollouts()
-    found.eligible_upstreams("lm", BOTH, "r", "", NOW)
+    sides(found, PlacedRequest("r"))
     for _ in range(20):
-        found.record_answer("lm", BOTH[0], bad=False, slow=False)
+        found.record_answer("lm", OLD, bad=False, slow=False)
     for _ in range(3):
-        found.record_answer("lm", BOTH[1], bad=True, slow=False)
+        found.record_answer("lm", FRESH, bad=True, slow=False)
     for i in range(200):
-        side = found.eligible_upstreams("lm", BOTH, f"r{i}", "", NOW)
-        assert [u.id for u in [*side.preferred, *side.fallback]] == ["old"]
+        assert sides(found, PlacedRequest(f"r{i}")) == (["old"], [])
+        assert sides(found, of_session(f"s{i}")) == (["old"], [])
 
 
 def test_the_new_version_is_no_way_out_in_the_first_half() -> None:
-    old_only = [f"r{i}" for i in range(100) if not uses_new_version("lm", "v2", f"r{i}", 0.2, "")]
+    old_only = [f"r{i}" for i in range(100) if not is_moved("lm", f"r{i}", 0.2)]
     for who in old_only:
-        assert rollouts().eligible_upstreams("lm", BOTH, who, "", NOW).fallback == []
+        assert sides(rollouts(), PlacedRequest(who)) == (["old"], [])
 
 
 def test_a_gateway_that_starts_late_goes_on_from_what_is_kept() -> None:
@@ -281,7 +276,7 @@
 
 
 def test_progress_that_is_told_before_the_order_counts() -> None:
-    found = Rollouts(5.0)
+    found = Rollouts()
     found.update_progress("lm", "v2", 0.5, NOW - 2)
     found.update(RolloutOrder("lm", "v2", 10.0, "ordered", 1), NOW)
     running = found.get("lm")
--- a/tests/test_pinned_sessions.py
+++ b/tests/test_pinned_sessions.py
@@ -64,7 +64,7 @@
 def test_session_begun_after_others_were_announced_was_moved(deploy: Deploy) -> None:
     # Sessions that began between 0.06 and 0.1 of the duration were announced by nobody.
     site = deploy()
-    load = SessionLoad(site, NEW)
+    load = SessionLoad(site)
     rollout = roll_out(site, NEW, DURATION_S)
     _let_end(site, load, rollout)
     _check(site, load, rollout)
@@ -73,7 +73,7 @@
 def test_session_was_moved_after_a_stream_longer_than_a_session_lasts(deploy: Deploy) -> None:
     # A pin counted from the head of an answer and not from its end.
     site = deploy(session_s=1.5, event_ms=500)
-    load = SessionLoad(site, NEW, callers=80)
+    load = SessionLoad(site, callers=80)
     time.sleep(3.0)
     rollout = roll_out(site, NEW, DURATION_S)
     _let_end(site, load, rollout)
@@ -84,7 +84,7 @@
     # A gateway that stopped took with it which sessions it had served.
     site = deploy(session_s=8.0)
     first, *others = site.gateways
-    load = SessionLoad(site, NEW, callers=80, pause_s=5.5)
+    load = SessionLoad(site, callers=80, pause_s=5.5)
     load.away.update(others)
     time.sleep(3.0)
     load.away.update([first])
@@ -100,7 +100,7 @@
 def test_planned_stops_in_series_lost_the_versions_of_sessions(deploy: Deploy) -> None:
     # The same for all gateways one after the other, while a version is rolled out.
     site = deploy(session_s=8.0)
-    load = SessionLoad(site, NEW, callers=40, pause_s=1.0)
+    load = SessionLoad(site, callers=40, pause_s=1.0)
     time.sleep(2.0)
     rollout = roll_out(site, NEW, 2 * DURATION_S)
     for name in site.gateways:
@@ -122,7 +122,7 @@
 def test_sessions_were_moved_as_the_store_was_away_before_the_first_move(deploy: Deploy) -> None:
     # Neither the write of a gateway's sessions nor the reading of the others' was repeated.
     site = deploy()
-    load = SessionLoad(site, NEW)
+    load = SessionLoad(site)
     rollout = roll_out(site, NEW, DURATION_S)
     time.sleep(rollout.ordered_at + FIRST_MOVE_S - 0.6 - time.time())
     site.fault("store", mode="down")
@@ -135,7 +135,7 @@
 def test_session_went_back_as_engines_of_its_version_lost_answers(deploy: Deploy) -> None:
     # Retries went to the old version, and the session's version with them.
     site = deploy()
-    load = SessionLoad(site, NEW)
+    load = SessionLoad(site)
     rollout = roll_out(site, NEW, DURATION_S)
     ending = threading.Event()
     loser = threading.Thread(target=_lose_answers, args=(site, ending))
@@ -163,7 +163,7 @@
 def test_session_ran_on_engines_that_were_known_before_the_order(deploy: Deploy) -> None:
     # Without an order, any session ran on engines of any version, and went back with the order.
     site = deploy()
-    load = SessionLoad(site, NEW)
+    load = SessionLoad(site)
     start_engines(site, NEW)
     time.sleep(2.0)
     ordered_at = time.time()
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -216,7 +216,7 @@
     apply_list(found, listing(20, back, era=1, settled=False))
     assert found.replica.retained == {"lm": back}
     assert found.replica.complete_object("lm") == order(27, 0, state)
-    rollouts = Rollouts(5.0)
+    rollouts = Rollouts()
     for stored in (order(27, 0, state), back):
         decoded = rollout_order(stored)
         assert not isinstance(decoded, BadMessage)
