Retry a session's request on the version that it runs on

Callers saw sessions go back to the old version of a good roll-out where engines of the new one lost answers now and then, and forth again.

Cause: where all upstreams of the preferred version had been tried, or none was usable, a retry went to the other version, and the session's version with it. The class: a fallback that is right for one request decides for the session.

Change: once a request of a session may have run, its attempts stay on that version. Where all upstreams of it were tried, those that gave no usable answer are tried again, another than the last one if there is one; refusals are not repeated. Where the version has no usable upstream, the request is refused as not run, with when to come back, for up to 5 s: an entry that lapsed is back by then, and so is an upstream that crashed. A request that was refused, or not sent, has not fixed its session's version. A version that fails a session's requests is found as soon as before: each failed attempt counts as evidence. Requests without a session go to either version as before.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -73,6 +73,7 @@
     """Send the request, and log and count the outcome."""
     upstream = chosen.upstream
     job.tried_upstreams.add(upstream.key)
+    job.last_upstream = upstream.key
     version_before = pin_session(gw, job, chosen.service.name, upstream.version)
     started_at = clock.now()
     work = gw.loads.in_flight(upstream.key)
@@ -91,6 +92,8 @@
             result = result._replace(key=attempt_key)
         if isinstance(result, (Refused, NotSent)):
             pin_session(gw, job, chosen.service.name, version_before)
+        elif isinstance(result, Broken) or result.head.status >= 500:
+            job.answerless_upstreams.add(upstream.key)
     finally:
         work.pending -= 1
         if pending_prompt is not None:
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -60,6 +60,10 @@
         """Whether its session is known not to be in progress at any gateway."""
         self.session_begun = ""
         """The service at which it counts as a request under way of its session."""
+        self.last_upstream = ""
+        """The one that it was sent to last, by key."""
+        self.answerless_upstreams: set[str] = set()
+        """Upstreams from which it has got no usable answer though they may have run it."""
         self.version_reason = ""
         """Why it was last placed on the version of its upstream, for the log."""
         self.policy = ""
--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -195,8 +195,9 @@
     """Untried upstreams of the version that the request is to run on.
 
     Upstreams of a version that has failed this request are used only if no others are left, because
-    a version that is being rolled out may fail on all its upstreams.  Limits on requests are not
-    considered here: falling back to another version would change a session's version.
+    a version that is being rolled out may fail on all its upstreams.  A session in progress stays
+    on its version: its requests go there again instead.  Limits on requests are not considered
+    here: falling back to another version would change a session's version.
     """
     usable = _allowed(gw, job, service_name, now)
     placed = PlacedRequest(
@@ -209,9 +210,18 @@
             if untried:
                 job.version_reason = side.reason if group is side.preferred else "fallback"
                 return untried
+    if side.reason == "session":
+        return _without_answer(side.preferred, job)
     return []
 
 
+def _without_answer(group: list[Upstream], job: Job) -> list[Upstream]:
+    """The upstreams of a group that may be tried again, as they have not refused the request; the
+    last one only if there is no other."""
+    again = [u for u in group if u.key in job.answerless_upstreams]
+    return [u for u in again if u.key != job.last_upstream] or again
+
+
 def _untried(group: list[Upstream], tried: set[str], avoided_versions: set[str]) -> list[Upstream]:
     """The untried upstreams of a group, without the versions to avoid.
 
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -4,8 +4,8 @@
 first one saw the order (`ramppost.gateway.rollout_news`).  Progress is also saved in the store, so
 that a fleet that was ended as a whole continues from there instead of from the beginning.
 
-A request of a session in progress goes to the session's version, and one of a session of which
-nothing is known for certain to the version in service (`ramppost.gateway.session_news`).
+A request of a session in progress stays on the session's version, whatever becomes of the attempt,
+as does one of a session of which nothing is known for certain (`ramppost.gateway.session_news`).
 """
 
 from __future__ import annotations
@@ -18,6 +18,9 @@
 from ramppost.policy.guard import AnswerTally, withdrawal_reason
 from ramppost.policy.ramp import UNPIN_AT, is_moved
 
+VERSION_LOST_S: Final = 5.0
+"""How long requests of a session wait for a version without usable upstreams: entries that lapsed
+are back within 2 s, and an upstream that crashed is out of use for 4 s."""
 MAX_ANNOUNCED: Final = 64
 
 
@@ -31,6 +34,9 @@
         self.trial = AnswerTally()
         self.trial_upstreams = 1
         self._split: tuple[list[Upstream], VersionSplit] | None = None
+        self.new_usable_at = seen_at
+        self.old_usable_at = seen_at
+        """When the versions last had usable upstreams (steady clock)."""
         self.withdrawal_reason = ""
         """Why this gateway considers the version bad; empty if it does not."""
         self.tell_sessions_at = seen_at
@@ -42,14 +48,17 @@
         """Fraction of the roll-out's duration that has passed."""
         return (now - self.started_at) / max(0.001, self.order.duration_s)
 
-    def split(self, usable: list[Upstream]) -> VersionSplit:
+    def split(self, usable: list[Upstream], now: float) -> VersionSplit:
         """Split upstreams by version; returns the same list objects for the same input list."""
         if self._split is None or self._split[0] is not usable:
             version = self.order.version
             new = [upstream for upstream in usable if upstream.version == version]
             old = [upstream for upstream in usable if upstream.version != version]
             self._split = (usable, VersionSplit(new, old))
-        return self._split[1]
+        found = self._split[1]
+        self.new_usable_at = now if found.new else self.new_usable_at
+        self.old_usable_at = now if found.old else self.old_usable_at
+        return found
 
 
 class VersionSplit(NamedTuple):
@@ -98,6 +107,15 @@
     return found
 
 
+def _hold(
+    side: list[Upstream], other: list[Upstream], last_usable_at: float, now: float, reason: str
+) -> EligibleUpstreams:
+    """Only the upstreams of one side, unless it has had none for a while."""
+    if side or now - last_usable_at < VERSION_LOST_S:
+        return EligibleUpstreams(side, [], reason)
+    return EligibleUpstreams(other, [], "fallback")
+
+
 class Rollouts:
     """The newest roll-out of each service."""
 
@@ -192,7 +210,7 @@
         if rollout is None:
             return self._without_order(service, usable, req)
         version = rollout.order.version
-        new, old = rollout.split(usable)
+        new, old = rollout.split(usable, now)
         rollout.trial_upstreams = max(1, len(new))
         if rollout.order.state == "rolled_back":
             return EligibleUpstreams(old, [], "withdrawn")
@@ -201,13 +219,19 @@
         if rollout.withdrawal_reason:
             return EligibleUpstreams(old, [], "withdrawn")
         fraction = rollout.elapsed_fraction(now)
-        if new and req.pinned == version:
-            return EligibleUpstreams(new, old, "session")
+        if req.pinned == version:
+            return _hold(new, old, rollout.new_usable_at, now, "session")
         if req.session and fraction < UNPIN_AT and (req.pinned or not req.is_new):
-            return EligibleUpstreams(old, [], "session" if req.pinned else "unknown")
-        if new and is_moved(service, req.session or req.id, fraction):
-            return EligibleUpstreams(new, old, "step")
-        return EligibleUpstreams(old, new if fraction >= UNPIN_AT else [], "step")
+            reason = "session" if req.pinned else "unknown"
+            return _hold(old, new, rollout.old_usable_at, now, reason)
+        if not is_moved(service, req.session or req.id, fraction):
+            if req.session:
+                return _hold(old, new, rollout.old_usable_at, now, "step")
+            return EligibleUpstreams(old, new if fraction >= UNPIN_AT else [], "step")
+        if not new:
+            return EligibleUpstreams(old, [], "step")
+        may_go_back = not req.session or req.is_new
+        return EligibleUpstreams(new, old if may_go_back else [], "step")
 
     def _without_order(
         self, service: str, usable: list[Upstream], req: PlacedRequest
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -324,6 +324,27 @@
     assert found is not None and found.upstream.id in chosen
 
 
+def test_session_went_to_the_other_version_as_all_of_its_own_were_tried(gw: Gateway) -> None:
+    listed = [
+        entry_of_version("old", "v1"),
+        entry_of_version("new-1", "v2"),
+        entry_of_version("new-2", "v2"),
+    ]
+    apply_upstream_snapshot(gw, Snapshot(listed, 6))
+    gw.rollouts.update(RolloutOrder("lm", "v2", 10.0, "ordered", 6), clock.now() - 2)
+    admitted = admit_request(gw, STREAM)
+    assert isinstance(admitted, Admitted)
+    req = caller_request("POST", STREAM, (), b"")._replace(session="s")
+    job = Job(req, admitted, clock.now())
+    job.session_version = "v2"
+    job.tried_upstreams = {"new-1", "new-2"}
+    assert pick(gw, job, "lm", "", clock.now()) is None
+    job.answerless_upstreams = {"new-1", "new-2"}
+    job.last_upstream = "new-2"
+    found = pick(gw, job, "lm", "", clock.now())
+    assert found is not None and found.upstream.id == "new-1"
+
+
 def test_only_a_successful_run_shows_that_a_request_is_harmless(gw: Gateway) -> None:
     """A complete 504 of an engine, after a queue timeout, used to clear a fatal request."""
     for number in range(FATAL_START_ENDS):
