Use only the version in service until an order brings another one in

Callers saw sessions that had run on the new version go back to the old one as its roll-out was ordered.

Cause: without an order, a gateway used the upstreams of all versions alike, so those that were entered before the order, or whose entries it heard of before the order, took any session. With the order all but the first step's went back.

Change: each gateway remembers the version in service: the one of most upstreams as it saw the first, then what an order has completed. Other versions are used only where that one has no usable upstream; beside a roll-out a third version is not used either. A session that others have moved by an order that this gateway has not seen stays moved.

--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -6,10 +6,12 @@
 
 A request of a session in progress stays on the session's version, whatever becomes of the attempt,
 as does one of a session of which nothing is known for certain (`ramppost.gateway.session_news`).
+Without an order, only the version in service is used.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -33,7 +35,7 @@
         self.stable = AnswerTally()
         self.trial = AnswerTally()
         self.trial_upstreams = 1
-        self._split: tuple[list[Upstream], VersionSplit] | None = None
+        self._split: tuple[list[Upstream], str, VersionSplit] | None = None
         self.new_usable_at = seen_at
         self.old_usable_at = seen_at
         """When the versions last had usable upstreams (steady clock)."""
@@ -48,21 +50,25 @@
         """Fraction of the roll-out's duration that has passed."""
         return (now - self.started_at) / max(0.001, self.order.duration_s)
 
-    def split(self, usable: list[Upstream], now: float) -> VersionSplit:
-        """Split upstreams by version; returns the same list objects for the same input list."""
-        if self._split is None or self._split[0] is not usable:
+    def split(self, usable: list[Upstream], serving: str, now: float) -> VersionSplit:
+        """Split upstreams by version; returns the same list objects for the same input list.
+
+        Of other versions than the new one, only the one in service counts while it has any.
+        """
+        if self._split is None or self._split[0] is not usable or self._split[1] != serving:
             version = self.order.version
             new = [upstream for upstream in usable if upstream.version == version]
             old = [upstream for upstream in usable if upstream.version != version]
-            self._split = (usable, VersionSplit(new, old))
-        found = self._split[1]
+            old = [upstream for upstream in old if upstream.version == serving] or old
+            self._split = (usable, serving, VersionSplit(new, old))
+        found = self._split[2]
         self.new_usable_at = now if found.new else self.new_usable_at
         self.old_usable_at = now if found.old else self.old_usable_at
         return found
 
 
 class VersionSplit(NamedTuple):
-    """The upstreams of the new version and those of any other version."""
+    """The upstreams of the new version and those of the version in service."""
 
     new: list[Upstream]
     old: list[Upstream]
@@ -116,16 +122,33 @@
     return EligibleUpstreams(other, [], "fallback")
 
 
+def _prevailing_version(upstreams: list[Upstream], other_than: str = "") -> str:
+    """The version of most of the upstreams, the first by name of several; empty if there is none.
+
+    >>> up = Upstream("i", "10.0.0.1:80", "lm", "bole", "v1", 8, False)
+    >>> _prevailing_version([up, up._replace(version="v2"), up._replace(version="v2")])
+    'v2'
+    >>> _prevailing_version([up, up._replace(version="v2")])
+    'v1'
+    """
+    counts = Counter(upstream.version for upstream in upstreams if upstream.version != other_than)
+    return min(counts, key=lambda version: (-counts[version], version), default="")
+
+
 class Rollouts:
-    """The newest roll-out of each service."""
+    """The newest roll-out of each service, and the version in service."""
 
     def __init__(self) -> None:
         self.on_order: Callable[[Rollout], None] = lambda rollout: None
         """Called with each new roll-out that is under way."""
         self._by_service: dict[str, Rollout] = {}
         self._progress: dict[str, Progress] = {}
+        self._serving: dict[str, str] = {}
+        """The version in service, by service."""
         self._announced: dict[str, str] = {}
         """Versions of whose roll-outs other gateways have told before their orders were seen."""
+        self._in_service: dict[str, tuple[list[Upstream], list[Upstream]]] = {}
+        """The upstreams of the version in service among those usable, for the same list of them."""
 
     def update(self, order: RolloutOrder, now: float) -> bool:
         """Apply an order or a change of its state; returns whether the order is new."""
@@ -133,14 +156,21 @@
         if known is not None and known.order.version == order.version:
             if order.position >= known.order.position:
                 known.order = _with_known_end(order, known.order)
+            self._note_completed(known)
             return False
         rollout = self._by_service[order.service] = Rollout(order, now)
         self._announced.pop(order.service, None)
         self._apply_progress(order.service, now)
+        self._note_completed(rollout)
         if order.state == "ordered":
             self.on_order(rollout)
         return True
 
+    def _note_completed(self, rollout: Rollout) -> None:
+        if rollout.order.state == "completed":
+            self._serving[rollout.order.service] = rollout.order.version
+            self._in_service.pop(rollout.order.service, None)
+
     def note_announced(self, service: str, version: str) -> None:
         """Record that a roll-out is under way whose order this gateway has not seen."""
         self._announced[service] = version
@@ -210,7 +240,8 @@
         if rollout is None:
             return self._without_order(service, usable, req)
         version = rollout.order.version
-        new, old = rollout.split(usable, now)
+        serving = self._serving_version(service, usable, version)
+        new, old = rollout.split(usable, serving, now)
         rollout.trial_upstreams = max(1, len(new))
         if rollout.order.state == "rolled_back":
             return EligibleUpstreams(old, [], "withdrawn")
@@ -236,13 +267,36 @@
     def _without_order(
         self, service: str, usable: list[Upstream], req: PlacedRequest
     ) -> EligibleUpstreams:
-        """All upstreams; a session that other gateways have moved by an order that is not known
-        here stays moved."""
+        """The upstreams of the version in service, as no order brings another one in.
+
+        A session that other gateways have moved by an order that is not known here stays moved.
+        """
         if req.pinned and req.pinned == self._announced.get(service):
             moved = [upstream for upstream in usable if upstream.version == req.pinned]
             if moved:
                 return EligibleUpstreams(moved, [], "session")
-        return EligibleUpstreams(usable, [])
+        cached = self._in_service.get(service)
+        if cached is None or cached[0] is not usable:
+            serving = self._serving_version(service, usable, self._announced.get(service, ""))
+            found = [upstream for upstream in usable if upstream.version == serving]
+            cached = self._in_service[service] = (
+                usable,
+                usable if len(found) == len(usable) else found,
+            )
+        return EligibleUpstreams(cached[1], [])
+
+    def _serving_version(self, service: str, usable: list[Upstream], target: str) -> str:
+        """The version in service: the one that was there first, or that an order has brought in.
+
+        Where it has no usable upstream, it is the one of most of those that have.
+        """
+        serving = self._serving.get(service, "")
+        if any(upstream.version == serving for upstream in usable):
+            return serving
+        prevailing = _prevailing_version(usable, target) or _prevailing_version(usable)
+        if not serving and prevailing and prevailing != target:
+            self._serving[service] = prevailing
+        return prevailing
 
     def record_answer(self, service: str, upstream: Upstream, bad: bool, slow: bool) -> str:
         """Record an answer; returns the reason if it causes a withdrawal, else ""."""
