Keep sessions on a version that this gateway alone holds to be bad until the status says so

Cause, by reading: a gateway that judged a good version to be bad sent its sessions there back at once, before the status was written and whatever the others found. Where the store could not be written, they went to and fro between it and the others.

Change: new sessions and requests without one go to the old version at once, as before.

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -1,7 +1,8 @@
 """Drives roll-outs to their end: completes them on time, or rolls back as soon as a version fails.
 
 Any gateway may end a roll-out with a conditional write of its status.  A gateway that considers a
-version bad stops sending requests to it at once, even if it can't write to the store.  An end that
+version bad stops sending requests to it at once, even if it can't write to the store, but for those
+of sessions that run there: these wait for the status for a while.  An end that
 the store has lost by coming back from an older copy is written again.
 """
 
@@ -59,7 +60,7 @@
     service = chosen.service.name
     rollout = gw.rollouts.get(service)
     slow = passed is not None and not bad and _is_slow(gw, running, passed, rollout)
-    reason = gw.rollouts.record_answer(service, chosen.upstream, bad, slow)
+    reason = gw.rollouts.record_answer(service, chosen.upstream, bad, slow, clock.now())
     if reason:
         assert rollout is not None
         logger.warning(
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -20,6 +20,9 @@
 from ramppost.policy.guard import AnswerTally, withdrawal_reason
 from ramppost.policy.ramp import UNPIN_AT, is_moved
 
+WITHDRAW_ALONE_RATIO: Final = 0.5
+"""Part of the time in which a bad version must have been rolled back, for which sessions stay on a
+version that this gateway alone considers bad."""
 VERSION_LOST_S: Final = 5.0
 """How long requests of a session wait for a version without usable upstreams: entries that lapsed
 are back within 2 s, and an upstream that crashed is out of use for 4 s."""
@@ -41,6 +44,8 @@
         """When the versions last had usable upstreams (steady clock)."""
         self.withdrawal_reason = ""
         """Why this gateway considers the version bad; empty if it does not."""
+        self.withdrawn_at = float("inf")
+        """Since when it does (steady clock)."""
         self.tell_sessions_at = seen_at
         """When the keepers of sessions are to be told of them again (steady clock)."""
         self.write_end_at = float("inf")
@@ -138,7 +143,9 @@
 class Rollouts:
     """The newest roll-out of each service, and the version in service."""
 
-    def __init__(self) -> None:
+    def __init__(self, rollback_s: float = 5.0) -> None:
+        self.rollback_s = rollback_s
+        """Time in which a bad version must have been rolled back."""
         self.on_order: Callable[[Rollout], None] = lambda rollout: None
         """Called with each new roll-out that is under way."""
         self._by_service: dict[str, Rollout] = {}
@@ -188,16 +195,12 @@
         """All known roll-outs."""
         return list(self._by_service.values())
 
-    def version_under_way(self, service: str) -> str:
-        """The version that a service is being moved to; empty if none is."""
-        rollout = self._by_service.get(service)
-        return rollout.order.version if rollout and rollout.order.state == "ordered" else ""
-
     def logged_fraction(self, service: str, now: float) -> float | None:
         """For the log: the elapsed fraction of a service's roll-out; None if none is under way."""
-        if not self.version_under_way(service):
+        rollout = self._by_service.get(service)
+        if rollout is None or rollout.order.state != "ordered":
             return None
-        return round(self._by_service[service].elapsed_fraction(now), 3)
+        return round(rollout.elapsed_fraction(now), 3)
 
     def depends_on_session(self, service: str, now: float) -> bool:
         """Whether the version of a request depends on what its session has run on elsewhere."""
@@ -247,7 +250,7 @@
             return EligibleUpstreams(old, [], "withdrawn")
         if rollout.order.state == "completed":
             return EligibleUpstreams(new or old, [], "completed")
-        if rollout.withdrawal_reason:
+        if rollout.withdrawal_reason and not self._waits_for_withdrawal(rollout, req, now):
             return EligibleUpstreams(old, [], "withdrawn")
         fraction = rollout.elapsed_fraction(now)
         if req.pinned == version:
@@ -264,6 +267,12 @@
         may_go_back = not req.session or req.is_new
         return EligibleUpstreams(new, old if may_go_back else [], "step")
 
+    def _waits_for_withdrawal(self, rollout: Rollout, req: PlacedRequest, now: float) -> bool:
+        """Whether a request stays on a version that this gateway alone considers bad: its session
+        runs there, and the others may find the version good."""
+        until = rollout.withdrawn_at + WITHDRAW_ALONE_RATIO * self.rollback_s
+        return req.pinned == rollout.order.version and now < until
+
     def _without_order(
         self, service: str, usable: list[Upstream], req: PlacedRequest
     ) -> EligibleUpstreams:
@@ -298,7 +307,9 @@
             self._serving[service] = prevailing
         return prevailing
 
-    def record_answer(self, service: str, upstream: Upstream, bad: bool, slow: bool) -> str:
+    def record_answer(
+        self, service: str, upstream: Upstream, bad: bool, slow: bool, now: float
+    ) -> str:
         """Record an answer; returns the reason if it causes a withdrawal, else ""."""
         rollout = self._by_service.get(service)
         if rollout is None or rollout.order.state != "ordered" or rollout.withdrawal_reason:
@@ -308,4 +319,6 @@
         rollout.withdrawal_reason = withdrawal_reason(
             rollout.stable, rollout.trial, rollout.trial_upstreams
         )
+        if rollout.withdrawal_reason:
+            rollout.withdrawn_at = now
         return rollout.withdrawal_reason
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -60,6 +60,11 @@
     return cfg["timing"]["withdrawal_ms"] / 1000
 
 
+def _rollback_bound_s(cfg: GatewaySettings) -> float:
+    """Seconds within which a bad version must have been rolled back."""
+    return cfg["exposure"]["rollback_ms"] / 1000
+
+
 def _serves_unconfirmed(cfg: GatewaySettings) -> bool:
     """Whether the last known keys stay valid while the store is unavailable."""
     return cfg["timing"].get("unconfirmed_keys") == "serve"
@@ -124,7 +129,7 @@
         self.suspicions: dict[str, UpstreamHealth] = {}
         self.retry_budgets: dict[str, WindowBudget] = {}
         self.timing_baselines: dict[tuple[str, str], TimingBaseline] = {}
-        self.rollouts = Rollouts()
+        self.rollouts = Rollouts(_rollback_bound_s(cfg))
         self.callers = CallerConnections(CallerBuffers(self.metrics))
         self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
         self.datagrams = Datagrams(self.metrics)
@@ -205,6 +210,7 @@
         self.freshness.max_age_s = _withdrawal_bound_s(cfg)
         self.freshness.serve_unconfirmed = _serves_unconfirmed(cfg)
         self.sessions.pins.session_s = cfg["timing"]["session_s"]
+        self.rollouts.rollback_s = _rollback_bound_s(cfg)
         self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
         self.retry_budgets.clear()
 
