Audit: a roll-out moves no session in progress

Change: the check 'sessions' compares the requests of each session over all gateways: none may go to a version in the first half of its roll-out, nor back from it unless it was rolled back. What is nearer in time than clocks may be apart is undecided. Lines of attempts name the version that is rolled out, and the first line of a process how long a session lasts.

--- a/ramppost/audit/checks.py
+++ b/ramppost/audit/checks.py
@@ -22,6 +22,7 @@
     RolloutSeen,
 )
 from ramppost.audit.findings import Check, Finding, Findings
+from ramppost.audit.sessions import session_check
 from ramppost.bounded import drop_oldest
 
 ENDED_STATES: Final = ("completed", "rolled_back")
@@ -211,4 +212,5 @@
         departed_check(),
         evacuation_check(),
         fatal_check(),
+        session_check(max_clock_skew_s),
     ]
--- a/ramppost/audit/events.py
+++ b/ramppost/audit/events.py
@@ -42,10 +42,12 @@
 
 
 class ProcessStarted(NamedTuple):
-    """A process has started."""
+    """A process has started, with settings in which a session lasts `session_s` after an answer,
+    None if the line lacks it."""
 
     program: str
     at: float
+    session_s: float | None = None
 
 
 class ConfigInForce(NamedTuple):
@@ -94,8 +96,9 @@
 
     `fingerprint` is the same for all tries of a request, `candidates` is the number of upstreams
     that `upstream` was chosen from, `hall` is its data hall, and `parts` are the first suspects
-    among the parts of its prompt.  A line may lack these: `candidates` is then None, and the others
-    are empty.
+    among the parts of its prompt.  `session` is the hash of its session, `rollout` the version that
+    its service was being moved to, and `rollout_fraction` the part of that time that had passed.  A
+    line may lack these: `candidates` is then None, the fraction 0, and the others are empty.
     """
 
     program: str
@@ -108,6 +111,11 @@
     candidates: int | None
     hall: str = ""
     parts: frozenset[str] = frozenset()
+    service: str = ""
+    version: str = ""
+    session: str = ""
+    rollout: str = ""
+    rollout_fraction: float = 0.0
 
 
 class HallEvacuation(NamedTuple):
@@ -171,7 +179,12 @@
 
 
 def _parse_start(line: Line) -> Event | None:
-    return ProcessStarted(line.program, line.at) if line.message == "starting" else None
+    if line.message != "starting":
+        return None
+    session_s = line.fields.get("session_s")
+    return ProcessStarted(
+        line.program, line.at, float(session_s) if session_s is not None else None
+    )
 
 
 def _parse_watcher_line(line: Line) -> Event | None:
@@ -212,6 +225,11 @@
         int(fields["candidates"]) if "candidates" in fields else None,
         str(fields.get("hall", "")),
         frozenset(part_key(str(name)) for name in fields.get("parts", ())),
+        str(fields.get("service", "")),
+        str(fields.get("version", "")),
+        str(fields.get("session", "")),
+        str(fields.get("rollout") or ""),
+        float(fields.get("rollout_fraction") or 0.0),
     )
 
 
--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -344,6 +344,7 @@
         version=chosen.upstream.version,
         version_reason=job.version_reason,
         session=job.session_label,
+        rollout=gw.rollouts.version_under_way(chosen.service.name),
         rollout_fraction=gw.rollouts.logged_fraction(chosen.service.name, now),
         model=model,
         confidence=result.head.confidence if isinstance(result, Running) else None,
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -69,7 +69,13 @@
 ) -> None:
     """Run until a signal requests a planned stop."""
     gw = Gateway(cfg)
-    logger.info("starting", addr=cfg["listen"], hall=cfg["hall"], store=cfg["store"]["addr"])
+    logger.info(
+        "starting",
+        addr=cfg["listen"],
+        hall=cfg["hall"],
+        store=cfg["store"]["addr"],
+        session_s=cfg["timing"]["session_s"],
+    )
     await curio.spawn(join, gw, daemon=True)
     await curio.spawn(drive_rollouts, gw, daemon=True)
     await curio.spawn(
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -195,12 +195,16 @@
         """All known roll-outs."""
         return list(self._by_service.values())
 
+    def version_under_way(self, service: str) -> str:
+        """The version that a service is being moved to; empty if none is."""
+        rollout = self._by_service.get(service)
+        return rollout.order.version if rollout and rollout.order.state == "ordered" else ""
+
     def logged_fraction(self, service: str, now: float) -> float | None:
         """For the log: the elapsed fraction of a service's roll-out; None if none is under way."""
-        rollout = self._by_service.get(service)
-        if rollout is None or rollout.order.state != "ordered":
+        if not self.version_under_way(service):
             return None
-        return round(rollout.elapsed_fraction(now), 3)
+        return round(self._by_service[service].elapsed_fraction(now), 3)
 
     def depends_on_session(self, service: str, now: float) -> bool:
         """Whether the version of a request depends on what its session has run on elsewhere."""
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -21,7 +21,16 @@
 from tests.harness.gateways import KEYS, SAFE, STREAM, Deployment
 
 NOON = datetime(2026, 3, 1, 12, tzinfo=UTC).timestamp()
-CHECKS = ("configuration", "roll-outs", "confirmed", "one end", "departed", "evacuated", "fatal")
+CHECKS = (
+    "configuration",
+    "roll-outs",
+    "confirmed",
+    "one end",
+    "departed",
+    "evacuated",
+    "fatal",
+    "sessions",
+)
 
 
 def log_line(module: str, message: str, after_s: float, program: str = "g1", **fields: Any) -> str:
@@ -30,8 +39,25 @@
     return json.dumps({**head, "module": f"ramppost.gateway.{module}", **fields})
 
 
-def starting(after_s: float, program: str = "g1") -> str:
-    return log_line("main", "starting", after_s, program)
+def starting(after_s: float, program: str = "g1", **more: Any) -> str:
+    return log_line("main", "starting", after_s, program, **more)
+
+
+def in_session(
+    request: str, version: str, after_s: float, fraction: float | None, program: str = "g1"
+) -> list[str]:
+    """A request of a session, while `v2` is rolled out if a fraction of its time is given."""
+    fields = {
+        "service": "lm",
+        "session": "s",
+        "version": version,
+        "rollout": "v2" if fraction is not None else "",
+        "rollout_fraction": fraction,
+    }
+    return [
+        attempt(request, "status 200", after_s, program=program, **fields),
+        served(request, after_s, program=program),
+    ]
 
 
 def config(
@@ -217,6 +243,24 @@
         ],
         "fatal",
     ),
+    "session moved to a new version in the first half": (
+        [
+            starting(0, session_s=8),
+            *in_session("a", "v1", 1, None),
+            *in_session("b", "v2", 3, 0.2),
+            *in_session("c", "v2", 4, 0.3),
+        ],
+        "sessions",
+    ),
+    "session moved back": (
+        [
+            starting(0, session_s=8),
+            *in_session("a", "v2", 1, 0.7),
+            *in_session("b", "v1", 3, 0.8),
+            *in_session("c", "v2", 4, 0.9),
+        ],
+        "sessions",
+    ),
     "sent though all gateways know that it is fatal": (
         [
             fatal("fatal request known", 1, certain=True),
@@ -272,6 +316,14 @@
         ],
         "confirmed",
     ),
+    "session moved at another gateway, by clocks that may differ": (
+        [
+            starting(0, session_s=8),
+            *in_session("a", "v2", 1, 0.2, "g2"),
+            *in_session("b", "v1", 3, 0.3),
+        ],
+        "sessions",
+    ),
     "a clock that was set back": (
         [
             upstream("there", 9),
@@ -291,6 +343,27 @@
 
 
 VALID = {
+    "a session that was moved in the second half": [
+        starting(0, session_s=8),
+        *in_session("a", "v1", 1, 0.4),
+        *in_session("b", "v2", 3, 0.6),
+    ],
+    "a session that was moved after it had ended": [
+        starting(0, session_s=8),
+        *in_session("a", "v1", 1, 0.1),
+        *in_session("b", "v2", 9.3, 0.2),
+    ],
+    "a session that went back as its version was rolled back": [
+        starting(0, session_s=8),
+        *in_session("a", "v2", 1, 0.2),
+        *in_session("b", "v1", 3, 0.3),
+        rollout("rolled_back", 3.1),
+    ],
+    "a session without a roll-out": [
+        starting(0, session_s=8),
+        *in_session("a", "v1", 1, None),
+        *in_session("b", "v2", 3, None),
+    ],
     "sent before an evacuation, within the slack, and after its end": [
         attempt("a", "status 200", 1, hall="bole"),
         served("a", 1),
