--- a/ramppost/gateway/rollout_news.py
+++ b/ramppost/gateway/rollout_news.py
@@ -57,7 +57,7 @@
         elapsed_s = note["elapsed_ms"] / 1000
         rollout = self._rollouts.get(note["service"])
         if rollout is None or rollout.order.version != note["version"]:
-            self._rollouts.note_announced(note["service"], note["version"])
+            self._rollouts.note_announced(note["service"], note["version"], now)
             return
         if rollout.order.state != "ordered":
             return
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -26,6 +26,9 @@
 VERSION_LOST_S: Final = 5.0
 """How long requests of a session wait for a version without usable upstreams: entries that lapsed
 are back within 2 s, and an upstream that crashed is out of use for 4 s."""
+ANNOUNCED_S: Final = 5.0
+"""How long a roll-out counts as under way that another gateway has told of; it is told of again
+every second."""
 MAX_ANNOUNCED: Final = 64
 
 
@@ -87,6 +90,14 @@
     at: float
 
 
+class AnnouncedRollout(NamedTuple):
+    """The version of a roll-out that other gateways tell of, and until when that counts (steady
+    clock)."""
+
+    version: str
+    until: float
+
+
 class PlacedRequest(NamedTuple):
     """What a request's version depends on.
 
@@ -152,8 +163,8 @@
         self._progress: dict[str, Progress] = {}
         self._serving: dict[str, str] = {}
         """The version in service, by service."""
-        self._announced: dict[str, str] = {}
-        """Versions of whose roll-outs other gateways have told before their orders were seen."""
+        self._announced: dict[str, AnnouncedRollout] = {}
+        """Roll-outs of which other gateways have told before their orders were seen."""
         self._in_service: dict[str, tuple[list[Upstream], list[Upstream]]] = {}
         """The upstreams of the version in service among those usable, for the same list of them."""
 
@@ -178,11 +189,16 @@
             self._serving[rollout.order.service] = rollout.order.version
             self._in_service.pop(rollout.order.service, None)
 
-    def note_announced(self, service: str, version: str) -> None:
+    def note_announced(self, service: str, version: str, now: float) -> None:
         """Record that a roll-out is under way whose order this gateway has not seen."""
-        self._announced[service] = version
+        self._announced[service] = AnnouncedRollout(version, now + ANNOUNCED_S)
         drop_oldest(self._announced, MAX_ANNOUNCED)
 
+    def announced_version(self, service: str, now: float) -> str:
+        """The version of such a roll-out; empty if none is known."""
+        found = self._announced.get(service)
+        return found.version if found is not None and now < found.until else ""
+
     def remove(self, service: str) -> None:
         """Apply the removal of a service's order."""
         self._by_service.pop(service, None)
@@ -210,7 +226,7 @@
         """Whether the version of a request depends on what its session has run on elsewhere."""
         rollout = self._by_service.get(service)
         if rollout is None or rollout.order.state != "ordered":
-            return service in self._announced
+            return bool(self.announced_version(service, now))
         return rollout.elapsed_fraction(now) < UNPIN_AT
 
     def update_progress(self, service: str, version: str, fraction: float, now: float) -> None:
@@ -245,7 +261,7 @@
         """The upstreams that may receive a request."""
         rollout = self._by_service.get(service)
         if rollout is None:
-            return self._without_order(service, usable, req)
+            return self._without_order(service, usable, req, now)
         version = rollout.order.version
         serving = self._serving_version(service, usable, version)
         new, old = rollout.split(usable, serving, now)
@@ -259,13 +275,14 @@
         fraction = rollout.elapsed_fraction(now)
         if req.pinned == version:
             return _hold(new, old, rollout.new_usable_at, now, "session")
-        if req.session and fraction < UNPIN_AT and (req.pinned or not req.is_new):
-            reason = "session" if req.pinned else "unknown"
-            return _hold(old, new, rollout.old_usable_at, now, reason)
+        if req.pinned and fraction < UNPIN_AT:
+            return _hold(old, new, rollout.old_usable_at, now, "session")
         if not is_moved(service, req.session or req.id, fraction):
             if req.session:
                 return _hold(old, new, rollout.old_usable_at, now, "step")
             return EligibleUpstreams(old, new if fraction >= UNPIN_AT else [], "step")
+        if req.session and fraction < UNPIN_AT and not req.is_new:
+            return _hold(old, new, rollout.old_usable_at, now, "unknown")
         if not new:
             return EligibleUpstreams(old, [], "step")
         may_go_back = not req.session or req.is_new
@@ -278,19 +295,20 @@
         return req.pinned == rollout.order.version and now < until
 
     def _without_order(
-        self, service: str, usable: list[Upstream], req: PlacedRequest
+        self, service: str, usable: list[Upstream], req: PlacedRequest, now: float
     ) -> EligibleUpstreams:
         """The upstreams of the version in service, as no order brings another one in.
 
         A session that other gateways have moved by an order that is not known here stays moved.
         """
-        if req.pinned and req.pinned == self._announced.get(service):
+        announced = self.announced_version(service, now)
+        if req.pinned and req.pinned == announced:
             moved = [upstream for upstream in usable if upstream.version == req.pinned]
             if moved:
                 return EligibleUpstreams(moved, [], "session")
         cached = self._in_service.get(service)
         if cached is None or cached[0] is not usable:
-            serving = self._serving_version(service, usable, self._announced.get(service, ""))
+            serving = self._serving_version(service, usable, announced)
             found = [upstream for upstream in usable if upstream.version == serving]
             cached = self._in_service[service] = (
                 usable,
--- a/ramppost/gateway/session_news.py
+++ b/ramppost/gateway/session_news.py
@@ -42,8 +42,10 @@
 """Consecutive unanswered questions after which a keeper is left out: links lose datagrams."""
 SILENT_S: Final = 2.0
 """How long a keeper that did not answer is left out."""
-MAX_NOTES: Final = 60
+MAX_NOTES: Final = 40
 """Sessions in a datagram: some 100 bytes each."""
+START_S: Final = 2.0
+"""From the start of a gateway until all others know it as a keeper."""
 MAX_LEFT_S: Final = 600.0
 """Longest time for which a session is taken to be in progress after it was told."""
 
@@ -169,7 +171,8 @@
 
     def _has_kept_long(self, now: float) -> bool:
         """Whether this gateway would have been told of each session in progress that it keeps."""
-        return now - self._started_at > self.pins.lasting_s
+        known = self._peers.fleet_size > 0
+        return known and now - self._started_at > self.pins.lasting_s + START_S
 
     def _tell_if_early(self, key: SessionKey, version: str, left_s: float, ended: bool) -> None:
         if is_early(key.service, key.label):
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -10,7 +10,7 @@
 from ramppost.gateway.freshness import SAFETY_MARGIN_S, Freshness
 from ramppost.gateway.membership import EXPIRY_GRACE_S, Members
 from ramppost.gateway.model import RolloutOrder, Upstream
-from ramppost.gateway.rollouts import VERSION_LOST_S, PlacedRequest, Rollouts
+from ramppost.gateway.rollouts import ANNOUNCED_S, VERSION_LOST_S, PlacedRequest, Rollouts
 from ramppost.policy.guard import AnswerTally, withdrawal_reason
 from ramppost.policy.limits import RetryBudget, WindowBudget
 from ramppost.policy.ramp import INITIAL_SHARE, RAMP_STEPS, is_early, is_moved, share_at
@@ -271,10 +271,11 @@
 def test_session_moved_elsewhere_stays_moved_before_the_order_is_seen() -> None:
     found = Rollouts()
     assert sides(found, of_session("s", "v2")) == (["old"], [])
-    found.note_announced("lm", "v2")
+    found.note_announced("lm", "v2", NOW)
     assert found.depends_on_session("lm", NOW)
     assert sides(found, of_session("s", "v2")) == (["new"], [])
     assert sides(found, of_session("s")) == (["old"], [])
+    assert not found.depends_on_session("lm", NOW + ANNOUNCED_S + 1)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_pinned_sessions.py
+++ b/tests/test_pinned_sessions.py
@@ -21,11 +21,14 @@
     start_engines,
     tell,
 )
+from tests.harness.soak import audited
 
 SESSION_S = 4.0
 DURATION_S = 14.0
 FIRST_MOVE_S = 0.1 * DURATION_S
 NEW = "v2"
+MOVED = "broken: sessions: "
+"""How findings of the audit on moved sessions begin."""
 Deploy = Callable[..., Deployment]
 
 
@@ -59,6 +62,8 @@
     assert site.rollout_status() == "completed", run
     assert any(call.version == rollout.version for call in load.calls), run
     assert len(found) <= MAX_MOVED, run
+    broken = audited(site.folder)
+    assert len(broken) <= MAX_MOVED and all(MOVED in line for line in broken), broken
 
 
 def test_session_begun_after_others_were_announced_was_moved(deploy: Deploy) -> None:
