Only a session's own keepers are certain that it is new

Cause, by reading: a gateway whose two keepers did not answer asked the next two, and took their word that they did not know the session, as it took its own where it stood next on the ring. They had never been told of it: its version would have been moved where it could not be found out.

Change: a gateway is certain only of sessions whose keeper it is by the list alone, whoever else does not answer; it is told though it seems silent to one.

Test: test_session_was_taken_for_new_as_its_keepers_did_not_answer fails without it (all four answers were 'new') and passes.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.ready
 
-.PHONY: days dev test check bench slopes capacity uneven chaos soak binary generate docs examples clean
+.PHONY: days dev test check bench slopes capacity uneven chaos soak rollout-soak binary generate docs examples clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	$(PY) -m venv $(VENV)
@@ -43,6 +43,9 @@
 soak: $(STAMP)
 	$(BIN)/python -m tests.harness.soak --duration-s $(SOAK_S) --seeds $(SEEDS)
 
+rollout-soak: $(STAMP)
+	$(BIN)/python -m tests.harness.rollout_soak --seeds $(SEEDS)
+
 BENCH ?= BENCH-is-not-set
 SITES ?=
 JOBS ?= 4
--- a/ramppost/gateway/session_news.py
+++ b/ramppost/gateway/session_news.py
@@ -17,7 +17,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from typing import Final, NamedTuple
 
 import curio
@@ -123,17 +123,16 @@
     async def learn(self, service: str, session: str) -> Learned:
         """Find out about a session from its keepers."""
         key, now = _key(service, session), clock.now()
-        keepers = self._keepers(key, now)
-        certain = self._peers.own in keepers and self._has_kept_long(now)
         kept = self._kept.find(key, now)
         if kept is not None:
             self.pins.adopt(key, kept.version, kept.until - now, now)
             return Learned(kept.version, False)
-        question = await self._ask([name for name in keepers if name != self._peers.own], key)
+        names = [name for name in self._keepers(key, now) if name != self._peers.own]
+        question = await self._ask(names, key)
         if question.version:
             self.pins.adopt(key, question.version, question.left_s, clock.now())
             return Learned(question.version, False)
-        return Learned("", certain or question.certain)
+        return Learned("", question.certain or self._would_have_been_told(key, now))
 
     def tell_all(self) -> None:
         """Tell the keepers of all sessions in progress that this gateway serves."""
@@ -160,19 +159,27 @@
     # --- keepers
 
     def _keepers(self, key: SessionKey, now: float) -> list[str]:
+        """Those of a session, without gateways that have not answered lately."""
+        silent = {name for name, until in self._silent_until.items() if until > now}
+        return self._listed_keepers(key, now, silent)
+
+    def _listed_keepers(
+        self, key: SessionKey, now: float, silent: Set[str] = frozenset()
+    ) -> list[str]:
         if self._ring_valid_for != self._peers.changes:
             self._ring_valid_for = self._peers.changes
             self._ring = session_ring(self._peers.names)
-        unavailable = {name for name, until in self._silent_until.items() if until > now}
-        unavailable |= self._peers.stopping(now)
+        unavailable = self._peers.stopping(now) | silent
         if self._stopping:
             unavailable.add(self._peers.own)
         return session_keepers(key.label, self._ring, self._peers.halls, unavailable)
 
-    def _has_kept_long(self, now: float) -> bool:
-        """Whether this gateway would have been told of each session in progress that it keeps."""
-        known = self._peers.fleet_size > 0
-        return known and now - self._started_at > self.pins.lasting_s + START_S
+    def _would_have_been_told(self, key: SessionKey, now: float) -> bool:
+        """Whether this gateway would know a session if it were in progress: it has been one of its
+        keepers for long enough, whoever else does not answer."""
+        if self._peers.fleet_size == 0 or now - self._started_at < self.pins.lasting_s + START_S:
+            return False
+        return self._peers.own in self._listed_keepers(key, now)
 
     def _tell_if_early(self, key: SessionKey, version: str, left_s: float, ended: bool) -> None:
         if is_early(key.service, key.label):
@@ -182,7 +189,9 @@
         now = clock.now()
         by_keeper: dict[str, list[SessionNote]] = {}
         for note in notes:
-            for name in self._keepers(SessionKey(note["service"], note["session"]), now):
+            key = SessionKey(note["service"], note["session"])
+            # One that is silent may only be so to this gateway, or for a moment.
+            for name in {*self._listed_keepers(key, now), *self._keepers(key, now)}:
                 by_keeper.setdefault(name, []).append(note)
         for name, told in by_keeper.items():
             if name == self._peers.own:
@@ -247,7 +256,7 @@
 
     def _answer(self, ask: SessionAsk) -> SessionAnswer:
         key, now = SessionKey(ask["service"], ask["session"]), clock.now()
-        answer = SessionAnswer(id=ask["id"], certain=self._has_kept_long(now))
+        answer = SessionAnswer(id=ask["id"], certain=self._would_have_been_told(key, now))
         kept = self._kept.find(key, now)
         version, left_s = self.pins.version(key, now), self.pins.left_s(key, now)
         if kept is not None:
--- a/tests/test_session_news.py
+++ b/tests/test_session_news.py
@@ -41,6 +41,7 @@
         self.size, self.lost, self.now = size, lost, 1000.0
         self.rng = random.Random(5)
         self.datagrams = 0
+        self.unreachable: set[int] = set()
         self._waiting: deque[tuple[int, PeerDatagram, Address]] = deque()
         self._monkeypatch = monkeypatch
         monkeypatch.setattr(clock, "now", lambda: self.now)
@@ -52,6 +53,7 @@
     def _start(self, number: int) -> Gateway:
         gw = gateway(f"g-{number}", self.size, 0.0)
         gw.sessions.pins.session_s = SESSION_S
+        gw.peers.halls = {f"g-{other}": f"hall-{other % 3}" for other in range(self.size)}
         own = ("10.0.1.1", number + 1)
         self._monkeypatch.setattr(gw.datagrams, "send", partial(self._send, own))
         return gw
@@ -69,7 +71,7 @@
 
     def _send(self, sender: Address, receiver: Address, msg: PeerDatagram) -> None:
         self.datagrams += 1
-        if self.rng.random() >= self.lost:
+        if self.rng.random() >= self.lost and receiver[1] - 1 not in self.unreachable:
             self._waiting.append((receiver[1] - 1, msg, sender))
 
     async def deliver(self) -> None:
@@ -216,27 +218,37 @@
     assert curio.run(count, 400) <= 40 * 4
 
 
-def test_unknown_session_is_new_only_if_a_keeper_would_have_been_told(
+async def is_new(fleet: Fleet, number: int, session: str = "s") -> bool:
+    """Whether a gateway finds a session to be new."""
+    gw = fleet.gateways[number]
+    result = await fleet.while_delivering(lambda: gw.sessions.learn("lm", session))
+    return bool(result.is_new)
+
+
+def test_session_was_taken_for_new_as_gateways_had_just_started(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def learned(fleet: Fleet) -> bool:
-        result = await fleet.while_delivering(lambda: fleet.gateways[0].sessions.learn("lm", "s"))
-        return bool(result.is_new)
-
     fleet = Fleet(4, monkeypatch)
-    assert curio.run(learned, fleet)
+    assert curio.run(is_new, fleet, 0)
     for number in range(4):
         fleet.kill(number)
-    assert not curio.run(learned, fleet)
+    assert not curio.run(is_new, fleet, 0)
     fleet.now += 2 * SESSION_S
-    fleet.lost = 1.0
-    keepers = session_keepers(
-        session_label("s"),
-        session_ring(fleet.gateways[0].peers.names),
-        fleet.gateways[0].peers.halls,
-        (),
-    )
-    assert curio.run(learned, fleet) == ("g-0" in keepers)
+    assert curio.run(is_new, fleet, 0)
+
+
+def test_session_was_taken_for_new_as_its_keepers_did_not_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fleet = Fleet(6, monkeypatch)
+    peers = fleet.gateways[0].peers
+    keepers = session_keepers(session_label("s"), session_ring(peers.names), peers.halls, ())
+    fleet.unreachable = {int(name.removeprefix("g-")) for name in keepers}
+    asking = next(number for number in range(6) if number not in fleet.unreachable)
+    assert [curio.run(is_new, fleet, asking) for _ in range(4)] == [False] * 4
+    fleet.unreachable.pop()
+    fleet.now += 3.0
+    assert curio.run(is_new, fleet, asking)
 
 
 def test_all_count_from_the_first_that_saw_the_order(monkeypatch: pytest.MonkeyPatch) -> None:
