Split the selection of upstreams from finding those that may be sent a request

What may be sent a request (region, version, earlier attempts, limits) is in candidates.py now. No change of what is done, no test changed but for imports.

--- a/ramppost/gateway/pick.py
+++ b/ramppost/gateway/pick.py
@@ -10,11 +10,11 @@
 
 from ramppost import clock
 from ramppost.gateway.backlogs import EMPTY_ESTIMATE, BacklogEstimate, BacklogQuery
+from ramppost.gateway.candidates import allowed_upstreams, candidates
 from ramppost.gateway.job import BacklogSnapshot, Job
 from ramppost.gateway.model import Prompt, Service, Upstream
 from ramppost.gateway.pools import Candidates
-from ramppost.gateway.rollouts import PlacedRequest
-from ramppost.gateway.send_limits import least_wait_s, within_limits
+from ramppost.gateway.send_limits import within_limits
 from ramppost.gateway.state import Gateway
 from ramppost.policy.homes import home_candidates, home_engines, home_group, shared_part
 from ramppost.policy.placement import (
@@ -157,81 +157,6 @@
     )
 
 
-def candidates(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
-    """Suitable upstreams, except those that may not be sent more requests now."""
-    suitable = _suitable(gw, job, service_name, now)
-    service = gw.table.services.get(service_name) if gw.table is not None else None
-    return suitable if service is None else within_limits(gw, service, suitable, now)
-
-
-def send_wait_s(gw: Gateway, job: Job, service_name: str, now: float) -> float | None:
-    """Seconds until a suitable upstream may be sent a request under the limits that apply to it.
-
-    Infinite if this gateway has no share of any of them, None if no upstream is suitable.
-    """
-    suitable = _suitable(gw, job, service_name, now)
-    service = gw.table.services.get(service_name) if gw.table is not None else None
-    if service is None or not suitable:
-        return None
-    return least_wait_s(gw, service, suitable, now)
-
-
-def any_send_wait_s(gw: Gateway, job: Job, service_name: str, now: float) -> float:
-    """Seconds until any upstream of a service, tried or not, may be sent a request of this job."""
-    service = gw.table.services.get(service_name) if gw.table is not None else None
-    if service is None:
-        return float("inf")
-    return least_wait_s(gw, service, _allowed(gw, job, service_name, now), now)
-
-
-def _allowed(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
-    """Usable upstreams in the regions in which the request may run."""
-    listed = gw.members.usable(service_name, now)
-    workspace_regions = job.workspace.home_regions if job.workspace is not None else ()
-    return gw.regions.filter_upstreams(listed, job.route.home_regions, workspace_regions)
-
-
-def _suitable(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
-    """Untried upstreams of the version that the request is to run on.
-
-    Upstreams of a version that has failed this request are used only if no others are left, because
-    a version that is being rolled out may fail on all its upstreams.  A session in progress stays
-    on its version: its requests go there again instead.  Limits on requests are not considered
-    here: falling back to another version would change a session's version.
-    """
-    usable = _allowed(gw, job, service_name, now)
-    placed = PlacedRequest(
-        job.req.attempt_id, job.session_label, job.session_version, job.session_is_new
-    )
-    side = gw.rollouts.eligible_upstreams(service_name, usable, placed, now)
-    for avoided_versions in (job.failed_versions, set()):
-        for group in (side.preferred, side.fallback):
-            untried = _untried(group, job.tried_upstreams, avoided_versions)
-            if untried:
-                job.version_reason = side.reason if group is side.preferred else "fallback"
-                return untried
-    if side.reason == "session":
-        return _without_answer(side.preferred, job)
-    return []
-
-
-def _without_answer(group: list[Upstream], job: Job) -> list[Upstream]:
-    """The upstreams of a group that may be tried again, as they have not refused the request; the
-    last one only if there is no other."""
-    again = [u for u in group if u.key in job.answerless_upstreams]
-    return [u for u in again if u.key != job.last_upstream] or again
-
-
-def _untried(group: list[Upstream], tried: set[str], avoided_versions: set[str]) -> list[Upstream]:
-    """The untried upstreams of a group, without the versions to avoid.
-
-    Returns the same list object if that is all of them, so that values cached for it are reused.
-    """
-    if not tried and not avoided_versions:
-        return group
-    return [u for u in group if u.key not in tried and u.version not in avoided_versions]
-
-
 def pick(gw: Gateway, job: Job, service_name: str, model: str, now: float) -> Selection | None:
     """Select the best untried upstream; None if there is none."""
     assert gw.table is not None
@@ -260,7 +185,7 @@
     These are the untried ones and those that have refused the request as full.
     """
     tried = job.tried_upstreams - job.full_upstreams
-    allowed = [u for u in _allowed(gw, job, service.name, now) if u.key not in tried]
+    allowed = [u for u in allowed_upstreams(gw, job, service.name, now) if u.key not in tried]
     return plain_views(gw, within_limits(gw, service, allowed, now), now)
 
 
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -21,6 +21,7 @@
     record_whole_answer,
 )
 from ramppost.gateway.attempt import Refused, Running, attempt, release
+from ramppost.gateway.candidates import any_send_wait_s, send_wait_s
 from ramppost.gateway.counts import EndedRequest
 from ramppost.gateway.escalation import choose_larger_model, plan_models
 from ramppost.gateway.forwarding import Forwarded, forward_response, forward_stream
@@ -29,7 +30,7 @@
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, NotSent
 from ramppost.gateway.model import CallerRequest
-from ramppost.gateway.pick import any_send_wait_s, pick, query_backlogs, select_service, send_wait_s
+from ramppost.gateway.pick import pick, query_backlogs, select_service
 from ramppost.gateway.rollout_duty import evaluate_answer
 from ramppost.gateway.room import refusal_without_room
 from ramppost.gateway.session_version import end_session_request, learn_session
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -11,9 +11,9 @@
 
 from bench.choosing import job_of
 from ramppost import clock
+from ramppost.gateway.candidates import candidates
 from ramppost.gateway.job import Job
 from ramppost.gateway.model import Upstream, Workspace
-from ramppost.gateway.pick import candidates
 from ramppost.gateway.regions import Regions
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import apply_config
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -15,9 +15,10 @@
 from bench.choosing import job_of
 from ramppost import clock
 from ramppost.gateway.attempt import Refused, _compose_request
+from ramppost.gateway.candidates import candidates, send_wait_s
 from ramppost.gateway.links import NotSent
 from ramppost.gateway.model import Upstream
-from ramppost.gateway.pick import candidates, pick, send_wait_s
+from ramppost.gateway.pick import pick
 from ramppost.gateway.serve import OVERLOAD_RETRY_S, _overload_refusal
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import apply_upstream_change
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -19,10 +19,11 @@
 from bench.choosing import HALLS, job_of
 from ramppost import clock
 from ramppost.gateway.attempt import _compose_request
+from ramppost.gateway.candidates import candidates, send_wait_s
 from ramppost.gateway.evacuations import evacuations_listed
 from ramppost.gateway.links import NotSent, OutgoingRequest
 from ramppost.gateway.model import Upstream
-from ramppost.gateway.pick import candidates, pick, send_wait_s
+from ramppost.gateway.pick import pick
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import apply_config, apply_upstream_change
 from ramppost.platform import names
