Take versions into service that were there first, or that no order has brought in for long

Cause, by reading: where upstreams of two versions serve side by side without a roll-out, or are replaced by another version without an order, only the larger or older half was used: room was lost, to the last of the old upstreams.

Change: in service are all versions that the gateway saw first, what an order has brought in, and what has waited for an order for 30 s. The target of a roll-out never counts as in service before its end. The lists are worked out once for a list of upstreams.

--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -6,12 +6,11 @@
 
 A request of a session in progress stays on the session's version, whatever becomes of the attempt,
 as does one of a session of which nothing is known for certain (`ramppost.gateway.session_news`).
-Without an order, only the version in service is used.
+Without an order, only versions in service are used.
 """
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -30,6 +29,11 @@
 """How long a roll-out counts as under way that another gateway has told of; it is told of again
 every second."""
 MAX_ANNOUNCED: Final = 64
+MAX_WAITING: Final = 64
+"""Versions of a service whose waiting is remembered."""
+ORDER_WAIT_S: Final = 30.0
+"""How long upstreams of another version wait for the order that brings it in.  Without one they are
+used then, so that a service that is replaced without an order does not end up on its last ones."""
 
 
 class Rollout:
@@ -41,7 +45,7 @@
         self.stable = AnswerTally()
         self.trial = AnswerTally()
         self.trial_upstreams = 1
-        self._split: tuple[list[Upstream], str, VersionSplit] | None = None
+        self._split: tuple[list[Upstream], list[Upstream], VersionSplit] | None = None
         self.new_usable_at = seen_at
         self.old_usable_at = seen_at
         """When the versions last had usable upstreams (steady clock)."""
@@ -58,17 +62,13 @@
         """Fraction of the roll-out's duration that has passed."""
         return (now - self.started_at) / max(0.001, self.order.duration_s)
 
-    def split(self, usable: list[Upstream], serving: str, now: float) -> VersionSplit:
-        """Split upstreams by version; returns the same list objects for the same input list.
-
-        Of other versions than the new one, only the one in service counts while it has any.
-        """
-        if self._split is None or self._split[0] is not usable or self._split[1] != serving:
+    def split(self, usable: list[Upstream], in_service: list[Upstream], now: float) -> VersionSplit:
+        """Split upstreams by version; returns the same list objects for the same input lists."""
+        if self._split is None or self._split[0] is not usable or self._split[1] is not in_service:
             version = self.order.version
             new = [upstream for upstream in usable if upstream.version == version]
-            old = [upstream for upstream in usable if upstream.version != version]
-            old = [upstream for upstream in old if upstream.version == serving] or old
-            self._split = (usable, serving, VersionSplit(new, old))
+            old = [upstream for upstream in in_service if upstream.version != version]
+            self._split = (usable, in_service, VersionSplit(new, old))
         found = self._split[2]
         self.new_usable_at = now if found.new else self.new_usable_at
         self.old_usable_at = now if found.old else self.old_usable_at
@@ -76,7 +76,7 @@
 
 
 class VersionSplit(NamedTuple):
-    """The upstreams of the new version and those of the version in service."""
+    """The upstreams of the new version and those of the versions in service."""
 
     new: list[Upstream]
     old: list[Upstream]
@@ -138,21 +138,30 @@
     return EligibleUpstreams(other, [], "fallback")
 
 
-def _prevailing_version(upstreams: list[Upstream], other_than: str = "") -> str:
-    """The version of most of the upstreams, the first by name of several; empty if there is none.
+class _InService:
+    """The versions of a service that are in service, and when others were first seen (steady
+    clock)."""
 
-    >>> up = Upstream("i", "10.0.0.1:80", "lm", "bole", "v1", 8, False)
-    >>> _prevailing_version([up, up._replace(version="v2"), up._replace(version="v2")])
-    'v2'
-    >>> _prevailing_version([up, up._replace(version="v2")])
-    'v1'
-    """
-    counts = Counter(upstream.version for upstream in upstreams if upstream.version != other_than)
-    return min(counts, key=lambda version: (-counts[version], version), default="")
+    def __init__(self, versions: set[str]) -> None:
+        self.versions = versions
+        self.first_seen: dict[str, float] = {}
+        self.cached: tuple[list[Upstream], str, float, list[Upstream]] | None = None
+        """The upstreams in service among those usable beside a target, and until when that
+        holds."""
+
+    def update(self, present: set[str], now: float) -> float:
+        """Take versions into service that have waited for an order for long enough; returns when
+        the next one will have."""
+        for version in present - self.versions:
+            self.first_seen.setdefault(version, now)
+        drop_oldest(self.first_seen, MAX_WAITING)
+        self.versions |= {v for v, seen in self.first_seen.items() if now - seen >= ORDER_WAIT_S}
+        left = [seen for v, seen in self.first_seen.items() if v not in self.versions]
+        return min(left, default=float("inf")) + ORDER_WAIT_S
 
 
 class Rollouts:
-    """The newest roll-out of each service, and the version in service."""
+    """The newest roll-out of each service, and the versions in service."""
 
     def __init__(self, rollback_s: float = 5.0) -> None:
         self.rollback_s = rollback_s
@@ -161,12 +170,10 @@
         """Called with each new roll-out that is under way."""
         self._by_service: dict[str, Rollout] = {}
         self._progress: dict[str, Progress] = {}
-        self._serving: dict[str, str] = {}
-        """The version in service, by service."""
+        self._in_service: dict[str, _InService] = {}
+        """The versions in service, by service."""
         self._announced: dict[str, AnnouncedRollout] = {}
         """Roll-outs of which other gateways have told before their orders were seen."""
-        self._in_service: dict[str, tuple[list[Upstream], list[Upstream]]] = {}
-        """The upstreams of the version in service among those usable, for the same list of them."""
 
     def update(self, order: RolloutOrder, now: float) -> bool:
         """Apply an order or a change of its state; returns whether the order is new."""
@@ -186,8 +193,7 @@
 
     def _note_completed(self, rollout: Rollout) -> None:
         if rollout.order.state == "completed":
-            self._serving[rollout.order.service] = rollout.order.version
-            self._in_service.pop(rollout.order.service, None)
+            self._in_service[rollout.order.service] = _InService({rollout.order.version})
 
     def note_announced(self, service: str, version: str, now: float) -> None:
         """Record that a roll-out is under way whose order this gateway has not seen."""
@@ -263,8 +269,8 @@
         if rollout is None:
             return self._without_order(service, usable, req, now)
         version = rollout.order.version
-        serving = self._serving_version(service, usable, version)
-        new, old = rollout.split(usable, serving, now)
+        in_service = self._upstreams_in_service(service, usable, version, now)
+        new, old = rollout.split(usable, in_service, now)
         rollout.trial_upstreams = max(1, len(new))
         if rollout.order.state == "rolled_back":
             return EligibleUpstreams(old, [], "withdrawn")
@@ -297,7 +303,7 @@
     def _without_order(
         self, service: str, usable: list[Upstream], req: PlacedRequest, now: float
     ) -> EligibleUpstreams:
-        """The upstreams of the version in service, as no order brings another one in.
+        """The upstreams of the versions in service, as no order brings another one in.
 
         A session that other gateways have moved by an order that is not known here stays moved.
         """
@@ -306,28 +312,33 @@
             moved = [upstream for upstream in usable if upstream.version == req.pinned]
             if moved:
                 return EligibleUpstreams(moved, [], "session")
-        cached = self._in_service.get(service)
-        if cached is None or cached[0] is not usable:
-            serving = self._serving_version(service, usable, announced)
-            found = [upstream for upstream in usable if upstream.version == serving]
-            cached = self._in_service[service] = (
-                usable,
-                usable if len(found) == len(usable) else found,
-            )
-        return EligibleUpstreams(cached[1], [])
-
-    def _serving_version(self, service: str, usable: list[Upstream], target: str) -> str:
-        """The version in service: the one that was there first, or that an order has brought in.
-
-        Where it has no usable upstream, it is the one of most of those that have.
+        return EligibleUpstreams(self._upstreams_in_service(service, usable, announced, now), [])
+
+    def _upstreams_in_service(
+        self, service: str, usable: list[Upstream], target: str, now: float
+    ) -> list[Upstream]:
+        """The upstreams of the versions in service; returns the same list object for the same
+        input list.
+
+        In service are the versions that were there first, what an order has brought in, and what
+        has waited for an order for long.  Where they have no usable upstream, any is used, those
+        of the `target` of a roll-out last.
         """
-        serving = self._serving.get(service, "")
-        if any(upstream.version == serving for upstream in usable):
-            return serving
-        prevailing = _prevailing_version(usable, target) or _prevailing_version(usable)
-        if not serving and prevailing and prevailing != target:
-            self._serving[service] = prevailing
-        return prevailing
+        state = self._in_service.get(service)
+        cached = state.cached if state is not None else None
+        if cached is not None and cached[0] is usable and cached[1] == target and now < cached[2]:
+            return cached[3]
+        present = {upstream.version for upstream in usable} - {target}
+        if state is None:
+            if not present:
+                return usable
+            state = self._in_service[service] = _InService(set(present))
+        until = state.update(present, now)
+        found = [upstream for upstream in usable if upstream.version in state.versions]
+        found = found or [upstream for upstream in usable if upstream.version != target] or usable
+        found = usable if len(found) == len(usable) else found
+        state.cached = (usable, target, until, found)
+        return found
 
     def record_answer(
         self, service: str, upstream: Upstream, bad: bool, slow: bool, now: float
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -10,7 +10,13 @@
 from ramppost.gateway.freshness import SAFETY_MARGIN_S, Freshness
 from ramppost.gateway.membership import EXPIRY_GRACE_S, Members
 from ramppost.gateway.model import RolloutOrder, Upstream
-from ramppost.gateway.rollouts import ANNOUNCED_S, VERSION_LOST_S, PlacedRequest, Rollouts
+from ramppost.gateway.rollouts import (
+    ANNOUNCED_S,
+    ORDER_WAIT_S,
+    VERSION_LOST_S,
+    PlacedRequest,
+    Rollouts,
+)
 from ramppost.policy.guard import AnswerTally, withdrawal_reason
 from ramppost.policy.limits import RetryBudget, WindowBudget
 from ramppost.policy.ramp import INITIAL_SHARE, RAMP_STEPS, is_early, is_moved, share_at
@@ -249,6 +255,15 @@
     assert sides(found, held, [FRESH], NOW + 0.1) == ([], [])
 
 
+def test_versions_that_were_there_first_or_for_long_are_all_in_service() -> None:
+    found = Rollouts()
+    assert sides(found, of_session("s")) == (["old", "new"], [])
+    three = [*BOTH, upstream("next", "v3")]
+    assert sides(found, of_session("s"), three) == (["old", "new"], [])
+    assert sides(found, of_session("s"), three, NOW + ORDER_WAIT_S - 1) == (["old", "new"], [])
+    assert sides(found, of_session("s"), three, NOW + ORDER_WAIT_S) == (["old", "new", "next"], [])
+
+
 def test_version_was_used_before_any_order() -> None:
     found = Rollouts()
     assert sides(found, of_session("s"), [OLD]) == (["old"], [])
@@ -270,6 +285,7 @@
 
 def test_session_moved_elsewhere_stays_moved_before_the_order_is_seen() -> None:
     found = Rollouts()
+    assert sides(found, of_session("s"), [OLD]) == (["old"], [])
     assert sides(found, of_session("s", "v2")) == (["old"], [])
     found.note_announced("lm", "v2", NOW)
     assert found.depends_on_session("lm", NOW)
