Keep the end of a roll-out though a store that came back is heard of without it twice

Cause: as an order without its end was found in a later era, the known end was kept, but the order was then taken to be of that era; the next time it was heard of, from another gateway's feed in the same era, its end was given up. A version that had been rolled back would have got requests again.

Change: a roll-out remembers the era in which the store last held its end; an order without it in any later era does not undo it, however often.

--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -55,6 +55,8 @@
         """Since when it does (steady clock)."""
         self.tell_sessions_at = seen_at
         """When the keepers of sessions are to be told of them again (steady clock)."""
+        self.ended_in_era: int | None = None
+        """The era in which the store last held its end; None while it has not ended."""
         self.write_end_at = float("inf")
         """When its end is to be written again, which the store has lost (steady clock)."""
 
@@ -122,11 +124,14 @@
     reason: str = ""
 
 
-def _with_known_end(found: RolloutOrder, known: RolloutOrder) -> RolloutOrder:
-    """An order as found in the store; its end is kept if a store that came back has lost that."""
-    if found.era > known.era and found.state == "ordered":
-        return found._replace(state=known.state)
-    return found
+def _apply_state(rollout: Rollout, found: RolloutOrder) -> None:
+    """Apply an order as found in the store; an end is kept that a store which has come back since
+    has lost."""
+    if found.state != "ordered":
+        rollout.ended_in_era = found.era
+    elif rollout.ended_in_era is not None and found.era > rollout.ended_in_era:
+        found = found._replace(state=rollout.order.state)
+    rollout.order = found
 
 
 def _hold(
@@ -180,10 +185,11 @@
         known = self._by_service.get(order.service)
         if known is not None and known.order.version == order.version:
             if order.position >= known.order.position:
-                known.order = _with_known_end(order, known.order)
+                _apply_state(known, order)
             self._note_completed(known)
             return False
         rollout = self._by_service[order.service] = Rollout(order, now)
+        _apply_state(rollout, order)
         self._announced.pop(order.service, None)
         self._apply_progress(order.service, now)
         self._note_completed(rollout)
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -217,7 +217,7 @@
     assert found.replica.retained == {"lm": back}
     assert found.replica.complete_object("lm") == order(27, 0, state)
     rollouts = Rollouts()
-    for stored in (order(27, 0, state), back):
+    for stored in (order(27, 0, state), back, back):
         decoded = rollout_order(stored)
         assert not isinstance(decoded, BadMessage)
         rollouts.update(decoded, 1.0)
