Hold sessions on a completed version whose upstreams are away for a moment

Cause: the completed state fell back to the old upstreams at once, where a roll-out under way waits 5 s.

Change: the same wait for requests of sessions. Others go to the old upstreams, if these are still there.

--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -280,6 +280,8 @@
         rollout.trial_upstreams = max(1, len(new))
         if rollout.order.state == "rolled_back":
             return EligibleUpstreams(old, [], "withdrawn")
+        if rollout.order.state == "completed" and req.session:
+            return _hold(new, old, rollout.new_usable_at, now, "completed")
         if rollout.order.state == "completed":
             return EligibleUpstreams(new or old, [], "completed")
         if rollout.withdrawal_reason and not self._waits_for_withdrawal(rollout, req, now):
