Hold a session of which nothing is known where no new upstream is usable here

Cause: where the step says the new version and there is no usable upstream of it, requests went to the old one at once, also those of sessions that others may have moved.

Change: the same wait as for sessions that are known to run there; requests without a session, and sessions known to be new, go to the old version as before.

Test: new, fails before and passes.

--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -297,10 +297,12 @@
             return EligibleUpstreams(old, new if fraction >= UNPIN_AT else [], "step")
         if req.session and fraction < UNPIN_AT and not req.is_new:
             return _hold(old, new, rollout.old_usable_at, now, "unknown")
+        if req.session and not req.is_new:
+            # Other gateways may have moved it.
+            return _hold(new, old, rollout.new_usable_at, now, "step")
         if not new:
             return EligibleUpstreams(old, [], "step")
-        may_go_back = not req.session or req.is_new
-        return EligibleUpstreams(new, old if may_go_back else [], "step")
+        return EligibleUpstreams(new, old, "step")
 
     def _waits_for_withdrawal(self, rollout: Rollout, req: PlacedRequest, now: float) -> bool:
         """Whether a request stays on a version that this gateway alone considers bad: its session
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -264,6 +264,15 @@
     assert sides(found, of_session("s"), three, NOW + ORDER_WAIT_S) == (["old", "new", "next"], [])
 
 
+def test_session_moved_elsewhere_went_back_where_no_new_upstream_was_usable() -> None:
+    found = rollouts(at=0.7)
+    req = of_session(EARLY[0])
+    assert sides(found, req) == (["new"], [])
+    assert sides(found, req, [OLD], NOW + 0.1) == ([], [])
+    assert sides(found, req, [OLD], NOW + VERSION_LOST_S + 0.1) == (["old"], [])
+    assert sides(rollouts(), of_session(EARLY[0], is_new=True), [OLD]) == (["old"], [])
+
+
 def test_session_went_back_after_completion_as_upstreams_were_away_for_a_moment() -> None:
     found = rollouts("completed")
     req = of_session(EARLY[0], "v2")
