Ask a session's keepers for each of its requests in the first half, and tell those that seem away, too

Cause: a gateway that knew a session's version by itself did not ask, though the session had gone on elsewhere; so where two had come to differ, once, each of the next requests was moved. And one that knew that a keeper was stopping told only the others, while a gateway that did not know asked it.

Change: in the first half of a roll-out the keepers are asked for every request of a session that the first step may move, and what they tell, which is the latest, counts; without an answer, what the gateway knows itself. Sends and ends are told to those that stop or seem silent, too.

Test: test_session_went_to_and_fro_between_gateways_that_disagreed fails without the first change (v1, v2, v1, v2) and passes.

--- a/ramppost/gateway/session_news.py
+++ b/ramppost/gateway/session_news.py
@@ -161,17 +161,15 @@
     def _keepers(self, key: SessionKey, now: float) -> list[str]:
         """Those of a session, without gateways that have not answered lately."""
         silent = {name for name, until in self._silent_until.items() if until > now}
-        return self._listed_keepers(key, now, silent)
+        return self._select_keepers(key, silent | self._peers.stopping(now))
 
-    def _listed_keepers(
-        self, key: SessionKey, now: float, silent: Set[str] = frozenset()
-    ) -> list[str]:
+    def _select_keepers(self, key: SessionKey, unavailable: Set[str] = frozenset()) -> list[str]:
+        """Those that follow the session on the ring; never this gateway while it stops."""
         if self._ring_valid_for != self._peers.changes:
             self._ring_valid_for = self._peers.changes
             self._ring = session_ring(self._peers.names)
-        unavailable = self._peers.stopping(now) | silent
         if self._stopping:
-            unavailable.add(self._peers.own)
+            unavailable = unavailable | {self._peers.own}
         return session_keepers(key.label, self._ring, self._peers.halls, unavailable)
 
     def _would_have_been_told(self, key: SessionKey, now: float) -> bool:
@@ -179,7 +177,7 @@
         keepers for long enough, whoever else does not answer."""
         if self._peers.fleet_size == 0 or now - self._started_at < self.pins.lasting_s + START_S:
             return False
-        return self._peers.own in self._listed_keepers(key, now)
+        return self._peers.own in self._select_keepers(key, self._peers.stopping(now))
 
     def _tell_if_early(self, key: SessionKey, version: str, left_s: float, ended: bool) -> None:
         if is_early(key.service, key.label):
@@ -190,8 +188,8 @@
         by_keeper: dict[str, list[SessionNote]] = {}
         for note in notes:
             key = SessionKey(note["service"], note["session"])
-            # One that is silent may only be so to this gateway, or for a moment.
-            for name in {*self._listed_keepers(key, now), *self._keepers(key, now)}:
+            # One that is silent or stops may be asked by gateways that don't know that.
+            for name in {*self._select_keepers(key), *self._keepers(key, now)}:
                 by_keeper.setdefault(name, []).append(note)
         for name, told in by_keeper.items():
             if name == self._peers.own:
--- a/ramppost/gateway/session_version.py
+++ b/ramppost/gateway/session_version.py
@@ -9,14 +9,20 @@
 
 
 async def learn_session(gw: Gateway, job: Job, service: str) -> None:
-    """Find out about a request's session before an upstream is chosen."""
+    """Find out about a request's session before an upstream is chosen.
+
+    The keepers know of its latest request, which may have come to another gateway since this one
+    has served the session.
+    """
     if not job.req.session:
         return
-    job.session_version = gw.sessions.version(service, job.req.session)
+    known = job.session_version = gw.sessions.version(service, job.req.session)
     asks = gw.rollouts.depends_on_session(service, clock.now())
-    if job.session_version or not asks or not is_early(service, job.session_label):
+    if not asks or not is_early(service, job.session_label):
         return
-    job.session_version, job.session_is_new = await gw.sessions.learn(service, job.req.session)
+    learned = await gw.sessions.learn(service, job.req.session)
+    job.session_version = learned.version or known
+    job.session_is_new = learned.is_new and not known
 
 
 def pin_session(gw: Gateway, job: Job, service: str, version: str) -> str:
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -226,6 +226,16 @@
     assert rollout.order.position == back.position
 
 
+def test_end_that_the_store_has_lost_was_forgotten_as_another_gateway_told_of_it() -> None:
+    found = kept(KEEP_ROLLOUTS)
+    ended, back = order(27, 0, "completed"), order(9, 1)
+    apply_list(found, listing(27, ended))
+    apply_list(found, listing(20, back, era=1, settled=False))
+    told = listing(21, ended, era=1, settled=False)
+    curio.run(found.replica.apply_snapshot(told, 1.0, "g2"))
+    assert found.replica.retained == {"lm": back}
+
+
 def engine(name: str, revision: int, era: int = 0, state: str = "ready") -> StoredObject:
     spec = {"service": "lm", "addr": "127.0.0.1:9", "zone": "bole", "version": "v1"}
     return StoredObject(name, revision, {**spec, "slots": 8, "state": state}, None, era=era)
--- a/tests/test_session_news.py
+++ b/tests/test_session_news.py
@@ -251,6 +251,24 @@
     assert curio.run(is_new, fleet, asking)
 
 
+def test_session_went_to_and_fro_between_gateways_that_disagreed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def versions(fleet: Fleet) -> list[str]:
+        for number, version in ((0, "v1"), (1, "v2")):
+            fleet.gateways[number].sessions.begin("lm", session)
+            fleet.gateways[number].sessions.assign("lm", session, version, fleet.now)
+            await fleet.end(number, session)
+        fleet.order(range(4))
+        fleet.now += DURATION_S / 4
+        return [await fleet.version_of(number % 2, session) for number in range(6)]
+
+    fleet, session = Fleet(4, monkeypatch), next(early_names())
+    for gw in fleet.gateways:
+        gw.sessions.pins.session_s = DURATION_S
+    assert curio.run(versions, fleet) == ["v2"] * 6
+
+
 def test_all_count_from_the_first_that_saw_the_order(monkeypatch: pytest.MonkeyPatch) -> None:
     fleet = Fleet(68, monkeypatch, lost=0.02)
     for number in range(68):
