Let the first request of a session leave a version that answers it with errors

Cause: kept all attempts of a request of a session on the version that it was first sent to, also where the session was not in progress before it, and upstreams answered with errors of their own.

Change: a request whose session was not known before it goes to the old version after errors of two upstreams of the new one (or of all), or with its last attempt, and its session stays there. Lost answers keep it on its version, and so does a session that was known to run there: a good version has upstreams that fail, too. Two of them hardly ever fail the same request.

--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -92,8 +92,11 @@
             result = result._replace(key=attempt_key)
         if isinstance(result, (Refused, NotSent)):
             pin_session(gw, job, chosen.service.name, version_before)
-        elif isinstance(result, Broken) or result.head.status >= 500:
+        elif isinstance(result, Broken):
             job.answerless_upstreams.add(upstream.key)
+        elif result.head.status >= 500:
+            job.answerless_upstreams.add(upstream.key)
+            job.failed_upstreams.add(upstream.key)
     finally:
         work.pending -= 1
         if pending_prompt is not None:
--- a/ramppost/gateway/candidates.py
+++ b/ramppost/gateway/candidates.py
@@ -5,12 +5,18 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from ramppost.gateway.job import Job
 from ramppost.gateway.model import Upstream
 from ramppost.gateway.rollouts import PlacedRequest
 from ramppost.gateway.send_limits import least_wait_s, within_limits
 from ramppost.gateway.state import Gateway
 
+MAX_FAILED_UPSTREAMS: Final = 2
+"""Upstreams of a version that may answer a request with errors before its session, which is not
+known before it, goes to another version."""
+
 
 def candidates(gw: Gateway, job: Job, service_name: str, now: float) -> list[Upstream]:
     """Suitable upstreams, except those that may not be sent more requests now."""
@@ -59,6 +65,9 @@
         job.req.attempt_id, job.session_label, job.session_version, job.session_is_new
     )
     side = gw.rollouts.eligible_upstreams(service_name, usable, placed, now)
+    if side.reason == "session" and _gives_up(job, side.preferred):
+        placed = placed._replace(gives_up=True)
+        side = gw.rollouts.eligible_upstreams(service_name, usable, placed, now)
     for avoided_versions in (job.failed_versions, set()):
         for group in (side.preferred, side.fallback):
             untried = _untried(group, job.tried_upstreams, avoided_versions)
@@ -70,6 +79,19 @@
     return []
 
 
+def _gives_up(job: Job, upstreams: list[Upstream]) -> bool:
+    """Whether a request that is the first of its session has met enough errors of its version.
+
+    Two upstreams of a good version hardly ever answer the same request with errors; a bad version
+    may on all of them.
+    """
+    failed = sum(upstream.key in job.failed_upstreams for upstream in upstreams)
+    if job.session_was_known or not failed:
+        return False
+    is_last = job.counted_attempts >= job.route.attempts - 1
+    return is_last or failed >= min(MAX_FAILED_UPSTREAMS, len(upstreams))
+
+
 def _without_answer(group: list[Upstream], job: Job) -> list[Upstream]:
     """The upstreams of a group that may be tried again, as they have not refused the request; the
     last one only if there is no other."""
--- a/ramppost/gateway/job.py
+++ b/ramppost/gateway/job.py
@@ -56,12 +56,16 @@
         """Versions of upstreams that returned an error status that was retried."""
         self.session_version = ""
         """The version that its session runs on; empty if it is not known or not decided."""
+        self.session_was_known = False
+        """Whether that was known before its own attempts."""
         self.session_is_new = False
         """Whether its session is known not to be in progress at any gateway."""
         self.session_begun = ""
         """The service at which it counts as a request under way of its session."""
         self.last_upstream = ""
         """The one that it was sent to last, by key."""
+        self.failed_upstreams: set[str] = set()
+        """Upstreams that answered it with an error of their own."""
         self.answerless_upstreams: set[str] = set()
         """Upstreams from which it has got no usable answer though they may have run it."""
         self.version_reason = ""
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -105,12 +105,15 @@
 
     `session` is empty if it has none.  `pinned` is the version that its session runs on, as far as
     that is known, and `is_new` tells that its session is known not to be in progress anywhere.
+    `gives_up` tells that its session was not known before it, and that upstreams of the new version
+    have answered it with errors.
     """
 
     id: str
     session: str = ""
     pinned: str = ""
     is_new: bool = False
+    gives_up: bool = False
 
 
 class EligibleUpstreams(NamedTuple):
@@ -287,6 +290,8 @@
         if rollout.withdrawal_reason and not self._waits_for_withdrawal(rollout, req, now):
             return EligibleUpstreams(old, [], "withdrawn")
         fraction = rollout.elapsed_fraction(now)
+        if req.pinned == version and req.gives_up and old:
+            return EligibleUpstreams(old, [], "fallback")
         if req.pinned == version:
             return _hold(new, old, rollout.new_usable_at, now, "session")
         if req.pinned and fraction < UNPIN_AT:
--- a/ramppost/gateway/session_version.py
+++ b/ramppost/gateway/session_version.py
@@ -17,11 +17,13 @@
     if not job.req.session:
         return
     known = job.session_version = gw.sessions.version(service, job.req.session)
+    job.session_was_known = bool(known)
     asks = gw.rollouts.depends_on_session(service, clock.now())
     if not asks or not is_early(service, job.session_label):
         return
     learned = await gw.sessions.learn(service, job.req.session)
     job.session_version = learned.version or known
+    job.session_was_known = bool(job.session_version)
     job.session_is_new = learned.is_new and not known
 
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -345,6 +345,31 @@
     assert found is not None and found.upstream.id == "new-1"
 
 
+@pytest.mark.parametrize("known", [False, True])
+def test_first_request_of_a_session_failed_on_a_bad_version(gw: Gateway, known: bool) -> None:
+    listed = [
+        entry_of_version("old", "v1"),
+        entry_of_version("new-1", "v2"),
+        entry_of_version("new-2", "v2"),
+        entry_of_version("new-3", "v2"),
+    ]
+    apply_upstream_snapshot(gw, Snapshot(listed, 6))
+    gw.rollouts.update(RolloutOrder("lm", "v2", 10.0, "ordered", 6), clock.now() - 8)
+    admitted = admit_request(gw, STREAM)
+    assert isinstance(admitted, Admitted)
+    req = caller_request("POST", STREAM, (), b"")._replace(session="s")
+    job = Job(req, admitted, clock.now())
+    job.session_version, job.session_was_known = "v2", known
+    job.attempts = 1
+    job.tried_upstreams = job.failed_upstreams = {"new-1"}
+    found = pick(gw, job, "lm", "", clock.now())
+    assert found is not None and found.upstream.id in ("new-2", "new-3")
+    job.attempts = 2
+    job.tried_upstreams = job.failed_upstreams = {"new-1", "new-2"}
+    found = pick(gw, job, "lm", "", clock.now())
+    assert found is not None and found.upstream.id == ("new-3" if known else "old")
+
+
 def test_only_a_successful_run_shows_that_a_request_is_harmless(gw: Gateway) -> None:
     """A complete 504 of an engine, after a queue timeout, used to clear a fatal request."""
     for number in range(FATAL_START_ENDS):
