--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -324,18 +324,20 @@
     assert found is not None and found.upstream.id in chosen
 
 
-def test_session_went_to_the_other_version_as_all_of_its_own_were_tried(gw: Gateway) -> None:
-    listed = [
-        entry_of_version("old", "v1"),
-        entry_of_version("new-1", "v2"),
-        entry_of_version("new-2", "v2"),
-    ]
-    apply_upstream_snapshot(gw, Snapshot(listed, 6))
-    gw.rollouts.update(RolloutOrder("lm", "v2", 10.0, "ordered", 6), clock.now() - 2)
+def job_of_session_beside_rollout(gw: Gateway, new_engines: int, elapsed_s: float) -> Job:
+    """A request of a session, of a service with an engine of the old version, during a roll-out of
+    10 s."""
+    new = [entry_of_version(f"new-{number + 1}", "v2") for number in range(new_engines)]
+    apply_upstream_snapshot(gw, Snapshot([entry_of_version("old", "v1"), *new], 6))
+    gw.rollouts.update(RolloutOrder("lm", "v2", 10.0, "ordered", 6), clock.now() - elapsed_s)
     admitted = admit_request(gw, STREAM)
     assert isinstance(admitted, Admitted)
     req = caller_request("POST", STREAM, (), b"")._replace(session="s")
-    job = Job(req, admitted, clock.now())
+    return Job(req, admitted, clock.now())
+
+
+def test_session_went_to_the_other_version_as_all_of_its_own_were_tried(gw: Gateway) -> None:
+    job = job_of_session_beside_rollout(gw, 2, 2.0)
     job.session_version = "v2"
     job.tried_upstreams = {"new-1", "new-2"}
     assert pick(gw, job, "lm", "", clock.now()) is None
@@ -347,18 +349,7 @@
 
 @pytest.mark.parametrize("known", [False, True])
 def test_first_request_of_a_session_failed_on_a_bad_version(gw: Gateway, known: bool) -> None:
-    listed = [
-        entry_of_version("old", "v1"),
-        entry_of_version("new-1", "v2"),
-        entry_of_version("new-2", "v2"),
-        entry_of_version("new-3", "v2"),
-    ]
-    apply_upstream_snapshot(gw, Snapshot(listed, 6))
-    gw.rollouts.update(RolloutOrder("lm", "v2", 10.0, "ordered", 6), clock.now() - 8)
-    admitted = admit_request(gw, STREAM)
-    assert isinstance(admitted, Admitted)
-    req = caller_request("POST", STREAM, (), b"")._replace(session="s")
-    job = Job(req, admitted, clock.now())
+    job = job_of_session_beside_rollout(gw, 3, 8.0)
     job.session_version, job.session_was_known = "v2", known
     job.attempts = 1
     job.tried_upstreams = job.failed_upstreams = {"new-1"}
