One copy of silent keepers, of a soak's seeds and of a planned stop's note

Which keepers have not answered lately stood in the backlogs and again in the sessions, with the same bounds: both use SilentKeepers of policy/keepers.py now. The soak of roll-outs had a copy of the other soak's way to draw a fault and to play its seeds; it overrides the list of faults and calls play_seeds. The note of a planned stop and that of a return were put together twice. Two docstrings said what was so before a session's keepers were asked for each request, or broke in mid-sentence; signals are named. No change of what is done: the schedules of seeds draw as they did, no test or check was changed but for an import.

--- a/ramppost/gateway/backlogs.py
+++ b/ramppost/gateway/backlogs.py
@@ -27,7 +27,7 @@
 from ramppost.gateway.metrics import Metrics
 from ramppost.gateway.model import Upstream
 from ramppost.policy.backlog import Backlog, PendingPrompt
-from ramppost.policy.keepers import keeper_of
+from ramppost.policy.keepers import KEEPER_EXCLUSION_S, SilentKeepers, keeper_of
 from ramppost.policy.placement import PrefillRates
 from ramppost.policy.relays import Peers
 from ramppost.policy.room import BUSY_WAIT_S
@@ -56,11 +56,6 @@
 ASK_TIMEOUT_S: Final = 0.05
 """A datagram may queue for 30 ms behind a long prompt on a 5 Mbit/s link.  This timeout is a
 fortieth of the tightest objective of a stream."""
-MAX_MISSED_REPLIES: Final = 2
-"""Consecutive unanswered queries after which a keeper is excluded.  One miss is not enough, because
-links occasionally lose a datagram."""
-KEEPER_EXCLUSION_S: Final = 2.0
-"""How long a keeper that did not answer is excluded."""
 MAX_ENGINES: Final = 4096
 """Maximum number of backlogs kept.  It exceeds the number of engines in a fleet and bounds memory
 if engine ids are made up."""
@@ -133,9 +128,7 @@
         """Speeds of the engines that this gateway keeps, and of others that it has kept."""
         self._figures: dict[str, SpeedFigures] = {}
         """The last known figures of each engine without streams, from its keeper."""
-        self._silent_until: dict[str, float] = {}
-        self._missed_replies: dict[str, int] = {}
-        """Consecutive unanswered queries, by keeper."""
+        self._silent = SilentKeepers()
         self._keepers: dict[str, str] = {}
         """Cached keepers by engine, for the gateway list and exclusions in `_keepers_valid_for`."""
         self._keepers_valid_for: tuple[int, frozenset[str]] = (-1, frozenset())
@@ -236,7 +229,7 @@
 
         Keepers are recomputed only when the list of gateways or the set of excluded ones changes.
         """
-        silent = frozenset(name for name, until in self._silent_until.items() if until > now)
+        silent = self._silent.names(now)
         inputs = (self._peers.changes, silent)
         if inputs != self._keepers_valid_for:
             self._keepers_valid_for = inputs
@@ -273,18 +266,12 @@
         return pending.estimates
 
     def _record_reply(self, keeper: str, answered: bool) -> None:
-        """Record whether a keeper answered in time; exclude it after repeated misses."""
-        if answered:
-            self._missed_replies.pop(keeper, None)
-            return
-        self._missed_replies[keeper] = self._missed_replies.get(keeper, 0) + 1
-        if self._missed_replies[keeper] < MAX_MISSED_REPLIES:
-            return
-        self._silent_until[keeper] = clock.now() + KEEPER_EXCLUSION_S
-        self._metrics.count("ramppost_backlog_silences_total")
-        logger.info(
-            "keeper of backlogs does not answer", peer=keeper, left_out_s=KEEPER_EXCLUSION_S
-        )
+        """Record whether a keeper answered in time; it is excluded after repeated misses."""
+        if self._silent.record_reply(keeper, answered, clock.now()):
+            self._metrics.count("ramppost_backlog_silences_total")
+            logger.info(
+                "keeper of backlogs does not answer", peer=keeper, left_out_s=KEEPER_EXCLUSION_S
+            )
 
     def _notify_keeper(self, engine: Upstream, msg: PeerDatagram) -> None:
         keeper = self.keeper(engine, clock.now())
--- a/ramppost/gateway/departures.py
+++ b/ramppost/gateway/departures.py
@@ -27,16 +27,17 @@
 async def announce_leaving(gw: Gateway) -> None:
     """Tell the gateways that may get its callers when this one will be back, until cancelled."""
     while True:
-        back_s = max(0.0, gw.resume_at - clock.now())
-        note = LeavingNote(name=gw.cfg["name"], back_ms=round(back_s * 1000))
-        for name in gw.peers.local_peers():
-            gw.datagrams.send(parse_address(gw.peers.addrs[name]), PeerDatagram(leaving=note))
+        _announce(gw, max(0.0, gw.resume_at - clock.now()))
         await curio.sleep(ANNOUNCE_INTERVAL_S)
 
 
 def announce_return(gw: Gateway) -> None:
     """Tell the gateways that were told of a planned stop that this one is back."""
-    note = LeavingNote(name=gw.cfg["name"], back_ms=0)
+    _announce(gw, 0.0)
+
+
+def _announce(gw: Gateway, back_s: float) -> None:
+    note = LeavingNote(name=gw.cfg["name"], back_ms=round(back_s * 1000))
     for name in gw.peers.local_peers():
         gw.datagrams.send(parse_address(gw.peers.addrs[name]), PeerDatagram(leaving=note))
 
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -2,8 +2,8 @@
 
 Any gateway may end a roll-out with a conditional write of its status.  A gateway that considers a
 version bad stops sending requests to it at once, even if it can't write to the store, but for those
-of sessions that run there: these wait for the status for a while.  An end that
-the store has lost by coming back from an older copy is written again.
+of sessions that run there: these wait for the status for a while.  An end that the store has lost
+by coming back from an older copy is written again.
 """
 
 from __future__ import annotations
--- a/ramppost/gateway/session_news.py
+++ b/ramppost/gateway/session_news.py
@@ -7,8 +7,9 @@
 second, for keepers that have just started or were not reached.  A gateway that stops hands on all
 that it knows.
 
-A gateway that does not know a session asks its keepers.  It may be moved only if a keeper that has
-been there for as long as a session lasts does not know it either.
+In the first half of a roll-out a gateway asks the keepers for each request of a session, which may
+have gone on at another gateway.  A session that none knows may be moved only if a keeper that has
+been there for as long as a session lasts does not know it.
 
 Only sessions that the first step of a roll-out may move are told: the versions of all others follow
 from the step.  All messages are datagrams (`ramppost.gateway.datagrams`).
@@ -28,7 +29,13 @@
 from ramppost.gateway.early import parse_address
 from ramppost.gateway.metrics import Metrics
 from ramppost.policy.fingerprint import session_label
-from ramppost.policy.keepers import SessionRing, session_keepers, session_ring
+from ramppost.policy.keepers import (
+    KEEPER_EXCLUSION_S,
+    SessionRing,
+    SilentKeepers,
+    session_keepers,
+    session_ring,
+)
 from ramppost.policy.ramp import is_early
 from ramppost.policy.relays import Peers
 from ramppost.policy.session_pins import KeptSessions, SessionKey, SessionPins
@@ -38,10 +45,6 @@
 """A round trip between distant regions."""
 ASKS: Final = 2
 """How often a keeper that does not answer is asked, as links lose datagrams."""
-MAX_MISSED_REPLIES: Final = 2
-"""Consecutive unanswered questions after which a keeper is left out: links lose datagrams."""
-SILENT_S: Final = 2.0
-"""How long a keeper that did not answer is left out."""
 MAX_NOTES: Final = 40
 """Sessions in a datagram: some 100 bytes each."""
 START_S: Final = 2.0
@@ -84,8 +87,7 @@
         self._ring: SessionRing = session_ring(())
         self._ring_valid_for = -1
         self._stopping = False
-        self._silent_until: dict[str, float] = {}
-        self._missed_replies: dict[str, int] = {}
+        self._silent = SilentKeepers()
         self._questions: dict[int, _Question] = {}
         self._ids = itertools.count(1)
 
@@ -160,8 +162,7 @@
 
     def _keepers(self, key: SessionKey, now: float) -> list[str]:
         """Those of a session, without gateways that have not answered lately."""
-        silent = {name for name, until in self._silent_until.items() if until > now}
-        return self._select_keepers(key, silent | self._peers.stopping(now))
+        return self._select_keepers(key, self._silent.names(now) | self._peers.stopping(now))
 
     def _select_keepers(self, key: SessionKey, unavailable: Set[str] = frozenset()) -> list[str]:
         """Those that follow the session on the ring; never this gateway while it stops."""
@@ -224,14 +225,12 @@
             self._datagrams.send(addr, PeerDatagram(session_ask=ask))
 
     def _record_reply(self, name: str, answered: bool) -> None:
-        """Record whether a keeper answered in time; leave it out after repeated misses."""
-        missed = 0 if answered else self._missed_replies.get(name, 0) + 1
-        self._missed_replies[name] = missed
-        if missed < MAX_MISSED_REPLIES:
-            return
-        self._silent_until[name] = clock.now() + SILENT_S
-        self._metrics.count("ramppost_session_keeper_silences_total")
-        logger.info("keeper of sessions does not answer", peer=name, left_out_s=SILENT_S)
+        """Record whether a keeper answered in time; it is left out after repeated misses."""
+        if self._silent.record_reply(name, answered, clock.now()):
+            self._metrics.count("ramppost_session_keeper_silences_total")
+            logger.info(
+                "keeper of sessions does not answer", peer=name, left_out_s=KEEPER_EXCLUSION_S
+            )
 
     # --- messages from other gateways
 
--- a/ramppost/policy/keepers.py
+++ b/ramppost/policy/keepers.py
@@ -16,6 +16,11 @@
 
 from ramppost.policy.routing import hash_fraction
 
+MAX_MISSED_REPLIES: Final = 2
+"""Consecutive unanswered queries after which a keeper is excluded.  One miss is not enough, because
+links occasionally lose a datagram."""
+KEEPER_EXCLUSION_S: Final = 2.0
+"""How long a keeper that did not answer is excluded."""
 MAX_KEEPERS_CONSIDERED: Final = 16
 """Gateways after the first keeper among which one of another data hall is looked for."""
 
@@ -36,6 +41,37 @@
     return min(local or live, key=lambda name: hash_fraction("keeper", engine, name), default="")
 
 
+class SilentKeepers:
+    """The keepers that have not answered a gateway's queries lately; times on the steady clock.
+
+    >>> silent = SilentKeepers()
+    >>> silent.record_reply("g1", False, 0.0), silent.record_reply("g1", False, 0.1)
+    (False, True)
+    >>> silent.names(1.0), silent.names(3.0)
+    (frozenset({'g1'}), frozenset())
+    """
+
+    def __init__(self) -> None:
+        self._silent_until: dict[str, float] = {}
+        self._missed_replies: dict[str, int] = {}
+        """Consecutive unanswered queries, by keeper."""
+
+    def names(self, now: float) -> frozenset[str]:
+        """The excluded keepers."""
+        return frozenset(name for name, until in self._silent_until.items() if until > now)
+
+    def record_reply(self, keeper: str, answered: bool, now: float) -> bool:
+        """Record whether a keeper answered in time; true if it is excluded from now on."""
+        if answered:
+            self._missed_replies.pop(keeper, None)
+            return False
+        self._missed_replies[keeper] = self._missed_replies.get(keeper, 0) + 1
+        if self._missed_replies[keeper] < MAX_MISSED_REPLIES:
+            return False
+        self._silent_until[keeper] = now + KEEPER_EXCLUSION_S
+        return True
+
+
 class SessionRing(NamedTuple):
     """Gateways in the order of their hashes."""
 
--- a/tests/harness/rollout_soak.py
+++ b/tests/harness/rollout_soak.py
@@ -11,22 +11,19 @@
 from __future__ import annotations
 
 import argparse
-import os
 import random
+import signal
 import sys
-import tempfile
 import threading
 import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Final, NamedTuple
 
-import httpx
-
 from ramppost import clock
 from tests.harness.gateways import Deployment
 from tests.harness.sessions import MAX_MOVED, Move, SessionLoad, moves, roll_out, tell
-from tests.harness.soak import Soak, audited
+from tests.harness.soak import Soak, audited, play_seeds
 
 VERSION: Final = "v2"
 NEW: Final = ("new-1", "new-2")
@@ -58,26 +55,26 @@
         self.load = SessionLoad(self.site, callers=8, pause_s=0.1)
 
     def step(self, rng: random.Random) -> None:
-        """One fault, or the end of one."""
-        fault = rng.choice(
-            (
-                self.kill_gateway,
-                self.stop_gateway,
-                self.stop_gateway,
-                self.pause_gateway,
-                self.disturb_store,
-                self.disturb_link,
-                self.disturb_peers,
-                self.silence_links,
-                self.replace_upstream,
-                self.replace_new,
-                self.lose_answers,
-            )
-        )
-        self.done.append(fault.__name__)
-        fault(rng)
+        """One fault, or the end of one, and a pause."""
+        super().step(rng)
         time.sleep(rng.uniform(0.0, 2.0))
 
+    def faults(self) -> list[Callable[[random.Random], None]]:
+        """The faults that the first schedules draw from."""
+        return [
+            self.kill_gateway,
+            self.stop_gateway,
+            self.stop_gateway,
+            self.pause_gateway,
+            self.disturb_store,
+            self.disturb_link,
+            self.disturb_peers,
+            self.silence_links,
+            self.replace_upstream,
+            self.replace_new,
+            self.lose_answers,
+        ]
+
     def kill_gateway(self, rng: random.Random) -> None:
         self._disturb(super().kill_gateway, rng, "")
 
@@ -98,7 +95,7 @@
         with self._locks[name]:
             since = time.time()
             self.load.away.add(name)
-            self.site.signal(name, 15)
+            self.site.signal(name, signal.SIGTERM)
             self.site.wait_end(name, 12)
             self._start(name)
             self.site.wait_ready(name)
@@ -109,7 +106,7 @@
         """Kill an engine of the new version and start another in its place."""
         name = rng.choice(NEW)
         with self._locks[name]:
-            self.site.signal(name, 9)
+            self.site.signal(name, signal.SIGKILL)
             self.site.wait_end(name)
             self.site.start_upstream(name, "lm", VERSION)
 
@@ -177,19 +174,7 @@
     """Play the seeds that the arguments name, or one drawn now."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", type=int, nargs="*", default=[])
-    args = parser.parse_args()
-    failed = 0
-    for seed in args.seeds or [int.from_bytes(os.urandom(3))]:
-        folder = Path(tempfile.mkdtemp(prefix=f"rollout-soak-{seed}-"))
-        try:
-            found = soak(folder, seed)
-        except (AssertionError, httpx.HTTPError) as exc:
-            found = [f"{type(exc).__name__}: {exc}"]
-        for line in found:
-            print(f"seed {seed}: BROKEN {line}; logs in {folder}", flush=True)
-        failed += bool(found)
-    print(f"{len(args.seeds or [0]) - failed} passed, {failed} failed")
-    return 1 if failed else 0
+    return play_seeds(parser.parse_args().seeds, "rollout-soak", soak)
 
 
 if __name__ == "__main__":
--- a/tests/harness/soak.py
+++ b/tests/harness/soak.py
@@ -233,7 +233,13 @@
 
     def step(self, rng: random.Random) -> None:
         """One fault, or the end of one."""
-        faults: list[Callable[[random.Random], None]] = [
+        fault = rng.choice(self.faults())
+        self.done.append(fault.__name__)
+        fault(rng)
+
+    def faults(self) -> list[Callable[[random.Random], None]]:
+        """The faults that the first schedules draw from."""
+        return [
             self.kill_gateway,
             self.stop_gateway,
             self.pause_gateway,
@@ -248,9 +254,6 @@
             self.take_key_away,
             self.bring_version_in,
         ]
-        fault = rng.choice(faults)
-        self.done.append(fault.__name__)
-        fault(rng)
 
     def step_of_entries(self, rng: random.Random) -> None:
         """Junk in the store, a spoiled entry of an upstream, or a start under the same id."""
@@ -710,17 +713,32 @@
     parser.add_argument("--duration-s", type=float, default=12.0)
     parser.add_argument("--keep", type=Path, help="folder for logs")
     args = parser.parse_args()
+    return play_seeds(
+        args.seeds, "soak", lambda folder, seed: soak(folder, seed, args.duration_s), args.keep
+    )
+
+
+def play_seeds(
+    seeds: list[int],
+    name: str,
+    play: Callable[[Path, int], list[str]],
+    keep: Path | None = None,
+) -> int:
+    """Play seeds, or one drawn now; prints the promises that were broken, and gives the exit code.
+
+    Each seed gets a folder for its logs, within `keep` if that is given.
+    """
     failed = 0
-    for seed in args.seeds or [int.from_bytes(os.urandom(3))]:
-        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=args.keep))
+    for seed in seeds or [int.from_bytes(os.urandom(3))]:
+        folder = Path(tempfile.mkdtemp(prefix=f"{name}-{seed}-", dir=keep))
         try:
-            found = soak(folder, seed, args.duration_s)
+            found = play(folder, seed)
         except (AssertionError, httpx.HTTPError) as exc:
             found = [f"{type(exc).__name__}: {exc}"]
         for line in found:
-            print(f"seed {seed}: BROKEN {line}; logs in {folder}")
+            print(f"seed {seed}: BROKEN {line}; logs in {folder}", flush=True)
         failed += bool(found)
-    print(f"{len(args.seeds or [0]) - failed} passed, {failed} failed")
+    print(f"{len(seeds or [0]) - failed} passed, {failed} failed")
     return 1 if failed else 0
 
 
--- a/tests/test_gateway_backlogs.py
+++ b/tests/test_gateway_backlogs.py
@@ -13,7 +13,6 @@
 from ramppost import clock
 from ramppost.gateway.backlogs import (
     ASK_TIMEOUT_S,
-    MAX_MISSED_REPLIES,
     BacklogEstimate,
     BacklogQuery,
     Backlogs,
@@ -23,6 +22,7 @@
 from ramppost.gateway.metrics import Metrics
 from ramppost.gateway.model import Upstream
 from ramppost.policy.backlog import PendingPrompt
+from ramppost.policy.keepers import MAX_MISSED_REPLIES
 from ramppost.policy.placement import MIN_RATE_SAMPLES, PrefillRates
 from ramppost.policy.relays import Peers
 from ramppost.policy.speed import MIN_SAMPLES, SpeedFigures
