--- a/ramppost/gateway/attempt.py
+++ b/ramppost/gateway/attempt.py
@@ -21,11 +21,17 @@
 from ramppost.gateway.pick import DEFAULT_PLAIN_LATENCY_S, Selection, prompt_urgency
 from ramppost.gateway.session_version import pin_session
 from ramppost.gateway.state import Gateway
+from ramppost.gateway.version_evidence import (
+    MIN_USUAL_FIRST_S,
+    AttemptTiming,
+    ExpectedAnswer,
+)
 from ramppost.platform.headers import AnswerHead, SendOptions, upstream_head
 from ramppost.policy.backlog import PendingPrompt
 from ramppost.policy.homes import shared_part
 from ramppost.policy.placement import leading_tokens
 from ramppost.policy.plain import KNOWN_FULL_S
+from ramppost.policy.speed import SLOWDOWN_PER_STREAM
 
 TIMEOUT_OBJECTIVE_RATIO: Final = 0.4
 """Fraction of the objective after which a silent upstream is given up; leaves time for another."""
@@ -62,6 +68,7 @@
     work: InFlight
     sent_at: float
     first_s: float
+    timing: AttemptTiming
     key: str = ""
     """Identifies the attempt at the keeper of its engine, which was told that it has begun; empty
     for plain upstreams and error statuses."""
@@ -118,6 +125,7 @@
     `tokens` is the number of tokens that its stream has generated since its first event.
     """
     running.work.requests -= 1
+    running.timing.end(clock.now())
     if running.key:
         took_s = clock.now() - running.sent_at - running.first_s
         gw.backlogs.record_finish(running.chosen.upstream, running.key, tokens, took_s)
@@ -174,10 +182,12 @@
     exchange = await open_exchange(gw.connections, chosen.upstream, compose)
     if isinstance(exchange, NotSent):
         return exchange
+    timing = gw.evidence.begin(_expected_answer(gw, job, chosen, model, sent_at), sent_at)
     job.attempts += 1
     ran_before = job.may_have_run
     job.may_have_run = True
     if isinstance(exchange, Broken):
+        timing.end(clock.now())
         return exchange
     handled = False
     try:
@@ -189,17 +199,49 @@
         now = clock.now()
         if head.not_run:
             job.may_have_run = ran_before
+            timing.discard()
             await exchange.abort()
             handled = True
             retry_after_s = 0.0 if head.rest_s else head.retry_after_s or 0.0
             return Refused(head.status, retry_after_s, head.wrong_upstream)
         handled = True
-        return Running(chosen, model, exchange, head, work, sent_at, now - sent_at)
+        timing.record_head(head.status, now)
+        return Running(chosen, model, exchange, head, work, sent_at, now - sent_at, timing)
     finally:
         if not handled:
+            timing.end(clock.now())
             await exchange.abort()
 
 
+def _expected_answer(
+    gw: Gateway, job: Job, chosen: Selection, model: str, now: float
+) -> ExpectedAnswer:
+    """What is expected of an attempt at the usual speed, given the load of its upstream."""
+    upstream = chosen.upstream
+    pace = chosen.pace
+    if chosen.service.engine is None:
+        report = gw.loads.last_report(upstream.key)
+        others = max(0, report.running + report.waiting - report.own)
+        excess = others + chosen.own_requests + 1 - max(1, report.slots or upstream.slots)
+        first_s = pace * (1 + max(0, excess) / max(1, upstream.slots))
+        gap = 0.0
+    else:
+        usual_prefill_s = chosen.prefill_s / chosen.prefill_factor
+        queue_s = max(0.0, chosen.predicted_first_s - chosen.prefill_s)
+        first_s = pace * (queue_s + usual_prefill_s + MIN_USUAL_FIRST_S)
+        gap = pace * (1 + SLOWDOWN_PER_STREAM * max(chosen.speed.running, chosen.own_requests))
+    return ExpectedAnswer(
+        chosen.service.name,
+        job.route.name,
+        model,
+        upstream.key,
+        upstream.version,
+        first_s,
+        gap,
+        timed=not gw.warmups.is_warming_up(upstream, now),
+    )
+
+
 def _compose_request(
     gw: Gateway, job: Job, chosen: Selection, model: str, urgency: int | None
 ) -> OutgoingRequest | NotSent:
--- /dev/null
+++ b/ramppost/gateway/evidence_news.py
@@ -0,0 +1,163 @@
+"""Pools the evidence on versions that are being rolled out over all gateways, without the store.
+
+Each gateway tells others all that answers have shown it so far, in datagrams; a lost one is made up
+for by the next.  In a small fleet all tell all.  In a larger one all tell the first in rank, which
+find a bad version and tell the fleet (`ramppost.gateway.rollout_news`).  Who has just become one
+of these knows all within `REPEAT_INTERVAL_S`.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from typing import Final
+
+import curio
+from loguru import logger
+
+from ramppost import clock
+from ramppost.gateway.datagrams import Datagrams
+from ramppost.gateway.early import parse_address
+from ramppost.gateway.rollout_news import RolloutNews
+from ramppost.gateway.rollouts import Rollout, Rollouts
+from ramppost.gateway.version_evidence import CountsBySource, VersionEvidence
+from ramppost.policy.guard import NO_COUNTS, Counts, Judgement, Source
+from ramppost.policy.relays import Peers
+from ramppost.policy.slowness import LEVELS
+from ramppost.schema.messages import EvidenceCell, EvidenceNote, PeerDatagram
+
+INTERVAL_S: Final = 0.2
+"""How often running attempts are looked at: a small part of the time in which a bad version must
+have been rolled back."""
+REPEAT_INTERVAL_S: Final = 1.0
+"""How often evidence is told again that has not changed."""
+MAX_CELLS_PER_NOTE: Final = 24
+DIGITS: Final = 3
+"""Decimal places of the counts that are told."""
+MAX_COUNT: Final = 1e9
+START_DIGITS: Final = 8
+
+
+class EvidenceNews:
+    """Sends and receives evidence, and judges versions by it."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        datagrams: Datagrams,
+        rollouts: Rollouts,
+        evidence: VersionEvidence,
+        rollout_news: RolloutNews,
+    ) -> None:
+        self._peers = peers
+        self._datagrams = datagrams
+        self._rollouts = rollouts
+        self._evidence = evidence
+        self._rollout_news = rollout_news
+        start = random.getrandbits(4 * START_DIGITS)
+        self._own = f"{peers.own}@{start:0{START_DIGITS}x}"
+        """Names this start of the gateway: what it knew before is still counted."""
+        self._told: dict[str, CountsBySource] = {}
+        """What was told last, by service."""
+        self._repeat_at = 0.0
+
+    async def exchange(self) -> None:
+        """Tell and judge until cancelled."""
+        while True:
+            await curio.sleep(INTERVAL_S)
+            self.exchange_once()
+
+    def exchange_once(self) -> None:
+        """Tell others what is new, and judge all roll-outs that are under way."""
+        now = clock.now()
+        repeats = now >= self._repeat_at
+        if repeats:
+            self._repeat_at = now + REPEAT_INTERVAL_S
+        for rollout in self._rollouts.all():
+            if rollout.order.state != "ordered":
+                self._told.pop(rollout.order.service, None)
+                continue
+            self._tell(rollout, repeats, now)
+            if not rollout.withdrawal_reason:
+                self._withdraw_if_bad(rollout, now)
+
+    def judge(self, rollout: Rollout) -> Judgement:
+        """What all evidence that is known here says about a version."""
+        return rollout.pool.judge(rollout.trial_upstreams)
+
+    def has_all_evidence(self, now: float) -> bool:
+        """Whether the other gateways tell this one their evidence."""
+        return self._peers.has_all_evidence(now)
+
+    def handle_datagram(self, note: EvidenceNote) -> None:
+        """Add what another gateway tells to the pool."""
+        rollout = self._rollouts.get(note["service"])
+        if rollout is None or rollout.order.version != note["version"]:
+            return
+        for cell in note["cells"]:
+            source = Source(cell["upstream"], cell["route"], cell["moved"])
+            rollout.pool.put(note["gateway"], source, _counts(cell))
+
+    def _tell(self, rollout: Rollout, repeats: bool, now: float) -> None:
+        service, version = rollout.order.service, rollout.order.version
+        told = self._told.get(service, {})
+        # What a running attempt has shown is taken back where it ends otherwise.
+        counts = dict.fromkeys(told, NO_COUNTS) | self._evidence.counts_now(rollout, now)
+        changed = {source: found for source, found in counts.items() if told.get(source) != found}
+        for source, found in changed.items():
+            rollout.pool.put(self._own, source, found)
+        self._told[service] = counts
+        to_tell = list((counts if repeats else changed).items())
+        collectors = self._peers.evidence_collectors(now) if to_tell else []
+        for first in range(0, len(to_tell), MAX_CELLS_PER_NOTE):
+            some = itertools.islice(to_tell, first, first + MAX_CELLS_PER_NOTE)
+            note = EvidenceNote(
+                service=service,
+                version=version,
+                gateway=self._own,
+                cells=[_cell(source, found) for source, found in some],
+            )
+            for name in collectors:
+                addr = parse_address(self._peers.addrs[name])
+                self._datagrams.send(addr, PeerDatagram(evidence=note))
+
+    def _withdraw_if_bad(self, rollout: Rollout, now: float) -> None:
+        judgement = self.judge(rollout)
+        rollout.suspects = judgement.suspects
+        if not judgement.bad:
+            return
+        service, version = rollout.order.service, rollout.order.version
+        self._rollouts.withdraw(service, version, judgement.bad, now)
+        logger.warning(
+            "version is considered bad: {}",
+            judgement.bad,
+            service=service,
+            version=version,
+            rollout_fraction=round(rollout.elapsed_fraction(now), 3),
+            answers=judgement.answers,
+            gateways=rollout.pool.gateways,
+        )
+        self._rollout_news.announce_bad(rollout)
+
+
+def _cell(source: Source, counts: Counts) -> EvidenceCell:
+    return EvidenceCell(
+        upstream=source.upstream,
+        route=source.route,
+        moved=source.has_moved,
+        failures=round(counts.failures, DIGITS),
+        answers=round(counts.answers, DIGITS),
+        levels=[round(count, DIGITS) for count in counts.levels],
+        reached=[round(count, DIGITS) for count in counts.reached],
+    )
+
+
+def _counts(cell: EvidenceCell) -> Counts:
+    """What a cell tells; ValueError if it can't be."""
+    levels, reached = tuple(cell["levels"]), tuple(cell["reached"])
+    numbers = (cell["failures"], cell["answers"], *levels, *reached)
+    if len(levels) != LEVELS or len(reached) != LEVELS:
+        raise ValueError(f"{len(levels)} and {len(reached)} levels of slowness")
+    if not all(0 <= number <= MAX_COUNT for number in numbers):
+        raise ValueError("counts that can't be")
+    return Counts(cell["failures"], cell["answers"], levels, reached)
--- a/ramppost/gateway/forwarding.py
+++ b/ramppost/gateway/forwarding.py
@@ -151,6 +151,7 @@
         if events:
             await _write_events(running, reply, b"".join(event.raw for event in events))
             forwarded += len(events)
+            running.timing.record_events(len(events), clock.now())
             job.forwarded_events += len(events)
         if broken is not None:
             return broken
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -91,6 +91,7 @@
     await curio.spawn(gw.fatal.judge, daemon=True)
     await curio.spawn(gw.limit_news.ask_others, daemon=True)
     await curio.spawn(gw.rollout_news.exchange, daemon=True)
+    await curio.spawn(gw.evidence_news.exchange, daemon=True)
     await curio.spawn(sync_document, gw, daemon=True)
     await curio.spawn(keep_policies, gw, daemon=True)
     await curio.spawn(keep_plans, gw, daemon=True)
@@ -189,6 +190,8 @@
             gw.limit_news.handle_datagram(message, addr)
         elif "rollout" in message:
             gw.rollout_news.handle_datagram(message["rollout"], addr)
+        elif "evidence" in message:
+            gw.evidence_news.handle_datagram(message["evidence"])
         elif "sessions" in message or "session_ask" in message or "session_answer" in message:
             await gw.sessions.handle_datagram(message, addr)
         else:
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -1,9 +1,9 @@
 """Drives roll-outs to their end: completes them on time, or rolls back as soon as a version fails.
 
-Any gateway may end a roll-out with a conditional write of its status.  A gateway that considers a
-version bad stops sending requests to it at once, even if it can't write to the store, but for those
-of sessions that run there: these wait for the status for a while.  An end that the store has lost
-by coming back from an older copy is written again.
+Any gateway may end a roll-out with a conditional write of its status.  Once a version is considered
+bad (`ramppost.gateway.evidence_news`), no request is sent to it, even if the store can't be
+written, but for those of sessions that run there: these wait for the status for a while.  An end
+that the store has lost by coming back from an older copy is written again.
 """
 
 from __future__ import annotations
@@ -14,8 +14,6 @@
 from loguru import logger
 
 from ramppost import clock
-from ramppost.gateway.attempt import Running
-from ramppost.gateway.forwarding import Forwarded
 from ramppost.gateway.model import RolloutOrder
 from ramppost.gateway.rollouts import Rollout
 from ramppost.gateway.state import Gateway
@@ -31,7 +29,6 @@
     replace,
     set_status,
 )
-from ramppost.policy.pace import Timing, TimingBaseline
 from ramppost.policy.ramp import COMPLETE_AT, RAMP_STEPS, UNPIN_AT
 from ramppost.policy.routing import hash_fraction
 from ramppost.wire.codec import BadMessage
@@ -52,38 +49,6 @@
     part: float
 
 
-def evaluate_answer(
-    gw: Gateway, running: Running, bad: bool, passed: Forwarded | None = None
-) -> None:
-    """Use an answer as evidence for or against the version that gave it."""
-    chosen = running.chosen
-    service = chosen.service.name
-    rollout = gw.rollouts.get(service)
-    slow = passed is not None and not bad and _is_slow(gw, running, passed, rollout)
-    reason = gw.rollouts.record_answer(service, chosen.upstream, bad, slow, clock.now())
-    if reason:
-        assert rollout is not None
-        logger.warning(
-            "version is considered bad: {}", reason, service=service, version=rollout.order.version
-        )
-
-
-def _is_slow(gw: Gateway, running: Running, passed: Forwarded, rollout: Rollout | None) -> bool:
-    """Whether an answer took several times as long as the current version usually takes."""
-    service = running.chosen.service.name
-    baseline = gw.timing_baselines.setdefault((service, running.model), TimingBaseline())
-    gap_s = (passed.last_s - passed.first_s) / max(1, passed.events)
-    timing = Timing(passed.first_s, gap_s)
-    on_trial = (
-        rollout is not None
-        and rollout.order.state == "ordered"
-        and running.chosen.upstream.version == rollout.order.version
-    )
-    if not on_trial:
-        baseline.record(timing)
-    return baseline.is_slow(timing)
-
-
 async def drive_rollouts(gw: Gateway) -> None:
     """Drive all roll-outs and end those that are due, until cancelled."""
     saved_steps: dict[str, _SavedStep] = {}
--- a/ramppost/gateway/rollout_news.py
+++ b/ramppost/gateway/rollout_news.py
@@ -7,6 +7,9 @@
 
 The progress that is saved in the store (`ramppost.gateway.rollout_duty`) is for gateways that reach
 no other, and for a fleet that was ended as a whole.
+
+In the same way they tell each other that a version is bad: no gateway completes then what one has
+found to be bad, whether the store can be written or not.
 """
 
 from __future__ import annotations
@@ -51,9 +54,14 @@
                 if rollout.order.state == "ordered":
                     self._announce(rollout, INTERVAL_FANOUT, asks=True)
 
+    def announce_bad(self, rollout: Rollout) -> None:
+        """Tell others that a version is considered bad."""
+        self._announce(rollout, FANOUT, asks=False)
+
     def handle_datagram(self, note: RolloutNote, addr: Address) -> None:
         """Process what another gateway tells about a roll-out; answer it if it is behind."""
         now = clock.now()
+        self._apply_finding(note, addr, now)
         elapsed_s = note["elapsed_ms"] / 1000
         rollout = self._rollouts.get(note["service"])
         if rollout is None or rollout.order.version != note["version"]:
@@ -73,9 +81,26 @@
                 peer=addr[0],
             )
             self._announce(rollout, FANOUT, asks=False)
-        elif -gain_s > MIN_GAIN_S and note["asks"]:
+        elif note["asks"] and (-gain_s > MIN_GAIN_S or _lacks_finding(note, rollout)):
             self._datagrams.send(addr, PeerDatagram(rollout=_note(rollout, now, asks=False)))
 
+    def _apply_finding(self, note: RolloutNote, addr: Address, now: float) -> None:
+        """Withdraw a version that another gateway considers bad, and pass that on."""
+        reason = note.get("bad", "")
+        service, version = note["service"], note["version"]
+        if not reason or not self._rollouts.withdraw(service, version, reason, now):
+            return
+        logger.warning(
+            "version is considered bad elsewhere: {}",
+            reason,
+            service=service,
+            version=version,
+            peer=addr[0],
+        )
+        rollout = self._rollouts.get(service)
+        assert rollout is not None
+        self.announce_bad(rollout)
+
     def _announce(self, rollout: Rollout, count: int, asks: bool) -> None:
         names = self._peers.alive(clock.now())
         msg = PeerDatagram(rollout=_note(rollout, clock.now(), asks))
@@ -83,11 +108,19 @@
             self._datagrams.send(parse_address(self._peers.addrs[name]), msg)
 
 
+def _lacks_finding(note: RolloutNote, rollout: Rollout) -> bool:
+    """Whether a gateway does not know that the version is considered bad here."""
+    return bool(rollout.withdrawal_reason) and not note.get("bad")
+
+
 def _note(rollout: Rollout, now: float, asks: bool) -> RolloutNote:
     order = rollout.order
-    return RolloutNote(
+    note = RolloutNote(
         service=order.service,
         version=order.version,
         elapsed_ms=max(0.0, (now - rollout.started_at) * 1000),
         asks=asks,
     )
+    if rollout.withdrawal_reason:
+        note["bad"] = rollout.withdrawal_reason
+    return note
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -16,12 +16,12 @@
 
 from ramppost.bounded import drop_oldest
 from ramppost.gateway.model import RolloutOrder, Upstream
-from ramppost.policy.guard import AnswerTally, withdrawal_reason
+from ramppost.policy.guard import Counts, EvidencePool, Source
 from ramppost.policy.ramp import UNPIN_AT, is_moved
 
 WITHDRAW_ALONE_RATIO: Final = 0.5
 """Part of the time in which a bad version must have been rolled back, for which sessions stay on a
-version that this gateway alone considers bad."""
+version that is considered bad while the order's status does not say so."""
 VERSION_LOST_S: Final = 5.0
 """How long requests of a session wait for a version without usable upstreams: entries that lapsed
 are back within 2 s, and an upstream that crashed is out of use for 4 s."""
@@ -42,17 +42,25 @@
     def __init__(self, order: RolloutOrder, seen_at: float) -> None:
         self.order = order
         self.started_at = seen_at
-        self.stable = AnswerTally()
-        self.trial = AnswerTally()
+        self.own_evidence: dict[Source, Counts] = {}
+        """What this gateway has seen of attempts that have ended, at all versions."""
+        self.evidence_started = False
+        """Whether that includes what was known before."""
+        self.pool = EvidencePool()
+        """The evidence of all gateways, as far as they tell this one."""
         self.trial_upstreams = 1
-        self._split: tuple[list[Upstream], list[Upstream], VersionSplit] | None = None
+        """Usable upstreams of the new version."""
+        self.suspects: frozenset[str] = frozenset()
+        """Upstreams of the new version that answer badly, by key: others are tried instead, so that
+        it shows whether it is the version."""
+        self._split: tuple[_SplitKey, VersionSplit] | None = None
         self.new_usable_at = seen_at
         self.old_usable_at = seen_at
         """When the versions last had usable upstreams (steady clock)."""
         self.withdrawal_reason = ""
-        """Why this gateway considers the version bad; empty if it does not."""
+        """Why gateways consider the version bad; empty if they do not."""
         self.withdrawn_at = float("inf")
-        """Since when it does (steady clock)."""
+        """Since when this one knows (steady clock)."""
         self.tell_sessions_at = seen_at
         """When the keepers of sessions are to be told of them again (steady clock)."""
         self.ended_in_era: int | None = None
@@ -66,17 +74,36 @@
 
     def split(self, usable: list[Upstream], in_service: list[Upstream], now: float) -> VersionSplit:
         """Split upstreams by version; returns the same list objects for the same input lists."""
-        if self._split is None or self._split[0] is not usable or self._split[1] is not in_service:
+        key = _SplitKey(usable, in_service, self.suspects)
+        if self._split is None or not self._split[0].is_same(key):
             version = self.order.version
-            new = [upstream for upstream in usable if upstream.version == version]
+            all_new = [upstream for upstream in usable if upstream.version == version]
+            new = [upstream for upstream in all_new if upstream.key not in self.suspects]
             old = [upstream for upstream in in_service if upstream.version != version]
-            self._split = (usable, in_service, VersionSplit(new, old))
-        found = self._split[2]
+            self._split = (key, VersionSplit(new or all_new, old))
+            self.trial_upstreams = max(1, len(all_new))
+        found = self._split[1]
         self.new_usable_at = now if found.new else self.new_usable_at
         self.old_usable_at = now if found.old else self.old_usable_at
         return found
 
 
+class _SplitKey(NamedTuple):
+    """What a split was made of."""
+
+    usable: list[Upstream]
+    in_service: list[Upstream]
+    suspects: frozenset[str]
+
+    def is_same(self, other: _SplitKey) -> bool:
+        """Whether another split is of the same list objects."""
+        return (
+            self.usable is other.usable
+            and self.in_service is other.in_service
+            and self.suspects == other.suspects
+        )
+
+
 class VersionSplit(NamedTuple):
     """The upstreams of the new version and those of the versions in service."""
 
@@ -132,6 +159,7 @@
     has lost."""
     if found.state != "ordered":
         rollout.ended_in_era = found.era
+        rollout.suspects = frozenset()
     elif rollout.ended_in_era is not None and found.era > rollout.ended_in_era:
         found = found._replace(state=rollout.order.state)
     rollout.order = found
@@ -280,7 +308,6 @@
         version = rollout.order.version
         in_service = self._upstreams_in_service(service, usable, version, now)
         new, old = rollout.split(usable, in_service, now)
-        rollout.trial_upstreams = max(1, len(new))
         if rollout.order.state == "rolled_back":
             return EligibleUpstreams(old, [], "withdrawn")
         if rollout.order.state == "completed" and req.session:
@@ -310,8 +337,8 @@
         return EligibleUpstreams(new, old, "step")
 
     def _waits_for_withdrawal(self, rollout: Rollout, req: PlacedRequest, now: float) -> bool:
-        """Whether a request stays on a version that this gateway alone considers bad: its session
-        runs there, and the others may find the version good."""
+        """Whether a request stays on a version that is considered bad: its session runs there, and
+        the order may yet be found to have ended otherwise."""
         until = rollout.withdrawn_at + WITHDRAW_ALONE_RATIO * self.rollback_s
         return req.pinned == rollout.order.version and now < until
 
@@ -355,18 +382,13 @@
         state.cached = (usable, target, until, found)
         return found
 
-    def record_answer(
-        self, service: str, upstream: Upstream, bad: bool, slow: bool, now: float
-    ) -> str:
-        """Record an answer; returns the reason if it causes a withdrawal, else ""."""
+    def withdraw(self, service: str, version: str, reason: str, now: float) -> bool:
+        """Record that a version is considered bad; false if that is known, or no longer matters."""
         rollout = self._by_service.get(service)
-        if rollout is None or rollout.order.state != "ordered" or rollout.withdrawal_reason:
-            return ""
-        trial = upstream.version == rollout.order.version
-        (rollout.trial if trial else rollout.stable).add(upstream.key, bad, slow)
-        rollout.withdrawal_reason = withdrawal_reason(
-            rollout.stable, rollout.trial, rollout.trial_upstreams
-        )
-        if rollout.withdrawal_reason:
-            rollout.withdrawn_at = now
-        return rollout.withdrawal_reason
+        if rollout is None or rollout.order.version != version:
+            return False
+        if rollout.order.state != "ordered" or rollout.withdrawal_reason:
+            return False
+        rollout.withdrawal_reason = reason
+        rollout.withdrawn_at = now
+        return True
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -31,7 +31,6 @@
 from ramppost.gateway.links import Broken, NotSent
 from ramppost.gateway.model import CallerRequest
 from ramppost.gateway.pick import pick, query_backlogs, select_service
-from ramppost.gateway.rollout_duty import evaluate_answer
 from ramppost.gateway.room import refusal_without_room
 from ramppost.gateway.session_version import end_session_request, learn_session
 from ramppost.gateway.state import Gateway
@@ -276,7 +275,6 @@
         return False
     if running.head.status < 400:
         return False
-    evaluate_answer(gw, running, bad=running.head.status >= 500)
     if reply.started:
         return True
     if job.route.retry_mode == "never" or job.counted_attempts >= job.route.attempts:
@@ -323,6 +321,8 @@
             # caller says nothing about its engine.
             is_sample = complete and not reply.buffer.was_full
             tokens = max(0, events - 1) * engine.tokens_per_event if is_sample else 0
+        if reply.buffer.was_full:
+            running.timing.ignore_gaps()
         await release(gw, running, complete, tokens)
     if isinstance(result, Broken):
         now = clock.now()
@@ -350,7 +350,6 @@
     else:
         evidence = evidence_level(run.lived_s, result.events)
         await curio.spawn(handle_unframed_end, gw, job, running, evidence, daemon=True)
-    evaluate_answer(gw, running, bad=running.head.status >= 500, passed=result)
     return None
 
 
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -12,6 +12,7 @@
 from ramppost.gateway.counts import Counts
 from ramppost.gateway.datagrams import Datagrams
 from ramppost.gateway.endings import UpstreamProbes
+from ramppost.gateway.evidence_news import EvidenceNews
 from ramppost.gateway.fatal import FatalRequests
 from ramppost.gateway.follow import StoreOutage
 from ramppost.gateway.freshness import Freshness
@@ -35,6 +36,7 @@
 from ramppost.gateway.session_news import SessionNews
 from ramppost.gateway.store_returns import StoreReturns
 from ramppost.gateway.unreadable import UnreadableEntries
+from ramppost.gateway.version_evidence import VersionEvidence
 from ramppost.gateway.warmup import WarmUps
 from ramppost.gateway.workspace_ranks import WorkspaceRanks
 from ramppost.platform import names
@@ -43,7 +45,6 @@
 from ramppost.platform.store import StoreClient
 from ramppost.policy.homes import PartDemand
 from ramppost.policy.limits import SHARED_FRACTION, WindowBudget, slack_per_gateway
-from ramppost.policy.pace import TimingBaseline
 from ramppost.policy.placement import PrefillRates
 from ramppost.policy.position import NOTHING_KNOWN
 from ramppost.policy.pressure import Pressure
@@ -128,8 +129,8 @@
         self.pressure = Pressure()
         self.suspicions: dict[str, UpstreamHealth] = {}
         self.retry_budgets: dict[str, WindowBudget] = {}
-        self.timing_baselines: dict[tuple[str, str], TimingBaseline] = {}
         self.rollouts = Rollouts(_rollback_bound_s(cfg))
+        self.evidence = VersionEvidence(self.rollouts)
         self.callers = CallerConnections(CallerBuffers(self.metrics))
         self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
         self.datagrams = Datagrams(self.metrics)
@@ -144,6 +145,9 @@
         pins = SessionPins(cfg["timing"]["session_s"])
         self.sessions = SessionNews(self.peers, self.datagrams, self.metrics, pins)
         self.rollout_news = RolloutNews(self.peers, self.datagrams, self.rollouts)
+        self.evidence_news = EvidenceNews(
+            self.peers, self.datagrams, self.rollouts, self.evidence, self.rollout_news
+        )
         self.limit_news = LimitNews(self.peers, self.datagrams, self.rate_limits)
         self.fatal = FatalRequests(self.peers, self.datagrams, self.metrics)
         self.counts = Counts()
--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -1,48 +1,316 @@
-"""Evaluates a version during its rollout by the answers that one gateway forwards.
+"""Judges a version during its roll-out by the evidence of all gateways.
 
-No I/O.  The sequential tests are those of `ramppost.policy.rollout`.  A version is withdrawn
-only if more than one of its upstreams gave bad answers, or if it has just one upstream: bad
-answers from a single upstream among several are evidence against that upstream.
+No I/O.  Each gateway counts how attempts at the new version ended, by upstream and route, and how
+those at the versions in service did in the same time, and tells the others; `EvidencePool` adds up
+what all tell.  Each answer of the new version has a log likelihood ratio: how much likelier it is
+of a version that fails or slows a part of its answers than of one that is like those in service.
+
+A sequential test of the sums withdraws the version, for all routes together or for one of them,
+where the bound is the higher the more routes there are.  A sound version may run on a box that
+fails or slows all its answers.  Therefore an upstream counts by its likelihood ratio to a null
+hypothesis that includes this, and none decides alone; where answers are slow, so does a gateway,
+which may be in trouble itself.
+
+    pool = EvidencePool()
+    pool.put("gateway-1", Source("engine-7", "chat"), Counts(failures=1, answers=1))
+    judgement = pool.judge(trial_upstreams=4)
 """
 
 from __future__ import annotations
 
-from typing import Final
+import math
+from typing import Final, Literal, NamedTuple
+
+from ramppost.policy.slowness import LEVELS, SLOW_LEVEL, LevelWeights, level_weights
+
+FAILED_SHARE: Final = 0.35
+"""Share of failed answers of a bad version, as the alternative hypothesis has it."""
+MIN_ERROR_SHARE: Final = 0.01
+ERROR_PRIOR_WEIGHT: Final = 10.0
+"""Number of answers that the share of the service, or the least one, counts as."""
+MIN_ROUTE_ANSWERS: Final = 8
+"""Answers of the versions in service on a route from which those of a new version are compared."""
+UPSTREAM_TROUBLE_SHARE: Final = 0.08
+"""Probability that an upstream of a sound version is in trouble by itself."""
+GATEWAY_TROUBLE_SHARE: Final = 0.015
+"""Probability that all upstreams seem slow to a gateway that is in trouble itself."""
+WITHDRAW_BOUND: Final = math.log(55)
+"""Odds for a bad version from which it is withdrawn."""
+SINGLE_UPSTREAM_BOUND: Final = math.log(1000)
+"""The same for a version with one upstream, whose box may be in trouble."""
+MIN_BAD_ANSWERS: Final = 3
+SUSPECT_BOUND: Final = math.log(20)
+"""Odds from which an upstream answers badly, for whatever reason."""
+DOUBT_BOUND: Final = math.log(4)
+"""Odds for a bad version from which it is not completed."""
+MIN_DOUBTFUL_ANSWERS: Final = 2
+MAX_GATEWAYS: Final = 1024
+MAX_SOURCES: Final = 16_384
+"""Sources of which evidence is kept."""
+
+Symptom = Literal["failed", "slow"]
+SYMPTOMS: Final[tuple[Symptom, ...]] = ("failed", "slow")
+NO_LEVELS: Final = (0.0,) * LEVELS
+
+
+class Source(NamedTuple):
+    """Where answers come from; `upstream` is empty for all of the versions in service.
+
+    `has_moved` tells that the answers are to prompts sent when the share of the new version had
+    begun to grow, and no cache of it was warm.
+    """
+
+    upstream: str
+    route: str
+    has_moved: bool = False
+
+
+RECENT: Final = Source("", "")
+"""All answers of the versions in service, those of the last seconds counting most."""
+
+
+class Counts(NamedTuple):
+    """Numbers of answers.
+
+    `answers` have ended, `failures` of them as failed.  `levels` is how many were how slow, and
+    `reached` how many run, or were given up before they began, that had come to a slow level.
+    """
+
+    failures: float = 0.0
+    answers: float = 0.0
+    levels: tuple[float, ...] = NO_LEVELS
+    reached: tuple[float, ...] = NO_LEVELS
+
+    def plus(self, other: Counts, factor: float = 1.0) -> Counts:
+        """The sum with a multiple of others."""
+        return Counts(
+            self.failures + factor * other.failures,
+            self.answers + factor * other.answers,
+            tuple(a + factor * b for a, b in zip(self.levels, other.levels, strict=True)),
+            tuple(a + factor * b for a, b in zip(self.reached, other.reached, strict=True)),
+        )
+
+    @property
+    def slow(self) -> float:
+        """Answers that are slow."""
+        return sum(self.levels[SLOW_LEVEL:]) + sum(self.reached)
+
+    @property
+    def all_levels(self) -> tuple[float, ...]:
+        """Answers by the level that they have come to at least."""
+        return tuple(a + b for a, b in zip(self.levels, self.reached, strict=True))
+
+
+NO_COUNTS: Final = Counts()
+
+
+def at_level(level: int) -> tuple[float, ...]:
+    """One answer at a level.
+
+    >>> at_level(1)
+    (0.0, 1.0, 0.0, 0.0, 0.0)
+    """
+    return tuple(float(level == other) for other in range(LEVELS))
+
+
+class Judgement(NamedTuple):
+    """What the evidence of all gateways says.
 
-from ramppost.policy.rollout import OutcomeCounts, errors_too_high, too_slow
+    `bad` is why the version must be withdrawn, and `doubt` why it must not be completed; empty
+    where nothing speaks for that.  `answers` is the number of answers that have ended.  `worst` is
+    the strongest evidence, and `excess` by how much its log odds exceed the bound.  `suspects` are
+    upstreams that answer badly: either the version is bad, or they are in trouble by themselves,
+    which the others can tell.
+    """
 
-MAX_ERROR_SHARE: Final = 0.25
-"""Error share of the test's alternative hypothesis; bad versions fail a third or more."""
-MAX_SLOW_SHARE: Final = 0.5
-MIN_BAD_ANSWERS: Final = 2
-MIN_BAD_UPSTREAMS: Final = 2
+    bad: str
+    doubt: str
+    answers: int
+    worst: str
+    excess: float
+    suspects: frozenset[str]
 
 
-class AnswerTally:
-    """Outcome counts of one version of a service, and its upstreams that gave bad answers."""
+class _Finding(NamedTuple):
+    """Evidence for a symptom; `excess` is by how much the log odds exceed the bound."""
+
+    excess: float
+    bad_answers: float
+    reason: str
+
+
+class _RouteWeights(NamedTuple):
+    """Log likelihood ratios of the answers on a route."""
+
+    failed: float
+    not_failed: float
+    levels: LevelWeights
+    moved_levels: LevelWeights
+
+    def weigh(self, source: Source, counts: Counts, symptom: Symptom) -> float:
+        """The sum for some answers."""
+        if symptom == "failed":
+            succeeded = counts.answers - counts.failures
+            return counts.failures * self.failed + succeeded * self.not_failed
+        levels = self.moved_levels if source.has_moved else self.levels
+        return _dot(counts.levels, levels.ended) + _dot(counts.reached, levels.reached)
+
+
+class EvidencePool:
+    """The evidence on a version, as all gateways have told it."""
 
     def __init__(self) -> None:
-        self.counts = OutcomeCounts()
-        self.bad_upstreams: set[str] = set()
-
-    def add(self, upstream: str, bad: bool, slow: bool) -> None:
-        """Count one answer."""
-        ok, failed, slow_ok = self.counts
-        if bad:
-            self.counts = OutcomeCounts(ok, failed + 1, slow_ok)
+        self._told: dict[str, dict[Source, Counts]] = {}
+        """What each gateway told last."""
+        self._by_upstream: dict[Source, Counts] = {}
+        """Sums of all gateways; those of the versions in service have an empty upstream."""
+        self._by_gateway: dict[tuple[str, Source], Counts] = {}
+        """Sums of all upstreams of the new version, by gateway."""
+
+    def put(self, gateway: str, source: Source, counts: Counts) -> None:
+        """Replace what a gateway has told of a source."""
+        if gateway not in self._told and len(self._told) >= MAX_GATEWAYS:
+            return
+        if source not in self._by_upstream and len(self._by_upstream) >= MAX_SOURCES:
+            return
+        told = self._told.setdefault(gateway, {})
+        change = counts.plus(told.get(source, NO_COUNTS), -1)
+        told[source] = counts
+        self._by_upstream[source] = self._by_upstream.get(source, NO_COUNTS).plus(change)
+        if source.upstream:
+            key = (gateway, source._replace(upstream=""))
+            self._by_gateway[key] = self._by_gateway.get(key, NO_COUNTS).plus(change)
+
+    @property
+    def gateways(self) -> int:
+        """Number of gateways, by their starts, that have told something."""
+        return len(self._told)
+
+    def judge(self, trial_upstreams: int) -> Judgement:
+        """Judge the version, which runs on so many upstreams."""
+        weights = self._weights()
+        new = {s: c for s, c in self._by_upstream.items() if s.upstream and s.route in weights}
+        routes = sorted({source.route for source in new})
+        scopes = [("", 1)]
+        if len(routes) > 1:
+            scopes += [(route, len(routes)) for route in routes]
+        worst = max(
+            self._finding(new, weights, symptom, route, tests, trial_upstreams)
+            for route, tests in scopes
+            for symptom in SYMPTOMS
+        )
+        is_bad = worst.excess >= 0 and worst.bad_answers >= MIN_BAD_ANSWERS
+        is_doubtful = (
+            worst.excess >= DOUBT_BOUND - WITHDRAW_BOUND
+            and worst.bad_answers >= MIN_DOUBTFUL_ANSWERS
+        )
+        return Judgement(
+            worst.reason if is_bad else "",
+            worst.reason if is_doubtful else "",
+            round(sum(c.answers for s, c in self._by_upstream.items() if s.upstream)),
+            worst.reason,
+            worst.excess,
+            self._suspects(new, weights),
+        )
+
+    def _suspects(
+        self, new: dict[Source, Counts], weights: dict[str, _RouteWeights]
+    ) -> frozenset[str]:
+        """Upstreams that answer badly."""
+        sums: dict[tuple[str, Symptom], float] = {}
+        for source, counts in new.items():
+            for symptom in SYMPTOMS:
+                key = (source.upstream, symptom)
+                weight = weights[source.route].weigh(source, counts, symptom)
+                sums[key] = sums.get(key, 0.0) + weight
+        return frozenset(upstream for (upstream, _), odds in sums.items() if odds >= SUSPECT_BOUND)
+
+    def _weights(self) -> dict[str, _RouteWeights]:
+        """What answers say, by route; without those on which too little is known."""
+        recent = self._by_upstream.get(RECENT, NO_COUNTS)
+        usual = {s.route: c for s, c in self._by_upstream.items() if not s.upstream and s != RECENT}
+        all_counts = NO_COUNTS
+        for counts in usual.values():
+            all_counts = all_counts.plus(counts)
+        return {
+            route: _route_weights(counts, all_counts, recent)
+            for route, counts in usual.items()
+            if counts.answers >= MIN_ROUTE_ANSWERS
+        }
+
+    def _finding(
+        self,
+        new: dict[Source, Counts],
+        weights: dict[str, _RouteWeights],
+        symptom: Symptom,
+        route: str,
+        tests: int,
+        trial_upstreams: int,
+    ) -> _Finding:
+        """The evidence for a symptom, on one route or on all if it is empty; `tests` is the number
+        of routes that are tested."""
+        of_route = {s: c for s, c in new.items() if route in ("", s.route)}
+        by_upstream: dict[str, float] = {}
+        for source, counts in of_route.items():
+            weight = weights[source.route].weigh(source, counts, symptom)
+            by_upstream[source.upstream] = by_upstream.get(source.upstream, 0.0) + weight
+        is_single = trial_upstreams <= 1
+        if is_single:
+            log_odds = sum(by_upstream.values())
         else:
-            self.counts = OutcomeCounts(ok + 1, failed, slow_ok + slow)
-        if bad or slow:
-            self.bad_upstreams.add(upstream)
-
-
-def withdrawal_reason(stable: AnswerTally, trial: AnswerTally, trial_upstreams: int) -> str:
-    """Why the trial version must be withdrawn; empty while the evidence is not sufficient."""
-    counts = trial.counts
-    if len(trial.bad_upstreams) < min(MIN_BAD_UPSTREAMS, max(1, trial_upstreams)):
-        return ""
-    if counts.bad >= MIN_BAD_ANSWERS and errors_too_high(stable.counts, counts, MAX_ERROR_SHARE):
-        return f"{counts.bad} of {counts.ok + counts.bad} answers failed"
-    if counts.slow >= MIN_BAD_ANSWERS and too_slow(stable.counts, counts, MAX_SLOW_SHARE):
-        return f"{counts.slow} of {counts.ok} answers were slow"
-    return ""
+            log_odds = _discounted_sum(by_upstream, UPSTREAM_TROUBLE_SHARE)
+        if symptom == "slow" and not is_single:
+            by_gateway: dict[str, float] = {}
+            for (gateway, source), counts in self._by_gateway.items():
+                if route in ("", source.route) and source.route in weights:
+                    weight = weights[source.route].weigh(source, counts, symptom)
+                    by_gateway[gateway] = by_gateway.get(gateway, 0.0) + weight
+            log_odds = min(log_odds, _discounted_sum(by_gateway, GATEWAY_TROUBLE_SHARE))
+        bound = (SINGLE_UPSTREAM_BOUND if is_single else WITHDRAW_BOUND) + math.log(tests)
+        bad = sum(c.failures if symptom == "failed" else c.slow for c in of_route.values())
+        answers = sum(counts.answers for counts in of_route.values())
+        where = f" on {route}" if route else ""
+        reason = f"{bad:.0f} answers {symptom}{where}, {answers:.0f} ended"
+        return _Finding(log_odds - bound, bad, reason)
+
+
+def _route_weights(route: Counts, all_routes: Counts, recent: Counts) -> _RouteWeights:
+    """What answers on a route say, given those of the versions in service.
+
+    What has come over these in the last seconds may have come over the new version as well.
+    """
+    usual = _error_share(route, _error_share(all_routes, MIN_ERROR_SHARE))
+    share = max(MIN_ERROR_SHARE, usual, _error_share(recent, usual))
+    levels = (route.all_levels, all_routes.all_levels, recent.all_levels)
+    return _RouteWeights(
+        math.log((1 - FAILED_SHARE) + FAILED_SHARE / share),
+        math.log(1 - FAILED_SHARE),
+        level_weights(*levels, has_moved=False),
+        level_weights(*levels, has_moved=True),
+    )
+
+
+def _error_share(counts: Counts, usual: float) -> float:
+    failures = counts.failures + ERROR_PRIOR_WEIGHT * usual
+    return failures / (counts.answers + ERROR_PRIOR_WEIGHT)
+
+
+def _dot(counts: tuple[float, ...], weights: tuple[float, ...]) -> float:
+    return sum(count * weight for count, weight in zip(counts, weights, strict=True))
+
+
+def _discounted_sum(by_source: dict[str, float], trouble_share: float) -> float:
+    """Sum of the evidence by source, where each may be in trouble by itself."""
+    return sum(_discounted(log_ratio, trouble_share) for log_ratio in by_source.values())
+
+
+def _discounted(log_ratio: float, trouble_share: float) -> float:
+    """Log likelihood ratio to the null hypothesis that the source is sound, or with probability
+    `trouble_share` in trouble by itself.
+
+    >>> [round(_discounted(log_ratio, 0.1), 2) for log_ratio in (-2.0, 2.0, 9e3)]
+    [-1.91, 1.51, 2.3]
+    """
+    if log_ratio < 0:
+        return log_ratio - math.log(1 - trouble_share + trouble_share * math.exp(log_ratio))
+    return -math.log((1 - trouble_share) * math.exp(-log_ratio) + trouble_share)
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -298,6 +298,42 @@
     """
     Whether a gateway at which more has passed is to answer.
     """
+    bad: NotRequired[str]
+    """
+    Why the version is considered bad, where it is.
+    """
+
+
+class EvidenceCell(TypedDict, closed=True):
+    """
+    All that the sender has seen of a route at an upstream, or at the versions in service.
+    """
+
+    upstream: str
+    """
+    The upstream's start; empty for the versions in service.
+    """
+    route: str
+    moved: bool
+    """
+    Whether it is of requests that were sent after the share had begun to grow.
+    """
+    failures: float
+    """
+    Answers that failed.
+    """
+    answers: float
+    """
+    Answers that have ended.
+    """
+    levels: list[float]
+    """
+    Answers by how slow they were.
+    """
+    reached: list[float]
+    """
+    Answers that have not come, by how slow they are so far.
+    """
 
 
 class SessionNote(TypedDict, closed=True):
@@ -983,6 +1019,26 @@
     changes: list[FeedChange]
 
 
+class EvidenceNote(TypedDict, closed=True):
+    """
+    Gateway to others: what answers of a version that is being rolled out have shown there.
+    """
+
+    service: str
+    """
+    The service that is rolled out.
+    """
+    version: str
+    """
+    The version that it is moved to.
+    """
+    gateway: str
+    """
+    The sender, and its start.
+    """
+    cells: list[EvidenceCell]
+
+
 class BacklogView(TypedDict, closed=True):
     """
     Keeper to gateway: the answer, one figure for each engine asked about, in the same order.
@@ -1126,6 +1182,7 @@
     limit: NotRequired[LimitNote]
     limit_ask: NotRequired[LimitAsk]
     rollout: NotRequired[RolloutNote]
+    evidence: NotRequired[EvidenceNote]
     sessions: NotRequired[list[SessionNote]]
     session_ask: NotRequired[SessionAsk]
     session_answer: NotRequired[SessionAnswer]
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -17,9 +17,10 @@
     PlacedRequest,
     Rollouts,
 )
-from ramppost.policy.guard import AnswerTally, withdrawal_reason
+from ramppost.policy.guard import NO_COUNTS, Counts, EvidencePool, Source, at_level
 from ramppost.policy.limits import RetryBudget, WindowBudget
 from ramppost.policy.ramp import INITIAL_SHARE, RAMP_STEPS, is_early, is_moved, share_at
+from ramppost.policy.slowness import SLOW_LEVEL
 from ramppost.policy.suspicion import UpstreamHealth
 
 NOW = 1000.0
@@ -157,12 +158,23 @@
 # --- guard
 
 
-def tally(answers: str, upstreams: str = "ab") -> AnswerTally:
-    """`.` good, `x` failed, `s` slow; upstreams take turns."""
-    found = AnswerTally()
-    for i, answer in enumerate(answers):
-        found.add(upstreams[i % len(upstreams)], answer == "x", answer == "s")
-    return found
+def verdict(stable: str, trial: str, trial_upstreams: int, upstreams: str = "ab") -> bool:
+    """Whether a version is bad; `.` good, `x` failed, `s` slow.  Upstreams take turns, as do two
+    gateways."""
+    pool = EvidencePool()
+    told: dict[tuple[str, Source], Counts] = {}
+
+    def tell(gateway: str, source: Source, answer: str) -> None:
+        levels = at_level(SLOW_LEVEL if answer == "s" else 0)
+        counts = Counts(float(answer == "x"), 1.0, levels)
+        told[gateway, source] = told.get((gateway, source), NO_COUNTS).plus(counts)
+        pool.put(gateway, source, told[gateway, source])
+
+    for answer in stable:
+        tell("gateway-0", Source("", "chat"), answer)
+    for i, answer in enumerate(trial):
+        tell(f"gateway-{i // 2 % 2}", Source(upstreams[i % len(upstreams)], "chat"), answer)
+    return bool(pool.judge(trial_upstreams).bad)
 
 
 @pytest.mark.parametrize(
@@ -180,12 +192,12 @@
     ],
 )
 def test_when_a_version_is_bad(stable: str, trial: str, upstreams: int, bad: bool) -> None:
-    assert bool(withdrawal_reason(tally(stable), tally(trial), upstreams)) == bad
+    assert verdict(stable, trial, upstreams) == bad
 
 
 def test_one_faulty_upstream_does_not_condemn_a_version() -> None:
-    assert withdrawal_reason(tally("." * 200), tally("xxxxxx", "a"), 9) == ""
-    assert withdrawal_reason(tally("." * 200), tally("xxxxxx", "a"), 1) != ""
+    assert not verdict("." * 200, "xxxxxx", 9, "a")
+    assert verdict("." * 200, "xxxxxx", 1, "a")
 
 
 # --- roll-outs seen by a gateway
@@ -324,13 +336,10 @@
 
 
 def withdrawn() -> Rollouts:
-    """A roll-out that this gateway alone considers bad since `NOW`."""
+    """A roll-out whose version is considered bad since `NOW`."""
     found = rollouts()
-    sides(found, PlacedRequest("r"))
-    for _ in range(20):
-        found.record_answer("lm", OLD, bad=False, slow=False, now=NOW)
-    for _ in range(3):
-        found.record_answer("lm", FRESH, bad=True, slow=False, now=NOW)
+    assert found.withdraw("lm", "v2", "it fails", NOW)
+    assert not found.withdraw("lm", "v2", "again", NOW + 1)
     return found
 
 
--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -71,14 +71,27 @@
     return load
 
 
-@when(parsers.parse("it is rolled out in {n:d} seconds under load"))
-def rolled_out(site: Deployment, load: Load, n: int) -> None:
+@given("a deployment with a slow version", target_fixture="load")
+def slow(site: Deployment) -> Load:
+    load = Load(site)
+    site.slow_version = True  # type: ignore[attr-defined]
+    return load
+
+
+def _order(site: Deployment, duration_s: int) -> None:
     time.sleep(0.5)
-    site.rollout("v2", n)
+    site.rollout("v2", duration_s)
     _start_new(site)
-    if hasattr(site, "bad_version"):
-        for name in NEW:
+    for name in NEW:
+        if hasattr(site, "bad_version"):
             site.behave(name, status=500)
+        if hasattr(site, "slow_version"):
+            site.host(name, time_pct=800)
+
+
+@when(parsers.parse("it is rolled out in {n:d} seconds under load"))
+def rolled_out(site: Deployment, load: Load, n: int) -> None:
+    _order(site, n)
     deadline = clock.now() + n
     while clock.now() < deadline and not site.rollout_status():
         time.sleep(0.1)
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -171,7 +171,7 @@
     held = {"nothing": 0, "first part": 1, "both shared parts": 2, "whole prompt": 3}
     expected = {"nothing": 0, "first part": 500, "both shared parts": 5300, "whole prompt": 5300}
     head = AnswerHead(200, (), "", True, False, False, None, None, None, None, None)
-    running = Running(chosen, model, None, head, gw.loads.in_flight("e"), 0.0, 0.1)  # type: ignore[arg-type]
+    running = Running(chosen, model, None, head, gw.loads.in_flight("e"), 0.0, 0.1, None)  # type: ignore[arg-type]
     for name, parts in held.items():
         estimates = {other.key: BacklogEstimate(0.0, parts, True)}
         job.backlog_snapshot = BacklogSnapshot(model, estimates, clock.now())
--- /dev/null
+++ b/tests/test_version_evidence.py
@@ -0,0 +1,323 @@
+"""Evidence on a version that is being rolled out, pooled over gateways that tell one another."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+import pytest
+
+from ramppost import clock
+from ramppost.gateway.evidence_news import EvidenceNews
+from ramppost.gateway.model import RolloutOrder, Upstream
+from ramppost.gateway.rollout_news import RolloutNews
+from ramppost.gateway.rollouts import PlacedRequest, Rollout, Rollouts
+from ramppost.gateway.version_evidence import AttemptTiming, ExpectedAnswer, VersionEvidence
+from ramppost.policy.relays import Peers
+from ramppost.schema.messages import EvidenceCell, EvidenceNote, PeerDatagram, RolloutNote
+
+DURATION_S = 20.0
+SERVICE, OLD, NEW = "lm", "v1", "v2"
+FIRST_S = 0.2
+"""Expected time to the first byte."""
+GAP = 1.0
+STABLE_ANSWERS = 60
+PORT = 7340
+
+
+class Clock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Node(NamedTuple):
+    """What a gateway needs to judge versions."""
+
+    rollouts: Rollouts
+    evidence: VersionEvidence
+    rollout_news: RolloutNews
+    evidence_news: EvidenceNews
+
+    @property
+    def rollout(self) -> Rollout:
+        found = self.rollouts.get(SERVICE)
+        assert found is not None
+        return found
+
+
+class Wire:
+    """Delivers datagrams between nodes at once."""
+
+    def __init__(self, fleet: Fleet, own: str) -> None:
+        self._fleet = fleet
+        self._own = own
+
+    def send(self, addr: tuple[str, int], msg: PeerDatagram) -> None:
+        if self._own in self._fleet.cut or addr[0] in self._fleet.cut:
+            return
+        node = self._fleet.nodes[addr[0]]
+        if "evidence" in msg:
+            node.evidence_news.handle_datagram(msg["evidence"])
+        if "rollout" in msg:
+            node.rollout_news.handle_datagram(msg["rollout"], (self._own, PORT))
+
+
+class Fleet:
+    """Gateways during a roll-out of `NEW`, of which nothing else is real."""
+
+    def __init__(self, time: Clock, gateways: int = 4) -> None:
+        self.time = time
+        self.cut: set[str] = set()
+        self.nodes: dict[str, Node] = {}
+        ips = [f"10.0.{i // 250}.{i % 250 + 1}" for i in range(gateways)]
+        for ip in ips:
+            peers = Peers(ip)
+            for other in ips:
+                peers.put(other, f"{other}:{PORT}")
+            rollouts = Rollouts()
+            evidence = VersionEvidence(rollouts)
+            wire = Wire(self, ip)
+            news = RolloutNews(peers, wire, rollouts)  # type: ignore[arg-type]
+            found = EvidenceNews(peers, wire, rollouts, evidence, news)  # type: ignore[arg-type]
+            self.nodes[ip] = Node(rollouts, evidence, news, found)
+
+    @property
+    def all(self) -> list[Node]:
+        return list(self.nodes.values())
+
+    def order(self, elapsed: float = 0.0) -> None:
+        """Order the roll-out, of which a fraction has passed."""
+        order = RolloutOrder(SERVICE, NEW, DURATION_S, "ordered", 1)
+        for node in self.all:
+            node.rollouts.update(order, self.time.now - elapsed * DURATION_S)
+            node.rollout.trial_upstreams = 4
+
+    def know_the_old(self, routes: tuple[str, ...] = ("chat",), failed_share: float = 0.0) -> None:
+        """Let each node have seen sound answers of the old version."""
+        rng = random.Random(1)
+        for node in self.all:
+            for _ in range(STABLE_ANSWERS):
+                for route in routes:
+                    failed = rng.random() < failed_share
+                    self.answer(node, OLD, route, rng.lognormvariate(0.0, 0.4), failed=failed)
+
+    def begin(self, node: Node, version: str, route: str, upstream: int = 0) -> AttemptTiming:
+        """An attempt that has just been sent."""
+        name = f"{version}-{upstream}"
+        expected = ExpectedAnswer(SERVICE, route, "small", name, version, FIRST_S, GAP)
+        return node.evidence.begin(expected, self.time.now)
+
+    def answer(
+        self,
+        node: Node,
+        version: str,
+        route: str = "chat",
+        times: float = 1.0,
+        upstream: int = 0,
+        failed: bool = False,
+    ) -> None:
+        """An answer that takes so many times the usual time; nobody has to be sent it."""
+        timing = self.begin(node, version, route, upstream)
+        first_at = self.time.now + FIRST_S * times
+        timing.record_head(500 if failed else 200, first_at)
+        timing.end(first_at)
+
+    def exchange(self) -> None:
+        """Let all tell and judge once."""
+        for node in self.all:
+            node.evidence_news.exchange_once()
+
+    @property
+    def considered_bad(self) -> list[bool]:
+        return [bool(node.rollout.withdrawal_reason) for node in self.all]
+
+
+@pytest.fixture
+def time(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    found = Clock()
+    monkeypatch.setattr(clock, "now", found)
+    return found
+
+
+@pytest.fixture
+def fleet(time: Clock) -> Fleet:
+    found = Fleet(time)
+    found.know_the_old()
+    found.order(elapsed=0.2)
+    return found
+
+
+def test_slow_answers_were_not_added_up_over_gateways(fleet: Fleet) -> None:
+    # Each gateway has seen two, which is no proof; none of them was forwarded.
+    for upstream, node in enumerate(fleet.all):
+        for other in range(2):
+            fleet.answer(node, NEW, times=8.0, upstream=(upstream + other) % 4)
+    alone = fleet.all[0]
+    fleet.cut = set(fleet.nodes)
+    fleet.exchange()
+    assert not any(fleet.considered_bad)
+    fleet.cut = set()
+    fleet.time.now += 1.0
+    fleet.exchange()
+    assert all(fleet.considered_bad), alone.evidence_news.judge(alone.rollout)
+
+
+def test_overdue_first_bytes_said_nothing_before_they_came(fleet: Fleet) -> None:
+    for upstream, node in enumerate(fleet.all):
+        fleet.begin(node, NEW, "chat", upstream)
+        fleet.begin(node, NEW, "chat", (upstream + 1) % 4)
+    fleet.exchange()
+    assert not any(fleet.considered_bad)
+    fleet.time.now += 10 * FIRST_S
+    fleet.exchange()
+    assert all(fleet.considered_bad)
+
+
+def test_attempts_that_were_given_up_said_nothing(fleet: Fleet) -> None:
+    timings = [fleet.begin(node, NEW, "chat", u) for u, node in enumerate(fleet.all * 2)]
+    fleet.time.now += 10 * FIRST_S
+    for timing in timings:
+        timing.end(fleet.time.now)
+    fleet.exchange()
+    assert all(fleet.considered_bad)
+
+
+def test_streams_that_ran_behind_said_nothing(fleet: Fleet) -> None:
+    for node in fleet.all:
+        for _ in range(STABLE_ANSWERS):
+            timing = fleet.begin(node, OLD, "chat")
+            timing.record_head(200, fleet.time.now)
+            timing.record_events(40, fleet.time.now + 4.0)
+            timing.end(fleet.time.now + 4.0)
+    timings = [fleet.begin(node, NEW, "chat", u) for u, node in enumerate(fleet.all * 2)]
+    for timing in timings:
+        timing.record_head(200, fleet.time.now)
+    fleet.time.now += 1.0
+    fleet.exchange()
+    assert not any(fleet.considered_bad)
+    for timing in timings:
+        timing.record_events(20, fleet.time.now)
+    fleet.time.now += 20.0
+    fleet.exchange()
+    assert all(fleet.considered_bad)
+
+
+def test_answers_at_ten_times_the_time_weighed_no_more_than_at_three(fleet: Fleet) -> None:
+    node = fleet.all[0]
+    fleet.answer(node, NEW, times=3.0)
+    fleet.exchange()
+    mild = node.evidence_news.judge(node.rollout).excess
+    fleet.answer(node, NEW, times=10.0)
+    fleet.exchange()
+    strong = node.evidence_news.judge(node.rollout).excess
+    assert strong - mild > 0.5
+
+
+def test_version_that_is_bad_on_one_route_was_diluted(time: Clock) -> None:
+    fleet = Fleet(time)
+    fleet.know_the_old(("chat", "prices"), failed_share=0.02)
+    fleet.order(elapsed=0.2)
+    for i, node in enumerate(fleet.all * 10):
+        fleet.answer(node, NEW, "chat", upstream=i % 4)
+    for i, node in enumerate(fleet.all * 3):
+        fleet.answer(node, NEW, "prices", upstream=i % 4, failed=i % 3 == 0)
+    fleet.exchange()
+    assert all(fleet.considered_bad)
+    assert "prices" in fleet.all[0].rollout.withdrawal_reason
+
+
+def test_bad_version_was_kept_as_all_its_requests_went_to_one_upstream(fleet: Fleet) -> None:
+    upstreams = [
+        Upstream(f"{NEW}-{i}", "127.0.0.1:1", SERVICE, "hall", NEW, 8, False) for i in range(4)
+    ]
+    for node in fleet.all:
+        node.rollouts.eligible_upstreams(SERVICE, upstreams, PlacedRequest("r"), fleet.time.now)
+    for _ in range(8):
+        for node in fleet.all:
+            # The first is the best by all that placement knows.
+            best = node.rollout.split(upstreams, [], fleet.time.now).new[0]
+            fleet.answer(node, NEW, times=8.0, upstream=upstreams.index(best))
+        fleet.exchange()
+    assert all(fleet.considered_bad)
+
+
+def test_gateway_that_was_not_there_completed_what_another_had_found_bad(fleet: Fleet) -> None:
+    late = fleet.all[-1]
+    fleet.cut = {"10.0.0.4"}
+    for i, node in enumerate(fleet.all[:3] * 4):
+        fleet.answer(node, NEW, upstream=i % 4, failed=True)
+    fleet.exchange()
+    assert fleet.considered_bad == [True, True, True, False]
+    fleet.cut = set()
+    note = RolloutNote(service=SERVICE, version=NEW, elapsed_ms=0.0, asks=True)
+    for name in fleet.nodes:
+        late.rollout_news.handle_datagram(note, (name, PORT))
+    fleet.all[0].rollout_news.handle_datagram(note, ("10.0.0.4", PORT))
+    assert all(fleet.considered_bad)
+
+
+def test_datagrams_with_impossible_counts_are_refused(fleet: Fleet) -> None:
+    cell = EvidenceCell(
+        upstream="v2-0",
+        route="chat",
+        moved=False,
+        failures=float("nan"),
+        answers=1,
+        levels=[0.0] * 5,
+        reached=[0.0] * 5,
+    )
+    note = EvidenceNote(service=SERVICE, version=NEW, gateway="x", cells=[cell])
+    with pytest.raises(ValueError, match="can't be"):
+        fleet.all[0].evidence_news.handle_datagram(note)
+
+
+class Weather(NamedTuple):
+    """Beside what a good version is rolled out: how much slower all answers are for a third of the
+    time, and how many of four upstreams of each version are how much slower."""
+
+    title: str
+    burst: float = 1.0
+    slow_upstreams: int = 0
+    slow_factor: float = 1.0
+    failed_share: float = 0.02
+
+
+WEATHERS = (
+    Weather("calm"),
+    Weather("burst", burst=5.0),
+    Weather("slow upstream", slow_upstreams=1, slow_factor=4.0),
+    Weather("errors of both", failed_share=0.2),
+)
+ROLLOUTS_EACH = 50
+NEW_ANSWERS = 40
+
+
+@pytest.mark.parametrize("weather", WEATHERS, ids=[weather.title for weather in WEATHERS])
+def test_good_versions_were_withdrawn(time: Clock, weather: Weather) -> None:
+    withdrawn = sum(plays_badly(time, weather, seed) for seed in range(ROLLOUTS_EACH))
+    assert withdrawn <= ROLLOUTS_EACH // 50
+
+
+def plays_badly(time: Clock, weather: Weather, seed: int) -> bool:
+    """Whether a good version is withdrawn by the answers of a roll-out."""
+    rng = random.Random(seed)
+    fleet = Fleet(time, gateways=2)
+    fleet.know_the_old(("chat", "prices"), weather.failed_share)
+    fleet.order(elapsed=0.1)
+    for i in range(NEW_ANSWERS):
+        is_burst = NEW_ANSWERS // 3 <= i < 2 * NEW_ANSWERS // 3
+        for version in (NEW, *[OLD] * 5):
+            upstream = rng.randrange(4)
+            times = rng.lognormvariate(0.0, 0.4) * (weather.burst if is_burst else 1.0)
+            times *= weather.slow_factor if upstream < weather.slow_upstreams else 1.0
+            node = rng.choice(fleet.all)
+            failed = rng.random() < weather.failed_share
+            fleet.answer(node, version, rng.choice(("chat", "prices")), times, upstream, failed)
+        fleet.exchange()
+        time.now += 0.4
+    return any(fleet.considered_bad)
