Fit the whole ramp of a roll-out into the exposure that is allowed

Change: the first step lasts until the rest of the time fits into the allowed share; the last two steps follow from `exposure.share` of the settings, which had no use until now. Integrated over the time a bad version gets at most that share.

Failing before: test_version_that_becomes_bad_unseen_got_more_than_its_share (the former steps add up to 0.33 of the time).

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -29,7 +29,7 @@
     replace,
     set_status,
 )
-from ramppost.policy.ramp import COMPLETE_AT, RAMP_STEPS, UNPIN_AT
+from ramppost.policy.ramp import FIRST_STEP_AT, UNPIN_AT
 from ramppost.policy.routing import hash_fraction
 from ramppost.wire.codec import BadMessage
 
@@ -40,6 +40,9 @@
 TELL_SESSIONS_INTERVAL_S: Final = 1.0
 """A keeper that has started, or was not reached, knows the sessions in progress after this time."""
 PROGRESS_KIND: Final = "rollout-progress"
+PROGRESS_MARKS: Final = (0.0, FIRST_STEP_AT, 0.3, 0.5, 0.6, 0.7, 0.8, 0.9)
+"""Fractions of a roll-out's time at which its progress is saved: a fleet that is ended as a whole
+goes on from the last."""
 
 
 class Progress(TypedDict):
@@ -51,7 +54,7 @@
 
 async def drive_rollouts(gw: Gateway) -> None:
     """Drive all roll-outs and end those that are due, until cancelled."""
-    saved_steps: dict[str, _SavedStep] = {}
+    saved_marks: dict[str, _SavedMark] = {}
     while True:
         await curio.sleep(CHECK_INTERVAL_S)
         for rollout in gw.rollouts.all():
@@ -67,11 +70,11 @@
             )
             if rollout.withdrawal_reason:
                 await _finish(gw, rollout, completed=False)
-            elif part >= COMPLETE_AT:
+            elif part >= rollout.ramp.complete_at:
                 await _finish(gw, rollout, completed=True)
             else:
                 _tell_sessions(gw, rollout, now)
-                await _save_progress(gw, rollout, part, saved_steps)
+                await _save_progress(gw, rollout, part, saved_marks)
 
 
 def _is_order_lost(gw: Gateway, rollout: Rollout) -> bool:
@@ -174,31 +177,32 @@
         gw.sessions.tell_all()
 
 
-class _SavedStep(NamedTuple):
-    """The step of a roll-out whose progress was saved last, and the store's era then."""
+class _SavedMark(NamedTuple):
+    """How many of `PROGRESS_MARKS` a roll-out had passed when its progress was saved last, and the
+    store's era then."""
 
     era: int
-    step: int
+    passed: int
 
 
 async def _save_progress(
-    gw: Gateway, rollout: Rollout, part: float, saved_steps: dict[str, _SavedStep]
+    gw: Gateway, rollout: Rollout, part: float, saved_marks: dict[str, _SavedMark]
 ) -> None:
-    """Save progress to the store when a roll-out reaches a new step, or when the store has come
-    back without it."""
-    step = sum(part >= step.start for step in RAMP_STEPS)
+    """Save progress to the store when a roll-out passes a mark, or when the store has come back
+    without it."""
+    passed = sum(part >= mark for mark in PROGRESS_MARKS)
     key = f"{rollout.order.service}/{rollout.order.version}"
-    saved = saved_steps.get(key, _SavedStep(0, 0))
+    saved = saved_marks.get(key, _SavedMark(0, 0))
     replica = gw.replicas.get(PROGRESS_KIND)
     era = replica.position.era if replica is not None and replica.position is not None else 0
-    if (era, step) <= saved:
+    if not passed or (era, passed) <= saved:
         return
-    saved_steps[key] = _SavedStep(era, step)
-    if step <= saved.step:
+    saved_marks[key] = _SavedMark(era, passed)
+    if passed <= saved.passed:
         # All gateways notice a return at the same moment.
         spread = hash_fraction("progress", gw.cfg["name"])
         await curio.sleep(gw.peers.write_delay_s(WRITE_SPREAD_S, spread, clock.now()))
-    if gw.rollouts.reported_fraction(rollout.order) < RAMP_STEPS[step - 1].start:
+    if gw.rollouts.reported_fraction(rollout.order) < PROGRESS_MARKS[passed - 1]:
         await write_progress(gw, rollout, part)
 
 
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -17,7 +17,8 @@
 from ramppost.bounded import drop_oldest
 from ramppost.gateway.model import RolloutOrder, Upstream
 from ramppost.policy.guard import Counts, EvidencePool, Source
-from ramppost.policy.ramp import UNPIN_AT, is_moved
+from ramppost.policy.ramp import UNPIN_AT, is_moved, plan_ramp
+from ramppost.policy.sampling import Exposure
 
 WITHDRAW_ALONE_RATIO: Final = 0.5
 """Part of the time in which a bad version must have been rolled back, for which sessions stay on a
@@ -31,6 +32,7 @@
 MAX_ANNOUNCED: Final = 64
 MAX_WAITING: Final = 64
 """Versions of a service whose waiting is remembered."""
+DEFAULT_EXPOSURE: Final = Exposure(0.15, 30.0)
 ORDER_WAIT_S: Final = 30.0
 """How long upstreams of another version wait for the order that brings it in.  Without one they are
 used then, so that a service that is replaced without an order does not end up on its last ones."""
@@ -39,9 +41,10 @@
 class Rollout:
     """The roll-out of a service, as seen by this gateway."""
 
-    def __init__(self, order: RolloutOrder, seen_at: float) -> None:
+    def __init__(self, order: RolloutOrder, seen_at: float, exposure: Exposure) -> None:
         self.order = order
         self.started_at = seen_at
+        self.ramp = plan_ramp(exposure.share, order.duration_s)
         self.own_evidence: dict[Source, Counts] = {}
         """What this gateway has seen of attempts that have ended, at all versions."""
         self.evidence_started = False
@@ -199,9 +202,15 @@
 class Rollouts:
     """The newest roll-out of each service, and the versions in service."""
 
-    def __init__(self, rollback_s: float = 5.0) -> None:
+    def __init__(
+        self,
+        rollback_s: float = 5.0,
+        exposure: Exposure = DEFAULT_EXPOSURE,
+    ) -> None:
         self.rollback_s = rollback_s
         """Time in which a bad version must have been rolled back."""
+        self.exposure = exposure
+        """What a bad version may get; roll-outs keep what was in force when they were ordered."""
         self.on_order: Callable[[Rollout], None] = lambda rollout: None
         """Called with each new roll-out that is under way."""
         self._by_service: dict[str, Rollout] = {}
@@ -219,7 +228,7 @@
                 _apply_state(known, order)
             self._note_completed(known)
             return False
-        rollout = self._by_service[order.service] = Rollout(order, now)
+        rollout = self._by_service[order.service] = Rollout(order, now, self.exposure)
         _apply_state(rollout, order)
         self._announced.pop(order.service, None)
         self._apply_progress(order.service, now)
@@ -323,10 +332,11 @@
             return _hold(new, old, rollout.new_usable_at, now, "session")
         if req.pinned and fraction < UNPIN_AT:
             return _hold(old, new, rollout.old_usable_at, now, "session")
-        if not is_moved(service, req.session or req.id, fraction):
+        if not is_moved(service, req.session or req.id, rollout.ramp.share_at(fraction)):
             if req.session:
                 return _hold(old, new, rollout.old_usable_at, now, "step")
-            return EligibleUpstreams(old, new if fraction >= UNPIN_AT else [], "step")
+            has_grown = fraction >= rollout.ramp.growth_at
+            return EligibleUpstreams(old, new if has_grown else [], "step")
         if req.session and fraction < UNPIN_AT and not req.is_new:
             return _hold(old, new, rollout.old_usable_at, now, "unknown")
         if req.session and not req.is_new:
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -50,6 +50,7 @@
 from ramppost.policy.pressure import Pressure
 from ramppost.policy.relays import Peers, start_hold_s
 from ramppost.policy.room import Room
+from ramppost.policy.sampling import Exposure
 from ramppost.policy.session_pins import SessionPins
 from ramppost.policy.suspicion import UpstreamHealth
 from ramppost.schema.settings import GatewaySettings
@@ -66,6 +67,11 @@
     return cfg["exposure"]["rollback_ms"] / 1000
 
 
+def _exposure(cfg: GatewaySettings) -> Exposure:
+    """What a bad version may be given."""
+    return Exposure(cfg["exposure"]["share"], cfg["exposure"]["slack"])
+
+
 def _serves_unconfirmed(cfg: GatewaySettings) -> bool:
     """Whether the last known keys stay valid while the store is unavailable."""
     return cfg["timing"].get("unconfirmed_keys") == "serve"
@@ -129,7 +135,7 @@
         self.pressure = Pressure()
         self.suspicions: dict[str, UpstreamHealth] = {}
         self.retry_budgets: dict[str, WindowBudget] = {}
-        self.rollouts = Rollouts(_rollback_bound_s(cfg))
+        self.rollouts = Rollouts(_rollback_bound_s(cfg), _exposure(cfg))
         self.evidence = VersionEvidence(self.rollouts)
         self.callers = CallerConnections(CallerBuffers(self.metrics))
         self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
@@ -215,6 +221,7 @@
         self.freshness.serve_unconfirmed = _serves_unconfirmed(cfg)
         self.sessions.pins.session_s = cfg["timing"]["session_s"]
         self.rollouts.rollback_s = _rollback_bound_s(cfg)
+        self.rollouts.exposure = _exposure(cfg)
         self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
         self.retry_budgets.clear()
 
--- a/ramppost/gateway/version_evidence.py
+++ b/ramppost/gateway/version_evidence.py
@@ -23,7 +23,6 @@
 from ramppost.bounded import drop_oldest
 from ramppost.gateway.rollouts import Rollout, Rollouts
 from ramppost.policy.guard import NO_COUNTS, RECENT, Counts, Source, at_level
-from ramppost.policy.ramp import UNPIN_AT
 from ramppost.policy.slowness import SLOW_LEVEL, UsualTimes, level_of
 
 MIN_USUAL_FIRST_S: Final = 0.03
@@ -242,7 +241,7 @@
     if expected.version != rollout.order.version:
         return Source("", expected.route)
     has_caches = expected.gap > 0
-    has_grown = rollout.elapsed_fraction(timing.sent_at) >= UNPIN_AT
+    has_grown = rollout.elapsed_fraction(timing.sent_at) >= rollout.ramp.growth_at
     return Source(expected.upstream, expected.route, has_caches and has_grown)
 
 
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -19,7 +19,7 @@
 )
 from ramppost.policy.guard import NO_COUNTS, Counts, EvidencePool, Source, at_level
 from ramppost.policy.limits import RetryBudget, WindowBudget
-from ramppost.policy.ramp import INITIAL_SHARE, RAMP_STEPS, is_early, is_moved, share_at
+from ramppost.policy.ramp import MAX_INITIAL_SHARE, is_early, is_moved, plan_ramp
 from ramppost.policy.slowness import SLOW_LEVEL
 from ramppost.policy.suspicion import UpstreamHealth
 
@@ -132,27 +132,46 @@
 # --- ramp
 
 
+RAMP = plan_ramp(exposure_share=0.15, duration_s=10.0)
+
+
+def moved(session: str, at: float) -> bool:
+    return is_moved("lm", session, RAMP.share_at(at))
+
+
 def test_the_share_never_falls() -> None:
-    shares = [share_at(i / 100) for i in range(-5, 120)]
+    shares = [RAMP.share_at(i / 100) for i in range(-5, 120)]
     assert shares == sorted(shares)
     assert shares[-1] == 1.0
 
 
 def test_nothing_grows_in_the_first_half() -> None:
-    assert share_at(0.0) == 0.0
-    assert share_at(RAMP_STEPS[1].start) == share_at(0.49) == INITIAL_SHARE
+    assert RAMP.share_at(0.0) == 0.0
+    assert RAMP.share_at(RAMP.steps[1].start) == RAMP.share_at(0.49) == MAX_INITIAL_SHARE
+
+
+@pytest.mark.parametrize("permitted", [0.05, 0.0975, 0.15, 0.3])
+@pytest.mark.parametrize("duration_s", [10.0, 15.0, 24.0, 120.0])
+def test_version_that_becomes_bad_unseen_got_more_than_its_share(
+    permitted: float, duration_s: float
+) -> None:
+    ramp = plan_ramp(permitted, duration_s)
+    exposed = sum(ramp.share_at(i / 10_000) for i in range(10_000)) / 10_000
+    assert exposed <= permitted
+    assert ramp.share_at(ramp.complete_at) == 1.0
+    assert (1 - ramp.complete_at) * duration_s > 0.1
 
 
 def test_sessions_only_move_forward() -> None:
     for who in (f"s{i}" for i in range(300)):
-        sides = [is_moved("lm", who, i / 100) for i in range(100)]
+        sides = [moved(who, i / 100) for i in range(100)]
         assert sides == sorted(sides)
 
 
 def test_first_step_moves_the_same_sessions_whatever_the_version() -> None:
     early = [name for name in (f"s{i}" for i in range(1000)) if is_early("lm", name)]
     assert 30 < len(early) < 90
-    assert early == [name for name in (f"s{i}" for i in range(1000)) if is_moved("lm", name, 0.3)]
+    assert early == [name for name in (f"s{i}" for i in range(1000)) if moved(name, 0.3)]
 
 
 # --- guard
@@ -237,8 +256,8 @@
         (0.2, "", True, (["new"], ["old"])),
         (0.05, "", True, (["old"], [])),
         (0.05, "v2", False, (["new"], [])),
-        (0.9, "v1", False, (["new"], [])),
-        (0.9, "v2", False, (["new"], [])),
+        (0.93, "v1", False, (["new"], [])),
+        (0.93, "v2", False, (["new"], [])),
     ],
 )
 def test_session_in_progress_was_moved_in_the_first_half_or_back(
@@ -252,9 +271,9 @@
     for session in LATE:
         req = of_session(session, "v1")
         assert sides(rollouts(at=0.49), req) == (["old"], [])
-        new = is_moved("lm", session, 0.62)
-        assert sides(rollouts(at=0.62), req) == (["new"] if new else ["old"], [])
-        assert sides(rollouts(at=0.62), of_session(session, "v2")) == (["new"], [])
+        new = moved(session, 0.9)
+        assert sides(rollouts(at=0.9), req) == (["new"] if new else ["old"], [])
+        assert sides(rollouts(at=0.9), of_session(session, "v2")) == (["new"], [])
 
 
 def test_session_changed_version_as_upstreams_of_its_own_were_away_for_a_moment() -> None:
@@ -358,7 +377,7 @@
 
 
 def test_the_new_version_is_no_way_out_in_the_first_half() -> None:
-    old_only = [f"r{i}" for i in range(100) if not is_moved("lm", f"r{i}", 0.2)]
+    old_only = [f"r{i}" for i in range(100) if not moved(f"r{i}", 0.2)]
     for who in old_only:
         assert sides(rollouts(), PlacedRequest(who)) == (["old"], [])
 
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -21,7 +21,7 @@
 from ramppost.gateway.policies import POLICY_KIND, POLICY_NAME
 from ramppost.gateway.rollout_duty import PROGRESS_KIND
 from ramppost.gateway.store_returns import SETTLE_S
-from ramppost.policy.ramp import RAMP_STEPS
+from ramppost.policy.ramp import FIRST_STEP_AT
 from tests.harness.gateways import KEYS, SAFE, STREAM, Deployment, Given, config, route
 from tests.test_gateway_policies import Operated
 
@@ -32,7 +32,7 @@
 """Within this all gateways have asked the store, or one that has, after its return."""
 WRITTEN_AGAIN_S: Final = 4.0
 AWAY_S: Final = 0.5
-SECOND_STEP: Final = RAMP_STEPS[1].start
+SECOND_STEP: Final = FIRST_STEP_AT
 """The next step of the roll-out follows so late that it is not what writes its progress again."""
 FIRST: Final = "/first/"
 SECOND: Final = "/second/"
