Complete a version on evidence, not by the time alone

Change: a gateway that is told all evidence decides. Others wait two seconds for these to end it.

Failing before: the tests on `_decide`, as there was no such decision; test_version_that_never_answered_was_completed_by_the_time_alone and test_version_of_which_more_spoke_against_it_than_for_it_was_completed say what happened.

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -2,8 +2,10 @@
 
 Any gateway may end a roll-out with a conditional write of its status.  Once a version is considered
 bad (`ramppost.gateway.evidence_news`), no request is sent to it, even if the store can't be
-written, but for those of sessions that run there: these wait for the status for a while.  An end
-that the store has lost by coming back from an older copy is written again.
+written, but for those of sessions that run there: these wait for the status for a while.  A version
+is completed by a gateway that is told all evidence, if there is some and it does not speak against
+the version; without that, it is rolled back.  An end that the store has lost by coming back from
+an older copy is written again.
 """
 
 from __future__ import annotations
@@ -37,6 +39,10 @@
 WRITE_SPREAD_S: Final = 0.25
 """Relays spread their writes over this time, and the other gateways do so after them."""
 RETRY_DELAY_S: Final = 0.3
+OTHERS_END_IT_S: Final = 2.0
+"""How long a gateway that is not told all evidence waits for an end by those that are."""
+LAST_ANSWER_WAIT_S: Final = 1.0
+"""How long a version is waited for that has given no answer when its roll-out should end."""
 TELL_SESSIONS_INTERVAL_S: Final = 1.0
 """A keeper that has started, or was not reached, knows the sessions in progress after this time."""
 PROGRESS_KIND: Final = "rollout-progress"
@@ -71,12 +77,55 @@
             if rollout.withdrawal_reason:
                 await _finish(gw, rollout, completed=False)
             elif part >= rollout.ramp.complete_at:
-                await _finish(gw, rollout, completed=True)
+                await _decide(gw, rollout, part, now)
             else:
                 _tell_sessions(gw, rollout, now)
                 await _save_progress(gw, rollout, part, saved_marks)
 
 
+async def _decide(gw: Gateway, rollout: Rollout, part: float, now: float) -> None:
+    """End a roll-out whose time has come, on the evidence of all gateways.
+
+    A version without any answer is given a little longer.  Gateways that are not told all evidence
+    leave it to the others unless these don't end it.
+    """
+    judgement = gw.evidence_news.judge(rollout)
+    order = rollout.order
+    if judgement.doubt:
+        gw.rollouts.withdraw(order.service, order.version, judgement.doubt, now)
+        logger.warning(
+            "version is doubtful: {}",
+            judgement.doubt,
+            service=order.service,
+            version=order.version,
+            answers=judgement.answers,
+        )
+        gw.rollout_news.announce_bad(rollout)
+        await _finish(gw, rollout, completed=False)
+        return
+    late_s = (part - rollout.ramp.complete_at) * order.duration_s
+    if not gw.evidence_news.has_all_evidence(now) and late_s < OTHERS_END_IT_S:
+        return
+    if late_s < CHECK_INTERVAL_S:
+        logger.info(
+            "time to complete the roll-out",
+            service=order.service,
+            version=order.version,
+            answers=judgement.answers,
+            strongest_evidence=judgement.worst,
+            excess=round(judgement.excess, 2),
+            gateways=rollout.pool.gateways,
+            upstreams=rollout.trial_upstreams,
+        )
+    is_known = judgement.answers > 0 or not gw.rollouts.has_requests(order.service, now)
+    if is_known:
+        await _finish(gw, rollout, completed=True)
+    elif late_s >= LAST_ANSWER_WAIT_S:
+        gw.rollouts.withdraw(order.service, order.version, "it has given no answer", now)
+        gw.rollout_news.announce_bad(rollout)
+        await _finish(gw, rollout, completed=False)
+
+
 def _is_order_lost(gw: Gateway, rollout: Rollout) -> bool:
     """Whether the store came back without an order, which the operator is about to write again."""
     retained = _orders_retained(gw)
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -18,7 +18,7 @@
 from ramppost.gateway.model import RolloutOrder, Upstream
 from ramppost.policy.guard import Counts, EvidencePool, Source
 from ramppost.policy.ramp import UNPIN_AT, is_moved, plan_ramp
-from ramppost.policy.sampling import Exposure
+from ramppost.policy.sampling import Exposure, RequestRates
 
 WITHDRAW_ALONE_RATIO: Final = 0.5
 """Part of the time in which a bad version must have been rolled back, for which sessions stay on a
@@ -32,6 +32,8 @@
 MAX_ANNOUNCED: Final = 64
 MAX_WAITING: Final = 64
 """Versions of a service whose waiting is remembered."""
+MIN_RATE_PER_S: Final = 0.05
+"""Requests per second of a service from which some are on their way to a new version."""
 DEFAULT_EXPOSURE: Final = Exposure(0.15, 30.0)
 ORDER_WAIT_S: Final = 30.0
 """How long upstreams of another version wait for the order that brings it in.  Without one they are
@@ -211,6 +213,8 @@
         """Time in which a bad version must have been rolled back."""
         self.exposure = exposure
         """What a bad version may get; roll-outs keep what was in force when they were ordered."""
+        self._rates: dict[str, RequestRates] = {}
+        """Rates of requests by service."""
         self.on_order: Callable[[Rollout], None] = lambda rollout: None
         """Called with each new roll-out that is under way."""
         self._by_service: dict[str, Rollout] = {}
@@ -346,6 +350,15 @@
             return EligibleUpstreams(old, [], "step")
         return EligibleUpstreams(new, old, "step")
 
+    def record_request(self, service: str, route: str, now: float) -> None:
+        """Count a request, whatever becomes of it."""
+        self._rates.setdefault(service, RequestRates()).record(route, now)
+
+    def has_requests(self, service: str, now: float) -> bool:
+        """Whether this gateway has lately had requests for a service."""
+        rates = self._rates.get(service)
+        return rates is not None and sum(rates.all_per_s(now).values()) > MIN_RATE_PER_S
+
     def _waits_for_withdrawal(self, rollout: Rollout, req: PlacedRequest, now: float) -> bool:
         """Whether a request stays on a version that is considered bad: its session runs there, and
         the order may yet be found to have ended otherwise."""
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -105,6 +105,7 @@
 async def _process(gw: Gateway, job: Job, reply: Reply) -> Refusal | None:
     """Find an upstream that responds and forward its response; a refusal if there is none."""
     service = select_service(job)
+    gw.rollouts.record_request(service, job.route.name, clock.now())
     await learn_session(gw, job, service)
     budget = gw.retry_budget_of(service)
     began_at = clock.now()
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
+import curio
 import pytest
 
 from ramppost import clock
+from ramppost.gateway import rollout_duty
 from ramppost.gateway.evidence_news import EvidenceNews
 from ramppost.gateway.model import RolloutOrder, Upstream
+from ramppost.gateway.rollout_duty import LAST_ANSWER_WAIT_S, OTHERS_END_IT_S, _decide
 from ramppost.gateway.rollout_news import RolloutNews
 from ramppost.gateway.rollouts import PlacedRequest, Rollout, Rollouts
 from ramppost.gateway.version_evidence import AttemptTiming, ExpectedAnswer, VersionEvidence
-from ramppost.policy.relays import Peers
+from ramppost.policy.relays import MAX_EVIDENCE_COLLECTORS, MAX_FLAT_FLEET, Peers
+from ramppost.policy.sampling import RequestRates
 from ramppost.schema.messages import EvidenceCell, EvidenceNote, PeerDatagram, RolloutNote
 
 DURATION_S = 20.0
@@ -261,6 +265,70 @@
     assert all(fleet.considered_bad)
 
 
+class Ends:
+    """Stands in for the writes that end a roll-out."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.written: list[bool] = []
+        monkeypatch.setattr(rollout_duty, "_finish", self._finish)
+
+    async def _finish(self, gw: Any, rollout: Rollout, completed: bool) -> None:
+        self.written.append(completed)
+
+    def decide(self, node: Node, late_s: float, now: float) -> list[bool]:
+        """What a gateway has written as a roll-out has been due for so long."""
+        part = node.rollout.ramp.complete_at + late_s / DURATION_S
+        curio.run(_decide, node, node.rollout, part, now)
+        return self.written
+
+
+@pytest.fixture
+def ends(monkeypatch: pytest.MonkeyPatch) -> Ends:
+    return Ends(monkeypatch)
+
+
+def test_version_that_never_answered_was_completed_by_the_time_alone(
+    fleet: Fleet, ends: Ends
+) -> None:
+    node = fleet.all[0]
+    node.rollouts.record_request(SERVICE, "chat", fleet.time.now)
+    assert ends.decide(node, 0.1, fleet.time.now) == []
+    assert ends.decide(node, LAST_ANSWER_WAIT_S + 0.1, fleet.time.now) == [False]
+    assert all(fleet.considered_bad)
+
+
+def test_service_without_requests_is_rolled_out_by_the_time_alone(fleet: Fleet, ends: Ends) -> None:
+    assert ends.decide(fleet.all[0], 0.1, fleet.time.now) == [True]
+
+
+def test_version_with_sound_answers_is_completed(fleet: Fleet, ends: Ends) -> None:
+    for i, node in enumerate(fleet.all):
+        node.rollouts.record_request(SERVICE, "chat", fleet.time.now)
+        fleet.answer(node, NEW, upstream=i)
+    fleet.exchange()
+    assert ends.decide(fleet.all[0], 0.1, fleet.time.now) == [True]
+
+
+def test_version_of_which_more_spoke_against_it_than_for_it_was_completed(
+    fleet: Fleet, ends: Ends
+) -> None:
+    for i in range(2):
+        fleet.answer(fleet.all[i], NEW, upstream=i, failed=True)
+    fleet.exchange()
+    assert not any(fleet.considered_bad)
+    assert ends.decide(fleet.all[0], 0.1, fleet.time.now) == [False]
+
+
+def test_gateway_that_is_not_told_all_evidence_completed_a_version(time: Clock, ends: Ends) -> None:
+    fleet = Fleet(time, gateways=MAX_FLAT_FLEET + 10)
+    fleet.order(elapsed=0.2)
+    knowing = [node.evidence_news.has_all_evidence(time.now) for node in fleet.all]
+    assert sum(knowing) == MAX_EVIDENCE_COLLECTORS
+    other = fleet.all[knowing.index(False)]
+    assert ends.decide(other, 0.1, time.now) == []
+    assert ends.decide(other, OTHERS_END_IT_S + 0.1, time.now) == [True]
+
+
 def test_datagrams_with_impossible_counts_are_refused(fleet: Fleet) -> None:
     cell = EvidenceCell(
         upstream="v2-0",
@@ -321,3 +389,13 @@
         fleet.exchange()
         time.now += 0.4
     return any(fleet.considered_bad)
+
+
+# --- requests that try a version
+
+
+def test_rates_were_taken_for_lower_right_after_a_start() -> None:
+    rates = RequestRates()
+    for number in range(60):
+        rates.record("a", number / 20)
+    assert rates.per_s("a", 3.0) == pytest.approx(20, rel=0.2)
