Let a service with little traffic try a new version by route

clearing-api has some 12 requests a second; in 16 s a version got about 12 answers before it was completed, two or three of them on its seldom route.

Change: requests without a session try the new version by a share for each route. Most of `exposure.slack`, which is allowed on top of the share, is divided equally among the routes, each gateway taking its part.

Failing before: test_service_with_little_traffic_saw_too_few_answers_of_a_seldom_route.

--- a/ramppost/gateway/candidates.py
+++ b/ramppost/gateway/candidates.py
@@ -62,7 +62,11 @@
     """
     usable = allowed_upstreams(gw, job, service_name, now)
     placed = PlacedRequest(
-        job.req.attempt_id, job.session_label, job.session_version, job.session_is_new
+        job.req.attempt_id,
+        job.session_label,
+        job.session_version,
+        job.session_is_new,
+        route=job.route.name,
     )
     side = gw.rollouts.eligible_upstreams(service_name, usable, placed, now)
     if side.reason == "session" and _gives_up(job, side.preferred):
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -18,7 +18,7 @@
 from ramppost.gateway.model import RolloutOrder, Upstream
 from ramppost.policy.guard import Counts, EvidencePool, Source
 from ramppost.policy.ramp import UNPIN_AT, is_moved, plan_ramp
-from ramppost.policy.sampling import Exposure, RequestRates
+from ramppost.policy.sampling import Exposure, RequestRates, sampling_shares
 
 WITHDRAW_ALONE_RATIO: Final = 0.5
 """Part of the time in which a bad version must have been rolled back, for which sessions stay on a
@@ -32,6 +32,7 @@
 MAX_ANNOUNCED: Final = 64
 MAX_WAITING: Final = 64
 """Versions of a service whose waiting is remembered."""
+SAMPLING_INTERVAL_S: Final = 1.0
 MIN_RATE_PER_S: Final = 0.05
 """Requests per second of a service from which some are on their way to a new version."""
 DEFAULT_EXPOSURE: Final = Exposure(0.15, 30.0)
@@ -66,6 +67,10 @@
         """Why gateways consider the version bad; empty if they do not."""
         self.withdrawn_at = float("inf")
         """Since when this one knows (steady clock)."""
+        self.sampling_shares: dict[str, float] = {}
+        """Shares of requests without a session that try the version, by route."""
+        self.sample_until = seen_at
+        """When these are to be computed again (steady clock)."""
         self.tell_sessions_at = seen_at
         """When the keepers of sessions are to be told of them again (steady clock)."""
         self.ended_in_era: int | None = None
@@ -146,6 +151,7 @@
     pinned: str = ""
     is_new: bool = False
     gives_up: bool = False
+    route: str = ""
 
 
 class EligibleUpstreams(NamedTuple):
@@ -208,11 +214,13 @@
         self,
         rollback_s: float = 5.0,
         exposure: Exposure = DEFAULT_EXPOSURE,
+        fleet_size: Callable[[], int] = lambda: 1,
     ) -> None:
         self.rollback_s = rollback_s
         """Time in which a bad version must have been rolled back."""
         self.exposure = exposure
         """What a bad version may get; roll-outs keep what was in force when they were ordered."""
+        self._fleet_size = fleet_size
         self._rates: dict[str, RequestRates] = {}
         """Rates of requests by service."""
         self.on_order: Callable[[Rollout], None] = lambda rollout: None
@@ -336,7 +344,7 @@
             return _hold(new, old, rollout.new_usable_at, now, "session")
         if req.pinned and fraction < UNPIN_AT:
             return _hold(old, new, rollout.old_usable_at, now, "session")
-        if not is_moved(service, req.session or req.id, rollout.ramp.share_at(fraction)):
+        if not is_moved(service, req.session or req.id, self._share(rollout, req, now)):
             if req.session:
                 return _hold(old, new, rollout.old_usable_at, now, "step")
             has_grown = fraction >= rollout.ramp.growth_at
@@ -359,6 +367,25 @@
         rates = self._rates.get(service)
         return rates is not None and sum(rates.all_per_s(now).values()) > MIN_RATE_PER_S
 
+    def _share(self, rollout: Rollout, req: PlacedRequest, now: float) -> float:
+        """The new version's share of requests that are like this one."""
+        fraction = rollout.elapsed_fraction(now)
+        share = rollout.ramp.share_at(fraction)
+        rates = self._rates.get(rollout.order.service)
+        is_sampled = share > 0 and fraction < rollout.ramp.growth_at
+        if req.session or not is_sampled or rates is None:
+            return share
+        if now >= rollout.sample_until:
+            rollout.sample_until = now + SAMPLING_INTERVAL_S
+            rollout.sampling_shares = sampling_shares(
+                rates.all_per_s(now),
+                self.exposure,
+                1 / max(1, self._fleet_size()),
+                rollout.ramp,
+                rollout.order.duration_s,
+            )
+        return rollout.sampling_shares.get(req.route, share)
+
     def _waits_for_withdrawal(self, rollout: Rollout, req: PlacedRequest, now: float) -> bool:
         """Whether a request stays on a version that is considered bad: its session runs there, and
         the order may yet be found to have ended otherwise."""
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -135,7 +135,9 @@
         self.pressure = Pressure()
         self.suspicions: dict[str, UpstreamHealth] = {}
         self.retry_budgets: dict[str, WindowBudget] = {}
-        self.rollouts = Rollouts(_rollback_bound_s(cfg), _exposure(cfg))
+        self.rollouts = Rollouts(
+            _rollback_bound_s(cfg), _exposure(cfg), lambda: self.peers.fleet_size
+        )
         self.evidence = VersionEvidence(self.rollouts)
         self.callers = CallerConnections(CallerBuffers(self.metrics))
         self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -16,8 +16,9 @@
 from ramppost.gateway.rollout_news import RolloutNews
 from ramppost.gateway.rollouts import PlacedRequest, Rollout, Rollouts
 from ramppost.gateway.version_evidence import AttemptTiming, ExpectedAnswer, VersionEvidence
+from ramppost.policy.ramp import plan_ramp
 from ramppost.policy.relays import MAX_EVIDENCE_COLLECTORS, MAX_FLAT_FLEET, Peers
-from ramppost.policy.sampling import RequestRates
+from ramppost.policy.sampling import Exposure, RequestRates, sampling_shares
 from ramppost.schema.messages import EvidenceCell, EvidenceNote, PeerDatagram, RolloutNote
 
 DURATION_S = 20.0
@@ -394,6 +395,17 @@
 # --- requests that try a version
 
 
+def test_service_with_little_traffic_saw_too_few_answers_of_a_seldom_route() -> None:
+    ramp = plan_ramp(0.15, 24.0)
+    rates = {"often": 2.4, "seldom": 0.8}
+    shares = sampling_shares(rates, Exposure(0.15, 30.0), 0.25, ramp, 24.0)
+    tried_s = (ramp.growth_at - ramp.steps[1].start) * 24.0
+    assert shares["seldom"] * rates["seldom"] * tried_s > 3
+    exposed = sum(shares[route] * rates[route] for route in rates) * tried_s
+    exposed += sum(rates.values()) * (1 - ramp.growth_at) * 24.0
+    assert exposed <= 0.15 * sum(rates.values()) * 24.0 + 30.0 / 4
+
+
 def test_rates_were_taken_for_lower_right_after_a_start() -> None:
     rates = RequestRates()
     for number in range(60):
