End answers without end, and count them against their upstreams

A head that trickled, an endless row of informational answers and an endless answer to another request were read until the request's deadline; a body, an event and a stream had no largest size; and a body that was cut off at the deadline said nothing against its upstream, which was asked again with the next request.

Change: a head that has begun must be whole within a second, an answer to another request within a second and 1 MB, eight informational answers may come before it; a body may have 64 MB, an event 1 MB and the time in which a stream may stand still, a stream as many events as tokens were asked for, and some. All are failures of the upstream.

--- a/ramppost/gateway/caller_buffer.py
+++ b/ramppost/gateway/caller_buffer.py
@@ -131,6 +131,8 @@
         self.was_cut = False
         self.was_full = False
         """Whether the upstream ever had to wait for the caller."""
+        self.waited_s = 0.0
+        """For how long it had to, in seconds."""
 
     @property
     def is_full(self) -> bool:
@@ -160,7 +162,10 @@
         """Wait until the upstream may be read again; returns the seconds that took."""
         began_at = clock.now()
         self.was_full = True
-        await self._wait_for_size(RESUME_BYTES)
+        try:
+            await self._wait_for_size(RESUME_BYTES)
+        finally:
+            self.waited_s += clock.now() - began_at
         return clock.now() - began_at
 
     async def wait_until_sent(self) -> None:
--- a/ramppost/gateway/events.py
+++ b/ramppost/gateway/events.py
@@ -10,6 +10,8 @@
 
 from typing import Final, NamedTuple
 
+MAX_EVENT_BYTES: Final = 1 << 20
+"""Larger than any event of a few tokens."""
 SEPARATOR: Final = b"\n\n"
 ID_FIELD: Final = b"id:"
 
@@ -32,13 +34,21 @@
         """The bytes after the last complete event."""
         return bytes(self._buf)
 
+    @property
+    def is_endless(self) -> bool:
+        """Whether an event has become too large to be one."""
+        return len(self._buf) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes; returns the events that they complete."""
+        # A separator may begin in the last byte that was there.
+        start = max(0, len(self._buf) - len(SEPARATOR) + 1)
         self._buf += data
         events = []
-        while (end := self._buf.find(SEPARATOR)) >= 0:
+        while (end := self._buf.find(SEPARATOR, start)) >= 0:
             raw = bytes(self._buf[: end + len(SEPARATOR)])
             del self._buf[: end + len(SEPARATOR)]
+            start = 0
             events.append(Event(raw, _event_id(raw)))
         return events
 
--- a/ramppost/gateway/forwarding.py
+++ b/ramppost/gateway/forwarding.py
@@ -34,6 +34,13 @@
 MIN_LEFT_UNREAD_S: Final = 1.0
 """An upstream that was not read for this time may abort its response for that reason."""
 
+EVENTS_SLACK: Final = 64
+"""Events that a stream may have besides those of its tokens."""
+MAX_LEFT_AT_DEADLINE_S: Final = 0.05
+MAX_BODY_AFTER_HEAD_S: Final = 1.0
+"""How long after its head a body that is cut off at the deadline must have gone on, while its
+caller took it, to count against its upstream."""
+
 CUT_BY_CRASH: Final = Broken("unframed answer ended with its upstream", by_peer=True)
 
 ReadChunk = Callable[[], Awaitable[bytes | BodyEnd | Broken]]
@@ -133,7 +140,9 @@
     `run` records each chunk that arrives.
     """
     splitter = EventSplitter()
+    most_events = _most_events(job, running)
     forwarded = 0
+    event_begun_at: float | None = None
     reader = _Reader(reply, lambda: _read_chunk_in_time(gw, job, running))
     while True:
         chunk = await reader.read_chunk()
@@ -146,8 +155,17 @@
             if await _cut_by_crash(gw, running, chunk, RECHECK_DELAY_S):
                 return CUT_BY_CRASH
             break
-        run.record_piece(clock.now())
+        now = clock.now()
+        run.record_piece(now)
         events, broken = _events_in_order(job, splitter.feed(chunk))
+        if events or event_begun_at is None:
+            event_begun_at = now if splitter.remainder else None
+        in_event_s = 0.0 if event_begun_at is None else now - event_begun_at
+        is_overdue = in_event_s > STALL_GAP_FACTOR * job.route.gap_objective_s
+        if splitter.is_endless or (is_overdue and not reply.buffer.was_full):
+            broken = Broken("event without end", by_peer=True)
+        elif forwarded + len(events) > most_events:
+            broken = Broken("stream without end", by_peer=True)
         if events:
             await _write_events(running, reply, b"".join(event.raw for event in events))
             forwarded += len(events)
@@ -162,6 +180,23 @@
     return Forwarded(running.first_s, clock.now() - running.sent_at, forwarded, chunk.framed)
 
 
+def is_endless_body(running: Running, reply: Reply, left_s: float) -> bool:
+    """Whether a body that was cut off seems to have no end: the deadline has come long after its
+    head, and its caller did not hold it up for so long."""
+    since_head_s = clock.now() - running.sent_at - running.first_s
+    sending_s = since_head_s - reply.buffer.waited_s
+    return left_s <= MAX_LEFT_AT_DEADLINE_S and sending_s > MAX_BODY_AFTER_HEAD_S
+
+
+def _most_events(job: Job, running: Running) -> float:
+    """Events from which a stream is taken for one without end."""
+    engine, prompt = running.chosen.service.engine, job.req.prompt
+    if engine is None or prompt is None:
+        return float("inf")
+    # An event holds one token at least.
+    return EVENTS_SLACK + prompt.max_tokens_out
+
+
 def _events_in_order(job: Job, events: list[Event]) -> tuple[list[Event], Broken | None]:
     """The events before a gap in their ids, and what is wrong with the next.
 
--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -4,6 +4,10 @@
 is returned as a value that tells whether the request may have arrived: `NotSent` or `Broken`.  A
 late response to an earlier request is read and discarded; an idle connection with unread bytes is
 closed.
+
+A faulty upstream may send bytes without end.  A head that has begun must be whole within
+`MAX_HEAD_S`, and a response to another request within `MAX_SKIP_S`; heads, discarded responses and
+bodies have a largest size.
 """
 
 from __future__ import annotations
@@ -34,6 +38,14 @@
 """Larger requests are sent while the response is read, which may arrive before all is sent."""
 MAX_SKIPPED_RESPONSES: Final = 4
 """Responses to other requests that are skipped before a connection is given up."""
+MAX_INFORMATIONAL: Final = 8
+"""Informational responses that may precede a response."""
+MAX_HEAD_S: Final = 1.0
+"""Many times what a head takes that was lost once on the way."""
+MAX_SKIP_S: Final = 1.0
+MAX_SKIPPED_BYTES: Final = 1 << 20
+MAX_BODY_BYTES: Final = 64 << 20
+"""More than any model or service answers."""
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
@@ -170,6 +182,11 @@
         self._ended = False
         self._framed = True
         self._keep_alive_s: float | None = None
+        self.body_bytes = 0
+        """Bytes of the body that were read."""
+        self._awaits_head = True
+        self._head_begun_at: float | None = None
+        """When the first bytes of a head arrived that is not whole yet."""
         self.sent_at = clock.now()
 
     async def send(self) -> Broken | None:
@@ -200,7 +217,10 @@
                 self._framed = _is_framed(tuple(event.headers), event.status_code)
                 self._keep_alive_s = head.keep_alive_s
                 return head
-            broken = await self._skip_response()
+            try:
+                broken: Broken | None = await curio.timeout_after(MAX_SKIP_S, self._skip_response())
+            except curio.TaskTimeout:
+                broken = Broken("answer to another request without end", by_peer=True)
             if broken is not None:
                 return broken
         return Broken("too many answers to other requests", by_peer=True)
@@ -213,6 +233,9 @@
         if isinstance(event, Broken):
             return event
         if isinstance(event, h11.Data):
+            self.body_bytes += len(event.data)
+            if self.body_bytes > MAX_BODY_BYTES:
+                return Broken("body without end", by_peer=True)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._ended = True
@@ -257,6 +280,8 @@
                 return chunk
             if isinstance(chunk, BodyEnd):
                 break
+            if self.body_bytes > MAX_SKIPPED_BYTES:
+                return Broken("answer to another request without end", by_peer=True)
         if not self._framed:
             return Broken("connection closed after an answer to another request", by_peer=True)
         remaining_data, _ = self._connection.h11.trailing_data
@@ -265,27 +290,63 @@
         if remaining_data:
             self._connection.h11.receive_data(remaining_data)
         self._ended = False
+        self.body_bytes = 0
+        self._awaits_head = True
+        self._head_begun_at = clock.now() if remaining_data else None
         return None
 
     async def _next_event(self) -> Any:
+        informational = 0
         while True:
             try:
                 event = self._connection.h11.next_event()
             except h11.RemoteProtocolError as exc:
                 return Broken(f"not an answer: {exc}", by_peer=True)
             if event is h11.NEED_DATA:
-                try:
-                    data = await self._connection.sock.recv(READ_SIZE)
-                except OSError as exc:
-                    return Broken(f"connection failed: {exc}", by_peer=True)
-                if data:
-                    self._pool.last_received_at[self._connection.upstream.key] = clock.now()
-                try:
-                    self._connection.h11.receive_data(data)
-                except h11.RemoteProtocolError as exc:
-                    return Broken(f"not an answer: {exc}", by_peer=True)
+                broken = await self._receive()
+                if broken is not None:
+                    return broken
             elif not isinstance(event, h11.InformationalResponse):
+                self._awaits_head = False
                 return event
+            else:
+                informational += 1
+                self._head_begun_at = None
+                if informational > MAX_INFORMATIONAL:
+                    return Broken("informational answers without end", by_peer=True)
+
+    async def _receive(self) -> Broken | None:
+        """Receive the next bytes."""
+        try:
+            data = await self._recv_in_time()
+        except OSError as exc:
+            return Broken(f"connection failed: {exc}", by_peer=True)
+        if isinstance(data, Broken):
+            return data
+        if data:
+            self._pool.last_received_at[self._connection.upstream.key] = clock.now()
+            if self._awaits_head and self._head_begun_at is None:
+                self._head_begun_at = clock.now()
+        try:
+            self._connection.h11.receive_data(data)
+        except h11.RemoteProtocolError as exc:
+            return Broken(f"not an answer: {exc}", by_peer=True)
+        return None
+
+    async def _recv_in_time(self) -> bytes | Broken:
+        """Receive bytes; those of a head that has begun only while it may still become whole."""
+        recv = self._connection.sock.recv
+        if not self._awaits_head or self._head_begun_at is None:
+            data: bytes = await recv(READ_SIZE)
+            return data
+        left_s = self._head_begun_at + MAX_HEAD_S - clock.now()
+        if left_s > 0:
+            try:
+                head: bytes = await curio.timeout_after(left_s, recv(READ_SIZE))
+                return head
+            except curio.TaskTimeout:
+                logger.debug("head not whole in time", upstream=self._connection.upstream.id)
+        return Broken("head without end", by_peer=True)
 
 
 async def open_exchange(
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -24,7 +24,12 @@
 from ramppost.gateway.candidates import any_send_wait_s, send_wait_s
 from ramppost.gateway.counts import EndedRequest
 from ramppost.gateway.escalation import choose_larger_model, plan_models
-from ramppost.gateway.forwarding import Forwarded, forward_response, forward_stream
+from ramppost.gateway.forwarding import (
+    Forwarded,
+    forward_response,
+    forward_stream,
+    is_endless_body,
+)
 from ramppost.gateway.full import hold_while_full, note_refusal
 from ramppost.gateway.inbound import JSON_TYPE, Reply
 from ramppost.gateway.job import Job
@@ -312,6 +317,16 @@
         else:
             result = await forward_response(gw, running, reply, run)
         complete = isinstance(result, Forwarded)
+    except curio.CancelledError:
+        if not job.route.streams and is_endless_body(running, reply, job.left_s(clock.now())):
+            gw.suspicion_of(upstream.key).record_outcome(True, clock.now())
+            logger.info(
+                "body without end at the deadline",
+                request=job.req.attempt_id,
+                upstream=upstream.id,
+                bytes=running.exchange.body_bytes,
+            )
+        raise
     finally:
         engine = running.chosen.service.engine
         tokens = 0
