Compare a route's answers with those of the same route lately

One route fails 40 in 100 requests with any version, so a failure on a route that never fails (170 of 170) weighed 0.9 instead of 3.6; and the bound for one route was raised for eight routes, six of which had one or two answers.

Change: the last seconds are counted by route, as the time since the order is; only routes with three answers count as tests.

Failing before: test_failures_of_one_route_hid_those_of_another.

--- a/ramppost/gateway/evidence_news.py
+++ b/ramppost/gateway/evidence_news.py
@@ -95,7 +95,7 @@
         if rollout is None or rollout.order.version != note["version"]:
             return
         for cell in note["cells"]:
-            source = Source(cell["upstream"], cell["route"], cell["moved"])
+            source = Source(cell["upstream"], cell["route"], cell["moved"], cell["recent"])
             rollout.pool.put(note["gateway"], source, _counts(cell))
 
     def _tell(self, rollout: Rollout, repeats: bool, now: float) -> None:
@@ -145,6 +145,7 @@
         upstream=source.upstream,
         route=source.route,
         moved=source.has_moved,
+        recent=source.is_recent,
         failures=round(counts.failures, DIGITS),
         answers=round(counts.answers, DIGITS),
         levels=[round(count, DIGITS) for count in counts.levels],
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -44,7 +44,9 @@
 class Rollout:
     """The roll-out of a service, as seen by this gateway."""
 
-    def __init__(self, order: RolloutOrder, seen_at: float, exposure: Exposure) -> None:
+    def __init__(
+        self, order: RolloutOrder, seen_at: float, exposure: Exposure = DEFAULT_EXPOSURE
+    ) -> None:
         self.order = order
         self.started_at = seen_at
         self.ramp = plan_ramp(exposure.share, order.duration_s)
--- a/ramppost/gateway/version_evidence.py
+++ b/ramppost/gateway/version_evidence.py
@@ -22,7 +22,7 @@
 
 from ramppost.bounded import drop_oldest
 from ramppost.gateway.rollouts import Rollout, Rollouts
-from ramppost.policy.guard import NO_COUNTS, RECENT, Counts, Source, at_level
+from ramppost.policy.guard import NO_COUNTS, Counts, Source, at_level
 from ramppost.policy.slowness import SLOW_LEVEL, UsualTimes, level_of
 
 MIN_USUAL_FIRST_S: Final = 0.03
@@ -84,15 +84,19 @@
     def __init__(self) -> None:
         self.times = UsualTimes()
         self.by_route: dict[str, _FadingCounts] = {}
-        self.recent = _FadingCounts(NO_COUNTS, 0.0, RECENT_HALF_LIFE_S)
-        """The counts of all routes in the last seconds."""
+        self.recent_by_route: dict[str, _FadingCounts] = {}
 
     def add(self, route: str, counts: Counts, now: float) -> None:
         """Count an answer."""
-        self.recent = self.recent.plus(counts, now)
-        known = self.by_route.pop(route, _FadingCounts(NO_COUNTS, now, HALF_LIFE_S))
-        self.by_route[route] = known.plus(counts, now)
-        drop_oldest(self.by_route, MAX_ROUTES)
+        _add_fading(self.by_route, route, counts, now, HALF_LIFE_S)
+        _add_fading(self.recent_by_route, route, counts, now, RECENT_HALF_LIFE_S)
+
+    def recent(self, now: float) -> CountsBySource:
+        """The counts of the last seconds."""
+        return {
+            Source("", route, is_recent=True): history.faded(now)
+            for route, history in self.recent_by_route.items()
+        }
 
     def limited(self, now: float) -> CountsBySource:
         """What counts beside the answers during a roll-out that begins now."""
@@ -104,6 +108,14 @@
         return found
 
 
+def _add_fading(
+    by_route: dict[str, _FadingCounts], route: str, counts: Counts, now: float, half_life_s: float
+) -> None:
+    known = by_route.pop(route, _FadingCounts(NO_COUNTS, now, half_life_s))
+    by_route[route] = known.plus(counts, now)
+    drop_oldest(by_route, MAX_ROUTES)
+
+
 class AttemptTiming:
     """Times of one attempt (steady clock)."""
 
@@ -214,7 +226,7 @@
         """What this gateway has seen of a roll-out, with attempts that still run."""
         self._start_evidence(rollout, now)
         history = self._history(rollout.order.service)
-        found = rollout.own_evidence | {RECENT: history.recent.faded(now)}
+        found = rollout.own_evidence | history.recent(now)
         for timing in self.running.values():
             if timing.expected.service == rollout.order.service:
                 level = _level(history.times, timing, now)
@@ -222,7 +234,7 @@
                     source, counts = _source(rollout, timing), Counts(reached=at_level(level))
                     _add(found, source, counts)
                     if not source.upstream:
-                        _add(found, RECENT, counts)
+                        _add(found, source._replace(is_recent=True), counts)
         return found
 
     def _history(self, service: str) -> _ServiceHistory:
--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -57,16 +57,14 @@
     """Where answers come from; `upstream` is empty for all of the versions in service.
 
     `has_moved` tells that the answers are to prompts sent when the share of the new version had
-    begun to grow, and no cache of it was warm.
+    begun to grow, and no cache of it was warm.  `is_recent` tells of answers of the versions in
+    service that those of the last seconds count most.
     """
 
     upstream: str
     route: str
     has_moved: bool = False
-
-
-RECENT: Final = Source("", "")
-"""All answers of the versions in service, those of the last seconds counting most."""
+    is_recent: bool = False
 
 
 class Counts(NamedTuple):
@@ -193,7 +191,8 @@
         routes = sorted({source.route for source in new})
         scopes = [("", 1)]
         if len(routes) > 1:
-            scopes += [(route, len(routes)) for route in routes]
+            tests = [route for route in routes if _can_be_bad(new, route)]
+            scopes += [(route, len(tests)) for route in tests]
         worst = max(
             self._finding(new, weights, symptom, route, tests, trial_upstreams)
             for route, tests in scopes
@@ -227,13 +226,14 @@
 
     def _weights(self) -> dict[str, _RouteWeights]:
         """What answers say, by route; without those on which too little is known."""
-        recent = self._by_upstream.get(RECENT, NO_COUNTS)
-        usual = {s.route: c for s, c in self._by_upstream.items() if not s.upstream and s != RECENT}
+        in_service = [(s, c) for s, c in self._by_upstream.items() if not s.upstream]
+        usual = {source.route: counts for source, counts in in_service if not source.is_recent}
+        recent = {source.route: counts for source, counts in in_service if source.is_recent}
         all_counts = NO_COUNTS
         for counts in usual.values():
             all_counts = all_counts.plus(counts)
         return {
-            route: _route_weights(counts, all_counts, recent)
+            route: _route_weights(counts, all_counts, recent.get(route, NO_COUNTS))
             for route, counts in usual.items()
             if counts.answers >= MIN_ROUTE_ANSWERS
         }
@@ -274,6 +274,12 @@
         return _Finding(log_odds - bound, bad, reason)
 
 
+def _can_be_bad(new: dict[Source, Counts], route: str) -> bool:
+    """Whether there are enough answers on a route to find a version bad there."""
+    seen = sum(c.answers + sum(c.reached) for s, c in new.items() if s.route == route)
+    return seen >= MIN_BAD_ANSWERS
+
+
 def _route_weights(route: Counts, all_routes: Counts, recent: Counts) -> _RouteWeights:
     """What answers on a route say, given those of the versions in service.
 
--- a/ramppost/policy/slowness.py
+++ b/ramppost/policy/slowness.py
@@ -121,7 +121,7 @@
     has_moved: bool,
 ) -> LevelWeights:
     """What answers say at each level, given how many of the versions in service came to each: on
-    the same route, on all, and on all in the last seconds.
+    the same route, on all, and on the same in the last seconds.
 
     `has_moved` tells that all traffic has just moved to the version of the answers.
 
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -318,6 +318,10 @@
     """
     Whether it is of requests that were sent after the share had begun to grow.
     """
+    recent: bool
+    """
+    Whether the answers of the last seconds count most.
+    """
     failures: float
     """
     Answers that failed.
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -251,6 +251,19 @@
     assert all(fleet.considered_bad)
 
 
+def test_failures_of_one_route_hid_those_of_another(time: Clock) -> None:
+    fleet = Fleet(time)
+    fleet.know_the_old(("chat", "prices"))
+    for node in fleet.all:
+        for i in range(STABLE_ANSWERS):
+            fleet.answer(node, OLD, "prices", failed=i % 2 == 0)
+    fleet.order(elapsed=0.2)
+    for i, node in enumerate(fleet.all * 2):
+        fleet.answer(node, NEW, "chat", upstream=i % 4, failed=i % 3 == 0)
+    fleet.exchange()
+    assert all(fleet.considered_bad)
+
+
 def test_gateway_that_was_not_there_completed_what_another_had_found_bad(fleet: Fleet) -> None:
     late = fleet.all[-1]
     fleet.cut = {"10.0.0.4"}
@@ -335,6 +348,7 @@
         upstream="v2-0",
         route="chat",
         moved=False,
+        recent=False,
         failures=float("nan"),
         answers=1,
         levels=[0.0] * 5,
