End an attempt whose caller leaves as a larger model is chosen

Since attempts are evidence while they run, one that never ends would speak against a new version for ever, or make those in service seem slow.

Change: the attempt is released. Failing before: there was nothing between; the test calls what is new.

One fixture for scripted peers, which stood in two files.

--- a/ramppost/gateway/evidence_news.py
+++ b/ramppost/gateway/evidence_news.py
@@ -1,9 +1,9 @@
 """Pools the evidence on versions that are being rolled out over all gateways, without the store.
 
 Each gateway tells others all that answers have shown it so far, in datagrams; a lost one is made up
-for by the next.  In a small fleet all tell all.  In a larger one all tell the first in rank, which
-find a bad version and tell the fleet (`ramppost.gateway.rollout_news`).  Who has just become one
-of these knows all within `REPEAT_INTERVAL_S`.
+for by the next.  In a small fleet all tell all.  In a larger one all tell the first in rank, less
+often, and these find a bad version and tell the fleet (`ramppost.gateway.rollout_news`).  Who has
+just become one of these knows all within `REPEAT_INTERVAL_S`.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 from ramppost.gateway.rollouts import Rollout, Rollouts
 from ramppost.gateway.version_evidence import CountsBySource, VersionEvidence
 from ramppost.policy.guard import NO_COUNTS, Counts, Judgement, Source
-from ramppost.policy.relays import Peers
+from ramppost.policy.relays import MAX_FLAT_FLEET, Peers
 from ramppost.policy.slowness import LEVELS
 from ramppost.schema.messages import EvidenceCell, EvidenceNote, PeerDatagram
 
@@ -30,7 +30,8 @@
 """How often running attempts are looked at: a small part of the time in which a bad version must
 have been rolled back."""
 REPEAT_INTERVAL_S: Final = 1.0
-"""How often evidence is told again that has not changed."""
+"""How often evidence is told again that has not changed, and how often any is told in a fleet in
+which hundreds may tell the same gateway."""
 MAX_CELLS_PER_NOTE: Final = 24
 DIGITS: Final = 3
 """Decimal places of the counts that are told."""
@@ -73,6 +74,8 @@
         repeats = now >= self._repeat_at
         if repeats:
             self._repeat_at = now + REPEAT_INTERVAL_S
+        elif self._peers.fleet_size > MAX_FLAT_FLEET:
+            return
         for rollout in self._rollouts.all():
             if rollout.order.state != "ordered":
                 self._told.pop(rollout.order.service, None)
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -35,6 +35,7 @@
 from ramppost.gateway.job import Job
 from ramppost.gateway.links import Broken, NotSent
 from ramppost.gateway.model import CallerRequest
+from ramppost.gateway.models import ModelPlan
 from ramppost.gateway.pick import pick, query_backlogs, select_service
 from ramppost.gateway.room import refusal_without_room
 from ramppost.gateway.session_version import end_session_request, learn_session
@@ -121,7 +122,7 @@
         result = await _try_upstreams(gw, job, service, model, reply)
         if isinstance(result, Refusal):
             return result
-        larger = "" if reply.started else await choose_larger_model(gw, job, service, plan, result)
+        larger = "" if reply.started else await _choose_or_release(gw, job, service, plan, result)
         if larger:
             await release(gw, result, False)
             model = larger
@@ -136,6 +137,18 @@
             return refusal("outcome_unknown", broken.reason)
 
 
+async def _choose_or_release(
+    gw: Gateway, job: Job, service: str, plan: ModelPlan, running: Running
+) -> str:
+    """The larger model to try instead of forwarding a response; ends the attempt if the caller
+    leaves meanwhile."""
+    try:
+        return await choose_larger_model(gw, job, service, plan, running)
+    except BaseException:
+        await release(gw, running, False)
+        raise
+
+
 def _add_cost(job: Job, running: Running, tokens: float) -> None:
     """Add tokens to the cost of a request, at the model's price of output tokens."""
     engine = running.chosen.service.engine
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 
 from ramppost.standin.fleet import MESOB_CLASSES, FleetPlan
 from tests.harness.cluster import Cluster
+from tests.harness.scripted import Peer, Script
 
 SMALL_FLEET = FleetPlan(
     base_port=0,
@@ -63,3 +64,16 @@
     """Returns the small fleet, with all faults removed before each scenario."""
     fleet.heal()
     yield fleet
+
+
+@pytest.fixture
+def start() -> Iterator[Callable[[Script], Peer]]:
+    peers: list[Peer] = []
+
+    def begin(script: Script) -> Peer:
+        peers.append(Peer(script))
+        return peers[-1]
+
+    yield begin
+    for peer in peers:
+        peer.close()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -44,19 +44,6 @@
     return OK + f"{ID}: {attempt}\r\n".encode()
 
 
-@pytest.fixture
-def start() -> Iterator[Callable[[Script], Peer]]:
-    peers: list[Peer] = []
-
-    def begin(script: Script) -> Peer:
-        peers.append(Peer(script))
-        return peers[-1]
-
-    yield begin
-    for peer in peers:
-        peer.close()
-
-
 def read(addr: str) -> Any:
     """The head of an answer and the rest of it, or the failure."""
 
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -4,7 +4,7 @@
 
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -38,19 +38,6 @@
     conn.close()
 
 
-@pytest.fixture
-def start() -> Iterator[Callable[[Script], Peer]]:
-    peers: list[Peer] = []
-
-    def begin(script: Script) -> Peer:
-        peers.append(Peer(script))
-        return peers[-1]
-
-    yield begin
-    for peer in peers:
-        peer.close()
-
-
 def upstream(addr: str) -> Upstream:
     return Upstream("i-1", addr, "web", "bole", "v1", 8, False)
 
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import random
+from types import SimpleNamespace
 from typing import Any, NamedTuple
 
 import curio
 import pytest
 
 from ramppost import clock
-from ramppost.gateway import rollout_duty
+from ramppost.gateway import rollout_duty, serve
 from ramppost.gateway.evidence_news import EvidenceNews
+from ramppost.gateway.load import InFlight
 from ramppost.gateway.model import RolloutOrder, Upstream
 from ramppost.gateway.rollout_duty import LAST_ANSWER_WAIT_S, OTHERS_END_IT_S, _decide
 from ramppost.gateway.rollout_news import RolloutNews
@@ -279,6 +281,27 @@
     assert all(fleet.considered_bad)
 
 
+def test_caller_that_left_as_a_larger_model_was_chosen_left_its_attempt_behind(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def leave(*args: Any) -> str:
+        raise curio.TaskCancelled
+
+    async def abort() -> None:
+        pass
+
+    monkeypatch.setattr(serve, "choose_larger_model", leave)
+    node, work = fleet.all[0], InFlight()
+    work.requests = 1
+    timing = fleet.begin(node, NEW, "chat")
+    exchange = SimpleNamespace(abort=abort)
+    running = SimpleNamespace(work=work, timing=timing, key="", exchange=exchange)
+    with pytest.raises(curio.TaskCancelled):
+        curio.run(serve._choose_or_release, node, None, SERVICE, None, running)
+    assert not node.evidence.running
+    assert not work.requests
+
+
 class Ends:
     """Stands in for the writes that end a roll-out."""
 
