Let a gateway that has just started leave the end of a roll-out to others

By reading: a gateway that starts as a roll-out is due knows neither what the others have seen nor that they have found the version bad, and would have completed it as one without requests.

Change: it decides only once it has known the order for as long as others take to tell it all, or if nobody else has for two seconds.

Failing before: test_gateway_that_had_just_started_completed_what_it_knew_ nothing_of (the gateway wrote 'completed' at once).

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -16,6 +16,7 @@
 from loguru import logger
 
 from ramppost import clock
+from ramppost.gateway.evidence_news import REPEAT_INTERVAL_S
 from ramppost.gateway.model import RolloutOrder
 from ramppost.gateway.rollouts import Rollout
 from ramppost.gateway.state import Gateway
@@ -41,6 +42,8 @@
 RETRY_DELAY_S: Final = 0.3
 OTHERS_END_IT_S: Final = 2.0
 """How long a gateway that is not told all evidence waits for an end by those that are."""
+ALL_TOLD_AFTER_S: Final = 1.2 * REPEAT_INTERVAL_S
+"""How long after it has seen the order a gateway has been told what the others know."""
 LAST_ANSWER_WAIT_S: Final = 1.0
 """How long a version is waited for that has given no answer when its roll-out should end."""
 TELL_SESSIONS_INTERVAL_S: Final = 1.0
@@ -86,8 +89,8 @@
 async def _decide(gw: Gateway, rollout: Rollout, part: float, now: float) -> None:
     """End a roll-out whose time has come, on the evidence of all gateways.
 
-    A version without any answer is given a little longer.  Gateways that are not told all evidence
-    leave it to the others unless these don't end it.
+    A version without any answer is given a little longer.  Gateways that are not told all evidence,
+    or have just started, leave it to the others unless these don't end it.
     """
     judgement = gw.evidence_news.judge(rollout)
     order = rollout.order
@@ -104,7 +107,9 @@
         await _finish(gw, rollout, completed=False)
         return
     late_s = (part - rollout.ramp.complete_at) * order.duration_s
-    if not gw.evidence_news.has_all_evidence(now) and late_s < OTHERS_END_IT_S:
+    heard_s = now - rollout.seen_at
+    is_told = gw.evidence_news.has_all_evidence(now) and heard_s >= ALL_TOLD_AFTER_S
+    if not is_told and late_s < OTHERS_END_IT_S:
         return
     if late_s < CHECK_INTERVAL_S:
         logger.info(
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -48,6 +48,8 @@
         self, order: RolloutOrder, seen_at: float, exposure: Exposure = DEFAULT_EXPOSURE
     ) -> None:
         self.order = order
+        self.seen_at = seen_at
+        """When this gateway saw the order (steady clock)."""
         self.started_at = seen_at
         self.ramp = plan_ramp(exposure.share, order.duration_s)
         self.own_evidence: dict[Source, Counts] = {}
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -14,7 +14,12 @@
 from ramppost.gateway.evidence_news import EvidenceNews
 from ramppost.gateway.load import InFlight
 from ramppost.gateway.model import RolloutOrder, Upstream
-from ramppost.gateway.rollout_duty import LAST_ANSWER_WAIT_S, OTHERS_END_IT_S, _decide
+from ramppost.gateway.rollout_duty import (
+    ALL_TOLD_AFTER_S,
+    LAST_ANSWER_WAIT_S,
+    OTHERS_END_IT_S,
+    _decide,
+)
 from ramppost.gateway.rollout_news import RolloutNews
 from ramppost.gateway.rollouts import PlacedRequest, Rollout, Rollouts
 from ramppost.gateway.version_evidence import AttemptTiming, ExpectedAnswer, VersionEvidence
@@ -356,6 +361,19 @@
     assert ends.decide(fleet.all[0], 0.1, fleet.time.now) == [False]
 
 
+def test_gateway_that_had_just_started_completed_what_it_knew_nothing_of(
+    fleet: Fleet, ends: Ends
+) -> None:
+    for i, node in enumerate(fleet.all[1:] * 4):
+        fleet.answer(node, NEW, upstream=i % 4, failed=True)
+    started = fleet.all[0]
+    started.rollout.seen_at = fleet.time.now
+    assert ends.decide(started, 0.1, fleet.time.now) == []
+    fleet.time.now += ALL_TOLD_AFTER_S
+    fleet.exchange()
+    assert ends.decide(started, 0.1 + ALL_TOLD_AFTER_S, fleet.time.now) == [False]
+
+
 def test_gateway_that_is_not_told_all_evidence_completed_a_version(time: Clock, ends: Ends) -> None:
     fleet = Fleet(time, gateways=MAX_FLAT_FLEET + 10)
     fleet.order(elapsed=0.2)
