Find versions that fail a small share, as it is not known how large it is

By chance four of 19 had failed on the routes that don't fail otherwise, three of them at one upstream.

Cause: answers were weighed against a version that fails 35 in 100, so each sound answer took back 0.43, and four failures among 19 left 2.6 less than the bound: not even a doubt as it was completed.

Change: the likelihood ratio is the mean over shares of 15, 35 and 60 in 100, for slow answers as well. The bound stays.

Failing before: test_version_that_failed_a_fifth_by_chance_was_completed.

--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -3,7 +3,8 @@
 No I/O.  Each gateway counts how attempts at the new version ended, by upstream and route, and how
 those at the versions in service did in the same time, and tells the others; `EvidencePool` adds up
 what all tell.  Each answer of the new version has a log likelihood ratio: how much likelier it is
-of a version that fails or slows a part of its answers than of one that is like those in service.
+of a version that fails or slows a share of its answers than of one that is like those in service.
+As the share is not known, likelihood ratios are averaged over a few.
 
 A sequential test of the sums withdraws the version, for all routes together or for one of them,
 where the bound is the higher the more routes there are.  A sound version may run on a box that
@@ -21,10 +22,18 @@
 import math
 from typing import Final, Literal, NamedTuple
 
-from ramppost.policy.slowness import LEVELS, SLOW_LEVEL, LevelWeights, level_weights
-
-FAILED_SHARE: Final = 0.35
-"""Share of failed answers of a bad version, as the alternative hypothesis has it."""
+from ramppost.policy.slowness import (
+    LEVELS,
+    SLOW_LEVEL,
+    LevelWeights,
+    level_weights,
+    log_ratio,
+)
+
+BAD_SHARES: Final = (0.15, 0.35, 0.6)
+"""Shares of failed or slow answers of a bad version, each as likely as the others."""
+TYPICAL_SHARE: Final = 1
+"""Index of the share by which a single upstream is judged."""
 MIN_ERROR_SHARE: Final = 0.01
 ERROR_PRIOR_WEIGHT: Final = 10.0
 """Number of answers that the share of the service, or the least one, counts as."""
@@ -186,8 +195,9 @@
 
     def judge(self, trial_upstreams: int) -> Judgement:
         """Judge the version, which runs on so many upstreams."""
-        weights = self._weights()
-        new = {s: c for s, c in self._by_upstream.items() if s.upstream and s.route in weights}
+        weights = [self._weights(share) for share in BAD_SHARES]
+        known = weights[0]
+        new = {s: c for s, c in self._by_upstream.items() if s.upstream and s.route in known}
         routes = sorted({source.route for source in new})
         scopes = [("", 1)]
         if len(routes) > 1:
@@ -209,7 +219,7 @@
             round(sum(c.answers for s, c in self._by_upstream.items() if s.upstream)),
             worst.reason,
             worst.excess,
-            self._suspects(new, weights),
+            self._suspects(new, weights[TYPICAL_SHARE]),
         )
 
     def _suspects(
@@ -224,8 +234,9 @@
                 sums[key] = sums.get(key, 0.0) + weight
         return frozenset(upstream for (upstream, _), odds in sums.items() if odds >= SUSPECT_BOUND)
 
-    def _weights(self) -> dict[str, _RouteWeights]:
-        """What answers say, by route; without those on which too little is known."""
+    def _weights(self, bad_share: float) -> dict[str, _RouteWeights]:
+        """What answers say if a bad version has such a share of bad ones, by route; without those
+        on which too little is known."""
         in_service = [(s, c) for s, c in self._by_upstream.items() if not s.upstream]
         usual = {source.route: counts for source, counts in in_service if not source.is_recent}
         recent = {source.route: counts for source, counts in in_service if source.is_recent}
@@ -233,7 +244,7 @@
         for counts in usual.values():
             all_counts = all_counts.plus(counts)
         return {
-            route: _route_weights(counts, all_counts, recent.get(route, NO_COUNTS))
+            route: _route_weights(counts, all_counts, recent.get(route, NO_COUNTS), bad_share)
             for route, counts in usual.items()
             if counts.answers >= MIN_ROUTE_ANSWERS
         }
@@ -241,31 +252,19 @@
     def _finding(
         self,
         new: dict[Source, Counts],
-        weights: dict[str, _RouteWeights],
+        weights: list[dict[str, _RouteWeights]],
         symptom: Symptom,
         route: str,
         tests: int,
         trial_upstreams: int,
     ) -> _Finding:
-        """The evidence for a symptom, on one route or on all if it is empty; `tests` is the number
-        of routes that are tested."""
+        """The evidence for a symptom, on one route or on all if it is empty; `weights` are those of
+        each share of bad answers, and `tests` the number of routes that are tested."""
         of_route = {s: c for s, c in new.items() if route in ("", s.route)}
-        by_upstream: dict[str, float] = {}
-        for source, counts in of_route.items():
-            weight = weights[source.route].weigh(source, counts, symptom)
-            by_upstream[source.upstream] = by_upstream.get(source.upstream, 0.0) + weight
         is_single = trial_upstreams <= 1
-        if is_single:
-            log_odds = sum(by_upstream.values())
-        else:
-            log_odds = _discounted_sum(by_upstream, UPSTREAM_TROUBLE_SHARE)
-        if symptom == "slow" and not is_single:
-            by_gateway: dict[str, float] = {}
-            for (gateway, source), counts in self._by_gateway.items():
-                if route in ("", source.route) and source.route in weights:
-                    weight = weights[source.route].weigh(source, counts, symptom)
-                    by_gateway[gateway] = by_gateway.get(gateway, 0.0) + weight
-            log_odds = min(log_odds, _discounted_sum(by_gateway, GATEWAY_TROUBLE_SHARE))
+        log_odds = _log_mean_exp(
+            [self._log_odds(of_route, of_share, symptom, route, is_single) for of_share in weights]
+        )
         bound = (SINGLE_UPSTREAM_BOUND if is_single else WITHDRAW_BOUND) + math.log(tests)
         bad = sum(c.failures if symptom == "failed" else c.slow for c in of_route.values())
         answers = sum(counts.answers for counts in of_route.values())
@@ -273,6 +272,31 @@
         reason = f"{bad:.0f} answers {symptom}{where}, {answers:.0f} ended"
         return _Finding(log_odds - bound, bad, reason)
 
+    def _log_odds(
+        self,
+        of_route: dict[Source, Counts],
+        weights: dict[str, _RouteWeights],
+        symptom: Symptom,
+        route: str,
+        is_single: bool,
+    ) -> float:
+        """Log likelihood ratio of all answers for a symptom."""
+        by_upstream: dict[str, float] = {}
+        for source, counts in of_route.items():
+            weight = weights[source.route].weigh(source, counts, symptom)
+            by_upstream[source.upstream] = by_upstream.get(source.upstream, 0.0) + weight
+        if is_single:
+            return sum(by_upstream.values())
+        log_odds = _discounted_sum(by_upstream, UPSTREAM_TROUBLE_SHARE)
+        if symptom == "failed":
+            return log_odds
+        by_gateway: dict[str, float] = {}
+        for (gateway, source), counts in self._by_gateway.items():
+            if route in ("", source.route) and source.route in weights:
+                weight = weights[source.route].weigh(source, counts, symptom)
+                by_gateway[gateway] = by_gateway.get(gateway, 0.0) + weight
+        return min(log_odds, _discounted_sum(by_gateway, GATEWAY_TROUBLE_SHARE))
+
 
 def _can_be_bad(new: dict[Source, Counts], route: str) -> bool:
     """Whether there are enough answers on a route to find a version bad there."""
@@ -280,7 +304,9 @@
     return seen >= MIN_BAD_ANSWERS
 
 
-def _route_weights(route: Counts, all_routes: Counts, recent: Counts) -> _RouteWeights:
+def _route_weights(
+    route: Counts, all_routes: Counts, recent: Counts, bad_share: float
+) -> _RouteWeights:
     """What answers on a route say, given those of the versions in service.
 
     What has come over these in the last seconds may have come over the new version as well.
@@ -289,10 +315,10 @@
     share = max(MIN_ERROR_SHARE, usual, _error_share(recent, usual))
     levels = (route.all_levels, all_routes.all_levels, recent.all_levels)
     return _RouteWeights(
-        math.log((1 - FAILED_SHARE) + FAILED_SHARE / share),
-        math.log(1 - FAILED_SHARE),
-        level_weights(*levels, has_moved=False),
-        level_weights(*levels, has_moved=True),
+        log_ratio(1.0, share, bad_share),
+        log_ratio(0.0, 1 - share, bad_share),
+        level_weights(*levels, has_moved=False, slow_share=bad_share),
+        level_weights(*levels, has_moved=True, slow_share=bad_share),
     )
 
 
@@ -301,22 +327,33 @@
     return failures / (counts.answers + ERROR_PRIOR_WEIGHT)
 
 
+def _log_mean_exp(log_ratios: list[float]) -> float:
+    """Logarithm of the mean of likelihood ratios.
+
+    >>> round(_log_mean_exp([0.0, math.log(3.0)]), 2) == round(math.log(2.0), 2)
+    True
+    """
+    highest = max(log_ratios)
+    mean = sum(math.exp(each - highest) for each in log_ratios) / len(log_ratios)
+    return highest + math.log(mean)
+
+
 def _dot(counts: tuple[float, ...], weights: tuple[float, ...]) -> float:
     return sum(count * weight for count, weight in zip(counts, weights, strict=True))
 
 
 def _discounted_sum(by_source: dict[str, float], trouble_share: float) -> float:
     """Sum of the evidence by source, where each may be in trouble by itself."""
-    return sum(_discounted(log_ratio, trouble_share) for log_ratio in by_source.values())
+    return sum(_discounted(log_odds, trouble_share) for log_odds in by_source.values())
 
 
-def _discounted(log_ratio: float, trouble_share: float) -> float:
+def _discounted(log_odds: float, trouble_share: float) -> float:
     """Log likelihood ratio to the null hypothesis that the source is sound, or with probability
     `trouble_share` in trouble by itself.
 
-    >>> [round(_discounted(log_ratio, 0.1), 2) for log_ratio in (-2.0, 2.0, 9e3)]
+    >>> [round(_discounted(odds, 0.1), 2) for odds in (-2.0, 2.0, 9e3)]
     [-1.91, 1.51, 2.3]
     """
-    if log_ratio < 0:
-        return log_ratio - math.log(1 - trouble_share + trouble_share * math.exp(log_ratio))
-    return -math.log((1 - trouble_share) * math.exp(-log_ratio) + trouble_share)
+    if log_odds < 0:
+        return log_odds - math.log(1 - trouble_share + trouble_share * math.exp(log_odds))
+    return -math.log((1 - trouble_share) * math.exp(-log_odds) + trouble_share)
--- a/ramppost/policy/slowness.py
+++ b/ramppost/policy/slowness.py
@@ -24,8 +24,6 @@
 SLOW_LEVEL: Final = 2
 """Level from which an answer counts as slow."""
 LEVELS: Final = len(LEVEL_RATIOS) + 1
-SLOW_SHARE: Final = 0.35
-"""Share of slow answers of a bad version, as the alternative hypothesis has it."""
 BAD_LEVELS: Final = (0.05, 0.10, 0.20, 0.25, 0.40)
 """How the slow answers of a bad version spread over the levels."""
 PRIOR_TAILS: Final = (1.0, 0.2, 0.06, 0.025, 0.01)
@@ -119,14 +117,17 @@
     all_counts: Sequence[float],
     recent_counts: Sequence[float],
     has_moved: bool,
+    slow_share: float,
 ) -> LevelWeights:
     """What answers say at each level, given how many of the versions in service came to each: on
     the same route, on all, and on the same in the last seconds.
 
-    `has_moved` tells that all traffic has just moved to the version of the answers.
+    `has_moved` tells that all traffic has just moved to the version of the answers, and
+    `slow_share` is the share of them that a bad version slows.
 
     >>> nothing = (0.0,) * LEVELS
-    >>> [round(weight, 1) for weight in level_weights(nothing, nothing, nothing, False).ended]
+    >>> weights = level_weights(nothing, nothing, nothing, False, 0.35)
+    >>> [round(weight, 1) for weight in weights.ended]
     [-0.4, -0.1, 1.0, 1.9, 2.7]
     """
     all_tails = _tails(all_counts, PRIOR_TAILS, PRIOR_WEIGHT)
@@ -140,8 +141,8 @@
         for tail, beyond in zip(tails, [*tails[1:], 0.0], strict=True)
     ]
     return LevelWeights(
-        tuple(_weight(bad, sound) for bad, sound in zip(BAD_LEVELS, steps, strict=True)),
-        tuple(_weight(bad, sound) for bad, sound in zip(bad_tails, tails, strict=True)),
+        tuple(log_ratio(b, sound, slow_share) for b, sound in zip(BAD_LEVELS, steps, strict=True)),
+        tuple(log_ratio(b, sound, slow_share) for b, sound in zip(bad_tails, tails, strict=True)),
     )
 
 
@@ -151,7 +152,11 @@
     return [(sum(counts[level:]) + prior_weight * prior[level]) / total for level in range(LEVELS)]
 
 
-def _weight(bad: float, sound: float) -> float:
-    """Log likelihood ratio of an answer that a slow one of a bad version is with probability `bad`,
-    and one of a sound version with probability `sound`."""
-    return math.log((1 - SLOW_SHARE) + SLOW_SHARE * bad / sound)
+def log_ratio(bad: float, sound: float, bad_share: float) -> float:
+    """Log likelihood ratio of an answer of a version of which `bad_share` are bad answers, if a bad
+    one is like it with probability `bad`, and one of a sound version with probability `sound`.
+
+    >>> round(log_ratio(1.0, 0.01, 0.35), 1), round(log_ratio(0.0, 0.99, 0.35), 1)
+    (3.6, -0.4)
+    """
+    return math.log((1 - bad_share) + bad_share * bad / sound)
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -164,6 +164,28 @@
     return found
 
 
+class Ends:
+    """Stands in for the writes that end a roll-out."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.written: list[bool] = []
+        monkeypatch.setattr(rollout_duty, "_finish", self._finish)
+
+    async def _finish(self, gw: Any, rollout: Rollout, completed: bool) -> None:
+        self.written.append(completed)
+
+    def decide(self, node: Node, late_s: float, now: float) -> list[bool]:
+        """What a gateway has written as a roll-out has been due for so long."""
+        part = node.rollout.ramp.complete_at + late_s / DURATION_S
+        curio.run(_decide, node, node.rollout, part, now)
+        return self.written
+
+
+@pytest.fixture
+def ends(monkeypatch: pytest.MonkeyPatch) -> Ends:
+    return Ends(monkeypatch)
+
+
 def test_slow_answers_were_not_added_up_over_gateways(fleet: Fleet) -> None:
     # Each gateway has seen two, which is no proof; none of them was forwarded.
     for upstream, node in enumerate(fleet.all):
@@ -271,6 +293,23 @@
     assert all(fleet.considered_bad)
 
 
+def test_version_that_failed_a_fifth_by_chance_was_completed(time: Clock, ends: Ends) -> None:
+    fleet = Fleet(time)
+    fleet.know_the_old(("chat", "prices"))
+    for node in fleet.all:
+        for i in range(STABLE_ANSWERS):
+            fleet.answer(node, OLD, "prices", failed=i % 3 == 0)
+    fleet.order(elapsed=0.2)
+    by_upstream = ("...", "......xxx", "......", "x")
+    for upstream, answers in enumerate(by_upstream):
+        for i, answer in enumerate(answers):
+            fleet.answer(fleet.all[i % 4], NEW, "chat", upstream=upstream, failed=answer == "x")
+    for i, answer in enumerate("xx..x....."):
+        fleet.answer(fleet.all[i % 4], NEW, "prices", upstream=i % 4, failed=answer == "x")
+    fleet.exchange()
+    assert ends.decide(fleet.all[0], 0.1, time.now) == [False]
+
+
 def test_gateway_that_was_not_there_completed_what_another_had_found_bad(fleet: Fleet) -> None:
     late = fleet.all[-1]
     fleet.cut = {"10.0.0.4"}
@@ -307,28 +346,6 @@
     assert not work.requests
 
 
-class Ends:
-    """Stands in for the writes that end a roll-out."""
-
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.written: list[bool] = []
-        monkeypatch.setattr(rollout_duty, "_finish", self._finish)
-
-    async def _finish(self, gw: Any, rollout: Rollout, completed: bool) -> None:
-        self.written.append(completed)
-
-    def decide(self, node: Node, late_s: float, now: float) -> list[bool]:
-        """What a gateway has written as a roll-out has been due for so long."""
-        part = node.rollout.ramp.complete_at + late_s / DURATION_S
-        curio.run(_decide, node, node.rollout, part, now)
-        return self.written
-
-
-@pytest.fixture
-def ends(monkeypatch: pytest.MonkeyPatch) -> Ends:
-    return Ends(monkeypatch)
-
-
 def test_version_that_never_answered_was_completed_by_the_time_alone(
     fleet: Fleet, ends: Ends
 ) -> None:
