Take no notice of a few milliseconds in the time of a first byte

Cause: the level of slowness is a ratio to the usual time. Where a first byte comes after 2 ms as a rule, 8 to 12 ms are a level of 2 or 3, and say as much as a first token after two seconds instead of half a one.

Change: 10 ms are added to both times before they are compared. At a usual time of 0.3 s a fourfold time counts as 3.9.

--- a/ramppost/gateway/version_evidence.py
+++ b/ramppost/gateway/version_evidence.py
@@ -27,6 +27,9 @@
 
 MIN_USUAL_FIRST_S: Final = 0.03
 """Transit and the first token, added to the time until the prompt has been read."""
+UNNOTICED_S: Final = 0.01
+"""Added to the times that are compared, in seconds: between a few milliseconds nobody notices a
+difference, and gateways and boxes cause some."""
 MIN_GAPS: Final = 8
 """Gaps between events from which their mean is compared."""
 MIN_GAPS_SO_FAR: Final = 16
@@ -269,12 +272,22 @@
     return wide if narrow is None else narrow
 
 
+def _first_ratio(times: UsualTimes, timing: AttemptTiming, now: float) -> float | None:
+    """The time to the first byte relative to the usual one."""
+    sample = timing.first_sample(now)
+    ratio = _ratio(times, timing.expected, "first", sample)
+    if not ratio:
+        return ratio
+    first_s = sample * timing.expected.first_s
+    return (first_s + UNNOTICED_S) / (first_s / ratio + UNNOTICED_S)
+
+
 def _level(times: UsualTimes, timing: AttemptTiming, now: float) -> int | None:
     """The level of slowness that an attempt has come to; None if it can't be told."""
     expected = timing.expected
     if not expected.timed or timing.failed:
         return None
-    ratios = [_ratio(times, expected, "first", timing.first_sample(now))]
+    ratios = [_first_ratio(times, timing, now)]
     gap = timing.gap_sample(now)
     if gap is not None:
         ratios.append(_ratio(times, expected, "gap", gap))
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -212,6 +212,17 @@
     assert all(fleet.considered_bad)
 
 
+def test_few_milliseconds_made_a_sound_version_slow(fleet: Fleet) -> None:
+    # Its engines were idle, and took 8 ms instead of 2.
+    for node in fleet.all:
+        for _ in range(2 * STABLE_ANSWERS):
+            fleet.answer(node, OLD, times=0.002 / FIRST_S)
+    for upstream, node in enumerate(fleet.all * 3):
+        fleet.answer(node, NEW, times=0.008 / FIRST_S, upstream=upstream % 4)
+    fleet.exchange()
+    assert not any(fleet.considered_bad)
+
+
 def test_attempts_that_were_given_up_said_nothing(fleet: Fleet) -> None:
     timings = [fleet.begin(node, NEW, "chat", u) for u, node in enumerate(fleet.all * 2)]
     fleet.time.now += 10 * FIRST_S
