Choose another relay as soon as one announces its planned stop

Cause: a relay that stops stayed the relay until its process had ended. Its followers then lost their feed, took a relay that had not been one yet, and found it behind the store.

Change: gateways that have announced a stop come last among those that may be relays or distributors, so the next one in rank follows the store while the former one still runs. Where all stop, nothing changes.

--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -124,7 +124,7 @@
         """All names by rank when `changes` was `_ranked_at`."""
         self._ranked_at = 0
         self._roles = Roles([own], {hall: [own]})
-        self._roles_key: tuple[int, frozenset[str]] = (-1, frozenset())
+        self._roles_key: tuple[int, frozenset[str], frozenset[str]] = (-1, frozenset(), frozenset())
         """The `changes` and the skipped gateways for which `_roles` was computed."""
 
     def put(self, name: str, addr: str, hall: str = "", link_mbps: float = 0.0) -> bool:
@@ -289,15 +289,17 @@
         return [name for name in self._ranked if self._skip_until.get(name, 0.0) <= now]
 
     def _current_roles(self, now: float) -> Roles:
-        """The current roles; recomputed only if gateways change, fail or recover."""
+        """The current roles; recomputed only if gateways change, fail, stop or recover."""
         skipped = frozenset(name for name, until in self._skip_until.items() if until > now)
-        if (self.changes, skipped) != self._roles_key:
-            self._roles_key = (self.changes, skipped)
-            self._roles = self._assign_roles(now)
+        stopping = frozenset(self.stopping(now))
+        if (self.changes, skipped, stopping) != self._roles_key:
+            self._roles_key = (self.changes, skipped, stopping)
+            self._roles = self._assign_roles(now, stopping)
         return self._roles
 
-    def _assign_roles(self, now: float) -> Roles:
-        live = self._live_names(now)
+    def _assign_roles(self, now: float, stopping: frozenset[str]) -> Roles:
+        # Who follows a relay would notice only after a while that it has ended.
+        live = sorted(self._live_names(now), key=stopping.__contains__)
         hall_sizes = Counter(self.halls.values())
         by_hall: dict[str, list[str]] = {hall: [] for hall in hall_sizes}
         for name in live:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -203,6 +203,18 @@
     assert not peers.is_relay(NOW + 1)
 
 
+def test_followers_of_a_relay_noticed_its_planned_stop_only_after_its_end() -> None:
+    names = rank_gateways([f"g{i}" for i in range(8)])
+    peers = Peers(names[relay_count(8)])
+    put_all(peers, names)
+    peers.mark_stopping(names[0], NOW + 5)
+    assert peers.is_relay(NOW + 1) and names[0] not in peers.relays(NOW + 1)
+    assert names[0] in peers.relays(NOW + 6)
+    for name in names:
+        peers.mark_stopping(name, NOW + 5)
+    assert names[0] in peers.relays(NOW + 1)
+
+
 def test_a_source_that_responds_is_kept_and_others_are_tried_otherwise() -> None:
     names = rank_gateways([f"g{i}" for i in range(29)])
     peers = Peers(names[-1])
