Serve what has arrived on a kept connection before a planned stop

Cause: idle connections are shut down in one step of the event loop. On some of them a request has arrived whose task has not run yet. Its bytes can be read after the shutdown, so the request was served although nobody could be answered.

Change: a connection with unread bytes is left, and its request served to its end. Of one that is shut down, nothing is passed on that is read afterwards, so what arrives in between has certainly not run.

--- a/ramppost/gateway/inbound.py
+++ b/ramppost/gateway/inbound.py
@@ -23,6 +23,7 @@
 from ramppost.gateway.links import configure_socket
 from ramppost.gateway.model import CallerLimits, CallerRequest
 from ramppost.platform.headers import Headers, caller_request
+from ramppost.wire.client import readable
 from ramppost.wire.server import ClientDisconnected, accept_client
 
 READ_SIZE: Final = 65536
@@ -115,12 +116,18 @@
         self.count = 0
         self.busy = 0
         self.idle: set[Any] = set()
+        self.closed: set[Any] = set()
+        """Connections that were closed while idle: what can still be read from them is ignored."""
 
     def close_idle(self) -> None:
-        """Close idle connections; their callers reconnect to other gateways."""
-        for sock in self.idle:
+        """Close idle connections; their callers reconnect to other gateways.
+
+        One on which a request has arrived is not idle any more, though its task has not run yet.
+        """
+        for sock in [sock for sock in self.idle if not readable(sock.fileno())]:
+            self.idle.discard(sock)
+            self.closed.add(sock)
             sock._socket.shutdown(socket.SHUT_RDWR)
-        self.idle.clear()
 
 
 async def accept_callers(sock: Any, callers: CallerConnections, hooks: ServerHooks) -> None:
@@ -146,6 +153,7 @@
     finally:
         callers.count -= 1
         callers.idle.discard(sock)
+        callers.closed.discard(sock)
 
 
 async def _serve_one_request(
@@ -177,7 +185,7 @@
 async def _wait_for_request(
     sock: Any, conn: h11.Connection, callers: CallerConnections, hooks: ServerHooks
 ) -> bool:
-    """Wait for the first bytes of a request; false if none come within the idle limit."""
+    """Wait for the first bytes of a request; false if none come before the connection is closed."""
     if conn.trailing_data[0]:
         return True
     callers.idle.add(sock)
@@ -187,6 +195,8 @@
         return False
     finally:
         callers.idle.discard(sock)
+    if sock in callers.closed:
+        return False
     conn.receive_data(data)
     return bool(data)
 
