Believe nothing that does not carry the request's id

Cause: an answer without an id was taken for the one that was due, and nothing looked at the signature.

Change: Exchange.read_head accepts an answer with the id of the request only, and a success only if it is signed. Anything else ends the connection and counts as a failure of the upstream; the request may have run and goes on by its own rules.

Tests: upstreams of four test files answered without ids, which no upstream of the platform does; they name id and signature now, and their assertions are unchanged. A fuzz test (hypothesis) over answers of the request, of others and of none, cut and joined, and three cases of test_a_broken_answer_is_no_answer failed before.

--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -3,7 +3,8 @@
 `open_exchange` sends a request and returns an `Exchange` to read its response from.  Each failure
 is returned as a value that tells whether the request may have arrived: `NotSent` or `Broken`.  A
 late response to an earlier request is read and discarded; an idle connection with unread bytes is
-closed.
+closed.  Bytes that no request's id belongs to, or a success without its upstream's signature, are
+no response: what they say is not believed, and the request may have run.
 
 A faulty upstream may send bytes without end.  A head that has begun must be whole within
 `MAX_HEAD_S`, and a response to another request within `MAX_SKIP_S`; heads, discarded responses and
@@ -210,10 +211,14 @@
             if not isinstance(event, h11.Response):
                 return Broken("connection closed before the answer", by_peer=True)
             head = answer_head(event.status_code, tuple(event.headers))
-            is_ours = head.attempt_id in ("", self._req.attempt_id)
+            if not head.attempt_id:
+                return Broken("not an answer: no request's id", by_peer=True)
+            is_ours = head.attempt_id == self._req.attempt_id
             upstream = self._connection.upstream
             self._pool.observe_head(upstream, head, self.sent_at if is_ours else float("-inf"))
             if is_ours:
+                if head.status < 300 and not head.signed:
+                    return Broken("not an answer: a success that is not signed", by_peer=True)
                 self._framed = _is_framed(tuple(event.headers), event.status_code)
                 self._keep_alive_s = head.keep_alive_s
                 return head
--- a/tests/harness/scripted.py
+++ b/tests/harness/scripted.py
@@ -7,6 +7,8 @@
 import threading
 from collections.abc import Callable
 
+from ramppost.platform import names
+
 HOST = "127.0.0.1"
 Script = Callable[[socket.socket, int], None]
 """What is done with a connection, given its number from 0."""
@@ -51,3 +53,10 @@
             return data
         data += piece
     return data
+
+
+def own_lines(request: bytes) -> bytes:
+    """The lines that the head of every answer to a request has: its id, and a signature."""
+    lines = request.split(b"\r\n")
+    own = next(line for line in lines if line.lower().startswith(names.ATTEMPT_ID + b":"))
+    return own + b"\r\n" + names.SIGNATURE + b": s\r\n"
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -18,7 +18,7 @@
 from ramppost.gateway.links import Broken, ConnectionPool, Exchange, open_exchange
 from ramppost.platform import names
 from tests.harness.gateways import ONCE, SAFE, STREAM, UPSTREAMS, Deployment
-from tests.harness.scripted import HOST, Peer, Script, read_request
+from tests.harness.scripted import HOST, Peer, Script, own_lines, read_request
 from tests.test_gateway_links import ID, request, upstream
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -41,7 +41,7 @@
 
 
 def own_head(attempt: str) -> bytes:
-    return OK + f"{ID}: {attempt}\r\n".encode()
+    return OK + own_lines(f"{ID}: {attempt}\r\n".encode())
 
 
 def read(addr: str) -> Any:
@@ -136,12 +136,9 @@
 
     def _script(self, conn: socket.socket, number: int) -> None:
         while data := read_request(conn):
-            lines = data.decode("latin-1").split("\r\n")
-            attempt = next(line for line in lines if line.lower().startswith(ID.lower()))
             with self._lock:
                 self.asked += 1
-            head = f"HTTP/1.1 200 OK\r\n{attempt}\r\n{names.SIGNATURE.decode()}: s\r\n"
-            conn.sendall((head + self._before).encode())
+            conn.sendall(OK + own_lines(data) + self._before.encode())
             pour(conn, self._piece, TRICKLE_S)
 
 
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import curio
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from ramppost.gateway.links import (
     BodyEnd,
@@ -21,15 +24,24 @@
 )
 from ramppost.gateway.model import Upstream
 from ramppost.platform import names
-from tests.harness.scripted import HOST, Peer, Script, read_request
+from tests.harness.scripted import HOST, Peer, Script, own_lines, read_request
 
 ID = names.ATTEMPT_ID.decode()
 
 
 def answer(attempt: str, body: bytes = b"whole", **more: str) -> bytes:
-    lines = ["HTTP/1.1 200 OK", f"{ID}: {attempt}", f"Content-Length: {len(body)}"]
+    return ok_head(attempt, Content_Length=str(len(body)), **more) + body
+
+
+def ok_head(attempt: str, **more: str) -> bytes:
+    lines = ["HTTP/1.1 200 OK", f"{ID}: {attempt}", f"{names.SIGNATURE.decode()}: s"]
     lines += [f"{name.replace('_', '-')}: {value}" for name, value in more.items()]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def asked(data: bytes) -> str:
+    """The id of a request."""
+    return own_lines(data).split(b"\r\n")[0].partition(b": ")[2].decode()
 
 
 def reset(conn: socket.socket) -> None:
@@ -104,8 +116,8 @@
     start: Callable[[Script], Peer], more: dict[str, str], accepted: int
 ) -> None:
     def script(conn: socket.socket, number: int) -> None:
-        while read_request(conn):
-            conn.sendall(answer("", **more))
+        while data := read_request(conn):
+            conn.sendall(answer(asked(data), **more))
 
     peer = start(script)
     assert ask(peer.addr, "a", "b") == [b"whole"] * 2
@@ -151,7 +163,10 @@
         (b"garbage\r\n\r\n", "not an answer"),
         (b"HTTP/1.1 200 OK\r\nContent-Le", "closed"),
         (answer("a")[:-2], "not an answer"),
-        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "not an answer"),
+        (ok_head("a", Transfer_Encoding="chunked") + b"5\r\nab", "not an answer"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "not an answer"),
+        (b"HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno", "not an answer"),
+        (f"HTTP/1.1 200 OK\r\n{ID}: a\r\nContent-Length: 2\r\n\r\nok".encode(), "not signed"),
     ],
 )
 def test_a_broken_answer_is_no_answer(
@@ -187,7 +202,7 @@
 ) -> None:
     def script(conn: socket.socket, number: int) -> None:
         read_request(conn)
-        conn.sendall(b"HTTP/1.1 200 OK\r\n\r\nall of it")
+        conn.sendall(ok_head("a") + b"all of it")
         conn.close()
 
     assert ask(start(script).addr, "a") == [b"all of it"]
@@ -198,7 +213,7 @@
 ) -> None:
     def script(conn: socket.socket, number: int) -> None:
         read_request(conn)
-        conn.sendall(b"HTTP/1.1 200 OK\r\n\r\npart of")
+        conn.sendall(ok_head("a") + b"part of")
         time.sleep(0.1)
         reset(conn)
 
@@ -210,10 +225,63 @@
     start: Callable[[Script], Peer],
 ) -> None:
     def script(conn: socket.socket, number: int) -> None:
-        read_request(conn)
-        conn.sendall(answer("", b"early"))
+        conn.sendall(answer(asked(read_request(conn)), b"early"))
         time.sleep(1)
 
     peer = start(script)
     assert ask(peer.addr, "a", "b", body=b"x" * 8_000_000) == [b"early"] * 2
     assert peer.accepted == 2
+
+
+class Part(NamedTuple):
+    """An answer, or what looks like one."""
+
+    attempt: str
+    signed: bool
+    status: int
+    body: bytes
+
+    @property
+    def sent(self) -> bytes:
+        head = ok_head(self.attempt, Content_Length=str(len(self.body)))
+        head = head.replace(b"200", b"%d" % self.status)
+        if not self.signed:
+            head = head.replace(names.SIGNATURE, b"x-other")
+        if not self.attempt:
+            head = head.replace(names.ATTEMPT_ID, b"x-others")
+        return head + self.body
+
+
+PARTS = st.builds(
+    Part,
+    st.sampled_from(["a", "a", "other", "other", ""]),
+    st.sampled_from([True, True, False]),
+    st.sampled_from([200, 200, 503]),
+    st.binary(max_size=40),
+)
+
+
+@given(st.lists(PARTS, max_size=4), st.floats(0, 1), st.sampled_from([0, 0, 1, 30, 150]))
+def test_bytes_of_no_request_were_passed_on(parts: list[Part], split: float, cut: int) -> None:
+    sent = b"".join(part.sent for part in parts)
+    joint = round(split * len(sent))
+    sent = sent[: -cut or None]
+
+    def script(conn: socket.socket, number: int) -> None:
+        read_request(conn)
+        conn.sendall(sent[:joint])
+        conn.sendall(sent[joint:])
+        conn.shutdown(socket.SHUT_WR)
+
+    peer = Peer(script)
+    try:
+        (got,) = ask(peer.addr, "a")
+    finally:
+        peer.close()
+    skipped = list(itertools.takewhile(lambda part: part.attempt == "other", parts))
+    own = next(iter(parts[len(skipped) :]), None)
+    is_whole = len(b"".join(part.sent for part in parts[: len(skipped) + 1])) <= len(sent)
+    if own and own.attempt and (own.signed or own.status >= 300) and is_whole and len(skipped) < 4:
+        assert got == own.body
+    else:
+        assert isinstance(got, Broken)
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -30,7 +30,7 @@
 from ramppost.policy.slow_callers import BufferedResponse, responses_to_abort
 from ramppost.wire.server import ClientDisconnected
 from tests.harness.gateways import HOST, KEYS, SITE, Deployment, config, route
-from tests.harness.scripted import Peer, read_request
+from tests.harness.scripted import Peer, own_lines, read_request
 
 GATEWAY: Final = "gateway-1"
 TALE, LARGE = "/tale/", "/large/"
@@ -273,7 +273,7 @@
             self.after.append(after)
             conn.settimeout(UNREAD_TIMEOUT_S)
             try:
-                self._respond(conn, after)
+                self._respond(conn, after, own_lines(request))
             except TimeoutError:
                 self.aborted += 1
                 return
@@ -281,13 +281,14 @@
                 self.finished_at.append(clock.now())
             conn.settimeout(30)
 
-    def _respond(self, conn: socket.socket, after: int) -> None:
+    def _respond(self, conn: socket.socket, after: int, own: bytes) -> None:
+        head = b"HTTP/1.1 200 OK\r\n" + own
         if self.large_bytes:
-            conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % self.large_bytes)
+            conn.sendall(head + b"Content-Length: %d\r\n\r\n" % self.large_bytes)
             for _ in range(self.large_bytes // EVENT_BYTES):
                 conn.sendall(bytes(EVENT_BYTES))
             return
-        conn.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        conn.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n")
         for number in range(after + 1, self.events + 1):
             if self.break_after and number > self.break_after:
                 raise TimeoutError
--- a/tests/test_unframed_ends.py
+++ b/tests/test_unframed_ends.py
@@ -19,13 +19,15 @@
 
 from ramppost import clock
 from tests.harness.gateways import KEYS, STREAM, Deployment, Given, config, route
-from tests.harness.scripted import Peer, read_request
+from tests.harness.scripted import Peer, own_lines, read_request
 
 RAW_PREFIX = "/raw/"
-EndConnection = Callable[[Peer, socket.socket], None]
-"""What an upstream does with the connection after it has read the request."""
-HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
-FRAMED = b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"
+EndConnection = Callable[[Peer, socket.socket, bytes], None]
+"""What an upstream does with the connection after it has read the request, given the head of its
+answer without the framing."""
+OK = b"HTTP/1.1 200 OK\r\n"
+UNFRAMED = b"\r\n"
+FRAMED = b"Content-Length: 1000\r\n\r\n"
 PROPAGATION_S = 1.0
 READY_TIMEOUT_S = 5.0
 ENGINES = ("lm-1", "lm-2")
@@ -69,9 +71,9 @@
     """
 
     def serve_and_end(conn: socket.socket, _: int) -> None:
-        if read_request(conn):
+        if request := read_request(conn):
             ran.append(number)
-            end(peer, conn)
+            end(peer, conn, OK + own_lines(request))
 
     name = f"raw-{number}"
     peer = Peer(serve_and_end)
@@ -93,9 +95,9 @@
     """Three single upstreams crash during their responses; a fourth gets no request."""
     ran: list[int] = []
 
-    def end(peer: Peer, conn: socket.socket) -> None:
+    def end(peer: Peer, conn: socket.socket, head: bytes) -> None:
         peer.close()
-        conn.sendall(HEAD + b"begun")
+        conn.sendall(head + UNFRAMED + b"begun")
         conn.close()
 
     got = send_to_each_upstream(site, ran, end)
@@ -107,8 +109,8 @@
     """The upstream closes each connection to end its response and keeps running."""
 
     def serve_whole(conn: socket.socket, _: int) -> None:
-        if read_request(conn):
-            conn.sendall(HEAD + b"whole")
+        if request := read_request(conn):
+            conn.sendall(OK + own_lines(request) + UNFRAMED + b"whole")
         conn.close()
 
     peer = Peer(serve_whole)
@@ -163,8 +165,8 @@
     assert (got[0].status, got[0].events) == (200, list(range(1, EVENTS + 1)))
 
 
-@pytest.mark.parametrize("head", [HEAD, FRAMED], ids=["unframed", "framed"])
-def test_long_run_before_crash_is_not_fatal(site: Deployment, head: bytes) -> None:
+@pytest.mark.parametrize("framing", [UNFRAMED, FRAMED], ids=["unframed", "framed"])
+def test_long_run_before_crash_is_not_fatal(site: Deployment, framing: bytes) -> None:
     """Three upstreams crash for another reason, well after the start of their responses.
 
     The run time was measured for streams only, so that each upstream seemed to have crashed at the
@@ -172,8 +174,8 @@
     """
     ran: list[int] = []
 
-    def end(peer: Peer, conn: socket.socket) -> None:
-        conn.sendall(head)
+    def end(peer: Peer, conn: socket.socket, head: bytes) -> None:
+        conn.sendall(head + framing)
         for _ in range(PIECES):
             conn.sendall(b"piece")
             time.sleep(PIECE_INTERVAL_S)
