Refuse a key that is not known on routes that allow anonymous callers

What callers saw (review): a key that had been taken away still ran requests on such a route, though an unknown key gets 401 and a key that was removed must not run anything later than the time allowed.

Cause: admission asked for a known key only where the route needs one.

Change: a request with a key is judged by it, on any route. The test that an unknown key is admitted there was wrong by PROTOCOL.md ("A key that is not known gets 401"); it now asserts the refusal, and one more that a known key is admitted.

--- a/ramppost/gateway/admit.py
+++ b/ramppost/gateway/admit.py
@@ -42,7 +42,7 @@
     if table.keys is None:
         return Admitted(route, None)
     workspace = table.keys.get(req.key) if req.key else None
-    if workspace is None and not route.anonymous:
+    if workspace is None and (req.key or not route.anonymous):
         return _refusal_if_current(
             is_current, "unauthorized", "unknown key" if req.key else "no key"
         )
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -102,7 +102,8 @@
     [
         (ONCE, KEYS["toll"], SITE, ""),
         (OPEN, "", SITE, ""),
-        (OPEN, "unknown", SITE, ""),
+        (OPEN, KEYS["toll"], SITE, ""),
+        (OPEN, "unknown", SITE, "unauthorized"),
         (ONCE, "unknown", SITE, "unauthorized"),
         (ONCE, "", SITE, "unauthorized"),
         ("/nowhere/", "", SITE, "not_found"),
