--- a/ramppost/gateway/version_evidence.py
+++ b/ramppost/gateway/version_evidence.py
@@ -28,9 +28,8 @@
 MIN_USUAL_FIRST_S: Final = 0.03
 """Transit and the first token, added to the time until the prompt has been read."""
 UNNOTICED_S: Final = 0.01
-UNNOTICED_EVENT_S: Final = 0.05
-"""Added to the times to the first byte that are compared, and to the first event of a stream:
-nobody notices such a difference, and busy boxes cause some."""
+"""Added to the times that are compared, in seconds: between a few milliseconds nobody notices a
+difference, and gateways and boxes cause some."""
 MIN_GAPS: Final = 8
 """Gaps between events from which their mean is compared."""
 MIN_GAPS_SO_FAR: Final = 16
@@ -280,8 +279,7 @@
     if not ratio:
         return ratio
     first_s = sample * timing.expected.first_s
-    unnoticed_s = UNNOTICED_EVENT_S if timing.expected.gap else UNNOTICED_S
-    return (first_s + unnoticed_s) / (first_s / ratio + unnoticed_s)
+    return (first_s + UNNOTICED_S) / (first_s / ratio + UNNOTICED_S)
 
 
 def _level(times: UsualTimes, timing: AttemptTiming, now: float) -> int | None:
