Say once what the judging of versions says in several places

Found on reading the whole change again; behaviour stays as it is.

- RolloutNews.withdraw records that a version is bad and tells the others; four places did both by themselves.
- What answers of a sound version are like is worked out once a judgement, not once for each of the three shares of bad answers (guard._SoundAnswers, slowness.sound_tails).
- Attempts under way are a set, without numbers of their own.
- A gateway's start is named by ids.new_incarnation, as elsewhere.
- EvidenceNews.has_all_evidence only passed the question on to Peers.
- Tests: Fleet.fail_the_old instead of two loops; no assertion changed.

--- a/ramppost/gateway/evidence_news.py
+++ b/ramppost/gateway/evidence_news.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import itertools
-import random
 from typing import Final
 
 import curio
@@ -21,6 +20,7 @@
 from ramppost.gateway.rollout_news import RolloutNews
 from ramppost.gateway.rollouts import Rollout, Rollouts
 from ramppost.gateway.version_evidence import CountsBySource, VersionEvidence
+from ramppost.ids import new_incarnation
 from ramppost.policy.guard import NO_COUNTS, Counts, Judgement, Source
 from ramppost.policy.relays import MAX_FLAT_FLEET, Peers
 from ramppost.policy.slowness import LEVELS
@@ -36,7 +36,6 @@
 DIGITS: Final = 3
 """Decimal places of the counts that are told."""
 MAX_COUNT: Final = 1e9
-START_DIGITS: Final = 8
 
 
 class EvidenceNews:
@@ -55,8 +54,7 @@
         self._rollouts = rollouts
         self._evidence = evidence
         self._rollout_news = rollout_news
-        start = random.getrandbits(4 * START_DIGITS)
-        self._own = f"{peers.own}@{start:0{START_DIGITS}x}"
+        self._own = new_incarnation(peers.own)
         """Names this start of the gateway: what it knew before is still counted."""
         self._told: dict[str, CountsBySource] = {}
         """What was told last, by service."""
@@ -88,10 +86,6 @@
         """What all evidence that is known here says about a version."""
         return rollout.pool.judge(rollout.trial_upstreams)
 
-    def has_all_evidence(self, now: float) -> bool:
-        """Whether the other gateways tell this one their evidence."""
-        return self._peers.has_all_evidence(now)
-
     def handle_datagram(self, note: EvidenceNote) -> None:
         """Add what another gateway tells to the pool."""
         rollout = self._rollouts.get(note["service"])
@@ -130,7 +124,7 @@
         if not judgement.bad:
             return
         service, version = rollout.order.service, rollout.order.version
-        self._rollouts.withdraw(service, version, judgement.bad, now)
+        self._rollout_news.withdraw(service, version, judgement.bad, now)
         logger.warning(
             "version is considered bad: {}",
             judgement.bad,
@@ -140,7 +134,6 @@
             answers=judgement.answers,
             gateways=rollout.pool.gateways,
         )
-        self._rollout_news.announce_bad(rollout)
 
 
 def _cell(source: Source, counts: Counts) -> EvidenceCell:
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -95,7 +95,7 @@
     judgement = gw.evidence_news.judge(rollout)
     order = rollout.order
     if judgement.doubt:
-        gw.rollouts.withdraw(order.service, order.version, judgement.doubt, now)
+        gw.rollout_news.withdraw(order.service, order.version, judgement.doubt, now)
         logger.warning(
             "version is doubtful: {}",
             judgement.doubt,
@@ -103,12 +103,11 @@
             version=order.version,
             answers=judgement.answers,
         )
-        gw.rollout_news.announce_bad(rollout)
         await _finish(gw, rollout, completed=False)
         return
     late_s = (part - rollout.ramp.complete_at) * order.duration_s
     heard_s = now - rollout.seen_at
-    is_told = gw.evidence_news.has_all_evidence(now) and heard_s >= ALL_TOLD_AFTER_S
+    is_told = gw.peers.has_all_evidence(now) and heard_s >= ALL_TOLD_AFTER_S
     if not is_told and late_s < OTHERS_END_IT_S:
         return
     if late_s < CHECK_INTERVAL_S:
@@ -126,8 +125,7 @@
     if is_known:
         await _finish(gw, rollout, completed=True)
     elif late_s >= LAST_ANSWER_WAIT_S:
-        gw.rollouts.withdraw(order.service, order.version, "it has given no answer", now)
-        gw.rollout_news.announce_bad(rollout)
+        gw.rollout_news.withdraw(order.service, order.version, "it has given no answer", now)
         await _finish(gw, rollout, completed=False)
 
 
--- a/ramppost/gateway/rollout_news.py
+++ b/ramppost/gateway/rollout_news.py
@@ -54,9 +54,14 @@
                 if rollout.order.state == "ordered":
                     self._announce(rollout, INTERVAL_FANOUT, asks=True)
 
-    def announce_bad(self, rollout: Rollout) -> None:
-        """Tell others that a version is considered bad."""
+    def withdraw(self, service: str, version: str, reason: str, now: float) -> bool:
+        """Consider a version bad, and tell others; false if that is known, or no longer matters."""
+        if not self._rollouts.withdraw(service, version, reason, now):
+            return False
+        rollout = self._rollouts.get(service)
+        assert rollout is not None
         self._announce(rollout, FANOUT, asks=False)
+        return True
 
     def handle_datagram(self, note: RolloutNote, addr: Address) -> None:
         """Process what another gateway tells about a roll-out; answer it if it is behind."""
@@ -88,18 +93,14 @@
         """Withdraw a version that another gateway considers bad, and pass that on."""
         reason = note.get("bad", "")
         service, version = note["service"], note["version"]
-        if not reason or not self._rollouts.withdraw(service, version, reason, now):
-            return
-        logger.warning(
-            "version is considered bad elsewhere: {}",
-            reason,
-            service=service,
-            version=version,
-            peer=addr[0],
-        )
-        rollout = self._rollouts.get(service)
-        assert rollout is not None
-        self.announce_bad(rollout)
+        if reason and self.withdraw(service, version, reason, now):
+            logger.warning(
+                "version is considered bad elsewhere: {}",
+                reason,
+                service=service,
+                version=version,
+                peer=addr[0],
+            )
 
     def _announce(self, rollout: Rollout, count: int, asks: bool) -> None:
         names = self._peers.alive(clock.now())
--- a/ramppost/gateway/version_evidence.py
+++ b/ramppost/gateway/version_evidence.py
@@ -14,7 +14,6 @@
 
 from __future__ import annotations
 
-import itertools
 import math
 from typing import Final, NamedTuple
 
@@ -125,14 +124,13 @@
     def __init__(self, owner: VersionEvidence, expected: ExpectedAnswer, now: float) -> None:
         self.expected = expected
         self._owner = owner
-        self._id = owner.next_id()
         self.sent_at = now
         self._status = 0
         self._first_at: float | None = None
         self._last_at = now
         self._events = 0
         self._gaps_valid = True
-        owner.running[self._id] = self
+        owner.running.add(self)
 
     def record_head(self, status: int, now: float) -> None:
         """Record the head of the answer, which comes with its first byte."""
@@ -150,11 +148,12 @@
 
     def discard(self) -> None:
         """End the attempt without evidence, as its upstream has not run it."""
-        self._owner.running.pop(self._id, None)
+        self._owner.running.discard(self)
 
     def end(self, now: float) -> None:
         """End the attempt with what it has shown; further calls do nothing."""
-        if self._owner.running.pop(self._id, None) is not None:
+        if self in self._owner.running:
+            self._owner.running.remove(self)
             self._owner.settle(self, now)
 
     @property
@@ -181,7 +180,7 @@
         """
         if self._first_at is None or not self._gaps_valid or not self.expected.gap:
             return None
-        if self._id in self._owner.running:
+        if self in self._owner.running:
             gaps, last_at = max(self._events, MIN_GAPS_SO_FAR), now
         else:
             gaps, last_at = self._events - 1, self._last_at
@@ -194,15 +193,10 @@
     """What is known of the versions in service, and the evidence of this gateway on roll-outs."""
 
     def __init__(self, rollouts: Rollouts) -> None:
-        self.running: dict[int, AttemptTiming] = {}
-        """Attempts that have not ended, by number."""
+        self.running: set[AttemptTiming] = set()
+        """Attempts that have not ended."""
         self._rollouts = rollouts
         self._histories: dict[str, _ServiceHistory] = {}
-        self._ids = itertools.count(1)
-
-    def next_id(self) -> int:
-        """A number for a new attempt."""
-        return next(self._ids)
 
     def begin(self, expected: ExpectedAnswer, now: float) -> AttemptTiming:
         """Record that an attempt has been sent."""
@@ -230,7 +224,7 @@
         self._start_evidence(rollout, now)
         history = self._history(rollout.order.service)
         found = rollout.own_evidence | history.recent(now)
-        for timing in self.running.values():
+        for timing in self.running:
             if timing.expected.service == rollout.order.service:
                 level = _level(history.times, timing, now)
                 if level is not None and level >= SLOW_LEVEL:
--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -24,10 +24,12 @@
 
 from ramppost.policy.slowness import (
     LEVELS,
+    MOVED_TAILS,
     SLOW_LEVEL,
     LevelWeights,
     level_weights,
     log_ratio,
+    sound_tails,
 )
 
 BAD_SHARES: Final = (0.15, 0.35, 0.6)
@@ -163,6 +165,24 @@
         return _dot(counts.levels, levels.ended) + _dot(counts.reached, levels.reached)
 
 
+class _SoundAnswers(NamedTuple):
+    """How the answers of a sound version on a route are: the share that fails, and that at each
+    level of slowness or above."""
+
+    error_share: float
+    tails: list[float]
+
+    def weights(self, bad_share: float) -> _RouteWeights:
+        """What answers say if a bad version has such a share of bad ones."""
+        moved_tails = [max(of) for of in zip(self.tails, MOVED_TAILS, strict=True)]
+        return _RouteWeights(
+            log_ratio(1.0, self.error_share, bad_share),
+            log_ratio(0.0, 1 - self.error_share, bad_share),
+            level_weights(self.tails, bad_share),
+            level_weights(moved_tails, bad_share),
+        )
+
+
 class EvidencePool:
     """The evidence on a version, as all gateways have told it."""
 
@@ -195,9 +215,12 @@
 
     def judge(self, trial_upstreams: int) -> Judgement:
         """Judge the version, which runs on so many upstreams."""
-        weights = [self._weights(share) for share in BAD_SHARES]
-        known = weights[0]
-        new = {s: c for s, c in self._by_upstream.items() if s.upstream and s.route in known}
+        sound = self._sound_answers()
+        new = {s: c for s, c in self._by_upstream.items() if s.upstream and s.route in sound}
+        weights = [
+            {route: answers.weights(share) for route, answers in sound.items()}
+            for share in BAD_SHARES
+        ]
         routes = sorted({source.route for source in new})
         scopes = [("", 1)]
         if len(routes) > 1:
@@ -234,9 +257,9 @@
                 sums[key] = sums.get(key, 0.0) + weight
         return frozenset(upstream for (upstream, _), odds in sums.items() if odds >= SUSPECT_BOUND)
 
-    def _weights(self, bad_share: float) -> dict[str, _RouteWeights]:
-        """What answers say if a bad version has such a share of bad ones, by route; without those
-        on which too little is known."""
+    def _sound_answers(self) -> dict[str, _SoundAnswers]:
+        """How answers of a sound version are, by route; without those on which too little is
+        known."""
         in_service = [(s, c) for s, c in self._by_upstream.items() if not s.upstream]
         usual = {source.route: counts for source, counts in in_service if not source.is_recent}
         recent = {source.route: counts for source, counts in in_service if source.is_recent}
@@ -244,7 +267,7 @@
         for counts in usual.values():
             all_counts = all_counts.plus(counts)
         return {
-            route: _route_weights(counts, all_counts, recent.get(route, NO_COUNTS), bad_share)
+            route: _sound_on_route(counts, all_counts, recent.get(route, NO_COUNTS))
             for route, counts in usual.items()
             if counts.answers >= MIN_ROUTE_ANSWERS
         }
@@ -304,22 +327,15 @@
     return seen >= MIN_BAD_ANSWERS
 
 
-def _route_weights(
-    route: Counts, all_routes: Counts, recent: Counts, bad_share: float
-) -> _RouteWeights:
-    """What answers on a route say, given those of the versions in service.
+def _sound_on_route(route: Counts, all_routes: Counts, recent: Counts) -> _SoundAnswers:
+    """How answers of a sound version on a route are, given those of the versions in service.
 
     What has come over these in the last seconds may have come over the new version as well.
     """
     usual = _error_share(route, _error_share(all_routes, MIN_ERROR_SHARE))
     share = max(MIN_ERROR_SHARE, usual, _error_share(recent, usual))
     levels = (route.all_levels, all_routes.all_levels, recent.all_levels)
-    return _RouteWeights(
-        log_ratio(1.0, share, bad_share),
-        log_ratio(0.0, 1 - share, bad_share),
-        level_weights(*levels, has_moved=False, slow_share=bad_share),
-        level_weights(*levels, has_moved=True, slow_share=bad_share),
-    )
+    return _SoundAnswers(share, sound_tails(*levels))
 
 
 def _error_share(counts: Counts, usual: float) -> float:
--- a/ramppost/policy/slowness.py
+++ b/ramppost/policy/slowness.py
@@ -112,29 +112,26 @@
         return sample / median if median else None
 
 
-def level_weights(
-    route_counts: Sequence[float],
-    all_counts: Sequence[float],
-    recent_counts: Sequence[float],
-    has_moved: bool,
-    slow_share: float,
-) -> LevelWeights:
-    """What answers say at each level, given how many of the versions in service came to each: on
-    the same route, on all, and on the same in the last seconds.
-
-    `has_moved` tells that all traffic has just moved to the version of the answers, and
-    `slow_share` is the share of them that a bad version slows.
+def sound_tails(
+    route_counts: Sequence[float], all_counts: Sequence[float], recent_counts: Sequence[float]
+) -> list[float]:
+    """Share of a sound version's answers at each level or above, given how many of the versions in
+    service came to each: on the same route, on all, and on the same in the last seconds."""
+    all_tails = _tails(all_counts, PRIOR_TAILS, PRIOR_WEIGHT)
+    route_tails = _tails(route_counts, all_tails, ROUTE_PRIOR_WEIGHT)
+    recent_tails = _tails(recent_counts, route_tails, ROUTE_PRIOR_WEIGHT)
+    return [max(of) for of in zip(route_tails, recent_tails, PRIOR_TAILS, strict=True)]
+
+
+def level_weights(tails: Sequence[float], slow_share: float) -> LevelWeights:
+    """What answers say at each level, given the share of a sound version's at each or above;
+    `slow_share` is the share of answers that a bad version slows.
 
     >>> nothing = (0.0,) * LEVELS
-    >>> weights = level_weights(nothing, nothing, nothing, False, 0.35)
+    >>> weights = level_weights(sound_tails(nothing, nothing, nothing), 0.35)
     >>> [round(weight, 1) for weight in weights.ended]
     [-0.4, -0.1, 1.0, 1.9, 2.7]
     """
-    all_tails = _tails(all_counts, PRIOR_TAILS, PRIOR_WEIGHT)
-    route_tails = _tails(route_counts, all_tails, ROUTE_PRIOR_WEIGHT)
-    recent_tails = _tails(recent_counts, route_tails, ROUTE_PRIOR_WEIGHT)
-    least_tails = MOVED_TAILS if has_moved else PRIOR_TAILS
-    tails = [max(of) for of in zip(route_tails, recent_tails, least_tails, strict=True)]
     bad_tails = [sum(BAD_LEVELS[level:]) for level in range(LEVELS)]
     steps = [
         max(MIN_TAIL_STEP, tail - beyond)
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -50,6 +50,7 @@
 class Node(NamedTuple):
     """What a gateway needs to judge versions."""
 
+    peers: Peers
     rollouts: Rollouts
     evidence: VersionEvidence
     rollout_news: RolloutNews
@@ -96,7 +97,7 @@
             wire = Wire(self, ip)
             news = RolloutNews(peers, wire, rollouts)  # type: ignore[arg-type]
             found = EvidenceNews(peers, wire, rollouts, evidence, news)  # type: ignore[arg-type]
-            self.nodes[ip] = Node(rollouts, evidence, news, found)
+            self.nodes[ip] = Node(peers, rollouts, evidence, news, found)
 
     @property
     def all(self) -> list[Node]:
@@ -118,6 +119,12 @@
                     failed = rng.random() < failed_share
                     self.answer(node, OLD, route, rng.lognormvariate(0.0, 0.4), failed=failed)
 
+    def fail_the_old(self, route: str, every: int) -> None:
+        """Let each node have seen the old version fail one in so many answers on a route."""
+        for node in self.all:
+            for i in range(STABLE_ANSWERS):
+                self.answer(node, OLD, route, failed=i % every == 0)
+
     def begin(self, node: Node, version: str, route: str, upstream: int = 0) -> AttemptTiming:
         """An attempt that has just been sent."""
         name = f"{version}-{upstream}"
@@ -294,9 +301,7 @@
 def test_failures_of_one_route_hid_those_of_another(time: Clock) -> None:
     fleet = Fleet(time)
     fleet.know_the_old(("chat", "prices"))
-    for node in fleet.all:
-        for i in range(STABLE_ANSWERS):
-            fleet.answer(node, OLD, "prices", failed=i % 2 == 0)
+    fleet.fail_the_old("prices", every=2)
     fleet.order(elapsed=0.2)
     for i, node in enumerate(fleet.all * 2):
         fleet.answer(node, NEW, "chat", upstream=i % 4, failed=i % 3 == 0)
@@ -307,9 +312,7 @@
 def test_version_that_failed_a_fifth_by_chance_was_completed(time: Clock, ends: Ends) -> None:
     fleet = Fleet(time)
     fleet.know_the_old(("chat", "prices"))
-    for node in fleet.all:
-        for i in range(STABLE_ANSWERS):
-            fleet.answer(node, OLD, "prices", failed=i % 3 == 0)
+    fleet.fail_the_old("prices", every=3)
     fleet.order(elapsed=0.2)
     by_upstream = ("...", "......xxx", "......", "x")
     for upstream, answers in enumerate(by_upstream):
@@ -405,7 +408,7 @@
 def test_gateway_that_is_not_told_all_evidence_completed_a_version(time: Clock, ends: Ends) -> None:
     fleet = Fleet(time, gateways=MAX_FLAT_FLEET + 10)
     fleet.order(elapsed=0.2)
-    knowing = [node.evidence_news.has_all_evidence(time.now) for node in fleet.all]
+    knowing = [node.peers.has_all_evidence(time.now) for node in fleet.all]
     assert sum(knowing) == MAX_EVIDENCE_COLLECTORS
     other = fleet.all[knowing.index(False)]
     assert ends.decide(other, 0.1, time.now) == []
