Spread the writes of an end over a third of the time that is left

Cause: the end is written 0.27 s before the deadline in so short a roll-out, and relays spread their writes over 0.25 s.

Change: relays spread them over a third of that time at most, as before 0.25 s at 17 s and more.

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -39,6 +39,8 @@
 CHECK_INTERVAL_S: Final = 0.1
 WRITE_SPREAD_S: Final = 0.25
 """Relays spread their writes over this time, and the other gateways do so after them."""
+MARGIN_SPREAD_PART: Final = 1 / 3
+"""Most of the time before the deadline over which relays spread the writes of an end."""
 RETRY_DELAY_S: Final = 0.3
 OTHERS_END_IT_S: Final = 2.0
 """How long a gateway that is not told all evidence waits for an end by those that are."""
@@ -73,10 +75,7 @@
                 continue
             if _is_order_lost(gw, rollout):
                 continue
-            spread = hash_fraction("duty", gw.cfg["name"], rollout.order.service)
-            part = rollout.elapsed_fraction(
-                now - gw.peers.write_delay_s(WRITE_SPREAD_S, spread, now)
-            )
+            part = rollout.elapsed_fraction(now - _end_delay_s(gw, rollout, now))
             if rollout.withdrawal_reason:
                 await _finish(gw, rollout, completed=False)
             elif part >= rollout.ramp.complete_at:
@@ -86,6 +85,16 @@
                 await _save_progress(gw, rollout, part, saved_marks)
 
 
+def _end_delay_s(gw: Gateway, rollout: Rollout, now: float) -> float:
+    """How much later than others this gateway writes the end of a roll-out."""
+    order = rollout.order
+    margin_s = (1 - rollout.ramp.complete_at) * order.duration_s
+    spread_s = min(WRITE_SPREAD_S, MARGIN_SPREAD_PART * margin_s)
+    return gw.peers.write_delay_s(
+        spread_s, hash_fraction("duty", gw.cfg["name"], order.service), now
+    )
+
+
 async def _decide(gw: Gateway, rollout: Rollout, part: float, now: float) -> None:
     """End a roll-out whose time has come, on the evidence of all gateways.
 
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -431,6 +431,18 @@
         fleet.all[0].evidence_news.handle_datagram(note)
 
 
+@pytest.mark.parametrize("duration_s", [6.0, 16.0, 24.0])
+def test_short_roll_out_was_completed_late_as_the_writes_of_its_end_are_spread(
+    duration_s: float,
+) -> None:
+    rollout = Rollout(RolloutOrder(SERVICE, NEW, duration_s, "ordered", 1), 0.0)
+    margin_s = (1 - rollout.ramp.complete_at) * duration_s
+    for number in range(50):
+        name = f"g{number}"
+        gw: Any = SimpleNamespace(peers=Peers(name), cfg={"name": name})
+        assert rollout_duty._end_delay_s(gw, rollout, 0.0) <= margin_s / 3
+
+
 class Weather(NamedTuple):
     """Beside what a good version is rolled out: how much slower all answers are for a third of the
     time, and how many of four upstreams of each version are how much slower."""
