Count what a roll-out gets over the fleet, and grow only as far as that bears

The rule counts requests; the ramp was planned by time, with the traffic of a calm moment.

The steps after the first wait until the balance bears all requests until the deadline at the present rate; whoever takes one first tells the others, so that sessions do not move to and fro. Requests without a session are sampled from what is left of the budget, by how much a route's answers tell; when what is left would not cover the time after completion, they stay on the former version.

The four tests fail on the code before.

--- a/ramppost/gateway/evidence_news.py
+++ b/ramppost/gateway/evidence_news.py
@@ -21,6 +21,7 @@
 from ramppost.gateway.rollouts import Rollout, Rollouts
 from ramppost.gateway.version_evidence import CountsBySource, VersionEvidence
 from ramppost.ids import new_incarnation
+from ramppost.policy.exposure import SentCounts
 from ramppost.policy.guard import NO_COUNTS, Counts, Judgement, Source
 from ramppost.policy.relays import MAX_FLAT_FLEET, Peers
 from ramppost.policy.slowness import LEVELS
@@ -78,6 +79,7 @@
             if rollout.order.state != "ordered":
                 self._told.pop(rollout.order.service, None)
                 continue
+            rollout.account.mark(now)
             self._tell(rollout, repeats, now)
             if not rollout.withdrawal_reason:
                 self._withdraw_if_bad(rollout, now)
@@ -91,6 +93,8 @@
         rollout = self._rollouts.get(note["service"])
         if rollout is None or rollout.order.version != note["version"]:
             return
+        sent = SentCounts(note.get("sent_trial", 0), note.get("sent", 0))
+        rollout.account.put(note["gateway"], sent, clock.now())
         for cell in note["cells"]:
             source = Source(cell["upstream"], cell["route"], cell["moved"], cell["recent"])
             rollout.pool.put(note["gateway"], source, _counts(cell))
@@ -105,14 +109,17 @@
             rollout.pool.put(self._own, source, found)
         self._told[service] = counts
         to_tell = list((counts if repeats else changed).items())
-        collectors = self._peers.evidence_collectors(now) if to_tell else []
-        for first in range(0, len(to_tell), MAX_CELLS_PER_NOTE):
+        collectors = self._peers.evidence_collectors(now) if to_tell or repeats else []
+        sent = rollout.account.own
+        for first in range(0, max(1, len(to_tell)), MAX_CELLS_PER_NOTE):
             some = itertools.islice(to_tell, first, first + MAX_CELLS_PER_NOTE)
             note = EvidenceNote(
                 service=service,
                 version=version,
                 gateway=self._own,
                 cells=[_cell(source, found) for source, found in some],
+                sent_trial=sent.trial,
+                sent=sent.total,
             )
             for name in collectors:
                 addr = parse_address(self._peers.addrs[name])
@@ -121,6 +128,7 @@
     def _withdraw_if_bad(self, rollout: Rollout, now: float) -> None:
         judgement = self.judge(rollout)
         rollout.suspects = judgement.suspects
+        rollout.doubt = judgement.doubt
         if not judgement.bad:
             return
         service, version = rollout.order.service, rollout.order.version
--- a/ramppost/gateway/rollout_news.py
+++ b/ramppost/gateway/rollout_news.py
@@ -45,6 +45,7 @@
         self._rollouts = rollouts
         self._rng = random.Random()
         rollouts.on_order = lambda rollout: self._announce(rollout, FANOUT, asks=True)
+        rollouts.on_growth = self._announce_growth
 
     async def exchange(self) -> None:
         """Tell a few gateways about each roll-out now and then, until cancelled."""
@@ -74,6 +75,7 @@
             return
         if rollout.order.state != "ordered":
             return
+        self._apply_step(rollout, note.get("step", 0))
         gain_s = elapsed_s - (now - rollout.started_at)
         if gain_s > 0:
             rollout.started_at -= gain_s
@@ -102,6 +104,24 @@
                 peer=addr[0],
             )
 
+    def _announce_growth(self, rollout: Rollout) -> None:
+        logger.info(
+            "share of the new version grows",
+            service=rollout.order.service,
+            version=rollout.order.version,
+            step=rollout.reached_step,
+            rollout_fraction=round(rollout.elapsed_fraction(clock.now()), 3),
+            sent=rollout.account.balance(clock.now(), self._peers.fleet_size),
+        )
+        self._announce(rollout, FANOUT, asks=False)
+
+    def _apply_step(self, rollout: Rollout, step: int) -> None:
+        """Take a step that another gateway has taken, and pass that on: sessions would move to and
+        fro between gateways at different steps."""
+        if rollout.reached_step < min(step, len(rollout.ramp.steps) - 1):
+            rollout.reached_step = min(step, len(rollout.ramp.steps) - 1)
+            self._announce(rollout, FANOUT, asks=False)
+
     def _announce(self, rollout: Rollout, count: int, asks: bool) -> None:
         names = self._peers.alive(clock.now())
         msg = PeerDatagram(rollout=_note(rollout, clock.now(), asks))
@@ -121,6 +141,7 @@
         version=order.version,
         elapsed_ms=max(0.0, (now - rollout.started_at) * 1000),
         asks=asks,
+        step=rollout.reached_step,
     )
     if rollout.withdrawal_reason:
         note["bad"] = rollout.withdrawal_reason
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -16,9 +16,10 @@
 
 from ramppost.bounded import drop_oldest
 from ramppost.gateway.model import RolloutOrder, Upstream
+from ramppost.policy.exposure import Exposure, ExposureAccount
 from ramppost.policy.guard import Counts, EvidencePool, Source
-from ramppost.policy.ramp import UNPIN_AT, is_moved, plan_ramp
-from ramppost.policy.sampling import Exposure, RequestRates, sampling_shares
+from ramppost.policy.ramp import FIRST_GROWTH_STEP, UNPIN_AT, is_moved, plan_ramp
+from ramppost.policy.sampling import RequestRates, sampling_shares, trial_budget
 
 WITHDRAW_ALONE_RATIO: Final = 0.5
 """Part of the time in which a bad version must have been rolled back, for which sessions stay on a
@@ -32,9 +33,11 @@
 MAX_ANNOUNCED: Final = 64
 MAX_WAITING: Final = 64
 """Versions of a service whose waiting is remembered."""
-SAMPLING_INTERVAL_S: Final = 1.0
+SAMPLING_INTERVAL_S: Final = 0.5
 MIN_RATE_PER_S: Final = 0.05
 """Requests per second of a service from which some are on their way to a new version."""
+GROWTH_FACTOR: Final = 1.2
+"""How much more traffic than now the share must bear to grow: sessions can't be moved back."""
 DEFAULT_EXPOSURE: Final = Exposure(0.15, 30.0)
 ORDER_WAIT_S: Final = 30.0
 """How long upstreams of another version wait for the order that brings it in.  Without one they are
@@ -52,6 +55,13 @@
         """When this gateway saw the order (steady clock)."""
         self.started_at = seen_at
         self.ramp = plan_ramp(exposure.share, order.duration_s)
+        self.account = ExposureAccount(exposure, seen_at)
+        """Requests sent to the service since the order, at all gateways that tell this one."""
+        self.reached_step = FIRST_GROWTH_STEP - 1
+        """The step of the ramp up to which the time alone decides; a later one is reached when the
+        balance of requests bears it."""
+        self.doubt = ""
+        """Why it must not be completed on what is known now; empty if nothing speaks for that."""
         self.own_evidence: dict[Source, Counts] = {}
         """What this gateway has seen of attempts that have ended, at all versions."""
         self.evidence_started = False
@@ -86,6 +96,27 @@
         """Fraction of the roll-out's duration that has passed."""
         return (now - self.started_at) / max(0.001, self.order.duration_s)
 
+    def share(self, now: float) -> float:
+        """The new version's share of sessions."""
+        due = self.ramp.step_at(self.elapsed_fraction(now))
+        return self.ramp.steps[min(due, self.reached_step)].share
+
+    @property
+    def has_grown(self) -> bool:
+        """Whether the share has grown beyond the first step."""
+        return self.reached_step >= FIRST_GROWTH_STEP
+
+    def may_grow(self, now: float, gateways: int) -> bool:
+        """Whether the next step is due, nothing speaks against it, and the version may get as many
+        requests as there will be, if it turns out to be bad."""
+        fraction = self.elapsed_fraction(now)
+        step = self.reached_step + 1
+        if step >= len(self.ramp.steps) or fraction < self.ramp.steps[step].start or self.doubt:
+            return False
+        balance = self.account.balance(now, gateways)
+        full_s = self.ramp.exposure_after(fraction, step) * self.order.duration_s
+        return balance.bears(GROWTH_FACTOR * full_s)
+
     def split(self, usable: list[Upstream], in_service: list[Upstream], now: float) -> VersionSplit:
         """Split upstreams by version; returns the same list objects for the same input lists."""
         key = _SplitKey(usable, in_service, self.suspects)
@@ -229,6 +260,8 @@
         """Rates of requests by service."""
         self.on_order: Callable[[Rollout], None] = lambda rollout: None
         """Called with each new roll-out that is under way."""
+        self.on_growth: Callable[[Rollout], None] = lambda rollout: None
+        """Called with a roll-out whose share of the new version grows here first."""
         self._by_service: dict[str, Rollout] = {}
         self._progress: dict[str, Progress] = {}
         self._in_service: dict[str, _InService] = {}
@@ -342,6 +375,7 @@
         if rollout.withdrawal_reason and not self._waits_for_withdrawal(rollout, req, now):
             return EligibleUpstreams(old, [], "withdrawn")
         fraction = rollout.elapsed_fraction(now)
+        self._grow(rollout, now)
         if req.pinned == version and req.gives_up and old:
             return EligibleUpstreams(old, [], "fallback")
         if req.pinned == version:
@@ -351,8 +385,7 @@
         if not is_moved(service, req.session or req.id, self._share(rollout, req, now)):
             if req.session:
                 return _hold(old, new, rollout.old_usable_at, now, "step")
-            has_grown = fraction >= rollout.ramp.growth_at
-            return EligibleUpstreams(old, new if has_grown else [], "step")
+            return EligibleUpstreams(old, new if rollout.has_grown else [], "step")
         if req.session and fraction < UNPIN_AT and not req.is_new:
             return _hold(old, new, rollout.old_usable_at, now, "unknown")
         if req.session and not req.is_new:
@@ -371,22 +404,32 @@
         rates = self._rates.get(service)
         return rates is not None and sum(rates.all_per_s(now).values()) > MIN_RATE_PER_S
 
+    def _grow(self, rollout: Rollout, now: float) -> None:
+        """Take the next step of the ramp once it is due and the balance bears it."""
+        if rollout.may_grow(now, self._fleet_size()):
+            rollout.reached_step += 1
+            self.on_growth(rollout)
+
     def _share(self, rollout: Rollout, req: PlacedRequest, now: float) -> float:
         """The new version's share of requests that are like this one."""
+        share = rollout.share(now)
+        if req.session or not share:
+            return share
+        balance = rollout.account.balance(now, self._fleet_size())
         fraction = rollout.elapsed_fraction(now)
-        share = rollout.ramp.share_at(fraction)
+        after_end_s = (1 - rollout.ramp.complete_at) * rollout.order.duration_s
+        if not balance.bears(after_end_s):
+            return 0.0
         rates = self._rates.get(rollout.order.service)
-        is_sampled = share > 0 and fraction < rollout.ramp.growth_at
-        if req.session or not is_sampled or rates is None:
+        if rollout.has_grown or rates is None:
             return share
         if now >= rollout.sample_until:
             rollout.sample_until = now + SAMPLING_INTERVAL_S
             rollout.sampling_shares = sampling_shares(
                 rates.all_per_s(now),
-                self.exposure,
-                1 / max(1, self._fleet_size()),
-                rollout.ramp,
-                rollout.order.duration_s,
+                rollout.pool.value_by_route(),
+                trial_budget(balance, rollout.ramp, rollout.order.duration_s, fraction),
+                share,
             )
         return rollout.sampling_shares.get(req.route, share)
 
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -43,6 +43,7 @@
 from ramppost.platform.documents import DEFAULT_LIMITS
 from ramppost.platform.headers import AnswerHead
 from ramppost.platform.store import StoreClient
+from ramppost.policy.exposure import Exposure
 from ramppost.policy.homes import PartDemand
 from ramppost.policy.limits import SHARED_FRACTION, WindowBudget, slack_per_gateway
 from ramppost.policy.placement import PrefillRates
@@ -50,7 +51,6 @@
 from ramppost.policy.pressure import Pressure
 from ramppost.policy.relays import Peers, start_hold_s
 from ramppost.policy.room import Room
-from ramppost.policy.sampling import Exposure
 from ramppost.policy.session_pins import SessionPins
 from ramppost.policy.suspicion import UpstreamHealth
 from ramppost.schema.settings import GatewaySettings
--- a/ramppost/gateway/version_evidence.py
+++ b/ramppost/gateway/version_evidence.py
@@ -125,6 +125,8 @@
         self.expected = expected
         self._owner = owner
         self.sent_at = now
+        self.sent_after_growth = False
+        """Whether it was sent when the share of a new version had grown beyond the first step."""
         self._status = 0
         self._first_at: float | None = None
         self._last_at = now
@@ -200,7 +202,12 @@
 
     def begin(self, expected: ExpectedAnswer, now: float) -> AttemptTiming:
         """Record that an attempt has been sent."""
-        return AttemptTiming(self, expected, now)
+        rollout = self._rollouts.get(expected.service)
+        timing = AttemptTiming(self, expected, now)
+        if rollout is not None and rollout.order.state == "ordered":
+            rollout.account.record_sent(expected.version == rollout.order.version)
+            timing.sent_after_growth = rollout.has_grown
+        return timing
 
     def settle(self, timing: AttemptTiming, now: float) -> None:
         """Count an attempt that has ended."""
@@ -250,8 +257,7 @@
     if expected.version != rollout.order.version:
         return Source("", expected.route)
     has_caches = expected.gap > 0
-    has_grown = rollout.elapsed_fraction(timing.sent_at) >= rollout.ramp.growth_at
-    return Source(expected.upstream, expected.route, has_caches and has_grown)
+    return Source(expected.upstream, expected.route, has_caches and timing.sent_after_growth)
 
 
 def _groups(expected: ExpectedAnswer, what: str) -> tuple[str, str]:
--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -213,6 +213,17 @@
         """Number of gateways, by their starts, that have told something."""
         return len(self._told)
 
+    def value_by_route(self) -> dict[str, float]:
+        """How much an answer of each route tells, 0 to 1: nothing where the versions in service
+        fail half of the time or more, or too little is known."""
+        return {
+            source.route: max(0.0, 1 - 2 * counts.failures / counts.answers)
+            for source, counts in self._by_upstream.items()
+            if not source.upstream
+            and not source.is_recent
+            and counts.answers >= MIN_ROUTE_ANSWERS
+        }
+
     def judge(self, trial_upstreams: int) -> Judgement:
         """Judge the version, which runs on so many upstreams."""
         sound = self._sound_answers()
--- a/ramppost/policy/ramp.py
+++ b/ramppost/policy/ramp.py
@@ -6,9 +6,10 @@
 throughout, and the others move shortly before the end.  At the end every session has moved, and
 the former version runs nothing when it is told to stop.
 
-A session's position in the ramp is a hash, and the ramp depends on time alone, so all gateways
-assign it to the same version without communicating.  A session in progress on the former version
-is not moved in the first half (`ramppost.policy.session_pins`).
+A session's position in the ramp is a hash, so that gateways at the same step assign it to the same
+version.  Steps are due by the time; those after the first wait until the requests that count bear
+them (`ramppost.policy.exposure`), and the gateway that takes one first tells the others.  A session
+in progress on the former version is not moved in the first half (`ramppost.policy.session_pins`).
 
     ramp = plan_ramp(exposure_share=0.15, duration_s=16.0)
     is_moved("chat", "session-1", ramp.share_at(0.5))
@@ -40,6 +41,8 @@
 MIN_END_MARGIN_S: Final = 1.0
 """Time before the deadline at which the former version is stopped: gateways may see an order half
 a second after it was written, spread their writes, and repeat one that failed."""
+FIRST_GROWTH_STEP: Final = 2
+"""The first step after that which a few sessions take for most of the time."""
 LEAST_LAST_STEP_PART: Final = 0.4
 """Part of the time after the last step that is left before the former version is stopped, where a
 rollout is so short that the margin would take more."""
@@ -65,12 +68,32 @@
         >>> [ramp.share_at(progress) for progress in (0.0, 0.1, 0.85, 0.9, 0.93)]
         [0.0, 0.06, 0.06, 0.2, 1.0]
         """
-        return [step.share for step in self.steps if step.start <= max(0.0, progress)][-1]
+        return self.steps[self.step_at(progress)].share
+
+    def step_at(self, progress: float) -> int:
+        """The step that is due after a fraction of the rollout's time."""
+        return sum(step.start <= max(0.0, progress) for step in self.steps) - 1
+
+    def exposure_after(self, progress: float, step: int) -> float:
+        """What the new version gets from a step on, which is taken after a fraction of the time, as
+        the part of the time in which it would get all requests.
+
+        >>> plan_ramp(0.15, 16.0).exposure_after(0.95, 3)
+        0.05
+        """
+        ends = [later.start for later in self.steps[step + 1 :]] + [1.0]
+        starts = [progress, *ends[:-1]]
+        lasting = [
+            max(0.0, end - max(start, progress)) for start, end in zip(starts, ends, strict=True)
+        ]
+        return round(
+            sum(part * of.share for part, of in zip(lasting, self.steps[step:], strict=True)), 9
+        )
 
     @property
     def growth_at(self) -> float:
         """Fraction of the time at which the share grows beyond the first step."""
-        return self.steps[2].start
+        return self.steps[FIRST_GROWTH_STEP].start
 
 
 def plan_ramp(exposure_share: float, duration_s: float) -> Ramp:
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -302,6 +302,10 @@
     """
     Why the version is considered bad, where it is.
     """
+    step: NotRequired[int]
+    """
+    The step of its ramp that has been reached.
+    """
 
 
 class EvidenceCell(TypedDict, closed=True):
@@ -1041,6 +1045,14 @@
     The sender, and its start.
     """
     cells: list[EvidenceCell]
+    sent_trial: NotRequired[int]
+    """
+    Requests that the sender has sent to the new version since the order.
+    """
+    sent: NotRequired[int]
+    """
+    Requests that it has sent to any version since then.
+    """
 
 
 class BacklogView(TypedDict, closed=True):
--- a/tests/harness/simulated_rollouts.py
+++ b/tests/harness/simulated_rollouts.py
@@ -27,7 +27,7 @@
 from ramppost.gateway import rollout_duty
 from ramppost.gateway.model import Upstream
 from ramppost.gateway.rollouts import PlacedRequest, Rollout
-from ramppost.policy.sampling import Exposure
+from ramppost.policy.exposure import Exposure
 from tests.harness.version_fleet import FIRST_S, GAP, NEW, OLD, SERVICE, Clock, Fleet, Node
 
 WARM_UP_S: Final = 6.0
@@ -95,6 +95,7 @@
     exposed: int
     total: int
     ended_s: float
+    reason: str = ""
 
     @property
     def is_exposed(self) -> bool:
@@ -159,7 +160,10 @@
                     next_decision = self.time.now + DECIDE_S
                     self._decide()
         since_s = self.ended_at - self.ordered_at
-        return Played(self.state, self.sent[NEW], sum(self.sent.values()), round(since_s, 2))
+        reason = self._node.rollout.withdrawal_reason
+        return Played(
+            self.state, self.sent[NEW], sum(self.sent.values()), round(since_s, 2), reason
+        )
 
     @contextmanager
     def _patched(self) -> Iterator[None]:
--- /dev/null
+++ b/tests/test_simulated_rollouts.py
@@ -0,0 +1,31 @@
+"""Roll-outs by gateways whose decisions are real, against what a bad version may get."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from loguru import logger
+
+from tests.harness.simulated_rollouts import BURST, ENGINES, OFFICE, OUTAGE, Case, play
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    logger.disable("ramppost")
+    yield
+    logger.enable("ramppost")
+
+
+@pytest.mark.parametrize("service", [Case(OFFICE), Case(ENGINES, has_sessions=True)])
+def test_version_got_more_requests_in_a_burst_than_a_bad_one_may(service: Case) -> None:
+    # The ramp was planned by time, with the traffic of a calm moment.
+    played = [play(service._replace(trouble=BURST), seed) for seed in range(5)]
+    assert not [found for found in played if found.is_exposed]
+
+
+@pytest.mark.parametrize("seed", [1, 29])
+def test_bad_version_was_kept_as_routes_that_tell_nothing_took_its_requests(seed: int) -> None:
+    # Half of the answers that it gave were of routes that fail with any version, or hang.
+    case = Case(OFFICE, "errors", 0.45, OUTAGE)
+    assert play(case, seed).state == "rolled_back"
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -20,9 +20,10 @@
     _decide,
 )
 from ramppost.gateway.rollouts import PlacedRequest, Rollout
+from ramppost.policy.exposure import Balance, Exposure
 from ramppost.policy.ramp import plan_ramp
 from ramppost.policy.relays import MAX_EVIDENCE_COLLECTORS, MAX_FLAT_FLEET, Peers
-from ramppost.policy.sampling import Exposure, RequestRates, sampling_shares
+from ramppost.policy.sampling import RequestRates, sampling_shares, trial_budget
 from ramppost.schema.messages import EvidenceCell, EvidenceNote, RolloutNote
 from tests.harness.version_fleet import (
     DURATION_S,
@@ -376,14 +377,21 @@
 
 
 def test_service_with_little_traffic_saw_too_few_answers_of_a_seldom_route() -> None:
-    ramp = plan_ramp(0.15, 24.0)
+    ramp, exposure, gateways = plan_ramp(0.15, 24.0), Exposure(0.15, 30.0), 4
     rates = {"often": 2.4, "seldom": 0.8}
-    shares = sampling_shares(rates, Exposure(0.15, 30.0), 0.25, ramp, 24.0)
-    tried_s = (ramp.growth_at - ramp.steps[1].start) * 24.0
-    assert shares["seldom"] * rates["seldom"] * tried_s > 3
-    exposed = sum(shares[route] * rates[route] for route in rates) * tried_s
-    exposed += sum(rates.values()) * (1 - ramp.growth_at) * 24.0
-    assert exposed <= 0.15 * sum(rates.values()) * 24.0 + 30.0 / 4
+    tried = {"often": 0.0, "seldom": 0.0}
+    step_s, started_s = 0.5, ramp.steps[1].start * 24.0
+    for step in range(int((ramp.growth_at * 24.0 - started_s) / step_s)):
+        elapsed_s = started_s + step * step_s
+        total = sum(rates.values()) * elapsed_s * gateways
+        balance = Balance(exposure, sum(tried.values()) * gateways, total, 0.0, gateways)
+        budget = trial_budget(balance, ramp, 24.0, elapsed_s / 24.0)
+        shares = sampling_shares(rates, dict.fromkeys(rates, 1.0), budget, ramp.steps[1].share)
+        for route, share in shares.items():
+            tried[route] += share * rates[route] * step_s
+    assert tried["seldom"] > 3
+    exposed = sum(tried.values()) + sum(rates.values()) * (1 - ramp.growth_at) * 24.0
+    assert exposed <= 0.15 * sum(rates.values()) * 24.0 + 30.0 / gateways
 
 
 def test_rates_were_taken_for_lower_right_after_a_start() -> None:
