Judge the latest answers of a new version by themselves

What callers saw: a version that answered well for nine seconds and then failed 45 or 58% of its requests was completed now and then. Cause: all answers since the order were added up, so that the sound ones outweighed the failures. Change: the latest 8 and 16 answers are judged too, for failures; their number, not their age, as a store that is away lets requests be refused.

The three tests fail without it.

--- a/ramppost/gateway/evidence_news.py
+++ b/ramppost/gateway/evidence_news.py
@@ -126,6 +126,7 @@
                 self._datagrams.send(addr, PeerDatagram(evidence=note))
 
     def _withdraw_if_bad(self, rollout: Rollout, now: float) -> None:
+        rollout.pool.mark(now)
         judgement = self.judge(rollout)
         rollout.suspects = judgement.suspects
         rollout.doubt = judgement.doubt
--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -20,7 +20,9 @@
 from __future__ import annotations
 
 import math
-from typing import Final, Literal, NamedTuple
+from collections import deque
+from collections.abc import Collection
+from typing import Final, Literal, NamedTuple, TypeVar
 
 from ramppost.policy.slowness import (
     LEVELS,
@@ -37,6 +39,10 @@
 TYPICAL_SHARE: Final = 1
 """Index of the share by which a single upstream is judged."""
 MIN_ERROR_SHARE: Final = 0.01
+MAX_ERROR_SHARE: Final = 0.95
+ERROR_DEVIATIONS: Final = 0.5
+"""Standard deviations that are added to failures of the versions in service: a few by chance would
+else make a sound version look bad on a route that fails often."""
 ERROR_PRIOR_WEIGHT: Final = 10.0
 """Number of answers that the share of the service, or the least one, counts as."""
 MIN_ROUTE_ANSWERS: Final = 8
@@ -55,6 +61,12 @@
 DOUBT_BOUND: Final = math.log(4)
 """Odds for a bad version from which it is not completed."""
 MIN_DOUBTFUL_ANSWERS: Final = 2
+MARK_INTERVAL_S: Final = 0.5
+LATE_ANSWERS: Final = (8, 16)
+"""Latest answers that are judged by themselves, at least: a version may turn bad late, when many
+sound answers are known of it."""
+LATE_TESTS: Final = 1 + len(LATE_ANSWERS)
+MAX_MARKS: Final = 128
 MAX_GATEWAYS: Final = 1024
 MAX_SOURCES: Final = 16_384
 """Sources of which evidence is kept."""
@@ -99,6 +111,15 @@
             tuple(a + factor * b for a, b in zip(self.reached, other.reached, strict=True)),
         )
 
+    def without_negatives(self) -> Counts:
+        """The same, with nothing below 0."""
+        return Counts(
+            max(0.0, self.failures),
+            max(0.0, self.answers),
+            tuple(max(0.0, count) for count in self.levels),
+            tuple(max(0.0, count) for count in self.reached),
+        )
+
     @property
     def slow(self) -> float:
         """Answers that are slow."""
@@ -141,9 +162,12 @@
 
 
 class _Finding(NamedTuple):
-    """Evidence for a symptom; `excess` is by how much the log odds exceed the bound."""
+    """Evidence for a symptom: its log odds, and by how much they exceed the bound from which a
+    version is withdrawn, and that from which it is not completed."""
 
     excess: float
+    doubt: float
+    log_odds: float
     bad_answers: float
     reason: str
 
@@ -183,6 +207,35 @@
         )
 
 
+class _NewAnswers(NamedTuple):
+    """Answers of the new version, as sums over all gateways and over all upstreams."""
+
+    by_upstream: dict[Source, Counts]
+    by_gateway: dict[tuple[str, Source], Counts]
+
+    def on_routes(self, routes: Collection[str]) -> _NewAnswers:
+        """Those on some routes."""
+        return _NewAnswers(
+            {s: c for s, c in self.by_upstream.items() if s.route in routes},
+            {key: c for key, c in self.by_gateway.items() if key[1].route in routes},
+        )
+
+    def since(self, earlier: _NewAnswers) -> _NewAnswers:
+        """Those that have come since."""
+        return _NewAnswers(
+            _difference(self.by_upstream, earlier.by_upstream),
+            _difference(self.by_gateway, earlier.by_gateway),
+        )
+
+
+class _Mark(NamedTuple):
+    """What was known at a moment (steady clock)."""
+
+    at: float
+    answers: float
+    new: _NewAnswers
+
+
 class EvidencePool:
     """The evidence on a version, as all gateways have told it."""
 
@@ -193,6 +246,17 @@
         """Sums of all gateways; those of the versions in service have an empty upstream."""
         self._by_gateway: dict[tuple[str, Source], Counts] = {}
         """Sums of all upstreams of the new version, by gateway."""
+        self._marks: deque[_Mark] = deque(maxlen=MAX_MARKS)
+        """What was known at a few moments, from which the latest parts are told apart."""
+
+    def mark(self, now: float) -> None:
+        """Note what is known now; to be called now and then."""
+        if self._marks and now - self._marks[-1].at < MARK_INTERVAL_S:
+            return
+        answers = self._answers()
+        self._marks.append(_Mark(now, answers, self._new_answers()))
+        while len(self._marks) > 1 and self._marks[1].answers <= answers - max(LATE_ANSWERS):
+            self._marks.popleft()
 
     def put(self, gateway: str, source: Source, counts: Counts) -> None:
         """Replace what a gateway has told of a source."""
@@ -219,54 +283,57 @@
         return {
             source.route: max(0.0, 1 - 2 * counts.failures / counts.answers)
             for source, counts in self._by_upstream.items()
-            if not source.upstream
-            and not source.is_recent
-            and counts.answers >= MIN_ROUTE_ANSWERS
+            if not source.upstream and not source.is_recent and counts.answers >= MIN_ROUTE_ANSWERS
         }
 
     def judge(self, trial_upstreams: int) -> Judgement:
         """Judge the version, which runs on so many upstreams."""
         sound = self._sound_answers()
-        new = {s: c for s, c in self._by_upstream.items() if s.upstream and s.route in sound}
+        new = self._new_answers().on_routes(sound)
         weights = [
             {route: answers.weights(share) for route, answers in sound.items()}
             for share in BAD_SHARES
         ]
-        routes = sorted({source.route for source in new})
-        scopes = [("", 1)]
-        if len(routes) > 1:
-            tests = [route for route in routes if _can_be_bad(new, route)]
-            scopes += [(route, len(tests)) for route in tests]
-        worst = max(
-            self._finding(new, weights, symptom, route, tests, trial_upstreams)
-            for route, tests in scopes
-            for symptom in SYMPTOMS
-        )
+        scopes = [_Scope(new, "", 1), *self._late_scopes(new, sound), *_route_scopes(new)]
+        is_single = trial_upstreams <= 1
+        findings = [
+            _finding(scope, weights, symptom, is_single)
+            for scope in scopes
+            for symptom in scope.symptoms
+        ]
+        worst = max(findings)
         is_bad = worst.excess >= 0 and worst.bad_answers >= MIN_BAD_ANSWERS
-        is_doubtful = (
-            worst.excess >= DOUBT_BOUND - WITHDRAW_BOUND
-            and worst.bad_answers >= MIN_DOUBTFUL_ANSWERS
-        )
+        doubts = [
+            found
+            for found in findings
+            if found.doubt >= 0 and found.bad_answers >= MIN_DOUBTFUL_ANSWERS
+        ]
         return Judgement(
             worst.reason if is_bad else "",
-            worst.reason if is_doubtful else "",
-            round(sum(c.answers for s, c in self._by_upstream.items() if s.upstream)),
+            max(doubts, key=lambda found: found.doubt).reason if doubts else "",
+            round(self._answers()),
             worst.reason,
             worst.excess,
-            self._suspects(new, weights[TYPICAL_SHARE]),
+            _suspects(new, weights[TYPICAL_SHARE]),
         )
 
-    def _suspects(
-        self, new: dict[Source, Counts], weights: dict[str, _RouteWeights]
-    ) -> frozenset[str]:
-        """Upstreams that answer badly."""
-        sums: dict[tuple[str, Symptom], float] = {}
-        for source, counts in new.items():
-            for symptom in SYMPTOMS:
-                key = (source.upstream, symptom)
-                weight = weights[source.route].weigh(source, counts, symptom)
-                sums[key] = sums.get(key, 0.0) + weight
-        return frozenset(upstream for (upstream, _), odds in sums.items() if odds >= SUSPECT_BOUND)
+    def _answers(self) -> float:
+        """Number of answers of the new version that have ended."""
+        return sum(c.answers for s, c in self._by_upstream.items() if s.upstream)
+
+    def _new_answers(self) -> _NewAnswers:
+        by_upstream = {s: c for s, c in self._by_upstream.items() if s.upstream}
+        return _NewAnswers(by_upstream, dict(self._by_gateway))
+
+    def _late_scopes(self, new: _NewAnswers, routes: Collection[str]) -> list[_Scope]:
+        """The latest parts of the evidence, each by itself."""
+        answers, scopes = self._answers(), []
+        for latest in LATE_ANSWERS:
+            marks = [mark for mark in self._marks if 0 < mark.answers <= answers - latest]
+            if marks:
+                lately = new.since(marks[-1].new.on_routes(routes))
+                scopes.append(_Scope(lately, "", LATE_TESTS, ("failed",)))
+        return scopes
 
     def _sound_answers(self) -> dict[str, _SoundAnswers]:
         """How answers of a sound version are, by route; without those on which too little is
@@ -283,53 +350,86 @@
             if counts.answers >= MIN_ROUTE_ANSWERS
         }
 
-    def _finding(
-        self,
-        new: dict[Source, Counts],
-        weights: list[dict[str, _RouteWeights]],
-        symptom: Symptom,
-        route: str,
-        tests: int,
-        trial_upstreams: int,
-    ) -> _Finding:
-        """The evidence for a symptom, on one route or on all if it is empty; `weights` are those of
-        each share of bad answers, and `tests` the number of routes that are tested."""
-        of_route = {s: c for s, c in new.items() if route in ("", s.route)}
-        is_single = trial_upstreams <= 1
-        log_odds = _log_mean_exp(
-            [self._log_odds(of_route, of_share, symptom, route, is_single) for of_share in weights]
-        )
-        bound = (SINGLE_UPSTREAM_BOUND if is_single else WITHDRAW_BOUND) + math.log(tests)
-        bad = sum(c.failures if symptom == "failed" else c.slow for c in of_route.values())
-        answers = sum(counts.answers for counts in of_route.values())
-        where = f" on {route}" if route else ""
-        reason = f"{bad:.0f} answers {symptom}{where}, {answers:.0f} ended"
-        return _Finding(log_odds - bound, bad, reason)
-
-    def _log_odds(
-        self,
-        of_route: dict[Source, Counts],
-        weights: dict[str, _RouteWeights],
-        symptom: Symptom,
-        route: str,
-        is_single: bool,
-    ) -> float:
-        """Log likelihood ratio of all answers for a symptom."""
-        by_upstream: dict[str, float] = {}
-        for source, counts in of_route.items():
+
+class _Scope(NamedTuple):
+    """Answers that are judged together: those on one route, or on all if it is empty; `tests` is
+    how many scopes of the kind there are."""
+
+    answers: _NewAnswers
+    route: str
+    tests: int
+    symptoms: tuple[Symptom, ...] = SYMPTOMS
+
+
+def _route_scopes(new: _NewAnswers) -> list[_Scope]:
+    """The answers of each route, if there are several routes."""
+    routes = sorted({source.route for source in new.by_upstream})
+    if len(routes) <= 1:
+        return []
+    tested = [route for route in routes if _can_be_bad(new.by_upstream, route)]
+    return [_Scope(new.on_routes((route,)), route, len(tested)) for route in tested]
+
+
+def _finding(
+    scope: _Scope, weights: list[dict[str, _RouteWeights]], symptom: Symptom, is_single: bool
+) -> _Finding:
+    """The evidence for a symptom; `weights` are those of each share of bad answers."""
+    log_odds = _log_mean_exp(
+        [_log_odds(scope.answers, of_share, symptom, is_single) for of_share in weights]
+    )
+    bound = SINGLE_UPSTREAM_BOUND if is_single else WITHDRAW_BOUND
+    bound += math.log(scope.tests)
+    doubt_bound = DOUBT_BOUND + bound - WITHDRAW_BOUND
+    found = scope.answers.by_upstream.values()
+    bad = sum(c.failures if symptom == "failed" else c.slow for c in found)
+    answers = sum(counts.answers for counts in found)
+    where = f" on {scope.route}" if scope.route else ""
+    reason = f"{bad:.0f} answers {symptom}{where}, {answers:.0f} ended"
+    return _Finding(log_odds - bound, log_odds - doubt_bound, log_odds, bad, reason)
+
+
+def _log_odds(
+    answers: _NewAnswers, weights: dict[str, _RouteWeights], symptom: Symptom, is_single: bool
+) -> float:
+    """Log likelihood ratio of some answers for a symptom."""
+    by_upstream: dict[str, float] = {}
+    for source, counts in answers.by_upstream.items():
+        weight = weights[source.route].weigh(source, counts, symptom)
+        by_upstream[source.upstream] = by_upstream.get(source.upstream, 0.0) + weight
+    if is_single:
+        return sum(by_upstream.values())
+    log_odds = _discounted_sum(by_upstream, UPSTREAM_TROUBLE_SHARE)
+    if symptom == "failed":
+        return log_odds
+    by_gateway: dict[str, float] = {}
+    for (gateway, source), counts in answers.by_gateway.items():
+        weight = weights[source.route].weigh(source, counts, symptom)
+        by_gateway[gateway] = by_gateway.get(gateway, 0.0) + weight
+    return min(log_odds, _discounted_sum(by_gateway, GATEWAY_TROUBLE_SHARE))
+
+
+def _suspects(new: _NewAnswers, weights: dict[str, _RouteWeights]) -> frozenset[str]:
+    """Upstreams that answer badly."""
+    sums: dict[tuple[str, Symptom], float] = {}
+    for source, counts in new.by_upstream.items():
+        for symptom in SYMPTOMS:
+            key = (source.upstream, symptom)
             weight = weights[source.route].weigh(source, counts, symptom)
-            by_upstream[source.upstream] = by_upstream.get(source.upstream, 0.0) + weight
-        if is_single:
-            return sum(by_upstream.values())
-        log_odds = _discounted_sum(by_upstream, UPSTREAM_TROUBLE_SHARE)
-        if symptom == "failed":
-            return log_odds
-        by_gateway: dict[str, float] = {}
-        for (gateway, source), counts in self._by_gateway.items():
-            if route in ("", source.route) and source.route in weights:
-                weight = weights[source.route].weigh(source, counts, symptom)
-                by_gateway[gateway] = by_gateway.get(gateway, 0.0) + weight
-        return min(log_odds, _discounted_sum(by_gateway, GATEWAY_TROUBLE_SHARE))
+            sums[key] = sums.get(key, 0.0) + weight
+    return frozenset(upstream for (upstream, _), odds in sums.items() if odds >= SUSPECT_BOUND)
+
+
+Key = TypeVar("Key")
+
+
+def _difference(now: dict[Key, Counts], before: dict[Key, Counts]) -> dict[Key, Counts]:
+    """Counts that have been added; what was taken back since counts as nothing."""
+    found = {}
+    for key, counts in now.items():
+        added = counts.plus(before.get(key, NO_COUNTS), -1).without_negatives()
+        if added != NO_COUNTS:
+            found[key] = added
+    return found
 
 
 def _can_be_bad(new: dict[Source, Counts], route: str) -> bool:
@@ -350,8 +450,10 @@
 
 
 def _error_share(counts: Counts, usual: float) -> float:
-    failures = counts.failures + ERROR_PRIOR_WEIGHT * usual
-    return failures / (counts.answers + ERROR_PRIOR_WEIGHT)
+    """Share of answers that fail, at the upper end of what may well be."""
+    seen = max(0.0, counts.failures)
+    failures = seen + ERROR_DEVIATIONS * math.sqrt(seen) + ERROR_PRIOR_WEIGHT * usual
+    return min(MAX_ERROR_SHARE, failures / (counts.answers + ERROR_PRIOR_WEIGHT))
 
 
 def _log_mean_exp(log_ratios: list[float]) -> float:
--- a/tests/test_simulated_rollouts.py
+++ b/tests/test_simulated_rollouts.py
@@ -29,3 +29,11 @@
     # Half of the answers that it gave were of routes that fail with any version, or hang.
     case = Case(OFFICE, "errors", 0.45, OUTAGE)
     assert play(case, seed).state == "rolled_back"
+
+
+@pytest.mark.parametrize(("share", "seed"), [(0.45, 11), (0.45, 21), (0.58, 11)])
+def test_version_that_turned_bad_late_was_kept_for_its_earlier_answers(
+    share: float, seed: int
+) -> None:
+    # Nine seconds of sound answers outweighed the failures that came then.
+    assert play(Case(OFFICE, "late", share), seed).state == "rolled_back"
