Let no gateway complete a version on what little it knows itself

By reading: in a fleet of more than 20 gateways one that is not told the evidence completed an order two seconds after the others should have, on a single answer of its own; in a small fleet one that hears of no other did so in time. And a verdict that came while the write of `completed` was under way, up to a second, was not looked at: the write went on.

Change: the gateways that know the evidence tell all others when they find a version sound, as they do when they find it bad; whoever is not told the evidence, or hears of nobody, completes only on that word, and rolls back without it.

Tests: the four new ones; three fail before with the wrong end written, the fourth as the word does not travel.

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -42,6 +42,7 @@
 """Relays spread their writes over this time, and the other gateways do so after them."""
 MARGIN_SPREAD_PART: Final = 1 / 3
 """Most of the time before the deadline over which relays spread the writes of an end."""
+WITHDRAWAL_CHECK_S: Final = 0.02
 RETRY_DELAY_S: Final = 0.3
 OTHERS_END_IT_S: Final = 2.0
 """How long a gateway that is not told all evidence waits for an end by those that are."""
@@ -106,22 +107,16 @@
     """
     judgement = gw.evidence_news.judge(rollout)
     order = rollout.order
-    doubt = judgement.doubt or _lack_of_evidence(gw, rollout, judgement, now)
-    if doubt:
-        gw.rollout_news.withdraw(order.service, order.version, doubt, now)
-        logger.warning(
-            "version is doubtful: {}",
-            doubt,
-            service=order.service,
-            version=order.version,
-            answers=judgement.answers,
-        )
-        await _finish(gw, rollout, completed=False)
-        return
     late_s = (part - rollout.ramp.complete_at) * order.duration_s
-    heard_s = now - rollout.seen_at
-    is_told = gw.peers.has_all_evidence(now) and heard_s >= ALL_TOLD_AFTER_S
-    if not is_told and late_s < OTHERS_END_IT_S:
+    is_told = _is_told_all(gw, rollout, now)
+    doubt = judgement.doubt
+    if not doubt and not is_told and late_s < OTHERS_END_IT_S:
+        return
+    doubt = doubt or (
+        _lack_of_evidence(rollout, judgement) if is_told else _lack_of_word(gw, rollout, now)
+    )
+    if doubt:
+        await _withdraw(gw, rollout, doubt, now)
         return
     if late_s < CHECK_INTERVAL_S:
         logger.info(
@@ -135,20 +130,51 @@
             upstreams=rollout.trial_upstreams,
         )
     is_known = judgement.answers > 0 or not gw.rollouts.has_requests(order.service, now)
-    if is_known:
+    if is_known or not is_told:
+        gw.rollout_news.tell_sound(rollout)
         await _finish(gw, rollout, completed=True)
     elif late_s >= LAST_ANSWER_WAIT_S:
-        gw.rollout_news.withdraw(order.service, order.version, "it has given no answer", now)
-        await _finish(gw, rollout, completed=False)
+        await _withdraw(gw, rollout, "it has given no answer", now)
 
 
-def _lack_of_evidence(gw: Gateway, rollout: Rollout, judgement: Judgement, now: float) -> str:
+def _is_told_all(gw: Gateway, rollout: Rollout, now: float) -> bool:
+    """Whether this gateway is told all evidence, and hears of other gateways if there are any."""
+    others = gw.peers.alive(now)
+    is_cut_off = bool(others) and not rollout.account.heard_gateways(now)
+    heard_s = now - rollout.seen_at
+    return gw.peers.has_all_evidence(now) and heard_s >= ALL_TOLD_AFTER_S and not is_cut_off
+
+
+def _lack_of_evidence(rollout: Rollout, judgement: Judgement) -> str:
     """Why a version is doubtful of which nothing bad is known: there were requests enough to learn
     more of it.  Empty if there were not, or enough is known."""
-    sent = rollout.account.balance(now, gw.peers.fleet_size)
+    sent = rollout.account.known
     if judgement.is_trusted or sent.total < MIN_REQUESTS_TO_TRUST:
         return ""
-    return f"of {sent.total:.0f} requests it had {sent.trial:.0f}, {judgement.answers} ended"
+    return f"of {sent.total} requests it had {sent.trial}, {judgement.answers} ended"
+
+
+def _lack_of_word(gw: Gateway, rollout: Rollout, now: float) -> str:
+    """Why a version is doubtful to a gateway that is not told all evidence: none that is has found
+    it sound.  Empty if one has, or the service has no requests."""
+    if rollout.is_found_sound or not gw.rollouts.has_requests(rollout.order.service, now):
+        return ""
+    return "no gateway that knows the evidence has found it sound"
+
+
+async def _withdraw(gw: Gateway, rollout: Rollout, doubt: str, now: float) -> None:
+    """Roll back a version that must not be completed."""
+    order = rollout.order
+    gw.rollout_news.withdraw(order.service, order.version, doubt, now)
+    logger.warning(
+        "version is doubtful: {}",
+        doubt,
+        service=order.service,
+        version=order.version,
+        log_odds=round(gw.evidence_news.judge(rollout).log_odds, 2),
+        sent=rollout.account.known,
+    )
+    await _finish(gw, rollout, completed=False)
 
 
 def _is_order_lost(gw: Gateway, rollout: Rollout) -> bool:
@@ -205,7 +231,10 @@
     """Write the status that ends a roll-out, unless it already has one."""
     order = rollout.order
     status = rollout_status(order, completed)
-    got = await set_status(gw.store, names.ROLLOUT_KIND, order.service, order.position, status)
+    got = await _write_status(gw, rollout, status, completed)
+    if got is None:
+        logger.info("write of the end given up", service=order.service, version=order.version)
+        return
     if isinstance(got, Unavailable):
         logger.warning(
             "failed to write the end of the roll-out: {}", got.reason, service=order.service
@@ -227,6 +256,25 @@
         gw.rollouts.update(seen, clock.now())
 
 
+async def _write_status(
+    gw: Gateway, rollout: Rollout, status: dict[str, str], completed: bool
+) -> StoredObject | Conflict | Unavailable | None:
+    """Write a status; None if a version that was to be completed is found to be bad meanwhile."""
+    order = rollout.order
+    async with curio.TaskGroup(wait=any) as group:
+        writing = await group.spawn(
+            set_status, gw.store, names.ROLLOUT_KIND, order.service, order.position, status
+        )
+        if completed:
+            await group.spawn(_wait_for_withdrawal, rollout)
+    return writing.result if group.completed is writing else None
+
+
+async def _wait_for_withdrawal(rollout: Rollout) -> None:
+    while not rollout.withdrawal_reason:
+        await curio.sleep(WITHDRAWAL_CHECK_S)
+
+
 async def _refresh(gw: Gateway, order: RolloutOrder) -> None:
     """Read the order after a conflict with another gateway or with an earlier write by this one."""
     got = await read(gw.store, names.ROLLOUT_KIND, order.service)
--- a/ramppost/gateway/rollout_news.py
+++ b/ramppost/gateway/rollout_news.py
@@ -64,6 +64,12 @@
         self._announce(rollout, FANOUT, asks=False)
         return True
 
+    def tell_sound(self, rollout: Rollout) -> None:
+        """Tell others that a version is to be completed: some are not told the evidence."""
+        if not rollout.is_found_sound:
+            rollout.is_found_sound = True
+            self._announce(rollout, FANOUT, asks=False)
+
     def handle_datagram(self, note: RolloutNote, addr: Address) -> None:
         """Process what another gateway tells about a roll-out; answer it if it is behind."""
         now = clock.now()
@@ -76,6 +82,8 @@
         if rollout.order.state != "ordered":
             return
         self._apply_step(rollout, note.get("step", 0))
+        if note.get("sound", False):
+            self.tell_sound(rollout)
         gain_s = elapsed_s - (now - rollout.started_at)
         if gain_s > 0:
             rollout.started_at -= gain_s
@@ -145,4 +153,6 @@
     )
     if rollout.withdrawal_reason:
         note["bad"] = rollout.withdrawal_reason
+    elif rollout.is_found_sound:
+        note["sound"] = True
     return note
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -77,6 +77,8 @@
         self.new_usable_at = seen_at
         self.old_usable_at = seen_at
         """When the versions last had usable upstreams (steady clock)."""
+        self.is_found_sound = False
+        """Whether a gateway that is told all evidence would complete the version."""
         self.withdrawal_reason = ""
         """Why gateways consider the version bad; empty if they do not."""
         self.withdrawn_at = float("inf")
--- a/ramppost/policy/exposure.py
+++ b/ramppost/policy/exposure.py
@@ -113,23 +113,32 @@
             self._others.total + counts.total - before.total,
         )
 
+    @property
+    def known(self) -> SentCounts:
+        """Requests that are known here, whoever has sent them and told of them last."""
+        own, others = self.own, self._others
+        return SentCounts(own.trial + others.trial, own.total + others.total)
+
+    def heard_gateways(self, now: float) -> int:
+        """Number of other gateways that have told of their requests lately."""
+        return sum(now - told.at < TOLD_S for told in self._told.values())
+
     def mark(self, now: float) -> None:
         """Note the totals, from which the rate is told; to be called now and then."""
-        self._marks.append(_Mark(now, self.own.total, self.own.total + self._others.total))
+        self._marks.append(_Mark(now, self.own.total, self.known.total))
         while len(self._marks) > 2 and now - self._marks[1].at >= max(RATE_WINDOWS_S):
             self._marks.popleft()
 
     def balance(self, now: float, gateways: int) -> Balance:
         """What counts at a gateway of a fleet of so many."""
-        is_told = sum(now - told.at < TOLD_S for told in self._told.values()) >= gateways - 1
-        if not is_told:
-            exposure = self.exposure._replace(slack=self.exposure.slack / max(1, gateways))
+        gateways = max(1, gateways)
+        if self.heard_gateways(now) < gateways - 1:
+            exposure = self.exposure._replace(slack=self.exposure.slack / gateways)
             trial, total, gateways = self.own.trial, self.own.total, 1
             course = [(mark.at, mark.own) for mark in self._marks]
         else:
             exposure = self.exposure
-            trial = self.own.trial + self._others.trial
-            total = self.own.total + self._others.total
+            trial, total = self.known
             course = [(mark.at, mark.all) for mark in self._marks]
         return Balance(exposure, trial, total, self._rate(total, course, now), gateways)
 
--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -158,6 +158,7 @@
     bad: str
     doubt: str
     is_trusted: bool
+    log_odds: float
     answers: int
     worst: str
     excess: float
@@ -316,6 +317,7 @@
             worst.reason if is_bad else "",
             max(doubts, key=lambda found: found.doubt).reason if doubts else "",
             on_all_routes <= -TRUST_BOUND,
+            on_all_routes,
             round(self._answers()),
             worst.reason,
             worst.excess,
--- a/ramppost/schema/messages.py
+++ b/ramppost/schema/messages.py
@@ -306,6 +306,10 @@
     """
     The step of its ramp that has been reached.
     """
+    sound: NotRequired[bool]
+    """
+    Whether a gateway that knows all evidence would complete the version.
+    """
 
 
 class EvidenceCell(TypedDict, closed=True):
--- a/tests/harness/version_fleet.py
+++ b/tests/harness/version_fleet.py
@@ -94,6 +94,7 @@
         for node in self.all:
             node.rollouts.update(order, self.time.now - elapsed * duration_s)
             node.rollout.trial_upstreams = 4
+        self.exchange()
 
     def know_the_old(self, routes: tuple[str, ...] = ("chat",), failed_share: float = 0.0) -> None:
         """Let each node have seen sound answers of the old version."""
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -20,7 +20,8 @@
     _decide,
 )
 from ramppost.gateway.rollouts import PlacedRequest, Rollout
-from ramppost.policy.exposure import Balance, Exposure
+from ramppost.platform.store import Unavailable
+from ramppost.policy.exposure import TOLD_S, Balance, Exposure
 from ramppost.policy.ramp import plan_ramp
 from ramppost.policy.relays import MAX_EVIDENCE_COLLECTORS, MAX_FLAT_FLEET, Peers
 from ramppost.policy.sampling import RequestRates, sampling_shares, trial_budget
@@ -317,6 +318,66 @@
     assert ends.decide(other, OTHERS_END_IT_S + 0.1, time.now) == [True]
 
 
+def test_gateway_that_is_not_told_all_evidence_completed_a_version_on_a_single_answer(
+    time: Clock, ends: Ends
+) -> None:
+    fleet = Fleet(time, gateways=MAX_FLAT_FLEET + 10)
+    fleet.know_the_old()
+    fleet.order(elapsed=0.2)
+    knowing = [node.peers.has_all_evidence(time.now) for node in fleet.all]
+    other = fleet.all[knowing.index(False)]
+    other.rollouts.record_request(SERVICE, "chat", time.now)
+    fleet.answer(other, NEW)
+    time.now += ALL_TOLD_AFTER_S
+    fleet.exchange()
+    assert ends.decide(other, OTHERS_END_IT_S + 0.1, time.now) == [False]
+
+
+def test_gateway_that_is_not_told_all_evidence_completes_what_one_that_is_has_found_sound(
+    time: Clock, ends: Ends
+) -> None:
+    fleet = Fleet(time, gateways=MAX_FLAT_FLEET + 10)
+    fleet.order(elapsed=0.2)
+    time.now += ALL_TOLD_AFTER_S
+    fleet.exchange()
+    knowing = [node.peers.has_all_evidence(time.now) for node in fleet.all]
+    other = fleet.all[knowing.index(False)]
+    other.rollouts.record_request(SERVICE, "chat", time.now)
+    ends.decide(fleet.all[knowing.index(True)], 0.1, time.now)
+    assert ends.decide(other, OTHERS_END_IT_S + 0.1, time.now) == [True, True]
+
+
+def test_gateway_that_heard_of_no_other_completed_a_version_on_its_own_answers(
+    fleet: Fleet, ends: Ends
+) -> None:
+    cut_off = fleet.all[0]
+    cut_off.rollouts.record_request(SERVICE, "chat", fleet.time.now)
+    fleet.cut = {next(iter(fleet.nodes))}
+    fleet.time.now += ALL_TOLD_AFTER_S + TOLD_S
+    fleet.exchange()
+    fleet.answer(cut_off, NEW)
+    fleet.exchange()
+    assert ends.decide(cut_off, 0.1, fleet.time.now) == []
+    assert ends.decide(cut_off, OTHERS_END_IT_S + 0.1, fleet.time.now) == [False]
+
+
+def test_verdict_that_came_while_the_end_was_written_was_not_looked_at(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    written: list[str] = []
+
+    async def write(*args: Any) -> Unavailable:
+        fleet.all[0].rollout_news.withdraw(SERVICE, NEW, "it fails", fleet.time.now)
+        await curio.sleep(1.0)
+        written.append(args[-1]["state"])
+        return Unavailable("late")
+
+    monkeypatch.setattr(rollout_duty, "set_status", write)
+    gw: Any = SimpleNamespace(store=None)
+    curio.run(rollout_duty._finish, gw, fleet.all[0].rollout, True)
+    assert not written
+
+
 def test_datagrams_with_impossible_counts_are_refused(fleet: Fleet) -> None:
     cell = EvidenceCell(
         upstream="v2-0",
