Give up a silent connection to the store sooner when an end is written

The write of the end that was under way waited its whole second on a connection that had gone silent.

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -23,6 +23,7 @@
 from ramppost.platform import names
 from ramppost.platform.documents import rollout_order, rollout_status
 from ramppost.platform.store import (
+    CALL_TIMEOUT_S,
     Conflict,
     Missing,
     StoredObject,
@@ -42,6 +43,9 @@
 """Relays spread their writes over this time, and the other gateways do so after them."""
 MARGIN_SPREAD_PART: Final = 1 / 3
 """Most of the time before the deadline over which relays spread the writes of an end."""
+END_TIMEOUTS_S: Final = (0.35, CALL_TIMEOUT_S)
+"""Timeouts of the writes of an end, in turn: a connection that has gone silent is given up soon,
+and a store that is slow is given its time."""
 WITHDRAWAL_CHECK_S: Final = 0.02
 RETRY_DELAY_S: Final = 0.3
 OTHERS_END_IT_S: Final = 2.0
@@ -261,15 +265,31 @@
 ) -> StoredObject | Conflict | Unavailable | None:
     """Write a status; None if a version that was to be completed is found to be bad meanwhile."""
     order = rollout.order
+    timeout_s = _next_timeout_s(gw, rollout)
     async with curio.TaskGroup(wait=any) as group:
         writing = await group.spawn(
-            set_status, gw.store, names.ROLLOUT_KIND, order.service, order.position, status
+            set_status,
+            gw.store,
+            names.ROLLOUT_KIND,
+            order.service,
+            order.position,
+            status,
+            timeout_s,
         )
         if completed:
             await group.spawn(_wait_for_withdrawal, rollout)
     return writing.result if group.completed is writing else None
 
 
+def _next_timeout_s(gw: Gateway, rollout: Rollout) -> float:
+    """The timeout of the next write of an end; every other gateway begins with the longer one, so
+    that some give up soon whenever the store is back."""
+    place = sorted(gw.peers.names).index(gw.peers.own)
+    timeout_s = END_TIMEOUTS_S[(place + rollout.end_tries) % len(END_TIMEOUTS_S)]
+    rollout.end_tries += 1
+    return timeout_s
+
+
 async def _wait_for_withdrawal(rollout: Rollout) -> None:
     while not rollout.withdrawal_reason:
         await curio.sleep(WITHDRAWAL_CHECK_S)
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -89,6 +89,8 @@
         """When these are to be computed again (steady clock)."""
         self.tell_sessions_at = seen_at
         """When the keepers of sessions are to be told of them again (steady clock)."""
+        self.end_tries = 0
+        """How often this gateway has tried to write its end."""
         self.ended_in_era: int | None = None
         """The era in which the store last held its end; None while it has not ended."""
         self.write_end_at = float("inf")
--- a/ramppost/platform/store.py
+++ b/ramppost/platform/store.py
@@ -270,15 +270,25 @@
 
 
 async def set_status(
-    client: StoreClient, kind: str, name: str, found: Position, status: Any
+    client: StoreClient,
+    kind: str,
+    name: str,
+    found: Position,
+    status: Any,
+    timeout_s: float = CALL_TIMEOUT_S,
 ) -> StoredObject | Conflict | Unavailable:
     """Replaces the status of an object if that is still in the state in which it was found."""
     body = encode({"metadata": {"name": name, "revision": found.revision}, "status": status})
-    return await _write(client, f"/objects/{quote(kind)}/{quote(name)}/status", body, found)
+    path = f"/objects/{quote(kind)}/{quote(name)}/status"
+    return await _write(client, path, body, found, timeout_s)
 
 
 async def _write(
-    client: StoreClient, path: str, body: bytes, found: Position
+    client: StoreClient,
+    path: str,
+    body: bytes,
+    found: Position,
+    timeout_s: float = CALL_TIMEOUT_S,
 ) -> StoredObject | Conflict | Unavailable:
     """Write under the condition in the body, which is worth something in its era only.
 
@@ -287,7 +297,7 @@
     """
     if found.era < client.era:
         return Conflict()
-    response = await _call(client, "PUT", path, body)
+    response = await _call(client, "PUT", path, body, timeout_s)
     if isinstance(response, Response) and _era(response) > found.era:
         return Conflict()
     return _write_result(response)
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -20,7 +20,7 @@
     _decide,
 )
 from ramppost.gateway.rollouts import PlacedRequest, Rollout
-from ramppost.platform.store import Unavailable
+from ramppost.platform.store import CALL_TIMEOUT_S, Unavailable
 from ramppost.policy.exposure import TOLD_S, Balance, Exposure
 from ramppost.policy.ramp import plan_ramp
 from ramppost.policy.relays import MAX_EVIDENCE_COLLECTORS, MAX_FLAT_FLEET, Peers
@@ -369,11 +369,11 @@
     async def write(*args: Any) -> Unavailable:
         fleet.all[0].rollout_news.withdraw(SERVICE, NEW, "it fails", fleet.time.now)
         await curio.sleep(1.0)
-        written.append(args[-1]["state"])
-        return Unavailable("late")
+        written.append(args[4]["state"])
+        return Unavailable("late", refused=False)
 
     monkeypatch.setattr(rollout_duty, "set_status", write)
-    gw: Any = SimpleNamespace(store=None)
+    gw: Any = SimpleNamespace(store=None, peers=fleet.all[0].peers)
     curio.run(rollout_duty._finish, gw, fleet.all[0].rollout, True)
     assert not written
 
@@ -406,6 +406,27 @@
         assert rollout_duty._end_delay_s(gw, rollout, 0.0) <= margin_s / 3
 
 
+def test_end_was_written_late_as_all_waited_on_silent_connections_to_the_store(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    given: list[float] = []
+
+    async def write(*args: Any) -> Unavailable:
+        given.append(args[5] if len(args) > 5 else CALL_TIMEOUT_S)
+        return Unavailable("no answer", refused=False)
+
+    monkeypatch.setattr(rollout_duty, "set_status", write)
+    monkeypatch.setattr(rollout_duty, "RETRY_DELAY_S", 0.0)
+    for node in fleet.all:
+        gw: Any = SimpleNamespace(store=None, peers=node.peers)
+        for _ in range(2):
+            curio.run(rollout_duty._finish, gw, node.rollout, False)
+    margin_s = (1 - fleet.all[0].rollout.ramp.complete_at) * 16.0
+    for round_of_writes in (given[::2], given[1::2]):
+        assert min(round_of_writes) < margin_s / 2
+        assert max(round_of_writes) == CALL_TIMEOUT_S
+
+
 class Weather(NamedTuple):
     """Beside what a good version is rolled out: how much slower all answers are for a third of the
     time, and how many of four upstreams of each version are how much slower."""
