Trust no version on a single answer

Read again: the odds of 1.5 for a sound version are reached by one sound answer, so that a version of which one answer of hundreds of requests is known would be completed. A gateway that hears of no other, be it cut off or the last that runs, goes by what it knows if that is enough. The log of a growing share names what it counted.

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -112,7 +112,7 @@
     judgement = gw.evidence_news.judge(rollout)
     order = rollout.order
     late_s = (part - rollout.ramp.complete_at) * order.duration_s
-    is_told = _is_told_all(gw, rollout, now)
+    is_told = _is_told_all(gw, rollout, judgement, now)
     doubt = judgement.doubt
     if not doubt and not is_told and late_s < OTHERS_END_IT_S:
         return
@@ -141,10 +141,12 @@
         await _withdraw(gw, rollout, "it has given no answer", now)
 
 
-def _is_told_all(gw: Gateway, rollout: Rollout, now: float) -> bool:
-    """Whether this gateway is told all evidence, and hears of other gateways if there are any."""
+def _is_told_all(gw: Gateway, rollout: Rollout, judgement: Judgement, now: float) -> bool:
+    """Whether this gateway is told all evidence.  One that hears of no other may be cut off, or the
+    last that runs: it goes by what it knows if that is enough."""
     others = gw.peers.alive(now)
-    is_cut_off = bool(others) and not rollout.account.heard_gateways(now)
+    is_alone = bool(others) and not rollout.account.heard_gateways(now)
+    is_cut_off = is_alone and not judgement.is_trusted
     heard_s = now - rollout.seen_at
     return gw.peers.has_all_evidence(now) and heard_s >= ALL_TOLD_AFTER_S and not is_cut_off
 
--- a/ramppost/gateway/rollout_news.py
+++ b/ramppost/gateway/rollout_news.py
@@ -113,13 +113,18 @@
             )
 
     def _announce_growth(self, rollout: Rollout) -> None:
+        now = clock.now()
+        balance = rollout.account.balance(now, self._peers.fleet_size)
         logger.info(
             "share of the new version grows",
             service=rollout.order.service,
             version=rollout.order.version,
             step=rollout.reached_step,
-            rollout_fraction=round(rollout.elapsed_fraction(clock.now()), 3),
-            sent=rollout.account.balance(clock.now(), self._peers.fleet_size),
+            rollout_fraction=round(rollout.elapsed_fraction(now), 3),
+            sent=balance.total,
+            sent_trial=balance.trial,
+            per_s=round(balance.per_s, 1),
+            counted_over=balance.gateways,
         )
         self._announce(rollout, FANOUT, asks=False)
 
--- a/ramppost/policy/exposure.py
+++ b/ramppost/policy/exposure.py
@@ -7,9 +7,8 @@
 the slack, and to the share of its own requests, so that all together keep to the whole.
 
     account = ExposureAccount(Exposure(0.15, 30.0), now)
-    account.record_sent(is_trial=True, now=now)
-    balance = account.balance(now, gateways=4)
-    balance.bears(now_s=1.2, rate=balance.per_s)
+    account.record_sent(is_trial=True)
+    account.balance(now, gateways=4).bears(for_s=1.2)
 """
 
 from __future__ import annotations
--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -6,11 +6,12 @@
 of a version that fails or slows a share of its answers than of one that is like those in service.
 As the share is not known, likelihood ratios are averaged over a few.
 
-A sequential test of the sums withdraws the version, for all routes together or for one of them,
-where the bound is the higher the more routes there are.  A sound version may run on a box that
-fails or slows all its answers.  Therefore an upstream counts by its likelihood ratio to a null
-hypothesis that includes this, and none decides alone; where answers are slow, so does a gateway,
-which may be in trouble itself.
+A sequential test of the sums withdraws the version, for all routes together, for the latest answers
+or for one route, where the bound is the higher the more tests there are.  At the end of a roll-out
+a version is trusted only if the answers on all routes speak for it.  A sound version may run on a
+box that fails or slows all its answers.  Therefore an upstream counts by its likelihood ratio to a
+null hypothesis that includes this, and none decides alone; where answers are slow, so does a
+gateway, which may be in trouble itself.
 
     pool = EvidencePool()
     pool.put("gateway-1", Source("engine-7", "chat"), Counts(failures=1, answers=1))
@@ -63,6 +64,7 @@
 TRUST_BOUND: Final = math.log(1.5)
 """Odds for a sound version from which it may be completed."""
 MIN_DOUBTFUL_ANSWERS: Final = 2
+MIN_TRUSTED_ANSWERS: Final = 4
 MARK_INTERVAL_S: Final = 0.5
 LATE_ANSWERS: Final = (8, 16)
 """Latest answers that are judged by themselves, at least: a version may turn bad late, when many
@@ -76,6 +78,7 @@
 Symptom = Literal["failed", "slow"]
 SYMPTOMS: Final[tuple[Symptom, ...]] = ("failed", "slow")
 NO_LEVELS: Final = (0.0,) * LEVELS
+Key = TypeVar("Key")
 
 
 class Source(NamedTuple):
@@ -316,7 +319,7 @@
         return Judgement(
             worst.reason if is_bad else "",
             max(doubts, key=lambda found: found.doubt).reason if doubts else "",
-            on_all_routes <= -TRUST_BOUND,
+            on_all_routes <= -TRUST_BOUND and self._answers() >= MIN_TRUSTED_ANSWERS,
             on_all_routes,
             round(self._answers()),
             worst.reason,
@@ -426,9 +429,6 @@
     return frozenset(upstream for (upstream, _), odds in sums.items() if odds >= SUSPECT_BOUND)
 
 
-Key = TypeVar("Key")
-
-
 def _difference(now: dict[Key, Counts], before: dict[Key, Counts]) -> dict[Key, Counts]:
     """Counts that have been added; what was taken back since counts as nothing."""
     found = {}
