--- a/tests/harness/simulated_rollouts.py
+++ b/tests/harness/simulated_rollouts.py
@@ -34,14 +34,20 @@
 STEP_S: Final = 0.02
 EXCHANGE_S: Final = 0.2
 DECIDE_S: Final = 0.1
-ORDER_SEEN_S: Final = 0.01
-WRITE_S: Final = 0.01
+WRITE_SPREAD_S: Final = 0.1
+"""How much later than it is due an end is written."""
 UPSTREAMS: Final = 4
 SLOW_FACTOR: Final = 8.0
 LIVE_SESSIONS: Final = 40
 SESSION_REQUESTS: Final = 6
 EVENTS: Final = 20
 UNTIL_GIVEN_UP_S: Final = 0.4
+LOAD_WINDOW_S: Final = 0.3
+REPEATED_FAILURE_SHARE: Final = 0.5
+FLAKY_SHARE: Final = 0.1
+"""Share of failures from which a route fails the same requests again."""
+GREY_SHARE: Final = 0.4
+EVENT_GAP_S: Final = 0.05
 EXPOSURE: Final = Exposure(0.15, 30.0)
 
 How = Literal["good", "errors", "slow", "late", "one_class", "under_load"]
@@ -68,7 +74,7 @@
     burst_until: float = 0.0
     slow_upstreams: int = 0
     grey_upstreams: int = 0
-    """Upstreams of each version that fail 40% of their answers."""
+    """Upstreams of each version that fail `GREY_SHARE` of their answers."""
     refused_from: float = 0.0
     refused_until: float = 0.0
     """When requests with a key are refused, as the store is away."""
@@ -97,10 +103,15 @@
     ended_s: float
     reason: str = ""
 
+    @property
+    def allowed(self) -> float:
+        """How many requests a bad version may get."""
+        return EXPOSURE.share * self.total + EXPOSURE.slack
+
     @property
     def is_exposed(self) -> bool:
         """Whether the version got more requests than a bad one may."""
-        return self.exposed > EXPOSURE.share * self.total + EXPOSURE.slack
+        return self.exposed > self.allowed
 
 
 OFFICE: Final = (
@@ -135,6 +146,8 @@
             for version in (OLD, NEW)
             for i in range(UPSTREAMS)
         ]
+        self.old = [upstream for upstream in self.usable if upstream.version == OLD]
+        self.new = [upstream for upstream in self.usable if upstream.version == NEW]
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
         self.sessions: list[tuple[str, int]] = []
@@ -243,9 +256,10 @@
         trouble = self.case.trouble
         slow = SLOW_FACTOR if is_bad and self.case.how == "slow" else 1.0
         slow *= 4.0 if index < trouble.slow_upstreams else 1.0
-        share = 0.5 if failed and route.failed > 0.1 else route.failed
+        is_again = failed and route.failed > FLAKY_SHARE
+        share = REPEATED_FAILURE_SHARE if is_again else route.failed
         fails = self.rng.random() < share or (is_bad and self.case.how != "slow")
-        fails = fails or (index < trouble.grey_upstreams and self.rng.random() < 0.4)
+        fails = fails or (index < trouble.grey_upstreams and self.rng.random() < GREY_SHARE)
         first_s = FIRST_S * slow * self.rng.lognormvariate(0.0, 0.4)
         if route.hangs:
             self._at(UNTIL_GIVEN_UP_S, lambda: timing.end(self.time.now))
@@ -264,7 +278,7 @@
 
         self._at(first_s, begin)
         if self.case.has_sessions and not fails:
-            self._at(first_s + EVENTS * GAP * 0.05 * slow, end)
+            self._at(first_s + EVENTS * GAP * EVENT_GAP_S * slow, end)
 
     def _is_bad(self, route: Route) -> bool:
         how, since_s = self.case.how, self._since_s
@@ -273,30 +287,29 @@
         if how == "one_class":
             return route.name == max(self.case.routes, key=lambda r: r.per_s * r.is_repeated).name
         if how == "under_load":
-            self.recent = [(at, v) for at, v in self.recent if at > self.time.now - 0.3]
-            new = sum(version == NEW for _, version in self.recent)
-            return new > 0.5 * len(self.recent) and len(self.recent) > 2
+            return self._is_loaded()
         return how != "late" or since_s >= self.case.gap_s
 
+    def _is_loaded(self) -> bool:
+        """Whether most of the latest requests went to the new version."""
+        self.recent = [(at, v) for at, v in self.recent if at > self.time.now - LOAD_WINDOW_S]
+        new = sum(version == NEW for _, version in self.recent)
+        return new > 0.5 * len(self.recent) and len(self.recent) > 2
+
     def _at(self, delay_s: float, do: Callable[[], None]) -> None:
         heapq.heappush(self.events, (self.time.now + delay_s, next(self.numbers), do))
 
     def _present(self) -> list[Upstream]:
-        kept = OLD if self.time.now < self.ordered_at or self.state == "rolled_back" else ""
-        kept = NEW if self.state == "completed" else kept
-        if self._since_s < 0 and not kept:
-            kept = OLD
-        name = f"_usable_{kept}"
-        if not hasattr(self, name):
-            setattr(self, name, [u for u in self.usable if not kept or u.version == kept])
-        found: list[Upstream] = getattr(self, name)
-        return found
+        """The upstreams that run: both versions between the order and its end."""
+        if self.time.now < self.ordered_at or self.state == "rolled_back":
+            return self.old
+        return self.new if self.state == "completed" else self.usable
 
     def _decide(self) -> None:
         if self.state != "ordered":
             return
         rollout, now = self._node.rollout, self.time.now
-        part = rollout.elapsed_fraction(now - 0.1)
+        part = rollout.elapsed_fraction(now - WRITE_SPREAD_S)
         if rollout.withdrawal_reason:
             self.writes.append(False)
         elif part >= rollout.ramp.complete_at:
@@ -358,7 +371,7 @@
         for title, played in pool.map(_play_all, jobs):
             states = Counter(found.state for found in played)
             exposed = sum(found.is_exposed for found in played)
-            worst = max(found.exposed / (0.15 * found.total + 30) for found in played)
+            worst = max(found.exposed / found.allowed for found in played)
             print(
                 f"{title:38} completed {states['completed']:3} rolled back"
                 f" {states['rolled_back']:3} open {states['ordered']:3}"
