Trust a version by its own answers where nothing is known of the former one

Fault of the trust that the completion asks for: answers count only on routes of which the versions in service have given eight, and no gateway had lived long enough to know these. Change: where next to no answers can be compared, failures are compared with what is least expected of any version. The test fails before.

A standard deviation of the counted requests is added.

--- a/ramppost/policy/exposure.py
+++ b/ramppost/policy/exposure.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import Final, NamedTuple
 
@@ -142,10 +143,12 @@
         return Balance(exposure, trial, total, self._rate(total, course, now), gateways)
 
     def _rate(self, total: int, course: list[tuple[float, int]], now: float) -> float:
-        """The highest rate of the last seconds, or the mean since the order."""
+        """The highest rate of the last seconds, with the standard deviation of so many requests, or
+        the mean since the order."""
         rates = [total / max(*RATE_WINDOWS_S, now - self._since)]
         for window_s in RATE_WINDOWS_S:
             within = [mark for mark in course if now - mark[0] <= window_s + MARK_SLACK_S]
             at, before = within[0] if within else course[-1]
-            rates.append((total - before) / max(window_s, now - at))
+            lately = max(0, total - before)
+            rates.append((lately + math.sqrt(lately)) / max(window_s, now - at))
         return max(rates)
--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -176,6 +176,7 @@
     doubt: float
     log_odds: float
     bad_answers: float
+    answers: float
     reason: str
 
 
@@ -309,7 +310,8 @@
             for symptom in scope.symptoms
         ]
         worst = max(findings)
-        on_all_routes = max(found.log_odds for found in findings[: len(SYMPTOMS)])
+        for_trust = self._findings_for_trust(findings[: len(SYMPTOMS)], is_single)
+        on_all_routes = max(found.log_odds for found in for_trust)
         is_bad = worst.excess >= 0 and worst.bad_answers >= MIN_BAD_ANSWERS
         doubts = [
             found
@@ -327,6 +329,20 @@
             _suspects(new, weights[TYPICAL_SHARE]),
         )
 
+    def _findings_for_trust(
+        self, on_known_routes: list[_Finding], is_single: bool
+    ) -> list[_Finding]:
+        """The evidence on all routes together.  Where next to nothing is known of the versions in
+        service, as after all gateways have been restarted, failures are compared with what is least
+        expected of any version; how long an answer should take is not known then."""
+        new = self._new_answers()
+        if on_known_routes[0].answers >= min(MIN_TRUSTED_ANSWERS, self._answers()):
+            return on_known_routes
+        least = _sound_on_route(NO_COUNTS, NO_COUNTS, NO_COUNTS)
+        routes = {source.route for source in new.by_upstream}
+        weights = [dict.fromkeys(routes, least.weights(share)) for share in BAD_SHARES]
+        return [_finding(_Scope(new, "", 1), weights, "failed", is_single)]
+
     def _answers(self) -> float:
         """Number of answers of the new version that have ended."""
         return sum(c.answers for s, c in self._by_upstream.items() if s.upstream)
@@ -395,7 +411,7 @@
     answers = sum(counts.answers for counts in found)
     where = f" on {scope.route}" if scope.route else ""
     reason = f"{bad:.0f} answers {symptom}{where}, {answers:.0f} ended"
-    return _Finding(log_odds - bound, log_odds - doubt_bound, log_odds, bad, reason)
+    return _Finding(log_odds - bound, log_odds - doubt_bound, log_odds, bad, answers, reason)
 
 
 def _log_odds(
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -285,6 +285,20 @@
     assert ends.decide(fleet.all[0], 0.1, fleet.time.now) == [True]
 
 
+def test_sound_version_was_rolled_back_as_nothing_was_known_of_the_former_one(
+    time: Clock, ends: Ends
+) -> None:
+    # All gateways had been restarted, and most requests went to the new version by then.
+    fleet = Fleet(time)
+    fleet.order(elapsed=0.2)
+    for i, node in enumerate(fleet.all * 30):
+        node.rollouts.record_request(SERVICE, "chat", time.now)
+        fleet.answer(node, NEW, upstream=i % 4)
+    time.now += ALL_TOLD_AFTER_S
+    fleet.exchange()
+    assert ends.decide(fleet.all[0], 0.1, time.now) == [True]
+
+
 def test_version_of_which_more_spoke_against_it_than_for_it_was_completed(
     fleet: Fleet, ends: Ends
 ) -> None:
