Tell callers a time until they may return that is never 0.00

The values were not printed; by exclusion (every other path names 0.4 s, or a rest of 2 s at most) it was a rest that ended in under 5 ms, which is told with two decimals as 0.00, and lets a caller return before it has ended. Now it is rounded up. The new test fails before.

--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 import curio
@@ -401,6 +402,16 @@
     return refusal("overloaded", "the time limit passed before it was begun", OVERLOAD_RETRY_S)
 
 
+def _retry_after_value(retry_after_s: float) -> bytes:
+    """A time as callers are told it, never shorter than it is.
+
+    >>> _retry_after_value(0.003), _retry_after_value(1.5)
+    (b'0.01', b'1.50')
+    """
+    hundredths = math.ceil(round(retry_after_s * 100, 6))
+    return f"{hundredths / 100:.2f}".encode()
+
+
 async def _send_refusal(
     gw: Gateway,
     req: CallerRequest,
@@ -412,7 +423,7 @@
     """Send a refusal as the response; `fingerprint` is empty if the request was not admitted."""
     headers: Headers = (JSON_TYPE, *refusal_headers(req.attempt_id))
     if refused.retry_after_s and refused.ran == "no":
-        headers = (*headers, (b"retry-after", f"{refused.retry_after_s:.2f}".encode()))
+        headers = (*headers, (b"retry-after", _retry_after_value(refused.retry_after_s)))
     held_s = clock.now() - read_at
     gw.metrics.count("ramppost_refusals_total", code=refused.code)
     logger.info(
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -19,7 +19,7 @@
 from ramppost.gateway.links import NotSent
 from ramppost.gateway.model import Upstream
 from ramppost.gateway.pick import pick
-from ramppost.gateway.serve import OVERLOAD_RETRY_S, _overload_refusal
+from ramppost.gateway.serve import OVERLOAD_RETRY_S, _overload_refusal, _retry_after_value
 from ramppost.gateway.state import Gateway
 from ramppost.gateway.watchers import apply_upstream_change
 from ramppost.platform.headers import Headers, answer_head
@@ -105,6 +105,11 @@
     assert found.retry_after_s == pytest.approx(retry_s)
 
 
+def test_caller_was_told_to_return_at_once_shortly_before_a_rest_ended() -> None:
+    # A time under 5 ms was told as 0.00.
+    assert float(_retry_after_value(0.003)) >= 0.003
+
+
 def test_later_answer_shortened_a_rest(gw: Gateway) -> None:
     gw.connections.observe_head(ENGINE, answer_head(503, REST), 1000.0)
     gw.connections.observe_head(ENGINE, answer_head(503, ((b"retry-after", b"1"),)), 1000.0)
