Compute what the later steps take, and the last judgement, once

Read again: the trial's budget summed up the steps after the first by itself, which Ramp.exposure_after does, and a roll-back judged the evidence a second time for its log line.

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -120,7 +120,7 @@
         _lack_of_evidence(rollout, judgement) if is_told else _lack_of_word(gw, rollout, now)
     )
     if doubt:
-        await _withdraw(gw, rollout, doubt, now)
+        await _withdraw(gw, rollout, judgement, doubt, now)
         return
     if late_s < CHECK_INTERVAL_S:
         logger.info(
@@ -138,7 +138,7 @@
         gw.rollout_news.tell_sound(rollout)
         await _finish(gw, rollout, completed=True)
     elif late_s >= LAST_ANSWER_WAIT_S:
-        await _withdraw(gw, rollout, "it has given no answer", now)
+        await _withdraw(gw, rollout, judgement, "it has given no answer", now)
 
 
 def _is_told_all(gw: Gateway, rollout: Rollout, judgement: Judgement, now: float) -> bool:
@@ -168,7 +168,9 @@
     return "no gateway that knows the evidence has found it sound"
 
 
-async def _withdraw(gw: Gateway, rollout: Rollout, doubt: str, now: float) -> None:
+async def _withdraw(
+    gw: Gateway, rollout: Rollout, judgement: Judgement, doubt: str, now: float
+) -> None:
     """Roll back a version that must not be completed."""
     order = rollout.order
     gw.rollout_news.withdraw(order.service, order.version, doubt, now)
@@ -177,7 +179,7 @@
         doubt,
         service=order.service,
         version=order.version,
-        log_odds=round(gw.evidence_news.judge(rollout).log_odds, 2),
+        log_odds=round(judgement.log_odds, 2),
         sent=rollout.account.known,
     )
     await _finish(gw, rollout, completed=False)
--- a/ramppost/policy/sampling.py
+++ b/ramppost/policy/sampling.py
@@ -21,7 +21,7 @@
 from typing import Final, NamedTuple
 
 from ramppost.policy.exposure import Balance
-from ramppost.policy.ramp import Ramp
+from ramppost.policy.ramp import FIRST_GROWTH_STEP, Ramp
 
 RATE_HALF_LIFE_S: Final = 10.0
 MIN_OBSERVED_S: Final = 1.0
@@ -95,10 +95,7 @@
     (7.3, 11.1)
     """
     mean_per_s = balance.total / max(MIN_OBSERVED_S, fraction * duration_s)
-    later = sum(
-        (end - step.start) * step.share
-        for step, end in zip(ramp.steps[2:], (ramp.steps[3].start, 1.0), strict=True)
-    )
+    later = ramp.exposure_after(ramp.growth_at, FIRST_GROWTH_STEP)
     left = balance.left(mean_per_s * (1 - fraction) * duration_s)
     left -= LATER_STEPS_FACTOR * mean_per_s * later * duration_s
     until_growth_s = (ramp.growth_at - fraction) * duration_s
