Log on what grounds a gateway ends a roll-out, and what a completed version turns out to be

Now each gateway logs once for each decision; a version that is found bad by what one gateway sees of it within two minutes of its end is logged with the most requests that ran at once at an upstream. No decision changes.

Simulated roll-outs can cut gateways off from others and the store.

--- a/ramppost/gateway/evidence_news.py
+++ b/ramppost/gateway/evidence_news.py
@@ -19,7 +19,7 @@
 from ramppost.gateway.early import parse_address
 from ramppost.gateway.rollout_news import RolloutNews
 from ramppost.gateway.rollouts import Rollout, Rollouts
-from ramppost.gateway.version_evidence import CountsBySource, VersionEvidence
+from ramppost.gateway.version_evidence import CountsBySource, VersionEvidence, is_looked_at
 from ramppost.ids import new_incarnation
 from ramppost.policy.exposure import SentCounts
 from ramppost.policy.guard import NO_COUNTS, Counts, Judgement, Source
@@ -78,6 +78,8 @@
         for rollout in self._rollouts.all():
             if rollout.order.state != "ordered":
                 self._told.pop(rollout.order.service, None)
+                if repeats:
+                    self._watch_completed(rollout, now)
                 continue
             rollout.account.mark(now)
             self._tell(rollout, repeats, now)
@@ -144,6 +146,25 @@
             gateways=rollout.pool.gateways,
         )
 
+    def _watch_completed(self, rollout: Rollout, now: float) -> None:
+        """Log that a version is bad which has been completed, by what this gateway sees of it."""
+        if rollout.is_bad_after_all or not is_looked_at(rollout, now):
+            return
+        for source, counts in rollout.own_evidence.items():
+            rollout.pool.put(self._own, source, counts)
+        rollout.pool.mark(now)
+        judgement = self.judge(rollout)
+        if rollout.order.state == "completed" and judgement.bad:
+            rollout.is_bad_after_all = True
+            logger.warning(
+                "completed version is bad: {}",
+                judgement.bad,
+                service=rollout.order.service,
+                version=rollout.order.version,
+                answers=judgement.answers,
+                most_at_once=rollout.most_at_once,
+            )
+
 
 def _cell(source: Source, counts: Counts) -> EvidenceCell:
     return EvidenceCell(
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -115,6 +115,7 @@
     is_told = _is_told_all(gw, rollout, judgement, now)
     doubt = judgement.doubt
     if not doubt and not is_told and late_s < OTHERS_END_IT_S:
+        _log_decision(gw, rollout, judgement, "left to others", now)
         return
     doubt = doubt or (
         _lack_of_evidence(rollout, judgement) if is_told else _lack_of_word(gw, rollout, now)
@@ -122,17 +123,7 @@
     if doubt:
         await _withdraw(gw, rollout, judgement, doubt, now)
         return
-    if late_s < CHECK_INTERVAL_S:
-        logger.info(
-            "time to complete the roll-out",
-            service=order.service,
-            version=order.version,
-            answers=judgement.answers,
-            strongest_evidence=judgement.worst,
-            excess=round(judgement.excess, 2),
-            gateways=rollout.pool.gateways,
-            upstreams=rollout.trial_upstreams,
-        )
+    _log_decision(gw, rollout, judgement, "nothing speaks against it", now)
     is_known = judgement.answers > 0 or not gw.rollouts.has_requests(order.service, now)
     if is_known or not is_told:
         gw.rollout_news.tell_sound(rollout)
@@ -141,6 +132,33 @@
         await _withdraw(gw, rollout, judgement, "it has given no answer", now)
 
 
+def _log_decision(
+    gw: Gateway, rollout: Rollout, judgement: Judgement, decision: str, now: float
+) -> None:
+    """Log on what grounds this gateway ends a roll-out or waits, once for each decision."""
+    if rollout.logged_decision == decision:
+        return
+    rollout.logged_decision = decision
+    logger.info(
+        "end of the roll-out is due: {}",
+        decision,
+        service=rollout.order.service,
+        version=rollout.order.version,
+        answers=judgement.answers,
+        log_odds=round(judgement.log_odds, 2),
+        is_trusted=judgement.is_trusted,
+        strongest_evidence=judgement.worst,
+        excess=round(judgement.excess, 2),
+        evidence_of=rollout.pool.gateways,
+        listed=gw.peers.fleet_size,
+        not_passed_over=1 + len(gw.peers.alive(now)),
+        heard=1 + rollout.account.heard_gateways(now),
+        sent=rollout.account.known,
+        upstreams=rollout.trial_upstreams,
+        most_at_once=rollout.most_at_once,
+    )
+
+
 def _is_told_all(gw: Gateway, rollout: Rollout, judgement: Judgement, now: float) -> bool:
     """Whether this gateway is told all evidence.  One that hears of no other may be cut off, or the
     last that runs: it goes by what it knows if that is enough."""
@@ -182,6 +200,7 @@
         log_odds=round(judgement.log_odds, 2),
         sent=rollout.account.known,
     )
+    _log_decision(gw, rollout, judgement, "doubtful", now)
     await _finish(gw, rollout, completed=False)
 
 
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -79,6 +79,12 @@
         """When the versions last had usable upstreams (steady clock)."""
         self.is_found_sound = False
         """Whether a gateway that is told all evidence would complete the version."""
+        self.most_at_once: dict[str, int] = {}
+        """Most requests of this gateway that ran at once at one upstream, by version."""
+        self.logged_decision = ""
+        """What was last logged of how this gateway decides."""
+        self.is_bad_after_all = False
+        """Whether the version was found bad when it had been completed."""
         self.withdrawal_reason = ""
         """Why gateways consider the version bad; empty if they do not."""
         self.withdrawn_at = float("inf")
--- a/ramppost/gateway/version_evidence.py
+++ b/ramppost/gateway/version_evidence.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from typing import Final, NamedTuple
 
 from loguru import logger
@@ -42,6 +43,9 @@
 MAX_EARLIER_ANSWERS: Final = 20.0
 """Answers on a route before a roll-out that count beside those during it."""
 
+WATCH_COMPLETED_S: Final = 120.0
+"""How long the answers of a version are looked at after it was completed."""
+
 CountsBySource = dict[Source, Counts]
 
 
@@ -132,7 +136,6 @@
         self._last_at = now
         self._events = 0
         self._gaps_valid = True
-        owner.running.add(self)
 
     def record_head(self, status: int, now: float) -> None:
         """Record the head of the answer, which comes with its first byte."""
@@ -150,12 +153,13 @@
 
     def discard(self) -> None:
         """End the attempt without evidence, as its upstream has not run it."""
-        self._owner.running.discard(self)
+        if self in self._owner.running:
+            self._owner.remove(self)
 
     def end(self, now: float) -> None:
         """End the attempt with what it has shown; further calls do nothing."""
         if self in self._owner.running:
-            self._owner.running.remove(self)
+            self._owner.remove(self)
             self._owner.settle(self, now)
 
     @property
@@ -197,6 +201,8 @@
     def __init__(self, rollouts: Rollouts) -> None:
         self.running: set[AttemptTiming] = set()
         """Attempts that have not ended."""
+        self._at_upstream: Counter[str] = Counter()
+        """Number of these by upstream."""
         self._rollouts = rollouts
         self._histories: dict[str, _ServiceHistory] = {}
 
@@ -204,11 +210,25 @@
         """Record that an attempt has been sent."""
         rollout = self._rollouts.get(expected.service)
         timing = AttemptTiming(self, expected, now)
+        self.running.add(timing)
+        self._at_upstream[expected.upstream] += 1
+        if rollout is not None:
+            at_once = self._at_upstream[expected.upstream]
+            most = rollout.most_at_once.get(expected.version, 0)
+            rollout.most_at_once[expected.version] = max(most, at_once)
         if rollout is not None and rollout.order.state == "ordered":
             rollout.account.record_sent(expected.version == rollout.order.version)
             timing.sent_after_growth = rollout.has_grown
         return timing
 
+    def remove(self, timing: AttemptTiming) -> None:
+        """Forget an attempt that no longer runs."""
+        upstream = timing.expected.upstream
+        self.running.remove(timing)
+        self._at_upstream[upstream] -= 1
+        if not self._at_upstream[upstream]:
+            del self._at_upstream[upstream]
+
     def settle(self, timing: AttemptTiming, now: float) -> None:
         """Count an attempt that has ended."""
         expected = timing.expected
@@ -219,7 +239,7 @@
         if rollout is None or not is_new or rollout.order.state == "completed":
             history.add(expected.route, counts, now)
             _record_times(history.times, timing, now)
-        if rollout is None or rollout.order.state != "ordered":
+        if rollout is None or not is_looked_at(rollout, now):
             return
         self._start_evidence(rollout, now)
         _add(rollout.own_evidence, _source(rollout, timing), counts)
@@ -251,6 +271,12 @@
             rollout.own_evidence |= self._history(rollout.order.service).limited(now)
 
 
+def is_looked_at(rollout: Rollout, now: float) -> bool:
+    """Whether answers are evidence on a roll-out; after its end that is only logged."""
+    state, ended_s = rollout.order.state, now - rollout.started_at - rollout.order.duration_s
+    return state == "ordered" or (state == "completed" and ended_s < WATCH_COMPLETED_S)
+
+
 def _source(rollout: Rollout, timing: AttemptTiming) -> Source:
     """Where the answer of an attempt comes from, as evidence on a roll-out."""
     expected = timing.expected
--- a/tests/harness/simulated_rollouts.py
+++ b/tests/harness/simulated_rollouts.py
@@ -78,6 +78,10 @@
     refused_from: float = 0.0
     refused_until: float = 0.0
     """When requests with a key are refused, as the store is away."""
+    cut_gateways: int = 0
+    """Gateways that are cut off from all others and from the store, but not from callers."""
+    cut_from: float = 0.0
+    cut_until: float = 0.0
 
 
 class Case(NamedTuple):
@@ -166,6 +170,7 @@
             next_exchange = next_decision = self.time.now
             while self.time.now < end:
                 self._step()
+                self._cut_off()
                 if self.time.now >= next_exchange:
                     next_exchange += EXCHANGE_S
                     self.fleet.exchange()
@@ -200,6 +205,25 @@
             for _ in range(self._arrivals(route)):
                 self._send(self.rng.choice(self.fleet.all), route, self._session(), set())
 
+    def _cut_off(self) -> None:
+        """Cut gateways off, or let them be reached; calls between them are not answered."""
+        trouble = self.case.trouble
+        is_cut = trouble.cut_from <= self._since_s < trouble.cut_until
+        names = list(self.fleet.nodes)
+        self.fleet.cut = set(names[len(names) - trouble.cut_gateways :]) if is_cut else set()
+        for name, node in self.fleet.nodes.items():
+            for other in set(names) - {name} if is_cut else ():
+                if self.fleet.cut & {name, other}:
+                    node.peers.record_call(other, False, self.time.now)
+
+    @property
+    def _writers(self) -> list[Node]:
+        """The gateways that may end the roll-out: the first, or, beside a cut, all that reach the
+        store."""
+        if not self.case.trouble.cut_gateways:
+            return [self._node]
+        return [node for name, node in self.fleet.nodes.items() if name not in self.fleet.cut]
+
     @property
     def _node(self) -> Node:
         return self.fleet.all[0]
@@ -308,12 +332,14 @@
     def _decide(self) -> None:
         if self.state != "ordered":
             return
-        rollout, now = self._node.rollout, self.time.now
-        part = rollout.elapsed_fraction(now - WRITE_SPREAD_S)
-        if rollout.withdrawal_reason:
-            self.writes.append(False)
-        elif part >= rollout.ramp.complete_at:
-            curio.run(rollout_duty._decide, self._node, rollout, part, now)
+        now = self.time.now
+        for node in self._writers:
+            rollout = node.rollout
+            part = rollout.elapsed_fraction(now - WRITE_SPREAD_S)
+            if rollout.withdrawal_reason:
+                self.writes.append(False)
+            elif part >= rollout.ramp.complete_at:
+                curio.run(rollout_duty._decide, node, rollout, part, now)
         if self.writes:
             self.state = "completed" if self.writes[0] else "rolled_back"
             self.ended_at = now
@@ -331,7 +357,9 @@
 OUTAGE: Final = Trouble("outage", refused_from=11.0, refused_until=15.3)
 SLOW: Final = Trouble("slow upstream", slow_upstreams=1)
 GREY: Final = Trouble("failing upstream", grey_upstreams=1)
-TROUBLES: Final = (Trouble(), BURST, EARLY_BURST, OUTAGE, SLOW, GREY)
+CUT: Final = Trouble("cut", cut_gateways=2, cut_from=5.0, cut_until=15.0)
+CUT_TO_THE_END: Final = CUT._replace(title="cut to the end", cut_until=20.0)
+TROUBLES: Final = (Trouble(), BURST, EARLY_BURST, OUTAGE, SLOW, GREY, CUT, CUT_TO_THE_END)
 SHARES: Final = (0.15, 0.25, 0.35, 0.45, 0.58)
 HOWS: Final[tuple[How, ...]] = ("errors", "slow", "late", "one_class", "under_load")
 
@@ -348,7 +376,7 @@
         for trouble in TROUBLES:
             yield f"{name:8} good          {trouble.title}", case._replace(trouble=trouble)
         for how, share in itertools.product(HOWS, SHARES):
-            for trouble in (Trouble(), BURST, OUTAGE):
+            for trouble in (Trouble(), BURST, OUTAGE, CUT, CUT_TO_THE_END):
                 title = f"{name:8} {how:10} {share:.2f} {trouble.title}"
                 yield title, case._replace(how=how, share=share, trouble=trouble)
 
