Let a gateway decide for the fleet only if it hears a majority of those that are listed

Cause: whom a gateway reaches was taken for who there is. Evidence, findings, beginnings and steps now go to all that are listed (in large fleets to the collectors and to those that were passed over before them), also evidence on requests that end upstreams. A gateway takes a step or ends a roll-out by evidence only if it has lately heard a majority of the listed gateways that have not announced a stop, or if its own evidence is 20 to 1. What it counts is extrapolated to all that are listed before few requests excuse few answers. One that should hear the others and does not waits for their end, and rolls back before the deadline. A restarted gateway is heard once, and one that has not read the list of gateways decides nothing. Past the deadline a gateway that was cut off falls back on the new version where the old one is gone.

Ruled out: a verdict that comes too late to be written (it was there 0.43 s before the end, and not told).

Seven of the new tests failed before, and pass.

How many answers a version had by route is logged with its end, too.

--- a/ramppost/gateway/evidence_news.py
+++ b/ramppost/gateway/evidence_news.py
@@ -111,7 +111,7 @@
             rollout.pool.put(self._own, source, found)
         self._told[service] = counts
         to_tell = list((counts if repeats else changed).items())
-        collectors = self._peers.evidence_collectors(now) if to_tell or repeats else []
+        receivers = self._peers.evidence_receivers(now) if to_tell or repeats else []
         sent = rollout.account.own
         for first in range(0, max(1, len(to_tell)), MAX_CELLS_PER_NOTE):
             some = itertools.islice(to_tell, first, first + MAX_CELLS_PER_NOTE)
@@ -123,7 +123,7 @@
                 sent_trial=sent.trial,
                 sent=sent.total,
             )
-            for name in collectors:
+            for name in receivers:
                 addr = parse_address(self._peers.addrs[name])
                 self._datagrams.send(addr, PeerDatagram(evidence=note))
 
--- a/ramppost/gateway/fatal.py
+++ b/ramppost/gateway/fatal.py
@@ -431,7 +431,7 @@
                 self._send_to_judges(PeerDatagram(ended=note))
 
     def _send_to_judges(self, msg: PeerDatagram) -> None:
-        for name in self._peers.evidence_collectors(clock.now()):
+        for name in self._peers.evidence_receivers(clock.now()):
             self._datagrams.send(parse_address(self._peers.addrs[name]), msg)
 
     def _send_finding(self, found: FatalRequest) -> None:
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -33,6 +33,7 @@
     replace,
     set_status,
 )
+from ramppost.policy.coverage import HEARD_S, Coverage, coverage
 from ramppost.policy.guard import Judgement
 from ramppost.policy.ramp import FIRST_STEP_AT, UNPIN_AT
 from ramppost.policy.routing import hash_fraction
@@ -50,6 +51,9 @@
 RETRY_DELAY_S: Final = 0.3
 OTHERS_END_IT_S: Final = 2.0
 """How long a gateway that is not told all evidence waits for an end by those that are."""
+CUT_OFF_WAIT_PART: Final = 0.6
+"""Part of the time before the deadline for which one waits that should be told, and hears of too few
+others: these end the roll-out before, if they can."""
 ALL_TOLD_AFTER_S: Final = 1.2 * REPEAT_INTERVAL_S
 """How long after it has seen the order a gateway has been told what the others know."""
 MIN_REQUESTS_TO_TRUST: Final = 100
@@ -112,13 +116,15 @@
     judgement = gw.evidence_news.judge(rollout)
     order = rollout.order
     late_s = (part - rollout.ramp.complete_at) * order.duration_s
-    is_told = _is_told_all(gw, rollout, judgement, now)
+    is_told = _knows_enough(gw, rollout, judgement, now)
     doubt = judgement.doubt
-    if not doubt and not is_told and late_s < OTHERS_END_IT_S:
+    if not doubt and not is_told and late_s < _wait_for_others_s(gw, rollout, now):
         _log_decision(gw, rollout, judgement, "left to others", now)
         return
     doubt = doubt or (
-        _lack_of_evidence(rollout, judgement) if is_told else _lack_of_word(gw, rollout, now)
+        _lack_of_evidence(gw, rollout, judgement, now)
+        if is_told
+        else _lack_of_word(gw, rollout, now)
     )
     if doubt:
         await _withdraw(gw, rollout, judgement, doubt, now)
@@ -149,39 +155,55 @@
         is_trusted=judgement.is_trusted,
         strongest_evidence=judgement.worst,
         excess=round(judgement.excess, 2),
+        by_route=rollout.pool.answers_by_route(),
         evidence_of=rollout.pool.gateways,
         listed=gw.peers.fleet_size,
         not_passed_over=1 + len(gw.peers.alive(now)),
-        heard=1 + rollout.account.heard_gateways(now),
+        heard=_heard_part(gw, rollout, now).heard,
         sent=rollout.account.known,
         upstreams=rollout.trial_upstreams,
         most_at_once=rollout.most_at_once,
     )
 
 
-def _is_told_all(gw: Gateway, rollout: Rollout, judgement: Judgement, now: float) -> bool:
-    """Whether this gateway is told all evidence.  One that hears of no other may be cut off, or the
-    last that runs: it goes by what it knows if that is enough."""
-    others = gw.peers.alive(now)
-    is_alone = bool(others) and not rollout.account.heard_gateways(now)
-    is_cut_off = is_alone and not judgement.is_trusted
-    heard_s = now - rollout.seen_at
-    return gw.peers.has_all_evidence(now) and heard_s >= ALL_TOLD_AFTER_S and not is_cut_off
+def _heard_part(gw: Gateway, rollout: Rollout, now: float) -> Coverage:
+    """How many of the listed gateways this one hears of."""
+    return coverage(gw.peers, rollout.account.heard(now, HEARD_S), now)
 
 
-def _lack_of_evidence(rollout: Rollout, judgement: Judgement) -> str:
+def _knows_enough(gw: Gateway, rollout: Rollout, judgement: Judgement, now: float) -> bool:
+    """Whether this gateway may end a roll-out by the evidence that it has: it is told that of most
+    gateways, or has enough of its own."""
+    if not gw.peers.has_all_evidence(now) or now - rollout.seen_at < ALL_TOLD_AFTER_S:
+        return False
+    return judgement.is_trusted_alone or _heard_part(gw, rollout, now).has_majority
+
+
+def _wait_for_others_s(gw: Gateway, rollout: Rollout, now: float) -> float:
+    """How long a gateway that does not know enough waits for others to end a roll-out."""
+    if not gw.peers.has_all_evidence(now) or now - rollout.seen_at < ALL_TOLD_AFTER_S:
+        return OTHERS_END_IT_S
+    return CUT_OFF_WAIT_PART * (1 - rollout.ramp.complete_at) * rollout.order.duration_s
+
+
+def _lack_of_evidence(gw: Gateway, rollout: Rollout, judgement: Judgement, now: float) -> str:
     """Why a version is doubtful of which nothing bad is known: there were requests enough to learn
     more of it.  Empty if there were not, or enough is known."""
-    sent = rollout.account.known
-    if judgement.is_trusted or sent.total < MIN_REQUESTS_TO_TRUST:
+    sent, heard = rollout.account.known, _heard_part(gw, rollout, now)
+    if judgement.is_trusted or heard.extrapolate(sent.total) < MIN_REQUESTS_TO_TRUST:
         return ""
     return f"of {sent.total} requests it had {sent.trial}, {judgement.answers} ended"
 
 
 def _lack_of_word(gw: Gateway, rollout: Rollout, now: float) -> str:
-    """Why a version is doubtful to a gateway that is not told all evidence: none that is has found
-    it sound.  Empty if one has, or the service has no requests."""
-    if rollout.is_found_sound or not gw.rollouts.has_requests(rollout.order.service, now):
+    """Why a version is doubtful to a gateway that does not know enough: none that does has found it
+    sound.  Empty if one has, or the service has no requests."""
+    if rollout.is_found_sound:
+        return ""
+    heard = _heard_part(gw, rollout, now)
+    if gw.peers.has_all_evidence(now) and not heard.has_majority:
+        return f"only {heard.heard} of {heard.listed} gateways are heard of"
+    if not gw.rollouts.has_requests(rollout.order.service, now):
         return ""
     return "no gateway that knows the evidence has found it sound"
 
--- a/ramppost/gateway/rollout_news.py
+++ b/ramppost/gateway/rollout_news.py
@@ -24,6 +24,7 @@
 from ramppost.gateway.datagrams import Address, Datagrams
 from ramppost.gateway.early import parse_address
 from ramppost.gateway.rollouts import Rollout, Rollouts
+from ramppost.policy.coverage import HEARD_S, hears_fleet
 from ramppost.policy.relays import Peers
 from ramppost.schema.messages import PeerDatagram, RolloutNote
 
@@ -46,6 +47,7 @@
         self._rng = random.Random()
         rollouts.on_order = lambda rollout: self._announce(rollout, FANOUT, asks=True)
         rollouts.on_growth = self._announce_growth
+        rollouts.hears_fleet = self._hears_fleet
 
     async def exchange(self) -> None:
         """Tell a few gateways about each roll-out now and then, until cancelled."""
@@ -112,6 +114,9 @@
                 peer=addr[0],
             )
 
+    def _hears_fleet(self, rollout: Rollout, now: float) -> bool:
+        return hears_fleet(self._peers, rollout.account.heard(now, HEARD_S), now)
+
     def _announce_growth(self, rollout: Rollout) -> None:
         now = clock.now()
         balance = rollout.account.balance(now, self._peers.fleet_size)
@@ -136,7 +141,8 @@
             self._announce(rollout, FANOUT, asks=False)
 
     def _announce(self, rollout: Rollout, count: int, asks: bool) -> None:
-        names = self._peers.alive(clock.now())
+        # Those that this gateway passes over may be reached, and may not pass over it.
+        names = list(self._peers.addrs)
         msg = PeerDatagram(rollout=_note(rollout, clock.now(), asks))
         for name in self._rng.sample(names, min(count, len(names))):
             self._datagrams.send(parse_address(self._peers.addrs[name]), msg)
--- a/ramppost/gateway/rollouts.py
+++ b/ramppost/gateway/rollouts.py
@@ -272,6 +272,8 @@
         """Called with each new roll-out that is under way."""
         self.on_growth: Callable[[Rollout], None] = lambda rollout: None
         """Called with a roll-out whose share of the new version grows here first."""
+        self.hears_fleet: Callable[[Rollout, float], bool] = lambda rollout, now: True
+        """Whether this gateway knows enough of what the others know to decide for them."""
         self._by_service: dict[str, Rollout] = {}
         self._progress: dict[str, Progress] = {}
         self._in_service: dict[str, _InService] = {}
@@ -395,7 +397,8 @@
         if not is_moved(service, req.session or req.id, self._share(rollout, req, now)):
             if req.session:
                 return _hold(old, new, rollout.old_usable_at, now, "step")
-            return EligibleUpstreams(old, new if rollout.has_grown else [], "step")
+            is_over = rollout.has_grown or fraction >= 1
+            return EligibleUpstreams(old, new if is_over else [], "step")
         if req.session and fraction < UNPIN_AT and not req.is_new:
             return _hold(old, new, rollout.old_usable_at, now, "unknown")
         if req.session and not req.is_new:
@@ -416,7 +419,7 @@
 
     def _grow(self, rollout: Rollout, now: float) -> None:
         """Take the next step of the ramp once it is due and the balance bears it."""
-        if rollout.may_grow(now, self._fleet_size()):
+        if rollout.may_grow(now, self._fleet_size()) and self.hears_fleet(rollout, now):
             rollout.reached_step += 1
             self.on_growth(rollout)
 
--- a/ramppost/policy/exposure.py
+++ b/ramppost/policy/exposure.py
@@ -17,6 +17,8 @@
 from collections import deque
 from typing import Final, NamedTuple
 
+from ramppost.ids import address
+
 USED_PART: Final = 0.9
 """Part of the permitted exposure that is used: some requests are on their way, and gateways know of
 each other's a moment later."""
@@ -119,9 +121,13 @@
         own, others = self.own, self._others
         return SentCounts(own.trial + others.trial, own.total + others.total)
 
+    def heard(self, now: float, within_s: float) -> set[str]:
+        """Names of other gateways that have told of their requests in the last seconds."""
+        return {address(start) for start, told in self._told.items() if now - told.at < within_s}
+
     def heard_gateways(self, now: float) -> int:
-        """Number of other gateways that have told of their requests lately."""
-        return sum(now - told.at < TOLD_S for told in self._told.values())
+        """Number of other gateways whose counts are known well enough to draw on them."""
+        return len(self.heard(now, TOLD_S))
 
     def mark(self, now: float) -> None:
         """Note the totals, from which the rate is told; to be called now and then."""
--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -63,6 +63,8 @@
 """Odds for a bad version from which it is not completed."""
 TRUST_BOUND: Final = math.log(1.5)
 """Odds for a sound version from which it may be completed."""
+ALONE_TRUST_BOUND: Final = math.log(20)
+"""The same for a gateway that does not hear most others: these may know better."""
 MIN_DOUBTFUL_ANSWERS: Final = 2
 MIN_TRUSTED_ANSWERS: Final = 4
 MARK_INTERVAL_S: Final = 0.5
@@ -152,15 +154,17 @@
     """What the evidence of all gateways says.
 
     `bad` is why the version must be withdrawn, and `doubt` why it must not be completed; empty
-    where nothing speaks for that.  `is_trusted` tells that enough answers speak for the version.
-    `answers` is the number of answers that have ended.  `worst` is the strongest evidence, and
-    `excess` by how much its log odds exceed the bound.  `suspects` are upstreams that answer badly:
+    where nothing speaks for that.  `is_trusted` tells that enough answers speak for the version,
+    and `is_trusted_alone` that they do even if what others know is missing.  `answers` is the
+    number of answers that have ended.  `worst` is the strongest evidence, and `excess` by how much
+    its log odds exceed the bound.  `suspects` are upstreams that answer badly:
     either the version is bad, or they are in trouble by themselves, which the others can tell.
     """
 
     bad: str
     doubt: str
     is_trusted: bool
+    is_trusted_alone: bool
     log_odds: float
     answers: int
     worst: str
@@ -168,6 +172,15 @@
     suspects: frozenset[str]
 
 
+class RouteAnswers(NamedTuple):
+    """Answers of the new version on a route: how many have ended, how many of these failed, and how
+    many are slow, ended or not."""
+
+    answers: float = 0.0
+    failures: float = 0.0
+    slow: float = 0.0
+
+
 class _Finding(NamedTuple):
     """Evidence for a symptom: its log odds, and by how much they exceed the bound from which a
     version is withdrawn, and that from which it is not completed."""
@@ -294,6 +307,18 @@
             if not source.upstream and not source.is_recent and counts.answers >= MIN_ROUTE_ANSWERS
         }
 
+    def answers_by_route(self) -> dict[str, RouteAnswers]:
+        """How the new version has answered so far, by route."""
+        found: dict[str, RouteAnswers] = {}
+        for source, counts in self._new_answers().by_upstream.items():
+            known = found.get(source.route, RouteAnswers())
+            found[source.route] = RouteAnswers(
+                known.answers + counts.answers,
+                known.failures + counts.failures,
+                known.slow + counts.slow,
+            )
+        return found
+
     def judge(self, trial_upstreams: int) -> Judgement:
         """Judge the version, which runs on so many upstreams."""
         sound = self._sound_answers()
@@ -318,10 +343,12 @@
             for found in findings
             if found.doubt >= 0 and found.bad_answers >= MIN_DOUBTFUL_ANSWERS
         ]
+        has_answers = self._answers() >= MIN_TRUSTED_ANSWERS
         return Judgement(
             worst.reason if is_bad else "",
             max(doubts, key=lambda found: found.doubt).reason if doubts else "",
-            on_all_routes <= -TRUST_BOUND and self._answers() >= MIN_TRUSTED_ANSWERS,
+            has_answers and on_all_routes <= -TRUST_BOUND,
+            has_answers and on_all_routes <= -ALONE_TRUST_BOUND,
             on_all_routes,
             round(self._answers()),
             worst.reason,
--- a/ramppost/policy/relays.py
+++ b/ramppost/policy/relays.py
@@ -209,6 +209,24 @@
         others = self.alive(now)
         return others if self._is_flat() else others[:MAX_EVIDENCE_COLLECTORS]
 
+    def evidence_receivers(self, now: float) -> list[str]:
+        """Other gateways that evidence is sent to: the collectors, and those that would be if this
+        gateway did not pass them over, as others may reach them.
+
+        >>> peers = Peers("a")
+        >>> new = peers.put("b", "10.0.0.1:7340")
+        >>> peers.record_call("b", False, 0.0)
+        >>> peers.evidence_receivers(0.0)
+        ['b']
+        """
+        if self._is_flat():
+            return list(self.addrs)
+        collectors = self.evidence_collectors(now)
+        others = [name for name in self._by_rank() if name != self.own]
+        last = others.index(collectors[-1]) if collectors else len(others)
+        passed_over = [name for name in others[:last] if name not in collectors]
+        return collectors + passed_over[:MAX_EVIDENCE_COLLECTORS]
+
     def has_all_evidence(self, now: float) -> bool:
         """Whether the other gateways send this one their evidence on fatal requests.
 
@@ -281,12 +299,16 @@
     def _is_flat(self) -> bool:
         return len(self.addrs) + 1 <= MAX_FLAT_FLEET
 
-    def _live_names(self, now: float) -> list[str]:
-        """All gateways that are not skipped, including this one, by rank."""
+    def _by_rank(self) -> list[str]:
+        """All gateways including this one."""
         if self._ranked_at != self.changes:
             self._ranked_at = self.changes
             self._ranked = rank_gateways(self.names, self.links)
-        return [name for name in self._ranked if self._skip_until.get(name, 0.0) <= now]
+        return self._ranked
+
+    def _live_names(self, now: float) -> list[str]:
+        """All gateways that are not skipped, including this one, by rank."""
+        return [name for name in self._by_rank() if self._skip_until.get(name, 0.0) <= now]
 
     def _current_roles(self, now: float) -> Roles:
         """The current roles; recomputed only if gateways change, fail, stop or recover."""
--- a/tests/test_fatal_policy.py
+++ b/tests/test_fatal_policy.py
@@ -239,3 +239,15 @@
     first = peers.evidence_collectors(0.0)[0]
     peers.record_call(first, False, 0.0)
     assert first not in peers.evidence_collectors(0.1)
+
+
+def test_gateway_that_was_passed_over_was_told_no_evidence() -> None:
+    # Others reached it, and judged nothing as they took it for the one that does.
+    peers = Peers("g0", 100.0, "bole")
+    for number in range(1, 410):
+        peers.put(f"g{number}", f"10.0.0.1:{number}", "bole", 100.0)
+    first, *others = peers.evidence_collectors(0.0)
+    peers.record_call(first, False, 0.0)
+    receivers = peers.evidence_receivers(0.1)
+    assert {first, *others} < set(receivers)
+    assert len(receivers) <= 2 * MAX_EVIDENCE_COLLECTORS
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -21,7 +21,8 @@
 )
 from ramppost.gateway.rollouts import PlacedRequest, Rollout
 from ramppost.platform.store import CALL_TIMEOUT_S, Unavailable
-from ramppost.policy.exposure import TOLD_S, Balance, Exposure
+from ramppost.policy.coverage import HEARD_S
+from ramppost.policy.exposure import TOLD_S, Balance, Exposure, SentCounts
 from ramppost.policy.ramp import plan_ramp
 from ramppost.policy.relays import MAX_EVIDENCE_COLLECTORS, MAX_FLAT_FLEET, Peers
 from ramppost.policy.sampling import RequestRates, sampling_shares, trial_budget
@@ -375,6 +376,131 @@
     assert ends.decide(cut_off, OTHERS_END_IT_S + 0.1, fleet.time.now) == [False]
 
 
+def pass_over(fleet: Fleet, passed_over: str) -> None:
+    """Let a gateway and the others take each other for gone, as calls between them failed."""
+    for name, node in fleet.nodes.items():
+        for other in fleet.nodes:
+            if name != other and passed_over in (name, other):
+                node.peers.record_call(other, False, fleet.time.now)
+
+
+def cut_off(fleet: Fleet) -> Node:
+    """Cut the first gateway off for so long that it hears nothing of the others any more."""
+    first = next(iter(fleet.nodes))
+    fleet.time.now += ALL_TOLD_AFTER_S
+    fleet.exchange()
+    fleet.cut = {first}
+    fleet.time.now += HEARD_S + TOLD_S
+    pass_over(fleet, first)
+    fleet.exchange()
+    return fleet.nodes[first]
+
+
+def give_sound_answers(fleet: Fleet, node: Node, count: int) -> None:
+    for i in range(count):
+        node.rollouts.record_request(SERVICE, "chat", fleet.time.now)
+        fleet.answer(node, NEW, upstream=i % 4)
+    fleet.exchange()
+
+
+@pytest.mark.parametrize("sound_answers", [0, 6])
+def test_gateway_that_took_all_others_for_gone_completed_a_version(
+    fleet: Fleet, ends: Ends, sound_answers: int
+) -> None:
+    # Nobody answered it for ten seconds, so that it knew of no other, and had heard all there was.
+    node = cut_off(fleet)
+    give_sound_answers(fleet, node, sound_answers)
+    node.rollouts.record_request(SERVICE, "chat", fleet.time.now)
+    assert ends.decide(node, 0.1, fleet.time.now) == []
+    assert ends.decide(node, OTHERS_END_IT_S + 0.1, fleet.time.now) == [False]
+
+
+def test_gateway_that_heard_a_minority_completed_a_version(time: Clock, ends: Ends) -> None:
+    fleet = Fleet(time, gateways=5)
+    fleet.know_the_old()
+    fleet.order(elapsed=0.2)
+    names = list(fleet.nodes)
+    time.now += ALL_TOLD_AFTER_S
+    fleet.exchange()
+    fleet.cut = set(names[2:])
+    time.now += HEARD_S + TOLD_S
+    give_sound_answers(fleet, fleet.all[0], 6)
+    time.now += ALL_TOLD_AFTER_S
+    fleet.exchange()
+    assert ends.decide(fleet.all[0], 0.1, time.now) == []
+
+
+def test_last_gateway_that_runs_completes_a_version_on_strong_evidence(
+    fleet: Fleet, ends: Ends
+) -> None:
+    node = cut_off(fleet)
+    give_sound_answers(fleet, node, 30)
+    assert ends.decide(node, 0.1, fleet.time.now) == [True]
+
+
+def test_sound_version_was_rolled_back_as_one_of_the_gateways_had_ended(
+    fleet: Fleet, ends: Ends
+) -> None:
+    cut_off(fleet)
+    for node in fleet.all[1:]:
+        give_sound_answers(fleet, node, 4)
+    assert ends.decide(fleet.all[1], 0.1, fleet.time.now) == [True]
+
+
+def test_finding_was_not_told_to_a_gateway_that_was_passed_over(fleet: Fleet) -> None:
+    # It could be reached again, and completed the version 0.4 s later.
+    node = cut_off(fleet)
+    fleet.cut = set()
+    others = fleet.all[1:]
+    others[0].rollout_news.withdraw(SERVICE, NEW, "it fails", fleet.time.now)
+    assert all(other.rollout.withdrawal_reason for other in others)
+    assert node.rollout.withdrawal_reason
+
+
+def test_evidence_was_not_told_to_a_gateway_that_was_passed_over(fleet: Fleet) -> None:
+    node = cut_off(fleet)
+    fleet.cut = set()
+    for other in fleet.all[1:]:
+        fleet.answer(other, NEW, failed=True)
+    fleet.exchange()
+    assert node.evidence_news.judge(node.rollout).answers == 3
+
+
+def test_gateway_that_was_cut_off_moved_all_sessions_of_the_fleet(fleet: Fleet) -> None:
+    node = cut_off(fleet)
+    node.rollouts.exposure = Exposure(0.15, 1000.0)
+    step = len(node.rollout.ramp.steps) - 1
+    fleet.time.now += node.rollout.ramp.steps[step].start * DURATION_S
+    for number in range(step + 1):
+        request = PlacedRequest(f"r{number}")
+        node.rollouts.eligible_upstreams(SERVICE, [], request, fleet.time.now)
+    assert not node.rollout.has_grown
+    fleet.cut = set()
+    fleet.exchange()
+    assert not any(other.rollout.has_grown for other in fleet.all)
+
+
+def test_gateway_that_had_restarted_was_heard_twice(fleet: Fleet) -> None:
+    account = fleet.all[0].rollout.account
+    account.put("10.0.0.9#1", SentCounts(1, 10), fleet.time.now)
+    heard = account.heard_gateways(fleet.time.now)
+    account.put("10.0.0.9#2", SentCounts(1, 10), fleet.time.now)
+    assert account.heard_gateways(fleet.time.now) == heard
+
+
+def test_gateway_that_had_not_read_the_list_of_gateways_completed_a_version(
+    time: Clock, ends: Ends
+) -> None:
+    fleet = Fleet(time, gateways=1)
+    fleet.know_the_old()
+    fleet.order(elapsed=0.2)
+    time.now += ALL_TOLD_AFTER_S
+    give_sound_answers(fleet, fleet.all[0], 6)
+    assert ends.decide(fleet.all[0], 0.1, time.now) == []
+    fleet.all[0].peers.listed = True
+    assert ends.decide(fleet.all[0], 0.1, time.now) == [True]
+
+
 def test_verdict_that_came_while_the_end_was_written_was_not_looked_at(
     fleet: Fleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
