Trust no version for a route on which it was hardly seen

Log of the end: 22 answers, of which 17 on one route, 3 on another, and 2 on that with a third of the requests, which was the bad one.

Cause: trust is the sum over all routes, and silence on one was taken for consent. A version is completed only if each route with a tenth of the service's answers or more, and on which an answer tells something, has had three of it; they are waited for as long as the end can still be written in time. An answer that runs counts as soon as its head has come without failure, as most of those of the last step end after the roll-out.

Three answers leave one chance in eight that a route that fails half of its requests is not seen to.

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -34,7 +34,7 @@
     set_status,
 )
 from ramppost.policy.coverage import HEARD_S, Coverage, coverage
-from ramppost.policy.guard import Judgement
+from ramppost.policy.guard import Judgement, RouteAnswers
 from ramppost.policy.ramp import FIRST_STEP_AT, UNPIN_AT
 from ramppost.policy.routing import hash_fraction
 from ramppost.wire.codec import BadMessage
@@ -51,9 +51,9 @@
 RETRY_DELAY_S: Final = 0.3
 OTHERS_END_IT_S: Final = 2.0
 """How long a gateway that is not told all evidence waits for an end by those that are."""
-CUT_OFF_WAIT_PART: Final = 0.6
-"""Part of the time before the deadline for which one waits that should be told, and hears of too few
-others: these end the roll-out before, if they can."""
+LAST_WAIT_PART: Final = 0.6
+"""Part of the time before the deadline for which more answers are waited for, or, by a gateway that
+hears of too few others, their end of the roll-out."""
 ALL_TOLD_AFTER_S: Final = 1.2 * REPEAT_INTERVAL_S
 """How long after it has seen the order a gateway has been told what the others know."""
 MIN_REQUESTS_TO_TRUST: Final = 100
@@ -117,17 +117,20 @@
     order = rollout.order
     late_s = (part - rollout.ramp.complete_at) * order.duration_s
     is_told = _knows_enough(gw, rollout, judgement, now)
-    doubt = judgement.doubt
-    if not doubt and not is_told and late_s < _wait_for_others_s(gw, rollout, now):
+    if not judgement.doubt and not is_told and late_s < _wait_for_others_s(gw, rollout, now):
         _log_decision(gw, rollout, judgement, "left to others", now)
         return
-    doubt = doubt or (
+    lack = (
         _lack_of_evidence(gw, rollout, judgement, now)
         if is_told
         else _lack_of_word(gw, rollout, now)
     )
-    if doubt:
-        await _withdraw(gw, rollout, judgement, doubt, now)
+    waits = is_told and judgement.is_trusted and late_s < _last_wait_s(rollout)
+    if not judgement.doubt and lack and waits:
+        _log_decision(gw, rollout, judgement, f"more answers are waited for: {lack}", now)
+        return
+    if judgement.doubt or lack:
+        await _withdraw(gw, rollout, judgement, judgement.doubt or lack, now)
         return
     _log_decision(gw, rollout, judgement, "nothing speaks against it", now)
     is_known = judgement.answers > 0 or not gw.rollouts.has_requests(order.service, now)
@@ -176,21 +179,32 @@
     gateways, or has enough of its own."""
     if not gw.peers.has_all_evidence(now) or now - rollout.seen_at < ALL_TOLD_AFTER_S:
         return False
-    return judgement.is_trusted_alone or _heard_part(gw, rollout, now).has_majority
+    is_sure = judgement.is_trusted_alone and not judgement.unseen_route
+    return is_sure or _heard_part(gw, rollout, now).has_majority
 
 
 def _wait_for_others_s(gw: Gateway, rollout: Rollout, now: float) -> float:
     """How long a gateway that does not know enough waits for others to end a roll-out."""
     if not gw.peers.has_all_evidence(now) or now - rollout.seen_at < ALL_TOLD_AFTER_S:
         return OTHERS_END_IT_S
-    return CUT_OFF_WAIT_PART * (1 - rollout.ramp.complete_at) * rollout.order.duration_s
+    return _last_wait_s(rollout)
+
+
+def _last_wait_s(rollout: Rollout) -> float:
+    """How long an end that is due may be put off so that it is still written in time."""
+    return LAST_WAIT_PART * (1 - rollout.ramp.complete_at) * rollout.order.duration_s
 
 
 def _lack_of_evidence(gw: Gateway, rollout: Rollout, judgement: Judgement, now: float) -> str:
     """Why a version is doubtful of which nothing bad is known: there were requests enough to learn
     more of it.  Empty if there were not, or enough is known."""
     sent, heard = rollout.account.known, _heard_part(gw, rollout, now)
-    if judgement.is_trusted or heard.extrapolate(sent.total) < MIN_REQUESTS_TO_TRUST:
+    if heard.extrapolate(sent.total) < MIN_REQUESTS_TO_TRUST:
+        return ""
+    if judgement.is_trusted and judgement.unseen_route:
+        known = rollout.pool.answers_by_route().get(judgement.unseen_route, RouteAnswers())
+        return f"{known.answers:.0f} answers on {judgement.unseen_route}"
+    if judgement.is_trusted:
         return ""
     return f"of {sent.total} requests it had {sent.trial}, {judgement.answers} ended"
 
--- a/ramppost/gateway/version_evidence.py
+++ b/ramppost/gateway/version_evidence.py
@@ -46,6 +46,9 @@
 WATCH_COMPLETED_S: Final = 120.0
 """How long the answers of a version are looked at after it was completed."""
 
+BEGUN_WELL: Final = Counts(answers=1.0)
+"""An answer that runs and has not failed, as its head tells; how slow it is shows later."""
+
 CountsBySource = dict[Source, Counts]
 
 
@@ -253,6 +256,8 @@
         found = rollout.own_evidence | history.recent(now)
         for timing in self.running:
             if timing.expected.service == rollout.order.service:
+                if timing.failed is False:
+                    _add(found, _source(rollout, timing), BEGUN_WELL)
                 level = _level(history.times, timing, now)
                 if level is not None and level >= SLOW_LEVEL:
                     source, counts = _source(rollout, timing), Counts(reached=at_level(level))
--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -67,6 +67,11 @@
 """The same for a gateway that does not hear most others: these may know better."""
 MIN_DOUBTFUL_ANSWERS: Final = 2
 MIN_TRUSTED_ANSWERS: Final = 4
+MIN_ROUTE_SHARE: Final = 0.1
+"""Part of a service's answers from which a route must be known to be sound by itself."""
+MIN_ANSWERS_OF_ROUTE: Final = 3
+MIN_ROUTE_VALUE: Final = 0.5
+"""How much an answer of such a route tells at least, 0 to 1."""
 MARK_INTERVAL_S: Final = 0.5
 LATE_ANSWERS: Final = (8, 16)
 """Latest answers that are judged by themselves, at least: a version may turn bad late, when many
@@ -100,7 +105,7 @@
 class Counts(NamedTuple):
     """Numbers of answers.
 
-    `answers` have ended, `failures` of them as failed.  `levels` is how many were how slow, and
+    `answers` have begun, `failures` of them as failed.  `levels` is how many were how slow, and
     `reached` how many run, or were given up before they began, that had come to a slow level.
     """
 
@@ -156,9 +161,10 @@
     `bad` is why the version must be withdrawn, and `doubt` why it must not be completed; empty
     where nothing speaks for that.  `is_trusted` tells that enough answers speak for the version,
     and `is_trusted_alone` that they do even if what others know is missing.  `answers` is the
-    number of answers that have ended.  `worst` is the strongest evidence, and `excess` by how much
-    its log odds exceed the bound.  `suspects` are upstreams that answer badly:
-    either the version is bad, or they are in trouble by themselves, which the others can tell.
+    number of answers that have begun.  `unseen_route` is a route of which too few are known for
+    that, if there is one.  `worst` is the strongest evidence, and `excess` by how much its log
+    odds exceed the bound.  `suspects` are upstreams that answer badly: either the version is bad,
+    or they are in trouble by themselves, which the others can tell.
     """
 
     bad: str
@@ -167,14 +173,15 @@
     is_trusted_alone: bool
     log_odds: float
     answers: int
+    unseen_route: str
     worst: str
     excess: float
     suspects: frozenset[str]
 
 
 class RouteAnswers(NamedTuple):
-    """Answers of the new version on a route: how many have ended, how many of these failed, and how
-    many are slow, ended or not."""
+    """Answers of the new version on a route: how many have begun, how many of these failed, and how
+    many are slow, begun or not."""
 
     answers: float = 0.0
     failures: float = 0.0
@@ -351,11 +358,31 @@
             has_answers and on_all_routes <= -ALONE_TRUST_BOUND,
             on_all_routes,
             round(self._answers()),
+            self._unseen_route(),
             worst.reason,
             worst.excess,
             _suspects(new, weights[TYPICAL_SHARE]),
         )
 
+    def _unseen_route(self) -> str:
+        """The route with the fewest answers of the new version, of those that have a good part of
+        all answers of the versions in service and tell something; empty if it has enough."""
+        values = self.value_by_route()
+        in_service = {
+            source.route: counts.answers
+            for source, counts in self._by_upstream.items()
+            if not source.upstream and not source.is_recent
+        }
+        least = MIN_ROUTE_SHARE * sum(in_service.values())
+        new = self.answers_by_route()
+        seen = {
+            route: new[route].answers if route in new else 0.0
+            for route, answers in in_service.items()
+            if answers >= least and values.get(route, 0.0) >= MIN_ROUTE_VALUE
+        }
+        route = min(seen, key=lambda name: seen[name], default="")
+        return route if route and seen[route] < MIN_ANSWERS_OF_ROUTE else ""
+
     def _findings_for_trust(
         self, on_known_routes: list[_Finding], is_single: bool
     ) -> list[_Finding]:
@@ -371,7 +398,7 @@
         return [_finding(_Scope(new, "", 1), weights, "failed", is_single)]
 
     def _answers(self) -> float:
-        """Number of answers of the new version that have ended."""
+        """Number of answers of the new version that have begun."""
         return sum(c.answers for s, c in self._by_upstream.items() if s.upstream)
 
     def _new_answers(self) -> _NewAnswers:
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -16,6 +16,7 @@
 from ramppost.gateway.rollout_duty import (
     ALL_TOLD_AFTER_S,
     LAST_ANSWER_WAIT_S,
+    LAST_WAIT_PART,
     OTHERS_END_IT_S,
     _decide,
 )
@@ -501,6 +502,36 @@
     assert ends.decide(fleet.all[0], 0.1, time.now) == [True]
 
 
+@pytest.mark.parametrize(("answers", "state"), [(2, False), (6, True)])
+def test_version_was_trusted_on_a_route_for_its_answers_on_another(
+    time: Clock, ends: Ends, answers: int, state: bool
+) -> None:
+    # It had 17 answers on one route, 2 on that with a third of the requests, and failed half there.
+    fleet = Fleet(time)
+    fleet.know_the_old(("chat", "brief"))
+    fleet.order(elapsed=0.2)
+    time.now += ALL_TOLD_AFTER_S
+    for node in fleet.all:
+        for _ in range(STABLE_ANSWERS):
+            fleet.answer(node, OLD, "brief")
+    for i in range(17 + answers):
+        node = fleet.all[i % 4]
+        node.rollouts.record_request(SERVICE, "chat", time.now)
+        fleet.answer(node, NEW, "chat" if i < 17 else "brief", upstream=i % 4)
+    fleet.exchange()
+    ends.decide(fleet.all[0], 0.1, time.now)
+    margin_s = (1 - fleet.all[0].rollout.ramp.complete_at) * DURATION_S
+    assert ends.decide(fleet.all[0], LAST_WAIT_PART * margin_s + 0.1, time.now)[-1] == state
+
+
+def test_streams_that_had_begun_well_were_not_seen(fleet: Fleet) -> None:
+    # A good version was rolled back, as the answers of its last step ended after the roll-out.
+    for i, node in enumerate(fleet.all):
+        fleet.begin(node, NEW, "chat", i).record_head(200, fleet.time.now)
+    fleet.exchange()
+    assert fleet.all[0].evidence_news.judge(fleet.all[0].rollout).unseen_route == ""
+
+
 def test_verdict_that_came_while_the_end_was_written_was_not_looked_at(
     fleet: Fleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
