Read the other entries of the store where one can't be decoded

Here: a list or a batch of a watch with an entry nested some 960 deep, or with half of a surrogate pair in a string, could not be decoded at all, so that its kind was followed no more by any gateway. What was nested 900 deep was decoded, and ended the task that encoded it for other gateways, where more of the stack was in use. Slots of 400 digits were taken (a float times such a number raises OverflowError), as were roll-outs of 0 s and a saved progress of 1e300, which ended a roll-out at once. Ports out of range were rejected before.

Cause: the decoder's limit is that of the interpreter's stack, and it applies to the whole answer. Numbers have bounds. The same in the objects of the own interface, in bodies that engines' agents decode again (refused with 400 by the entry), in plans and the policy document that a gateway confirms (an assertion before), and in claims (the shard counts as unavailable, an assertion before).

--- a/ramppost/agent/engine.py
+++ b/ramppost/agent/engine.py
@@ -8,15 +8,15 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import Any, Final, NamedTuple, TypedDict, cast
+from typing import Any, Final, NamedTuple, TypedDict
 
 import curio
-import msgspec
 
 from ramppost.policy.orders import LoadOrder
 from ramppost.schema.messages import RunMsg
 from ramppost.wire.client import CallFailed, Pool, call, open_stream
 from ramppost.wire.codec import BadMessage, decode, encode
+from ramppost.wire.nesting import is_deep
 
 NOT_RUN_STATUSES: Final = (400, 404, 429)
 EVENT_PREFIX: Final = b"data: "
@@ -85,9 +85,14 @@
 OnText = Callable[[str], Awaitable[None]]
 
 
-def _request_body(msg: RunMsg) -> bytes:
+def _request_body(msg: RunMsg) -> bytes | BadMessage:
     """The caller's body with the model version to run, and with streaming turned on."""
-    body = cast("dict[str, Any]", msgspec.json.decode(msg["body"]))
+    text = msg["body"].encode()
+    if is_deep(text):
+        return BadMessage("the body is nested too deeply")
+    body: dict[str, Any] | BadMessage = decode(text, dict[str, Any])
+    if isinstance(body, BadMessage):
+        return body
     body["model"] = f"{msg['model']}@{msg['version']}"
     body["stream"] = True
     return encode(body)
@@ -111,8 +116,11 @@
 ) -> RunCompleted | NotStarted | OutcomeUnknown | RunFailed:
     """Run an attempt at the engine; `exact` is the value of the setting `exact_stream`."""
     path = "/v1/chat/completions"
+    body = _request_body(msg)
+    if isinstance(body, BadMessage):
+        return NotStarted(f"request not sent: {body.reason}")
     stream = await open_stream(
-        pool, addr, "POST", path, _request_body(msg), TOKEN_TIMEOUT_S, request_headers(msg)
+        pool, addr, "POST", path, body, TOKEN_TIMEOUT_S, request_headers(msg)
     )
     if isinstance(stream, CallFailed):
         return OutcomeUnknown(stream.reason) if stream.sent else NotStarted(stream.reason)
--- a/ramppost/entry/claimlog.py
+++ b/ramppost/entry/claimlog.py
@@ -308,7 +308,9 @@
             for item in page["items"]:
                 after = item["key"]
                 segment = decode(encode(item["value"]), ClaimSegment)
-                assert not isinstance(segment, BadMessage), f"{after}: {segment}"
+                if isinstance(segment, BadMessage):
+                    logger.error("claims can't be read: {}", segment.reason, key=after)
+                    return None
                 if after == head_key(shard):
                     state.update_head(segment, item["version"])
                 else:
--- a/ramppost/entry/job.py
+++ b/ramppost/entry/job.py
@@ -13,6 +13,7 @@
 from ramppost.policy.session import BadToken, SessionPayload, verify_session_token
 from ramppost.schema.config import ConfigDoc, WorkClass, Workspace
 from ramppost.wire.codec import BadMessage, decode
+from ramppost.wire.nesting import is_deep
 from ramppost.wire.server import Request, bearer
 
 AUTO_MODEL: Final = "auto"
@@ -107,6 +108,8 @@
     """Parse a chat completion request."""
     if not req.headers.get("content-type", "").startswith("application/json"):
         return refusal("bad_request", "content-type must be application/json")
+    if is_deep(req.body):
+        return refusal("bad_request", "body: nested too deeply")
     body = decode(req.body, ChatBody)
     if isinstance(body, BadMessage):
         return refusal("bad_request", f"body: {body.reason}")
--- a/ramppost/gateway/operators.py
+++ b/ramppost/gateway/operators.py
@@ -149,7 +149,8 @@
     if isinstance(stored, Unavailable):
         return _store_refusal(stored)
     plan = decode(encode(stored.spec), Plan)
-    assert not isinstance(plan, BadMessage), plan
+    if isinstance(plan, BadMessage):
+        return refusal("not_found", f"the plan {plan_id} can't be read: {plan.reason}")
     return await _put_in_force(gw, operator, plan)
 
 
@@ -164,7 +165,7 @@
     if isinstance(current, Missing):
         lost = gw.policies.revision > 0 and not gw.store_returns.is_settled()
         return _rewriting_refusal("the policies") if lost else _stale_plan_refusal(plan, current)
-    if gw.policies.is_newer_than(current):
+    if gw.policies.is_newer_than(current) or not isinstance(current.spec, dict):
         return _rewriting_refusal("the policies")
     if current.spec.get("plan_id") == plan["plan_id"]:
         return _confirmed(gw, plan, current)
@@ -178,7 +179,9 @@
     if isinstance(stored, Unavailable):
         code = "confirm_unknown" if isinstance(written, Unavailable) else "platform_down"
         return refusal(code, f"the store gave no answer: {stored.reason}", RETRY_AFTER_S)
-    if isinstance(stored, Missing) or stored.spec.get("plan_id") != plan["plan_id"]:
+    if isinstance(stored, Missing) or not isinstance(stored.spec, dict):
+        return _stale_plan_refusal(plan, stored)
+    if stored.spec.get("plan_id") != plan["plan_id"]:
         return _stale_plan_refusal(plan, stored)
     return _confirmed(gw, plan, stored)
 
--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -10,9 +10,10 @@
 
 from __future__ import annotations
 
-from typing import Final, NamedTuple, TypedDict
+from typing import Annotated, Final, NamedTuple, TypedDict
 
 import curio
+import msgspec
 from loguru import logger
 
 from ramppost import clock
@@ -72,7 +73,7 @@
     """Progress of a roll-out, for gateways that saw the order late or start in the middle."""
 
     version: str
-    part: float
+    part: Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
 async def drive_rollouts(gw: Gateway) -> None:
--- a/ramppost/platform/documents.py
+++ b/ramppost/platform/documents.py
@@ -32,6 +32,10 @@
 COMPLETED: Final = "completed"
 ROLLED_BACK: Final = "rolled_back"
 
+MAX_SLOTS: Final = 1_000_000
+MAX_MS: Final = 10**15
+"""Largest time in milliseconds, which no date of the next thousands of years exceeds."""
+
 DEFAULT_LIMITS: Final = CallerLimits(16384, 4194304, 3.0, 15.0)
 
 
@@ -108,16 +112,16 @@
     addr: str
     zone: str
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    born: NotRequired[Annotated[int, msgspec.Meta(ge=0)]]  # Start time; ids may be reused.
-    cold_left_ms: NotRequired[Annotated[float, msgspec.Meta(ge=0)]]  # Remaining warm-up time.
+    born: NotRequired[Annotated[int, msgspec.Meta(ge=0, le=MAX_MS)]]  # Start; ids may be reused.
+    cold_left_ms: NotRequired[Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]]  # Warm-up left.
 
 
 class _Rollout(TypedDict):
     service: str
     target_version: str
-    duration_s: float
+    duration_s: Annotated[float, msgspec.Meta(gt=0, le=MAX_MS // 1000)]
 
 
 class _RolloutStatus(TypedDict):
--- a/ramppost/platform/objects.py
+++ b/ramppost/platform/objects.py
@@ -8,12 +8,16 @@
 
 from __future__ import annotations
 
-from typing import Any, Final, Generic, NamedTuple, TypedDict, TypeVar
+from typing import Any, Final, Generic, NamedTuple, NotRequired, TypedDict, TypeVar
 from urllib.parse import quote, urlencode
 
+import msgspec
+from loguru import logger
+
 from ramppost import clock
 from ramppost.wire.client import CallFailed, Pool, call, fetch
 from ramppost.wire.codec import BadMessage, decode, encode
+from ramppost.wire.nesting import MAX_NESTING, is_deep, limit_nesting
 
 T = TypeVar("T")
 
@@ -21,6 +25,8 @@
 WATCH_SLACK_S: Final = 3.0
 CALLS_PER_S: Final = 50.0
 BURST_CALLS: Final = 200.0
+ENVELOPE_NESTING: Final = 4
+"""How deep the values of a listing are nested in it."""
 
 
 class Found(NamedTuple, Generic[T]):
@@ -57,7 +63,7 @@
 
 
 class Item(TypedDict):
-    """An object in a listing."""
+    """An object in a listing; the value is None if it can't be read."""
 
     key: str
     version: int
@@ -71,6 +77,19 @@
     items: list[Item]
 
 
+class _Stored(TypedDict):
+    """An object whose value is decoded separately, because anybody may have written it."""
+
+    key: str
+    version: int
+    value: NotRequired[msgspec.Raw]
+
+
+class _Page(TypedDict):
+    version: int
+    items: list[_Stored]
+
+
 class _WrittenBody(TypedDict):
     version: int
 
@@ -112,13 +131,13 @@
     if response.status == 404:
         return Absent()
     item = (
-        decode(response.body, Item)
+        decode(response.body, _Stored)
         if response.status == 200
         else BadMessage(f"status {response.status}")
     )
     if isinstance(item, BadMessage):
         return Unavailable(item.reason, True)
-    value = decode(encode(item["value"]), kind)
+    value = decode(_readable(item), kind)
     if isinstance(value, BadMessage):
         return Unavailable(f"{key}: {value.reason}", True)
     return Found(item["version"], value)
@@ -183,9 +202,26 @@
     response = await fetch(client.pool, client.addr, "GET", path, timeout_s=timeout_s)
     if isinstance(response, CallFailed):
         return Unavailable(response.reason, response.sent)
-    page = (
-        decode(response.body, Listing)
-        if response.status == 200
-        else BadMessage(f"status {response.status}")
-    )
-    return Unavailable(page.reason, True) if isinstance(page, BadMessage) else page
+    if response.status != 200:
+        return Unavailable(f"status {response.status}", True)
+    page = decode(response.body, _Page)
+    if isinstance(page, BadMessage):
+        # One value that can't be read must not hide the others.
+        page = decode(limit_nesting(response.body, MAX_NESTING + ENVELOPE_NESTING), _Page)
+    if isinstance(page, BadMessage):
+        return Unavailable(page.reason, True)
+    return Listing(version=page["version"], items=[_item(stored) for stored in page["items"]])
+
+
+def _readable(stored: _Stored) -> bytes:
+    """The value of an object as JSON, without what is nested too deeply."""
+    data = bytes(stored.get("value", b"null"))
+    return limit_nesting(data) if is_deep(data) else data
+
+
+def _item(stored: _Stored) -> Item:
+    value: Any = decode(_readable(stored), Any)
+    if isinstance(value, BadMessage):
+        logger.warning("value can't be read: {}", value.reason, key=stored["key"])
+        value = None
+    return Item(key=stored["key"], version=stored["version"], value=value)
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -34,7 +34,7 @@
     apply_upstream_change,
     apply_upstream_snapshot,
 )
-from ramppost.platform import names
+from ramppost.platform import names, objects
 from ramppost.platform.documents import rollout_order, routing_table, upstream
 from ramppost.platform.store import (
     Change,
@@ -46,7 +46,8 @@
     watch,
 )
 from ramppost.wire.client import Pool
-from ramppost.wire.codec import BadMessage
+from ramppost.wire.codec import BadMessage, encode
+from ramppost.wire.nesting import is_deep
 from ramppost.wire.server import Reply, Request, listen, serve
 from tests.harness.gateways import config
 from tests.test_gateway_follow import free_port
@@ -73,6 +74,22 @@
     b'{"metadata":"none","spec":{}}',
     b'"no object"',
 ]
+DEPTHS = (100, 900, 960, 5000)
+"""Far from, near and beyond what a decoder bears, which depends on the stack of its caller."""
+ODD_VALUES = [
+    *(b"[" * depth + b"1" + b"]" * depth for depth in DEPTHS),
+    *(b'{"a":' * depth + b"1" + b"}" * depth for depth in DEPTHS),
+    rb'"\ud800"',
+    rb'{"\udfff":1}',
+    b"9" * 400,
+    b"1e999",
+]
+ODD_ITEMS = [
+    b'{"metadata":{"name":"bad","revision":4},"%s":{"x":%s}}' % (part, value)
+    for part in (b"spec", b"status")
+    for value in ODD_VALUES
+]
+BAD_ITEMS += [*ODD_ITEMS, rb'{"metadata":{"name":"\ud800","revision":4},"spec":{}}']
 
 
 @pytest.fixture
@@ -129,6 +146,30 @@
     assert got.revision == 9
 
 
+@pytest.mark.parametrize("odd", ODD_VALUES)
+def test_odd_object_of_the_own_interface_hid_the_others(odd: bytes) -> None:
+    body = b'{"version":9,"items":[{"key":"a","version":1,"value":%s},' % odd
+    body += b'{"key":"b","version":2,"value":{"x":1}}]}'
+    got = client_result(
+        body, lambda client: objects.list_objects(objects.Client(client.addr, client.pool), "")
+    )
+    assert not isinstance(got, objects.Unavailable)
+    assert [item["key"] for item in got["items"]] == ["a", "b"]
+    assert got["items"][1]["value"] == {"x": 1}
+    assert not is_deep(encode(got["items"][0]["value"]))
+
+
+@pytest.mark.parametrize("odd", ODD_ITEMS)
+def test_entry_that_could_be_read_could_not_be_passed_on(odd: bytes) -> None:
+    # It was encoded for other gateways where more of the stack was used.
+    body = b'{"items":[' + odd + b'],"truncated":false,"current_rev":9}'
+    got = client_result(body, lambda client: list_kind(client, "servers"))
+    assert isinstance(got, Snapshot)
+    assert [obj.name for obj in got.objects] == ["bad"]
+    for value in (got.objects[0].spec, got.objects[0].status):
+        assert not is_deep(encode(value))
+
+
 # --- upstreams
 
 BAD_UPSTREAMS: list[dict[str, Any]] = [
@@ -146,6 +187,8 @@
     {"slots": -3},
     {"slots": "many"},
     {"slots": 1.5},
+    {"slots": 9_999_999_999_999_999_999},
+    {"slots": 10**400},
     {"service": ""},
     {"service": None},
     {"version": 3},
@@ -154,6 +197,9 @@
     {"born": -1},
     {"born": 1.5},
     {"born": True},
+    {"born": 10**400},
+    {"cold_left_ms": 10**400},
+    {"cold_left_ms": 1e300},
 ]
 
 
@@ -240,20 +286,20 @@
 # --- documents that gateways write for each other
 
 
-def serve_objects(objects: dict[str, bytes]) -> Callable[[Request, Reply], Any]:
+def serve_objects(bodies: dict[str, bytes]) -> Callable[[Request, Reply], Any]:
     """Return the handler of a store that serves these bodies for lists and reads."""
 
     async def handle(req: Request, reply: Reply) -> None:
-        found = objects.get(req.path.removeprefix("/objects/"))
+        found = bodies.get(req.path.removeprefix("/objects/"))
         await reply.send(200 if found is not None else 404, found or b"{}")
 
     return handle
 
 
-def run_with_store(gw: Gateway, objects: dict[str, bytes], act: Callable[[], Any]) -> None:
+def run_with_store(gw: Gateway, bodies: dict[str, bytes], act: Callable[[], Any]) -> None:
     async def run() -> None:
         port = free_port()
-        await curio.spawn(serve, listen("127.0.0.1", port), serve_objects(objects), daemon=True)
+        await curio.spawn(serve, listen("127.0.0.1", port), serve_objects(bodies), daemon=True)
         gw.store.addr = f"127.0.0.1:{port}"
         gw.store.pool = Pool()
         await act()
@@ -269,6 +315,22 @@
     return Rollout(order, clock.now())
 
 
+@pytest.mark.parametrize("part", [1e300, -1.0, 7.0])
+def test_progress_that_cannot_be_ended_a_rollout(gw: Gateway, part: float) -> None:
+    rollout = started_rollout()
+    gw.rollouts.update(rollout.order, clock.now())
+    progress_changed(gw, StoredObject("lm", 1, {"version": "v2", "part": part}, None))
+    found = gw.rollouts.get("lm")
+    assert found is not None
+    assert found.elapsed_fraction(clock.now()) < 0.1
+
+
+@pytest.mark.parametrize("duration_s", [0.0, -5.0, 1e300, 10**400])
+def test_order_with_an_impossible_duration_is_rejected(duration_s: float) -> None:
+    spec = {"service": "lm", "target_version": "v2", "duration_s": duration_s}
+    assert isinstance(rollout_order(StoredObject("lm", 1, spec, None)), BadMessage)
+
+
 @pytest.mark.parametrize("spec", [b"null", b'"x"', b"{}", b'{"version":"v2","part":"half"}'])
 def test_unreadable_rollout_progress_is_replaced(gw: Gateway, spec: bytes) -> None:
     body = b'{"metadata":{"name":"lm","revision":1},"spec":' + spec + b"}"
