--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -21,8 +21,13 @@
 
 from bench.choosing import job_of
 from ramppost import clock
+from ramppost.agent.engine import _request_body
+from ramppost.entry.claimlog import ClaimLog
+from ramppost.entry.job import parse_chat_request
+from ramppost.errors import Refusal
 from ramppost.gateway.attempt import Refused, _record_outcome
 from ramppost.gateway.load import ReportFields
+from ramppost.gateway.operators import _confirm_plan
 from ramppost.gateway.peers import apply_gateway_entry
 from ramppost.gateway.pick import pick
 from ramppost.gateway.rollout_duty import progress_changed, write_progress
@@ -345,6 +350,47 @@
     assert gw.peers.addrs == {}
 
 
+DEEP_BODY = b'{"model":"m","messages":[{"role":"user","content":"x"}],"extra":%s%s}' % (
+    b"[" * 900,
+    b"]" * 900,
+)
+
+
+def test_chat_nested_too_deeply_is_refused() -> None:
+    req = Request("POST", "/v1/chat", {}, {"content-type": "application/json"}, DEEP_BODY)
+    anything: Any = None
+    got = parse_chat_request(req, anything, anything)
+    assert isinstance(got, Refusal)
+    assert got.code == "bad_request"
+
+
+def test_chat_nested_too_deeply_ended_the_task_that_sends_it() -> None:
+    msg: Any = {"body": DEEP_BODY.decode(), "model": "small", "version": "v1"}
+    assert isinstance(_request_body(msg), BadMessage)
+
+
+@pytest.mark.parametrize("spec", [b"null", b'{"plan_id":7}', DEEP_BODY])
+def test_plan_that_cannot_be_read_ended_the_task_that_confirms_it(gw: Gateway, spec: bytes) -> None:
+    got: list[Any] = []
+
+    async def confirm() -> None:
+        operator: Any = {"name": "ann"}
+        got.append(await _confirm_plan(gw, operator, "p1"))
+
+    body = b'{"metadata":{"name":"p1","revision":1},"spec":' + spec + b"}"
+    run_with_store(gw, {"plans/p1": body}, confirm)
+    assert isinstance(got[0], Refusal)
+
+
+def test_claims_that_cannot_be_read_ended_the_task_that_loads_them() -> None:
+    body = b'{"version":9,"items":[{"key":"a","version":1,"value":{"seq":"x"}}]}'
+
+    async def load(client: StoreClient) -> Any:
+        return await ClaimLog(objects.Client(client.addr, client.pool), 0.005)._load(0)
+
+    assert client_result(body, load) is None
+
+
 # --- arbitrary entries
 
 JSON = st.recursive(
