Read values of both stores, and the plan that a document names, in one place

The clients of the two stores each had the same two steps for values that can't be decoded; both now call decode_list and decode_value of wire/nesting.py. A check of the policy document that is_newer_than had made already is gone; what a document names as its plan is read by one function. Tests share the reset of a connection and one peer that cuts.

--- a/ramppost/gateway/operators.py
+++ b/ramppost/gateway/operators.py
@@ -165,9 +165,9 @@
     if isinstance(current, Missing):
         lost = gw.policies.revision > 0 and not gw.store_returns.is_settled()
         return _rewriting_refusal("the policies") if lost else _stale_plan_refusal(plan, current)
-    if gw.policies.is_newer_than(current) or not isinstance(current.spec, dict):
+    if gw.policies.is_newer_than(current):
         return _rewriting_refusal("the policies")
-    if current.spec.get("plan_id") == plan["plan_id"]:
+    if _plan_id(current) == plan["plan_id"]:
         return _confirmed(gw, plan, current)
     if not _is_made_for(plan, current):
         return _stale_plan_refusal(plan, current)
@@ -179,17 +179,20 @@
     if isinstance(stored, Unavailable):
         code = "confirm_unknown" if isinstance(written, Unavailable) else "platform_down"
         return refusal(code, f"the store gave no answer: {stored.reason}", RETRY_AFTER_S)
-    if isinstance(stored, Missing) or not isinstance(stored.spec, dict):
-        return _stale_plan_refusal(plan, stored)
-    if stored.spec.get("plan_id") != plan["plan_id"]:
+    if isinstance(stored, Missing) or _plan_id(stored) != plan["plan_id"]:
         return _stale_plan_refusal(plan, stored)
     return _confirmed(gw, plan, stored)
 
 
+def _plan_id(stored: StoredObject) -> Any:
+    """The plan that a document names; None if it can't be read, as anybody may have written it."""
+    return stored.spec.get("plan_id") if isinstance(stored.spec, dict) else None
+
+
 def _is_made_for(plan: Plan, current: StoredObject) -> bool:
     """Whether a plan changes this document.  Its revision says so in one era of the store only."""
     if "made_for" in plan:
-        return bool(current.spec.get("plan_id") == plan["made_for"])
+        return bool(_plan_id(current) == plan["made_for"])
     return current.revision == plan["revision"]
 
 
--- a/ramppost/platform/objects.py
+++ b/ramppost/platform/objects.py
@@ -17,7 +17,7 @@
 from ramppost import clock
 from ramppost.wire.client import CallFailed, Pool, call, fetch
 from ramppost.wire.codec import BadMessage, decode, encode
-from ramppost.wire.nesting import MAX_NESTING, is_deep, limit_nesting
+from ramppost.wire.nesting import decode_list, decode_value
 
 T = TypeVar("T")
 
@@ -25,8 +25,6 @@
 WATCH_SLACK_S: Final = 3.0
 CALLS_PER_S: Final = 50.0
 BURST_CALLS: Final = 200.0
-ENVELOPE_NESTING: Final = 4
-"""How deep the values of a listing are nested in it."""
 
 
 class Found(NamedTuple, Generic[T]):
@@ -137,7 +135,7 @@
     )
     if isinstance(item, BadMessage):
         return Unavailable(item.reason, True)
-    value = decode(_readable(item), kind)
+    value = decode_value(_raw(item), kind)
     if isinstance(value, BadMessage):
         return Unavailable(f"{key}: {value.reason}", True)
     return Found(item["version"], value)
@@ -204,23 +202,19 @@
         return Unavailable(response.reason, response.sent)
     if response.status != 200:
         return Unavailable(f"status {response.status}", True)
-    page = decode(response.body, _Page)
-    if isinstance(page, BadMessage):
-        # One value that can't be read must not hide the others.
-        page = decode(limit_nesting(response.body, MAX_NESTING + ENVELOPE_NESTING), _Page)
+    page = decode_list(response.body, _Page)
     if isinstance(page, BadMessage):
         return Unavailable(page.reason, True)
     return Listing(version=page["version"], items=[_item(stored) for stored in page["items"]])
 
 
-def _readable(stored: _Stored) -> bytes:
-    """The value of an object as JSON, without what is nested too deeply."""
-    data = bytes(stored.get("value", b"null"))
-    return limit_nesting(data) if is_deep(data) else data
+def _raw(stored: _Stored) -> bytes:
+    """The value of an object as JSON."""
+    return bytes(stored.get("value", b"null"))
 
 
 def _item(stored: _Stored) -> Item:
-    value: Any = decode(_readable(stored), Any)
+    value: Any = decode_value(_raw(stored), Any)
     if isinstance(value, BadMessage):
         logger.warning("value can't be read: {}", value.reason, key=stored["key"])
         value = None
--- a/ramppost/platform/store.py
+++ b/ramppost/platform/store.py
@@ -22,7 +22,7 @@
 from ramppost.policy.position import Position
 from ramppost.wire.client import CallFailed, Pool, Response, fetch
 from ramppost.wire.codec import BadMessage, decode, encode
-from ramppost.wire.nesting import MAX_NESTING, is_deep, limit_nesting
+from ramppost.wire.nesting import decode_list, decode_value
 
 CALL_TIMEOUT_S: Final = 1.0
 """Time limit for the start of a response.  The store responds within milliseconds, or a few hundred
@@ -31,8 +31,6 @@
 """Time by which the start of a watch's response may exceed its wait, which allows for a slow
 store."""
 MAX_PAGES: Final = 1000
-ENVELOPE_NESTING: Final = 4
-"""How deep the specs of a list or watch are nested in it."""
 
 
 class StoredObject(NamedTuple):
@@ -344,10 +342,7 @@
         return Unavailable(response.reason, not response.sent)
     if response.status not in (200, 201):
         return Unavailable(f"status {response.status}", response.status in (429, 503))
-    body = decode(response.body, kind)
-    if isinstance(body, BadMessage):
-        # One value that can't be read must not hide the others.
-        body = decode(limit_nesting(response.body, MAX_NESTING + ENVELOPE_NESTING), kind)
+    body = decode_list(response.body, kind)
     return Unavailable(body.reason, False) if isinstance(body, BadMessage) else body
 
 
@@ -374,6 +369,5 @@
 def _decode_value(raw: msgspec.Raw | None) -> Any:
     """Decodes a value, without what is nested too deeply; None if it is missing or invalid, which
     its user logs."""
-    data = bytes(raw) if raw is not None else b"null"
-    value = decode(limit_nesting(data) if is_deep(data) else data, Any)
+    value = decode_value(bytes(raw), Any) if raw is not None else None
     return None if isinstance(value, BadMessage) else value
--- a/ramppost/wire/nesting.py
+++ b/ramppost/wire/nesting.py
@@ -6,19 +6,27 @@
 deep to be encoded again elsewhere.  What can't be read becomes null, and the rest is as it was.
 
     limit_nesting(b'{"a":[[[1]]],"b":2}', 2)  # {"a":[null],"b":2}
+
+`decode_list` decodes what holds values of others, and `decode_value` one of these.
 """
 
 from __future__ import annotations
 
 import re
-from typing import Final
+from typing import Final, TypeVar
+
+from ramppost.wire.codec import BadMessage, decode
+
+T = TypeVar("T")
 
 MAX_NESTING: Final = 64
 """How deep values may be nested: many times deeper than any document of ours or the platform's."""
+ENVELOPE_NESTING: Final = 4
+"""How deep values are nested in a list or watch of a store."""
 OPENING: Final = (b"[", b"{")
 NO_BRACKETS: Final = bytes(set(range(256)) - set(b"[]{}"))
 _STRING: Final = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
-_TOKEN: Final = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+_TOKEN: Final = re.compile(_STRING.pattern + rb"|[\[\]{}]", re.DOTALL)
 _SURROGATE: Final = re.compile(
     rb"\\u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}"
     rb"|(\\u[dD][89a-fA-F][0-9a-fA-F]{2})|\\.",
@@ -29,6 +37,20 @@
 EMPTY_KEY: Final = b'""'
 
 
+def decode_list(data: bytes, message_type: type[T]) -> T | BadMessage:
+    """Decode values of others with what is around them; one that can't be read does not hide the
+    rest."""
+    found = decode(data, message_type)
+    if isinstance(found, BadMessage):
+        return decode(limit_nesting(data, MAX_NESTING + ENVELOPE_NESTING), message_type)
+    return found
+
+
+def decode_value(data: bytes, message_type: type[T]) -> T | BadMessage:
+    """Decode one of these values, without what is nested too deeply."""
+    return decode(limit_nesting(data) if is_deep(data) else data, message_type)
+
+
 def is_deep(data: bytes) -> bool:
     """Whether a value may be nested more deeply than `MAX_NESTING`; some that are not twice as deep
     pass.
--- a/tests/harness/scripted.py
+++ b/tests/harness/scripted.py
@@ -60,3 +60,9 @@
     lines = request.split(b"\r\n")
     own = next(line for line in lines if line.lower().startswith(names.ATTEMPT_ID + b":"))
     return own + b"\r\n" + names.SIGNATURE + b": s\r\n"
+
+
+def reset(conn: socket.socket) -> None:
+    """Close with a reset."""
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    conn.close()
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -4,7 +4,6 @@
 
 import re
 import socket
-import struct
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -17,7 +16,7 @@
 from ramppost.schema.messages import RunMsg
 from ramppost.wire.client import CallFailed, Pool, Response, call
 from tests.harness.gateways import Deployment, Given, config, route
-from tests.harness.scripted import Peer, own_lines, read_request
+from tests.harness.scripted import Peer, own_lines, read_request, reset
 
 RAW_PREFIX = "/raw/"
 BODY = b"whole"
@@ -28,16 +27,26 @@
 PROPAGATION_S = 1.0
 WORKERS = 4
 READ_SIZE = 4096
-RESET = struct.pack("ii", 1, 0)
-"""The option of a socket that lets its close reset the connection."""
 
 
 def end(conn: socket.socket, resets: bool) -> None:
     if resets:
-        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        reset(conn)
     conn.close()
 
 
+def cutting_peer(answer: bytes, resets: bool) -> Peer:
+    """Sends one byte more of the answer on each connection."""
+    lengths = iter(range(len(answer)))
+
+    def cut(conn: socket.socket, _: int) -> None:
+        read_request(conn)
+        conn.sendall(answer[: next(lengths)])
+        end(conn, resets)
+
+    return Peer(cut)
+
+
 def answer_to(request: bytes, framing: bytes) -> bytes:
     body = CHUNKS if framing == CHUNKED else BODY
     return b"HTTP/1.1 200 OK\r\n" + own_lines(request) + framing + b"\r\n" + body
@@ -101,18 +110,12 @@
 def test_answer_between_boxes_that_was_cut_looked_whole(framing: bytes, resets: bool) -> None:
     answer = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n"
     answer += CHUNKS if framing == CHUNKED else BODY
-    lengths = iter(range(len(answer)))
-
-    def cut(conn: socket.socket, _: int) -> None:
-        read_request(conn)
-        conn.sendall(answer[: next(lengths)])
-        end(conn, resets)
 
     async def run() -> list[Response | CallFailed]:
         pool = Pool()
         return [await call(pool, peer.addr, "GET", "/") for _ in answer]
 
-    peer = Peer(cut)
+    peer = cutting_peer(answer, resets)
     got = curio.run(run)
     peer.close()
     assert all(isinstance(found, CallFailed) for found in got)
@@ -122,12 +125,6 @@
 def test_engine_that_was_cut_had_completed(resets: bool) -> None:
     events = b'data: {"choices":[{"delta":{"content":"a"},"finish_reason":"stop"}]}\n\n'
     answer = b"HTTP/1.1 200 OK\r\n\r\n" + events + b"data: [DONE]\n"
-    lengths = iter(range(len(answer)))
-
-    def cut(conn: socket.socket, _: int) -> None:
-        read_request(conn)
-        conn.sendall(answer[: next(lengths)])
-        end(conn, resets)
 
     async def nothing(text: str = "") -> None:
         pass
@@ -147,7 +144,7 @@
         )
         return [await run_engine(pool, peer.addr, msg, False, nothing, nothing) for _ in answer]
 
-    peer = Peer(cut)
+    peer = cutting_peer(answer, resets)
     got = curio.run(run)
     peer.close()
     assert not any(isinstance(found, RunCompleted) for found in got)
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -24,7 +24,7 @@
 )
 from ramppost.gateway.model import Upstream
 from ramppost.platform import names
-from tests.harness.scripted import HOST, Peer, Script, own_lines, read_request
+from tests.harness.scripted import HOST, Peer, Script, own_lines, read_request, reset
 
 ID = names.ATTEMPT_ID.decode()
 
@@ -44,12 +44,6 @@
     return own_lines(data).split(b"\r\n")[0].partition(b": ")[2].decode()
 
 
-def reset(conn: socket.socket) -> None:
-    """Close with a reset."""
-    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-    conn.close()
-
-
 def upstream(addr: str) -> Upstream:
     return Upstream("i-1", addr, "web", "bole", "v1", 8, False)
 
