Read small chunks of a body at once, and hand the parser one part at a time

What callers saw: one request of 4 MiB in chunks of a byte, legal in size, and nobody else at that gateway was answered for a minute, not even at `ready`; 30 connections with 1 MiB each: 1 of 88 ordinary requests served. One chunk header of 60,000 spaces and a line break: 6 s each; 10 connections: 3 of 84 served.

Cause: the parser (h11) makes an event of each chunk, some 13 us here, and a read of 64 KiB brings 11,000 of them, which were parsed without a turn for other tasks; the next read had its bytes already, so that time limits did not fire either. Its pattern for a chunk header tries each space before a line break in turn, which is quadratic. Ruled out: copying (bytes with a length were read in 0.1 s).

Change: one reader for all ports of gateways, entries and agents (`wire/reader.py`). It hands the parser one head, body or trailer at a time. Long parts are handed on in slices, one at a time for the process; between two reads of a request others have their turn, and so between reads of what is dropped after a refusal.

--- a/ramppost/entry/callers.py
+++ b/ramppost/entry/callers.py
@@ -23,7 +23,8 @@
 from ramppost.policy.session import BadToken, verify_stream_token
 from ramppost.schema.config import ConfigDoc, Workspace
 from ramppost.wire.codec import encode
-from ramppost.wire.server import BadInput, Handler, Reply, Request
+from ramppost.wire.reader import BadInput
+from ramppost.wire.server import Handler, Reply, Request
 
 NOT_READY_RETRY_S = 1.0
 CHAT_PATH = "/v1/chat/completions"
--- a/ramppost/gateway/inbound.py
+++ b/ramppost/gateway/inbound.py
@@ -1,8 +1,8 @@
 """Connections of callers: reads requests, detects disconnects and writes responses.
 
-Each connection has a task.  The connection is also read while a request is served: bytes are kept
-for the next request, and a disconnect cancels the request, so that its upstream stops, too.  The
-limits are those of the current configuration.
+Each connection has a task.  The connection is also watched while a request is served: a disconnect
+cancels the request, so that its upstream stops, too.  The limits are those of the current
+configuration.
 
 What a caller does not take at once is buffered (`ramppost.gateway.caller_buffer`): writing returns
 at once, and the connection takes the next request when everything was sent.
@@ -24,26 +24,23 @@
 from ramppost.gateway.model import CallerLimits, CallerRequest
 from ramppost.platform.headers import Headers, caller_request
 from ramppost.wire.client import readable
+from ramppost.wire.intake import ClientSlot, Intake
+from ramppost.wire.reader import BadInput, RequestReader, read_or_refuse, serve_all
 from ramppost.wire.server import ClientDisconnected, accept_client
 
-READ_SIZE: Final = 65536
-MAX_CONNECTIONS: Final = 3000
-"""Below the file descriptor limit of a box; upstream connections and files need some as well."""
 BODY_TIMEOUT_S: Final = 20.0
 """Timeout for a complete request body, after its head."""
 LINGER_S: Final = 1.0
-"""How long to keep reading after refusing a partly read request, as a reset would discard the
-refusal."""
+"""How long the caller may take for a refusal of a request that was not read."""
+DRAIN_S: Final = 5.0
+"""How long to keep reading after it, as a reset would discard the refusal."""
+MAX_DRAINED_BYTES: Final = 24 * 1024 * 1024
+"""A body of the usual limit in chunks of a byte."""
+MAX_CONNECTIONS: Final = 3000
+"""Below the file descriptor limit of a box; upstream connections and files need some as well."""
 JSON_TYPE: Final = (b"content-type", b"application/json")
 
 
-class BadRequest(NamedTuple):
-    """The status and reason with which an unreadable request is refused."""
-
-    status: int
-    reason: str
-
-
 class Reply:
     """The response to a request: `send` for a complete one, or `start`, `write` and `end`.
 
@@ -105,15 +102,15 @@
     limits: Callable[[], CallerLimits]
     is_closing: Callable[[], bool]
     serve: Serve
-    refusal_body: Callable[[BadRequest], bytes]
+    refusal_body: Callable[[BadInput], bytes]
 
 
 class CallerConnections:
     """Counts of callers' connections, their buffers, and the idle ones that wait for a request."""
 
-    def __init__(self, buffers: CallerBuffers) -> None:
+    def __init__(self, buffers: CallerBuffers, intake: Intake) -> None:
         self.buffers = buffers
-        self.count = 0
+        self.intake = intake
         self.busy = 0
         self.idle: set[Any] = set()
         self.closed: set[Any] = set()
@@ -134,88 +131,80 @@
     """Accept connections until cancelled; each is served by its own daemon task."""
     async with sock:
         while True:
-            client_sock = await accept_client(sock, lambda: callers.count >= MAX_CONNECTIONS)
-            configure_socket(client_sock)
-            limit_unsent(client_sock)
-            await curio.spawn(_serve_connection, client_sock, callers, hooks, daemon=True)
+            slot = await accept_client(sock, callers.intake, MAX_CONNECTIONS)
+            configure_socket(slot.sock)
+            limit_unsent(slot.sock)
+            await curio.spawn(_serve_connection, slot, callers, hooks, daemon=True)
 
 
-async def _serve_connection(sock: Any, callers: CallerConnections, hooks: ServerHooks) -> None:
+async def _serve_connection(
+    slot: ClientSlot, callers: CallerConnections, hooks: ServerHooks
+) -> None:
     limits = hooks.limits()
+    sock = slot.sock
     conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
-    callers.count += 1
+    reader = RequestReader(conn, slot, limits.header_bytes)
     try:
         async with sock:
-            while await _serve_one_request(sock, conn, callers, hooks):
-                conn.start_next_cycle()
+            await serve_all(
+                reader,
+                lambda: _wait_for_request(reader, callers, hooks),
+                lambda: _serve_one_request(reader, callers, hooks),
+            )
     except (ClientDisconnected, OSError, h11.LocalProtocolError) as exc:
         logger.debug("caller's connection ended: {!r}", exc)
     finally:
-        callers.count -= 1
+        slot.close()
         callers.idle.discard(sock)
         callers.closed.discard(sock)
 
 
 async def _serve_one_request(
-    sock: Any, conn: h11.Connection, callers: CallerConnections, hooks: ServerHooks
+    reader: RequestReader, callers: CallerConnections, hooks: ServerHooks
 ) -> bool:
     """Serve one request; true if the connection can be reused."""
-    if not await _wait_for_request(sock, conn, callers, hooks):
-        return False
     callers.busy += 1
+    buffer = CallerBuffer(reader.slot.sock, callers.buffers)
+    reply = Reply(buffer, reader.conn, hooks.is_closing)
     try:
-        request = await _read_request(sock, conn, hooks.limits())
+        request = await _read_request(reader, hooks)
         if request is None:
             return False
-        buffer = CallerBuffer(sock, callers.buffers)
-        reply = Reply(buffer, conn, hooks.is_closing)
-        try:
-            if isinstance(request, BadRequest):
-                await _refuse_bad_request(sock, conn, reply, request, hooks.refusal_body)
-                return False
-            await _serve_while_connected(sock, conn, request, reply, hooks.serve)
-        finally:
-            await buffer.close()
+        if isinstance(request, BadInput):
+            await _refuse_unread(reader, reply, request, hooks.refusal_body)
+            return False
+        await _serve_while_connected(reader, request, reply, hooks)
     finally:
+        await buffer.close()
         callers.busy -= 1
+    conn = reader.conn
     is_complete = conn.our_state is h11.DONE and conn.their_state is h11.DONE
     return is_complete and not hooks.is_closing()
 
 
 async def _wait_for_request(
-    sock: Any, conn: h11.Connection, callers: CallerConnections, hooks: ServerHooks
+    reader: RequestReader, callers: CallerConnections, hooks: ServerHooks
 ) -> bool:
     """Wait for the first bytes of a request; false if none come before the connection is closed."""
-    if conn.trailing_data[0]:
-        return True
-    callers.idle.add(sock)
+    sock = reader.slot.sock
+    if not reader.has_more:
+        callers.idle.add(sock)
     try:
-        data = await curio.timeout_after(hooks.limits().idle_timeout_s, sock.recv(READ_SIZE))
-    except curio.TaskTimeout:
-        return False
+        arrived = await reader.wait(hooks.limits().idle_timeout_s)
     finally:
         callers.idle.discard(sock)
-    if sock in callers.closed:
-        return False
-    conn.receive_data(data)
-    return bool(data)
+    return arrived and sock not in callers.closed
 
 
 async def _read_request(
-    sock: Any, conn: h11.Connection, limits: CallerLimits
-) -> CallerRequest | BadRequest | None:
+    reader: RequestReader, hooks: ServerHooks
+) -> CallerRequest | BadInput | None:
     """Read a complete request; None if the caller disconnects before its end."""
-    try:
-        head = await curio.timeout_after(limits.header_timeout_s, _read_head(sock, conn))
-        if head is None:
-            return None
-        body: bytes | BadRequest | None = await curio.timeout_after(
-            BODY_TIMEOUT_S, _read_body(sock, conn, limits)
-        )
-    except curio.TaskTimeout:
-        return BadRequest(408, "request not complete in time")
-    except h11.RemoteProtocolError as exc:
-        return BadRequest(exc.error_status_hint or 400, f"malformed HTTP: {exc}")
+    limits = hooks.limits()
+    head = await read_or_refuse(limits.header_timeout_s, reader.read_head())
+    if not isinstance(head, h11.Request):
+        return head
+    body = await read_or_refuse(BODY_TIMEOUT_S, reader.read_body(limits.body_bytes))
     if not isinstance(body, bytes):
         return body
     return caller_request(
@@ -223,75 +212,45 @@
     )
 
 
-async def _read_head(sock: Any, conn: h11.Connection) -> h11.Request | None:
-    while True:
-        event = conn.next_event()
-        if event is h11.NEED_DATA:
-            conn.receive_data(await sock.recv(READ_SIZE))
-        elif isinstance(event, h11.Request):
-            return event
-        else:
-            return None
-
-
-async def _read_body(
-    sock: Any, conn: h11.Connection, limits: CallerLimits
-) -> bytes | BadRequest | None:
-    body = bytearray()
-    while True:
-        event = conn.next_event()
-        if event is h11.NEED_DATA:
-            if conn.they_are_waiting_for_100_continue:
-                informational = h11.InformationalResponse(status_code=100, headers=[])
-                await sock.sendall(conn.send(informational) or b"")
-            conn.receive_data(await sock.recv(READ_SIZE))
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > limits.body_bytes:
-                return BadRequest(413, f"body larger than {limits.body_bytes} bytes")
-        elif isinstance(event, h11.EndOfMessage):
-            return bytes(body)
-        else:
-            return None
-
-
-async def _refuse_bad_request(
-    sock: Any,
-    conn: h11.Connection,
+async def _refuse_unread(
+    reader: RequestReader,
     reply: Reply,
-    bad_request: BadRequest,
-    refusal_body: Callable[[BadRequest], bytes],
+    bad_input: BadInput,
+    refusal_body: Callable[[BadInput], bytes],
 ) -> None:
-    """Refuse an unreadable request, then keep reading so that the refusal arrives."""
-    if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+    """Refuse a request that was not read whole, which has not run."""
+    if reader.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
     await reply.send(
-        bad_request.status, (JSON_TYPE, (b"connection", b"close")), refusal_body(bad_request)
+        bad_input.status, (JSON_TYPE, (b"connection", b"close")), refusal_body(bad_input)
     )
+    await _linger(reader, reply)
+
+
+async def _linger(reader: RequestReader, reply: Reply) -> None:
+    """Keep reading after a refusal, so that it arrives."""
     async with curio.ignore_after(LINGER_S):
         await reply.buffer.wait_until_sent()
-    await sock.shutdown(socket.SHUT_WR)
-    async with curio.ignore_after(LINGER_S):
-        while await sock.recv(READ_SIZE):
-            pass
+    await reader.slot.sock.shutdown(socket.SHUT_WR)
+    await reader.drain(MAX_DRAINED_BYTES, DRAIN_S)
 
 
 async def _serve_while_connected(
-    sock: Any, conn: h11.Connection, req: CallerRequest, reply: Reply, serve: Serve
+    reader: RequestReader, req: CallerRequest, reply: Reply, hooks: ServerHooks
 ) -> None:
     """Serve a request; cancel it if the caller closes the connection."""
     read_at = clock.now()
     async with curio.TaskGroup(wait=any) as group:
-        serving = await group.spawn(_run_serve, serve, req, reply, read_at)
-        await group.spawn(_wait_for_disconnect, sock, conn)
+        serving = await group.spawn(_run_serve, hooks, req, reply, read_at)
+        await group.spawn(reader.watch)
     if group.completed is not serving or not serving.result:
         raise ClientDisconnected
 
 
-async def _run_serve(serve: Serve, req: CallerRequest, reply: Reply, read_at: float) -> bool:
+async def _run_serve(hooks: ServerHooks, req: CallerRequest, reply: Reply, read_at: float) -> bool:
     """Serve a request; false if the connection must be closed."""
     try:
-        await serve(req, reply, read_at)
+        await hooks.serve(req, reply, read_at)
         await reply.buffer.wait_until_sent()
     except ClientDisconnected:
         return False
@@ -299,15 +258,3 @@
         logger.opt(exception=exc).error("serving failed", request=req.attempt_id)
         return False
     return True
-
-
-async def _wait_for_disconnect(sock: Any, conn: h11.Connection) -> None:
-    """Buffer bytes that the caller sends early; returns when it closes the connection."""
-    while True:
-        try:
-            data = await sock.recv(READ_SIZE)
-        except OSError:
-            return
-        if not data:
-            return
-        conn.receive_data(data)
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -17,7 +17,7 @@
 from ramppost.gateway.departures import RESTART_DELAY_S, announce_leaving, handle_leaving_note
 from ramppost.gateway.early import parse_address
 from ramppost.gateway.fatal_doc import sync_document
-from ramppost.gateway.inbound import BadRequest, ServerHooks, accept_callers
+from ramppost.gateway.inbound import ServerHooks, accept_callers
 from ramppost.gateway.joining import join
 from ramppost.gateway.loading import load_pending
 from ramppost.gateway.operators import internal_handler
@@ -28,7 +28,8 @@
 from ramppost.gateway.state import Gateway
 from ramppost.schema.messages import PeerDatagram
 from ramppost.schema.settings import GatewaySettings
-from ramppost.wire.server import Handler, Reply, Request, listen
+from ramppost.wire.reader import BadInput
+from ramppost.wire.server import Handler, Limits, Reply, Request, listen
 from ramppost.wire.server import serve as serve_http
 from ramppost.wire.signals import Signals
 
@@ -78,11 +79,8 @@
     )
     await curio.spawn(join, gw, daemon=True)
     await curio.spawn(drive_rollouts, gw, daemon=True)
-    await curio.spawn(
-        serve_http, listen(*parse_address(cfg["health"])), _health_handler(gw), daemon=True
-    )
-    internal_socket = listen(cfg["ip"], cfg["internal_port"])
-    await curio.spawn(serve_http, internal_socket, internal_handler(gw), daemon=True)
+    await _serve_port(gw, *parse_address(cfg["health"]), _health_handler(gw))
+    await _serve_port(gw, cfg["ip"], cfg["internal_port"], internal_handler(gw))
     await curio.spawn(
         gw.datagrams.listen, cfg["ip"], cfg["internal_port"], _datagram_handler(gw), daemon=True
     )
@@ -95,8 +93,7 @@
     await curio.spawn(sync_document, gw, daemon=True)
     await curio.spawn(keep_policies, gw, daemon=True)
     await curio.spawn(keep_plans, gw, daemon=True)
-    metrics_socket = listen(cfg["ip"], cfg["metrics_port"])
-    await curio.spawn(serve_http, metrics_socket, _metrics_handler(gw), daemon=True)
+    await _serve_port(gw, cfg["ip"], cfg["metrics_port"], _metrics_handler(gw))
     hooks = ServerHooks(
         limits=lambda: gw.limits,
         is_closing=lambda: gw.draining,
@@ -116,6 +113,13 @@
     await _stop(gw, signal_number)
 
 
+async def _serve_port(gw: Gateway, host: str, port: int, handler: Handler) -> None:
+    """Serve a port beside that of the callers."""
+    intake = gw.callers.intake
+    sock = listen(host, port)
+    await curio.spawn(serve_http, sock, handler, Limits(), None, None, None, intake, daemon=True)
+
+
 async def _wait_for_initial_state(gw: Gateway) -> None:
     """Wait for the configuration and upstreams, so that the first callers are not refused."""
     deadline = clock.now() + INITIAL_STATE_TIMEOUT_S
@@ -200,7 +204,7 @@
     return handle
 
 
-def _bad_request_body(error: BadRequest) -> bytes:
+def _bad_request_body(error: BadInput) -> bytes:
     code = {408: "too_slow", 413: "too_large", 431: "too_large"}.get(error.status, "bad_request")
     logger.info("request not read: {}", error.reason, status=error.status)
     return error_body(refusal(code, error.reason))
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -55,6 +55,7 @@
 from ramppost.policy.suspicion import UpstreamHealth
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.client import Pool
+from ramppost.wire.intake import Intake
 
 
 def _withdrawal_bound_s(cfg: GatewaySettings) -> float:
@@ -139,7 +140,7 @@
             _rollback_bound_s(cfg), _exposure(cfg), lambda: self.peers.fleet_size
         )
         self.evidence = VersionEvidence(self.rollouts)
-        self.callers = CallerConnections(CallerBuffers(self.metrics))
+        self.callers = CallerConnections(CallerBuffers(self.metrics), Intake())
         self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
         self.datagrams = Datagrams(self.metrics)
         self.backlogs = Backlogs(
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -19,7 +19,9 @@
 import h11
 from loguru import logger
 
-READ_SIZE: Final = 65536
+from ramppost.wire.intake import ClientSlot, Intake
+from ramppost.wire.reader import BadInput, RequestReader, read_or_refuse, serve_all
+
 IDLE_TIMEOUT_S: Final = 75.0
 ACCEPT_RETRY_S: Final = 0.05
 LINGER_TIMEOUT_S: Final = 2.0
@@ -46,13 +48,6 @@
     body: bytes
 
 
-class BadInput(NamedTuple):
-    """Why a request could not be read: an HTTP status and a message for the client."""
-
-    status: int
-    reason: str
-
-
 class ClientDisconnected(Exception):
     """The client closed its connection before the response was complete."""
 
@@ -65,6 +60,10 @@
         self.bytes_in = 0
         self.bytes_out = 0
 
+    def count_received(self, count: int) -> None:
+        """Count bytes that were received."""
+        self.bytes_in += count
+
 
 def bearer(req: Request) -> str:
     """The bearer token of a request; empty if there is none."""
@@ -80,6 +79,8 @@
         self._conn = conn
         self._meter = meter
         self.started = False
+        self.status = 0
+        """Status of the response, 0 before it is begun or without a head."""
 
     @property
     def peer_host(self) -> str:
@@ -121,6 +122,7 @@
 
     def _encode_head(self, status: int, kind: str, headers: tuple[tuple[str, str], ...]) -> bytes:
         self.started = True
+        self.status = status
         head = [("content-type", kind), *headers]
         return self._conn.send(h11.Response(status_code=status, headers=head)) or b""
 
@@ -166,13 +168,13 @@
     return curio.network.tcp_server_socket(host, port, backlog=ACCEPT_BACKLOG, reuse_address=True)
 
 
-async def accept_client(sock: Any, at_capacity: Callable[[], bool]) -> Any:
+async def accept_client(sock: Any, intake: Intake, limit: int) -> ClientSlot:
     """Accept the next connection; waits while the maximum number of connections is open."""
     while True:
-        if not at_capacity():
+        if intake.connections < limit:
             try:
                 client, _ = await sock.accept()
-                return client
+                return intake.open(client)
             except OSError as exc:
                 logger.warning("accept failed: {}", exc)
         await curio.sleep(ACCEPT_RETRY_S)
@@ -185,142 +187,105 @@
     error_body: ErrorBody | None = None,
     tls: ReloadingTlsContext | None = None,
     meter: Meter | None = None,
+    intake: Intake | None = None,
 ) -> None:
     """Serve until cancelled; each connection is served by a daemon task, which is not cancelled."""
-    connection_meter = meter or Meter()
+    intake = intake or Intake()
+    server = _Server(handler, limits, error_body, tls is not None, meter or Meter(), intake)
     async with sock:
         while True:
-            client = await accept_client(
-                sock, lambda: connection_meter.open_connections >= limits.connections
-            )
-            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            slot = await accept_client(sock, intake, limits.connections)
             if tls is not None:
-                client = await tls.context().wrap_socket(
-                    client, server_side=True, do_handshake_on_connect=False
+                slot.sock = await tls.context().wrap_socket(
+                    slot.sock, server_side=True, do_handshake_on_connect=False
                 )
-            needs_handshake = tls is not None
-            await curio.spawn(
-                _serve_conn,
-                client,
-                handler,
-                limits,
-                error_body,
-                connection_meter,
-                needs_handshake,
-                daemon=True,
-            )
-
-
-async def _serve_conn(
-    sock: Any,
-    handler: Handler,
-    limits: Limits,
-    error_body: ErrorBody | None,
-    meter: Meter,
-    needs_handshake: bool,
-) -> None:
-    conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
-    meter.open_connections += 1
+            await curio.spawn(_serve_conn, slot, server, daemon=True)
+
+
+class _Server(NamedTuple):
+    """What the connections of one port have in common."""
+
+    handler: Handler
+    limits: Limits
+    error_body: ErrorBody | None
+    needs_handshake: bool
+    meter: Meter
+    intake: Intake
+
+
+async def _serve_conn(slot: ClientSlot, server: _Server) -> None:
+    server.meter.open_connections += 1
     try:
-        async with sock:
-            if needs_handshake:
-                await curio.timeout_after(limits.read_timeout_s, sock.do_handshake())
-            while await _serve_one(sock, conn, handler, limits, error_body, meter):
-                conn.start_next_cycle()
-    except (ClientDisconnected, OSError, curio.TaskTimeout, h11.LocalProtocolError):
-        pass
+        async with slot.sock:
+            slot.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if server.needs_handshake:
+                handshake = slot.sock.do_handshake()
+                await curio.timeout_after(server.limits.read_timeout_s, handshake)
+            await _serve_all(slot, server)
+    except (ClientDisconnected, OSError, curio.TaskTimeout, h11.LocalProtocolError) as exc:
+        logger.debug("client's connection ended: {!r}", exc)
     finally:
-        meter.open_connections -= 1
+        slot.close()
+        server.meter.open_connections -= 1
 
 
-async def _serve_one(
-    sock: Any,
-    conn: h11.Connection,
-    handler: Handler,
-    limits: Limits,
-    error_body: ErrorBody | None,
-    meter: Meter,
-) -> bool:
+async def _serve_all(slot: ClientSlot, server: _Server) -> None:
+    limits = server.limits
+    conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+    reader = RequestReader(conn, slot, limits.header_bytes, server.meter.count_received)
+    await serve_all(reader, lambda: reader.wait(IDLE_TIMEOUT_S), lambda: _serve_one(reader, server))
+
+
+async def _serve_one(reader: RequestReader, server: _Server) -> bool:
     """Serve one request; true if the connection can be reused for another."""
-    req = await _read_request(sock, conn, limits, meter)
+    conn = reader.conn
+    reply = Reply(reader.slot.sock, conn, server.meter)
+    limits = server.limits
+    req = await read_or_refuse(limits.read_timeout_s, _read_request(reader, limits))
     if req is None:
         return False
-    reply = Reply(sock, conn, meter)
     if isinstance(req, BadInput):
-        body = error_body(req) if error_body else req.reason.encode()
-        if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            await reply.send(req.status, body, headers=(("connection", "close"),))
-            await _lingering_close(sock)
+        await _refuse(reader, reply, req, server)
         return False
+    await _handle(server.handler, req, reply)
+    return conn.our_state is h11.DONE and conn.their_state is h11.DONE
+
+
+async def _handle(handler: Handler, req: Request, reply: Reply) -> None:
     try:
         await handler(req, reply)
     except ClientDisconnected:
         raise
     except Exception as exc:
         logger.opt(exception=exc).error("handler failed for {} {}", req.method, req.path)
-        if not reply.started:
-            await reply.send(500, b'{"error":{"message":"internal error","code":"internal"}}')
-        return False
-    return conn.our_state is h11.DONE and conn.their_state is h11.DONE
+        if reply.started:
+            raise ClientDisconnected from exc
+        error = b'{"error":{"message":"internal error","code":"internal"}}'
+        await reply.send(500, error, headers=(("connection", "close"),))
 
 
-async def _lingering_close(sock: Any) -> None:
-    """Read and discard what the client still sends after its request was rejected.
+async def _refuse(
+    reader: RequestReader, reply: Reply, bad_input: BadInput, server: _Server
+) -> None:
+    """Refuse a request that was not read, then read and discard what the client still sends.
 
     Closing with unread data would send a reset, which could discard the response on its way.
     """
-    await sock.shutdown(socket.SHUT_WR)
-    async with curio.ignore_after(LINGER_TIMEOUT_S):
-        while await sock.recv(READ_SIZE):
-            pass
-
-
-async def _read_request(
-    sock: Any, conn: h11.Connection, limits: Limits, meter: Meter
-) -> Request | BadInput | None:
-    """Read a complete request; None if the client closed the connection or stayed idle."""
-    try:
-        if conn.trailing_data[0] == b"":
-            data = await curio.timeout_after(IDLE_TIMEOUT_S, sock.recv(READ_SIZE))
-            if not data:
-                return None
-            meter.bytes_in += len(data)
-            conn.receive_data(data)
-    except curio.TaskTimeout:
+    if reader.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    body = server.error_body(bad_input) if server.error_body else bad_input.reason.encode()
+    await reply.send(bad_input.status, body, headers=(("connection", "close"),))
+    await reader.slot.sock.shutdown(socket.SHUT_WR)
+    await reader.drain(server.limits.body_bytes, LINGER_TIMEOUT_S)
+
+
+async def _read_request(reader: RequestReader, limits: Limits) -> Request | BadInput | None:
+    """Read a complete request; None if the client closes the connection before its end."""
+    head = await reader.read_head()
+    if head is None:
         return None
-    try:
-        async with curio.timeout_after(limits.read_timeout_s):
-            return await _read_events(sock, conn, limits, meter)
-    except curio.TaskTimeout:
-        return BadInput(408, f"request not complete after {limits.read_timeout_s:g} s")
-    except h11.RemoteProtocolError as exc:
-        return BadInput(exc.error_status_hint or 400, f"malformed HTTP: {exc}")
-
-
-async def _read_events(
-    sock: Any, conn: h11.Connection, limits: Limits, meter: Meter
-) -> Request | BadInput | None:
-    head: h11.Request | None = None
-    body = bytearray()
-    while True:
-        event = conn.next_event()
-        if event is h11.NEED_DATA:
-            if conn.they_are_waiting_for_100_continue:
-                continue_response = h11.InformationalResponse(status_code=100, headers=[])
-                await sock.sendall(conn.send(continue_response) or b"")
-            data = await sock.recv(READ_SIZE)
-            meter.bytes_in += len(data)
-            conn.receive_data(data)
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > limits.body_bytes:
-                return BadInput(413, f"body larger than {limits.body_bytes} bytes")
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            return _parse_request(head, bytes(body))
-        else:
-            return None
+    body = await reader.read_body(limits.body_bytes)
+    return _parse_request(head, body) if isinstance(body, bytes) else body
 
 
 def _parse_request(head: h11.Request, body: bytes) -> Request | BadInput:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -13,6 +13,7 @@
 from ramppost.gateway.inbound import CallerConnections, Reply, ServerHooks, _serve_connection
 from ramppost.gateway.metrics import Metrics
 from ramppost.gateway.model import CallerLimits, CallerRequest
+from ramppost.wire.intake import Intake
 
 REQUEST = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nok"
 LIMITS = CallerLimits(4096, 4096, 5.0, 5.0)
@@ -29,11 +30,11 @@
         await reply.send(200, (), b"whole")
 
     hooks = ServerHooks(lambda: LIMITS, lambda: True, serve, lambda refusal: b"")
-    callers = CallerConnections(CallerBuffers(Metrics()))
+    callers = CallerConnections(CallerBuffers(Metrics()), Intake())
     ends = []
     for _ in range(CONNECTIONS):
         own, caller = curio.socket.socketpair()
-        await curio.spawn(_serve_connection, own, callers, hooks, daemon=True)
+        await curio.spawn(_serve_connection, callers.intake.open(own), callers, hooks, daemon=True)
         ends.append(caller)
     while len(callers.idle) < CONNECTIONS:
         await curio.sleep(0)
@@ -41,7 +42,7 @@
         caller._socket.sendall(REQUEST)
     callers.close_idle()
     got = [await read_to_end(caller) for caller in ends]
-    while callers.count:
+    while callers.intake.connections:
         await curio.sleep(0.01)
     return served, got
 
--- /dev/null
+++ b/tests/test_strangers.py
@@ -0,0 +1,99 @@
+"""Clients that don't behave, against real processes, beside ordinary requests.
+
+The machine of the gateway is the smallest of the front boxes that deployments have.
+"""
+
+from __future__ import annotations
+
+import os
+import resource
+import time
+from collections.abc import Iterator
+from typing import Final
+
+import pytest
+
+from tests.harness.beside import Outcome, gateway, gateway_doors, play_beside
+from tests.harness.gateways import Deployment, config
+from tests.harness.strangers import BODY, CALM_PLAYS, PLAYS
+
+MACHINE_MB: Final = 88
+MAX_FDS: Final = 3075
+FDS_FOR_FILES: Final = 200
+SERVED_SHARE: Final = 0.95
+PLAY_S: Final = 4.0
+CALM_PLAY_S: Final = 12.0
+SEED: Final = 68
+LIMITS: Final = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": BODY,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+OUTER_DOORS: Final = ("route", "ready")
+INNER_DOORS: Final = ("no_key", "no_route", "internal")
+ALL_DOORS: Final = "RAMPPOST_ALL_DOORS"
+"""Environment variable with which each client is played at each door; else at three of them."""
+
+
+def doors_of(play: str) -> tuple[str, ...]:
+    """The doors that a client is played at."""
+    if os.environ.get(ALL_DOORS):
+        return OUTER_DOORS + INNER_DOORS
+    return (*OUTER_DOORS, INNER_DOORS[list(PLAYS).index(play) % len(INNER_DOORS)])
+
+
+def limit_descriptors(pid: int) -> None:
+    """Give a process no more sockets than its machine has."""
+    sockets = MAX_FDS - FDS_FOR_FILES
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (sockets, sockets))
+
+
+@pytest.fixture(scope="module")
+def deployed(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    site = Deployment(tmp_path_factory.mktemp("strangers"), gateways=1)
+    site.configure(config(2) | {"limits": LIMITS})
+    time.sleep(1.5)
+    yield site
+    site.stop()
+
+
+@pytest.fixture
+def site(deployed: Deployment) -> Deployment:
+    """A gateway that serves; started again where the last test has stopped or hung it."""
+    name = deployed.gateways[0]
+    if not deployed.ready(name):
+        deployed.procs[name].kill()
+        deployed.wait_end(name)
+        deployed.start_gateway(name)
+    limit_descriptors(deployed.procs[name].pid)
+    deployed.wait_ready(name)
+    deployed.wait_members()
+    return deployed
+
+
+def judge(seen: Outcome, machine_mb: int = MACHINE_MB) -> None:
+    """What must hold whatever strangers do."""
+    print(seen.line())
+    assert seen.alive, seen.line()
+    assert seen.peak_mb <= machine_mb, seen.line()
+    assert seen.served_share >= SERVED_SHARE, seen.line()
+    assert seen.ready_late == 0, seen.line()
+
+
+@pytest.mark.parametrize(
+    ("play", "door"), [(play, door) for play in PLAYS for door in doors_of(play)]
+)
+def test_strangers_took_memory_or_time_from_others(site: Deployment, play: str, door: str) -> None:
+    """Bodies, heads, requests ahead and crowds hung gateways or filled their memory."""
+    where = gateway_doors(site)[door]
+    judge(play_beside(gateway(site), [(play, where)], MACHINE_MB, PLAY_S, SEED))
+
+
+@pytest.mark.parametrize("play", CALM_PLAYS)
+def test_single_request_inside_the_limits_was_not_served(site: Deployment, play: str) -> None:
+    """One body of 4 MiB in chunks of a byte was read for 55 s, in which nobody else was served."""
+    where = gateway_doors(site)["route"]
+    seen = play_beside(gateway(site), [(play, where)], MACHINE_MB, CALM_PLAY_S, SEED)
+    judge(seen)
+    assert seen.strangers.get("200") == 1, seen.line()
