Limit what requests make a process hold, by the memory of its box

What callers saw: 100 bodies of 4 MiB at once, in one piece, in pieces, in chunks or one byte short, took a gateway past the 88 MB of the smallest front within a second, at any path and at `ready` (92 to 150 MB when the watch of the test ended it), and so did 400 heads of 2,500 fields (119 MB); the platform ends such a process, with all that it served.

Cause: nothing counted what strangers make a process hold. A body was read whatever others held; a parsed field takes some 500 bytes, whatever it came in; a body was held a second time while it was sent on; no setting told the box's memory; the kernel lets a connection's receive buffer grow to megabytes where it is not read.

Change: one account for all ports (`wire/intake.py`), from `limits.memory_mb` of the settings, which the template fills. Requests up to 16 KiB are read at once; larger ones, and heads of more than 128 fields, ask for memory before they are read further, wait in turn for 2 s, and get 503 `too_many_large` with Retry-After 1 (not run: nothing was sent on). A single one always gets it. A body of unknown size asks for 256 KiB of half of the memory first, so that first parts never hold all. While others wait, one that brings less than 64 KiB a second is closed; where small requests that don't get complete hold too much, the largest of the oldest is. Ports without bodies drop them as they come. The receive buffer is limited to 32 KiB.

--- a/ramppost/entry/callers.py
+++ b/ramppost/entry/callers.py
@@ -18,7 +18,7 @@
 from ramppost.entry.serve import forward_answer, serve_job
 from ramppost.entry.sink import STREAM_HEADER, BufferingSink, Sink, StreamSink, send_refusal
 from ramppost.entry.state import Entry
-from ramppost.errors import Ran, Refusal, error_body, refusal
+from ramppost.errors import Ran, Refusal, error_body, refusal, unread_refusal
 from ramppost.policy.permissions import ModelVersion, allowed, version_state
 from ramppost.policy.session import BadToken, verify_stream_token
 from ramppost.schema.config import ConfigDoc, Workspace
@@ -28,14 +28,11 @@
 
 NOT_READY_RETRY_S = 1.0
 CHAT_PATH = "/v1/chat/completions"
-CODE_BY_STATUS = {408: "too_slow", 413: "too_large", 431: "too_large"}
 
 
 def encode_bad_input(bad_input: BadInput) -> bytes:
     """Encode the error body for an HTTP request that could not be read."""
-    return error_body(
-        refusal(CODE_BY_STATUS.get(bad_input.status, "bad_request"), bad_input.reason)
-    )
+    return error_body(unread_refusal(bad_input))
 
 
 def callers_handler(entry: Entry) -> Handler:
--- a/ramppost/errors.py
+++ b/ramppost/errors.py
@@ -12,6 +12,7 @@
 from typing import Final, Literal, NamedTuple
 
 from ramppost.wire.codec import encode
+from ramppost.wire.reader import BadInput
 
 Ran = Literal["no", "yes", "unknown"]
 
@@ -78,6 +79,12 @@
         "The request was not sent whole in time.",
         "Send faster, or raise `limits.read_timeout_s`.",
     ),
+    "too_many_large": ErrorDoc(
+        503,
+        "no",
+        "Other large requests hold all memory that is kept for them, or there are too many.",
+        "Come back after `Retry-After`.",
+    ),
     "limited": ErrorDoc(
         429,
         "no",
@@ -159,6 +166,20 @@
     return Refusal(code, doc.status, message, doc.ran if ran is None else ran, retry_after_s)
 
 
+UNREAD_CODES: Final = {
+    408: "too_slow",
+    413: "too_large",
+    431: "too_large",
+    503: "too_many_large",
+}
+
+
+def unread_refusal(bad_input: BadInput) -> Refusal:
+    """Return the refusal of a request that was not read whole."""
+    code = UNREAD_CODES.get(bad_input.status, "bad_request")
+    return refusal(code, bad_input.reason, bad_input.retry_after_s)
+
+
 def error_body(ref: Refusal) -> bytes:
     """Encode a refusal in the OpenAI error format."""
     kind = "invalid_request_error" if ref.status < 500 else "server_error"
--- a/ramppost/gateway/early.py
+++ b/ramppost/gateway/early.py
@@ -10,6 +10,8 @@
 import socket
 
 LISTEN_BACKLOG = 1024
+RECEIVE_BUFFER_BYTES = 32768
+"""What the kernel takes for a connection that is not read; it adds as much for its own use."""
 COMMENT_PREFIX = "//"
 
 
@@ -32,6 +34,7 @@
             cfg = json.loads(strip_comments(file.read()))
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.bind(parse_address(cfg["listen"]))
         sock.listen(LISTEN_BACKLOG)
         sock.setblocking(False)
--- a/ramppost/gateway/inbound.py
+++ b/ramppost/gateway/inbound.py
@@ -36,8 +36,6 @@
 """How long to keep reading after it, as a reset would discard the refusal."""
 MAX_DRAINED_BYTES: Final = 24 * 1024 * 1024
 """A body of the usual limit in chunks of a byte."""
-MAX_CONNECTIONS: Final = 3000
-"""Below the file descriptor limit of a box; upstream connections and files need some as well."""
 JSON_TYPE: Final = (b"content-type", b"application/json")
 
 
@@ -131,7 +129,7 @@
     """Accept connections until cancelled; each is served by its own daemon task."""
     async with sock:
         while True:
-            slot = await accept_client(sock, callers.intake, MAX_CONNECTIONS)
+            slot = await accept_client(sock, callers.intake)
             configure_socket(slot.sock)
             limit_unsent(slot.sock)
             await curio.spawn(_serve_connection, slot, callers, hooks, daemon=True)
@@ -168,7 +166,7 @@
     reply = Reply(buffer, reader.conn, hooks.is_closing)
     try:
         request = await _read_request(reader, hooks)
-        if request is None:
+        if reader.slot.was_cut or request is None:
             return False
         if isinstance(request, BadInput):
             await _refuse_unread(reader, reply, request, hooks.refusal_body)
@@ -177,6 +175,8 @@
     finally:
         await buffer.close()
         callers.busy -= 1
+        reader.forget_request()
+        reader.slot.end(reply.status)
     conn = reader.conn
     is_complete = conn.our_state is h11.DONE and conn.their_state is h11.DONE
     return is_complete and not hooks.is_closing()
@@ -221,14 +221,17 @@
     """Refuse a request that was not read whole, which has not run."""
     if reader.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    await reply.send(
-        bad_input.status, (JSON_TYPE, (b"connection", b"close")), refusal_body(bad_input)
-    )
+    headers: Headers = (JSON_TYPE, (b"connection", b"close"))
+    if bad_input.retry_after_s:
+        headers = (*headers, (b"retry-after", f"{bad_input.retry_after_s:g}".encode()))
+    await reply.send(bad_input.status, headers, refusal_body(bad_input))
     await _linger(reader, reply)
 
 
 async def _linger(reader: RequestReader, reply: Reply) -> None:
     """Keep reading after a refusal, so that it arrives."""
+    reader.forget_request()
+    reader.slot.release()
     async with curio.ignore_after(LINGER_S):
         await reply.buffer.wait_until_sent()
     await reader.slot.sock.shutdown(socket.SHUT_WR)
--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -192,12 +192,13 @@
 
     async def send(self) -> Broken | None:
         """Send the request; a large one is sent while the response is read."""
-        data = _request_bytes(self._connection.h11, self._req)
+        head = _encode_request(self._connection.h11, self._req)
+        body = self._req.body
         try:
-            if len(data) <= MAX_INLINE_SEND_BYTES:
-                await self._connection.sock.sendall(data)
+            if len(head) + len(body) <= MAX_INLINE_SEND_BYTES:
+                await self._connection.sock.sendall(head + body)
             else:
-                self._sender = await curio.spawn(self._send_concurrently, data, daemon=True)
+                self._sender = await curio.spawn(self._send_concurrently, head, body, daemon=True)
         except OSError as exc:
             return Broken(f"sending failed: {exc}", by_peer=True)
         return None
@@ -270,9 +271,11 @@
         except OSError as exc:
             logger.debug("connection already closed before shutdown: {!r}", exc)
 
-    async def _send_concurrently(self, data: bytes) -> None:
+    async def _send_concurrently(self, head: bytes, body: bytes) -> None:
+        """Send a large request; its body is not copied, which would hold it twice."""
         try:
-            await self._connection.sock.sendall(data)
+            await self._connection.sock.sendall(head)
+            await self._connection.sock.sendall(body)
         except OSError:
             # The task that reads the response gets the same error and reports it.
             return
@@ -291,7 +294,7 @@
             return Broken("connection closed after an answer to another request", by_peer=True)
         remaining_data, _ = self._connection.h11.trailing_data
         self._connection.h11 = h11.Connection(h11.CLIENT)
-        _request_bytes(self._connection.h11, self._req)
+        _encode_request(self._connection.h11, self._req)
         if remaining_data:
             self._connection.h11.receive_data(remaining_data)
         self._ended = False
@@ -387,12 +390,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
-def _request_bytes(conn: h11.Connection, req: OutgoingRequest) -> bytes:
-    head = h11.Request(method=req.method, target=req.target, headers=req.headers)
-    data = conn.send(head) or b""
+def _encode_request(conn: h11.Connection, req: OutgoingRequest) -> bytes:
+    """The head of a request, after which its body follows as it is: the head names its length."""
+    data = conn.send(h11.Request(method=req.method, target=req.target, headers=req.headers)) or b""
     if req.body:
-        data += conn.send(h11.Data(data=req.body)) or b""
-    return data + (conn.send(h11.EndOfMessage()) or b"")
+        conn.send(h11.Data(data=req.body))
+    conn.send(h11.EndOfMessage())
+    return data
 
 
 def _is_framed(headers: Headers, status: int) -> bool:
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from ramppost import clock, logs
-from ramppost.errors import error_body, refusal
+from ramppost.errors import error_body, unread_refusal
 from ramppost.gateway.datagrams import Address, DatagramHandler
 from ramppost.gateway.departures import RESTART_DELAY_S, announce_leaving, handle_leaving_note
 from ramppost.gateway.early import parse_address
@@ -49,6 +49,8 @@
 milliseconds, and without it callers should soon get a response that tells them to retry."""
 INITIAL_STATE_POLL_S: Final = 0.005
 STOP_POLL_S: Final = 0.05
+DROP_BODIES: Final = Limits(header_bytes=16384, body_bytes=4 * 1024 * 1024, keeps_bodies=False)
+"""Limits of ports that take no bodies."""
 METRICS_CONTENT_TYPE: Final = "text/plain; version=0.0.4"
 
 
@@ -79,8 +81,8 @@
     )
     await curio.spawn(join, gw, daemon=True)
     await curio.spawn(drive_rollouts, gw, daemon=True)
-    await _serve_port(gw, *parse_address(cfg["health"]), _health_handler(gw))
-    await _serve_port(gw, cfg["ip"], cfg["internal_port"], internal_handler(gw))
+    await _serve_port(gw, *parse_address(cfg["health"]), _health_handler(gw), DROP_BODIES)
+    await _serve_port(gw, cfg["ip"], cfg["internal_port"], internal_handler(gw), Limits())
     await curio.spawn(
         gw.datagrams.listen, cfg["ip"], cfg["internal_port"], _datagram_handler(gw), daemon=True
     )
@@ -93,7 +95,7 @@
     await curio.spawn(sync_document, gw, daemon=True)
     await curio.spawn(keep_policies, gw, daemon=True)
     await curio.spawn(keep_plans, gw, daemon=True)
-    await _serve_port(gw, cfg["ip"], cfg["metrics_port"], _metrics_handler(gw))
+    await _serve_port(gw, cfg["ip"], cfg["metrics_port"], _metrics_handler(gw), DROP_BODIES)
     hooks = ServerHooks(
         limits=lambda: gw.limits,
         is_closing=lambda: gw.draining,
@@ -113,11 +115,11 @@
     await _stop(gw, signal_number)
 
 
-async def _serve_port(gw: Gateway, host: str, port: int, handler: Handler) -> None:
+async def _serve_port(gw: Gateway, host: str, port: int, handler: Handler, limits: Limits) -> None:
     """Serve a port beside that of the callers."""
     intake = gw.callers.intake
     sock = listen(host, port)
-    await curio.spawn(serve_http, sock, handler, Limits(), None, None, None, intake, daemon=True)
+    await curio.spawn(serve_http, sock, handler, limits, None, None, None, intake, daemon=True)
 
 
 async def _wait_for_initial_state(gw: Gateway) -> None:
@@ -205,9 +207,8 @@
 
 
 def _bad_request_body(error: BadInput) -> bytes:
-    code = {408: "too_slow", 413: "too_large", 431: "too_large"}.get(error.status, "bad_request")
     logger.info("request not read: {}", error.reason, status=error.status)
-    return error_body(refusal(code, error.reason))
+    return error_body(unread_refusal(error))
 
 
 def _health_handler(gw: Gateway) -> Handler:
@@ -226,6 +227,12 @@
         gw.metrics.gauges["ramppost_upstream_connections_opened"] = gw.connections.opened
         gw.metrics.gauges["ramppost_upstreams_rate_limited"] = len(gw.rate_limits)
         gw.metrics.gauges["ramppost_caller_buffer_bytes"] = gw.callers.buffers.total_bytes
+        intake = gw.callers.intake
+        gw.metrics.gauges["ramppost_client_connections"] = intake.connections
+        gw.metrics.gauges["ramppost_client_small_bytes"] = intake.small_bytes
+        gw.metrics.gauges["ramppost_client_large_bytes"] = intake.large_bytes
+        gw.metrics.gauges["ramppost_clients_given_up"] = intake.given_up
+        gw.metrics.gauges["ramppost_large_requests_refused"] = intake.refused
         gw.metrics.gauges["ramppost_log_lines_dropped"] = logs.dropped_lines()
         await reply.send(200, gw.metrics.text(), METRICS_CONTENT_TYPE)
 
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -55,7 +55,7 @@
 from ramppost.policy.suspicion import UpstreamHealth
 from ramppost.schema.settings import GatewaySettings
 from ramppost.wire.client import Pool
-from ramppost.wire.intake import Intake
+from ramppost.wire.intake import Intake, IntakeLimits, intake_limits
 
 
 def _withdrawal_bound_s(cfg: GatewaySettings) -> float:
@@ -78,9 +78,18 @@
     return cfg["timing"].get("unconfirmed_keys") == "serve"
 
 
+def _intake_limits(cfg: GatewaySettings) -> IntakeLimits:
+    """What clients may make the process hold."""
+    limits = cfg.get("limits", {})
+    return intake_limits(limits.get("memory_mb"))
+
+
 def _caller_buffer_bytes(cfg: GatewaySettings) -> int:
     """Limit of the buffers of all responses together."""
-    return cfg.get("limits", {}).get("caller_buffer_mb", DEFAULT_LIMIT_MB) * BYTES_PER_MB
+    set_mb = cfg.get("limits", {}).get("caller_buffer_mb")
+    if set_mb is not None:
+        return set_mb * BYTES_PER_MB
+    return min(DEFAULT_LIMIT_MB * BYTES_PER_MB, _intake_limits(cfg).answer_bytes)
 
 
 LEAVING_USE_RATIO: Final = 0.5
@@ -140,7 +149,7 @@
             _rollback_bound_s(cfg), _exposure(cfg), lambda: self.peers.fleet_size
         )
         self.evidence = VersionEvidence(self.rollouts)
-        self.callers = CallerConnections(CallerBuffers(self.metrics), Intake())
+        self.callers = CallerConnections(CallerBuffers(self.metrics), Intake(_intake_limits(cfg)))
         self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
         self.datagrams = Datagrams(self.metrics)
         self.backlogs = Backlogs(
@@ -226,6 +235,7 @@
         self.rollouts.rollback_s = _rollback_bound_s(cfg)
         self.rollouts.exposure = _exposure(cfg)
         self.callers.buffers.limit_bytes = _caller_buffer_bytes(cfg)
+        self.callers.intake.limits = _intake_limits(cfg)
         self.retry_budgets.clear()
 
     def _observe_head(self, upstream: Upstream, head: AnswerHead, sent_at: float) -> None:
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -385,9 +385,13 @@
     Limits on what a gateway uses of its box.
     """
 
+    memory_mb: NotRequired[int]
+    """
+    Memory that the process may use, megabytes of 1,048,576 bytes; what callers may make it hold is derived from it.
+    """
     caller_buffer_mb: NotRequired[int]
     """
-    Most memory for responses that callers have not taken yet, megabytes of 1,048,576 bytes, of all callers together; when it is full, the least urgent responses are aborted.
+    Most memory for responses that callers have not taken yet, megabytes of 1,048,576 bytes, of all callers together; when it is full, the least urgent responses are aborted. Without it 16, or 15 in 100 of what `memory_mb` leaves for callers if that is less.
     """
 
 
--- a/ramppost/wire/reader.py
+++ b/ramppost/wire/reader.py
@@ -2,7 +2,8 @@
 
 What has arrived is handed to the parser part by part (a head, the bytes of a body, a trailer), so
 that what a client sends ahead is not parsed with the request before it.  Chunks are merged
-(`ramppost.wire.chunks`), and work that takes long is done in slices between which others run.
+(`ramppost.wire.chunks`), memory is asked for before a large request is read
+(`ramppost.wire.intake`), and work that takes long is done in slices between which others run.
 
     reader = RequestReader(conn, intake.open(sock), header_bytes)
     await reader.wait(15.0)                 # the first bytes of a request; False if none came
@@ -20,13 +21,19 @@
 import h11
 
 from ramppost.wire.chunks import ChunkMerger, IllegalChunk
-from ramppost.wire.intake import ClientSlot
+from ramppost.wire.intake import RETRY_S, ClientSlot
 
 READ_SIZE: Final = 65536
 HEAD_READ_SIZE: Final = 16384
 """Between requests no more is read at once, as only what belongs to one request is wanted."""
 DRAIN_PAUSE_S: Final = 0.01
 """Between two reads of what is dropped, as those whose bytes are wanted come first."""
+FIELD_BYTES: Final = 500
+"""Memory of a header field that was parsed, with its name and value as they came and normalized."""
+MANY_FIELDS: Final = 128
+"""Heads of no more fields are small."""
+FIRST_CHUNKED_BYTES: Final = 262144
+"""What is reserved for a large body in chunks first; then all that a body may have."""
 LONG_PART_BYTES: Final = 4096
 """Parts from this size on may take the parser milliseconds."""
 BLOCK_END: Final = re.compile(rb"\n\r?\n")
@@ -38,10 +45,15 @@
 
 
 class BadInput(NamedTuple):
-    """Why a request was not read: an HTTP status and a message."""
+    """Why a request was not read: an HTTP status, a message, and when the client may come back."""
 
     status: int
     reason: str
+    retry_after_s: float = 0.0
+
+
+class NoMemory(Exception):
+    """There is no memory for a large request now."""
 
 
 async def read_or_refuse(timeout_s: float, reading: Awaitable[T]) -> T | BadInput:
@@ -51,6 +63,8 @@
         return result
     except curio.TaskTimeout:
         return BadInput(408, f"request not complete after {timeout_s:g} s")
+    except NoMemory:
+        return BadInput(503, "too many large requests are being read", RETRY_S)
     except IllegalChunk:
         return BadInput(400, "malformed HTTP: illegal chunk header")
     except h11.RemoteProtocolError as exc:
@@ -87,6 +101,8 @@
         """Bytes of a block in which its end is known not to be."""
         self._length_left = 0
         self._chunks = ChunkMerger(max_block_bytes)
+        self._request_bytes = 0
+        """What the request that is being read holds, besides `_raw`."""
         self._has_received = False
         """Whether bytes of this request were received, since other tasks last ran."""
 
@@ -111,31 +127,40 @@
                 return False
             self._add(data)
             self._has_received = True
+        self.slot.begin()
+        self._hold()
         return True
 
     async def read_head(self) -> h11.Request | None:
         """Read the head of a request; None if the client closes the connection before its end.
 
-        Raises what the parser does.
+        Raises NoMemory and what the parser does.
         """
         event = await self._next_event()
         return event if isinstance(event, h11.Request) else None
 
-    async def read_body(self, max_bytes: int) -> bytes | BadInput | None:
-        """Read the body of a request; None if the client closes the connection before its end.
+    async def read_body(self, max_bytes: int, keeps: bool = True) -> bytes | BadInput | None:
+        """Read the body of a request; it is dropped as it comes, and empty, unless `keeps`.
 
-        Raises IllegalChunk and what the parser does.
+        The result is None if the client closes the connection before its end.  Raises NoMemory,
+        IllegalChunk and what the parser does.
         """
         too_large = BadInput(413, f"body larger than {max_bytes} bytes")
         body = bytearray()
+        size = 0
         while True:
+            if keeps:
+                await self._reserve_body(size, max_bytes)
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > max_bytes:
+                size += len(event.data)
+                if size > max_bytes:
                     return too_large
+                if keeps:
+                    body += event.data
+                    self._request_bytes += len(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
+                return self._complete(bytes(body))
             else:
                 return None
 
@@ -149,6 +174,7 @@
             if not data:
                 return
             self._add(data)
+            self._hold()
 
     async def drain(self, max_bytes: int, timeout_s: float) -> None:
         """Read and drop what still comes, as closing with unread bytes would discard the answer."""
@@ -165,6 +191,7 @@
         """The next event of the parser, which is handed what it needs for that."""
         event = self.conn.next_event()
         while event is h11.NEED_DATA:
+            await self._reserve_fields()
             if self._part == "length" or len(self._raw) < LONG_PART_BYTES:
                 event = self._hand_on()
             else:
@@ -231,12 +258,27 @@
         elif isinstance(event, h11.EndOfMessage):
             self._part = "block"
 
+    def _complete(self, body: bytes) -> bytes:
+        """The whole request was read."""
+        self.slot.complete()
+        self.slot.shrink(self._request_bytes)
+        return body
+
+    def forget_request(self) -> None:
+        """What was read of the request is not held any more."""
+        self._request_bytes = 0
+
     # --- bytes
 
     def _add(self, data: bytes) -> None:
         self._raw += data
+        self.slot.received_bytes += len(data)
         self._count_received(len(data))
 
+    def _hold(self) -> None:
+        """Tell what is held here."""
+        self.slot.hold(self._request_bytes + len(self._raw))
+
     async def _receive(self) -> Any:
         """Receive more; other tasks run before, as more may be here at once, and so on.
 
@@ -252,8 +294,36 @@
         data = await self.slot.sock.recv(HEAD_READ_SIZE if self._part == "block" else READ_SIZE)
         if data:
             self._add(data)
+            self._hold()
             return h11.NEED_DATA
         self.conn.receive_data(bytes(self._raw))
         self._raw.clear()
         self.conn.receive_data(b"")
         return self.conn.next_event()
+
+    # --- memory
+
+    async def _reserve_fields(self) -> None:
+        """Reserve memory for a head of many fields, which take many times what they came in."""
+        if self._part != "block" or len(self._raw) < LONG_PART_BYTES:
+            return
+        fields = self._raw.count(b"\n", 0, self._block_end())
+        if fields > MANY_FIELDS:
+            self._request_bytes += fields * FIELD_BYTES
+            await self._reserve(self._request_bytes)
+
+    async def _reserve_body(self, size: int, max_bytes: int) -> None:
+        """Reserve memory for a body that is large, or that turns out to be, as chunks tell no
+        length."""
+        is_chunked = self._part == "chunks"
+        whole = size + (len(self._raw) if is_chunked else self._length_left)
+        if self._part == "block" or not self.slot.is_large(whole):
+            return
+        may_grow = is_chunked and whole < FIRST_CHUNKED_BYTES
+        if is_chunked:
+            whole = FIRST_CHUNKED_BYTES if may_grow else max_bytes
+        await self._reserve(self._request_bytes - size + whole, may_grow)
+
+    async def _reserve(self, count: int, may_grow: bool = False) -> None:
+        if not await self.slot.reserve(count, may_grow):
+            raise NoMemory
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -2,11 +2,13 @@
 
 `serve` accepts connections and calls a handler with each complete request and a `Reply` that sends
 the response.  A client that exceeds a size limit, sends too slowly or violates the protocol gets
-an error status; other connections are not affected.
+an error status; other connections are not affected.  What clients may make the process hold is
+limited for all its servers together (`ramppost.wire.intake`).
 """
 
 from __future__ import annotations
 
+import math
 import os
 import socket
 import ssl
@@ -19,7 +21,13 @@
 import h11
 from loguru import logger
 
-from ramppost.wire.intake import ClientSlot, Intake
+from ramppost.wire.intake import (
+    INNER_CONNECTIONS,
+    RECEIVE_BUFFER_BYTES,
+    ClientSlot,
+    Intake,
+    intake_limits,
+)
 from ramppost.wire.reader import BadInput, RequestReader, read_or_refuse, serve_all
 
 IDLE_TIMEOUT_S: Final = 75.0
@@ -30,12 +38,16 @@
 
 
 class Limits(NamedTuple):
-    """Limits for clients: sizes in bytes, the time to read a request, and open connections."""
+    """Limits for clients: sizes in bytes, the time to read a request, and open connections.
+
+    Bodies are dropped as they come unless the handler needs them.
+    """
 
     header_bytes: int = 65536
     body_bytes: int = 8 * 1024 * 1024
     read_timeout_s: float = 30.0
     connections: int = 10000
+    keeps_bodies: bool = True
 
 
 class Request(NamedTuple):
@@ -165,13 +177,18 @@
 
 def listen(host: str, port: int) -> Any:
     """Return a listening socket; raises OSError if the address can't be bound."""
-    return curio.network.tcp_server_socket(host, port, backlog=ACCEPT_BACKLOG, reuse_address=True)
+    sock = curio.network.tcp_server_socket(host, port, backlog=ACCEPT_BACKLOG, reuse_address=True)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return sock
 
 
-async def accept_client(sock: Any, intake: Intake, limit: int) -> ClientSlot:
-    """Accept the next connection; waits while the maximum number of connections is open."""
+async def accept_client(sock: Any, intake: Intake, reserve: int = 0) -> ClientSlot:
+    """Accept the next connection; waits while too many are open.
+
+    `reserve` is how many are accepted beyond the limit of the process.
+    """
     while True:
-        if intake.connections < limit:
+        if intake.make_room(intake.limits.connections + reserve):
             try:
                 client, _ = await sock.accept()
                 return intake.open(client)
@@ -190,11 +207,11 @@
     intake: Intake | None = None,
 ) -> None:
     """Serve until cancelled; each connection is served by a daemon task, which is not cancelled."""
-    intake = intake or Intake()
+    intake = intake or Intake(intake_limits(connections=limits.connections))
     server = _Server(handler, limits, error_body, tls is not None, meter or Meter(), intake)
     async with sock:
         while True:
-            slot = await accept_client(sock, intake, limits.connections)
+            slot = await accept_client(sock, intake, INNER_CONNECTIONS)
             if tls is not None:
                 slot.sock = await tls.context().wrap_socket(
                     slot.sock, server_side=True, do_handshake_on_connect=False
@@ -240,14 +257,18 @@
     """Serve one request; true if the connection can be reused for another."""
     conn = reader.conn
     reply = Reply(reader.slot.sock, conn, server.meter)
-    limits = server.limits
-    req = await read_or_refuse(limits.read_timeout_s, _read_request(reader, limits))
-    if req is None:
-        return False
-    if isinstance(req, BadInput):
-        await _refuse(reader, reply, req, server)
-        return False
-    await _handle(server.handler, req, reply)
+    try:
+        limits = server.limits
+        req = await read_or_refuse(limits.read_timeout_s, _read_request(reader, limits))
+        if req is None or reader.slot.was_cut:
+            return False
+        if isinstance(req, BadInput):
+            await _refuse(reader, reply, req, server)
+            return False
+        await _handle(server.handler, req, reply)
+    finally:
+        reader.forget_request()
+        reader.slot.end(reply.status)
     return conn.our_state is h11.DONE and conn.their_state is h11.DONE
 
 
@@ -274,7 +295,12 @@
     if reader.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
     body = server.error_body(bad_input) if server.error_body else bad_input.reason.encode()
-    await reply.send(bad_input.status, body, headers=(("connection", "close"),))
+    headers = [("connection", "close")]
+    if bad_input.retry_after_s:
+        headers.append(("retry-after", str(math.ceil(bad_input.retry_after_s))))
+    await reply.send(bad_input.status, body, headers=tuple(headers))
+    reader.forget_request()
+    reader.slot.release()
     await reader.slot.sock.shutdown(socket.SHUT_WR)
     await reader.drain(server.limits.body_bytes, LINGER_TIMEOUT_S)
 
@@ -284,7 +310,7 @@
     head = await reader.read_head()
     if head is None:
         return None
-    body = await reader.read_body(limits.body_bytes)
+    body = await reader.read_body(limits.body_bytes, limits.keeps_bodies)
     return _parse_request(head, body) if isinstance(body, bytes) else body
 
 
--- a/tests/harness/strangers.py
+++ b/tests/harness/strangers.py
@@ -204,11 +204,24 @@
 
 
 PLAYS: Final[dict[str, Play]] = {
+    "whole_bodies": Play(100, whole_body),
+    "bodies_in_pieces": Play(60, body_in_pieces),
+    "bodies_in_chunks": Play(100, body_in_chunks),
+    "bodies_one_byte_short": Play(100, body_one_byte_short),
+    "chunks_without_end": Play(100, chunks_without_end),
     "one_byte_chunks": Play(30, one_byte_chunks),
     "uneven_chunks": Play(30, uneven_chunks),
     "extended_chunks": Play(30, extended_chunks),
     "long_extensions": Play(10, long_extensions),
     "blank_extensions": Play(10, blank_extensions),
+    "bodies_over_the_limit": Play(40, body_over_the_limit),
+    "chunks_over_the_limit": Play(40, chunks_over_the_limit),
+    "many_fields": Play(400, many_fields),
+    "half_bodies": Play(1500, half_body),
+    "heads_in_bytes": Play(300, head_in_bytes),
+    "heads_without_end": Play(40, head_without_end),
+    "trailers": Play(20, trailers),
+    "bytes_after_the_end": Play(40, after_the_end),
 }
 
 CALM_PLAYS: Final[dict[str, Play]] = {
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,136 @@
+"""What clients may make a process hold: who gets memory, who waits, and who is given up."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import curio
+import pytest
+
+from ramppost.wire import intake as module
+from ramppost.wire.intake import ClientSlot, Intake, IntakeLimits, intake_limits
+
+MIB: Final = 1 << 20
+LIMITS: Final = IntakeLimits(3, 40_000, 10 * MIB, MIB)
+SMALLEST_FRONTS: Final = [88, 128, 136, 150]
+
+
+class Socket:
+    """Notes that it was cut."""
+
+    def __init__(self) -> None:
+        self._socket = self
+        self.was_cut = False
+
+    def shutdown(self, how: int) -> None:
+        self.was_cut = True
+
+
+def opened(intake: Intake, count: int) -> list[ClientSlot]:
+    return [intake.open(Socket()) for _ in range(count)]
+
+
+@pytest.mark.parametrize("memory_mb", SMALLEST_FRONTS)
+def test_limits_took_more_than_the_smallest_fronts_have(memory_mb: int) -> None:
+    limits = intake_limits(memory_mb)
+    held = limits.small_bytes + limits.large_bytes + 2 * limits.answer_bytes
+    assert held + module.RESTING_MB * MIB <= memory_mb * MIB
+    assert limits.large_bytes > 2 * 4 * MIB
+
+
+def test_single_request_got_no_memory_as_it_was_larger_than_all_that_is_kept() -> None:
+    intake = Intake(LIMITS)
+
+    async def played() -> None:
+        first, second = opened(intake, 2)
+        assert await first.reserve(64 * MIB)
+        first.complete()
+        assert not await second.reserve(MIB)
+        first.end(200)
+        assert await second.reserve(MIB)
+        second.end(200)
+        assert intake.large_bytes == 0
+
+    curio.run(played)
+
+
+def test_large_requests_overtook_one_that_waited() -> None:
+    intake = Intake(LIMITS._replace(small_bytes=MIB))
+    got: list[int] = []
+
+    async def ask(slot: ClientSlot, number: int, count: int) -> None:
+        assert await slot.reserve(count)
+        got.append(number)
+        slot.complete()
+        await curio.sleep(0.05)
+        slot.end(200)
+
+    async def played() -> None:
+        counts = [6, 8, 2, 2]
+        async with curio.TaskGroup() as group:
+            for number, slot in enumerate(opened(intake, len(counts))):
+                await group.spawn(ask, slot, number, counts[number] * MIB)
+        assert got == [0, 1, 2, 3]
+
+    curio.run(played)
+
+
+def test_body_that_came_slowly_held_up_others() -> None:
+    intake = Intake(LIMITS)
+
+    async def played() -> None:
+        slow, quick, other = opened(intake, 3)
+        assert await slow.reserve(5 * MIB)
+        assert await quick.reserve(5 * MIB)
+        quick.received_bytes = 5 * MIB
+        assert await other.reserve(4 * MIB) is False or slow.was_cut
+        assert slow.was_cut and not quick.was_cut
+
+    curio.run(played)
+
+
+def test_halves_of_small_requests_filled_the_memory() -> None:
+    intake = Intake(LIMITS._replace(connections=1000))
+    slots = opened(intake, 100)
+    for slot in slots:
+        slot.hold(10_000)
+    assert intake.small_bytes <= LIMITS.small_bytes
+    assert slots[0].was_cut and not slots[-1].was_cut
+
+
+def test_what_was_held_was_not_given_back() -> None:
+    intake = Intake(LIMITS)
+
+    async def played() -> None:
+        for status in (0, 200, 413):
+            slot: Any = intake.open(Socket())
+            slot.begin()
+            slot.hold(9_000)
+            assert await slot.reserve(3 * MIB)
+            slot.shrink(2 * MIB)
+            slot.complete()
+            slot.end(status)
+            slot.close()
+        assert (intake.connections, intake.small_bytes, intake.large_bytes) == (0, 0, 0)
+
+    curio.run(played)
+
+
+def test_bodies_in_chunks_waited_for_one_another() -> None:
+    """All memory was held by first parts, and no body could get the rest."""
+    intake = Intake(LIMITS._replace(small_bytes=16 * MIB))
+    got: list[bool] = []
+
+    async def ask(slot: ClientSlot) -> None:
+        got.append(await slot.reserve(MIB // 4, True) and await slot.reserve(4 * MIB))
+        slot.complete()
+        await curio.sleep(0.01)
+        slot.end(200)
+
+    async def played() -> None:
+        async with curio.TaskGroup() as group:
+            for slot in opened(intake, 60):
+                await group.spawn(ask, slot)
+        assert got == [True] * 60
+
+    curio.run(played)
