Set up TLS in a connection's own task, as a client that has gone makes it fail

What callers saw: over TLS (own interface), one client that resets its connection before the front has accepted it, and the front accepts nobody any more until it is started again. `ramppost` went on running and called itself ready at its other port.

Cause: the accepting loop wrapped the socket; for a connection that is gone Python's wrapping raises (`Closed before TLS handshake with data in recv buffer`), and the loop ended with its task. Found by reading, then by the test.

Change: the task of the connection wraps it and makes the handshake; its errors end that connection alone.

Measured: three of three cases over TLS failed before (nothing sent, a byte, a request), none after; without TLS none failed.

--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -208,14 +208,10 @@
 ) -> None:
     """Serve until cancelled; each connection is served by a daemon task, which is not cancelled."""
     intake = intake or Intake(intake_limits(connections=limits.connections))
-    server = _Server(handler, limits, error_body, tls is not None, meter or Meter(), intake)
+    server = _Server(handler, limits, error_body, tls, meter or Meter(), intake)
     async with sock:
         while True:
             slot = await accept_client(sock, intake, INNER_CONNECTIONS)
-            if tls is not None:
-                slot.sock = await tls.context().wrap_socket(
-                    slot.sock, server_side=True, do_handshake_on_connect=False
-                )
             await curio.spawn(_serve_conn, slot, server, daemon=True)
 
 
@@ -225,7 +221,7 @@
     handler: Handler
     limits: Limits
     error_body: ErrorBody | None
-    needs_handshake: bool
+    tls: ReloadingTlsContext | None
     meter: Meter
     intake: Intake
 
@@ -235,10 +231,10 @@
     try:
         async with slot.sock:
             slot.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if server.needs_handshake:
-                handshake = slot.sock.do_handshake()
-                await curio.timeout_after(server.limits.read_timeout_s, handshake)
-            await _serve_all(slot, server)
+            if server.tls is None:
+                await _serve_all(slot, server)
+            else:
+                await _serve_tls(slot, server, server.tls)
     except (ClientDisconnected, OSError, curio.TaskTimeout, h11.LocalProtocolError) as exc:
         logger.debug("client's connection ended: {!r}", exc)
     finally:
@@ -246,6 +242,16 @@
         server.meter.open_connections -= 1
 
 
+async def _serve_tls(slot: ClientSlot, server: _Server, tls: ReloadingTlsContext) -> None:
+    """Serve over TLS; a client that has gone meanwhile makes even the wrapping fail."""
+    slot.sock = await tls.context().wrap_socket(
+        slot.sock, server_side=True, do_handshake_on_connect=False
+    )
+    async with slot.sock:
+        await curio.timeout_after(server.limits.read_timeout_s, slot.sock.do_handshake())
+        await _serve_all(slot, server)
+
+
 async def _serve_all(slot: ClientSlot, server: _Server) -> None:
     limits = server.limits
     conn = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
