Let a crowd of silent connections wait without a place, and give up the oldest

Reported: accepting failed for want of descriptors.

Cause: 3,000 connections were accepted, and then nobody was until some had timed out. A front with 3,075 descriptors has 2,875 for sockets, of which upstreams, the store and other gateways need some: no setting told their number. Each silent connection cost a task and a parser (120 to 210 us of processor).

Change: connections are limited by memory and descriptors of the box (`limits.open_files`, from the template; without it by what the system allows). The queue of the kernel holds 4,096.

--- a/ramppost/gateway/early.py
+++ b/ramppost/gateway/early.py
@@ -9,7 +9,7 @@
 import json
 import socket
 
-LISTEN_BACKLOG = 1024
+LISTEN_BACKLOG = 4096
 RECEIVE_BUFFER_BYTES = 32768
 """What the kernel takes for a connection that is not read; it adds as much for its own use."""
 COMMENT_PREFIX = "//"
--- a/ramppost/gateway/inbound.py
+++ b/ramppost/gateway/inbound.py
@@ -23,10 +23,11 @@
 from ramppost.gateway.links import configure_socket
 from ramppost.gateway.model import CallerLimits, CallerRequest
 from ramppost.platform.headers import Headers, caller_request
+from ramppost.wire.accepting import accept_all, is_head_whole
 from ramppost.wire.client import readable
 from ramppost.wire.intake import ClientSlot, Intake
 from ramppost.wire.reader import BadInput, RequestReader, read_or_refuse, serve_all, serve_in_turn
-from ramppost.wire.server import ClientDisconnected, accept_client
+from ramppost.wire.server import ClientDisconnected
 
 BODY_TIMEOUT_S: Final = 20.0
 """Timeout for a complete request body, after its head."""
@@ -127,12 +128,13 @@
 
 async def accept_callers(sock: Any, callers: CallerConnections, hooks: ServerHooks) -> None:
     """Accept connections until cancelled; each is served by its own daemon task."""
-    async with sock:
-        while True:
-            slot = await accept_client(sock, callers.intake)
-            configure_socket(slot.sock)
-            limit_unsent(slot.sock)
-            await curio.spawn(_serve_connection, slot, callers, hooks, daemon=True)
+
+    async def start(slot: ClientSlot) -> None:
+        configure_socket(slot.sock)
+        limit_unsent(slot.sock)
+        await _serve_connection(slot, callers, hooks)
+
+    await accept_all(sock, callers.intake, 0, is_head_whole, start)
 
 
 async def _serve_connection(
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -81,7 +81,7 @@
 def _intake_limits(cfg: GatewaySettings) -> IntakeLimits:
     """What clients may make the process hold."""
     limits = cfg.get("limits", {})
-    return intake_limits(limits.get("memory_mb"))
+    return intake_limits(limits.get("memory_mb"), limits.get("open_files"))
 
 
 def _caller_buffer_bytes(cfg: GatewaySettings) -> int:
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -389,6 +389,10 @@
     """
     Memory that the process may use, megabytes of 1,048,576 bytes; what callers may make it hold is derived from it.
     """
+    open_files: NotRequired[int]
+    """
+    File descriptors that the process may have, by default what the system allows it; how many connections of callers it accepts is derived from it and from `memory_mb`.
+    """
     caller_buffer_mb: NotRequired[int]
     """
     Most memory for responses that callers have not taken yet, megabytes of 1,048,576 bytes, of all callers together; when it is full, the least urgent responses are aborted. Without it 16, or 15 in 100 of what `memory_mb` leaves for callers if that is less.
--- a/ramppost/wire/intake.py
+++ b/ramppost/wire/intake.py
@@ -2,9 +2,10 @@
 
 One `Intake` is shared by all ports of a process.  Small requests are read at once.  A large one
 asks for memory before it is read further, waits in turn while others have it, and is refused when
-that takes too long; a single one that is within the limits always gets it.  When requests
-that have begun and don't get complete hold too much, the largest of the oldest connections is given
-up; never one that rests between requests.
+that takes too long; a single one that is within the limits always gets it.  When there are too many
+connections, the one that has not completed a request for longest is given up, and when requests
+that have begun and don't get complete hold too much, the largest of the oldest; never one that
+rests between requests.
 
     slot = intake.open(sock)
     slot.begin()                       # the first bytes of a request have come
@@ -18,6 +19,7 @@
 from __future__ import annotations
 
 import itertools
+import resource
 import socket
 from collections.abc import Iterator
 from typing import Any, Final, NamedTuple
@@ -33,12 +35,19 @@
 RESTING_MB: Final = 48
 """What a process needs besides: its program, configuration and upstreams."""
 MIN_CLIENTS_MB: Final = 16
+CONNECTION_BYTES: Final = 16384
+"""A connection with its task, its parser, and what the kernel keeps of it."""
+CONNECTIONS_SHARE: Final = 0.25
 SMALL_SHARE: Final = 0.15
 LARGE_SHARE: Final = 0.3
 ANSWERS_SHARE: Final = 0.15
 """Of what is left for clients: for answers that they have not taken, and again for those that are
 read whole before they are sent."""
-MAX_CONNECTIONS: Final = 3000
+FILES: Final = 200
+"""Descriptors that are kept for files."""
+CALLERS_FDS_SHARE: Final = 0.75
+"""The remainder is for upstreams, the store and other gateways."""
+MAX_CONNECTIONS: Final = 10000
 INNER_CONNECTIONS: Final = 64
 """Connections of other boxes that are accepted beyond those of callers."""
 
@@ -81,15 +90,21 @@
     answer_bytes: int
 
 
-def intake_limits(memory_mb: int | None = None, connections: int = MAX_CONNECTIONS) -> IntakeLimits:
-    """The limits of a process that may use so much memory; where it is not known, a usual box.
+def intake_limits(
+    memory_mb: int | None = None, open_files: int | None = None, connections: int = MAX_CONNECTIONS
+) -> IntakeLimits:
+    """The limits of a process that may use so much memory and so many descriptors; where they are
+    not known, a usual box, and what the system allows the process.
 
-    >>> intake_limits(128).large_bytes
-    25165824
+    >>> intake_limits(128, 4100).connections
+    1280
     """
     memory = max(MIN_CLIENTS_MB, (memory_mb or UNKNOWN_MEMORY_MB) - RESTING_MB) * MIB
+    files = open_files or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    by_files = int((files - FILES) * CALLERS_FDS_SHARE)
+    by_memory = int(memory * CONNECTIONS_SHARE / CONNECTION_BYTES)
     return IntakeLimits(
-        connections,
+        max(1, min(connections, by_files, by_memory)),
         int(memory * SMALL_SHARE),
         int(memory * LARGE_SHARE),
         int(memory * ANSWERS_SHARE),
@@ -128,8 +143,13 @@
         return slot
 
     def make_room(self, limit: int) -> bool:
-        """Whether one more connection may be accepted."""
-        return self.connections < limit
+        """Whether one more connection may be accepted; gives one up if there are too many."""
+        if self.connections < limit:
+            return True
+        oldest = next(iter(self._candidates()), None)
+        if oldest is not None:
+            self._give_up(oldest)
+        return oldest is not None
 
     @property
     def is_short(self) -> bool:
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -21,6 +21,7 @@
 import h11
 from loguru import logger
 
+from ramppost.wire.accepting import accept_all, is_anything, is_head_whole
 from ramppost.wire.intake import (
     INNER_CONNECTIONS,
     RECEIVE_BUFFER_BYTES,
@@ -31,9 +32,8 @@
 from ramppost.wire.reader import BadInput, RequestReader, read_or_refuse, serve_all, serve_in_turn
 
 IDLE_TIMEOUT_S: Final = 75.0
-ACCEPT_RETRY_S: Final = 0.05
 LINGER_TIMEOUT_S: Final = 2.0
-ACCEPT_BACKLOG: Final = 1024
+ACCEPT_BACKLOG: Final = 4096
 JSON_TYPE: Final = "application/json"
 
 
@@ -182,21 +182,6 @@
     return sock
 
 
-async def accept_client(sock: Any, intake: Intake, reserve: int = 0) -> ClientSlot:
-    """Accept the next connection; waits while too many are open.
-
-    `reserve` is how many are accepted beyond the limit of the process.
-    """
-    while True:
-        if intake.make_room(intake.limits.connections + reserve):
-            try:
-                client, _ = await sock.accept()
-                return intake.open(client)
-            except OSError as exc:
-                logger.warning("accept failed: {}", exc)
-        await curio.sleep(ACCEPT_RETRY_S)
-
-
 async def serve(
     sock: Any,
     handler: Handler,
@@ -209,10 +194,8 @@
     """Serve until cancelled; each connection is served by a daemon task, which is not cancelled."""
     intake = intake or Intake(intake_limits(connections=limits.connections))
     server = _Server(handler, limits, error_body, tls, meter or Meter(), intake)
-    async with sock:
-        while True:
-            slot = await accept_client(sock, intake, INNER_CONNECTIONS)
-            await curio.spawn(_serve_conn, slot, server, daemon=True)
+    begin = is_anything if tls is not None else is_head_whole
+    await accept_all(sock, intake, INNER_CONNECTIONS, begin, lambda slot: _serve_conn(slot, server))
 
 
 class _Server(NamedTuple):
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -12,7 +12,7 @@
 
 MIB: Final = 1 << 20
 LIMITS: Final = IntakeLimits(3, 40_000, 10 * MIB, MIB)
-SMALLEST_FRONTS: Final = [88, 128, 136, 150]
+SMALLEST_FRONTS: Final = [(88, 3075), (128, 4100), (136, 3075), (150, 4100)]
 
 
 class Socket:
@@ -30,11 +30,20 @@
     return [intake.open(Socket()) for _ in range(count)]
 
 
-@pytest.mark.parametrize("memory_mb", SMALLEST_FRONTS)
-def test_limits_took_more_than_the_smallest_fronts_have(memory_mb: int) -> None:
-    limits = intake_limits(memory_mb)
+def completed(slot: ClientSlot, status: int = 200) -> ClientSlot:
+    slot.begin()
+    slot.complete()
+    slot.end(status)
+    return slot
+
+
+@pytest.mark.parametrize(("memory_mb", "open_files"), SMALLEST_FRONTS)
+def test_limits_took_more_than_the_smallest_fronts_have(memory_mb: int, open_files: int) -> None:
+    limits = intake_limits(memory_mb, open_files)
     held = limits.small_bytes + limits.large_bytes + 2 * limits.answer_bytes
+    held += limits.connections * module.CONNECTION_BYTES
     assert held + module.RESTING_MB * MIB <= memory_mb * MIB
+    assert limits.connections < open_files - module.FILES
     assert limits.large_bytes > 2 * 4 * MIB
 
 
@@ -89,6 +98,25 @@
     curio.run(played)
 
 
+def test_crowd_kept_others_out() -> None:
+    """3,000 connections that sent nothing were kept until their time had passed."""
+    intake = Intake(LIMITS)
+    resting = completed(intake.open(Socket()))
+    oldest, newer = opened(intake, 2)
+    assert intake.make_room(3)
+    assert oldest.was_cut and not newer.was_cut and not resting.was_cut
+
+
+def test_connection_that_was_only_refused_was_kept_before_one_that_was_served() -> None:
+    intake = Intake(LIMITS)
+    served = completed(intake.open(Socket()))
+    refused = completed(intake.open(Socket()), 404)
+    other = completed(intake.open(Socket()), 503)
+    assert intake.make_room(3)
+    assert refused.was_cut and not served.was_cut and not other.was_cut
+    assert not intake.make_room(3)
+
+
 def test_halves_of_small_requests_filled_the_memory() -> None:
     intake = Intake(LIMITS._replace(connections=1000))
     slots = opened(intake, 100)
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -51,7 +51,7 @@
 
 @pytest.fixture(scope="module")
 def deployed(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
-    limits = {"memory_mb": MACHINE_MB}
+    limits = {"memory_mb": MACHINE_MB, "open_files": MAX_FDS}
     site = Deployment(tmp_path_factory.mktemp("strangers"), gateways=1, limits=limits)
     site.configure(config(2) | {"limits": LIMITS})
     time.sleep(1.5)
