Refuse by the head what is refused whatever its body is

What callers saw: a request without a key, or to a path without a route, that withholds its body, and one that declares 10 GB, was answered after 20 s, with 408.

Cause: route, key and length were looked at when the body had been read.

A declared length over the limit gets 413 at once. What is admitted is admitted again when it is whole, as before.

--- a/ramppost/gateway/inbound.py
+++ b/ramppost/gateway/inbound.py
@@ -2,7 +2,8 @@
 
 Each connection has a task.  The connection is also watched while a request is served: a disconnect
 cancels the request, so that its upstream stops, too.  The limits are those of the current
-configuration.
+configuration.  A request whose body has yet to arrive is judged by its head: what would be refused
+anyway is refused before its body is read.
 
 What a caller does not take at once is buffered (`ramppost.gateway.caller_buffer`): writing returns
 at once, and the connection takes the next request when everything was sent.
@@ -90,6 +91,8 @@
 
 Serve = Callable[[CallerRequest, Reply, float], Awaitable[None]]
 """Serves a request that was read completely at the given time on the steady clock."""
+Refuse = Callable[[CallerRequest, Reply, float], Awaitable[bool]]
+"""Refuses a request of which the head was read at the given time; false if it is admitted."""
 
 
 class ServerHooks(NamedTuple):
@@ -101,6 +104,7 @@
     limits: Callable[[], CallerLimits]
     is_closing: Callable[[], bool]
     serve: Serve
+    refuse: Refuse
     refusal_body: Callable[[BadInput], bytes]
 
 
@@ -167,7 +171,7 @@
     buffer = CallerBuffer(reader.slot.sock, callers.buffers)
     reply = Reply(buffer, reader.conn, hooks.is_closing)
     try:
-        request = await _read_request(reader, hooks)
+        request = await _read_request(reader, reply, hooks)
         if reader.slot.was_cut or request is None:
             return False
         if isinstance(request, BadInput):
@@ -200,16 +204,22 @@
 
 
 async def _read_request(
-    reader: RequestReader, hooks: ServerHooks
+    reader: RequestReader, reply: Reply, hooks: ServerHooks
 ) -> CallerRequest | BadInput | None:
-    """Read a complete request; None if the caller disconnects before its end."""
+    """Read a complete request; None if the caller disconnects, or is refused, before its end."""
     limits = hooks.limits()
     head = await read_or_refuse(limits.header_timeout_s, reader.read_head())
     if not isinstance(head, h11.Request):
         return head
+    request = _request(head, b"")
+    if reader.is_body_missing and await hooks.refuse(request, reply, clock.now()):
+        await _linger(reader, reply)
+        return None
     body = await read_or_refuse(BODY_TIMEOUT_S, reader.read_body(limits.body_bytes))
-    if not isinstance(body, bytes):
-        return body
+    return request._replace(body=body) if isinstance(body, bytes) else body
+
+
+def _request(head: h11.Request, body: bytes) -> CallerRequest:
     return caller_request(
         head.method.decode("ascii"), head.target.decode("latin-1"), tuple(head.headers), body
     )
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -23,7 +23,7 @@
 from ramppost.gateway.operators import internal_handler
 from ramppost.gateway.rewriting import keep_plans, keep_policies
 from ramppost.gateway.rollout_duty import drive_rollouts
-from ramppost.gateway.serve import serve
+from ramppost.gateway.serve import refuse_by_head, serve
 from ramppost.gateway.settings import BadSettings, read_settings
 from ramppost.gateway.state import Gateway
 from ramppost.schema.messages import PeerDatagram
@@ -100,6 +100,7 @@
         limits=lambda: gw.limits,
         is_closing=lambda: gw.draining,
         serve=lambda req, reply, read_at: serve(gw, req, reply, read_at),
+        refuse=lambda req, reply, read_at: refuse_by_head(gw, req, reply, read_at),
         refusal_body=_bad_request_body,
     )
     await _wait_for_initial_state(gw)
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -104,6 +104,15 @@
         await _send_refusal(gw, req, reply, failure, read_at, job.fingerprint)
 
 
+async def refuse_by_head(gw: Gateway, req: CallerRequest, reply: Reply, read_at: float) -> bool:
+    """Refuse a request of which only the head was read; false if it is admitted so far."""
+    admitted = admit(gw, req)
+    if not isinstance(admitted, Refusal):
+        return False
+    await _send_refusal(gw, req, reply, admitted, read_at, closes=True)
+    return True
+
+
 def _buffer_rank(job: Job) -> Rank:
     """How urgent a response is when buffers for slow callers must be freed."""
     return job.workspace_rank, job.route.priority
@@ -419,9 +428,15 @@
     refused: Refusal,
     read_at: float,
     fingerprint: str = "",
+    closes: bool = False,
 ) -> None:
-    """Send a refusal as the response; `fingerprint` is empty if the request was not admitted."""
+    """Send a refusal as the response; `fingerprint` is empty if the request was not admitted.
+
+    `closes` tells the caller that the connection is closed after it.
+    """
     headers: Headers = (JSON_TYPE, *refusal_headers(req.attempt_id))
+    if closes and not gw.draining:
+        headers = (*headers, (b"connection", b"close"))
     if refused.retry_after_s and refused.ran == "no":
         headers = (*headers, (b"retry-after", _retry_after_value(refused.retry_after_s)))
     held_s = clock.now() - read_at
--- a/ramppost/wire/reader.py
+++ b/ramppost/wire/reader.py
@@ -159,6 +159,13 @@
         event = await self._next_event()
         return event if isinstance(event, h11.Request) else None
 
+    @property
+    def is_body_missing(self) -> bool:
+        """Whether some of the body has yet to arrive."""
+        if self._part == "length":
+            return self._length_left > len(self._raw)
+        return self._part == "chunks" and not self._raw.endswith(b"0\r\n\r\n")
+
     async def read_body(self, max_bytes: int, keeps: bool = True) -> bytes | BadInput | None:
         """Read the body of a request; it is dropped as it comes, and empty, unless `keeps`.
 
@@ -166,6 +173,8 @@
         IllegalChunk and what the parser does.
         """
         too_large = BadInput(413, f"body larger than {max_bytes} bytes")
+        if self._length_left > max_bytes:
+            return too_large
         body = bytearray()
         size = 0
         while True:
--- a/tests/harness/strangers.py
+++ b/tests/harness/strangers.py
@@ -216,6 +216,7 @@
     "blank_extensions": Play(10, blank_extensions),
     "bodies_over_the_limit": Play(40, body_over_the_limit),
     "chunks_over_the_limit": Play(40, chunks_over_the_limit),
+    "lengths_of_10_gb": Play(40, length_of_10_gb),
     "many_fields": Play(400, many_fields),
     "sent_ahead": Play(4, sent_ahead, reads=False),
     "many_sent_ahead": Play(400, sent_ahead, reads=False),
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -29,7 +29,10 @@
         served.append(req.target)
         await reply.send(200, (), b"whole")
 
-    hooks = ServerHooks(lambda: LIMITS, lambda: True, serve, lambda refusal: b"")
+    async def refuse(req: CallerRequest, reply: Reply, read_at: float) -> bool:
+        return False
+
+    hooks = ServerHooks(lambda: LIMITS, lambda: True, serve, refuse, lambda refusal: b"")
     callers = CallerConnections(CallerBuffers(Metrics()), Intake())
     ends = []
     for _ in range(CONNECTIONS):
