Give clients a time to take their answers

What callers saw: nothing yet. A client that never takes its answer kept its connection, its task and what it held for ever: at a gateway where the answer is a refusal, at other ports any answer. With the limits on connections such clients would in the end keep all others out.

Cause: only answers of upstreams were awaited with a limit of time (the deadline).

Change: a gateway awaits that a refusal is taken for the idle time of callers, and the other ports 30 s for each 64 KiB.

--- a/ramppost/gateway/caller_buffer.py
+++ b/ramppost/gateway/caller_buffer.py
@@ -134,6 +134,11 @@
         self.waited_s = 0.0
         """For how long it had to, in seconds."""
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the socket has accepted everything."""
+        return not self.size and not self._ended
+
     @property
     def is_full(self) -> bool:
         """Whether the upstream must not be read until the caller has taken some."""
@@ -173,7 +178,7 @@
 
         Raises ClientDisconnected if the caller leaves before.
         """
-        if self.size or self._ended:
+        if not self.is_sent:
             await self._wait_for_size(0)
 
     async def close(self) -> None:
--- a/ramppost/gateway/inbound.py
+++ b/ramppost/gateway/inbound.py
@@ -267,8 +267,10 @@
     """Serve a request; false if the connection must be closed."""
     try:
         await hooks.serve(req, reply, read_at)
-        await reply.buffer.wait_until_sent()
-    except ClientDisconnected:
+        if not reply.buffer.is_sent:
+            sent = reply.buffer.wait_until_sent()
+            await curio.timeout_after(hooks.limits().idle_timeout_s, sent)
+    except (ClientDisconnected, curio.TaskTimeout):
         return False
     except Exception as exc:
         logger.opt(exception=exc).error("serving failed", request=req.attempt_id)
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -33,6 +33,9 @@
 
 IDLE_TIMEOUT_S: Final = 75.0
 LINGER_TIMEOUT_S: Final = 2.0
+WRITE_TIMEOUT_S: Final = 30.0
+"""How long a client may take for the next part of a response."""
+WRITE_SIZE: Final = 65536
 ACCEPT_BACKLOG: Final = 4096
 JSON_TYPE: Final = "application/json"
 
@@ -140,9 +143,14 @@
 
     async def _write(self, data: bytes) -> None:
         self._meter.bytes_out += len(data)
+        with memoryview(data) as view:
+            for begin in range(0, len(data), WRITE_SIZE):
+                await self._write_part(view[begin : begin + WRITE_SIZE])
+
+    async def _write_part(self, part: memoryview) -> None:
         try:
-            await self._sock.sendall(data)
-        except OSError as exc:
+            await curio.timeout_after(WRITE_TIMEOUT_S, self._sock.sendall(part))
+        except (OSError, curio.TaskTimeout) as exc:
             raise ClientDisconnected from exc
 
 
