Tell the front and the agents of the own interface the memory and descriptors of their boxes

What callers saw: the same as at gateways: `make dev`'s front had the same reader with its own limits (reported: 900,000 bytes in chunks of a byte held another caller up for 10 s).

Change: `limits.memory_mb` and `limits.open_files` for the entry, whose two ports share an account, and for the agent.

Measured: eight plays at an entry and an agent on 232 MB (tests/test_strangers.py); they were not played on the code before, which does not know these settings.

--- a/ramppost/agent/main.py
+++ b/ramppost/agent/main.py
@@ -16,6 +16,7 @@
 from ramppost.agent.state import Agent
 from ramppost.confsync import poll_peers, watch_platform
 from ramppost.schema.settings import AgentSettings
+from ramppost.wire.intake import Intake, intake_limits
 from ramppost.wire.server import Limits, listen, serve
 from ramppost.wire.signals import Signals
 
@@ -44,7 +45,15 @@
         await curio.spawn(send_due_orders, agent, daemon=True),
         await curio.spawn(agent.filer.run, daemon=True),
         await curio.spawn(
-            serve, sock, agent_handler(agent), Limits(), None, None, agent.meter, daemon=True
+            serve,
+            sock,
+            agent_handler(agent),
+            Limits(),
+            None,
+            None,
+            agent.meter,
+            _intake(cfg),
+            daemon=True,
         ),
     ]
     try:
@@ -58,6 +67,12 @@
             await task.cancel(blocking=False)
 
 
+def _intake(cfg: AgentSettings) -> Intake:
+    """What clients may make the process hold."""
+    limits = cfg.get("limits", {})
+    return Intake(intake_limits(limits.get("memory_mb"), limits.get("open_files")))
+
+
 async def _shut_down(agent: Agent) -> None:
     """Shut down gracefully: accept no new attempts, finish the running ones and file all bills."""
     logger.info("shutting down: {} attempts in progress", agent.attempts.active_count)
--- a/ramppost/entry/main.py
+++ b/ramppost/entry/main.py
@@ -22,6 +22,7 @@
 from ramppost.schema.settings import EntrySettings, InputLimits
 from ramppost.usage import USAGE_PATH, usage
 from ramppost.wire.codec import decode, encode
+from ramppost.wire.intake import Intake, intake_limits
 from ramppost.wire.messages import handle_message
 from ramppost.wire.server import Handler, Limits, ReloadingTlsContext, Reply, Request, listen, serve
 from ramppost.wire.signals import Signals
@@ -106,6 +107,12 @@
     return Limits(cfg["header_bytes"], cfg["body_bytes"], cfg["read_timeout_s"], cfg["connections"])
 
 
+def _intake(cfg: InputLimits) -> Intake:
+    """What clients may make the process hold, on both of its ports."""
+    connections = cfg["connections"]
+    return Intake(intake_limits(cfg.get("memory_mb"), cfg.get("open_files"), connections))
+
+
 async def run(cfg: EntrySettings, signals: Signals | None = None) -> None:
     """Run until a signal requests a planned stop, or until cancelled."""
     entry = Entry(cfg)
@@ -116,6 +123,7 @@
         tls.context()
     logger.info("entry {} of {} on {}:{}", entry.name, cfg["name"], public["host"], public["port"])
     limits = _limits(cfg["limits"])
+    intake = _intake(cfg["limits"])
     internal_sock = listen(internal["host"], internal["port"])
     public_sock = listen(public["host"], public["port"])
     tasks = [
@@ -136,6 +144,7 @@
             None,
             None,
             entry.internal_meter,
+            intake,
             daemon=True,
         ),
         await curio.spawn(
@@ -146,6 +155,7 @@
             encode_bad_input,
             tls,
             entry.caller_meter,
+            intake,
             daemon=True,
         ),
     ]
--- a/ramppost/schema/settings.py
+++ b/ramppost/schema/settings.py
@@ -74,6 +74,14 @@
     """
     Connections open at once.
     """
+    memory_mb: NotRequired[int]
+    """
+    Memory that the process may use, megabytes of 1,048,576 bytes; what callers may make it hold is derived from it.
+    """
+    open_files: NotRequired[int]
+    """
+    File descriptors that the process may have, by default what the system allows it; no more connections are accepted than these bear.
+    """
 
 
 class EntrySettings(TypedDict, closed=True):
@@ -186,85 +194,6 @@
     """
 
 
-class AgentSettings(TypedDict, closed=True):
-    """
-    Settings of `ramppost agent`.
-    """
-
-    program: Literal["agent"]
-    """
-    Which program reads this file.
-    """
-    name: str
-    """
-    Name of this box, unique.
-    """
-    hall: str
-    """
-    Data hall this box stands in.
-    """
-    pool: str
-    """
-    Pool its upstream belongs to.
-    """
-    listen: Listen
-    """
-    Where entries connect.
-    """
-    advertise: NotRequired[str]
-    """
-    Address at which other processes reach it, `ip:port`, where it differs from the one listened on.
-    """
-    platform: str
-    """
-    Address of the platform's object API, `ip:port`.
-    """
-    peers: list[str]
-    """
-    Internal addresses of some entries, `ip:port`; asked for the configuration when the platform is down.
-    """
-    upstream: Upstream
-    """
-    The upstream beside this process.
-    """
-    queue: NotRequired[int]
-    """
-    Requests that may wait for a slot.
-    """
-    order_spread_s: NotRequired[float]
-    """
-    Orders to load weights wait a random part of this, seconds, so that a fleet does not ask the weight store at once.
-    """
-    keep_s: NotRequired[float]
-    """
-    How long a finished answer and a tombstone are kept, seconds.
-    """
-    keep_mb: NotRequired[int]
-    """
-    Most memory for kept answers, megabytes; oldest finished ones go first.
-    """
-    orphan_s: NotRequired[float]
-    """
-    How long a run without a key goes on when nobody reads it, seconds.
-    """
-    witness_s: NotRequired[float]
-    """
-    How long a bill waits for the entry to settle it before the agent files it, seconds.
-    """
-    linger_s: NotRequired[float]
-    """
-    Least time a planned stop goes on answering that it is leaving, so that all have heard of it, seconds.
-    """
-    drain_s: NotRequired[float]
-    """
-    Longest time a planned stop waits for running answers, seconds.
-    """
-    log: Log
-    """
-    Logging.
-    """
-
-
 class StoreAddress(TypedDict, closed=True):
     """
     The platform's object store and the rates that all boxes share.
@@ -380,6 +309,21 @@
     """
 
 
+class BoxLimits(TypedDict, closed=True):
+    """
+    Limits on what a process uses of its box.
+    """
+
+    memory_mb: NotRequired[int]
+    """
+    Memory that the process may use, megabytes of 1,048,576 bytes; what callers may make it hold is derived from it.
+    """
+    open_files: NotRequired[int]
+    """
+    File descriptors that the process may have, by default what the system allows it; no more connections are accepted than these bear.
+    """
+
+
 class GatewayLimits(TypedDict, closed=True):
     """
     Limits on what a gateway uses of its box.
@@ -692,6 +636,89 @@
     """
 
 
+class AgentSettings(TypedDict, closed=True):
+    """
+    Settings of `ramppost agent`.
+    """
+
+    program: Literal["agent"]
+    """
+    Which program reads this file.
+    """
+    name: str
+    """
+    Name of this box, unique.
+    """
+    hall: str
+    """
+    Data hall this box stands in.
+    """
+    pool: str
+    """
+    Pool its upstream belongs to.
+    """
+    listen: Listen
+    """
+    Where entries connect.
+    """
+    advertise: NotRequired[str]
+    """
+    Address at which other processes reach it, `ip:port`, where it differs from the one listened on.
+    """
+    platform: str
+    """
+    Address of the platform's object API, `ip:port`.
+    """
+    peers: list[str]
+    """
+    Internal addresses of some entries, `ip:port`; asked for the configuration when the platform is down.
+    """
+    upstream: Upstream
+    """
+    The upstream beside this process.
+    """
+    queue: NotRequired[int]
+    """
+    Requests that may wait for a slot.
+    """
+    order_spread_s: NotRequired[float]
+    """
+    Orders to load weights wait a random part of this, seconds, so that a fleet does not ask the weight store at once.
+    """
+    keep_s: NotRequired[float]
+    """
+    How long a finished answer and a tombstone are kept, seconds.
+    """
+    keep_mb: NotRequired[int]
+    """
+    Most memory for kept answers, megabytes; oldest finished ones go first.
+    """
+    orphan_s: NotRequired[float]
+    """
+    How long a run without a key goes on when nobody reads it, seconds.
+    """
+    witness_s: NotRequired[float]
+    """
+    How long a bill waits for the entry to settle it before the agent files it, seconds.
+    """
+    linger_s: NotRequired[float]
+    """
+    Least time a planned stop goes on answering that it is leaving, so that all have heard of it, seconds.
+    """
+    drain_s: NotRequired[float]
+    """
+    Longest time a planned stop waits for running answers, seconds.
+    """
+    limits: NotRequired[BoxLimits]
+    """
+    Limits on what it uses of its box.
+    """
+    log: Log
+    """
+    Logging.
+    """
+
+
 class PlatformStandinSettings(TypedDict, closed=True):
     """
     Settings of `ramppost standin platform`: object API, box list and rating service.
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -1,6 +1,7 @@
 """Clients that don't behave, against real processes, beside ordinary requests.
 
-The machine of the gateway is the smallest of the front boxes that deployments have.
+The machine of the gateway is the smallest of the front boxes that deployments have, and that of the
+own interface's front and agents the smallest box beside an upstream.
 """
 
 from __future__ import annotations
@@ -9,17 +10,20 @@
 import resource
 import time
 from collections.abc import Iterator
-from typing import Final
+from typing import Any, Final
 
 import pytest
 
-from tests.harness.beside import Outcome, gateway, gateway_doors, play_beside
+from tests.conftest import SMALL_FLEET
+from tests.harness.beside import Door, Outcome, Watched, gateway, gateway_doors, play_beside
+from tests.harness.cluster import Cluster
 from tests.harness.gateways import Deployment, config
 from tests.harness.strangers import BODY, CALM_PLAYS, PLAYS
 
 MACHINE_MB: Final = 88
 MAX_FDS: Final = 3075
 FDS_FOR_FILES: Final = 200
+SIDE_MB: Final = 232
 SERVED_SHARE: Final = 0.95
 PLAY_S: Final = 4.0
 CALM_PLAY_S: Final = 12.0
@@ -73,6 +77,17 @@
     return deployed
 
 
+@pytest.fixture(scope="module")
+def own_fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    memory = {"memory_mb": SIDE_MB, "open_files": MAX_FDS}
+    entry = {"limits": {"header_bytes": 16384, "body_bytes": BODY, "read_timeout_s": 10} | memory}
+    entry["limits"]["connections"] = 2000
+    changes: dict[str, Any] = {"entry": entry, "agent": {"limits": memory}}
+    fleet = Cluster(tmp_path_factory.mktemp("own"), SMALL_FLEET, **changes).start()
+    yield fleet
+    fleet.stop()
+
+
 def judge(seen: Outcome, machine_mb: int = MACHINE_MB) -> None:
     """What must hold whatever strangers do."""
     print(seen.line())
@@ -98,3 +113,22 @@
     seen = play_beside(gateway(site), [(play, where)], MACHINE_MB, CALM_PLAY_S, SEED)
     judge(seen)
     assert seen.strangers.get("200") == 1, seen.line()
+
+
+@pytest.mark.parametrize("play", ["whole_bodies", "one_byte_chunks", "sent_ahead", "one_byte"])
+@pytest.mark.parametrize("process", ["entry-1", "agent-1"])
+def test_strangers_at_the_own_interface(own_fleet: Cluster, process: str, play: str) -> None:
+    """The front and the agents of the own interface had the same reader without bounds."""
+    watched, door = own_process(own_fleet, process)
+    limit_descriptors(watched.proc.pid)
+    judge(play_beside(watched, [(play, door)], SIDE_MB, PLAY_S, SEED), SIDE_MB)
+
+
+def own_process(fleet: Cluster, name: str) -> tuple[Watched, Door]:
+    """An entry at its callers' port, or an agent, and the door that strangers come to."""
+    url = fleet.url(name) if name in fleet.entry_names else fleet.internal(name)
+    host, _, port = url.removeprefix("http://").rpartition(":")
+    addr = (host, int(port))
+    path = "/readyz" if name in fleet.entry_names else "/metrics"
+    asked = Door(addr, path)
+    return Watched(fleet.procs[name], {int(port)}, asked, asked), Door(addr, "/nowhere")
