Keep what the store is known to lack when another gateway tells of the same object

Cause: a gateway that knows the end remembers what the store holds without it. Another gateway's full answer holds the same object of the earlier era, as that one keeps it, too; the answer was taken for what the store holds now, and what was remembered was dropped.

--- a/ramppost/gateway/replica.py
+++ b/ramppost/gateway/replica.py
@@ -228,9 +228,13 @@
         return self._sizes[name]
 
     def _merge(self, snapshot: Snapshot) -> dict[str, StoredObject]:
-        """The objects of a snapshot, and those that outlive it."""
+        """The objects of a snapshot, and those that outlive it.
+
+        Another gateway's snapshot may hold objects of an earlier era, which it keeps, too: they
+        tell nothing of what the store holds, so what is known of that here stays.
+        """
         known = self._objects
-        self.retained = {}
+        retained, self.retained = self.retained, {}
         merged = {
             obj.name: self._choose(known.get(obj.name), obj, snapshot.era)
             for obj in snapshot.objects
@@ -241,6 +245,9 @@
             if name not in listed and self._outlives(obj, snapshot):
                 merged[name] = obj
                 self.retained[name] = None
+        for obj in snapshot.objects:
+            if obj.name in retained and self._outlives(obj, snapshot):
+                self.retained.setdefault(obj.name, retained[obj.name])
         return merged
 
     def _choose(self, known: StoredObject | None, found: StoredObject, era: int) -> StoredObject:
