Give up clients that send ahead when others can't come in

Cause: 600 connections had been served once, so none of them could be given up, though their requests only waited behind one another. The few places left were fought for by newcomers, each of which was the oldest incomplete one as the next was let in.

Change: a connection whose request waits for its turn, as more was sent behind it, may be given up (its request has not run: nothing was sent on); and a newcomer that has had less than 0.25 s is not, while there is such a one. At most 256 that were given up may still be open.

--- a/ramppost/wire/intake.py
+++ b/ramppost/wire/intake.py
@@ -21,7 +21,7 @@
 import itertools
 import resource
 import socket
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, Final, NamedTuple
 
 import curio
@@ -60,6 +60,10 @@
 """A request of this size is read without asking for memory..."""
 TINY_BYTES: Final = 4096
 """... or of this size, while small requests hold all that they may."""
+BEGIN_S: Final = 0.25
+"""How long a client is given before it is given up for one that has sent ahead."""
+MAX_LEAVING: Final = 256
+"""Connections that were given up and may still be open, as others take their places."""
 CANDIDATES: Final = 64
 """Connections among which the largest is given up."""
 GROWING_SHARE: Final = 0.5
@@ -131,6 +135,10 @@
         """Connections that have yet to complete their first request, the oldest first."""
         self._reading: dict[ClientSlot, None] = {}
         """Those that have completed one and begun another."""
+        self._queued: dict[ClientSlot, None] = {}
+        """Those with a request that waits for its turn, as they have sent more behind it."""
+        self._leaving = 0
+        """Connections that were given up and are not closed yet."""
         self._reserved: dict[ClientSlot, None] = {}
         self._waiting: dict[ClientSlot, None] = {}
         """Those that wait for memory, in turn."""
@@ -146,10 +154,19 @@
         """Whether one more connection may be accepted; gives one up if there are too many."""
         if self.connections < limit:
             return True
+        given_up = self._least_deserving()
+        if given_up is None or self._leaving >= MAX_LEAVING:
+            return False
+        self._give_up(given_up)
+        return True
+
+    def _least_deserving(self) -> ClientSlot | None:
+        """The connection that has not completed a request for longest, or one that has sent ahead
+        if none has had a moment for that."""
         oldest = next(iter(self._candidates()), None)
-        if oldest is not None:
-            self._give_up(oldest)
-        return oldest is not None
+        queued = next(iter(self._queued), None)
+        is_slow = oldest is not None and clock.now() - oldest.since > BEGIN_S
+        return oldest if is_slow or queued is None else queued
 
     @property
     def is_short(self) -> bool:
@@ -157,7 +174,7 @@
         return self.small_bytes > self.limits.small_bytes
 
     def _candidates(self) -> Iterator[ClientSlot]:
-        """Connections that may be given up, those first that have not completed a request for
+        """Connections with an incomplete request, those first that have not completed one for
         longest."""
         return itertools.chain(self._incomplete, self._reading)
 
@@ -170,8 +187,9 @@
 
     def _give_up(self, slot: ClientSlot) -> None:
         self.given_up += 1
-        self._incomplete.pop(slot, None)
-        self._reading.pop(slot, None)
+        self._leaving += 1
+        for group in (self._incomplete, self._reading, self._queued):
+            group.pop(slot, None)
         slot.cut()
 
     def _fits(self, count: int, may_grow: bool) -> bool:
@@ -206,12 +224,15 @@
         self._proven = False
         self.received_bytes = 0
         """What has come of a large request since memory was reserved for it."""
+        self.since = clock.now()
+        """Since when the client has had a request to complete (steady clock)."""
         self.was_cut = False
         """Whether the connection was given up."""
 
     def begin(self) -> None:
         """A request has begun to arrive."""
         if self._proven:
+            self.since = clock.now()
             self.intake._reading[self] = None
 
     def complete(self) -> None:
@@ -220,11 +241,26 @@
         self.intake._reading.pop(self, None)
         self.intake._reserved.pop(self, None)
 
+    async def serve_queued(self, serve: Callable[[], Awaitable[None]]) -> None:
+        """Serve a request of a client that has sent more behind it, in its turn; not if the
+        connection was given up meanwhile."""
+        self.intake._queued[self] = None
+        try:
+            async with self.intake.ahead:
+                # All others have a turn between two of these, also where serving never waits.
+                await curio.sleep(0)
+                self.intake._queued.pop(self, None)
+                if not self.was_cut:
+                    await serve()
+        finally:
+            self.intake._queued.pop(self, None)
+
     def end(self, status: int) -> None:
         """The request was answered with a status, 0 for none."""
         self.release()
         self._proven = self._proven or status not in CLIENT_FAULTS
         if not self._proven:
+            self.since = clock.now()
             self.intake._incomplete[self] = None
 
     def hold(self, count: int) -> None:
@@ -313,3 +349,4 @@
         self.complete()
         self.release()
         self.intake.connections -= 1
+        self.intake._leaving -= self.was_cut
--- a/ramppost/wire/reader.py
+++ b/ramppost/wire/reader.py
@@ -92,12 +92,9 @@
     Clients that send more before they are answered are served a few at a time, as others wait for
     their answers.
     """
-    if not reader.has_more:
-        await serve()
-        return
-    async with reader.slot.intake.ahead:
-        # All others have a turn between two of these, also where serving never waits.
-        await curio.sleep(0)
+    if reader.has_more:
+        await reader.slot.serve_queued(serve)
+    else:
         await serve()
 
 
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -162,3 +162,46 @@
         assert got == [True] * 60
 
     curio.run(played)
+
+
+def test_clients_that_sent_ahead_kept_others_out() -> None:
+    """Connections that were served once, and sent requests ahead, could not be given up."""
+    intake = Intake(LIMITS)
+    served: list[int] = []
+
+    async def serve(number: int) -> None:
+        served.append(number)
+
+    async def played() -> None:
+        slots = [completed(slot) for slot in opened(intake, 3)]
+        for _ in range(module.AHEAD_AT_ONCE):
+            await intake.ahead.acquire()
+        async with curio.TaskGroup() as group:
+            for number, slot in enumerate(slots):
+                await group.spawn(slot.serve_queued, lambda number=number: serve(number))
+            await curio.sleep(0)
+            assert intake.make_room(3)
+            await intake.ahead.release()
+        assert served == [1, 2]
+
+    curio.run(played)
+
+
+def test_newcomers_were_given_up_for_clients_that_sent_ahead() -> None:
+    intake = Intake(LIMITS)
+
+    async def serve() -> None:
+        return
+
+    async def played() -> None:
+        ahead = completed(intake.open(Socket()))
+        newcomer = intake.open(Socket())
+        for _ in range(module.AHEAD_AT_ONCE):
+            await intake.ahead.acquire()
+        queued = await curio.spawn(ahead.serve_queued, serve)
+        await curio.sleep(0)
+        assert intake.make_room(2)
+        assert ahead.was_cut and not newcomer.was_cut
+        await queued.cancel()
+
+    curio.run(played)
