Count a connection that is given up once

What callers saw: nothing yet; found by reading the change once more. A connection that had been given up could be given up again before its task had closed it, and was counted twice among those that may still be open; after some 256 of them nobody would have been let in any more while the house is full.

Change: a connection that was given up is in no group from which one is chosen, also after its request has ended.

Evidence: tests/test_intake.py::test_connection_that_was_given_up_twice_was_counted_for_ever failed before.

--- a/ramppost/wire/intake.py
+++ b/ramppost/wire/intake.py
@@ -188,7 +188,7 @@
     def _give_up(self, slot: ClientSlot) -> None:
         self.given_up += 1
         self._leaving += 1
-        for group in (self._incomplete, self._reading, self._queued):
+        for group in (self._incomplete, self._reading, self._queued, self._reserved):
             group.pop(slot, None)
         slot.cut()
 
@@ -207,7 +207,6 @@
         now = clock.now()
         for slot in list(self._reserved):
             if slot.is_too_slow(now):
-                self._reserved.pop(slot)
                 self._give_up(slot)
 
 
@@ -259,7 +258,7 @@
         """The request was answered with a status, 0 for none."""
         self.release()
         self._proven = self._proven or status not in CLIENT_FAULTS
-        if not self._proven:
+        if not self._proven and not self.was_cut:
             self.since = clock.now()
             self.intake._incomplete[self] = None
 
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -205,3 +205,21 @@
         await queued.cancel()
 
     curio.run(played)
+
+
+def test_connection_that_was_given_up_twice_was_counted_for_ever() -> None:
+    """With some hundred of them nobody would have been let in any more."""
+    intake = Intake(LIMITS)
+
+    async def played() -> None:
+        for slot in opened(intake, LIMITS.connections - 1):
+            completed(slot)
+        for _ in range(2 * module.MAX_LEAVING):
+            slow = intake.open(Socket())
+            assert await slow.reserve(5 * MIB)
+            assert intake.make_room(LIMITS.connections)
+            slow.end(0)
+            assert not intake.make_room(LIMITS.connections)
+            slow.close()
+
+    curio.run(played)
