Accept nobody while many that were given up are not closed yet

Cause: places were given up faster than their tasks could close them. From 256 on nobody was let in, and whoever waited was pushed out by the next of the crowd, ordinary callers with whole heads, too (a log of each close showed 19 of them among 1,806).

Change: from 32 connections on that were given up and are still open, none is accepted; they wait in the kernel's queue.

--- a/ramppost/wire/accepting.py
+++ b/ramppost/wire/accepting.py
@@ -27,6 +27,8 @@
 MAX_WAIT_S: Final = 3.0
 """How long a connection may wait to be let in."""
 LOOK_S: Final = 0.01
+CLEARING_S: Final = 0.001
+"""Between two looks whether connections that were given up are closed."""
 PEEK_SIZE: Final = 4096
 
 Begun = Callable[[bytes], bool]
@@ -67,6 +69,8 @@
     try:
         async with sock:
             while True:
+                while intake.is_clearing:
+                    await curio.sleep(CLEARING_S)
                 await door.admit(await _accept(sock), clock.now())
                 accepted += 1
                 if accepted % ACCEPTS_A_TURN == 0:
@@ -104,19 +108,31 @@
 
     async def admit(self, client: Any, since: float) -> None:
         """Let a connection in, or let it wait, or close it."""
-        limit = self._intake.limits.connections + self._reserve
-        data = b"" if self._intake.connections < limit else _peek(client)
-        if data is None or clock.now() - since > MAX_WAIT_S:
+        if await self._enter(client):
+            return
+        if clock.now() - since > MAX_WAIT_S:
             await self._close(client)
-        elif self._intake.connections < limit or (
-            self._begun(data) and self._intake.make_room(limit)
-        ):
-            await curio.spawn(self._start, self._intake.open(client), daemon=True)
-        else:
-            self._waiting.append(_Waiting(client, since))
-            await self._added.set()
+            return
+        self._waiting.append(_Waiting(client, since))
+        await self._added.set()
         if len(self._waiting) > MAX_WAITING:
-            await self._close(self._waiting.popleft().sock)
+            oldest = self._waiting.popleft().sock
+            if not await self._enter(oldest):
+                await self._close(oldest)
+
+    async def _enter(self, client: Any) -> bool:
+        """Let a connection in if there is a place for it, now that it may have begun; true also if
+        its client has left."""
+        limit = self._intake.limits.connections + self._reserve
+        if self._intake.connections >= limit:
+            data = _peek(client)
+            if data is None:
+                await self._close(client)
+                return True
+            if not (self._begun(data) and self._intake.make_room(limit)):
+                return False
+        await curio.spawn(self._start, self._intake.open(client), daemon=True)
+        return True
 
     async def let_in(self) -> None:
         """Look at those that wait, over and over while there are any."""
--- a/ramppost/wire/intake.py
+++ b/ramppost/wire/intake.py
@@ -64,6 +64,8 @@
 """How long a client is given before it is given up for one that has sent ahead."""
 MAX_LEAVING: Final = 256
 """Connections that were given up and may still be open, as others take their places."""
+CLEARING: Final = 32
+"""Connections that were given up and still open, from which on none are accepted."""
 CANDIDATES: Final = 64
 """Connections among which the largest is given up."""
 GROWING_SHARE: Final = 0.5
@@ -160,6 +162,11 @@
         self._give_up(given_up)
         return True
 
+    @property
+    def is_clearing(self) -> bool:
+        """Whether so many that were given up are still open that no more are to be accepted."""
+        return self._leaving >= CLEARING
+
     def _least_deserving(self) -> ClientSlot | None:
         """The connection that has not completed a request for longest, or one that has sent ahead
         if none has had a moment for that."""
