--- a/ramppost/wire/intake.py
+++ b/ramppost/wire/intake.py
@@ -141,6 +141,8 @@
         """Those with a request that waits for its turn, as they have sent more behind it."""
         self._leaving = 0
         """Connections that were given up and are not closed yet."""
+        self._clearing = 0
+        """Those of them that close in a moment, as they don't wait for a turn."""
         self._reserved: dict[ClientSlot, None] = {}
         self._waiting: dict[ClientSlot, None] = {}
         """Those that wait for memory, in turn."""
@@ -165,7 +167,7 @@
     @property
     def is_clearing(self) -> bool:
         """Whether so many that were given up are still open that no more are to be accepted."""
-        return self._leaving >= CLEARING
+        return self._clearing >= CLEARING
 
     def _least_deserving(self) -> ClientSlot | None:
         """The connection that has not completed a request for longest, or one that has sent ahead
@@ -195,6 +197,8 @@
     def _give_up(self, slot: ClientSlot) -> None:
         self.given_up += 1
         self._leaving += 1
+        slot.closes_soon = slot not in self._queued
+        self._clearing += slot.closes_soon
         for group in (self._incomplete, self._reading, self._queued, self._reserved):
             group.pop(slot, None)
         slot.cut()
@@ -234,6 +238,8 @@
         """Since when the client has had a request to complete (steady clock)."""
         self.was_cut = False
         """Whether the connection was given up."""
+        self.closes_soon = False
+        """Whether it was, and does not wait for a turn."""
 
     def begin(self) -> None:
         """A request has begun to arrive."""
@@ -356,3 +362,4 @@
         self.release()
         self.intake.connections -= 1
         self.intake._leaving -= self.was_cut
+        self.intake._clearing -= self.closes_soon
