Write once what the change had written several times

Cause: read once more, the change held copies. No behaviour changes.

- The backlog and the receive buffer of listening sockets stood in `gateway/early.py` and in `wire/`, which could have come apart: `wire/sockets.py`.
- Five scripts of bodies in chunks were one with other chunks: `chunks` in the harness of strangers.
A reset in a test is the harness's.
- Three tests made the same callers' connections: `tests/harness/caller_connection.py`.
- Each request made the message of a body that is too large; now only such a one does.

--- a/ramppost/gateway/early.py
+++ b/ramppost/gateway/early.py
@@ -1,6 +1,6 @@
 """Listens on the callers' address at the very start of the process.
 
-Imports nothing but small modules of the standard library.  For an invalid settings file the
+Imports nothing but small modules.  For an invalid settings file the
 result is None; `ramppost.gateway.main` reads the file again and reports the error.
 """
 
@@ -9,9 +9,8 @@
 import json
 import socket
 
-LISTEN_BACKLOG = 4096
-RECEIVE_BUFFER_BYTES = 32768
-"""What the kernel takes for a connection that is not read; it adds as much for its own use."""
+from ramppost.wire.sockets import LISTEN_BACKLOG, RECEIVE_BUFFER_BYTES
+
 COMMENT_PREFIX = "//"
 
 
--- a/ramppost/wire/intake.py
+++ b/ramppost/wire/intake.py
@@ -28,6 +28,7 @@
 from loguru import logger
 
 from ramppost import clock
+from ramppost.wire.sockets import RECEIVE_BUFFER_BYTES
 
 MIB: Final = 1024 * 1024
 UNKNOWN_MEMORY_MB: Final = 512
@@ -77,8 +78,6 @@
 MIN_RATE: Final = 65536
 """Bytes a second that a large request must bring while others wait for its memory."""
 MIN_RATE_AFTER_S: Final = 1.0
-RECEIVE_BUFFER_BYTES: Final = 32768
-"""Receive buffer that is asked of the kernel, which adds as much for its own use."""
 UNREAD_BYTES: Final = 2 * RECEIVE_BUFFER_BYTES
 """What the kernel takes for a connection that is not being read."""
 WAITING_BYTES: Final = SMALL_BYTES + UNREAD_BYTES
--- a/ramppost/wire/reader.py
+++ b/ramppost/wire/reader.py
@@ -98,6 +98,10 @@
         await serve()
 
 
+def _too_large(max_bytes: int) -> BadInput:
+    return BadInput(413, f"body larger than {max_bytes} bytes")
+
+
 class RequestReader:
     """The bytes of one connection that are not parsed yet, and what they belong to."""
 
@@ -169,9 +173,8 @@
         The result is None if the client closes the connection before its end.  Raises NoMemory,
         IllegalChunk and what the parser does.
         """
-        too_large = BadInput(413, f"body larger than {max_bytes} bytes")
         if self._length_left > max_bytes:
-            return too_large
+            return _too_large(max_bytes)
         body = bytearray()
         size = 0
         while True:
@@ -181,7 +184,7 @@
             if isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > max_bytes:
-                    return too_large
+                    return _too_large(max_bytes)
                 if keeps:
                     body += event.data
                     self._request_bytes += len(event.data)
--- a/ramppost/wire/server.py
+++ b/ramppost/wire/server.py
@@ -24,19 +24,18 @@
 from ramppost.wire.accepting import accept_all, is_anything, is_head_whole
 from ramppost.wire.intake import (
     INNER_CONNECTIONS,
-    RECEIVE_BUFFER_BYTES,
     ClientSlot,
     Intake,
     intake_limits,
 )
 from ramppost.wire.reader import BadInput, RequestReader, read_or_refuse, serve_all, serve_in_turn
+from ramppost.wire.sockets import LISTEN_BACKLOG, RECEIVE_BUFFER_BYTES
 
 IDLE_TIMEOUT_S: Final = 75.0
 LINGER_TIMEOUT_S: Final = 2.0
 WRITE_TIMEOUT_S: Final = 30.0
 """How long a client may take for the next part of a response."""
 WRITE_SIZE: Final = 65536
-ACCEPT_BACKLOG: Final = 4096
 JSON_TYPE: Final = "application/json"
 
 
@@ -185,7 +184,7 @@
 
 def listen(host: str, port: int) -> Any:
     """Return a listening socket; raises OSError if the address can't be bound."""
-    sock = curio.network.tcp_server_socket(host, port, backlog=ACCEPT_BACKLOG, reuse_address=True)
+    sock = curio.network.tcp_server_socket(host, port, backlog=LISTEN_BACKLOG, reuse_address=True)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     return sock
 
--- a/tests/harness/strangers.py
+++ b/tests/harness/strangers.py
@@ -61,6 +61,8 @@
 
 
 CHUNKED: Final = "transfer-encoding: chunked"
+LARGE: Final = b"4000\r\n" + bytes(16384) + b"\r\n"
+LONG_EXTENSION: Final = b"1;" + b"e" * 200 + b"\r\nx\r\n"
 ONE_BYTE: Final = b"1\r\nx\r\n"
 UNEVEN: Final = b"1\r\nx\r\n2\r\nyy\r\n"
 EXTENDED: Final = b"1;name=value\r\nx\r\n"
@@ -82,49 +84,29 @@
         yield 0.01
 
 
-def body_in_chunks(target: Target) -> Iterator[Action]:
-    yield target.head(CHUNKED)
-    yield (b"4000\r\n" + bytes(16384) + b"\r\n") * (BODY // 16384) + LAST
-
-
 def body_one_byte_short(target: Target) -> Iterator[Action]:
     yield target.head(_length(BODY)) + bytes(BODY - 1)
 
 
-def chunks_without_end(target: Target) -> Iterator[Action]:
-    yield target.head(CHUNKED)
-    yield (b"4000\r\n" + bytes(16384) + b"\r\n") * (BODY // 16384)
+def chunks(chunk: bytes, count: int) -> Script:
+    """A body of so many chunks, all alike."""
 
+    def script(target: Target) -> Iterator[Action]:
+        yield target.head(CHUNKED)
+        yield chunk * count + LAST
 
-def one_byte_chunks(target: Target) -> Iterator[Action]:
-    yield target.head(CHUNKED)
-    yield ONE_BYTE * MIB + LAST
+    return script
 
 
-def legal_tiny_chunks(target: Target) -> Iterator[Action]:
+def chunks_without_end(target: Target) -> Iterator[Action]:
     yield target.head(CHUNKED)
-    yield ONE_BYTE * BODY + LAST
+    yield LARGE * (BODY // 16384)
 
 
 def legal_fields(target: Target) -> Iterator[Action]:
     yield target.head(*(f"{i:x}:" for i in range(0x100, 0x100 + HEAD // 6)), _length(0))
 
 
-def uneven_chunks(target: Target) -> Iterator[Action]:
-    yield target.head(CHUNKED)
-    yield UNEVEN * (MIB // 3) + LAST
-
-
-def extended_chunks(target: Target) -> Iterator[Action]:
-    yield target.head(CHUNKED)
-    yield EXTENDED * (MIB // 4) + LAST
-
-
-def long_extensions(target: Target) -> Iterator[Action]:
-    yield target.head(CHUNKED)
-    yield (b"1;" + b"e" * 200 + b"\r\nx\r\n") * 65536 + LAST
-
-
 def blank_extensions(target: Target) -> Iterator[Action]:
     yield target.head(CHUNKED)
     yield 0.1
@@ -206,13 +188,13 @@
 PLAYS: Final[dict[str, Play]] = {
     "whole_bodies": Play(100, whole_body),
     "bodies_in_pieces": Play(60, body_in_pieces),
-    "bodies_in_chunks": Play(100, body_in_chunks),
+    "bodies_in_chunks": Play(100, chunks(LARGE, BODY // 16384)),
     "bodies_one_byte_short": Play(100, body_one_byte_short),
     "chunks_without_end": Play(100, chunks_without_end),
-    "one_byte_chunks": Play(30, one_byte_chunks),
-    "uneven_chunks": Play(30, uneven_chunks),
-    "extended_chunks": Play(30, extended_chunks),
-    "long_extensions": Play(10, long_extensions),
+    "one_byte_chunks": Play(30, chunks(ONE_BYTE, MIB)),
+    "uneven_chunks": Play(30, chunks(UNEVEN, MIB // 3)),
+    "extended_chunks": Play(30, chunks(EXTENDED, MIB // 4)),
+    "long_extensions": Play(10, chunks(LONG_EXTENSION, 65536)),
     "blank_extensions": Play(10, blank_extensions),
     "bodies_over_the_limit": Play(40, body_over_the_limit),
     "chunks_over_the_limit": Play(40, chunks_over_the_limit),
@@ -234,7 +216,7 @@
 
 CALM_PLAYS: Final[dict[str, Play]] = {
     "one_whole_body": Play(1, whole_body, begins=1),
-    "one_body_of_tiny_chunks": Play(1, legal_tiny_chunks, begins=1),
+    "one_body_of_tiny_chunks": Play(1, chunks(ONE_BYTE, BODY), begins=1),
     "one_head_of_many_fields": Play(1, legal_fields, begins=1),
 }
 """One request inside the limits, which must be served."""
--- a/tests/test_early_resets.py
+++ b/tests/test_early_resets.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import struct
 from pathlib import Path
 from typing import Final
 
@@ -11,10 +10,10 @@
 import pytest
 
 from ramppost.wire.server import ReloadingTlsContext, Reply, Request, listen, serve
+from tests.harness.scripted import reset
 from tests.test_dev import certificate
 
 HOST: Final = "127.0.0.1"
-RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
 async def answer(req: Request, reply: Reply) -> None:
@@ -35,7 +34,7 @@
         for _ in range(20):
             with socket.create_connection(sock.getsockname()) as client:
                 client.sendall(sent)
-                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                reset(client)
         await curio.sleep(0.3)
         assert not serving.terminated
         await serving.cancel()
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -9,11 +9,9 @@
 import pytest
 
 from ramppost.gateway import inbound
-from ramppost.gateway.caller_buffer import CallerBuffers
-from ramppost.gateway.inbound import CallerConnections, Reply, ServerHooks, _serve_connection
-from ramppost.gateway.metrics import Metrics
+from ramppost.gateway.inbound import Reply, _serve_connection
 from ramppost.gateway.model import CallerLimits, CallerRequest
-from ramppost.wire.intake import Intake
+from tests.harness.caller_connection import caller_connections
 
 REQUEST = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nok"
 LIMITS = CallerLimits(4096, 4096, 5.0, 5.0)
@@ -29,11 +27,7 @@
         served.append(req.target)
         await reply.send(200, (), b"whole")
 
-    async def refuse(req: CallerRequest, reply: Reply, read_at: float) -> bool:
-        return False
-
-    hooks = ServerHooks(lambda: LIMITS, lambda: True, serve, refuse, lambda refusal: b"")
-    callers = CallerConnections(CallerBuffers(Metrics()), Intake())
+    callers, hooks = caller_connections(serve, LIMITS, closing=True)
     ends = []
     for _ in range(CONNECTIONS):
         own, caller = curio.socket.socketpair()
--- a/tests/test_odd_bytes.py
+++ b/tests/test_odd_bytes.py
@@ -12,12 +12,11 @@
 import h11
 import pytest
 
-from ramppost.gateway.caller_buffer import CallerBuffers
-from ramppost.gateway.inbound import CallerConnections, Reply, ServerHooks, _serve_connection
-from ramppost.gateway.metrics import Metrics
+from ramppost.gateway.inbound import Reply, _serve_connection
 from ramppost.gateway.model import CallerLimits, CallerRequest
 from ramppost.wire import server
 from ramppost.wire.intake import ClientSlot, Intake
+from tests.harness.caller_connection import caller_connections
 
 REQUESTS: Final = [
     b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n",
@@ -71,12 +70,8 @@
     async def serve(req: CallerRequest, reply: Reply, read_at: float) -> None:
         await reply.send(200, (), b"" if req.method == "HEAD" else b"whole")
 
-    async def refuse(req: CallerRequest, reply: Reply, read_at: float) -> bool:
-        return False
-
     limits = CallerLimits(4096, 4096, 0.2, 0.2)
-    hooks = ServerHooks(lambda: limits, lambda: False, serve, refuse, lambda refusal: b"no")
-    callers = CallerConnections(CallerBuffers(Metrics()), intake)
+    callers, hooks = caller_connections(serve, limits, intake=intake)
     return lambda slot: _serve_connection(slot, callers, hooks)
 
 
--- a/tests/test_stuck_clients.py
+++ b/tests/test_stuck_clients.py
@@ -9,12 +9,11 @@
 import curio.socket
 import pytest
 
-from ramppost.gateway.caller_buffer import CallerBuffers
-from ramppost.gateway.inbound import CallerConnections, Reply, ServerHooks, _serve_connection
-from ramppost.gateway.metrics import Metrics
+from ramppost.gateway.inbound import Reply, _serve_connection
 from ramppost.gateway.model import CallerLimits, CallerRequest
 from ramppost.wire import server
 from ramppost.wire.intake import Intake
+from tests.harness.caller_connection import caller_connections
 
 IDLE_S: Final = 0.3
 WITHIN_S: Final = 5.0
@@ -36,13 +35,9 @@
     async def serve(req: CallerRequest, reply: Reply, read_at: float) -> None:
         await reply.send(404, (), ANSWER)
 
-    async def refuse(req: CallerRequest, reply: Reply, read_at: float) -> bool:
-        return False
-
     async def played() -> None:
         limits = CallerLimits(4096, 4096, IDLE_S, IDLE_S)
-        hooks = ServerHooks(lambda: limits, lambda: False, serve, refuse, lambda refusal: b"")
-        callers = CallerConnections(CallerBuffers(Metrics()), Intake())
+        callers, hooks = caller_connections(serve, limits)
         own, caller = curio.socket.socketpair()
         caller._socket.sendall(REQUEST)
         slot = callers.intake.open(own)
