Read no more from a client that was given up, however much it still sends

Cause: a connection is given up by shutting down its receiving side, but the kernel goes on to deliver what its client sends. Where bodies are dropped as they come, such a connection was read to its end or to the limit on bodies, and 32 of them that are still open stop accepting. A count each quarter of a second showed 37 given up and open, and 62 others, for 2.5 s without a change, at 0.9 of a core. Ruled out: memory (44 MB of 88), the lock for long work (others' parts went on).

Change: what is received on a connection that was given up counts as its end, in the one place where requests are read.

Evidence: the new test failed before (not closed within 1 s) and passes.

--- a/ramppost/wire/reader.py
+++ b/ramppost/wire/reader.py
@@ -139,9 +139,7 @@
         self._has_received = False
         if not self.has_more:
             try:
-                data = await curio.timeout_after(
-                    idle_timeout_s, self.slot.sock.recv(HEAD_READ_SIZE)
-                )
+                data = await curio.timeout_after(idle_timeout_s, self._recv(HEAD_READ_SIZE))
             except curio.TaskTimeout:
                 return False
             if not data:
@@ -197,7 +195,7 @@
         """Return when the client closes the connection; keeps a little of what it sends ahead."""
         while len(self._raw) < AHEAD_BYTES:
             try:
-                data = await self.slot.sock.recv(AHEAD_BYTES - len(self._raw))
+                data = await self._recv(AHEAD_BYTES - len(self._raw))
             except OSError:
                 return
             if not data:
@@ -212,7 +210,7 @@
         self._raw.clear()
         left = max_bytes
         async with curio.ignore_after(timeout_s):
-            while left > 0 and (data := await self.slot.sock.recv(READ_SIZE)):
+            while left > 0 and (data := await self._recv(READ_SIZE)):
                 left -= len(data)
                 await curio.sleep(DRAIN_PAUSE_S)
 
@@ -301,6 +299,14 @@
 
     # --- bytes
 
+    async def _recv(self, size: int) -> bytes:
+        """What the client sends next; empty once it has ended or was given up.
+
+        A client that was given up may still send, and the kernel would go on to deliver that.
+        """
+        data: bytes = await self.slot.sock.recv(size)
+        return b"" if self.slot.was_cut else data
+
     def _add(self, data: bytes) -> None:
         self._raw += data
         self.slot.received_bytes += len(data)
@@ -323,7 +329,7 @@
         if self._has_received:
             await curio.sleep(0)
         self._has_received = True
-        data = await self.slot.sock.recv(HEAD_READ_SIZE if self._part == "block" else READ_SIZE)
+        data = await self._recv(HEAD_READ_SIZE if self._part == "block" else READ_SIZE)
         if data:
             self._add(data)
             self._hold()
--- a/tests/test_stuck_clients.py
+++ b/tests/test_stuck_clients.py
@@ -1,4 +1,5 @@
-"""Clients that never take their answers: their connections end, and what these hold is free."""
+"""Clients that never take their answers, or are given up and send on: their connections end, and
+what these hold is free."""
 
 from __future__ import annotations
 
@@ -19,6 +20,10 @@
 WITHIN_S: Final = 5.0
 ANSWER: Final = bytes(5_000_000)
 REQUEST: Final = b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n"
+CHUNKED: Final = b"POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+CHUNK: Final = b"1000\r\n" + bytes(4096) + b"\r\n"
+ENDS_WITHIN_S: Final = 1.0
+"""A box is asked every second whether it is ready, and nobody may be accepted meanwhile."""
 
 
 async def until_closed(intake: Intake) -> None:
@@ -64,3 +69,34 @@
             await until_closed(intake)
 
     curio.run(curio.timeout_after, WITHIN_S, played())
+
+
+def test_client_that_was_given_up_was_read_as_long_as_it_sent() -> None:
+    """Nobody was accepted while several were read on."""
+    intake = Intake()
+    limits = server.Limits(body_bytes=1 << 40, keeps_bodies=False)
+
+    async def answer(req: server.Request, reply: server.Reply) -> None:
+        await reply.send(200, b"")
+
+    async def send(client: Any) -> None:
+        try:
+            await client.sendall(CHUNKED)
+            while True:
+                await client.sendall(CHUNK)
+        except OSError:
+            await client.close()
+
+    async def played() -> None:
+        sock: Any = server.listen("127.0.0.1", 0)
+        await curio.spawn(lambda: server.serve(sock, answer, limits, intake=intake), daemon=True)
+        client = await curio.open_connection(*sock.getsockname())
+        sending = await curio.spawn(send, client)
+        await curio.sleep(IDLE_S)
+        assert intake.connections == 1 and intake.make_room(1)
+        async with curio.timeout_after(ENDS_WITHIN_S):
+            while intake.connections:
+                await curio.sleep(0.02)
+        await sending.join()
+
+    curio.run(curio.timeout_after, WITHIN_S, played())
