Don't let sound answers on other routes outvote a route's own failures

A version must not be four to one bad in all, or 36 to 1 on one of three routes, and each route must have had three answers; what these three said counted for nothing. Ruled out: membership (six of six heard), a late verdict (the first `completed version is bad` came 0.9 s after the end).

Change: a route with a tenth of the answers on which failures make the version twice as likely bad (1 of 5 or fewer, where hardly any fail otherwise) is waited for like one with too few answers; if that does not settle it, the version is rolled back. Slow answers don't count for this, as a busy box makes them.

Evidence: the new case (3 answers, 1 failed) failed before; 12 answers with one failure still complete.

--- a/ramppost/gateway/rollout_duty.py
+++ b/ramppost/gateway/rollout_duty.py
@@ -180,7 +180,7 @@
     gateways, or has enough of its own."""
     if not gw.peers.has_all_evidence(now) or now - rollout.seen_at < ALL_TOLD_AFTER_S:
         return False
-    is_sure = judgement.is_trusted_alone and not judgement.unseen_route
+    is_sure = judgement.is_trusted_alone and not judgement.unsure_route
     return is_sure or _heard_part(gw, rollout, now).has_majority
 
 
@@ -202,9 +202,10 @@
     sent, heard = rollout.account.known, _heard_part(gw, rollout, now)
     if heard.extrapolate(sent.total) < MIN_REQUESTS_TO_TRUST:
         return ""
-    if judgement.is_trusted and judgement.unseen_route:
-        known = rollout.pool.answers_by_route().get(judgement.unseen_route, RouteAnswers())
-        return f"{known.answers:.0f} answers on {judgement.unseen_route}"
+    if judgement.is_trusted and judgement.unsure_route:
+        known = rollout.pool.answers_by_route().get(judgement.unsure_route, RouteAnswers())
+        answers = f"{known.answers:.0f} answers on {judgement.unsure_route}"
+        return f"{answers}, {known.failures:.0f} failed" if known.failures else answers
     if judgement.is_trusted:
         return ""
     return f"of {sent.total} requests it had {sent.trial}, {judgement.answers} ended"
--- a/ramppost/policy/guard.py
+++ b/ramppost/policy/guard.py
@@ -72,6 +72,8 @@
 MIN_ANSWERS_OF_ROUTE: Final = 3
 MIN_ROUTE_VALUE: Final = 0.5
 """How much an answer of such a route tells at least, 0 to 1."""
+ROUTE_DOUBT_BOUND: Final = math.log(2)
+"""Odds for a bad version on such a route from which the answers on others don't vouch for it."""
 MARK_INTERVAL_S: Final = 0.5
 LATE_ANSWERS: Final = (8, 16)
 """Latest answers that are judged by themselves, at least: a version may turn bad late, when many
@@ -161,10 +163,11 @@
     `bad` is why the version must be withdrawn, and `doubt` why it must not be completed; empty
     where nothing speaks for that.  `is_trusted` tells that enough answers speak for the version,
     and `is_trusted_alone` that they do even if what others know is missing.  `answers` is the
-    number of answers that have begun.  `unseen_route` is a route of which too few are known for
-    that, if there is one.  `worst` is the strongest evidence, and `excess` by how much its log
-    odds exceed the bound.  `suspects` are upstreams that answer badly: either the version is bad,
-    or they are in trouble by themselves, which the others can tell.
+    number of answers that have begun.  `unsure_route` is a route of which too few are known for
+    that, or whose failures speak against it, if there is one.  `worst` is the strongest evidence,
+    and `excess` by how much its log odds exceed the bound.  `suspects` are upstreams that answer
+    badly: either the version is bad, or they are in trouble by themselves, which the others can
+    tell.
     """
 
     bad: str
@@ -173,7 +176,7 @@
     is_trusted_alone: bool
     log_odds: float
     answers: int
-    unseen_route: str
+    unsure_route: str
     worst: str
     excess: float
     suspects: frozenset[str]
@@ -198,6 +201,8 @@
     bad_answers: float
     answers: float
     reason: str
+    route: str
+    symptom: Symptom
 
 
 class _RouteWeights(NamedTuple):
@@ -358,15 +363,15 @@
             has_answers and on_all_routes <= -ALONE_TRUST_BOUND,
             on_all_routes,
             round(self._answers()),
-            self._unseen_route(),
+            self._unseen_route() or _doubtful_route(findings, self._telling_routes()),
             worst.reason,
             worst.excess,
             _suspects(new, weights[TYPICAL_SHARE]),
         )
 
-    def _unseen_route(self) -> str:
-        """The route with the fewest answers of the new version, of those that have a good part of
-        all answers of the versions in service and tell something; empty if it has enough."""
+    def _telling_routes(self) -> list[str]:
+        """The routes that have a good part of all answers of the versions in service, and whose
+        answers tell something."""
         values = self.value_by_route()
         in_service = {
             source.route: counts.answers
@@ -374,11 +379,17 @@
             if not source.upstream and not source.is_recent
         }
         least = MIN_ROUTE_SHARE * sum(in_service.values())
-        new = self.answers_by_route()
-        seen = {
-            route: new[route].answers if route in new else 0.0
+        return [
+            route
             for route, answers in in_service.items()
             if answers >= least and values.get(route, 0.0) >= MIN_ROUTE_VALUE
+        ]
+
+    def _unseen_route(self) -> str:
+        """The telling route with the fewest answers of the new version; empty if it has enough."""
+        new = self.answers_by_route()
+        seen = {
+            route: new[route].answers if route in new else 0.0 for route in self._telling_routes()
         }
         route = min(seen, key=lambda name: seen[name], default="")
         return route if route and seen[route] < MIN_ANSWERS_OF_ROUTE else ""
@@ -431,6 +442,13 @@
         }
 
 
+def _doubtful_route(findings: list[_Finding], routes: Collection[str]) -> str:
+    """Of some routes, that on which failures speak most against the version, if they do."""
+    on_routes = [f for f in findings if f.route in routes and f.symptom == "failed"]
+    worst = max(on_routes, key=lambda found: found.log_odds, default=None)
+    return worst.route if worst is not None and worst.log_odds > ROUTE_DOUBT_BOUND else ""
+
+
 class _Scope(NamedTuple):
     """Answers that are judged together: those on one route, or on all if it is empty; `tests` is
     how many scopes of the kind there are."""
@@ -465,7 +483,8 @@
     answers = sum(counts.answers for counts in found)
     where = f" on {scope.route}" if scope.route else ""
     reason = f"{bad:.0f} answers {symptom}{where}, {answers:.0f} ended"
-    return _Finding(log_odds - bound, log_odds - doubt_bound, log_odds, bad, answers, reason)
+    excess, doubt = log_odds - bound, log_odds - doubt_bound
+    return _Finding(excess, doubt, log_odds, bad, answers, reason, scope.route, symptom)
 
 
 def _log_odds(
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -502,11 +502,14 @@
     assert ends.decide(fleet.all[0], 0.1, time.now) == [True]
 
 
-@pytest.mark.parametrize(("answers", "state"), [(2, False), (6, True)])
+@pytest.mark.parametrize(
+    ("answers", "failures", "state"), [(2, 0, False), (6, 0, True), (3, 1, False), (12, 1, True)]
+)
 def test_version_was_trusted_on_a_route_for_its_answers_on_another(
-    time: Clock, ends: Ends, answers: int, state: bool
+    time: Clock, ends: Ends, answers: int, failures: int, state: bool
 ) -> None:
-    # It had 17 answers on one route, 2 on that with a third of the requests, and failed half there.
+    # It had 17 answers on one route, 2 on that with a third of the requests, and failed half there,
+    # or 3 of which one had failed.
     fleet = Fleet(time)
     fleet.know_the_old(("chat", "brief"))
     fleet.order(elapsed=0.2)
@@ -517,7 +520,8 @@
     for i in range(17 + answers):
         node = fleet.all[i % 4]
         node.rollouts.record_request(SERVICE, "chat", time.now)
-        fleet.answer(node, NEW, "chat" if i < 17 else "brief", upstream=i % 4)
+        route = "chat" if i < 17 else "brief"
+        fleet.answer(node, NEW, route, upstream=i % 4, failed=17 <= i < 17 + failures)
     fleet.exchange()
     ends.decide(fleet.all[0], 0.1, time.now)
     margin_s = (1 - fleet.all[0].rollout.ramp.complete_at) * DURATION_S
@@ -529,7 +533,7 @@
     for i, node in enumerate(fleet.all):
         fleet.begin(node, NEW, "chat", i).record_head(200, fleet.time.now)
     fleet.exchange()
-    assert fleet.all[0].evidence_news.judge(fleet.all[0].rollout).unseen_route == ""
+    assert fleet.all[0].evidence_news.judge(fleet.all[0].rollout).unsure_route == ""
 
 
 def test_verdict_that_came_while_the_end_was_written_was_not_looked_at(
