Close a connection only after its sending task has ended

What callers saw: an upstream that reset the connection while a large request was written to it ended the whole gateway, with the requests of all its callers. It needed no odd answer; a crash of the upstream within an upload was enough.

Cause: a large request is sent by a task of its own while another reads. A reset wakes both. The reader aborted the exchange: it asked the sender to end, did not wait for it, and closed the descriptor under it. The selector of curio still had that descriptor for the sender, and the next change there raised in the kernel.

Evidence: 24 uploads of 4 MiB at once to an upstream that resets them after 0, 0.02 and 0.2 s ended the process for each of the first six kinds of answer before the reset (OSError: Bad file descriptor, or KeyError: fd is not registered), after which the test run itself ended; so did an upload to a gateway as a process.

Change: abort cancels the sender and waits for it, which can't be interrupted, and closes then. The sender waits for nothing but the socket, so its cancellation takes one turn of the loop. Of the other places that close a descriptor directly, none has a second task registered: idle connections are returned only once their sender has ended, and callers' connections join all their tasks first.

The test failed before, and holds.

--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -259,9 +259,15 @@
             await self.abort()
 
     async def abort(self) -> None:
-        """Close the connection, so that the upstream cancels the request."""
+        """Close the connection, so that the upstream cancels the request.
+
+        The sending task ends before: curio fails as a whole if a descriptor is closed while
+        another task is registered for it.  That task waits for nothing but the socket, so that its
+        cancellation takes one turn.
+        """
         if self._sender is not None and not self._sender.terminated:
-            await self._sender.cancel(blocking=False)
+            async with curio.disable_cancellation():
+                await self._sender.cancel()
         self._connection.sock._socket.close()
 
     def shut_down(self) -> None:
