Don't take an unframed answer for whole after its upload failed

Cause: a socket tells its error once. If the task that sent the upload was told of the reset, it dropped the error, and the task that read the answer then saw a plain end of the connection, which is how an answer without a length ends.

Change: the sending task keeps its error, and the end of an unframed answer is not believed once there is one. An answer that marks its own end stays whole, however its upload ended, and so does an early unframed one whose upload has not failed. A connection whose upload failed is not kept for another request.

The five cases failed before and hold; two tests keep early whole answers whole.

--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -180,6 +180,8 @@
         self._connection = connection
         self._req = req
         self._sender: Any = None
+        self._send_error: OSError | None = None
+        """Why a large request was not sent whole; a socket tells an error only once."""
         self._ended = False
         self._framed = True
         self._keep_alive_s: float | None = None
@@ -243,16 +245,19 @@
             if self.body_bytes > MAX_BODY_BYTES:
                 return Broken("body without end", by_peer=True)
             return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            self._ended = True
-            return BodyEnd(self._framed)
-        return Broken("connection closed within the answer", by_peer=True)
+        if not isinstance(event, h11.EndOfMessage):
+            return Broken("connection closed within the answer", by_peer=True)
+        if self._send_error is not None and not self._framed:
+            # After the sending task was told of a reset, the reading task sees a plain end.
+            return Broken(f"connection failed: {self._send_error}", by_peer=True)
+        self._ended = True
+        return BodyEnd(self._framed)
 
     async def finish(self) -> None:
         """Keep the connection if the response was read completely, else close it."""
         conn = self._connection.h11
         complete = conn.our_state is h11.DONE and conn.their_state is h11.DONE
-        fully_sent = self._sender is None or self._sender.terminated
+        fully_sent = self._sender is None or (self._sender.terminated and self._send_error is None)
         reusable = complete and fully_sent and conn.trailing_data[0] == b""
         now = clock.now()
         if not (reusable and self._pool.return_idle(self._connection, self._keep_alive_s, now)):
@@ -282,9 +287,9 @@
         try:
             await self._connection.sock.sendall(head)
             await self._connection.sock.sendall(body)
-        except OSError:
-            # The task that reads the response gets the same error and reports it.
-            return
+        except OSError as exc:
+            # The task that reads the response reports it, as it may still find a whole one.
+            self._send_error = exc
 
     async def _skip_response(self) -> Broken | None:
         """Discard a response to another request, and continue with the bytes that follow it."""
--- a/tests/test_resets_in_uploads.py
+++ b/tests/test_resets_in_uploads.py
@@ -12,10 +12,10 @@
 import curio
 import pytest
 
-from ramppost.gateway.links import ConnectionPool
+from ramppost.gateway.links import BodyEnd, ConnectionPool, Exchange, open_exchange
 from tests.harness.gateways import Deployment, Given, config, route
 from tests.harness.scripted import HOST, Peer, Script, own_lines, read_request, reset
-from tests.test_gateway_links import whole
+from tests.test_gateway_links import request, upstream, whole
 
 UPLOAD = b"u" * (4 << 20)
 UNFRAMED = b"\r\n"
@@ -81,6 +81,52 @@
     assert len(upload_to(start(resetting(SENT_BEFORE[before])))) == TIMES
 
 
+UNFRAMED_BEFORE = [before for before in SENT_BEFORE if "unframed" in before or before == "no_body"]
+
+
+@pytest.mark.parametrize("before", UNFRAMED_BEFORE)
+def test_part_of_an_answer_before_a_reset_looked_whole(
+    start: Callable[[Script], Peer], before: str
+) -> None:
+    """The error of a socket, which is told once, was told to the sending task, which dropped it."""
+    found = upload_to(start(resetting(SENT_BEFORE[before])))
+    assert [answer for answer in found if isinstance(answer, bytes)] == []
+
+
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 5\r\n\r\n", UNFRAMED], ids=["length", "close"]
+)
+def test_early_whole_answer_is_whole_though_the_upload_is_not_read(
+    start: Callable[[Script], Peer], framing: bytes
+) -> None:
+    def script(conn: socket.socket, number: int) -> None:
+        conn.sendall(ok(read_request(conn), framing) + b"whole")
+        conn.shutdown(socket.SHUT_WR)
+        time.sleep(PAUSES_S[-1])
+
+    async def played() -> Any:
+        return await whole(ConnectionPool(HOST), start(script).addr, "1", UPLOAD)
+
+    assert curio.run(curio.timeout_after, WITHIN_S, played()) == b"whole"
+
+
+def test_whole_answer_before_a_reset_is_whole(start: Callable[[Script], Peer]) -> None:
+    peer = start(resetting(lambda head: ok(head, b"Content-Length: 5\r\n\r\n") + b"whole"))
+
+    async def played() -> Any:
+        opened = await open_exchange(
+            ConnectionPool(HOST), upstream(peer.addr), lambda: request("1", UPLOAD)
+        )
+        assert isinstance(opened, Exchange)
+        await opened.read_head()
+        await curio.sleep(PAUSES_S[-1])
+        found = [await opened.read_chunk(), await opened.read_chunk()]
+        await opened.finish()
+        return found
+
+    assert curio.run(curio.timeout_after, WITHIN_S, played()) == [b"whole", BodyEnd(framed=True)]
+
+
 def test_gateway_ended_by_resets_in_uploads(tmp_path: Path) -> None:
     """An upstream that crashed within an upload ended the gateway, and cut the calls of others."""
     site = Deployment(tmp_path, gateways=1, engines=1, services=1)
@@ -100,6 +146,6 @@
     with ThreadPoolExecutor(4) as pool:
         found = list(pool.map(upload, range(3 * len(plays))))
     assert site.procs["gateway-1"].poll() is None
-    assert 0 not in {answer.status for answer in found}
+    assert {answer.status for answer in found} <= {-200, 502, 503}, "-200: a stream cut within"
     site.stop()
     peer.close()
