Take no head for an answer's that is not HTTP

Cause: the parser refuses names with blanks or control bytes and statuses below 100, but lets any status up to 999, any version and all control bytes except NUL, CR and LF in values pass. Nothing looked at them after it.

Change: wire/heads.py checks the heads of responses, for exchanges with upstreams and for the client that all other calls use. One that is no HTTP/1 or has a status over 599 or a control byte is no answer: the request may have run, and the upstream is counted as for other bytes that are no answer. Tabs, bytes over 0x7f and folded lines, which RFC 9110 and 9112 allow to be passed on, stay.

The others (status 000, odd names, lengths, codings) were handled before; their cases are kept.

--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -25,6 +25,7 @@
 from ramppost.gateway.model import Upstream
 from ramppost.platform.headers import AnswerHead, Headers, answer_head
 from ramppost.wire.client import CallFailed, connect, readable
+from ramppost.wire.heads import Head, head_fault
 
 READ_SIZE: Final = 65536
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -325,14 +326,16 @@
                 broken = await self._receive()
                 if broken is not None:
                     return broken
-            elif not isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, Head) and (fault := head_fault(event)):
+                return Broken(f"not an answer: {fault}", by_peer=True)
+            if not isinstance(event, h11.InformationalResponse):
                 self._awaits_head = False
                 return event
-            else:
-                informational += 1
-                self._head_begun_at = None
-                if informational > MAX_INFORMATIONAL:
-                    return Broken("informational answers without end", by_peer=True)
+            informational += 1
+            self._head_begun_at = None
+            if informational > MAX_INFORMATIONAL:
+                return Broken("informational answers without end", by_peer=True)
 
     async def _receive(self) -> Broken | None:
         """Receive the next bytes."""
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -16,6 +16,7 @@
 import h11
 
 from ramppost import clock
+from ramppost.wire.heads import Head, head_fault
 
 READ_SIZE: Final = 65536
 MAX_IDLE_PER_ADDRESS: Final = 32
@@ -190,7 +191,10 @@
                 data = await self._connection.sock.recv(READ_SIZE)
                 self._pool.bytes_in += len(data)
                 self._connection.h11.receive_data(data)
-            elif not isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, Head) and (fault := head_fault(event)):
+                raise ConnectionResetError(f"not an answer: {fault}")
+            if not isinstance(event, h11.InformationalResponse):
                 return event
 
 
