Read numbers of others without trusting isdigit

What callers saw: a stream whose upstream sent an event with the id '²', or of 5,000 digits, was cut with 'serving failed'; ids that follow a number and are none were passed on.

Cause: isdigit and isdecimal take more for digits than int and float do, and int refuses more than 4,300 digits, so that the check passed and the conversion raised.

Change: parse_digits reads ASCII digits of a bounded number or gives None. It is used for event ids, the store's era, the position of a copy, tickets, request ids, a configuration's revision and an engine's Retry-After. An event id that is no number after one that is breaks off its stream, which is resumed elsewhere. An engine's usage that is negative or too large to be billed fails its run, which had ended its task where the bill was encoded.

--- a/ramppost/agent/engine.py
+++ b/ramppost/agent/engine.py
@@ -16,6 +16,7 @@
 from ramppost.schema.messages import RunMsg
 from ramppost.wire.client import CallFailed, Pool, call, open_stream
 from ramppost.wire.codec import BadMessage, decode, encode
+from ramppost.wire.digits import parse_digits
 from ramppost.wire.nesting import is_deep
 
 NOT_RUN_STATUSES: Final = (400, 404, 429)
@@ -23,6 +24,10 @@
 END_OF_STREAM: Final = b"[DONE]"
 CALL_TIMEOUT_S: Final = 2.0
 TOKEN_TIMEOUT_S: Final = 30.0
+MAX_RETRY_DIGITS: Final = 5
+"""Seconds of a day; a longer time is taken for none."""
+MAX_TOKENS: Final = 10**9
+"""More than any answer has; more can't be billed."""
 
 
 class Delta(TypedDict, total=False):
@@ -153,6 +158,8 @@
                 await on_text(text)
             if finish:
                 completed = _completed_run(finish, chunk, chunk_count)
+                if not _is_billable(completed):
+                    return RunFailed("engine sent impossible token counts")
                 if exact and completed.tokens_out != chunk_count:
                     return RunFailed(f"{chunk_count} chunks of {completed.tokens_out} arrived")
     except OSError as exc:
@@ -176,6 +183,10 @@
     )
 
 
+def _is_billable(completed: RunCompleted) -> bool:
+    return 0 <= completed.tokens_in <= MAX_TOKENS and 0 <= completed.tokens_out <= MAX_TOKENS
+
+
 async def cancel_run(pool: Pool, addr: str, attempt: str) -> None:
     """Ask the engine to cancel a run."""
     await call(pool, addr, "POST", "/v1/cancel", encode({"attempt": attempt}), CALL_TIMEOUT_S)
@@ -211,10 +222,8 @@
         return OrderRefused(response.reason, 0.0)
     if response.status == 200:
         return OrderAccepted()
-    retry_after = response.headers.get("retry-after", "")
-    return OrderRefused(
-        f"engine answered {response.status}", float(retry_after) if retry_after.isdigit() else 0.0
-    )
+    retry_after_s = parse_digits(response.headers.get("retry-after", ""), MAX_RETRY_DIGITS) or 0
+    return OrderRefused(f"engine answered {response.status}", float(retry_after_s))
 
 
 async def fetch_versions(pool: Pool, addr: str) -> list[str] | None:
--- a/ramppost/agent/handler.py
+++ b/ramppost/agent/handler.py
@@ -26,6 +26,7 @@
 )
 from ramppost.usage import USAGE_PATH, usage
 from ramppost.wire.codec import encode, encode_line
+from ramppost.wire.digits import parse_digits
 from ramppost.wire.messages import handle_message
 from ramppost.wire.server import Handler, Reply, Request
 
@@ -66,8 +67,8 @@
 
 async def send_config(raw: bytes, rev: int, req: Request, reply: Reply) -> None:
     """Send the configuration if it is newer than the revision in the query, else status 304."""
-    known_rev = req.query.get("rev", "0")
-    if known_rev.isdigit() and int(known_rev) < rev:
+    known_rev = parse_digits(req.query.get("rev", "0"))
+    if known_rev is not None and known_rev < rev:
         await reply.send(200, raw)
     else:
         await reply.send(304, b"")
--- a/ramppost/gateway/copies.py
+++ b/ramppost/gateway/copies.py
@@ -20,6 +20,7 @@
 from ramppost.schema.messages import ObjectCopy
 from ramppost.wire import packing
 from ramppost.wire.codec import BadMessage, decode, encode
+from ramppost.wire.digits import parse_digits
 from ramppost.wire.server import Handler, Reply, Request
 
 COPY_PATH: Final = "/x/copy"
@@ -66,9 +67,9 @@
 
 def _requested_position(req: Request) -> Position | None:
     """The requested state; None if the query has no valid one."""
-    revision, era = req.query.get("revision", ""), req.query.get("era", "0")
-    valid = revision.isdecimal() and era.isdecimal()
-    return Position(int(era), True, int(revision)) if valid else None
+    revision = parse_digits(req.query.get("revision", ""))
+    era = parse_digits(req.query.get("era", "0"))
+    return None if revision is None or era is None else Position(era, True, revision)
 
 
 def encode_copy(obj: StoredObject) -> bytes:
--- a/ramppost/gateway/forwarding.py
+++ b/ramppost/gateway/forwarding.py
@@ -28,6 +28,7 @@
 from ramppost.gateway.state import Gateway
 from ramppost.platform.headers import Headers
 from ramppost.policy.fatal import ObservedRun
+from ramppost.wire.digits import parse_digits
 
 STALL_GAP_FACTOR: Final = 3.0
 """Multiple of a stream's allowed gap after which the stream is resumed at another upstream."""
@@ -225,10 +226,14 @@
 
 
 def _is_next_event(job: Job, event: Event) -> bool:
-    """Whether an event is the next in order; ids increase by one."""
-    if not event.id.isdigit() or not job.last_event_id.isdigit():
+    """Whether an event is the next in order; ids increase by one.
+
+    An id that is no number follows none that is; an event without an id may stand anywhere.
+    """
+    last = parse_digits(job.last_event_id)
+    if last is None or not event.id:
         return True
-    return int(event.id) == int(job.last_event_id) + 1
+    return parse_digits(event.id) == last + 1
 
 
 async def _read_chunk_in_time(gw: Gateway, job: Job, running: Running) -> bytes | BodyEnd | Broken:
--- a/ramppost/ids.py
+++ b/ramppost/ids.py
@@ -11,6 +11,8 @@
 import secrets
 from typing import NamedTuple
 
+from ramppost.wire.digits import parse_digits
+
 
 class Ticket(NamedTuple):
     """The incarnation and epoch in an agent's ticket."""
@@ -32,7 +34,7 @@
 def revision_of(request_id: str) -> int:
     """Return the configuration revision in a request id, or 0 if it has none."""
     parts = request_id.split("-")
-    return int(parts[1]) if len(parts) == 3 and parts[1].isdigit() else 0
+    return (parse_digits(parts[1]) or 0) if len(parts) == 3 else 0
 
 
 def new_incarnation(addr: str) -> str:
@@ -52,9 +54,8 @@
 
 def parse_ticket(text: str) -> Ticket:
     """Parse a ticket; a malformed one gets epoch -1, which is never valid."""
-    incarnation, _, epoch = text.rpartition(".")
-    return (
-        Ticket(incarnation, int(epoch))
-        if epoch.isdigit() and "#" in incarnation
-        else Ticket(text, -1)
-    )
+    incarnation, _, digits = text.rpartition(".")
+    epoch = parse_digits(digits)
+    if epoch is None or "#" not in incarnation:
+        return Ticket(text, -1)
+    return Ticket(incarnation, epoch)
--- a/ramppost/platform/headers.py
+++ b/ramppost/platform/headers.py
@@ -10,6 +10,7 @@
 
 from ramppost.gateway.model import CallerRequest, Prompt, Upstream, Workspace
 from ramppost.platform import names
+from ramppost.wire.digits import parse_digits
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -222,8 +223,7 @@
 
 def _parse_count(text: str) -> int | None:
     """Parses a non-negative decimal integer of ASCII digits."""
-    valid = text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
-    return int(text) if valid else None
+    return parse_digits(text, MAX_COUNT_DIGITS)
 
 
 def _parse_keep_alive(text: str) -> float | None:
--- a/ramppost/platform/store.py
+++ b/ramppost/platform/store.py
@@ -22,6 +22,7 @@
 from ramppost.policy.position import Position
 from ramppost.wire.client import CallFailed, Pool, Response, fetch
 from ramppost.wire.codec import BadMessage, decode, encode
+from ramppost.wire.digits import parse_digits
 from ramppost.wire.nesting import decode_list, decode_value
 
 CALL_TIMEOUT_S: Final = 1.0
@@ -326,7 +327,7 @@
 def _era(response: Response | CallFailed) -> int:
     """The era that an answer names; 0 for a store that names none."""
     text = response.headers.get(names.STORE_ERA, "") if isinstance(response, Response) else ""
-    return int(text) if text.isdecimal() else 0
+    return parse_digits(text) or 0
 
 
 def _write_result(response: Response | CallFailed) -> StoredObject | Conflict | Unavailable:
