--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -20,13 +19,13 @@
 from ramppost.schema.messages import RunMsg
 from ramppost.wire.client import Pool, Response
 from ramppost.wire.server import Request
-from tests.harness.gateways import Deployment, config, route
+from tests.harness.gateways import route
+from tests.harness.raw_site import raw_site
 from tests.harness.scripted import Peer, Script, own_lines, read_request
 
 ODD = ["\u00b2", "\u0663", "9" * 5000, "-1", "1e3", "0x1", "1_0", "x"]
 EVENT_IDS = ["\u00b2", "9" * 5000, "x", "-2", "2.0"]
 PREFIX = "/raw/"
-PROPAGATION_S = 1.0
 
 
 @pytest.mark.parametrize("text", ODD, ids=range(len(ODD)))
@@ -88,11 +87,7 @@
 
 def test_odd_event_id_ended_its_request(tmp_path: Path) -> None:
     """The stream was cut at the caller, where another upstream could have resumed it."""
-    site = Deployment(tmp_path, gateways=1, engines=1, services=1)
     routes = [route("raw", PREFIX, "streaming", "raw", stream_resume=True, gap_aim_ms=500)]
-    doc = config(2, routes=routes)
-    doc["services"].append({"name": "raw", "max_conns": 100})
-    site.configure(doc)
     odd = iter(EVENT_IDS)
 
     def script(conn: socket.socket, number: int) -> None:
@@ -102,17 +97,10 @@
         rest = b"id: 2\ndata: x\n\nid: 3\ndata: x\n\n"
         if names.LAST_EVENT_ID + b":" not in request.lower():
             rest = f"id: 1\ndata: x\n\nid: {next(odd)}\ndata: x\n\n".encode("latin-1")
-        conn.sendall(
-            b"HTTP/1.1 200 OK\r\n" + own_lines(request) + b"Connection: close\r\n\r\n" + rest
-        )
+        head = b"HTTP/1.1 200 OK\r\n" + own_lines(request) + b"Connection: close\r\n\r\n"
+        conn.sendall(head + rest)
         conn.close()
 
-    peers = [Peer(script), Peer(script)]
-    for number, peer in enumerate(peers):
-        site.put_entry(f"raw-{number}", "raw", peer.addr)
-    time.sleep(PROPAGATION_S)
-    found = [site.call("gateway-1", PREFIX) for _ in EVENT_IDS]
+    with raw_site(tmp_path, routes, script, script) as site:
+        found = [site.call("gateway-1", PREFIX) for _ in EVENT_IDS]
     assert [(got.status, got.events) for got in found] == [(200, [1, 2, 3])] * len(EVENT_IDS)
-    site.stop()
-    for peer in peers:
-        peer.close()
--- a/tests/test_resets_in_uploads.py
+++ b/tests/test_resets_in_uploads.py
@@ -13,7 +13,8 @@
 import pytest
 
 from ramppost.gateway.links import BodyEnd, ConnectionPool, Exchange, open_exchange
-from tests.harness.gateways import Deployment, Given, config, route
+from tests.harness.gateways import Given, route
+from tests.harness.raw_site import raw_site
 from tests.harness.scripted import HOST, Peer, Script, own_lines, read_request, reset
 from tests.test_gateway_links import request, upstream, whole
 
@@ -23,7 +24,6 @@
 PAUSES_S = (0.0, 0.02, 0.2)
 TIMES = 24
 WITHIN_S = 20.0
-PROPAGATION_S = 1.0
 KINDS = ("idempotent", "non_idempotent", "streaming")
 EVENT = b"id: 1\ndata: x\n\n"
 
@@ -129,23 +129,18 @@
 
 def test_gateway_ended_by_resets_in_uploads(tmp_path: Path) -> None:
     """An upstream that crashed within an upload ended the gateway, and cut the calls of others."""
-    site = Deployment(tmp_path, gateways=1, engines=1, services=1)
     kinds = [route(kind, f"/{kind}/", kind, "raw", max_attempts=1) for kind in KINDS]
-    doc = config(2, routes=kinds)
-    doc["services"].append({"name": "raw", "max_conns": 100})
-    doc["limits"]["max_body_bytes"] = 2 * len(UPLOAD)
-    site.configure(doc)
     plays = [resetting(before) for before in SENT_BEFORE.values()]
-    peer = Peer(lambda conn, number: plays[number % len(plays)](conn, number))
-    site.put_entry("raw-0", "raw", peer.addr)
-    time.sleep(PROPAGATION_S)
 
-    def upload(number: int) -> Given:
-        return site.call("gateway-1", f"/{KINDS[number % len(KINDS)]}/", body=UPLOAD)
+    def script(conn: socket.socket, number: int) -> None:
+        plays[number % len(plays)](conn, number)
+
+    with raw_site(tmp_path, kinds, script, max_body_bytes=2 * len(UPLOAD)) as site:
+
+        def upload(number: int) -> Given:
+            return site.call("gateway-1", f"/{KINDS[number % len(KINDS)]}/", body=UPLOAD)
 
-    with ThreadPoolExecutor(4) as pool:
-        found = list(pool.map(upload, range(3 * len(plays))))
-    assert site.procs["gateway-1"].poll() is None
+        with ThreadPoolExecutor(4) as pool:
+            found = list(pool.map(upload, range(3 * len(plays))))
+        assert site.procs["gateway-1"].poll() is None
     assert {answer.status for answer in found} <= {-200, 502, 503}, "-200: a stream cut within"
-    site.stop()
-    peer.close()
--- a/tests/test_spoilt_heads.py
+++ b/tests/test_spoilt_heads.py
@@ -4,7 +4,6 @@
 
 import re
 import socket
-import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -13,7 +12,8 @@
 
 from ramppost.gateway.links import Broken
 from ramppost.wire.client import CallFailed, Pool, Response, call
-from tests.harness.gateways import Deployment, config, route
+from tests.harness.gateways import route
+from tests.harness.raw_site import raw_site
 from tests.harness.scripted import Peer, Script, own_lines, read_request
 from tests.test_gateway_links import ID, ask
 
@@ -37,7 +37,6 @@
 SOUND = [b"x: y\tz", b"x: y\r\n folded", b"x: \xe9\xff", b"x:", b"x: \tz\t"]
 BODY = b"whole"
 PREFIX = "/raw/"
-PROPAGATION_S = 1.0
 
 
 def head(request: bytes, line: bytes, field: bytes) -> bytes:
@@ -83,10 +82,7 @@
 
 def test_gateway_passed_on_spoilt_heads(tmp_path: Path) -> None:
     """Callers got answers with a status that is none, and with control bytes."""
-    site = Deployment(tmp_path, gateways=1, engines=1, services=1)
-    doc = config(2, routes=[route("raw", PREFIX, "idempotent", "raw", max_attempts=1)])
-    doc["services"].append({"name": "raw", "max_conns": 100})
-    site.configure(doc)
+    routes = [route("raw", PREFIX, "idempotent", "raw", max_attempts=1)]
 
     def script(conn: socket.socket, number: int) -> None:
         request = read_request(conn)
@@ -96,12 +92,9 @@
             conn.sendall(head(request, *SPOILT[int(asked[1])]) + BODY)
         conn.close()
 
-    peer = Peer(script)
-    site.put_entry("raw-0", "raw", peer.addr)
-    time.sleep(PROPAGATION_S)
-    found = [
-        site.call("gateway-1", PREFIX, body=b"case %d!" % n).status for n in range(len(SPOILT))
-    ]
+    with raw_site(tmp_path, routes, script) as site:
+        found = [
+            site.call("gateway-1", PREFIX, body=b"case %d!" % number).status
+            for number in range(len(SPOILT))
+        ]
     assert dict.fromkeys(found) == {502: None}, dict(zip(SPOILT, found, strict=True))
-    site.stop()
-    peer.close()
