Give others their turn while a peer's bytes are always there

What callers saw: one streaming upstream that poured events to 20 callers left ordinary requests of other services unserved for up to 10 s, 19 of the 20 callers without any answer, and time limits unnoticed.

Cause: receiving what has arrived doesn't suspend a task. Where bytes are always there, or many events are in one piece of them, a reader never waits, so neither other tasks nor timeouts get a turn.

It is used for exchanges with upstreams and by the client of all other calls, for lines, too. Streams are split into events in pieces of 4 KB.

--- a/ramppost/gateway/forwarding.py
+++ b/ramppost/gateway/forwarding.py
@@ -35,6 +35,8 @@
 MIN_LEFT_UNREAD_S: Final = 1.0
 """An upstream that was not read for this time may abort its response for that reason."""
 
+EVENT_READ_BYTES: Final = 4096
+"""As much of a stream as is split into events before others have their turn."""
 EVENTS_SLACK: Final = 64
 """Events that a stream may have besides those of its tokens."""
 MAX_LEFT_AT_DEADLINE_S: Final = 0.05
@@ -243,7 +245,7 @@
         silent_since = clock.now()
         try:
             chunk: bytes | BodyEnd | Broken = await curio.timeout_after(
-                timeout_s, running.exchange.read_chunk()
+                timeout_s, running.exchange.read_chunk(EVENT_READ_BYTES)
             )
             return chunk
         except curio.TaskTimeout:
--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -26,6 +26,7 @@
 from ramppost.platform.headers import AnswerHead, Headers, answer_head
 from ramppost.wire.client import CallFailed, connect, readable
 from ramppost.wire.heads import Head, head_fault
+from ramppost.wire.turns import Turn
 
 READ_SIZE: Final = 65536
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -124,6 +125,7 @@
         self.source_host = source_host
         self.observe_head = observe_head
         self.idle_connections: dict[str, list[PooledConnection]] = {}
+        self.long_work = curio.Lock()
         self.opened = 0
         self.reused = 0
         self.last_received_at: dict[str, float] = {}
@@ -181,6 +183,9 @@
         self._connection = connection
         self._req = req
         self._sender: Any = None
+        self._turn = Turn(pool.long_work)
+        self._unread = b""
+        """Bytes of the body that were received, and are read next."""
         self._send_error: OSError | None = None
         """Why a large request was not sent whole; a socket tells an error only once."""
         self._ended = False
@@ -234,8 +239,19 @@
                 return broken
         return Broken("too many answers to other requests", by_peer=True)
 
-    async def read_chunk(self) -> bytes | BodyEnd | Broken:
-        """Read the next bytes of the response body."""
+    async def read_chunk(self, max_bytes: int = READ_SIZE) -> bytes | BodyEnd | Broken:
+        """Read the next bytes of the response body, at most `max_bytes`."""
+        if not self._unread:
+            received = await self._receive_body()
+            if not isinstance(received, bytes):
+                return received
+            self._unread = received
+        else:
+            await self._turn.pass_on()
+        chunk, self._unread = self._unread[:max_bytes], self._unread[max_bytes:]
+        return chunk
+
+    async def _receive_body(self) -> bytes | BodyEnd | Broken:
         if self._ended:
             return BodyEnd(self._framed)
         event = await self._next_event()
@@ -318,6 +334,7 @@
     async def _next_event(self) -> Any:
         informational = 0
         while True:
+            await self._turn.pass_on()
             try:
                 event = self._connection.h11.next_event()
             except h11.RemoteProtocolError as exc:
@@ -357,14 +374,13 @@
 
     async def _recv_in_time(self) -> bytes | Broken:
         """Receive bytes; those of a head that has begun only while it may still become whole."""
-        recv = self._connection.sock.recv
+        sock = self._connection.sock
         if not self._awaits_head or self._head_begun_at is None:
-            data: bytes = await recv(READ_SIZE)
-            return data
+            return await self._turn.receive(sock, READ_SIZE)
         left_s = self._head_begun_at + MAX_HEAD_S - clock.now()
         if left_s > 0:
             try:
-                head: bytes = await curio.timeout_after(left_s, recv(READ_SIZE))
+                head: bytes = await curio.timeout_after(left_s, self._turn.receive(sock, READ_SIZE))
                 return head
             except curio.TaskTimeout:
                 logger.debug("head not whole in time", upstream=self._connection.upstream.id)
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -17,6 +17,7 @@
 
 from ramppost import clock
 from ramppost.wire.heads import Head, head_fault
+from ramppost.wire.turns import Turn
 
 READ_SIZE: Final = 65536
 MAX_IDLE_PER_ADDRESS: Final = 32
@@ -77,6 +78,7 @@
     def __init__(self, source: str = "") -> None:
         self.source = None if source in UNSPECIFIED_HOSTS else (source, 0)
         self.idle_connections: dict[str, list[_Connection]] = {}
+        self.long_work = curio.Lock()
         self.bytes_out = 0
         self.bytes_in = 0
 
@@ -123,6 +125,7 @@
         self._pool = pool
         self._addr = addr
         self._connection = connection
+        self._turn = Turn(pool.long_work)
         self._buffer = bytearray()
         self._ended = False
         self.status = 0
@@ -154,6 +157,7 @@
         Raises OSError if the connection fails or the line is too long.
         """
         while True:
+            await self._turn.pass_on()
             end = self._buffer.find(b"\n")
             if end >= 0:
                 line = bytes(self._buffer[:end])
@@ -183,12 +187,13 @@
 
     async def _next_event(self) -> Any:
         while True:
+            await self._turn.pass_on()
             try:
                 event = self._connection.h11.next_event()
             except h11.RemoteProtocolError as exc:
                 raise ConnectionResetError(str(exc)) from exc
             if event is h11.NEED_DATA:
-                data = await self._connection.sock.recv(READ_SIZE)
+                data = await self._turn.receive(self._connection.sock, READ_SIZE)
                 self._pool.bytes_in += len(data)
                 self._connection.h11.receive_data(data)
                 continue
--- /dev/null
+++ b/tests/test_poured_answers.py
@@ -0,0 +1,128 @@
+"""Peers that send bytes without end, as fast as they are read."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import curio
+import pytest
+
+from ramppost.gateway.links import ConnectionPool, Exchange, open_exchange
+from ramppost.wire.client import Pool, Stream, open_stream
+from tests.harness.gateways import SAFE, Given, route
+from tests.harness.raw_site import raw_site
+from tests.harness.scripted import HOST, Peer, Script, own_lines, read_request
+from tests.test_gateway_links import request, upstream
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+UNFRAMED = b"\r\n"
+POUR_S = 6.0
+TIMEOUT_S = 2.0
+CALLERS = 20
+ORDINARY = 15
+ABANDONED_S = 1.0
+"""Callers leave a gateway that has not read a request for this time."""
+KINDS: dict[str, tuple[bytes, bytes]] = {
+    "unframed": (UNFRAMED, b"x" * 65536),
+    "chunks": (CHUNKED, b"10000\r\n" + b"x" * 65536 + b"\r\n"),
+    "bytes": (CHUNKED, b"1\r\nx\r\n" * 1000),
+    "length": (b"Content-Length: 10000000000000\r\n\r\n", b"x" * 65536),
+    "lines": (UNFRAMED, b"\n" * 65536),
+    "events": (UNFRAMED, b"data: xxxxx\n\n" * 5000),
+}
+
+
+def pouring(before: bytes, piece: bytes, identified: bool = False) -> Script:
+    """Send a piece again and again, for longer than anybody may read on."""
+
+    def script(conn: socket.socket, number: int) -> None:
+        if not (head := read_request(conn)):
+            return
+        own = own_lines(head) if identified else b""
+        conn.sendall(before.replace(OK, OK + own) if before else b"")
+        ends_at = time.monotonic() + POUR_S
+        with contextlib.suppress(OSError):
+            while time.monotonic() < ends_at:
+                conn.sendall(piece)
+        conn.close()
+
+    return script
+
+
+def timed(play: Callable[[], Awaitable[Any]]) -> tuple[Any, float]:
+    began_at = time.monotonic()
+    found = curio.run(play)
+    return found, time.monotonic() - began_at
+
+
+def read_on(kind: str, start: Callable[[Script], Peer], how: str) -> None:
+    """Read a poured body until a time limit ends it."""
+    framing, piece = KINDS[kind]
+    peer = start(pouring(OK + framing, piece, identified=how == "exchange"))
+
+    async def read_exchange() -> None:
+        opened = await open_exchange(
+            ConnectionPool(HOST), upstream(peer.addr), lambda: request("a")
+        )
+        assert isinstance(opened, Exchange)
+        await opened.read_head()
+        while isinstance(await opened.read_chunk(4096), bytes):
+            pass
+        await curio.sleep(TIMEOUT_S)
+
+    async def read_stream() -> None:
+        opened = await open_stream(Pool(), peer.addr, "GET", "/")
+        assert isinstance(opened, Stream)
+        with contextlib.suppress(OSError):
+            while await opened.read_line():
+                pass
+        await curio.sleep(TIMEOUT_S)
+
+    async def played() -> None:
+        reading = read_exchange if how == "exchange" else read_stream
+        with pytest.raises(curio.TaskTimeout):
+            await curio.timeout_after(TIMEOUT_S / 2, reading())
+
+    assert timed(played)[1] < TIMEOUT_S
+
+
+@pytest.mark.parametrize("kind", ["bytes", "events", "lines"])
+@pytest.mark.parametrize("how", ["exchange", "stream"])
+def test_poured_bytes_left_no_turn_to_time_limits(
+    start: Callable[[Script], Peer], kind: str, how: str
+) -> None:
+    read_on(kind, start, how)
+
+
+@pytest.mark.parametrize("kind", ["events", "bytes"])
+def test_one_upstream_that_poured_starved_everybody(tmp_path: Path, kind: str) -> None:
+    """Neither ordinary requests nor time limits had a turn while its events were forwarded."""
+    framing, piece = KINDS[kind]
+    prefix = "/raw/"
+    routes = [route("raw", prefix, "streaming", "raw", max_attempts=1, gap_aim_ms=500)]
+    with raw_site(tmp_path, routes, pouring(OK + framing, piece, identified=True)) as site:
+        poured: list[Given] = []
+
+        def read_poured() -> None:
+            poured.append(site.call("gateway-1", prefix))
+
+        callers = [threading.Thread(target=read_poured) for _ in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.5)
+        took_s = []
+        for _ in range(ORDINARY):
+            began_at = time.monotonic()
+            assert site.call("gateway-1", SAFE).status == 200
+            took_s.append(time.monotonic() - began_at)
+        for caller in callers:
+            caller.join()
+    assert max(took_s) < ABANDONED_S
+    assert [got.status for got in poured if not got.body] == []
