Bound what the client of all calls keeps of an answer

What callers saw, on a system like ours: a faulty peer sent bytes without end, and the process that had called it kept all of them until its memory ended, with the requests of other clients on that machine. Here: the store, other gateways, agents, engines and operators' calls are read by the same client.

Cause: call and fetch kept a body until it ended or their time was over, and read informational answers without counting them. What an agent keeps of a run had no limit while it ran, and the rest of an agent's refusal was read to its end.

Change: each kind of call has a largest body, from what it is answered with: 256 KB for an engine's orders, versions and load, 8 MB for objects and reports, 16 MB for lists, 64 MB for streams that are read line by line. A larger length is refused by its head. Eight informational answers may precede one, as for exchanges with upstreams. The text of a run ends at 8 MB, and the rest of an answer is read for 1 s and 64 KB at most.

--- a/ramppost/agent/engine.py
+++ b/ramppost/agent/engine.py
@@ -14,7 +14,7 @@
 
 from ramppost.policy.orders import LoadOrder
 from ramppost.schema.messages import RunMsg
-from ramppost.wire.client import CallFailed, Pool, call, open_stream
+from ramppost.wire.client import MAX_SHORT_BODY_BYTES, CallFailed, Pool, call, open_stream
 from ramppost.wire.codec import BadMessage, decode, encode
 from ramppost.wire.digits import parse_digits
 from ramppost.wire.nesting import is_deep
@@ -28,6 +28,8 @@
 """Seconds of a day; a longer time is taken for none."""
 MAX_TOKENS: Final = 10**9
 """More than any answer has; more can't be billed."""
+MAX_TEXT_CHARS: Final = 8 * 1024 * 1024
+"""More than any answer has; the text of a run is kept for those who read it again."""
 
 
 class Delta(TypedDict, total=False):
@@ -136,7 +138,7 @@
             return RunFailed(f"engine answered {stream.status}")
         await on_start()
         completed = RunCompleted("", 0, 0, 0.0)
-        chunk_count = 0
+        chunk_count = char_count = 0
         while True:
             line = await curio.timeout_after(TOKEN_TIMEOUT_S, stream.read_line())
             if line == EVENT_PREFIX + END_OF_STREAM:
@@ -155,6 +157,9 @@
             text, finish = _text_and_finish(chunk)
             if text:
                 chunk_count += 1
+                char_count += len(text)
+                if char_count > MAX_TEXT_CHARS:
+                    return RunFailed("answer without end")
                 await on_text(text)
             if finish:
                 completed = _completed_run(finish, chunk, chunk_count)
@@ -189,7 +194,16 @@
 
 async def cancel_run(pool: Pool, addr: str, attempt: str) -> None:
     """Ask the engine to cancel a run."""
-    await call(pool, addr, "POST", "/v1/cancel", encode({"attempt": attempt}), CALL_TIMEOUT_S)
+    body = encode({"attempt": attempt})
+    await call(
+        pool,
+        addr,
+        "POST",
+        "/v1/cancel",
+        body,
+        CALL_TIMEOUT_S,
+        max_body_bytes=MAX_SHORT_BODY_BYTES,
+    )
 
 
 class OrderAccepted(NamedTuple):
@@ -217,7 +231,15 @@
     body = OrderBody(
         fence=order.fence, action="load", model=order.mv.model, version=order.mv.version
     )
-    response = await call(pool, addr, "POST", "/order", encode(body), CALL_TIMEOUT_S)
+    response = await call(
+        pool,
+        addr,
+        "POST",
+        "/order",
+        encode(body),
+        CALL_TIMEOUT_S,
+        max_body_bytes=MAX_SHORT_BODY_BYTES,
+    )
     if isinstance(response, CallFailed):
         return OrderRefused(response.reason, 0.0)
     if response.status == 200:
@@ -228,7 +250,14 @@
 
 async def fetch_versions(pool: Pool, addr: str) -> list[str] | None:
     """The versions that an engine serves, as `model@version`; None if it does not respond."""
-    response = await call(pool, addr, "GET", "/v1/models", timeout_s=CALL_TIMEOUT_S)
+    response = await call(
+        pool,
+        addr,
+        "GET",
+        "/v1/models",
+        timeout_s=CALL_TIMEOUT_S,
+        max_body_bytes=MAX_SHORT_BODY_BYTES,
+    )
     if isinstance(response, CallFailed) or response.status != 200:
         return None
     versions = decode(response.body, list[str])
--- a/ramppost/agent/service.py
+++ b/ramppost/agent/service.py
@@ -6,7 +6,7 @@
 
 from ramppost.agent.engine import NotStarted, OutcomeUnknown, RunFailed, request_headers
 from ramppost.schema.messages import RunMsg
-from ramppost.wire.client import CallFailed, Pool, call
+from ramppost.wire.client import MAX_SHORT_BODY_BYTES, CallFailed, Pool, call
 
 CALL_TIMEOUT_S: Final = 60.0
 
@@ -37,5 +37,5 @@
 
 async def is_service_up(pool: Pool, addr: str) -> bool:
     """Whether the service responds, with any status."""
-    got = await call(pool, addr, "GET", "/load", timeout_s=2.0)
+    got = await call(pool, addr, "GET", "/load", timeout_s=2.0, max_body_bytes=MAX_SHORT_BODY_BYTES)
     return not isinstance(got, CallFailed)
--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -25,7 +25,7 @@
 from ramppost.gateway.model import Upstream
 from ramppost.platform.headers import AnswerHead, Headers, answer_head
 from ramppost.wire.client import CallFailed, connect, readable
-from ramppost.wire.heads import Head, head_fault
+from ramppost.wire.heads import MAX_INFORMATIONAL, Head, head_fault
 from ramppost.wire.turns import Turn
 
 READ_SIZE: Final = 65536
@@ -41,8 +41,6 @@
 """Larger requests are sent while the response is read, which may arrive before all is sent."""
 MAX_SKIPPED_RESPONSES: Final = 4
 """Responses to other requests that are skipped before a connection is given up."""
-MAX_INFORMATIONAL: Final = 8
-"""Informational responses that may precede a response."""
 MAX_HEAD_S: Final = 1.0
 """Many times what a head takes that was lost once on the way."""
 MAX_SKIP_S: Final = 1.0
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -16,12 +16,23 @@
 import h11
 
 from ramppost import clock
-from ramppost.wire.heads import Head, head_fault
+from ramppost.wire.digits import parse_digits
+from ramppost.wire.heads import MAX_INFORMATIONAL, Head, head_fault
 from ramppost.wire.turns import Turn
 
 READ_SIZE: Final = 65536
 MAX_IDLE_PER_ADDRESS: Final = 32
 MAX_LINE_BYTES: Final = 8 * 1024 * 1024
+MAX_SHORT_BODY_BYTES: Final = 256 * 1024
+"""For calls that are answered with a few fields or a short list."""
+MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+"""For calls that are answered with an object or a report, which are 1 MB at the most."""
+MAX_LIST_BYTES: Final = 16 * 1024 * 1024
+"""For calls that are answered with many objects at once."""
+MAX_STREAM_BYTES: Final = 64 * 1024 * 1024
+"""For a response that is read line by line, of which not all is kept."""
+MAX_DRAINED_BYTES: Final = 65536
+DRAIN_TIMEOUT_S: Final = 1.0
 CONNECT_TIMEOUT_S: Final = 2.0
 STALL_TIMEOUT_S: Final = 1.5
 """The read of a body is abandoned if no bytes arrive for this time.  It is longer than two
@@ -121,12 +132,14 @@
 class Stream:
     """A response that is being read.  It must be closed, whether it was read to the end or not."""
 
-    def __init__(self, pool: Pool, addr: str, connection: _Connection) -> None:
+    def __init__(self, pool: Pool, addr: str, connection: _Connection, max_body_bytes: int) -> None:
         self._pool = pool
         self._addr = addr
         self._connection = connection
         self._turn = Turn(pool.long_work)
         self._buffer = bytearray()
+        self._max_body_bytes = max_body_bytes
+        self._body_bytes = 0
         self._ended = False
         self.status = 0
         self.headers: dict[str, str] = {}
@@ -138,6 +151,9 @@
             raise ConnectionResetError("connection closed before the answer")
         self.status = event.status_code
         self.headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
+        length = parse_digits(self.headers.get("content-length", "0"))
+        if length is None or length > self._max_body_bytes:
+            raise self._too_large()
 
     async def read_chunk(self) -> bytes:
         """The next bytes of the body, empty at its end; raises OSError if the connection fails."""
@@ -145,6 +161,9 @@
             return b""
         event = await self._next_event()
         if isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+            if self._body_bytes > self._max_body_bytes:
+                raise self._too_large()
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._ended = True
@@ -173,10 +192,13 @@
                 raise ConnectionResetError("line too long")
 
     async def drain(self) -> None:
-        """Read the rest of the body, so that the connection can be reused; failures are ignored."""
+        """Read the rest of the body, so that the connection can be reused, if it ends soon;
+        failures are ignored."""
+        self._max_body_bytes = self._body_bytes + MAX_DRAINED_BYTES
         try:
-            while await self.read_chunk():
-                pass
+            async with curio.ignore_after(DRAIN_TIMEOUT_S):
+                while await self.read_chunk():
+                    pass
         except OSError:
             self._ended = True
 
@@ -185,7 +207,11 @@
         if not self._pool.return_idle(self._addr, self._connection):
             await self._connection.sock.close()
 
+    def _too_large(self) -> ConnectionResetError:
+        return ConnectionResetError(f"body larger than {self._max_body_bytes} bytes")
+
     async def _next_event(self) -> Any:
+        informational = 0
         while True:
             await self._turn.pass_on()
             try:
@@ -201,6 +227,9 @@
                 raise ConnectionResetError(f"not an answer: {fault}")
             if not isinstance(event, h11.InformationalResponse):
                 return event
+            informational += 1
+            if informational > MAX_INFORMATIONAL:
+                raise ConnectionResetError("informational answers without end")
 
 
 async def open_stream(
@@ -211,8 +240,12 @@
     body: bytes = b"",
     timeout_s: float = 5.0,
     headers: tuple[tuple[str, str], ...] = (),
+    max_body_bytes: int = MAX_STREAM_BYTES,
 ) -> Stream | CallFailed:
-    """Send a request and read the head of its response within `timeout_s`."""
+    """Send a request and read the head of its response within `timeout_s`.
+
+    To read more than `max_body_bytes` of its body is a failure.
+    """
     connection = pool.take_idle(addr)
     if connection is None:
         sock = await connect(addr, pool.source, min(timeout_s, CONNECT_TIMEOUT_S))
@@ -226,7 +259,7 @@
     )
     data = (connection.h11.send(head) or b"") + (connection.h11.send(h11.Data(data=body)) or b"")
     data += connection.h11.send(h11.EndOfMessage()) or b""
-    stream = Stream(pool, addr, connection)
+    stream = Stream(pool, addr, connection, max_body_bytes)
     try:
         async with curio.timeout_after(timeout_s):
             await connection.sock.sendall(data)
@@ -253,9 +286,13 @@
     body: bytes = b"",
     timeout_s: float = 5.0,
     headers: tuple[tuple[str, str], ...] = (),
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> Response | CallFailed:
-    """Send a request and read its complete response within `timeout_s`."""
-    pending_stream = open_stream(pool, addr, method, path, body, timeout_s, headers)
+    """Send a request and read its complete response within `timeout_s`.
+
+    A response with a larger body than `max_body_bytes` is a failure.
+    """
+    pending_stream = open_stream(pool, addr, method, path, body, timeout_s, headers, max_body_bytes)
     return await _read_response(pool, addr, pending_stream, timeout_s, None)
 
 
@@ -268,16 +305,18 @@
     timeout_s: float = 5.0,
     headers: tuple[tuple[str, str], ...] = (),
     on_head: Callable[[], None] = lambda: None,
+    max_body_bytes: int = MAX_LIST_BYTES,
 ) -> Response | CallFailed:
     """Send a request, read the head of its response within `timeout_s`, and then read the body.
 
     `on_head` is called between the two.  The timeout of the head grows with the size of the request
-    body.  The read of the response body is abandoned if no bytes arrive for `STALL_TIMEOUT_S`, or
-    after `MAX_BODY_READ_S`.  With a limit of 1 s for the complete response, a transfer of 0.87 MB
-    over a link of 0.6 MB/s was aborted and restarted for ever.
+    body.  The read of the response body is abandoned if no bytes arrive for `STALL_TIMEOUT_S`,
+    after `MAX_BODY_READ_S`, or if it is larger than `max_body_bytes`.  With a limit of 1 s for the
+    complete response, a transfer of 0.87 MB over a link of 0.6 MB/s was aborted and restarted for
+    ever.
     """
     head_s = timeout_s + len(body) / MIN_BYTES_PER_S
-    pending_stream = open_stream(pool, addr, method, path, body, head_s, headers)
+    pending_stream = open_stream(pool, addr, method, path, body, head_s, headers, max_body_bytes)
     return await _read_response(
         pool, addr, pending_stream, head_s + MAX_BODY_READ_S, STALL_TIMEOUT_S, on_head
     )
--- a/ramppost/wire/heads.py
+++ b/ramppost/wire/heads.py
@@ -18,6 +18,8 @@
 MAJOR_VERSION: Final = b"1."
 LAST_STATUS: Final = 599
 """The last one of RFC 9110, section 15."""
+MAX_INFORMATIONAL: Final = 8
+"""Informational responses that may precede a response."""
 _CONTROL: Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 """Bytes that no value may hold (RFC 9110, section 5.5); a tab may stand in one."""
 
--- a/tests/test_poured_answers.py
+++ b/tests/test_poured_answers.py
@@ -13,8 +13,11 @@
 import curio
 import pytest
 
+from ramppost.agent.engine import MAX_TEXT_CHARS, RunFailed, run_engine
 from ramppost.gateway.links import ConnectionPool, Exchange, open_exchange
-from ramppost.wire.client import Pool, Stream, open_stream
+from ramppost.schema.messages import RunMsg
+from ramppost.wire import client
+from ramppost.wire.client import CallFailed, Pool, Stream, call, fetch, open_stream
 from tests.harness.gateways import SAFE, Given, route
 from tests.harness.raw_site import raw_site
 from tests.harness.scripted import HOST, Peer, Script, own_lines, read_request
@@ -25,6 +28,7 @@
 UNFRAMED = b"\r\n"
 POUR_S = 6.0
 TIMEOUT_S = 2.0
+SLACK_S = 1.0
 CALLERS = 20
 ORDINARY = 15
 ABANDONED_S = 1.0
@@ -37,6 +41,11 @@
     "lines": (UNFRAMED, b"\n" * 65536),
     "events": (UNFRAMED, b"data: xxxxx\n\n" * 5000),
 }
+ASKS: dict[str, Callable[[Pool, str], Awaitable[Any]]] = {
+    "call": lambda pool, addr: call(pool, addr, "GET", "/", timeout_s=TIMEOUT_S),
+    "fetch": lambda pool, addr: fetch(pool, addr, "GET", "/", timeout_s=TIMEOUT_S),
+    "open_stream": lambda pool, addr: open_stream(pool, addr, "GET", "/", timeout_s=TIMEOUT_S),
+}
 
 
 def pouring(before: bytes, piece: bytes, identified: bool = False) -> Script:
@@ -62,6 +71,43 @@
     return found, time.monotonic() - began_at
 
 
+@pytest.mark.parametrize("ask", ["call", "fetch"])
+@pytest.mark.parametrize("kind", KINDS)
+def test_body_without_end_was_kept(start: Callable[[Script], Peer], kind: str, ask: str) -> None:
+    """The process that had called kept all of it until its memory ended."""
+    framing, piece = KINDS[kind]
+    peer = start(pouring(OK + framing, piece))
+    pool = Pool()
+    found, took_s = timed(lambda: ASKS[ask](pool, peer.addr))
+    assert isinstance(found, CallFailed)
+    assert pool.bytes_in < 2 * client.MAX_LIST_BYTES
+    assert took_s < TIMEOUT_S + client.MAX_BODY_READ_S
+    if ask == "call":
+        assert took_s < TIMEOUT_S + SLACK_S
+
+
+@pytest.mark.parametrize("ask", ASKS)
+def test_informational_answers_without_end_hung_the_process(
+    start: Callable[[Script], Peer], ask: str
+) -> None:
+    """Nothing waited while they were read, so no time limit was noticed."""
+    peer = start(pouring(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100))
+    found, took_s = timed(lambda: ASKS[ask](Pool(), peer.addr))
+    assert isinstance(found, CallFailed)
+    assert took_s < TIMEOUT_S + SLACK_S
+
+
+@pytest.mark.parametrize("size", [10 * 1024 * 1024, client.MAX_BODY_BYTES + 1])
+def test_length_over_the_limit_is_refused_by_its_head(
+    start: Callable[[Script], Peer], size: int
+) -> None:
+    peer = start(pouring(OK + b"Content-Length: %d\r\n\r\n" % size, b""))
+    pool = Pool()
+    found, took_s = timed(lambda: ASKS["call"](pool, peer.addr))
+    assert isinstance(found, CallFailed)
+    assert took_s < SLACK_S
+
+
 def read_on(kind: str, start: Callable[[Script], Peer], how: str) -> None:
     """Read a poured body until a time limit ends it."""
     framing, piece = KINDS[kind]
@@ -101,6 +147,24 @@
     read_on(kind, start, how)
 
 
+def test_engine_that_poured_text_filled_its_agent(start: Callable[[Script], Peer]) -> None:
+    """All of a run's text is kept for those who read it again."""
+    event = b'data: {"choices":[{"delta":{"content":"%s"}}]}\n\n' % (b"x" * 60_000)
+    peer = start(pouring(OK + UNFRAMED, event))
+    kept = []
+
+    async def keep(text: str) -> None:
+        kept.append(len(text))
+
+    async def begin() -> None:
+        pass
+
+    msg: Any = dict.fromkeys(RunMsg.__annotations__, "") | {"body": "{}", "priority": 0}
+    found, _ = timed(lambda: run_engine(Pool(), peer.addr, msg, False, begin, keep))
+    assert isinstance(found, RunFailed)
+    assert sum(kept) <= MAX_TEXT_CHARS
+
+
 @pytest.mark.parametrize("kind", ["events", "bytes"])
 def test_one_upstream_that_poured_starved_everybody(tmp_path: Path, kind: str) -> None:
     """Neither ordinary requests nor time limits had a turn while its events were forwarded."""
