Take no call in a planned stop that can't be answered, and answer the rest

What callers saw (LOST): in a planned stop of one gateway, in calm, calls that came late were taken, passed on and cut with no answer at its end, among them calls that may run only once.

Cause: 1.5 s was taken for the longest call, whatever the route and the caller allow. What was still under way at the end was cut with the process, also where an upstream had been silent on a kept connection.

In the last 1.5 s it refuses all, as before. At the end it answers what is still under way with what is true: that its outcome is unknown, or that it has not run; an answer that is complete goes on being sent for up to 0.3 s. Streams keep their own rule.

Calls of 0.05 and 1.4 s on a route with a limit of 30 s are served as long as they fit (test held before and after).

--- a/ramppost/gateway/admit.py
+++ b/ramppost/gateway/admit.py
@@ -37,7 +37,7 @@
         return _refusal_if_current(
             is_current, "not_found", f"no route for {req.target.partition('?')[0]}"
         )
-    if gw.refusal_scope == "all" or (gw.refusal_scope == "streams" and route.streams):
+    if _may_outlast_stop(gw, route, req, now):
         return refusal("leaving", "this gateway is stopping", retry_after_s(gw))
     if table.keys is None:
         return Admitted(route, None)
@@ -51,6 +51,16 @@
     return Admitted(route, workspace)
 
 
+def _may_outlast_stop(gw: Gateway, route: Route, req: CallerRequest, now: float) -> bool:
+    """Whether a planned stop may end before the answer of a request."""
+    if gw.refusal_scope == "all" or (gw.refusal_scope == "streams" and route.streams):
+        return True
+    if route.streams or not gw.draining:
+        return False
+    limit_s = min(req.deadline_s, route.timeout_s)
+    return now + gw.call_times.expected_s(route.name, limit_s, now) > gw.stop_ends_at
+
+
 def _is_config_current(gw: Gateway, now: float) -> bool:
     """Whether the configuration is known to include every change that must be in force by now.
 
--- a/ramppost/gateway/main.py
+++ b/ramppost/gateway/main.py
@@ -23,7 +23,7 @@
 from ramppost.gateway.operators import internal_handler
 from ramppost.gateway.rewriting import keep_plans, keep_policies
 from ramppost.gateway.rollout_duty import drive_rollouts
-from ramppost.gateway.serve import refuse_by_head, serve
+from ramppost.gateway.serve import StopEnded, refuse_by_head, serve
 from ramppost.gateway.settings import BadSettings, read_settings
 from ramppost.gateway.state import Gateway
 from ramppost.schema.messages import PeerDatagram
@@ -41,9 +41,11 @@
 outlast the stop."""
 STOP_MARGIN_S: Final = 0.7
 """How long before the limit `stop_s` a planned stop ends, so that the process exits by itself."""
-MAX_PLAIN_CALL_S: Final = 1.5
-"""Longest duration of a non-streaming request; none is accepted later than this before the end of
-a stop."""
+REFUSE_ALL_S: Final = 1.5
+"""How long before the end of a stop the last request is accepted, however short it may be."""
+ANSWER_S: Final = 0.3
+"""How long callers may take for the answers that are sent at the end of a stop; less than
+`STOP_MARGIN_S`."""
 INITIAL_STATE_TIMEOUT_S: Final = 0.4
 """How long the start waits for the first configuration and upstreams: the store answers in
 milliseconds, and without it callers should soon get a response that tells them to retry."""
@@ -162,27 +164,39 @@
 async def _stop(gw: Gateway, signal_number: int) -> None:
     """Run a planned stop.
 
-    The gateway reports at once that it is not ready, but accepts new requests until the callers
-    have moved to other gateways, and does not interrupt requests under way.
+    The gateway reports at once that it is not ready, but accepts requests that it can answer until
+    the callers have moved to other gateways.  Requests under way are not interrupted before the end
+    of the stop; then their callers are told what is known of them.
     """
     started_at = clock.now()
     gw.draining = True
     logger.info("stopping", signal=signal_number, busy=gw.callers.busy)
     deadline = started_at + gw.cfg["timing"]["stop_s"] - STOP_MARGIN_S
+    gw.stop_ends_at = deadline
     gw.resume_at = deadline + RESTART_DELAY_S
     await curio.spawn(announce_leaving, gw, daemon=True)
     gw.sessions.hand_over()
     await curio.sleep(MIN_STOP_S)
     gw.refusal_scope = "streams"
     while (now := clock.now()) < deadline and gw.callers.busy:
-        if now > deadline - MAX_PLAIN_CALL_S:
+        if now > deadline - REFUSE_ALL_S:
             gw.refusal_scope = "all"
         gw.callers.close_idle()
         await curio.sleep(STOP_POLL_S)
+    await _answer_unfinished(gw)
     gw.sessions.hand_over()
     logger.info("stopped", left_busy=gw.callers.busy, after_s=round(now - started_at, 2))
 
 
+async def _answer_unfinished(gw: Gateway) -> None:
+    """Have callers told, whose requests are still under way, what is known of these."""
+    for task in list(gw.serving):
+        await task.cancel(exc=StopEnded, blocking=False)
+    until = clock.now() + ANSWER_S
+    while gw.callers.busy and clock.now() < until:
+        await curio.sleep(STOP_POLL_S)
+
+
 def _datagram_handler(gw: Gateway) -> DatagramHandler:
     """The handler of datagrams from other gateways."""
 
--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -24,6 +24,7 @@
 from ramppost.gateway.attempt import Refused, Running, attempt, release
 from ramppost.gateway.candidates import any_send_wait_s, send_wait_s
 from ramppost.gateway.counts import EndedRequest
+from ramppost.gateway.departures import retry_after_s
 from ramppost.gateway.escalation import choose_larger_model, plan_models
 from ramppost.gateway.forwarding import (
     Forwarded,
@@ -68,6 +69,10 @@
 """Callers that are refused at the same moment retry spread over this time."""
 
 
+class StopEnded(curio.TaskCancelled):  # type: ignore[misc]
+    """A planned stop ends while a request is still under way."""
+
+
 async def serve(gw: Gateway, req: CallerRequest, reply: Reply, read_at: float) -> None:
     """Serve a request that was fully read at `read_at`.
 
@@ -82,18 +87,28 @@
         gw.metrics.count("ramppost_requests_on_unconfirmed_keys_total")
     reply.buffer.rank = _buffer_rank(job)
     failure: Refusal | None = None
+    is_answered = False
+    task = await curio.current_task()
+    gw.serving.add(task)
     try:
         async with curio.timeout_after(max(MIN_TIMEOUT_S, job.left_s(clock.now()))):
             failure = await _process(gw, job, reply)
+            is_answered = True
             await reply.buffer.wait_until_sent()
     except curio.TaskTimeout:
         failure = failure or _timeout_refusal(job, reply)
+    except StopEnded:
+        failure = failure if is_answered else _stop_refusal(gw, job)
     except (ClientDisconnected, curio.CancelledError):
         outcome = "caller too slow" if reply.buffer.was_cut else "caller left"
         _record_end(gw, job, outcome, reply.status, read_at)
         raise
     finally:
+        gw.serving.discard(task)
         end_session_request(gw, job)
+    if job.may_have_run and not job.route.streams:
+        now = clock.now()
+        gw.call_times.record(job.route.name, now - read_at, now)
     gw.counts.record(_ended_record(job, failure is None, clock.now()))
     if failure is None:
         _record_end(gw, job, "served", reply.status, read_at)
@@ -411,6 +426,12 @@
     return refusal("overloaded", "the time limit passed before it was begun", OVERLOAD_RETRY_S)
 
 
+def _stop_refusal(gw: Gateway, job: Job) -> Refusal:
+    if job.may_have_run:
+        return refusal("outcome_unknown", "this gateway stopped before the answer", ran="unknown")
+    return refusal("leaving", "this gateway is stopping", retry_after_s(gw))
+
+
 def _retry_after_value(retry_after_s: float) -> bytes:
     """A time as callers are told it, never shorter than it is.
 
--- a/ramppost/gateway/state.py
+++ b/ramppost/gateway/state.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from typing import Final, Literal
+from typing import Any, Final, Literal
 
 from ramppost import clock
 from ramppost.gateway.backlogs import Backlogs
@@ -43,6 +43,7 @@
 from ramppost.platform.documents import DEFAULT_LIMITS
 from ramppost.platform.headers import AnswerHead
 from ramppost.platform.store import StoreClient
+from ramppost.policy.call_times import CallTimes
 from ramppost.policy.exposure import Exposure
 from ramppost.policy.homes import PartDemand
 from ramppost.policy.limits import SHARED_FRACTION, WindowBudget, slack_per_gateway
@@ -177,6 +178,11 @@
         """When this gateway accepts callers again after a planned stop."""
         self.refusal_scope: RefusalScope = "none"
         """Which new requests a planned stop refuses as not run."""
+        self.stop_ends_at = float("inf")
+        """When a planned stop answers what is still under way (steady clock)."""
+        self.call_times = CallTimes()
+        self.serving: set[Any] = set()
+        """Tasks that serve a request each."""
 
     @property
     def limits(self) -> CallerLimits:
