--- a/ramppost/gateway/serve.py
+++ b/ramppost/gateway/serve.py
@@ -106,9 +106,7 @@
     finally:
         gw.serving.discard(task)
         end_session_request(gw, job)
-    if job.may_have_run and not job.route.streams:
-        now = clock.now()
-        gw.call_times.record(job.route.name, now - read_at, now)
+        _record_call_time(gw, job, clock.now())
     gw.counts.record(_ended_record(job, failure is None, clock.now()))
     if failure is None:
         _record_end(gw, job, "served", reply.status, read_at)
@@ -128,6 +126,12 @@
     return True
 
 
+def _record_call_time(gw: Gateway, job: Job, now: float) -> None:
+    """Record how long a call took; one whose caller has left may take at least as long."""
+    if job.may_have_run and not job.route.streams:
+        gw.call_times.record(job.route.name, now - job.read_at, now)
+
+
 def _buffer_rank(job: Job) -> Rank:
     """How urgent a response is when buffers for slow callers must be freed."""
     return job.workspace_rank, job.route.priority
--- a/ramppost/wire/client.py
+++ b/ramppost/wire/client.py
@@ -26,7 +26,7 @@
 MAX_SHORT_BODY_BYTES: Final = 256 * 1024
 """For calls that are answered with a few fields or a short list."""
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
-"""For calls that are answered with an object or a report, which are 1 MB at the most."""
+"""For calls that are answered with an object, of 1 MB at the most, or a report."""
 MAX_LIST_BYTES: Final = 16 * 1024 * 1024
 """For calls that are answered with many objects at once."""
 MAX_STREAM_BYTES: Final = 64 * 1024 * 1024
