Believe the end of an unframed answer that came before the reset of its upload

Cause: any error of the sending task was taken for a reset that might have cut the answer. Linux tells the two apart: a reset after the peer's own end is reported as a broken pipe, one before it as a reset.

Change: a broken pipe doesn't make the end doubtful.

--- a/ramppost/gateway/links.py
+++ b/ramppost/gateway/links.py
@@ -262,12 +262,21 @@
             return bytes(event.data)
         if not isinstance(event, h11.EndOfMessage):
             return Broken("connection closed within the answer", by_peer=True)
-        if self._send_error is not None and not self._framed:
+        if self._was_reset_while_sending and not self._framed:
             # After the sending task was told of a reset, the reading task sees a plain end.
             return Broken(f"connection failed: {self._send_error}", by_peer=True)
         self._ended = True
         return BodyEnd(self._framed)
 
+    @property
+    def _was_reset_while_sending(self) -> bool:
+        """Whether the sending task was told of a failure that may have come before the end.
+
+        Linux reports a reset after the peer's own end as a broken pipe: the answer is whole then.
+        """
+        error = self._send_error
+        return error is not None and not isinstance(error, BrokenPipeError)
+
     async def finish(self) -> None:
         """Keep the connection if the response was read completely, else close it."""
         conn = self._connection.h11
--- a/tests/test_resets_in_uploads.py
+++ b/tests/test_resets_in_uploads.py
@@ -110,6 +110,18 @@
     assert curio.run(curio.timeout_after, WITHIN_S, played()) == b"whole"
 
 
+def test_answer_that_ended_before_a_reset_is_whole(start: Callable[[Script], Peer]) -> None:
+    """An upstream that ends its side and closes while the upload still comes."""
+
+    def script(conn: socket.socket, number: int) -> None:
+        conn.sendall(ok(read_request(conn), UNFRAMED) + b"whole")
+        conn.shutdown(socket.SHUT_WR)
+        time.sleep(PAUSES_S[number % len(PAUSES_S)])
+        conn.close()
+
+    assert upload_to(start(script)) == [b"whole"] * TIMES
+
+
 def test_whole_answer_before_a_reset_is_whole(start: Callable[[Script], Peer]) -> None:
     peer = start(resetting(lambda head: ok(head, b"Content-Length: 5\r\n\r\n") + b"whole"))
 
