--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -11,10 +11,10 @@
 import curio
 import pytest
 
-from ramppost.agent.engine import RunCompleted, run_engine
+from ramppost.agent.engine import RunCompleted
 from ramppost.platform import names
-from ramppost.schema.messages import RunMsg
 from ramppost.wire.client import CallFailed, Pool, Response, call
+from tests.harness.engine_run import run_at
 from tests.harness.gateways import Deployment, Given, config, route
 from tests.harness.scripted import Peer, own_lines, read_request, reset
 
@@ -126,23 +126,9 @@
     events = b'data: {"choices":[{"delta":{"content":"a"},"finish_reason":"stop"}]}\n\n'
     answer = b"HTTP/1.1 200 OK\r\n\r\n" + events + b"data: [DONE]\n"
 
-    async def nothing(text: str = "") -> None:
-        pass
-
     async def run() -> list[object]:
         pool = Pool()
-        msg = RunMsg(  # type: ignore[typeddict-item]
-            body="{}",
-            model="small",
-            version="v1",
-            request_id="r",
-            attempt="a",
-            workspace="w",
-            session="",
-            priority=0,
-            key="",
-        )
-        return [await run_engine(pool, peer.addr, msg, False, nothing, nothing) for _ in answer]
+        return [await run_at(pool, peer.addr) for _ in answer]
 
     peer = cutting_peer(answer, resets)
     got = curio.run(run)
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -11,11 +11,11 @@
 import curio
 import pytest
 
-from ramppost.agent.engine import RunCompleted, RunFailed, run_engine
+from ramppost.agent.engine import RunCompleted, RunFailed
 from ramppost.gateway.links import BodyEnd, Broken, ConnectionPool, Exchange, open_exchange
 from ramppost.platform import names
-from ramppost.schema.messages import RunMsg
 from ramppost.wire.client import CallFailed, Pool, Response, call
+from tests.harness.engine_run import run_at
 from tests.harness.scripted import HOST, Peer, Script, read_request, reset
 from tests.test_gateway_links import ID, request, upstream
 
@@ -33,7 +33,6 @@
 CASES: Final = 120
 UPLOAD: Final = b"u" * (4 << 20)
 WITHIN_S: Final = 60.0
-MSG: Final[Any] = dict.fromkeys(RunMsg.__annotations__, "") | {"body": "{}", "priority": 0}
 
 
 def drawn_answer(rng: random.Random) -> bytes:
@@ -86,10 +85,7 @@
 
 
 async def by_engine(addr: str, rng: random.Random) -> object:
-    async def nothing(text: str = "") -> None:
-        pass
-
-    return await run_engine(Pool(), addr, MSG, False, nothing, nothing)
+    return await run_at(Pool(), addr)
 
 
 Read = Callable[[str, random.Random], Awaitable[object]]
--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -10,15 +10,15 @@
 import pytest
 
 from ramppost import ids
-from ramppost.agent.engine import OrderRefused, RunFailed, run_engine, send_load_order
+from ramppost.agent.engine import OrderRefused, RunFailed, send_load_order
 from ramppost.gateway.copies import _requested_position
 from ramppost.platform import names
 from ramppost.platform.store import _era
 from ramppost.policy.orders import LoadOrder
 from ramppost.policy.permissions import ModelVersion
-from ramppost.schema.messages import RunMsg
 from ramppost.wire.client import Pool, Response
 from ramppost.wire.server import Request
+from tests.harness.engine_run import run_at
 from tests.harness.gateways import route
 from tests.harness.raw_site import raw_site
 from tests.harness.scripted import Peer, Script, own_lines, read_request
@@ -63,24 +63,10 @@
         conn.sendall(f"HTTP/1.1 200 OK\r\n\r\ndata: {chunk}\n\ndata: [DONE]\n\n".encode())
         conn.close()
 
-    async def nothing(text: str = "") -> None:
-        pass
-
-    msg = RunMsg(  # type: ignore[typeddict-item]
-        body="{}",
-        model="small",
-        version="v1",
-        request_id="r",
-        attempt="a",
-        workspace="w",
-        session="",
-        priority=0,
-        key="",
-    )
     peer = start(script)
 
     async def played() -> object:
-        return await run_engine(Pool(), peer.addr, msg, False, nothing, nothing)
+        return await run_at(Pool(), peer.addr)
 
     assert isinstance(curio.run(played), RunFailed)
 
--- a/tests/test_poured_answers.py
+++ b/tests/test_poured_answers.py
@@ -13,11 +13,11 @@
 import curio
 import pytest
 
-from ramppost.agent.engine import MAX_TEXT_CHARS, RunFailed, run_engine
+from ramppost.agent.engine import MAX_TEXT_CHARS, RunFailed
 from ramppost.gateway.links import ConnectionPool, Exchange, open_exchange
-from ramppost.schema.messages import RunMsg
 from ramppost.wire import client
 from ramppost.wire.client import CallFailed, Pool, Stream, call, fetch, open_stream
+from tests.harness.engine_run import run_at
 from tests.harness.gateways import SAFE, Given, route
 from tests.harness.raw_site import raw_site
 from tests.harness.scripted import HOST, Peer, Script, own_lines, read_request
@@ -108,8 +108,12 @@
     assert took_s < SLACK_S
 
 
-def read_on(kind: str, start: Callable[[Script], Peer], how: str) -> None:
-    """Read a poured body until a time limit ends it."""
+@pytest.mark.parametrize("kind", ["bytes", "events", "lines"])
+@pytest.mark.parametrize("how", ["exchange", "stream"])
+def test_poured_bytes_left_no_turn_to_time_limits(
+    start: Callable[[Script], Peer], kind: str, how: str
+) -> None:
+    """A reader whose bytes were always there went on beyond its time limit."""
     framing, piece = KINDS[kind]
     peer = start(pouring(OK + framing, piece, identified=how == "exchange"))
 
@@ -139,14 +143,6 @@
     assert timed(played)[1] < TIMEOUT_S
 
 
-@pytest.mark.parametrize("kind", ["bytes", "events", "lines"])
-@pytest.mark.parametrize("how", ["exchange", "stream"])
-def test_poured_bytes_left_no_turn_to_time_limits(
-    start: Callable[[Script], Peer], kind: str, how: str
-) -> None:
-    read_on(kind, start, how)
-
-
 def test_engine_that_poured_text_filled_its_agent(start: Callable[[Script], Peer]) -> None:
     """All of a run's text is kept for those who read it again."""
     event = b'data: {"choices":[{"delta":{"content":"%s"}}]}\n\n' % (b"x" * 60_000)
@@ -156,11 +152,7 @@
     async def keep(text: str) -> None:
         kept.append(len(text))
 
-    async def begin() -> None:
-        pass
-
-    msg: Any = dict.fromkeys(RunMsg.__annotations__, "") | {"body": "{}", "priority": 0}
-    found, _ = timed(lambda: run_engine(Pool(), peer.addr, msg, False, begin, keep))
+    found, _ = timed(lambda: run_at(Pool(), peer.addr, keep))
     assert isinstance(found, RunFailed)
     assert sum(kept) <= MAX_TEXT_CHARS
 
