Tests: resets beside uploads of half a megabyte to sixteen

The tests of resets beside uploads played one size, 4 MiB. The loopback takes up to some 2 MB of a request at once, so that a smaller upload was never still being written when the reset came; on a real link it is.

The stand-in now may have a receive buffer of 4096 bytes, which keeps also uploads of 512 KiB and 1 MiB on their way; 16 MiB are played beside them, with a reset before the first bytes of the answer, within its head, after it, and after parts of 4 bytes, 30,000 bytes and one event. No change of the product.

--- a/tests/harness/scripted.py
+++ b/tests/harness/scripted.py
@@ -15,10 +15,15 @@
 
 
 class Peer:
-    """Accepts connections; each is served by the script, with its number from 0."""
+    """Accepts connections; each is served by the script, with its number from 0.
 
-    def __init__(self, script: Script) -> None:
+    `receive_bytes` is the size of the receive buffer; 0 leaves it to the system.
+    """
+
+    def __init__(self, script: Script, receive_bytes: int = 0) -> None:
         self._sock = socket.create_server((HOST, 0))
+        if receive_bytes:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
         self.addr = f"{HOST}:{self._sock.getsockname()[1]}"
         self.accepted = 0
         self._script = script
--- a/tests/test_resets_in_uploads.py
+++ b/tests/test_resets_in_uploads.py
@@ -19,6 +19,9 @@
 from tests.test_gateway_links import request, upstream, whole
 
 UPLOAD = b"u" * (4 << 20)
+OTHER_SIZES = (512 << 10, 1 << 20, 16 << 20)
+NARROW_BYTES = 4096
+"""A receive buffer that keeps also a smaller upload from being written at once."""
 UNFRAMED = b"\r\n"
 PART = b"part"
 PAUSES_S = (0.0, 0.02, 0.2)
@@ -60,14 +63,13 @@
     return script
 
 
-def upload_to(peer: Peer) -> list[Any]:
+def upload_to(peer: Peer, body: bytes = UPLOAD) -> list[Any]:
     """What came of uploads at once to an upstream that resets them."""
 
     async def played() -> list[Any]:
         pool = ConnectionPool(HOST)
         tasks = [
-            await curio.spawn(whole, pool, peer.addr, str(number), UPLOAD)
-            for number in range(TIMES)
+            await curio.spawn(whole, pool, peer.addr, str(number), body) for number in range(TIMES)
         ]
         return [await task.join() for task in tasks]
 
@@ -93,6 +95,19 @@
     assert [answer for answer in found if isinstance(answer, bytes)] == []
 
 
+@pytest.mark.parametrize("before", ["nothing", "half_head", *UNFRAMED_BEFORE])
+@pytest.mark.parametrize("size", OTHER_SIZES)
+def test_part_looked_whole_beside_smaller_and_larger_uploads(size: int, before: str) -> None:
+    """The same two faults, wherever an upload doesn't fit into the buffers on its way."""
+    peer = Peer(resetting(SENT_BEFORE[before]), NARROW_BYTES)
+    try:
+        found = upload_to(peer, b"u" * size)
+    finally:
+        peer.close()
+    assert len(found) == TIMES
+    assert [answer for answer in found if isinstance(answer, bytes)] == []
+
+
 @pytest.mark.parametrize(
     "framing", [b"Content-Length: 5\r\n\r\n", UNFRAMED], ids=["length", "close"]
 )
