Tests: poured answers to callers that do not read

Whether a gateway keeps an answer without end for callers that read nothing of it was known by reading only. Played: 20 callers that send a request and never read, on a streaming route and on one of idempotent calls, an upstream that pours for 6 s without a length, in chunks, in chunks of a byte, and in events; the memory of the process, with what has arrived for it, may not pass that of the smallest machine (88 MB), and ordinary calls are answered within a second.

--- a/tests/test_poured_answers.py
+++ b/tests/test_poured_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import socket
 import threading
 import time
@@ -17,10 +18,13 @@
 from ramppost.gateway.links import ConnectionPool, Exchange, open_exchange
 from ramppost.wire import client
 from ramppost.wire.client import CallFailed, Pool, Stream, call, fetch, open_stream
+from tests.harness.beside import MemoryWatch, gateway
 from tests.harness.engine_run import run_at
-from tests.harness.gateways import SAFE, Given, route
+from tests.harness.gateways import KEYS, SAFE, Deployment, Given, route
 from tests.harness.raw_site import raw_site
 from tests.harness.scripted import HOST, Peer, Script, own_lines, read_request
+from tests.harness.strangers import MIB, Target
+from tests.harness.strangers_soak import MACHINE_MB
 from tests.test_gateway_links import request, upstream
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -31,6 +35,8 @@
 SLACK_S = 1.0
 CALLERS = 20
 ORDINARY = 15
+ROUTES = ("streaming", "idempotent")
+BEGUN_S = 0.5
 ABANDONED_S = 1.0
 """Callers leave a gateway that has not read a request for this time."""
 KINDS: dict[str, tuple[bytes, bytes]] = {
@@ -172,13 +178,42 @@
         callers = [threading.Thread(target=read_poured) for _ in range(CALLERS)]
         for caller in callers:
             caller.start()
-        time.sleep(0.5)
-        took_s = []
-        for _ in range(ORDINARY):
-            began_at = time.monotonic()
-            assert site.call("gateway-1", SAFE).status == 200
-            took_s.append(time.monotonic() - began_at)
+        time.sleep(BEGUN_S)
+        took_s = served_beside(site)
         for caller in callers:
             caller.join()
     assert max(took_s) < ABANDONED_S
     assert [got.status for got in poured if not got.body] == []
+
+
+def served_beside(site: Deployment) -> list[float]:
+    """How long ordinary requests took, in seconds."""
+    took_s = []
+    for _ in range(ORDINARY):
+        began_at = time.monotonic()
+        assert site.call("gateway-1", SAFE).status == 200
+        took_s.append(time.monotonic() - began_at)
+    return took_s
+
+
+@pytest.mark.parametrize("kind", ["unframed", "chunks", "bytes", "events"])
+def test_poured_answer_is_not_kept_for_callers_that_do_not_read(tmp_path: Path, kind: str) -> None:
+    framing, piece = KINDS[kind]
+    prefix = "/raw/"
+    routes = [route(how, f"{prefix}{how}", how, "raw", max_attempts=1) for how in ROUTES]
+    script = pouring(OK + framing, piece, identified=True)
+    with raw_site(tmp_path, routes, script, limits={"memory_mb": MACHINE_MB}) as site:
+        watched = gateway(site)
+        memory = MemoryWatch(watched.proc, watched.ports, MACHINE_MB)
+        with contextlib.ExitStack() as unread:
+            for number in range(CALLERS):
+                target = Target(f"{prefix}{ROUTES[number % 2]}", KEYS["kitchen"], random.Random())
+                caller = unread.enter_context(socket.create_connection(watched.ordinary.addr))
+                caller.sendall(target.head("content-length: 0"))
+            time.sleep(BEGUN_S)
+            took_s = served_beside(site)
+            time.sleep(POUR_S)
+        memory.end()
+        assert watched.proc.poll() is None
+    assert memory.peak <= MACHINE_MB * MIB
+    assert max(took_s) < ABANDONED_S
