Tests: spoilt heads on a connection that has served before

The spoilt heads were all the first answer of their connection. On a connection that is used again, a request may be sent once more elsewhere if it broke before it was taken, so that what comes of a spoilt head there is a case of its own.

Four heads as the second answer of a connection (status 000, status 600, a blank in a field's name, 0x01 in a value): each is a broken answer now, on the same connection and not asked for again. No change of the product.

--- a/tests/test_spoilt_heads.py
+++ b/tests/test_spoilt_heads.py
@@ -73,6 +73,24 @@
     assert isinstance(call_once(peer.addr), CallFailed)
 
 
+@pytest.mark.parametrize("spoilt", [SPOILT[0], SPOILT[3], (OK, FIELDS[0]), (OK, FIELDS[9])])
+def test_spoilt_head_on_a_reused_connection_is_no_answer(
+    start: Callable[[Script], Peer], spoilt: tuple[bytes, bytes]
+) -> None:
+    """Nor is its request sent again."""
+
+    def script(conn: socket.socket, number: int) -> None:
+        sound = head(read_request(conn), OK, b"x: y").replace(b"Connection: close\r\n", b"")
+        conn.sendall(sound + BODY)
+        conn.sendall(head(read_request(conn), *spoilt) + BODY)
+
+    peer = start(script)
+    sound, broken = ask(peer.addr, "1", "2")
+    assert sound == BODY
+    assert isinstance(broken, Broken)
+    assert peer.accepted == 1
+
+
 @pytest.mark.parametrize("field", SOUND)
 def test_odd_value_is_no_fault(start: Callable[[Script], Peer], field: bytes) -> None:
     peer = start(answering(OK, field))
