Make an engine's short calls in one place

The bound on what is kept of an answer was written out beside the same time limit in three calls of the agent to its engine: cancel, order, versions. One function now has both. No change of behaviour.

--- a/ramppost/agent/engine.py
+++ b/ramppost/agent/engine.py
@@ -14,7 +14,14 @@
 
 from ramppost.policy.orders import LoadOrder
 from ramppost.schema.messages import RunMsg
-from ramppost.wire.client import MAX_SHORT_BODY_BYTES, CallFailed, Pool, call, open_stream
+from ramppost.wire.client import (
+    MAX_SHORT_BODY_BYTES,
+    CallFailed,
+    Pool,
+    Response,
+    call,
+    open_stream,
+)
 from ramppost.wire.codec import BadMessage, decode, encode
 from ramppost.wire.digits import parse_digits
 from ramppost.wire.nesting import is_deep
@@ -194,16 +201,7 @@
 
 async def cancel_run(pool: Pool, addr: str, attempt: str) -> None:
     """Ask the engine to cancel a run."""
-    body = encode({"attempt": attempt})
-    await call(
-        pool,
-        addr,
-        "POST",
-        "/v1/cancel",
-        body,
-        CALL_TIMEOUT_S,
-        max_body_bytes=MAX_SHORT_BODY_BYTES,
-    )
+    await _call(pool, addr, "POST", "/v1/cancel", encode({"attempt": attempt}))
 
 
 class OrderAccepted(NamedTuple):
@@ -231,15 +229,7 @@
     body = OrderBody(
         fence=order.fence, action="load", model=order.mv.model, version=order.mv.version
     )
-    response = await call(
-        pool,
-        addr,
-        "POST",
-        "/order",
-        encode(body),
-        CALL_TIMEOUT_S,
-        max_body_bytes=MAX_SHORT_BODY_BYTES,
-    )
+    response = await _call(pool, addr, "POST", "/order", encode(body))
     if isinstance(response, CallFailed):
         return OrderRefused(response.reason, 0.0)
     if response.status == 200:
@@ -250,15 +240,17 @@
 
 async def fetch_versions(pool: Pool, addr: str) -> list[str] | None:
     """The versions that an engine serves, as `model@version`; None if it does not respond."""
-    response = await call(
-        pool,
-        addr,
-        "GET",
-        "/v1/models",
-        timeout_s=CALL_TIMEOUT_S,
-        max_body_bytes=MAX_SHORT_BODY_BYTES,
-    )
+    response = await _call(pool, addr, "GET", "/v1/models")
     if isinstance(response, CallFailed) or response.status != 200:
         return None
     versions = decode(response.body, list[str])
     return None if isinstance(versions, BadMessage) else versions
+
+
+async def _call(
+    pool: Pool, addr: str, method: str, path: str, body: bytes = b""
+) -> Response | CallFailed:
+    """Make a call that an engine answers soon and briefly."""
+    return await call(
+        pool, addr, method, path, body, CALL_TIMEOUT_S, max_body_bytes=MAX_SHORT_BODY_BYTES
+    )
