Tests: one fixture closes all scripted peers

The test of resets at other sizes made its peer itself, for a smaller receive buffer, and closed it itself, as the fixture `start` does; the fixture takes the size of the buffer now. `raw_site` calls what it hands on settings, as limits are among them.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -67,11 +67,11 @@
 
 
 @pytest.fixture
-def start() -> Iterator[Callable[[Script], Peer]]:
+def start() -> Iterator[Callable[..., Peer]]:
     peers: list[Peer] = []
 
-    def begin(script: Script) -> Peer:
-        peers.append(Peer(script))
+    def begin(script: Script, receive_bytes: int = 0) -> Peer:
+        peers.append(Peer(script, receive_bytes))
         return peers[-1]
 
     yield begin
--- a/tests/harness/raw_site.py
+++ b/tests/harness/raw_site.py
@@ -20,10 +20,10 @@
     routes: list[dict[str, Any]],
     *scripts: Script,
     max_body_bytes: int = 0,
-    **timing: Any,
+    **settings: Any,
 ) -> Iterator[Deployment]:
     """A gateway, with an upstream of the service `raw` for each script."""
-    site = Deployment(folder, gateways=1, engines=1, services=1, **timing)
+    site = Deployment(folder, gateways=1, engines=1, services=1, **settings)
     peers = [Peer(script) for script in scripts]
     try:
         doc = config(2, routes=routes)
--- a/tests/test_resets_in_uploads.py
+++ b/tests/test_resets_in_uploads.py
@@ -97,13 +97,12 @@
 
 @pytest.mark.parametrize("before", ["nothing", "half_head", *UNFRAMED_BEFORE])
 @pytest.mark.parametrize("size", OTHER_SIZES)
-def test_part_looked_whole_beside_smaller_and_larger_uploads(size: int, before: str) -> None:
+def test_part_looked_whole_beside_smaller_and_larger_uploads(
+    start: Callable[..., Peer], size: int, before: str
+) -> None:
     """The same two faults, wherever an upload doesn't fit into the buffers on its way."""
-    peer = Peer(resetting(SENT_BEFORE[before]), NARROW_BYTES)
-    try:
-        found = upload_to(peer, b"u" * size)
-    finally:
-        peer.close()
+    peer = start(resetting(SENT_BEFORE[before]), NARROW_BYTES)
+    found = upload_to(peer, b"u" * size)
     assert len(found) == TIMES
     assert [answer for answer in found if isinstance(answer, bytes)] == []
 
