--- a/review/lab2.py
+++ b/review/lab2.py
@@ -421,6 +421,8 @@
         self.store_addr = (self.take_ip(), self.ports[0])
         self.gateways: dict[str, subprocess.Popen[bytes]] = {}
         self.ips: dict[str, str] = {}
+        self.processes: list[asyncio.subprocess.Process] = []
+        """Runners that are processes of their own; they are ended with the gateways."""
         self.tasks: list[asyncio.Task[None]] = []
         """Kept so that they are not collected."""
 
@@ -574,13 +576,23 @@
                 if needle in line["message"]:
                     self.record.write(f"log of {name}: {json.dumps(line)[:400]}")
 
-    def end(self) -> None:
+    async def start_process(self, *args: str) -> asyncio.subprocess.Process:
+        """Start a runner's process, whose output is read through a pipe."""
+        process = await asyncio.create_subprocess_exec(*args, stdout=asyncio.subprocess.PIPE)
+        self.processes.append(process)
+        return process
+
+    async def end(self) -> None:
         """End all processes."""
-        for process in self.gateways.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
+        for process in self.processes:
+            if process.returncode is None:
                 process.kill()
-            process.wait()
+            await process.wait()
+        for gateway in self.gateways.values():
+            if gateway.poll() is None:
+                gateway.send_signal(signal.SIGCONT)
+                gateway.kill()
+            gateway.wait()
         self.temporary.cleanup()
 
 
@@ -670,6 +682,6 @@
             traceback.print_exc()
             return 2
         finally:
-            lab.end()
+            await lab.end()
 
     return asyncio.run(run())
