--- a/review/7/case.py
+++ b/review/7/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -12,6 +13,8 @@
 import lab2
 from lab2 import Head, Lab, Request, Runner
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption is to be there."""
 CALL_EVERY_S = 0.05
 FROZEN_S = 4.0
 """As `node_freeze` in the second deployment's list of troubles."""
@@ -49,11 +52,11 @@
             call = lab.ask(lab.ips[name], "POST", "/note/2f", body=b"a" * 600, timeout_s=1.5)
             calls.append(asyncio.create_task(call))
         if not gone_at and now > began_at + 1:
-            if lab2.has_trouble():
+            if HAS_TROUBLE:
                 lab.signal(frozen, signal.SIGSTOP)
             runner.leave()
             gone_at = lab.record.now()
-        if lab2.has_trouble() and gone_at and now > gone_at + FROZEN_S:
+        if HAS_TROUBLE and gone_at and now > gone_at + FROZEN_S:
             lab.signal(frozen, signal.SIGCONT)
         await asyncio.sleep(CALL_EVERY_S)
     await asyncio.gather(*calls)
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -661,18 +661,13 @@
     }
 
 
-def has_trouble() -> bool:
-    """Whether the disruption is to be there."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def main(case: Callable[[Lab], Awaitable[bool]], folder: Path, **bounds: Any) -> int:
     """Run a case: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
 
     async def run() -> int:
         lab = Lab(folder, bounds)
         try:
-            lab.record.write(f"trouble: {has_trouble()}")
+            lab.record.write(f"TROUBLE={os.environ.get('TROUBLE', '1')}")
             broken = await asyncio.wait_for(case(lab), 110)
             lab.record.write("the rule was broken" if broken else "the rule held")
             print("the rule was broken" if broken else "the rule held")
